--- /dev/null
+++ b/core/clock.go
@@ -0,0 +1,30 @@
+package core
+
+import "time"
+
+// Clock is the source of time for all parts; tests replace it.
+type Clock interface {
+	// Now returns the present time, with a monotonic reading where the platform has one.
+	Now() time.Time
+	// After returns a channel that receives one value after the duration.
+	After(duration time.Duration) <-chan time.Time
+}
+
+// SystemClock is the Clock of the machine.
+type SystemClock struct{}
+
+// Now returns the time of the machine.
+func (SystemClock) Now() time.Time { return time.Now() }
+
+// After waits on a timer of the machine.
+func (SystemClock) After(duration time.Duration) <-chan time.Time { return time.After(duration) }
+
+// Elapsed returns the larger of the monotonic and the wall-clock time between two readings.
+//
+// A suspended VM stops the monotonic clock, and an operator can set the wall clock back. A lease that is
+// judged by only one of them can look valid after it has lapsed.
+func Elapsed(from, to time.Time) time.Duration {
+	monotonic := to.Sub(from)
+	wall := to.Round(0).Sub(from.Round(0))
+	return max(monotonic, wall)
+}
--- /dev/null
+++ b/core/doc.go
@@ -0,0 +1,2 @@
+// Package core holds the interfaces, identifiers, messages and error kinds that the parts of catkincove share.
+package core
--- /dev/null
+++ b/core/loop/doc.go
@@ -0,0 +1,2 @@
+// Package loop runs the control state of a daemon on one goroutine.
+package loop
--- /dev/null
+++ b/core/loop/loop.go
@@ -0,0 +1,73 @@
+package loop
+
+import (
+	"context"
+	"sync"
+)
+
+// Loop runs posted functions one after another; the zero value is ready to use.
+//
+// The queue is unbounded, so that Post never blocks a function that itself runs on the loop.
+type Loop struct {
+	mutex sync.Mutex
+	queue []func()
+	wake  chan struct{}
+	once  sync.Once
+}
+
+func (loop *Loop) init() {
+	loop.once.Do(func() { loop.wake = make(chan struct{}, 1) })
+}
+
+// Post queues a function and returns at once.
+func (loop *Loop) Post(function func()) {
+	loop.init()
+	loop.mutex.Lock()
+	loop.queue = append(loop.queue, function)
+	loop.mutex.Unlock()
+	select {
+	case loop.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Do posts a function and waits until it has run or ctx ends.
+func (loop *Loop) Do(ctx context.Context, function func()) error {
+	done := make(chan struct{})
+	loop.Post(func() {
+		function()
+		close(done)
+	})
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Run executes posted functions until ctx ends; functions still queued then are dropped.
+func (loop *Loop) Run(ctx context.Context) error {
+	loop.init()
+	for {
+		for _, function := range loop.take() {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			function()
+		}
+		select {
+		case <-loop.wake:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (loop *Loop) take() []func() {
+	loop.mutex.Lock()
+	defer loop.mutex.Unlock()
+	queue := loop.queue
+	loop.queue = nil
+	return queue
+}
--- /dev/null
+++ b/core/peer.go
@@ -0,0 +1,214 @@
+package core
+
+import (
+	"context"
+	"time"
+)
+
+// Heartbeat is exchanged by daemons; all times are ages, so that no common wall clock is needed.
+type Heartbeat struct {
+	From       MemberID
+	Address    string
+	DataCentre string
+	Leaving    bool
+	Revision   Revision      // revision of the configuration in force at the sender
+	StoreAge   time.Duration // since the sender's last contact with the store; negative means never
+	OutageAge  time.Duration // since the sender last found the store unreachable; negative means it attests no outage
+	Rows       []HeartbeatRow
+	Suspects   []Suspect
+	Settled    bool // the sender holds a lease and may own pools
+}
+
+// HeartbeatRow passes on what another member said.
+type HeartbeatRow struct {
+	Member    MemberID
+	Revision  Revision
+	HeardAge  time.Duration // since the member said it
+	StoreAge  time.Duration // negative means never
+	OutageAge time.Duration // negative means no outage attested
+}
+
+// SuspectState says what daemons know about a request content.
+type SuspectState int
+
+// The states of a suspect.
+const (
+	SuspectNone        SuspectState = iota
+	SuspectAlone                    // may run only alone on a target
+	SuspectQuarantined              // is refused
+)
+
+// Suspect is a request content that was running on a target when it died.
+type Suspect struct {
+	Fingerprint Fingerprint
+	State       SuspectState
+	Age         time.Duration // since the finding
+}
+
+// GrantRequest asks the owner of a pool for permission to send one attempt to one target.
+type GrantRequest struct {
+	Pool        PoolID
+	Request     RequestID
+	Stage       string
+	Attempt     int
+	Member      MemberID // the daemon that will send
+	Team        TeamName
+	Fingerprint Fingerprint
+	Prefix      []uint64      // chained hashes of the prompt's blocks, longest prefix last
+	TimeLeft    time.Duration // to the request's deadline
+	Reserve     time.Duration // least time that later stages need
+	Work        int           // expected work: tokens for a generating target, 1 otherwise
+	Priority    int           // larger is served first within a team
+	Revision    Revision      // configuration in force at the sender
+	Queue       GrantID       // place in the queue from an earlier answer; empty at first
+	Exclude     []TargetName  // targets that failed for this request
+}
+
+// Grant permits one attempt on one target.
+type Grant struct {
+	ID      GrantID
+	Pool    PoolID
+	Target  TargetName
+	Address string
+	UseIn   time.Duration // from when the sender sent its grant request to the first byte
+	HoldFor time.Duration // after which the owner counts the grant as returned
+	Alone   bool
+}
+
+// GrantReply is exactly one of a grant, a place in the queue, or a refusal.
+type GrantReply struct {
+	Grant    *Grant
+	Queue    GrantID // ask again with this place
+	Refused  *Error
+	Revision Revision // configuration in force at the owner
+	Summary  PoolSummary
+}
+
+// PoolSummary is what a sender learns of a pool with each answer.
+type PoolSummary struct {
+	Free    int           // further requests that would start at once
+	Waiting int           // requests in the queue
+	Wait    time.Duration // expected wait of a new request
+}
+
+// Outcome says how an attempt ended.
+type Outcome int
+
+// The outcomes; the zero value counts as not sent.
+const (
+	OutcomeUnsent Outcome = iota
+	OutcomeDone
+	OutcomeRejected  // the target answered that it will not run it
+	OutcomeFailed    // the target answered with an error
+	OutcomeBroken    // the connection was refused, reset or ended early
+	OutcomeSilent    // no answer in time
+	OutcomeCancelled // given up by the sender or its caller
+)
+
+// Release returns a grant to the owner.
+type Release struct {
+	Pool       PoolID
+	Grant      GrantID
+	Outcome    Outcome
+	FirstToken time.Duration
+	Took       time.Duration
+	Start      string // the target's start identifier from its answer; empty if unknown
+	Tokens     int
+}
+
+// ConfigRequest asks a peer for objects changed after the revision.
+type ConfigRequest struct {
+	Since Revision
+}
+
+// ConfigReply carries encoded configuration objects.
+type ConfigReply struct {
+	Revision Revision
+	Full     bool // Objects is the whole configuration
+	Objects  []Entry
+}
+
+// Peers calls other daemons by their address.
+type Peers interface {
+	// Heartbeat exchanges heartbeats.
+	Heartbeat(ctx context.Context, address string, heartbeat Heartbeat) (Heartbeat, error)
+	// Config fetches configuration changes.
+	Config(ctx context.Context, address string, request ConfigRequest) (ConfigReply, error)
+	// Grant asks the pool's owner at the address.
+	Grant(ctx context.Context, address string, request GrantRequest) (GrantReply, error)
+	// Release returns a grant to the pool's owner at the address.
+	Release(ctx context.Context, address string, release Release) error
+}
+
+// Granter obtains and returns grants for the daemon's traffic.
+type Granter interface {
+	// Acquire waits for a grant of the pool, or returns an *Error that is "not run".
+	//
+	// The returned time is the latest moment for the first byte, by Elapsed from now.
+	Acquire(ctx context.Context, request GrantRequest) (Permit, error)
+	// Release returns a grant; it does not block on the network.
+	Release(release Release)
+}
+
+// Permit is a grant with the moment from which its use is counted.
+type Permit struct {
+	Grant Grant
+	Asked time.Time // when the grant request was sent
+}
+
+// Usable reports whether the first byte may still be written at now.
+func (permit Permit) Usable(now time.Time) bool {
+	return Elapsed(permit.Asked, now) < permit.Grant.UseIn
+}
+
+// Router orders the pools of a service for a sender; it is safe for concurrent use.
+type Router interface {
+	// Pools returns the pools of the service that may take new work, cheapest first; empty when there is none.
+	Pools(service string) []PoolID
+	// Note remembers what a pool's owner last said.
+	Note(pool PoolID, summary PoolSummary)
+	// Avoid remembers that a pool's owner gave no answer or that the pool failed.
+	Avoid(pool PoolID)
+}
+
+// Gate is asked immediately before the first byte of each attempt.
+type Gate interface {
+	// MaySend returns an *Error that is "not run" when the configuration is not confirmed or excludes the target.
+	MaySend(pool PoolID, target TargetName) error
+}
+
+// StageRecord is the cost of one stage of a finished request.
+type StageRecord struct {
+	Stage      string
+	Service    string
+	DataCentre string // of the attempt that counted
+	Took       time.Duration
+	Queued     time.Duration // waiting for grants
+	Target     time.Duration // target time of the attempt that counted
+	Wasted     time.Duration // target time of dropped attempts
+	Attempts   int
+}
+
+// RequestRecord describes one finished request for the service-level report.
+type RequestRecord struct {
+	Pipeline   string
+	Team       TeamName
+	Took       time.Duration
+	Deadline   time.Duration
+	FirstToken time.Duration // 0 when nothing was generated
+	Tokens     int
+	Failure    *Error // nil when the whole answer was given
+	Stages     []StageRecord
+}
+
+// Recorder takes the records of finished requests; it is safe for concurrent use.
+type Recorder interface {
+	// Record adds one finished request.
+	Record(record RequestRecord)
+}
+
+// Loop runs functions one after another on the control goroutine.
+type Loop interface {
+	// Post queues a function and returns at once.
+	Post(function func())
+}
