--- /dev/null
+++ b/io/answer/doc.go
@@ -0,0 +1,2 @@
+// Package answer maps errors to the JSON answers of a daemon and back.
+package answer
--- /dev/null
+++ b/io/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter counts the bytes of connections, so that control traffic is measured on the wire.
+package meter
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,82 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"catkincove/core"
+	"catkincove/io/meter"
+)
+
+// TestAgesNeverShrink guards against a confirmation that looks younger, or a grant that lasts longer, after the wire.
+func TestAgesNeverShrink(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		age := time.Duration(rapid.Int64Range(-1, int64(time.Hour)).Draw(t, "age"))
+		heartbeat := core.Heartbeat{StoreAge: age, OutageAge: age, Rows: []core.HeartbeatRow{{HeardAge: age}}}
+		got := decodeHeartbeat(encodeHeartbeat(heartbeat))
+		for _, decoded := range []time.Duration{got.StoreAge, got.OutageAge, got.Rows[0].HeardAge} {
+			if decoded < age || (age < 0) != (decoded < 0) {
+				t.Fatalf("age %v became %v", age, decoded)
+			}
+		}
+		reply := core.GrantReply{Grant: &core.Grant{UseIn: age, HoldFor: age}}
+		grant := decodeGrantReply(encodeGrantReply(reply), core.PoolID{}).Grant
+		if age >= 0 && (grant.UseIn > age || grant.HoldFor > age) {
+			t.Fatalf("permission of %v became %v and %v", age, grant.UseIn, grant.HoldFor)
+		}
+	})
+}
+
+type echo struct {
+	Service
+	request core.GrantRequest
+}
+
+func (echo *echo) Grant(_ context.Context, request core.GrantRequest) (core.GrantReply, error) {
+	echo.request = request
+	refusal := core.Errorf(core.Overloaded, "queue is full").WithRetryAfter(time.Second)
+	return core.GrantReply{Refused: refusal, Revision: 7, Summary: core.PoolSummary{Waiting: 3, Wait: time.Second}}, nil
+}
+
+// TestGrantOverTheWire guards against fields that are lost between sender and owner.
+func TestGrantOverTheWire(t *testing.T) {
+	mux := http.NewServeMux()
+	service := new(echo)
+	Register(mux, service, new(meter.Counter))
+	server := httptest.NewUnstartedServer(mux)
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	defer server.Close()
+	counter := new(meter.Counter)
+	client := NewClient(counter)
+	defer client.Close()
+	request := core.GrantRequest{
+		Pool: core.PoolID{Service: "generate", DataCentre: "a"}, Request: "r", Stage: "s", Attempt: 2, Member: "m",
+		Team: "t", Fingerprint: 1 << 63, Prefix: []uint64{1, 2}, TimeLeft: time.Second, Reserve: time.Millisecond,
+		Work: 5, Priority: -1, Revision: 9, Queue: "q", Exclude: []core.TargetName{"x"},
+	}
+	reply, err := client.Grant(t.Context(), server.Listener.Addr().String(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(service.request, request) {
+		t.Errorf("owner got %+v, sender sent %+v", service.request, request)
+	}
+	refused := reply.Refused
+	if refused == nil || refused.Kind != core.Overloaded || refused.Run != core.NotRun || refused.RetryAfter != time.Second {
+		t.Errorf("refusal is %+v", refused)
+	}
+	if reply.Revision != 7 || reply.Summary.Waiting != 3 || reply.Summary.Wait != time.Second {
+		t.Errorf("reply is %+v", reply)
+	}
+	if counter.Written() == 0 || counter.Read() == 0 {
+		t.Errorf("counted %d bytes written and %d read", counter.Written(), counter.Read())
+	}
+}
--- /dev/null
+++ b/io/peer/wire.go
@@ -0,0 +1,322 @@
+package peer
+
+import (
+	"time"
+
+	"catkincove/core"
+	"catkincove/io/answer"
+)
+
+// The wire structs are untagged: their field names are the keys. Times are whole milliseconds; ages are rounded up and
+// times left are rounded down, so that rounding never makes a confirmation look younger or a permission longer.
+
+const never = -1
+
+type wireHeartbeat struct {
+	From        string
+	Address     string
+	DataCentre  string
+	Leaving     bool
+	Settled     bool
+	Revision    int64
+	StoreAgeMs  int64
+	OutageAgeMs int64
+	Rows        []wireRow
+	Suspects    []wireSuspect
+}
+
+type wireRow struct {
+	Member      string
+	Revision    int64
+	HeardAgeMs  int64
+	StoreAgeMs  int64
+	OutageAgeMs int64
+}
+
+type wireSuspect struct {
+	Fingerprint uint64
+	State       int
+	AgeMs       int64
+}
+
+type wireGrantRequest struct {
+	Service     string
+	DataCentre  string
+	Request     string
+	Stage       string
+	Attempt     int
+	Member      string
+	Team        string
+	Fingerprint uint64
+	Prefix      []uint64
+	TimeLeftMs  int64
+	ReserveMs   int64
+	Work        int
+	Priority    int
+	Revision    int64
+	Queue       string
+	Exclude     []string
+}
+
+type wireGrant struct {
+	ID        string
+	Target    string
+	Address   string
+	UseInMs   int64
+	HoldForMs int64
+	Alone     bool
+}
+
+type wireGrantReply struct {
+	Grant    *wireGrant
+	Queue    string
+	Refused  *answer.Error
+	Revision int64
+	Free     int
+	Waiting  int
+	WaitMs   int64
+}
+
+type wireRelease struct {
+	Service      string
+	DataCentre   string
+	Grant        string
+	Outcome      int
+	FirstTokenUs int64
+	TookUs       int64
+	Start        string
+	Tokens       int
+}
+
+type wireConfigRequest struct {
+	Since int64
+}
+
+type wireConfigReply struct {
+	Revision int64
+	Full     bool
+	Objects  []wireEntry
+}
+
+type wireEntry struct {
+	Key         string
+	Value       string
+	ModRevision int64
+}
+
+func ceilMs(duration time.Duration) int64 {
+	if duration < 0 {
+		return never
+	}
+	return int64((duration + time.Millisecond - 1) / time.Millisecond)
+}
+
+func floorMs(duration time.Duration) int64 {
+	return max(0, duration.Milliseconds())
+}
+
+func fromMs(milliseconds int64) time.Duration {
+	if milliseconds < 0 {
+		return never
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
+func encodeHeartbeat(heartbeat core.Heartbeat) wireHeartbeat {
+	wire := wireHeartbeat{
+		From:        string(heartbeat.From),
+		Address:     heartbeat.Address,
+		DataCentre:  heartbeat.DataCentre,
+		Leaving:     heartbeat.Leaving,
+		Settled:     heartbeat.Settled,
+		Revision:    int64(heartbeat.Revision),
+		StoreAgeMs:  ceilMs(heartbeat.StoreAge),
+		OutageAgeMs: ceilMs(heartbeat.OutageAge),
+	}
+	for _, row := range heartbeat.Rows {
+		wire.Rows = append(wire.Rows, wireRow{
+			Member:      string(row.Member),
+			Revision:    int64(row.Revision),
+			HeardAgeMs:  ceilMs(row.HeardAge),
+			StoreAgeMs:  ceilMs(row.StoreAge),
+			OutageAgeMs: ceilMs(row.OutageAge),
+		})
+	}
+	for _, suspect := range heartbeat.Suspects {
+		wire.Suspects = append(wire.Suspects, wireSuspect{
+			Fingerprint: uint64(suspect.Fingerprint),
+			State:       int(suspect.State),
+			AgeMs:       ceilMs(suspect.Age),
+		})
+	}
+	return wire
+}
+
+func decodeHeartbeat(wire wireHeartbeat) core.Heartbeat {
+	heartbeat := core.Heartbeat{
+		From:       core.MemberID(wire.From),
+		Address:    wire.Address,
+		DataCentre: wire.DataCentre,
+		Leaving:    wire.Leaving,
+		Settled:    wire.Settled,
+		Revision:   core.Revision(wire.Revision),
+		StoreAge:   fromMs(wire.StoreAgeMs),
+		OutageAge:  fromMs(wire.OutageAgeMs),
+	}
+	for _, row := range wire.Rows {
+		heartbeat.Rows = append(heartbeat.Rows, core.HeartbeatRow{
+			Member:    core.MemberID(row.Member),
+			Revision:  core.Revision(row.Revision),
+			HeardAge:  fromMs(row.HeardAgeMs),
+			StoreAge:  fromMs(row.StoreAgeMs),
+			OutageAge: fromMs(row.OutageAgeMs),
+		})
+	}
+	for _, suspect := range wire.Suspects {
+		heartbeat.Suspects = append(heartbeat.Suspects, core.Suspect{
+			Fingerprint: core.Fingerprint(suspect.Fingerprint),
+			State:       core.SuspectState(suspect.State),
+			Age:         fromMs(suspect.AgeMs),
+		})
+	}
+	return heartbeat
+}
+
+func encodeGrantRequest(request core.GrantRequest) wireGrantRequest {
+	wire := wireGrantRequest{
+		Service:     request.Pool.Service,
+		DataCentre:  request.Pool.DataCentre,
+		Request:     string(request.Request),
+		Stage:       request.Stage,
+		Attempt:     request.Attempt,
+		Member:      string(request.Member),
+		Team:        string(request.Team),
+		Fingerprint: uint64(request.Fingerprint),
+		Prefix:      request.Prefix,
+		TimeLeftMs:  floorMs(request.TimeLeft),
+		ReserveMs:   ceilMs(request.Reserve),
+		Work:        request.Work,
+		Priority:    request.Priority,
+		Revision:    int64(request.Revision),
+		Queue:       string(request.Queue),
+	}
+	for _, target := range request.Exclude {
+		wire.Exclude = append(wire.Exclude, string(target))
+	}
+	return wire
+}
+
+func decodeGrantRequest(wire wireGrantRequest) core.GrantRequest {
+	request := core.GrantRequest{
+		Pool:        core.PoolID{Service: wire.Service, DataCentre: wire.DataCentre},
+		Request:     core.RequestID(wire.Request),
+		Stage:       wire.Stage,
+		Attempt:     wire.Attempt,
+		Member:      core.MemberID(wire.Member),
+		Team:        core.TeamName(wire.Team),
+		Fingerprint: core.Fingerprint(wire.Fingerprint),
+		Prefix:      wire.Prefix,
+		TimeLeft:    fromMs(wire.TimeLeftMs),
+		Reserve:     fromMs(wire.ReserveMs),
+		Work:        wire.Work,
+		Priority:    wire.Priority,
+		Revision:    core.Revision(wire.Revision),
+		Queue:       core.GrantID(wire.Queue),
+	}
+	for _, target := range wire.Exclude {
+		request.Exclude = append(request.Exclude, core.TargetName(target))
+	}
+	return request
+}
+
+func encodeGrantReply(reply core.GrantReply) wireGrantReply {
+	wire := wireGrantReply{
+		Queue:    string(reply.Queue),
+		Refused:  answer.Encode(reply.Refused),
+		Revision: int64(reply.Revision),
+		Free:     reply.Summary.Free,
+		Waiting:  reply.Summary.Waiting,
+		WaitMs:   ceilMs(reply.Summary.Wait),
+	}
+	if grant := reply.Grant; grant != nil {
+		wire.Grant = &wireGrant{
+			ID:        string(grant.ID),
+			Target:    string(grant.Target),
+			Address:   grant.Address,
+			UseInMs:   floorMs(grant.UseIn),
+			HoldForMs: floorMs(grant.HoldFor),
+			Alone:     grant.Alone,
+		}
+	}
+	return wire
+}
+
+func decodeGrantReply(wire wireGrantReply, pool core.PoolID) core.GrantReply {
+	reply := core.GrantReply{
+		Queue:    core.GrantID(wire.Queue),
+		Refused:  answer.Decode(wire.Refused),
+		Revision: core.Revision(wire.Revision),
+		Summary:  core.PoolSummary{Free: wire.Free, Waiting: wire.Waiting, Wait: fromMs(wire.WaitMs)},
+	}
+	if grant := wire.Grant; grant != nil {
+		reply.Grant = &core.Grant{
+			ID:      core.GrantID(grant.ID),
+			Pool:    pool,
+			Target:  core.TargetName(grant.Target),
+			Address: grant.Address,
+			UseIn:   fromMs(grant.UseInMs),
+			HoldFor: fromMs(grant.HoldForMs),
+			Alone:   grant.Alone,
+		}
+	}
+	return reply
+}
+
+func encodeRelease(release core.Release) wireRelease {
+	return wireRelease{
+		Service:      release.Pool.Service,
+		DataCentre:   release.Pool.DataCentre,
+		Grant:        string(release.Grant),
+		Outcome:      int(release.Outcome),
+		FirstTokenUs: release.FirstToken.Microseconds(),
+		TookUs:       release.Took.Microseconds(),
+		Start:        release.Start,
+		Tokens:       release.Tokens,
+	}
+}
+
+func decodeRelease(wire wireRelease) core.Release {
+	return core.Release{
+		Pool:       core.PoolID{Service: wire.Service, DataCentre: wire.DataCentre},
+		Grant:      core.GrantID(wire.Grant),
+		Outcome:    core.Outcome(wire.Outcome),
+		FirstToken: time.Duration(wire.FirstTokenUs) * time.Microsecond,
+		Took:       time.Duration(wire.TookUs) * time.Microsecond,
+		Start:      wire.Start,
+		Tokens:     wire.Tokens,
+	}
+}
+
+func encodeConfigReply(reply core.ConfigReply) wireConfigReply {
+	wire := wireConfigReply{Revision: int64(reply.Revision), Full: reply.Full}
+	for _, entry := range reply.Objects {
+		wire.Objects = append(wire.Objects, wireEntry{
+			Key:         entry.Key,
+			Value:       string(entry.Value),
+			ModRevision: int64(entry.ModRevision),
+		})
+	}
+	return wire
+}
+
+func decodeConfigReply(wire wireConfigReply) core.ConfigReply {
+	reply := core.ConfigReply{Revision: core.Revision(wire.Revision), Full: wire.Full}
+	for _, entry := range wire.Objects {
+		reply.Objects = append(reply.Objects, core.Entry{
+			Key:         entry.Key,
+			Value:       []byte(entry.Value),
+			ModRevision: core.Revision(entry.ModRevision),
+		})
+	}
+	return reply
+}
