Add the stand-ins of the store, the VM list, models and plain services

The daemon's parts need something to run against that keeps the platform's contract: transactions, leases and watches of the store, cold starts, crashes and resumable streams of the targets. All stand-ins share wire (server and JSON) and engine (admission and faults).

--- /dev/null
+++ b/stand/engine/http.go
@@ -0,0 +1,169 @@
+package engine
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"catkincove/stand/wire"
+)
+
+const (
+	maxBody   = 8 << 20
+	maxRecord = 1000 // bytes of a body kept in the journal
+)
+
+// Work runs one admitted request and reports whether it succeeded.
+type Work func(job *Job) bool
+
+// Serve receives a request, admits it and runs the work.
+func (engine *Engine) Serve(writer http.ResponseWriter, request *http.Request, work Work) {
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxBody))
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	job := &Job{Writer: writer, Request: request, Body: body, engine: engine, record: engine.receive(request, body)}
+	faults := engine.Faults()
+	if faults.Freeze {
+		engine.freeze(request)
+	}
+	engine.identify(writer, request, faults.SwapIDs)
+	if !engine.admit(job) {
+		job.end(Rejected)
+		writer.Header().Set("Retry-After", "1")
+		wire.Reply(writer, http.StatusTooManyRequests, wire.Object{"error": "queue is full"})
+		return
+	}
+	defer engine.leaveRunning(job)
+	if faults.PoisonText != "" && strings.Contains(string(body), faults.PoisonText) {
+		engine.Crash()
+	}
+	if engine.failsNext() {
+		job.end(Failed)
+		wire.Reply(writer, http.StatusInternalServerError, wire.Object{"error": "scripted failure"})
+		return
+	}
+	outcome := Failed
+	if work(job) {
+		outcome = Done
+	}
+	job.Sleep(0) // a crash or a departed caller leaves no finished request
+	job.end(outcome)
+}
+
+func (engine *Engine) receive(request *http.Request, body []byte) *Record {
+	header := request.Header
+	priority, _ := strconv.Atoi(header.Get("X-Priority"))
+	record := &Record{
+		Request: header.Get("X-Request-Id"), Stage: header.Get("X-Stage"), Attempt: header.Get("X-Attempt"),
+		Key: header.Get("Idempotency-Key"), Path: request.URL.Path, Time: time.Now(),
+		Body: string(body[:min(len(body), maxRecord)]), Priority: priority,
+	}
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	record.Start = engine.life.start
+	engine.counts.Received++
+	if len(engine.journal) >= journalLength {
+		engine.journal = engine.journal[1:]
+	}
+	engine.journal = append(engine.journal, record)
+	return record
+}
+
+// identify sets the headers that tie a response to its request.
+func (engine *Engine) identify(writer http.ResponseWriter, request *http.Request, swap bool) {
+	for _, name := range []string{"X-Request-Id", "X-Stage", "X-Attempt"} {
+		value := request.Header.Get(name)
+		if swap {
+			value += "0"
+		}
+		writer.Header().Set(name, value)
+	}
+	writer.Header().Set("X-Start-Id", engine.Start())
+}
+
+// freeze holds a request until the caller leaves or the target crashes.
+func (engine *Engine) freeze(request *http.Request) {
+	engine.mutex.Lock()
+	over := engine.life.over
+	engine.mutex.Unlock()
+	select {
+	case <-request.Context().Done():
+	case <-over:
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (engine *Engine) failsNext() bool {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if engine.faults.FailNext == 0 {
+		return false
+	}
+	engine.faults.FailNext--
+	return true
+}
+
+// Common answers load reports and control calls; it reports false for any other path.
+func (engine *Engine) Common(writer http.ResponseWriter, request *http.Request, models []string) bool {
+	switch request.Method + " " + request.URL.Path {
+	case "GET /load":
+		if engine.Faults().Freeze {
+			engine.freeze(request)
+		}
+		engine.reportLoad(writer, models)
+	case "GET /control/journal":
+		wire.Reply(writer, http.StatusOK, engine.Journal())
+	case "GET /control/counters":
+		wire.Reply(writer, http.StatusOK, engine.Counts())
+	case "GET /control/faults":
+		wire.Reply(writer, http.StatusOK, engine.Faults())
+	case "POST /control/faults":
+		engine.control(writer, request)
+	default:
+		return false
+	}
+	return true
+}
+
+func (engine *Engine) reportLoad(writer http.ResponseWriter, models []string) {
+	engine.mutex.Lock()
+	if engine.down {
+		engine.mutex.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	engine.note()
+	sample, lag := engine.loads[0], engine.settings.LoadLag
+	capacity := engine.settings.Capacity
+	engine.mutex.Unlock()
+	writer.Header().Set("X-Start-Id", sample.start)
+	wire.Reply(writer, http.StatusOK, wire.Object{
+		"start": sample.start, "running": sample.running, "waiting": sample.waiting,
+		"capacity": capacity, "models": models, "age_ms": lag.Milliseconds(),
+	})
+}
+
+// control changes the faults; Crash and TurnCold act once.
+func (engine *Engine) control(writer http.ResponseWriter, request *http.Request) {
+	body, _ := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxBody))
+	change := struct {
+		Faults
+		Crash, TurnCold bool
+	}{Faults: engine.Faults()}
+	if err := wire.Unmarshal(body, &change); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	engine.SetFaults(change.Faults)
+	wire.Reply(writer, http.StatusOK, change.Faults)
+	if change.TurnCold {
+		engine.TurnCold()
+	}
+	if change.Crash {
+		_ = http.NewResponseController(writer).Flush()
+		engine.Crash()
+	}
+}
--- /dev/null
+++ b/stand/model/order.go
@@ -0,0 +1,74 @@
+package model
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"catkincove/stand/wire"
+)
+
+// Order is one order that the target carried out or rejected.
+type Order struct {
+	Action, Name, Version string
+	Fencing               int64
+	Rejected              bool
+	Time                  time.Time
+}
+
+// Models returns the loaded models.
+func (target *Target) Models() []string {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	return slices.Clone(target.models)
+}
+
+// Role returns the role that the last order gave.
+func (target *Target) Role() string {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	return target.role
+}
+
+// Orders returns the orders received, in order.
+func (target *Target) Orders() []Order {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	return slices.Clone(target.orders)
+}
+
+func (target *Target) order(writer http.ResponseWriter, request *http.Request) {
+	order := Order{Time: time.Now()}
+	body, _ := io.ReadAll(request.Body)
+	if err := wire.Unmarshal(body, &order); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	target.mutex.Lock()
+	order.Rejected = target.settings.ChecksFencing && order.Fencing < target.fencing
+	target.fencing = max(target.fencing, order.Fencing)
+	target.orders = append(target.orders, order)
+	target.mutex.Unlock()
+	if order.Rejected {
+		http.Error(writer, "stale fencing token", http.StatusConflict)
+		return
+	}
+	time.Sleep(target.settings.LoadTime)
+	target.obey(order)
+	wire.Reply(writer, http.StatusOK, wire.Object{})
+}
+
+func (target *Target) obey(order Order) {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	kept := slices.DeleteFunc(slices.Clone(target.models), func(name string) bool { return name == order.Name })
+	switch order.Action {
+	case "load_model", "load_adapter":
+		target.models = append(kept, order.Name)
+	case "unload_model", "unload_adapter":
+		target.models = kept
+	case "change_role":
+		target.role = order.Name
+	}
+}
--- /dev/null
+++ b/stand/model/target.go
@@ -0,0 +1,115 @@
+package model
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"catkincove/core/config"
+	"catkincove/stand/engine"
+	"catkincove/stand/text"
+	"catkincove/stand/wire"
+)
+
+// Defaults of a model target; they are quick, so that a demo on one machine shows a stream.
+const (
+	defaultServiceTime  = 3 * time.Millisecond
+	defaultTokenTime    = 4 * time.Millisecond
+	defaultBlockTime    = 500 * time.Microsecond
+	defaultBatchSlope   = 0.02
+	defaultEventTokens  = 4
+	defaultAnswerTokens = 48
+	defaultCacheBlocks  = 4096
+)
+
+// Settings are the properties of a model target; the zero value plays an encoder without a cold start.
+type Settings struct {
+	engine.Settings
+	Kind          config.ServiceKind // what the target plays
+	Models        []string           // loaded at the start; empty accepts any model
+	Index         *text.Index        // searched by a retriever; default: the sample
+	ServiceTime   time.Duration      // of one request to a target that does not generate; default 3 ms
+	TokenTime     time.Duration      // per token of a request that runs alone; default 4 ms
+	BatchSlope    float64            // by which the time per token grows for each other running request; default 0.02
+	BlockTime     time.Duration      // of prefill per prompt block that is not cached; default 0.5 ms
+	EventTokens   int                // tokens per event; default 4
+	AnswerTokens  int                // shortest length of an answer that is not cut; default 48
+	CacheBlocks   int                // prompt blocks that the cache holds; default 4096
+	CacheLag      time.Duration      // age at which cache events are reported
+	GapEvery      int                // every n-th cache event is lost; 0 loses none
+	ChecksFencing bool               // orders with an old fencing token are rejected
+	LoadTime      time.Duration      // of an order
+}
+
+// Target plays one model engine; it is an http.Handler.
+type Target struct {
+	*engine.Engine
+	settings Settings
+	cache    cache
+	mutex    sync.Mutex
+	models   []string
+	role     string
+	fencing  int64
+	orders   []Order
+}
+
+// New returns a cold target; the name is part of its start identifiers.
+func New(name string, settings Settings) *Target {
+	settings = settings.withDefaults()
+	target := &Target{Engine: engine.New(name, settings.Settings), settings: settings, models: settings.Models}
+	target.cache.settings = settings
+	target.OnFall(target.cache.clear)
+	return target
+}
+
+func (settings Settings) withDefaults() Settings {
+	orDefault(&settings.ServiceTime, defaultServiceTime)
+	orDefault(&settings.TokenTime, defaultTokenTime)
+	orDefault(&settings.BlockTime, defaultBlockTime)
+	orDefault(&settings.BatchSlope, defaultBatchSlope)
+	orDefault(&settings.EventTokens, defaultEventTokens)
+	orDefault(&settings.AnswerTokens, defaultAnswerTokens)
+	orDefault(&settings.CacheBlocks, defaultCacheBlocks)
+	if settings.Index == nil && settings.Kind == config.Retrieve {
+		settings.Index = text.Sample()
+	}
+	return settings
+}
+
+func orDefault[Value comparable](value *Value, fallback Value) {
+	var zero Value
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+// ServeHTTP answers the calls of the target protocol for the target's kind, and control calls.
+func (target *Target) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if target.Common(writer, request, target.Models()) {
+		return
+	}
+	work := map[string]engine.Work{}
+	switch target.settings.Kind {
+	case config.Encode:
+		work["/v1/embeddings"] = target.embed
+	case config.Retrieve:
+		work["/search"] = target.search
+	case config.Rerank:
+		work["/v1/rerank"] = target.rerank
+	case config.Generate:
+		work["/v1/completions"] = target.complete
+	}
+	path := request.URL.Path
+	switch {
+	case path == "/cache/events":
+		after, _ := strconv.ParseInt(request.URL.Query().Get("after"), 10, 64)
+		wire.Reply(writer, http.StatusOK, wire.Object{"events": target.cache.after(after)})
+	case path == "/orders" && request.Method == http.MethodPost:
+		target.order(writer, request)
+	case work[path] != nil && request.Method == http.MethodPost:
+		target.Serve(writer, request, work[path])
+	default:
+		http.NotFound(writer, request)
+	}
+}
--- /dev/null
+++ b/stand/model/work.go
@@ -0,0 +1,157 @@
+package model
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"catkincove/stand/engine"
+	"catkincove/stand/text"
+	"catkincove/stand/wire"
+)
+
+// input is the union of all request bodies.
+type input struct {
+	Model     string
+	Input     string
+	Query     string
+	Limit     int
+	Documents []string
+	TopN      int
+	Prompt    string
+	MaxTokens int
+	Stream    bool
+	Received  string
+}
+
+// read decodes the body and refuses a model that is not loaded.
+func (target *Target) read(job *engine.Job) (input, bool) {
+	var input input
+	if err := wire.Unmarshal(job.Body, &input); err != nil {
+		return input, reject(job, err.Error())
+	}
+	models := target.Models()
+	if input.Model != "" && len(models) > 0 && !slices.Contains(models, input.Model) {
+		return input, reject(job, fmt.Sprintf("model %q is not loaded", input.Model))
+	}
+	return input, true
+}
+
+func reject(job *engine.Job, message string) bool {
+	wire.Reply(job.Writer, http.StatusBadRequest, wire.Object{"error": message})
+	return false
+}
+
+func (target *Target) embed(job *engine.Job) bool {
+	input, valid := target.read(job)
+	if !valid {
+		return false
+	}
+	job.Begin(target.settings.ServiceTime)
+	vector := Vector(text.Words(input.Input))
+	wire.Reply(job.Writer, http.StatusOK, wire.Object{"data": []wire.Object{{"embedding": vector}}})
+	return true
+}
+
+func (target *Target) search(job *engine.Job) bool {
+	input, valid := target.read(job)
+	if !valid {
+		return false
+	}
+	job.Begin(target.settings.ServiceTime)
+	hits := []wire.Object{}
+	for _, hit := range target.settings.Index.Search(input.Query, max(input.Limit, 1)) {
+		hits = append(hits, wire.Object{"id": hit.ID, "text": hit.Text, "score": hit.Score})
+	}
+	wire.Reply(job.Writer, http.StatusOK, wire.Object{"hits": hits})
+	return true
+}
+
+func (target *Target) rerank(job *engine.Job) bool {
+	input, valid := target.read(job)
+	if !valid {
+		return false
+	}
+	job.Begin(target.settings.ServiceTime)
+	scores := text.Relevance(input.Query, input.Documents)
+	order := make([]int, len(scores))
+	for place := range order {
+		order[place] = place
+	}
+	sort.SliceStable(order, func(i, j int) bool { return scores[order[i]] > scores[order[j]] })
+	if input.TopN > 0 {
+		order = order[:min(len(order), input.TopN)]
+	}
+	results := []wire.Object{}
+	for _, place := range order {
+		results = append(results, wire.Object{"index": place, "relevance_score": scores[place]})
+	}
+	wire.Reply(job.Writer, http.StatusOK, wire.Object{"results": results})
+	return true
+}
+
+func (target *Target) complete(job *engine.Job) bool {
+	input, valid := target.read(job)
+	if !valid {
+		return false
+	}
+	tokens, finish := Answer(input.Prompt, target.settings.AnswerTokens, input.MaxTokens)
+	sent, err := resumeAt(job.Request.Header.Get("Last-Event-ID"), tokens, input.Received)
+	if err != nil {
+		return reject(job, err.Error())
+	}
+	blocks := Blocks(input.Prompt + input.Received)
+	missing := len(blocks) - target.cache.use(blocks)
+	job.Begin(time.Duration(missing+1) * target.settings.BlockTime)
+	job.Writer.Header().Set("Content-Type", "text/event-stream")
+	for {
+		count := min(target.settings.EventTokens, len(tokens)-sent)
+		job.Sleep(time.Duration(count) * target.tokenTime(job))
+		group := strings.Join(tokens[sent:sent+count], "")
+		sent += count
+		target.AddTokens(count)
+		var reason any
+		if sent == len(tokens) {
+			reason = finish
+		}
+		emit(job, sent, group, reason)
+		if reason != nil {
+			break
+		}
+	}
+	_, _ = fmt.Fprint(job.Writer, "data: [DONE]\n\n")
+	_ = http.NewResponseController(job.Writer).Flush()
+	return true
+}
+
+// resumeAt returns the number of tokens that the caller has, and refuses a text that does not match them.
+func resumeAt(last string, tokens []string, received string) (int, error) {
+	if last == "" {
+		return 0, nil
+	}
+	count, err := strconv.Atoi(last)
+	if err != nil || count < 0 || count > len(tokens) {
+		return 0, fmt.Errorf("Last-Event-ID %q does not fit an answer of %d tokens", last, len(tokens))
+	}
+	if received != strings.Join(tokens[:count], "") {
+		return 0, fmt.Errorf("received text is not the first %d tokens of the answer", count)
+	}
+	return count, nil
+}
+
+func (target *Target) tokenTime(job *engine.Job) time.Duration {
+	others := float64(max(job.Running()-1, 0))
+	return time.Duration(float64(target.settings.TokenTime) * (1 + target.settings.BatchSlope*others))
+}
+
+func emit(job *engine.Job, sent int, group string, reason any) {
+	choice := wire.Object{"index": 0, "text": group, "finish_reason": reason}
+	data, _ := json.Marshal(wire.Object{"choices": []wire.Object{choice}})
+	_, _ = fmt.Fprintf(job.Writer, "id: %d\ndata: %s\n\n", sent, data)
+	_ = http.NewResponseController(job.Writer).Flush()
+}
--- /dev/null
+++ b/stand/vmlist/doc.go
@@ -0,0 +1,2 @@
+// Package vmlist stands in for the platform's lagging list of VMs.
+package vmlist
--- /dev/null
+++ b/stand/wire/server.go
@@ -0,0 +1,61 @@
+package wire
+
+import (
+	"io"
+	"log"
+	"net/http"
+)
+
+// Server serves a handler over HTTP/1.1 and HTTP/2 without TLS.
+type Server struct {
+	gate *gate
+	http *http.Server
+	done chan struct{}
+}
+
+// Attacher is a handler that wants to take its own server down.
+type Attacher interface {
+	// Attach tells the handler which server runs it.
+	Attach(server *Server)
+}
+
+// Listen starts a server on the address, which may have port 0.
+func Listen(address string, handler http.Handler) (*Server, error) {
+	gate, err := newGate(address)
+	if err != nil {
+		return nil, err
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	silent := log.New(io.Discard, "", 0)
+	server := &Server{gate: gate, done: make(chan struct{})}
+	server.http = &http.Server{Handler: handler, Protocols: protocols, ErrorLog: silent}
+	if attacher, wants := handler.(Attacher); wants {
+		attacher.Attach(server)
+	}
+	go func() {
+		defer close(server.done)
+		_ = server.http.Serve(gate)
+	}()
+	return server, nil
+}
+
+// Address returns the listening address as IP:port.
+func (server *Server) Address() string { return server.gate.address }
+
+// Down refuses new connections and resets the open ones, as after the end of a process.
+func (server *Server) Down() { server.gate.lower() }
+
+// Up accepts connections again on the same address.
+func (server *Server) Up() error { return server.gate.raise() }
+
+// Reset ends the open connections and keeps accepting new ones.
+func (server *Server) Reset() { server.gate.reset() }
+
+// Close ends the server and its connections.
+func (server *Server) Close() {
+	_ = server.gate.Close()
+	_ = server.http.Close()
+	<-server.done
+}
