Add the store client and the freshness tracker

Heartbeat gains Members, the size of the sender's view: a daemon that has just started could otherwise count an acceptance against the few members that still reach the store.

--- /dev/null
+++ b/core/fresh/fill.go
@@ -0,0 +1,49 @@
+package fresh
+
+import (
+	"slices"
+	"time"
+
+	"catkincove/core"
+)
+
+// Fill sets the ages, the rows and the size of the view of an outgoing heartbeat whose Revision is the one in force.
+func (tracker *Tracker) Fill(now time.Time, heartbeat *core.Heartbeat) {
+	tracker.SetRevision(heartbeat.Revision)
+	heartbeat.From = tracker.Self
+	heartbeat.StoreAge = age(tracker.ownContact(heartbeat.Revision), now)
+	heartbeat.OutageAge = age(tracker.outage, now)
+	heartbeat.Members = len(tracker.members)
+	heartbeat.Rows = tracker.rows(now)
+}
+
+// SetRevision takes the revision that is in force at this daemon.
+func (tracker *Tracker) SetRevision(revision core.Revision) {
+	tracker.selfConfirmed = max(tracker.selfConfirmed, revision)
+}
+
+func (tracker *Tracker) rows(now time.Time) []core.HeartbeatRow {
+	rows := make([]core.HeartbeatRow, 0, len(tracker.reports))
+	for member, said := range tracker.reports {
+		if !within(said.heard, now, rowAge) {
+			continue
+		}
+		rows = append(rows, core.HeartbeatRow{
+			Member:    member,
+			Revision:  said.revision,
+			HeardAge:  age(said.heard, now),
+			StoreAge:  age(said.store, now),
+			OutageAge: age(said.outage, now),
+		})
+	}
+	slices.SortFunc(rows, func(a, b core.HeartbeatRow) int { return int(a.HeardAge - b.HeardAge) })
+	return rows[:min(len(rows), rowLimit)]
+}
+
+// age is negative when there is no such moment.
+func age(at, now time.Time) time.Duration {
+	if at.IsZero() {
+		return -1
+	}
+	return max(0, core.Elapsed(at, now))
+}
--- a/core/peer.go
+++ b/core/peer.go
@@ -17,6 +17,7 @@
 	Rows       []HeartbeatRow
 	Suspects   []Suspect
 	Settled    bool // the sender holds a lease and may own pools
+	Members    int  // daemons in the sender's view; an acceptance counts against the largest view heard
 }
 
 // HeartbeatRow passes on what another member said.
--- /dev/null
+++ b/io/etcd/lease.go
@@ -0,0 +1,49 @@
+package etcd
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"catkincove/core"
+)
+
+// GrantLease creates a lease with the time to live, rounded up to whole seconds.
+func (client *Client) GrantLease(ctx context.Context, ttl time.Duration) (core.LeaseID, error) {
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	answer, err := client.call(ctx, "/v3/lease/grant", message{"TTL": encodeInt(seconds)}, false)
+	if err != nil {
+		return 0, err
+	}
+	lease, err := answer.number("ID")
+	if err == nil && lease == 0 {
+		err = fmt.Errorf("lease grant: answer without ID: %w", core.ErrStoreUnavailable)
+	}
+	return core.LeaseID(lease), err
+}
+
+// KeepAlive renews a lease; it returns ErrLeaseNotFound when the lease has lapsed.
+func (client *Client) KeepAlive(ctx context.Context, lease core.LeaseID) (time.Duration, error) {
+	answer, err := client.call(ctx, "/v3/lease/keepalive", message{"ID": encodeInt(int64(lease))}, true)
+	if err != nil {
+		return 0, err
+	}
+	result, err := answer.object("result")
+	if err != nil {
+		return 0, err
+	}
+	seconds, err := result.number("TTL")
+	if err != nil {
+		return 0, err
+	}
+	if seconds <= 0 {
+		return 0, fmt.Errorf("lease %d: %w", lease, core.ErrLeaseNotFound)
+	}
+	return time.Duration(seconds) * time.Second, nil
+}
+
+// RevokeLease ends a lease and deletes its keys.
+func (client *Client) RevokeLease(ctx context.Context, lease core.LeaseID) error {
+	_, err := client.call(ctx, "/v3/lease/revoke", message{"ID": encodeInt(int64(lease))}, true)
+	return err
+}
