--- a/core/fresh/judge.go
+++ b/core/fresh/judge.go
@@ -75,7 +75,9 @@
 }
 
 // StoreQuorum reports whether two thirds of the members said within the last 2 s that they have the store.
-func (tracker *Tracker) StoreQuorum(now time.Time) bool { return !tracker.StoreQuorumSince(now).IsZero() }
+func (tracker *Tracker) StoreQuorum(now time.Time) bool {
+	return !tracker.StoreQuorumSince(now).IsZero()
+}
 
 // StoreQuorumSince returns the oldest statement of the newest store quorum; zero means that there is none.
 //
--- a/core/fresh/tracker.go
+++ b/core/fresh/tracker.go
@@ -118,7 +118,6 @@
 			return
 		}
 		held.revision = said.revision
-		held.store = time.Time{}
 		tracker.reports[member] = held
 		return
 	}
--- /dev/null
+++ b/core/member/record.go
@@ -0,0 +1,53 @@
+package member
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"catkincove/core"
+)
+
+// Record is what a daemon publishes of itself in the store.
+type Record struct {
+	ID         core.MemberID
+	Address    string // host:port for callers and peers
+	DataCentre string
+	Leaving    bool
+}
+
+// Key returns the store key of the record.
+func (record Record) Key() string { return core.MemberPrefix + string(record.ID) }
+
+// WithLeaving returns a copy that says whether the daemon is leaving.
+func (record Record) WithLeaving(leaving bool) Record {
+	record.Leaving = leaving
+	return record
+}
+
+// wireRecord fixes the keys of the stored form apart from the domain type.
+type wireRecord struct {
+	ID         string
+	Address    string
+	DataCentre string
+	Leaving    bool
+}
+
+// Encode returns the stored form, JSON.
+func (record Record) Encode() []byte {
+	wire := wireRecord{string(record.ID), record.Address, record.DataCentre, record.Leaving}
+	content, _ := json.Marshal(wire) // strings and a boolean always encode
+	return content
+}
+
+// Decode reads a record of the store; its ID must match the key.
+func Decode(entry core.Entry) (Record, error) {
+	var wire wireRecord
+	if err := json.Unmarshal(entry.Value, &wire); err != nil {
+		return Record{}, fmt.Errorf("member record %q: %w", entry.Key, err)
+	}
+	if wire.ID == "" || strings.TrimPrefix(entry.Key, core.MemberPrefix) != wire.ID {
+		return Record{}, fmt.Errorf("member record %q: ID %q does not match the key", entry.Key, wire.ID)
+	}
+	return Record{core.MemberID(wire.ID), wire.Address, wire.DataCentre, wire.Leaving}, nil
+}
