--- /dev/null
+++ b/core/feed/head.go
@@ -0,0 +1,63 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"catkincove/core"
+)
+
+// readHeads reads the head key at the pace of the fleet.
+func (agent *Agent) readHeads(ctx context.Context) {
+	for {
+		sentAt := agent.Clock.Now()
+		revision, err := agent.readHead(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		agent.noteHead(sentAt, err == nil, revision)
+		rest := agent.headPause() - core.Elapsed(sentAt, agent.Clock.Now())
+		if !agent.pause(ctx, max(rest, HeadPause/10)) {
+			return
+		}
+	}
+}
+
+func (agent *Agent) readHead(ctx context.Context) (core.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	agent.reads.Add(1)
+	snapshot, err := agent.Store.Get(ctx, core.HeadKey)
+	if err != nil {
+		return 0, err
+	}
+	revision := headOf(snapshot)
+	if held := agent.Revision(); revision < held {
+		return 0, fmt.Errorf("store answered with revision %d below %d", revision, held)
+	}
+	return revision, nil
+}
+
+func (agent *Agent) noteHead(sentAt time.Time, ok bool, revision core.Revision) {
+	agent.mutex.Lock()
+	defer agent.mutex.Unlock()
+	if agent.OnStore != nil {
+		agent.Loop.Post(func() { agent.OnStore(sentAt, ok, revision) })
+	}
+	if !ok {
+		return
+	}
+	if revision <= agent.state.revision {
+		agent.behind = time.Time{}
+		return
+	}
+	now := agent.Clock.Now()
+	if agent.behind.IsZero() {
+		agent.behind = now
+	}
+	if core.Elapsed(agent.behind, now) >= progressGrace && agent.relist != nil {
+		agent.behind = time.Time{}
+		agent.relist()
+	}
+}
--- /dev/null
+++ b/core/once/batch.go
@@ -0,0 +1,88 @@
+package once
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"catkincove/core"
+)
+
+const (
+	batchLimit = 64                   // transactions in one call
+	batchWait  = 3 * time.Millisecond // longest wait of a transaction for others
+)
+
+// batcher commits transactions that coincide in one store call; the zero value is ready to use.
+type batcher struct {
+	mutex   sync.Mutex
+	waiting []pending
+	round   int // counts flushes, so that the timer of a batch already committed does nothing
+}
+
+type pending struct {
+	txn    core.Txn
+	answer chan<- answer
+}
+
+type answer struct {
+	result core.TxnResult
+	err    error
+}
+
+// commit queues a transaction; the channel receives exactly one answer.
+func (batcher *batcher) commit(store core.Store, clock core.Clock, txn core.Txn) <-chan answer {
+	channel := make(chan answer, 1)
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+	batcher.waiting = append(batcher.waiting, pending{txn, channel})
+	switch len(batcher.waiting) {
+	case 1:
+		round := batcher.round
+		timer := clock.After(batchWait)
+		go func() {
+			<-timer
+			batcher.flush(store, round)
+		}()
+	case batchLimit:
+		go send(store, batcher.take())
+	}
+	return channel
+}
+
+func (batcher *batcher) flush(store core.Store, round int) {
+	batcher.mutex.Lock()
+	if batcher.round != round {
+		batcher.mutex.Unlock()
+		return
+	}
+	batch := batcher.take()
+	batcher.mutex.Unlock()
+	send(store, batch)
+}
+
+// take empties the queue; the caller holds the mutex.
+func (batcher *batcher) take() []pending {
+	batch := batcher.waiting
+	batcher.waiting = nil
+	batcher.round++
+	return batch
+}
+
+// send has its own deadline: the batch belongs to many callers, whose contexts end at different times.
+func send(store core.Store, batch []pending) {
+	ctx, cancel := context.WithTimeout(context.Background(), core.DefaultStoreRTT)
+	defer cancel()
+	txns := make([]core.Txn, 0, len(batch))
+	for _, pending := range batch {
+		txns = append(txns, pending.txn)
+	}
+	results, err := store.CommitAll(ctx, txns)
+	for i, pending := range batch {
+		if err != nil {
+			pending.answer <- answer{err: err}
+			continue
+		}
+		pending.answer <- answer{result: results[i]}
+	}
+}
--- /dev/null
+++ b/core/once/keeper.go
@@ -0,0 +1,211 @@
+package once
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"catkincove/core"
+)
+
+// The times of records.
+const (
+	// Retention is how long after the time in its key a record is kept and the key is valid.
+	Retention = 24 * time.Hour
+	// Ahead is how far the time in a key may be in the future, for the clocks of callers.
+	Ahead = time.Minute
+	// sweepMargin separates rejection of a key from deletion of its record, for differing clocks of daemons.
+	sweepMargin = time.Hour
+)
+
+const (
+	retryAfter = time.Second // answered when the store is down
+	readTries  = 3           // of a record after a lost answer
+	readPause  = 50 * time.Millisecond
+	maxPoll    = 500 * time.Millisecond // between looks at a record of another attempt
+	storeCall  = core.DefaultStoreRTT
+)
+
+// Keeper implements core.Once over the store; Store and Clock are required.
+type Keeper struct {
+	Store  core.Store
+	Clock  core.Clock
+	Member core.MemberID
+
+	batcher batcher
+	started sync.Map // store key of a record started here -> its stored form
+}
+
+var _ core.Once = (*Keeper)(nil)
+
+// Begin records the start of a call; it returns the stored answer when the call is already done.
+func (keeper *Keeper) Begin(ctx context.Context, team core.TeamName, key, bodyHash string) (string, []byte, error) {
+	if err := keeper.check(team, key); err != nil {
+		return "", nil, err
+	}
+	record := core.OnceRecord{BodyHash: bodyHash, Attempt: rand.Text(), Member: keeper.Member}
+	name := recordKey(team, key)
+	for pause := readPause; ; pause = min(2*pause, maxPoll) {
+		held, err := keeper.create(ctx, name, record)
+		if err != nil {
+			return "", nil, err
+		}
+		if held.Attempt == record.Attempt {
+			return record.Attempt, nil, nil
+		}
+		if held.BodyHash != bodyHash {
+			return "", nil, core.Errorf(core.KeyReused, "key %q was used with another body", key)
+		}
+		if held.Done {
+			return held.Attempt, held.Answer, nil
+		}
+		// The key may become free again when the other attempt abandons it, so each look tries to create.
+		held, found, err := keeper.wait(ctx, name, pause)
+		for err == nil && found && !held.Done {
+			pause = min(2*pause, maxPoll)
+			held, found, err = keeper.wait(ctx, name, pause)
+		}
+		if err != nil {
+			return "", nil, core.Errorf(core.OutcomeUnknown, "key %q: attempt %s on %s has not finished", key, held.Attempt, held.Member)
+		}
+	}
+}
+
+// check rejects keys that are no ULID or whose time is outside the retention.
+func (keeper *Keeper) check(team core.TeamName, key string) error {
+	if team == "" || strings.Contains(string(team), "/") {
+		return core.Errorf(core.BadRequest, "team %q cannot be part of a record key", team)
+	}
+	id, err := ulid.ParseStrict(key)
+	if err != nil {
+		return core.Errorf(core.BadRequest, "idempotency key %q is not a ULID: %w", key, err)
+	}
+	if id.String() != key {
+		return core.Errorf(core.BadRequest, "idempotency key %q is not in upper case", key)
+	}
+	age := core.Elapsed(ulid.Time(id.Time()), keeper.Clock.Now())
+	if age >= Retention {
+		return core.Errorf(core.KeyExpired, "idempotency key %q is older than %s", key, Retention)
+	}
+	if age < -Ahead {
+		return core.Errorf(core.BadRequest, "idempotency key %q is more than %s ahead", key, Ahead)
+	}
+	return nil
+}
+
+// create writes the record unless there is one; it returns the record that the store holds.
+//
+// Errors are Unavailable: this attempt sends nothing, whether or not its record was written.
+func (keeper *Keeper) create(ctx context.Context, name string, record core.OnceRecord) (core.OnceRecord, error) {
+	none := core.Revision(0)
+	value := encode(record)
+	answers := keeper.batcher.commit(keeper.Store, keeper.Clock, core.Txn{
+		Compares:  []core.Compare{{Key: name, ModRevision: &none}},
+		Puts:      []core.Put{{Key: name, Value: value}},
+		OnFailure: []string{name},
+	})
+	select {
+	case <-ctx.Done():
+		go keeper.discard(name, value, answers)
+		return core.OnceRecord{}, unavailable("no time left to record the start: %w", ctx.Err())
+	case answer := <-answers:
+		held, err := keeper.settle(ctx, name, record, answer)
+		if err != nil {
+			go keeper.remove(name, value)
+		} else if held.Attempt == record.Attempt {
+			keeper.started.Store(name, value)
+		}
+		return held, err
+	}
+}
+
+// settle turns the answer of a create into the record that the store holds, and reads it back when the answer was lost.
+func (keeper *Keeper) settle(ctx context.Context, name string, record core.OnceRecord, answer answer) (core.OnceRecord, error) {
+	if answer.err == nil && answer.result.Succeeded {
+		return record, nil
+	}
+	if answer.err == nil && len(answer.result.Entries) > 0 {
+		return keeper.decode(answer.result.Entries[0])
+	}
+	var err error
+	for range readTries {
+		var held core.OnceRecord
+		var found bool
+		held, found, err = keeper.read(ctx, name)
+		if err == nil && found {
+			return held, nil
+		}
+		if err == nil {
+			return core.OnceRecord{}, unavailable("the start could not be recorded: %w", answer.err)
+		}
+		if !keeper.pause(ctx, readPause) {
+			break
+		}
+	}
+	return core.OnceRecord{}, unavailable("the record could not be read back: %w", err)
+}
+
+func (keeper *Keeper) decode(entry core.Entry) (core.OnceRecord, error) {
+	record, err := decode(entry.Value)
+	if err != nil {
+		return record, unavailable("%w", err)
+	}
+	return record, nil
+}
+
+func (keeper *Keeper) read(ctx context.Context, name string) (core.OnceRecord, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeCall)
+	defer cancel()
+	snapshot, err := keeper.Store.Get(ctx, name)
+	if err != nil || len(snapshot.Entries) == 0 {
+		return core.OnceRecord{}, false, err
+	}
+	record, err := decode(snapshot.Entries[0].Value)
+	return record, err == nil, err
+}
+
+// wait pauses and reads the record of another attempt; failed reads are repeated until ctx ends.
+func (keeper *Keeper) wait(ctx context.Context, name string, pause time.Duration) (core.OnceRecord, bool, error) {
+	for keeper.pause(ctx, pause) {
+		record, found, err := keeper.read(ctx, name)
+		if err == nil {
+			return record, found, nil
+		}
+	}
+	return core.OnceRecord{}, false, ctx.Err()
+}
+
+func (keeper *Keeper) pause(ctx context.Context, duration time.Duration) bool {
+	select {
+	case <-keeper.Clock.After(duration):
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func unavailable(format string, arguments ...any) error {
+	return core.Errorf(core.Unavailable, format, arguments...).WithRetryAfter(retryAfter)
+}
+
+// discard waits for the answer of a create that nobody waits for and removes the record.
+func (keeper *Keeper) discard(name string, value []byte, answers <-chan answer) {
+	<-answers
+	keeper.remove(name, value)
+}
+
+// remove deletes the record of an attempt that sends nothing; without it the caller's next attempt ends as unknown.
+func (keeper *Keeper) remove(name string, value []byte) {
+	txn := core.Txn{Compares: []core.Compare{{Key: name, Value: value}}, Deletes: []string{name}}
+	ctx, cancel := context.WithTimeout(context.Background(), storeCall)
+	defer cancel()
+	_, _ = keeper.Store.Commit(ctx, txn)
+}
+
+// errChanged reports that the record is not the one of the attempt.
+var errChanged = errors.New("record belongs to another attempt")
