Add the dispatcher of a pool

Cause: the sum of the work that all daemons send to a target has to stay below its limit, so one owner decides. Ruled out: identifiers of grants by time (two owners can coincide); they carry the fencing token of the owner. No test has run yet. Conclusion: the API can be wired; tests follow.

--- /dev/null
+++ b/core/pool/events.go
@@ -0,0 +1,219 @@
+package pool
+
+import (
+	"time"
+
+	"catkincove/core"
+	"catkincove/core/config"
+)
+
+// Release returns a grant or gives up a queue place; an unknown one is ignored.
+func (dispatcher *Dispatcher) Release(now time.Time, release core.Release) {
+	entry := dispatcher.entries[release.Grant]
+	if entry == nil {
+		return
+	}
+	if entry.target == nil {
+		dispatcher.leaveQueue(entry)
+		delete(dispatcher.entries, entry.id)
+		return
+	}
+	target := entry.target
+	dispatcher.noteStart(now, target, release.Start, entry.granted)
+	switch release.Outcome {
+	case core.OutcomeBroken:
+		dispatcher.broke(now, entry)
+	case core.OutcomeDone:
+		dispatcher.completed(now, entry, release)
+	}
+	dispatcher.returnGrant(now, entry)
+	dispatcher.clearAlone(now, entry, release.Outcome)
+}
+
+func (dispatcher *Dispatcher) returnGrant(now time.Time, entry *entry) {
+	target := entry.target
+	delete(dispatcher.entries, entry.id)
+	if _, held := target.grants[entry.id]; !held {
+		return
+	}
+	delete(target.grants, entry.id)
+	target.ended = append(target.ended, usage{entry.granted, now})
+	if entry.alone {
+		target.alone = false
+	}
+	dispatcher.refresh(target)
+}
+
+// completed raises the limit, unless the first-token time shows a target that turned cold.
+func (dispatcher *Dispatcher) completed(now time.Time, entry *entry, release core.Release) {
+	target := entry.target
+	dispatcher.pace.note(release.Took, entry.cost)
+	if target.noteFirstToken(release.FirstToken) {
+		dispatcher.resetLimit(target)
+	} else {
+		target.completedOne()
+	}
+	if dispatcher.service.Kind == config.Generate && !target.detached {
+		for _, block := range entry.prefix {
+			dispatcher.index.add(target, block)
+		}
+	}
+	if entry.blamed && !entry.alone {
+		// It finished on the target whose crash was attributed to it.
+		dispatcher.blame.finishedAlone(now, entry.fingerprint)
+	}
+}
+
+func (dispatcher *Dispatcher) clearAlone(now time.Time, entry *entry, outcome core.Outcome) {
+	unexplained := outcome == core.OutcomeBroken && entry.target.incident != nil
+	if !entry.alone || unexplained {
+		return
+	}
+	dispatcher.blame.stop(entry.fingerprint)
+	if !entry.blamed && (outcome == core.OutcomeDone || outcome == core.OutcomeFailed) {
+		dispatcher.blame.finishedAlone(now, entry.fingerprint)
+	}
+}
+
+// resetLimit takes a target back to its cold limit.
+func (dispatcher *Dispatcher) resetLimit(target *target) {
+	target.reset()
+	dispatcher.counters.Resets++
+	dispatcher.refresh(target)
+}
+
+// broke opens an incident; the next load report tells whether the target crashed.
+func (dispatcher *Dispatcher) broke(now time.Time, entry *entry) {
+	target := entry.target
+	if entry.blamed || target.detached {
+		return
+	}
+	dispatcher.resetLimit(target)
+	target.demandProbe(now)
+	dispatcher.refresh(target)
+	if target.incident == nil {
+		target.incident = dispatcher.newIncident(now, target)
+	}
+	if !entry.alone {
+		dispatcher.blame.suspect(now, entry.fingerprint)
+	}
+}
+
+func (dispatcher *Dispatcher) newIncident(now time.Time, target *target) *incident {
+	opened := &incident{target: target.declared.Name, at: now}
+	for _, entry := range target.grants {
+		opened.contents = append(opened.contents, dispatcher.blame.newContent(entry))
+	}
+	return opened
+}
+
+// crash attributes a crash to the contents that were on the target.
+func (dispatcher *Dispatcher) crash(now time.Time, target *target) {
+	crash := target.incident
+	if crash == nil {
+		crash = dispatcher.newIncident(now, target)
+	}
+	target.incident = nil
+	for _, entry := range target.grants {
+		entry.blamed = true
+	}
+	dispatcher.counters.Crashes++
+	dispatcher.counters.Quarantined += dispatcher.blame.crashed(now, crash)
+}
+
+// noCrash takes back what broken connections made suspect, because the target has not restarted.
+func (dispatcher *Dispatcher) noCrash(target *target) {
+	for _, content := range target.incident.contents {
+		dispatcher.blame.stop(content.fingerprint)
+		dispatcher.blame.restore(content)
+	}
+	target.incident = nil
+}
+
+// noteStart handles a start identifier that was seen by a grant or report of the time.
+func (dispatcher *Dispatcher) noteStart(now time.Time, target *target, start string, seen time.Time) {
+	if start == "" || start == target.start || target.detached {
+		return
+	}
+	if target.start == "" {
+		target.start, target.startSeen = start, now
+		return
+	}
+	if !seen.After(target.startSeen) {
+		// It may be older than the identifier already known.
+		return
+	}
+	target.start, target.startSeen = start, now
+	target.firstTokens = nil
+	dispatcher.index.clear(target)
+	target.cache.sequence = 0
+	dispatcher.resetLimit(target)
+	dispatcher.crash(now, target)
+}
+
+// Report takes a load report over; now is when the request for it was answered.
+func (dispatcher *Dispatcher) Report(now time.Time, name core.TargetName, report core.LoadReport) {
+	target := dispatcher.targets[name]
+	taken := now.Add(-report.Age)
+	if target == nil || taken.Before(target.lastTaken) {
+		return
+	}
+	target.lastTaken = taken
+	target.failures = 0
+	dispatcher.noteStart(now, target, report.Start, taken)
+	if target.incident != nil && taken.After(target.incident.at) {
+		dispatcher.noCrash(target)
+	}
+	if report.Capacity > 0 {
+		target.capacity = min(max(1, dispatcher.service.Capacity), report.Capacity)
+		target.limit = min(target.limit, target.capacity)
+	}
+	target.noteForeign(taken, report.Running+report.Waiting)
+	if taken.After(target.probeAfter) {
+		target.probed = true
+	}
+	dispatcher.refresh(target)
+}
+
+// ReportFailed notes that a target gave no load report.
+func (dispatcher *Dispatcher) ReportFailed(now time.Time, name core.TargetName) {
+	target := dispatcher.targets[name]
+	if target == nil {
+		return
+	}
+	target.failures++
+	if target.incident != nil {
+		dispatcher.crash(now, target)
+	}
+	if target.failures >= mostReportFailures && target.probed {
+		target.demandProbe(now)
+	}
+	dispatcher.refresh(target)
+}
+
+// CacheEvents takes events of a target's prompt cache over.
+func (dispatcher *Dispatcher) CacheEvents(_ time.Time, name core.TargetName, events []core.CacheEvent) {
+	if target := dispatcher.targets[name]; target != nil {
+		dispatcher.index.apply(target, events)
+	}
+}
+
+// CacheSequence returns the last event taken over from a target, to ask for those after it.
+func (dispatcher *Dispatcher) CacheSequence(name core.TargetName) int64 {
+	if target := dispatcher.targets[name]; target != nil {
+		return target.cache.sequence
+	}
+	return 0
+}
+
+// Suspects returns the findings about contents for heartbeats.
+func (dispatcher *Dispatcher) Suspects(now time.Time) []core.Suspect {
+	return dispatcher.blame.reported(now)
+}
+
+// Learn takes findings of other pools and daemons over.
+func (dispatcher *Dispatcher) Learn(now time.Time, suspects []core.Suspect) {
+	for _, suspect := range suspects {
+		dispatcher.blame.learn(now, suspect)
+	}
+}
