--- /dev/null
+++ b/core/route/doc.go
@@ -0,0 +1,2 @@
+// Package route orders the pools of a service for a daemon by network distance and expected wait.
+package route
