--- /dev/null
+++ b/core/order/order_test.go
@@ -0,0 +1,180 @@
+package order
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"catkincove/core"
+)
+
+const (
+	longest = 10 * time.Second
+	gap     = 1250 * time.Millisecond
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func newPlanner(checks bool) *Planner {
+	var planner Planner
+	planner.Configure(Settings{ChecksFencing: checks, Longest: longest, BytesPerSecond: 100, Burst: 200})
+	return &planner
+}
+
+func labels(planner *Planner, now, lease time.Time) []string {
+	var planned []string
+	for _, command := range planner.Plan(now, lease) {
+		planned = append(planned, string(command.Target)+" "+labelOf(command.Order))
+	}
+	return planned
+}
+
+// TestPlanTimes guards against orders by a holder whose lease does not outlive them, and by a new holder too early.
+func TestPlanTimes(t *testing.T) {
+	cases := []struct {
+		name   string
+		checks bool
+		now    float64
+		lease  float64
+		want   int
+	}{
+		{"checked token, at once", true, 3, 4, 1},
+		{"checked token, no lease", true, 3, 3, 0},
+		{"ignored token, too early", false, 9, 100, 0},
+		{"ignored token, after the wait", false, 10, 100, 1},
+		{"ignored token, short lease", false, 12, 22, 0},
+		{"ignored token, long lease", false, 12, 22.1, 1},
+	}
+	for _, test := range cases {
+		planner := newPlanner(test.checks)
+		planner.Open(start, 7)
+		planner.Want("t", []Model{{Name: "m", Version: "2", Bytes: 100}})
+		planner.Report(at(test.now), "t", core.LoadReport{})
+		commands := planner.Plan(at(test.now), at(test.lease))
+		if len(commands) != test.want {
+			t.Errorf("%s: planned %v, want %d", test.name, commands, test.want)
+		}
+		if len(commands) == 1 && (commands[0].Order.Fencing != 7 || commands[0].Order.Version != "2") {
+			t.Errorf("%s: planned %+v", test.name, commands[0])
+		}
+	}
+}
+
+// TestLoadsArePaced guards against a pool that takes more than its share of the weights store's rate.
+func TestLoadsArePaced(t *testing.T) {
+	planner := newPlanner(true)
+	planner.Open(start, 1)
+	sent := 0
+	for second := range 60 {
+		now := at(float64(second))
+		for _, name := range []core.TargetName{"a", "b", "c", "d", "e"} {
+			planner.Want(name, []Model{{Name: "m", Bytes: 1000}})
+			planner.Report(now, name, core.LoadReport{})
+		}
+		sent += len(planner.Plan(now, at(1000)))
+		if bound := 1 + second/10; sent > bound {
+			t.Fatalf("%d loads of 10 s each after %d s", sent, second)
+		}
+	}
+	if sent < 5 {
+		t.Fatalf("%d loads in 60 s", sent)
+	}
+}
+
+// TestLastCopyStays guards against unloading the last copy of a model that requests need.
+func TestLastCopyStays(t *testing.T) {
+	planner := newPlanner(true)
+	planner.Open(start, 1)
+	planner.InUse([]string{"m"})
+	names := []core.TargetName{"a", "b", "c"}
+	for _, name := range names {
+		planner.Want(name, []Model{{Name: "m"}})
+		planner.Want(name, nil)
+		planner.Report(at(1), name, core.LoadReport{Models: []string{"m", "not ours"}})
+	}
+	commands := planner.Plan(at(1), at(100))
+	if len(commands) != 2 {
+		t.Fatalf("planned %v, want two unloads", commands)
+	}
+	// The end of the second is unclear: its copy must not be counted on.
+	planner.Finished(at(2), commands[0], nil)
+	planner.Finished(at(2), commands[1], errors.New("no answer"))
+	planner.Report(at(3), "b", core.LoadReport{Models: []string{"m"}})
+	planner.Report(at(3), "c", core.LoadReport{Models: []string{"m"}})
+	if planned := labels(planner, at(3), at(100)); planned != nil {
+		t.Fatalf("planned %v while the copy on b is uncertain", planned)
+	}
+	planner.Report(at(13), "b", core.LoadReport{Models: []string{"m"}})
+	planner.Report(at(13), "c", core.LoadReport{Models: []string{"m"}})
+	if planned := labels(planner, at(13), at(100)); len(planned) != 1 {
+		t.Fatalf("planned %v, want one unload", planned)
+	}
+	planner.InUse(nil)
+	planner.Report(at(13), "c", core.LoadReport{Models: []string{"m"}})
+	if planned := labels(planner, at(13), at(100)); len(planned) != 1 {
+		t.Fatalf("planned %v, want the unload of the unused last copy", planned)
+	}
+}
+
+// TestStaleTokenEndsOwnership guards against a former owner that keeps ordering after a target refused its token.
+func TestStaleTokenEndsOwnership(t *testing.T) {
+	planner := newPlanner(true)
+	planner.Open(start, 1)
+	planner.Want("t", []Model{{Name: "m"}})
+	planner.Report(at(1), "t", core.LoadReport{})
+	commands := planner.Plan(at(1), at(100))
+	planner.Finished(at(1), commands[0], core.Errorf(core.Conflict, "stale token"))
+	planner.Report(at(30), "t", core.LoadReport{})
+	if planned := labels(planner, at(30), at(100)); planned != nil {
+		t.Fatalf("planned %v after a refused token", planned)
+	}
+}
+
+// work is the time during which a target that ignores tokens may be changed by an order.
+type work struct {
+	holder   int
+	from, to time.Time
+}
+
+// TestTwoHoldersDoNotOverlap guards against a paused holder whose order meets that of its successor on a target that
+// ignores the token: the order may be in transit and in work for the longest time each.
+func TestTwoHoldersDoNotOverlap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string, most float64) float64 { return rapid.Float64Range(0, most).Draw(t, name) }
+		lapse := at(20 + draw("lapse", 40))
+		former, next := newPlanner(false), newPlanner(false)
+		former.Open(start, 1)
+		next.Open(lapse.Add(gap), 2)
+		var works []work
+		for now := start; now.Before(at(120)); now = now.Add(500 * time.Millisecond) {
+			for holder, planner := range []*Planner{former, next} {
+				lease := map[int]time.Time{0: lapse, 1: at(1000)}[holder]
+				planner.Want("t", []Model{{Name: "m"}})
+				planner.Report(now, "t", core.LoadReport{})
+				for _, command := range planner.Plan(now, lease) {
+					// The holder is paused between the plan and the check before the first byte.
+					sent := now.Add(time.Duration(draw("pause", 30) * float64(time.Second)))
+					if !planner.MaySend(sent, lease, command) {
+						planner.Finished(sent, command, errors.New("not sent"))
+						continue
+					}
+					arrival := sent.Add(time.Duration(draw("transit", 1) * float64(longest)))
+					works = append(works, work{holder, arrival, arrival.Add(longest)})
+				}
+			}
+		}
+		for _, a := range works {
+			for _, b := range works {
+				if a.holder == 0 && b.holder == 1 && a.to.After(b.from) {
+					t.Fatalf("former owner's order works until %v, next owner's starts at %v", a.to, b.from)
+				}
+			}
+		}
+	})
+}
