--- a/core/peer.go
+++ b/core/peer.go
@@ -196,6 +196,7 @@
 	Took       time.Duration
 	Deadline   time.Duration
 	FirstToken time.Duration // 0 when nothing was generated
+	TokenTime  time.Duration // from the first token event to the last
 	Tokens     int
 	Failure    *Error // nil when the whole answer was given
 	Stages     []StageRecord
--- /dev/null
+++ b/core/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds the retries of a daemon.
+package retry
--- a/core/target.go
+++ b/core/target.go
@@ -36,7 +36,9 @@
 	Stage    string
 	Attempt  int
 	Deadline time.Time
-	Priority int
+	// FirstByte is the longest wait for the first byte or token of the answer; 0 means until the deadline.
+	FirstByte time.Duration
+	Priority  int
 	// BeforeSend is called immediately before the first byte is written; an error stops the call unsent.
 	BeforeSend func() error
 }
@@ -45,6 +47,7 @@
 type TargetInfo struct {
 	Start      string
 	Sent       bool // at least one byte may have been written
+	Outcome    Outcome
 	FirstToken time.Duration
 	Took       time.Duration
 }
--- /dev/null
+++ b/io/target/client.go
@@ -0,0 +1,99 @@
+package target
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"catkincove/core"
+)
+
+// Defaults of the Client's settings.
+const (
+	DefaultTokenGap       = 2 * time.Second
+	DefaultControlTimeout = time.Second
+	DefaultMaxBody        = 8 << 20 // bytes
+	DefaultPingInterval   = time.Second
+	DefaultPingTimeout    = 2 * time.Second
+)
+
+const (
+	dialTimeout     = time.Second
+	idleTimeout     = 60 * time.Second
+	idlePerTarget   = 64
+	idleConnections = 4096
+	readBufferSize  = 16 << 10 // holds several token events, so that one read delivers a batch
+)
+
+// Client implements core.Targets; the zero value is ready to use.
+type Client struct {
+	Clock          core.Clock
+	TokenGap       time.Duration // longest silence between tokens
+	ControlTimeout time.Duration // for load reports and cache events
+	MaxBody        int64         // bytes of a response that is not a stream
+	HTTP2          bool          // HTTP/2 without TLS, with pings
+	PingInterval   time.Duration
+	PingTimeout    time.Duration
+
+	once       sync.Once
+	transport  *http.Transport
+	mutex      sync.Mutex
+	conns      map[string]map[*conn]struct{} // open connections by address
+	mismatched atomic.Int64
+	silent     atomic.Int64
+}
+
+// Mismatched returns the number of responses refused because they belong to another attempt.
+func (client *Client) Mismatched() int64 { return client.mismatched.Load() }
+
+// Silent returns the number of calls that ended because the target stopped sending.
+func (client *Client) Silent() int64 { return client.silent.Load() }
+
+// Close closes all idle connections.
+func (client *Client) Close() {
+	client.init()
+	client.transport.CloseIdleConnections()
+}
+
+func (client *Client) init() { client.once.Do(client.setUp) }
+
+func (client *Client) setUp() {
+	if client.Clock == nil {
+		client.Clock = core.SystemClock{}
+	}
+	setDefault(&client.TokenGap, DefaultTokenGap)
+	setDefault(&client.ControlTimeout, DefaultControlTimeout)
+	setDefault(&client.MaxBody, DefaultMaxBody)
+	setDefault(&client.PingInterval, DefaultPingInterval)
+	setDefault(&client.PingTimeout, DefaultPingTimeout)
+	client.conns = make(map[string]map[*conn]struct{})
+	client.transport = client.newTransport(&net.Dialer{Timeout: dialTimeout})
+}
+
+func setDefault[T comparable](setting *T, value T) {
+	var zero T
+	if *setting == zero {
+		*setting = value
+	}
+}
+
+func (client *Client) newTransport(dialer *net.Dialer) *http.Transport {
+	transport := &http.Transport{
+		DialContext:         client.dialWith(dialer),
+		DisableCompression:  true,
+		MaxIdleConns:        idleConnections,
+		MaxIdleConnsPerHost: idlePerTarget,
+		IdleConnTimeout:     idleTimeout,
+		ReadBufferSize:      readBufferSize,
+	}
+	transport.Protocols = new(http.Protocols)
+	if !client.HTTP2 {
+		transport.Protocols.SetHTTP1(true)
+		return transport
+	}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: client.PingInterval, PingTimeout: client.PingTimeout}
+	return transport
+}
--- /dev/null
+++ b/io/target/control.go
@@ -0,0 +1,131 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"catkincove/core"
+)
+
+var actionNames = map[core.OrderAction]string{
+	core.LoadModel:     "load_model",
+	core.UnloadModel:   "unload_model",
+	core.LoadAdapter:   "load_adapter",
+	core.UnloadAdapter: "unload_adapter",
+	core.ChangeRole:    "change_role",
+}
+
+// Load returns the target's load report.
+func (client *Client) Load(ctx context.Context, address string) (core.LoadReport, error) {
+	client.init()
+	data, err := client.control(ctx, client.ControlTimeout, http.MethodGet, "http://"+address+"/load", nil)
+	if err != nil {
+		return core.LoadReport{}, err
+	}
+	// Untagged fields match the names without regard to case; age_ms has no such counterpart.
+	var report struct {
+		Start                      string
+		Running, Waiting, Capacity int
+		Models                     []string
+	}
+	var age map[string]json.RawMessage
+	if err := json.Unmarshal(data, &report); err != nil {
+		return core.LoadReport{}, core.Errorf(core.TargetFailed, "load report of %s: %w", address, err)
+	}
+	if err := json.Unmarshal(data, &age); err != nil {
+		return core.LoadReport{}, core.Errorf(core.TargetFailed, "load report of %s: %w", address, err)
+	}
+	milliseconds, _ := strconv.ParseFloat(string(age["age_ms"]), 64)
+	return core.LoadReport{
+		Start:    report.Start,
+		Running:  report.Running,
+		Waiting:  report.Waiting,
+		Capacity: report.Capacity,
+		Models:   report.Models,
+		Age:      time.Duration(milliseconds * float64(time.Millisecond)),
+	}, nil
+}
+
+// CacheEvents returns events after the sequence; the first may be later than after+1 when there is a gap.
+func (client *Client) CacheEvents(ctx context.Context, address string, after int64) ([]core.CacheEvent, error) {
+	client.init()
+	url := "http://" + address + "/cache/events?after=" + strconv.FormatInt(after, 10)
+	data, err := client.control(ctx, client.ControlTimeout, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	var answer struct {
+		Events []struct {
+			Sequence int64
+			Block    string
+			Stored   bool
+		}
+	}
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return nil, core.Errorf(core.TargetFailed, "cache events of %s: %w", address, err)
+	}
+	events := make([]core.CacheEvent, 0, len(answer.Events))
+	for _, event := range answer.Events {
+		block, err := strconv.ParseUint(event.Block, 16, 64)
+		if err != nil {
+			return nil, core.Errorf(core.TargetFailed, "cache events of %s: block %q: %w", address, event.Block, err)
+		}
+		events = append(events, core.CacheEvent{Sequence: event.Sequence, Block: block, Stored: event.Stored})
+	}
+	return events, nil
+}
+
+// Order sends an order; an old fencing token returns an *Error of kind Conflict.
+func (client *Client) Order(ctx context.Context, address string, order core.Order) error {
+	client.init()
+	body, err := json.Marshal(map[string]any{
+		"action":  actionNames[order.Action],
+		"name":    order.Name,
+		"version": order.Version,
+		"fencing": order.Fencing,
+	})
+	if err != nil {
+		return core.Errorf(core.Internal, "encoding an order: %w", err)
+	}
+	timeout := order.Timeout
+	setDefault(&timeout, client.ControlTimeout)
+	_, err = client.control(ctx, timeout, http.MethodPost, "http://"+address+"/orders", body)
+	return err
+}
+
+func (client *Client) control(ctx context.Context, timeout time.Duration, method, url string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, core.Errorf(core.Internal, "building the request to %s: %w", url, err)
+	}
+	request.GetBody = nil // an order is not sent twice
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.transport.RoundTrip(request)
+	if err != nil {
+		return nil, core.Errorf(core.TargetFailed, "%s: %w", url, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, client.MaxBody+1))
+	if err != nil || int64(len(data)) > client.MaxBody {
+		return nil, core.Errorf(core.TargetFailed, "%s: response is broken or too long: %w", url, err)
+	}
+	return data, controlStatus(url, response.StatusCode)
+}
+
+func controlStatus(url string, status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusConflict:
+		return core.Errorf(core.Conflict, "%s: fencing token is stale", url)
+	default:
+		return core.Errorf(core.TargetFailed, "%s: status %d", url, status)
+	}
+}
--- /dev/null
+++ b/io/target/fault.go
@@ -0,0 +1,111 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"catkincove/core"
+)
+
+// defaultRetryAfter applies to rejections whose Retry-After is missing or not a number of seconds.
+const defaultRetryAfter = time.Second
+
+const errorTextLength = 256 // bytes of an error response that go into the message
+
+// check refuses responses that belong to another attempt and turns statuses into errors.
+func (exchange *exchange) check() error {
+	if !exchange.matches() {
+		exchange.client.mismatched.Add(1)
+		return exchange.failed("response belongs to another attempt")
+	}
+	status := exchange.response.StatusCode
+	switch status {
+	case http.StatusOK:
+		exchange.outcome = core.OutcomeDone
+		return nil
+	case http.StatusBadRequest:
+		exchange.outcome = core.OutcomeRejected
+		return core.Errorf(core.BadRequest, "target %s: %s", exchange.call.Address, exchange.errorText())
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		exchange.outcome = core.OutcomeRejected
+		rejection := core.Errorf(core.Overloaded, "target %s rejected the call with status %d", exchange.call.Address, status)
+		return rejection.WithRetryAfter(retryAfter(exchange.response.Header))
+	default:
+		return exchange.failed("status %d: %s", status, exchange.errorText())
+	}
+}
+
+func (exchange *exchange) matches() bool {
+	header, call := exchange.response.Header, exchange.call
+	return header.Get(headerRequest) == string(call.Request) &&
+		header.Get(headerStage) == call.Stage &&
+		header.Get(headerAttempt) == strconv.Itoa(call.Attempt)
+}
+
+func (exchange *exchange) errorText() string {
+	text, _ := io.ReadAll(io.LimitReader(exchange.response.Body, errorTextLength))
+	return string(text)
+}
+
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds <= 0 {
+		return defaultRetryAfter
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// failed reports an answer that is wrong or says that the call failed.
+func (exchange *exchange) failed(format string, arguments ...any) error {
+	exchange.outcome = core.OutcomeFailed
+	failure := core.Errorf(core.TargetFailed, format, arguments...)
+	failure.Message = "target " + exchange.call.Address + ": " + failure.Message
+	return failure
+}
+
+// fail classifies an error of the transport.
+func (exchange *exchange) fail(err error) error {
+	exchange.mutex.Lock()
+	sent, refusal := exchange.sent, exchange.refusal
+	exchange.mutex.Unlock()
+	cause := context.Cause(exchange.ctx)
+	address := exchange.call.Address
+	switch {
+	case refusal != nil:
+		exchange.outcome = core.OutcomeUnsent
+		return refusal
+	case exchange.parent.Err() != nil:
+		exchange.outcome = either(sent, core.OutcomeCancelled)
+		return core.Errorf(core.DeadlineExceeded, "call to %s was cancelled: %w", address, context.Cause(exchange.parent))
+	case errors.Is(cause, errSilent), errors.Is(cause, errDeadline):
+		return exchange.wentSilent(cause, sent)
+	case errors.Is(err, errRetired):
+		exchange.outcome = core.OutcomeUnsent
+		return core.Errorf(core.Unavailable, "call to %s: %w", address, err)
+	default:
+		exchange.outcome = core.OutcomeBroken
+		return core.Errorf(core.TargetFailed, "connection to %s broke: %w", address, err)
+	}
+}
+
+func (exchange *exchange) wentSilent(cause error, sent bool) error {
+	exchange.outcome = either(sent, core.OutcomeSilent)
+	exchange.client.silent.Add(1)
+	exchange.client.closeIdle(exchange.call.Address)
+	kind := core.TargetFailed
+	if errors.Is(cause, errDeadline) {
+		kind = core.DeadlineExceeded
+	}
+	return core.Errorf(kind, "call to %s: %w", exchange.call.Address, cause)
+}
+
+func either(sent bool, outcome core.Outcome) core.Outcome {
+	if sent {
+		return outcome
+	}
+	return core.OutcomeUnsent
+}
