--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -67,9 +67,9 @@
 		config := Config{}
 		for i, object := range drawHistory(t) {
 			previous := config
-			frozen := fmt.Sprint(previous.Pools(), previous.pools.targets)
+			frozen := fmt.Sprint(previous.Names(KindTarget), previous.Pools(), previous.pools.targets)
 			config = config.With([]Object{object}, core.Revision(i))
-			if frozen != fmt.Sprint(previous.Pools(), previous.pools.targets) {
+			if frozen != fmt.Sprint(previous.Names(KindTarget), previous.Pools(), previous.pools.targets) {
 				t.Fatal("With changed its receiver")
 			}
 			checkPools(t, config)
--- /dev/null
+++ b/core/ticket/doc.go
@@ -0,0 +1,2 @@
+// Package ticket applies tickets to the store, each in one transaction, and reads lost responses back.
+package ticket
