--- /dev/null
+++ b/core/once/once_test.go
@@ -0,0 +1,216 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"pgregory.net/rapid"
+
+	"catkincove/core"
+	"catkincove/core/fakes"
+)
+
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
+func keyAt(at time.Time) string {
+	return ulid.MustNew(ulid.Timestamp(at), nil).String()
+}
+
+// TestBegin guards against a second run, a result for another body, and errors that claim the wrong state.
+func TestBegin(t *testing.T) {
+	clock := &fakes.Clock{}
+	now := clock.Now()
+	const own = "hash"
+	tests := []struct {
+		name   string
+		key    string
+		before func(keeper *Keeper, key string) // what another daemon did
+		fault  func(call int) fakes.Fault
+		kind   core.Kind
+		run    core.Run
+		answer string
+		starts bool
+	}{
+		{name: "new key", key: keyAt(now), starts: true},
+		{name: "not a ULID", key: "x", kind: core.BadRequest, run: core.NotRun},
+		{name: "lower case", key: "01aryz6s41tsv4rrffq69g5fav", kind: core.BadRequest, run: core.NotRun},
+		{name: "too old", key: keyAt(now.Add(-Retention)), kind: core.KeyExpired, run: core.NotRun},
+		{name: "just valid", key: keyAt(now.Add(time.Minute - Retention)), starts: true},
+		{name: "ahead", key: keyAt(now.Add(2 * Ahead)), kind: core.BadRequest, run: core.NotRun},
+		{name: "other body", key: keyAt(now), before: begin("other", ""), kind: core.KeyReused, run: core.NotRun},
+		{name: "done", key: keyAt(now), before: begin(own, "result"), answer: "result"},
+		{name: "started elsewhere", key: keyAt(now), before: begin(own, ""), kind: core.OutcomeUnknown},
+		{name: "store down", key: keyAt(now), kind: core.Unavailable, run: core.NotRun,
+			fault: func(int) fakes.Fault { return fakes.Refused }},
+		{name: "create refused", key: keyAt(now), kind: core.Unavailable, run: core.NotRun,
+			fault: func(call int) fakes.Fault { return only(call == 0, fakes.Refused) }},
+		{name: "answer lost", key: keyAt(now), starts: true,
+			fault: func(call int) fakes.Fault { return only(call == 0, fakes.LostAnswer) }},
+		{name: "answer lost after another start", key: keyAt(now), before: begin(own, "result"), answer: "result",
+			fault: func(call int) fakes.Fault { return only(call == 0, fakes.LostAnswer) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			store := &fakes.Store{}
+			keeper := &Keeper{Store: store, Clock: clock, Member: "a"}
+			if test.before != nil {
+				test.before(&Keeper{Store: store, Clock: clock, Member: "b"}, test.key)
+			}
+			if test.fault != nil {
+				var calls atomic.Int64
+				store.Fault = func(string) fakes.Fault { return test.fault(int(calls.Add(1) - 1)) }
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			attempt, answer, err := keeper.Begin(ctx, "team", test.key, own)
+			if test.kind != core.Internal {
+				if e := core.AsError(err); e == nil || e.Kind != test.kind || e.Run != test.run {
+					t.Fatalf("error %v, want %v with run %v", err, test.kind, test.run)
+				}
+				return
+			}
+			if err != nil || string(answer) != test.answer || test.starts != (answer == nil) || attempt == "" {
+				t.Fatalf("attempt %q, answer %q, error %v", attempt, answer, err)
+			}
+		})
+	}
+}
+
+func only(when bool, fault fakes.Fault) fakes.Fault {
+	if when {
+		return fault
+	}
+	return fakes.None
+}
+
+func begin(hash, answer string) func(*Keeper, string) {
+	return func(keeper *Keeper, key string) {
+		attempt, _, err := keeper.Begin(context.Background(), "team", key, hash)
+		if err == nil && answer != "" {
+			err = keeper.Finish(context.Background(), "team", key, attempt, []byte(answer))
+		}
+		if err != nil {
+			panic(err)
+		}
+	}
+}
+
+// TestAtMostOneStart guards against two runs of one key when several daemons begin at once and answers are lost.
+func TestAtMostOneStart(t *testing.T) {
+	var finished atomic.Int64
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		daemons := rapid.IntRange(2, 4).Draw(t, "daemons")
+		var mutex sync.Mutex
+		clock := &fakes.Clock{}
+		store := &fakes.Store{Fault: func(string) fakes.Fault {
+			mutex.Lock()
+			defer mutex.Unlock()
+			return max(0, fakes.Fault(random.IntN(6)-3))
+		}}
+		ctx, cancel := context.WithTimeout(context.Background(), 70*time.Millisecond)
+		defer cancel()
+		key := keyAt(clock.Now())
+		var starts atomic.Int64
+		var group sync.WaitGroup
+		for i := range daemons {
+			keeper := &Keeper{Store: store, Clock: clock, Member: core.MemberID(fmt.Sprint(i))}
+			for range 3 {
+				group.Go(func() {
+					attempt, answer, err := keeper.Begin(ctx, "team", key, "hash")
+					if err == nil && answer == nil {
+						starts.Add(1)
+						_ = keeper.Finish(ctx, "team", key, attempt, []byte("result"))
+					}
+					if err == nil && string(answer) == "result" {
+						finished.Add(1)
+					}
+				})
+			}
+		}
+		group.Wait()
+		if starts.Load() > 1 {
+			t.Fatalf("%d starts of one key", starts.Load())
+		}
+	})
+	if finished.Load() == 0 {
+		t.Fatal("no Begin ever returned a stored result")
+	}
+}
+
+// TestAbandon guards against a key that stays blocked although nothing was sent.
+func TestAbandon(t *testing.T) {
+	clock := &fakes.Clock{}
+	keeper := &Keeper{Store: &fakes.Store{}, Clock: clock}
+	key := keyAt(clock.Now())
+	first, _, _ := keeper.Begin(t.Context(), "team", key, "hash")
+	if err := keeper.Abandon(t.Context(), "team", key, first); err != nil {
+		t.Fatal(err)
+	}
+	second, answer, err := keeper.Begin(t.Context(), "team", key, "hash")
+	if err != nil || answer != nil || second == first {
+		t.Fatalf("attempt %q after %q, answer %q, error %v", second, first, answer, err)
+	}
+	if err := keeper.Finish(t.Context(), "team", key, first, nil); !errors.Is(err, errChanged) {
+		t.Fatalf("an abandoned attempt finished: %v", err)
+	}
+}
+
+// TestGroupCommit guards against one store call per concurrent create.
+func TestGroupCommit(t *testing.T) {
+	store := &fakes.Store{}
+	keeper := &Keeper{Store: store, Clock: &fakes.Clock{}}
+	random := rand.New(rand.NewPCG(1, 1))
+	const calls = 640
+	var group sync.WaitGroup
+	for range calls {
+		key := ulid.MustNew(ulid.Now(), entropy{random}).String()
+		group.Go(func() {
+			if _, _, err := keeper.Begin(t.Context(), "team", key, "hash"); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	if made := store.Calls("CommitAll"); made > calls/8 {
+		t.Fatalf("%d store calls for %d creates", made, calls)
+	}
+}
+
+type entropy struct{ random *rand.Rand }
+
+func (entropy entropy) Read(buffer []byte) (int, error) {
+	for i := range buffer {
+		buffer[i] = byte(entropy.random.Uint32())
+	}
+	return len(buffer), nil
+}
+
+// TestSweep guards against deletion of records whose keys are still valid, and of too many at once.
+func TestSweep(t *testing.T) {
+	store := &fakes.Store{}
+	clock := &fakes.Clock{}
+	keeper := &Keeper{Store: store, Clock: clock}
+	now := clock.Now()
+	for i := range 40 {
+		begin("hash", "result")(keeper, keyAt(now.Add(-time.Duration(i)*time.Second)))
+	}
+	clock.Move(Retention + sweepMargin - time.Minute)
+	if deleted, err := keeper.Sweep(t.Context(), "team"); deleted != 0 || err != nil {
+		t.Fatalf("%d records deleted too early, error %v", deleted, err)
+	}
+	clock.Move(2 * time.Minute)
+	for _, want := range []int{sweepLimit, 40 - sweepLimit, 0} {
+		if deleted, err := keeper.Sweep(t.Context(), "team"); deleted != want || err != nil {
+			t.Fatalf("%d records deleted, want %d, error %v", deleted, want, err)
+		}
+	}
+}
