Make the dispatcher's tests fail without its rules

Cause: with rules removed one by one, four removals went unnoticed: early refusal, giving way in a full queue, keeping a target free for a suspect, and ignoring a report from before a break. Changes to tests: the flood has a short queue, overload bounds the requests refused only after waiting, the poison meets 200 requests/s and no neighbour may fail, and a stale report is a case of TestLimit. No bound was lowered. Conclusion: the listed properties are guarded.

--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -66,6 +66,10 @@
 		{"fairly slow first token", release(func(r *core.Release) { r.FirstToken = 110 * time.Millisecond }), 8, 8, true},
 		{"foreign work", report(core.LoadReport{Start: "1", Running: 3, Waiting: 1}), 8, 4, true},
 		{"aged report", report(core.LoadReport{Start: "1", Running: 3, Age: 2 * time.Second}), 8, 4, true},
+		{"report from before the break", func(dispatcher *Dispatcher, grant core.GrantID) {
+			release(func(r *core.Release) { r.Outcome = core.OutcomeBroken })(dispatcher, grant)
+			report(core.LoadReport{Start: "1", Age: 10 * time.Millisecond})(dispatcher, grant)
+		}, 2, 0, false},
 		{"smaller capacity", report(core.LoadReport{Start: "1", Running: 1, Capacity: 3}), 3, 2, true},
 	}
 	for _, test := range cases {
--- a/core/pool/sim_test.go
+++ b/core/pool/sim_test.go
@@ -212,7 +212,7 @@
 	waiting    map[core.GrantID]*call
 }
 
-func newOwner(world *world) *owner {
+func newOwner(world *world, queueLength int) *owner {
 	owner := &owner{world: world, waiting: map[core.GrantID]*call{}}
 	owner.dispatcher = New(core.PoolID{Service: "s", DataCentre: "d"})
 	var targets []config.Target
@@ -220,7 +220,7 @@
 		targets = append(targets, config.Target{Name: machine.name, Address: string(machine.name)})
 	}
 	service := config.Service{Capacity: world.machines[0].capacity, ColdLimit: world.machines[0].cold}
-	owner.dispatcher.Configure(service, targets, config.Limits{}, true, nil)
+	owner.dispatcher.Configure(service, targets, config.Limits{QueueLength: queueLength}, true, nil)
 	owner.dispatcher.Open(world.now, 1)
 	owner.poll()
 	owner.tick()
--- a/core/pool/world_test.go
+++ b/core/pool/world_test.go
@@ -110,7 +110,7 @@
 			for seed := range uint64(5) {
 				world := newWorld(seed, machines, cold, capacity)
 				submits := make([]func(*call), daemons)
-				owner := newOwner(world)
+				owner := newOwner(world, 0)
 				for i := range submits {
 					submits[i] = owner.submit
 					if kind == "each alone" {
@@ -143,7 +143,7 @@
 		attained := map[bool]float64{}
 		for _, flood := range []bool{false, true} {
 			world := newWorld(seed, machines, capacity, capacity)
-			owner := newOwner(world)
+			owner := newOwner(world, 100)
 			for i := range 5 {
 				world.arrivals(core.TeamName(fmt.Sprintf("small%d", i)), 0.08*full, 20*time.Second, owner.submit)
 			}
@@ -201,17 +201,22 @@
 		for _, refusing := range []bool{true, false} {
 			world := newWorld(seed, machines, capacity, capacity)
 			submit := (&fifo{world: world, free: machines * capacity}).submit
+			var owner *owner
 			if refusing {
-				submit = newOwner(world).submit
+				owner = newOwner(world, 0)
+				submit = owner.submit
 			}
 			world.arrivals("a", 2*full, seconds*time.Second, submit)
 			world.runFor(seconds * time.Second)
 			goodput := world.share("", "good") * float64(len(world.calls)) / (full * seconds)
-			if refusing {
-				early = append(early, goodput)
+			if !refusing {
+				late = append(late, goodput)
 				continue
 			}
-			late = append(late, goodput)
+			early = append(early, goodput)
+			if counters := owner.dispatcher.Counters(); counters.Dropped > counters.Refused/20 {
+				t.Errorf("seed %d: requests waited for a refusal: %+v", seed, counters)
+			}
 		}
 	}
 	t.Logf("goodput as part of capacity, least/median/greatest: dispatcher %s, FIFO with timeout %s", spread(early), spread(late))
@@ -224,8 +229,8 @@
 func TestPoison(t *testing.T) {
 	for seed := range uint64(5) {
 		world := newWorld(seed, 6, 2, 8)
-		owner := newOwner(world)
-		world.arrivals("a", 100, 20*time.Second, owner.submit)
+		owner := newOwner(world, 0)
+		world.arrivals("a", 200, 20*time.Second, owner.submit)
 		for i := range 30 {
 			world.after(5*time.Second+time.Duration(i)*300*time.Millisecond, func() {
 				poison := world.newCall("p")
@@ -237,7 +242,8 @@
 		falls, _ := world.falls()
 		good, quarantined := world.share("a", "good"), world.share("p", "poison")+world.share("p", "refused")
 		t.Logf("seed %d: %d falls, neighbours %.4f good, %.4f of the poison refused", seed, falls, good, quarantined)
-		if falls > 2 || good < 0.999 || quarantined < 0.9 || world.share("p", "poison") < 0.5 {
+		if falls > 2 || good < 0.999 || quarantined < 0.9 || world.share("p", "poison") < 0.5 ||
+			world.share("a", "failed")+world.share("a", "poison") > 0 {
 			t.Errorf("seed %d: %d falls, %.4f of the neighbours good, %+v", seed, falls, good, owner.dispatcher.Counters())
 		}
 	}
@@ -247,7 +253,7 @@
 func TestRackFailure(t *testing.T) {
 	for seed := range uint64(5) {
 		world := newWorld(seed, 8, 2, 8)
-		owner := newOwner(world)
+		owner := newOwner(world, 0)
 		world.arrivals("a", 300, 20*time.Second, owner.submit)
 		for i := range 4 {
 			world.after(5*time.Second+time.Duration(i)*100*time.Millisecond, func() { world.fall(world.machines[i]) })
