Add service-level windows and their report

Cause: operators need burn rates, stage costs and the stage that makes requests late, from all daemons and in bounded memory.

--- /dev/null
+++ b/core/burn/report.go
@@ -0,0 +1,219 @@
+package burn
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"catkincove/core"
+	"catkincove/core/config"
+)
+
+// Snapshot is what one or several daemons counted; it is not changed after it is made.
+type Snapshot struct {
+	Daemons     []core.MemberID // whose counts are included
+	Missing     []string        // daemons that gave no report
+	Up          time.Duration   // the longest time that a daemon has counted
+	Excluded    int64           // requests that failed by the caller's fault
+	Pipelines   []PipelineReport
+	Teams       []NameReport
+	DataCentres []NameReport
+}
+
+// NameReport holds the counts of one team or data centre.
+type NameReport struct {
+	Name   string
+	Counts Counts
+}
+
+// PipelineReport holds the counts of one pipeline.
+type PipelineReport struct {
+	Name       string
+	Counts     Counts
+	FirstToken Counts // answers whose first token came in time
+	TokenGap   Counts // answers whose mean time between tokens was short enough
+	Latency    Distribution
+	Stages     []StageReport
+}
+
+// StageReport holds the costs of one stage since the daemon started; times are sums.
+type StageReport struct {
+	Name     string
+	Requests int64
+	Attempts int64
+	Queued   time.Duration
+	Target   time.Duration // of attempts that counted
+	Wasted   time.Duration // of attempts that were dropped
+	Blamed   int64         // late requests of which this stage took the largest part
+	Latency  Distribution
+}
+
+// Report returns what was counted up to now.
+func (recorder *Recorder) Report(now time.Time) Snapshot {
+	recorder.mutex.Lock()
+	defer recorder.mutex.Unlock()
+	recorder.setUp()
+	snapshot := Snapshot{
+		Daemons:  []core.MemberID{recorder.Member},
+		Up:       now.Sub(recorder.started),
+		Excluded: recorder.excluded,
+	}
+	for _, name := range slices.Sorted(maps.Keys(recorder.pipelines)) {
+		snapshot.Pipelines = append(snapshot.Pipelines, recorder.pipelines[name].report(name, now))
+	}
+	for _, name := range slices.Sorted(maps.Keys(recorder.teams)) {
+		snapshot.Teams = append(snapshot.Teams, NameReport{string(name), recorder.teams[name].counts(now)})
+	}
+	for _, name := range slices.Sorted(maps.Keys(recorder.dataCentres)) {
+		snapshot.DataCentres = append(snapshot.DataCentres, NameReport{name, recorder.dataCentres[name].counts(now)})
+	}
+	return snapshot
+}
+
+func (pipeline *pipeline) report(name string, now time.Time) PipelineReport {
+	report := PipelineReport{
+		Name:       name,
+		Counts:     pipeline.requests.counts(now),
+		FirstToken: pipeline.firstToken.counts(now),
+		TokenGap:   pipeline.tokenGap.counts(now),
+		Latency:    pipeline.latency.distribution(),
+	}
+	for _, name := range pipeline.order {
+		stage := pipeline.stages[name]
+		row := stage.report
+		row.Latency = stage.latency.distribution()
+		report.Stages = append(report.Stages, row)
+	}
+	return report
+}
+
+// WithMissing returns a copy that names daemons that gave no report.
+func (snapshot Snapshot) WithMissing(missing ...string) Snapshot {
+	snapshot.Missing = append(slices.Clone(snapshot.Missing), missing...)
+	return snapshot
+}
+
+// Merge returns the sum of the snapshots of several daemons.
+func Merge(snapshots ...Snapshot) Snapshot {
+	var sum Snapshot
+	for _, snapshot := range snapshots {
+		sum.Daemons = append(sum.Daemons, snapshot.Daemons...)
+		sum.Missing = append(sum.Missing, snapshot.Missing...)
+		sum.Up = max(sum.Up, snapshot.Up)
+		sum.Excluded += snapshot.Excluded
+		sum.Pipelines = mergeRows(sum.Pipelines, snapshot.Pipelines, PipelineReport.key, PipelineReport.plus)
+		sum.Teams = mergeRows(sum.Teams, snapshot.Teams, NameReport.key, NameReport.plus)
+		sum.DataCentres = mergeRows(sum.DataCentres, snapshot.DataCentres, NameReport.key, NameReport.plus)
+	}
+	slices.SortFunc(sum.Pipelines, func(a, b PipelineReport) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(sum.Teams, func(a, b NameReport) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(sum.DataCentres, func(a, b NameReport) int { return cmp.Compare(a.Name, b.Name) })
+	return sum
+}
+
+// mergeRows returns the rows of both, with rows of the same name added up.
+func mergeRows[Row any](rows, others []Row, key func(Row) string, plus func(Row, Row) Row) []Row {
+	rows = slices.Clone(rows)
+	position := make(map[string]int, len(rows))
+	for i, row := range rows {
+		position[key(row)] = i
+	}
+	for _, other := range others {
+		if i, found := position[key(other)]; found {
+			rows[i] = plus(rows[i], other)
+			continue
+		}
+		position[key(other)] = len(rows)
+		rows = append(rows, other)
+	}
+	return rows
+}
+
+func (report NameReport) key() string     { return report.Name }
+func (report PipelineReport) key() string { return report.Name }
+func (report StageReport) key() string    { return report.Name }
+
+func (report NameReport) plus(other NameReport) NameReport {
+	report.Counts = report.Counts.Plus(other.Counts)
+	return report
+}
+
+func (report PipelineReport) plus(other PipelineReport) PipelineReport {
+	report.Counts = report.Counts.Plus(other.Counts)
+	report.FirstToken = report.FirstToken.Plus(other.FirstToken)
+	report.TokenGap = report.TokenGap.Plus(other.TokenGap)
+	report.Latency = report.Latency.Plus(other.Latency)
+	report.Stages = mergeRows(report.Stages, other.Stages, StageReport.key, StageReport.plus)
+	return report
+}
+
+func (report StageReport) plus(other StageReport) StageReport {
+	report.Requests += other.Requests
+	report.Attempts += other.Attempts
+	report.Queued += other.Queued
+	report.Target += other.Target
+	report.Wasted += other.Wasted
+	report.Blamed += other.Blamed
+	report.Latency = report.Latency.Plus(other.Latency)
+	return report
+}
+
+// Alert says how soon an operator should act.
+type Alert int
+
+// The alerts.
+const (
+	AlertNone Alert = iota
+	AlertTicket
+	AlertPage
+)
+
+// String returns the name used in reports.
+func (alert Alert) String() string {
+	return [...]string{"None", "Ticket", "Page"}[alert]
+}
+
+// Burn rates that raise an alert: 14.4 uses 2% of a budget of 30 days in 1 h, 6 uses 5% in 6 h, 1 uses 10% in 3 days.
+const (
+	pageRateFast = 14.4
+	pageRateSlow = 6
+	ticketRate   = 1
+)
+
+const defaultPeriod = 30 * 24 * time.Hour
+
+// Burn compares counts with a service level.
+type Burn struct {
+	Objective float64
+	Rates     [windowCount]float64 // 1 uses the budget up exactly at the end of the period
+	Left      float64              // share of the period's budget left, from the longest window; negative when overspent
+	Alert     Alert
+}
+
+// BurnOf returns the burn rates of counts taken over the time up against a service level.
+func BurnOf(counts Counts, up time.Duration, level config.ServiceLevel) Burn {
+	burn := Burn{Objective: level.Objective}
+	allowed := max(1-level.Objective, 1e-9) // an objective of 1 allows no failure
+	for i, count := range counts {
+		burn.Rates[i] = (1 - count.Share()) / allowed
+	}
+	period := or(level.Period, defaultPeriod)
+	counted := min(up, Windows[windowCount-1], period)
+	burn.Left = 1 - burn.Rates[windowCount-1]*float64(counted)/float64(period)
+	burn.Alert = alertOf(burn.Rates)
+	return burn
+}
+
+// alertOf wants a long and a short window over the rate, so that an alert ends soon after its cause.
+func alertOf(rates [windowCount]float64) Alert {
+	fiveMinutes, hour, sixHours, threeDays := rates[0], rates[1], rates[2], rates[3]
+	switch {
+	case hour >= pageRateFast && fiveMinutes >= pageRateFast, sixHours >= pageRateSlow && hour >= pageRateSlow:
+		return AlertPage
+	case threeDays >= ticketRate && sixHours >= ticketRate:
+		return AlertTicket
+	default:
+		return AlertNone
+	}
+}
--- /dev/null
+++ b/io/report/doc.go
@@ -0,0 +1,2 @@
+// Package report renders service-level snapshots as text, JSON and HTML.
+package report
--- /dev/null
+++ b/io/report/levels.go
@@ -0,0 +1,55 @@
+package report
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"catkincove/core/burn"
+	"catkincove/core/config"
+)
+
+const worstNames = 10 // teams and data centres shown in text and HTML
+
+// row is one pipeline with its service level.
+type row struct {
+	pipeline burn.PipelineReport
+	hasLevel bool
+	burn     burn.Burn
+}
+
+// compare returns a row for each pipeline, in the order of the snapshot.
+func compare(snapshot burn.Snapshot, levels []config.ServiceLevel) []row {
+	rows := make([]row, 0, len(snapshot.Pipelines))
+	for _, pipeline := range snapshot.Pipelines {
+		row := row{pipeline: pipeline}
+		for _, level := range levels {
+			if level.Pipeline == pipeline.Name {
+				row.hasLevel, row.burn = true, burn.BurnOf(pipeline.Counts, snapshot.Up, level)
+			}
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// worst returns the names with the smallest share of good requests in the last hour.
+func worst(reports []burn.NameReport) []burn.NameReport {
+	sorted := slices.Clone(reports)
+	slices.SortStableFunc(sorted, func(a, b burn.NameReport) int {
+		return cmp.Compare(a.Counts[1].Share(), b.Counts[1].Share())
+	})
+	return sorted[:min(worstNames, len(sorted))]
+}
+
+// short rounds a duration for people.
+func short(duration time.Duration) string {
+	switch {
+	case duration >= time.Hour:
+		return duration.Round(time.Minute).String()
+	case duration >= time.Second:
+		return duration.Round(10 * time.Millisecond).String()
+	default:
+		return duration.Round(100 * time.Microsecond).String()
+	}
+}
