Test tickets across outages that outlast the retries

Cause: the faults of the property tests were too sparse to end in an unknown outcome. Ruled out: more attempts per case, as they only make the tests slower.

--- a/core/ticket/ticket_test.go
+++ b/core/ticket/ticket_test.go
@@ -62,9 +62,12 @@
 
 func refOf(object config.Object) config.Ref { return object.Ref }
 
+// drawFaults returns single faults and outages that outlast the retries of one Apply.
 func drawFaults(t *rapid.T) []fault {
-	faults := []fault{healthy, healthy, healthy, healthy, down, lostResponse, delayed, delayedMore}
-	return rapid.SliceOfN(rapid.SampledFrom(faults), 0, 30).Draw(t, "faults")
+	single := rapid.SampledFrom([]fault{healthy, healthy, healthy, healthy, down, lostResponse, delayed, delayedMore})
+	faults := rapid.SliceOfN(single, 0, 30).Draw(t, "faults")
+	outage := slices.Repeat([]fault{down}, rapid.IntRange(0, 40).Draw(t, "outage"))
+	return append(append(faults, outage...), rapid.SliceOfN(single, 0, 10).Draw(t, "faults after it")...)
 }
 
 // checkStore compares the store with what the operators were told.
