--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,144 @@
+package member
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"catkincove/core"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func entryOf(record Record) core.Entry { return core.Entry{Key: record.Key(), Value: record.Encode()} }
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// TestRecord guards against a stored form that other daemons cannot read.
+func TestRecord(t *testing.T) {
+	record := Record{ID: "a", Address: "10.0.0.1:80", DataCentre: "x", Leaving: true}
+	const want = `{"ID":"a","Address":"10.0.0.1:80","DataCentre":"x","Leaving":true}`
+	if content := string(record.Encode()); content != want {
+		t.Fatalf("encoded as %s", content)
+	}
+	if decoded, err := Decode(entryOf(record)); err != nil || decoded != record {
+		t.Fatalf("decoded as %+v, %v", decoded, err)
+	}
+	for _, entry := range []core.Entry{
+		{Key: core.MemberPrefix + "b", Value: record.Encode()},
+		{Key: record.Key(), Value: []byte("{")},
+		{Key: core.MemberPrefix, Value: []byte("{}")},
+	} {
+		if _, err := Decode(entry); err == nil {
+			t.Errorf("accepted %q = %q", entry.Key, entry.Value)
+		}
+	}
+}
+
+// TestHold guards against daemons dropped in an outage of the store, and against dead daemons kept for good.
+func TestHold(t *testing.T) {
+	beat := func(seconds float64) func(*View) {
+		return func(view *View) { view.ObserveHeartbeat(at(seconds), core.Heartbeat{From: "b"}) }
+	}
+	vanish := func(seconds float64) func(*View) {
+		return func(view *View) { view.ObserveStore(at(seconds), nil) }
+	}
+	freeze := func(seconds float64, frozen bool) func(*View) {
+		return func(view *View) { view.SetFrozen(at(seconds), frozen) }
+	}
+	tests := []struct {
+		name  string
+		steps []func(*View)
+		now   float64
+		live  bool
+	}{
+		{"stored", nil, 100, true},
+		{"vanished and silent", []func(*View){beat(0), vanish(3)}, 3, false},
+		{"vanished with heartbeats", []func(*View){beat(2), vanish(3), beat(11.5)}, 12.5, true},
+		{"vanished for 10 s with heartbeats", []func(*View){beat(2), vanish(3), beat(12.5)}, 13, false},
+		{"vanished in an outage", []func(*View){freeze(1, true), vanish(3)}, 100, true},
+		{"after an outage", []func(*View){freeze(1, true), vanish(3), beat(99), freeze(100, false), beat(108.5)}, 109.5, true},
+		{"silent after an outage", []func(*View){freeze(1, true), vanish(3), freeze(100, false)}, 100.1, false},
+	}
+	for _, test := range tests {
+		view := &View{Self: Record{ID: "a"}}
+		view.ObserveStore(start, []core.Entry{entryOf(Record{ID: "b"})})
+		for _, step := range test.steps {
+			step(view)
+		}
+		if live := slices.Contains(view.Live(at(test.now)), core.MemberID("b")); live != test.live {
+			t.Errorf("%s: live %v", test.name, live)
+		}
+	}
+}
+
+func fleet(count int) *View {
+	view := &View{Self: Record{ID: "d0", Address: "d0", DataCentre: "x"}}
+	var entries []core.Entry
+	for i := range count {
+		name := fmt.Sprintf("d%d", i)
+		record := Record{ID: core.MemberID(name), Address: name, DataCentre: []string{"x", "y"}[i%2]}
+		entries = append(entries, entryOf(record))
+	}
+	view.ObserveStore(start, entries)
+	return view
+}
+
+// TestAddresses guards against callers sent to leaving or remote daemons, and all to the same one.
+func TestAddresses(t *testing.T) {
+	view := fleet(8)
+	view.ObserveHeartbeat(start, core.Heartbeat{From: "d3", Leaving: true})
+	first := make(map[string]int)
+	for hash := range uint64(400) {
+		addresses := view.Addresses(start, hash, "y", 4)
+		near := slices.Clone(addresses[:3])
+		slices.Sort(near)
+		if len(addresses) != 4 || !reflect.DeepEqual(near, []string{"d1", "d5", "d7"}) {
+			t.Fatalf("caller %d gets %v", hash, addresses)
+		}
+		first[addresses[0]]++
+	}
+	for address, count := range first {
+		if count < 80 {
+			t.Errorf("%s is first for %d of 400 callers", address, count)
+		}
+	}
+	if !view.Leaving("d3") || slices.Contains(view.Rendezvous(start, core.PoolID{Service: "s", DataCentre: "x"}), "d3") {
+		t.Error("a leaving daemon is offered pools")
+	}
+}
+
+// TestRendezvous guards against pools that change daemons although theirs stays.
+func TestRendezvous(t *testing.T) {
+	before := fleet(8).Live(start)
+	after := slices.DeleteFunc(slices.Clone(before), func(id core.MemberID) bool { return id == "d5" })
+	for i := range 200 {
+		pool := core.PoolID{Service: fmt.Sprint(i), DataCentre: "x"}
+		was, is := First(before, pool), First(after, pool)
+		if was != is && was != "d5" || is != Rendezvous(after, pool)[0] {
+			t.Fatalf("pool %s moves from %s to %s", pool, was, is)
+		}
+	}
+}
+
+// TestHeartbeatPeers guards against a full mesh in large fleets and peers that are never chosen.
+func TestHeartbeatPeers(t *testing.T) {
+	for _, test := range []struct{ members, peers int }{{1, 0}, {2, 1}, {9, 8}, {10, 4}} {
+		seen := make(map[core.MemberID]bool)
+		view := fleet(test.members)
+		for seed := range uint64(100) {
+			peers := view.HeartbeatPeers(start, seed)
+			if len(peers) != test.peers {
+				t.Fatalf("%d of %d members get a heartbeat", len(peers), test.members)
+			}
+			for _, peer := range peers {
+				seen[peer.ID] = true
+			}
+		}
+		if len(seen) != test.members-1 || seen["d0"] {
+			t.Errorf("%d of %d members ever chosen", len(seen), test.members)
+		}
+	}
+}
