--- a/io/etcd/etcd_test.go
+++ b/io/etcd/etcd_test.go
@@ -217,11 +217,15 @@
 			}
 			var got string
 			var last error
+			started := time.Now()
 			for event := range events {
 				if last = event.Err; last == nil {
 					got += fmt.Sprintf("%d put%d del%d; ", event.Revision, len(event.Puts), len(event.Deletes))
 				}
 			}
+			if took := time.Since(started); took > time.Second {
+				t.Errorf("silence noticed after %s", took)
+			}
 			if got != test.want || !errors.Is(last, test.err) {
 				t.Errorf("events %q, %v\nwant %q, %v", got, last, test.want, test.err)
 			}
