Bound the findings about contents, and list targets that need a report

Cause: when very many connections break, each content became a finding that was kept for 10 min without a bound. Ruled out: dropping the oldest finding; it may be a quarantine. Before and after: no bound; now 8,192 findings, and cleared ones are kept for 30 s. go test ./core/pool passes. Conclusion: NeedsReport lets the owner ask broken targets at once.

--- a/core/pool/ask.go
+++ b/core/pool/ask.go
@@ -81,7 +81,7 @@
 		return dispatcher.overloaded(needed-entry.timeLeft, "expected %v of waiting and work, %v left",
 			needed.Round(time.Millisecond), entry.timeLeft.Round(time.Millisecond))
 	}
-	return dispatcher.makeRoom(now, entry)
+	return dispatcher.makeRoom(entry)
 }
 
 func (dispatcher *Dispatcher) judgePool(now time.Time, entry *entry) *core.Error {
@@ -138,7 +138,7 @@
 }
 
 // makeRoom keeps the queue within its length; a request of the team with the longest queue gives way.
-func (dispatcher *Dispatcher) makeRoom(now time.Time, entry *entry) *core.Error {
+func (dispatcher *Dispatcher) makeRoom(entry *entry) *core.Error {
 	length := dispatcher.limits.QueueLength
 	if length <= 0 {
 		length = defaultQueueLength
@@ -151,7 +151,7 @@
 	if last == nil || last.team == entry.team {
 		return refusal
 	}
-	dispatcher.drop(now, last, refusal)
+	dispatcher.drop(last, refusal)
 	return nil
 }
 
@@ -202,7 +202,7 @@
 }
 
 // drop takes a waiting request out of the queue and answers it with the refusal.
-func (dispatcher *Dispatcher) drop(_ time.Time, entry *entry, refusal *core.Error) {
+func (dispatcher *Dispatcher) drop(entry *entry, refusal *core.Error) {
 	dispatcher.leaveQueue(entry)
 	delete(dispatcher.entries, entry.id)
 	dispatcher.counters.Dropped++
--- a/core/pool/blame.go
+++ b/core/pool/blame.go
@@ -18,6 +18,10 @@
 	resolveWithin = time.Second
 	// clockTolerance covers the rounding of ages when findings pass between daemons.
 	clockTolerance = 100 * time.Millisecond
+	// clearedFor is how long a cleared content is kept, so that other daemons learn that it is cleared.
+	clearedFor = 30 * time.Second
+	// mostSuspicions bounds the memory when very many connections break, to about 1 MB.
+	mostSuspicions = 8192
 	// mostReported bounds the findings in one heartbeat.
 	mostReported = 256
 )
@@ -96,6 +100,9 @@
 func (blame *blame) suspect(now time.Time, fingerprint core.Fingerprint) {
 	known := blame.suspicions[fingerprint]
 	if known == nil {
+		if len(blame.suspicions) >= mostSuspicions {
+			return
+		}
 		known = &suspicion{}
 		blame.suspicions[fingerprint] = known
 	}
@@ -120,8 +127,7 @@
 	for _, content := range crash.contents {
 		blame.suspect(now, content.fingerprint)
 		blame.stop(content.fingerprint)
-		if content.alone {
-			known := blame.suspicions[content.fingerprint]
+		if known := blame.suspicions[content.fingerprint]; content.alone && known != nil {
 			known.state, known.since, known.here = core.SuspectQuarantined, now, true
 			quarantined++
 		}
@@ -235,7 +241,8 @@
 
 func (blame *blame) expire(now time.Time) {
 	for fingerprint, known := range blame.suspicions {
-		if now.Sub(known.since) >= quarantineFor {
+		age := now.Sub(known.since)
+		if age >= quarantineFor || (known.state == core.SuspectNone && age >= clearedFor) {
 			delete(blame.suspicions, fingerprint)
 		}
 	}
@@ -244,10 +251,10 @@
 // learn takes a finding of another daemon over when it is newer, or graver at the same time.
 func (blame *blame) learn(now time.Time, finding core.Suspect) {
 	since := now.Add(-finding.Age)
-	if finding.Age >= quarantineFor {
+	known := blame.suspicions[finding.Fingerprint]
+	if finding.Age >= quarantineFor || (known == nil && len(blame.suspicions) >= mostSuspicions) {
 		return
 	}
-	known := blame.suspicions[finding.Fingerprint]
 	if known == nil {
 		blame.suspicions[finding.Fingerprint] = &suspicion{state: finding.State, since: since}
 		return
--- a/core/pool/events.go
+++ b/core/pool/events.go
@@ -155,7 +155,21 @@
 	target.crashed = false
 }
 
+// NeedsReport returns the targets that are not used until a load report succeeds, to be asked at once.
+func (dispatcher *Dispatcher) NeedsReport() []core.TargetName {
+	var names []core.TargetName
+	for _, target := range dispatcher.order {
+		if !target.probed {
+			names = append(names, target.declared.Name)
+		}
+	}
+	return names
+}
+
 // Report takes a load report over; now is when the request for it was answered.
+//
+// For a distant target, the caller adds the time of the way back to the age: grants that ended on the way would count
+// as foreign work.
 func (dispatcher *Dispatcher) Report(now time.Time, name core.TargetName, report core.LoadReport) {
 	target := dispatcher.targets[name]
 	taken := now.Add(-report.Age)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -172,7 +172,7 @@
 func (dispatcher *Dispatcher) Close(now time.Time) []Assignment {
 	dispatcher.owned = false
 	for _, entry := range dispatcher.waiting() {
-		dispatcher.drop(now, entry, dispatcher.unavailable("daemon no longer owns pool %s", dispatcher.poolID))
+		dispatcher.drop(entry, dispatcher.unavailable("daemon no longer owns pool %s", dispatcher.poolID))
 	}
 	clear(dispatcher.entries)
 	dispatcher.blame.stopRunning()
--- a/core/pool/serve.go
+++ b/core/pool/serve.go
@@ -52,9 +52,9 @@
 func (dispatcher *Dispatcher) redirect(now time.Time, entry *entry) {
 	switch {
 	case dispatcher.isLate(now, entry):
-		dispatcher.drop(now, entry, dispatcher.late(entry))
+		dispatcher.drop(entry, dispatcher.late(entry))
 	case dispatcher.blame.state(entry.fingerprint) == core.SuspectQuarantined:
-		dispatcher.drop(now, entry, dispatcher.poison(now, entry.fingerprint))
+		dispatcher.drop(entry, dispatcher.poison(now, entry.fingerprint))
 	default:
 		dispatcher.serveSuspect(now, entry)
 	}
--- a/core/pool/tick.go
+++ b/core/pool/tick.go
@@ -39,10 +39,10 @@
 		delete(dispatcher.entries, entry.id)
 		dispatcher.counters.Abandoned++
 	case dispatcher.isLate(now, entry):
-		dispatcher.drop(now, entry, dispatcher.late(entry))
+		dispatcher.drop(entry, dispatcher.late(entry))
 	default:
 		if refusal := dispatcher.judgePool(now, entry); refusal != nil {
-			dispatcher.drop(now, entry, refusal)
+			dispatcher.drop(entry, refusal)
 		}
 	}
 }
