--- a/core/flow/run_test.go
+++ b/core/flow/run_test.go
@@ -257,6 +257,25 @@
 	})
 }
 
+// TestTwoBookings guards against two calls of one request that share a key, so that the second counts as a repetition.
+func TestTwoBookings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld(func(core.RequestID) fate { return works }, func() int { return 3 })
+		two := testPlan
+		two.pipeline = config.Pipeline{Name: "ask", Stages: []config.Stage{{Name: "Book", Service: "book"}, {Name: "Pay", Service: "book"}}}
+		runner := world.runner()
+		runner.Config = func() Plan { return two }
+		for range 2 {
+			if _, err := runner.Run(t.Context(), requestOf("r1"), nil); err != nil {
+				t.Error(err)
+			}
+		}
+		if len(world.booked) != 2 || world.seen["r1"] != 2 {
+			t.Errorf("booked %v with %d calls, want two keys with one call each", world.booked, world.seen["r1"])
+		}
+	})
+}
+
 // TestAmplification guards against a retry storm: with one target in ten failing, attempts per request stay under 1.1
 // with the budget, where three plain retries of each failure do not hold the bound when all targets fail.
 func TestAmplification(t *testing.T) {
--- /dev/null
+++ b/core/retry/budget_test.go
@@ -0,0 +1,46 @@
+package retry
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// TestBudget guards against retries beyond the share of requests, and against takers that use the same retry.
+func TestBudget(t *testing.T) {
+	cases := []struct {
+		name     string
+		budget   *Budget
+		requests int
+		ratio    float64
+		want     int64
+	}{
+		{"starts full", &Budget{}, 0, 0, 10},
+		{"own ratio", &Budget{Ratio: 0.5, Cap: 1}, 1000, 0, 501},
+		{"ratio of the request", &Budget{}, 1000, 0.25, 260},
+	}
+	for _, c := range cases {
+		var taken atomic.Int64
+		take := func() {
+			if c.budget.Take() {
+				taken.Add(1)
+			}
+		}
+		for range 100 { // a full budget saves no more
+			c.budget.Gain(0)
+		}
+		var group sync.WaitGroup
+		for range 100 { // use up what is saved
+			group.Go(take)
+		}
+		group.Wait()
+		for range c.requests {
+			c.budget.Gain(c.ratio)
+			group.Go(take)
+			group.Wait()
+		}
+		if taken.Load() != c.want {
+			t.Errorf("%s: %d retries, want %d", c.name, taken.Load(), c.want)
+		}
+	}
+}
