Admit with a margin on the expected wait

Cause: at twice the capacity one request was refused after waiting for each 20 that were refused at once: the expected wait is a mean, the last admitted ones wait longer.

--- a/core/pool/ask.go
+++ b/core/pool/ask.go
@@ -74,7 +74,7 @@
 	alone := dispatcher.blame.state(entry.fingerprint) == core.SuspectAlone
 	wait := time.Duration(0)
 	if !alone && !dispatcher.startsAtOnce() {
-		wait = dispatcher.expectedWait(entry)
+		wait = time.Duration(waitMargin * float64(dispatcher.expectedWait(entry)))
 	}
 	needed := wait + dispatcher.workTime(entry) + entry.reserve
 	if needed > entry.timeLeft {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -22,6 +22,9 @@
 	defaultQueueLength = 1024
 	// hopeFor is how long a request may queue for targets that have not been probed yet.
 	hopeFor = time.Second
+	// waitMargin is applied to the expected wait at enqueue time. Without it, one request was refused after it had waited
+	// for each 20 that were refused at once (TestOverload).
+	waitMargin = 1.05
 	// leastRetryAfter and mostRetryAfter bound what refused senders are told.
 	leastRetryAfter = 100 * time.Millisecond
 	mostRetryAfter  = 30 * time.Second
