Check keys before the first stage, and wait only for pools without an owner

Cause: an expired idempotency key was refused at its own stage, after an earlier stage had run, so the refusal said "run"; and the wait for an owner applied to every Unavailable refusal. Ruled out: a new error kind for a missing owner, because callers cannot act on it; a sentinel cause and a flag in the grant reply carry it between daemons.

--- a/core/flow/fakes_test.go
+++ b/core/flow/fakes_test.go
@@ -296,6 +296,8 @@
 }
 func (world *world) Order(context.Context, string, core.Order) error { return nil }
 
+func (records *records) Check(core.TeamName, string) error { return nil }
+
 // records is the world as a core.Once.
 type records world
 
--- a/core/flow/once.go
+++ b/core/flow/once.go
@@ -40,6 +40,10 @@
 		if err != nil {
 			return core.Errorf(core.BadRequest, "stage %q may not be repeated and needs an idempotency key that is a ULID: %w", stage, err)
 		}
+		// A key that is refused at its own stage would be refused after earlier stages have run.
+		if err := run.runner.Once.Check(run.request.Team, run.request.Key); err != nil {
+			return err
+		}
 		if used > 0 {
 			key = derive(key, stage)
 		}
--- a/core/flow/stage.go
+++ b/core/flow/stage.go
@@ -151,7 +151,7 @@
 // seconds left, and callers would send them again.
 func (stage *stage) awaitOwner() bool {
 	run := stage.run
-	if stage.last == nil || core.AsError(stage.last).Kind != core.Unavailable || stage.awaited >= ownerWait {
+	if !errors.Is(stage.last, core.ErrNoOwner) || stage.awaited >= ownerWait {
 		return false
 	}
 	if run.left()-ownerPause < stage.service.LeastTime+stage.reserve {
@@ -163,7 +163,6 @@
 		return false
 	}
 	stage.awaited += ownerPause
-	run.detours = 0
 	clear(stage.skipped)
 	return true
 }
@@ -220,6 +219,9 @@
 		return failure
 	}
 	stage.skipped[pool] = true
+	if errors.Is(failure, core.ErrNoOwner) {
+		return errNext // awaitOwner bounds these
+	}
 	return stage.detour()
 }
 
--- a/core/once/keeper.go
+++ b/core/once/keeper.go
@@ -45,7 +45,7 @@
 
 // Begin records the start of a call; it returns the stored answer when the call is already done.
 func (keeper *Keeper) Begin(ctx context.Context, team core.TeamName, key, bodyHash string) (string, []byte, error) {
-	if err := keeper.check(team, key); err != nil {
+	if err := keeper.Check(team, key); err != nil {
 		return "", nil, err
 	}
 	record := core.OnceRecord{BodyHash: bodyHash, Attempt: rand.Text(), Member: keeper.Member}
@@ -68,8 +68,8 @@
 	}
 }
 
-// check rejects keys that are no ULID or whose time is outside the retention.
-func (keeper *Keeper) check(team core.TeamName, key string) error {
+// Check rejects keys that are no ULID or whose time is outside the retention.
+func (keeper *Keeper) Check(team core.TeamName, key string) error {
 	if team == "" || strings.Contains(string(team), "/") {
 		return core.Errorf(core.BadRequest, "team %q cannot be part of a record key", team)
 	}
--- a/core/peer.go
+++ b/core/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -76,8 +77,12 @@
 	Alone   bool
 }
 
+// ErrNoOwner is the cause of an Unavailable error when a pool has no owner that answers; it will have one soon.
+var ErrNoOwner = errors.New("pool has no owner")
+
 // GrantReply is exactly one of a grant, a place in the queue, or a refusal.
 type GrantReply struct {
+	Moved    bool // refused because the asked daemon does not own the pool
 	Grant    *Grant
 	Queue    GrantID // ask again with this place
 	Refused  *Error
--- a/core/target.go
+++ b/core/target.go
@@ -122,6 +122,8 @@
 
 // Once guards calls that may not be repeated.
 type Once interface {
+	// Check returns BadRequest or KeyExpired for a key that Begin would reject, without a store call.
+	Check(team TeamName, key string) error
 	// Begin records the start of a call; it returns the stored answer when the call is already done.
 	//
 	// Errors are KeyReused, KeyExpired, BadRequest, Unavailable (all "not run") and OutcomeUnknown.
--- a/io/daemon/grants.go
+++ b/io/daemon/grants.go
@@ -17,8 +17,13 @@
 	ownerRetry     = 300 * time.Millisecond
 )
 
-func notOwner(pool core.PoolID) *core.Error {
-	return core.Errorf(core.Unavailable, "pool %s has no owner at this daemon", pool).WithRetryAfter(ownerRetry)
+// noOwner is the refusal of a pool whose owner is unknown, does not answer, or has changed.
+func noOwner(pool core.PoolID, reason string) *core.Error {
+	return core.Errorf(core.Unavailable, "%w: %s: %s", core.ErrNoOwner, pool, reason).WithRetryAfter(ownerRetry)
+}
+
+func moved(pool core.PoolID) core.GrantReply {
+	return core.GrantReply{Moved: true, Refused: noOwner(pool, "another daemon was asked")}
 }
 
 // granter implements core.Granter for the daemon's own traffic.
@@ -39,15 +44,18 @@
 		}
 		owner, found := snapshot.owners[request.Pool]
 		if !found {
-			return core.Permit{}, notOwner(request.Pool)
+			return core.Permit{}, noOwner(request.Pool, "none is known")
 		}
 		request.TimeLeft = timeLeft - core.Elapsed(began, asked)
 		request.Revision = snapshot.config.Revision()
 		reply, err := granter.ask(ctx, owner, request)
 		if err != nil {
-			return core.Permit{}, core.Errorf(core.Unavailable, "owner of pool %s: %v", request.Pool, err).WithRetryAfter(ownerRetry)
+			return core.Permit{}, noOwner(request.Pool, err.Error())
 		}
 		daemon.noteReply(request, reply, owner)
+		if reply.Moved {
+			return core.Permit{}, noOwner(request.Pool, "it has just changed")
+		}
 		if reply.Refused != nil {
 			return core.Permit{}, reply.Refused
 		}
@@ -130,8 +138,12 @@
 }
 
 func (control *control) onAsk(request core.GrantRequest, replies chan core.GrantReply) {
-	owned, err := control.grantable(request.Pool)
-	if err != nil {
+	owned := control.grantable(request.Pool)
+	if owned == nil {
+		replies <- control.stamp(moved(request.Pool))
+		return
+	}
+	if err := control.daemon.snapshot.Load().confirmed(control.now()); err != nil {
 		replies <- control.stamp(core.GrantReply{Refused: core.AsError(err)})
 		return
 	}
@@ -144,18 +156,14 @@
 	control.deliver(owned)
 }
 
-// grantable checks ownership and freshness at the moment of the decision.
-func (control *control) grantable(id core.PoolID) (*ownedPool, error) {
-	now := control.now()
-	if err := control.daemon.snapshot.Load().confirmed(now); err != nil {
-		return nil, err
-	}
-	token, may := control.keeper.MayGrant(now, id)
+// grantable returns the pool if this daemon owns it at the moment of the decision, or nil.
+func (control *control) grantable(id core.PoolID) *ownedPool {
+	token, may := control.keeper.MayGrant(control.now(), id)
 	owned := control.pools[id]
 	if !may || owned == nil || owned.token != token {
-		return nil, notOwner(id)
+		return nil
 	}
-	return owned, nil
+	return owned
 }
 
 // stopWaiting takes an ask out of the waiting ones; its channel may have been answered in between.
@@ -168,7 +176,7 @@
 	}
 	owned := control.pools[request.Pool]
 	if owned == nil {
-		placed <- control.stamp(core.GrantReply{Refused: notOwner(request.Pool)})
+		placed <- control.stamp(moved(request.Pool))
 		return
 	}
 	for queue, waiting := range owned.waiting {
@@ -179,7 +187,7 @@
 			return
 		}
 	}
-	placed <- control.stamp(core.GrantReply{Refused: notOwner(request.Pool)})
+	placed <- control.stamp(moved(request.Pool))
 }
 
 func (control *control) onRelease(release core.Release) {
--- a/io/daemon/pools.go
+++ b/io/daemon/pools.go
@@ -42,9 +42,13 @@
 	delete(control.pools, closed.id)
 	control.polls.stop(closed.id)
 	closed.planner.Close()
-	control.answer(closed, closed.dispatcher.Close(now))
+	refusals := closed.dispatcher.Close(now)
+	for i := range refusals {
+		refusals[i].Reply.Moved = true
+	}
+	control.answer(closed, refusals)
 	for id, reply := range closed.waiting {
-		reply <- core.GrantReply{Refused: notOwner(closed.id)}
+		reply <- moved(closed.id)
 		delete(closed.waiting, id)
 	}
 	control.daemon.log.Info().Stringer("pool", closed.id).Msg("pool: given up")
--- a/io/peer/wire.go
+++ b/io/peer/wire.go
@@ -69,6 +69,7 @@
 }
 
 type wireGrantReply struct {
+	Moved    bool
 	Grant    *wireGrant
 	Queue    string
 	Refused  *answer.Error
@@ -233,6 +234,7 @@
 
 func encodeGrantReply(reply core.GrantReply) wireGrantReply {
 	wire := wireGrantReply{
+		Moved:    reply.Moved,
 		Queue:    string(reply.Queue),
 		Refused:  answer.Encode(reply.Refused),
 		Revision: int64(reply.Revision),
@@ -255,6 +257,7 @@
 
 func decodeGrantReply(wire wireGrantReply, pool core.PoolID) core.GrantReply {
 	reply := core.GrantReply{
+		Moved:    wire.Moved,
 		Queue:    core.GrantID(wire.Queue),
 		Refused:  answer.Decode(wire.Refused),
 		Revision: core.Revision(wire.Revision),
