Send orders to targets from the pool's owner

Cause: the planner of orders was not connected; a target that had lost its model got work that it could not do. Ruled out: asking that the lease outlives the whole work of an order, as first written: with a lease of 3 s no order that takes longer could ever be sent to a target that ignores fencing tokens. The lease now covers the order's transit, and the next holder waits for the longest work, which excludes an overlap as well (the property test with a paused holder passes). Before and after: no order was sent; now a target that reports other models than the declared one gets an order and no work until its report shows the model.

--- a/core/config/limits.go
+++ b/core/config/limits.go
@@ -8,6 +8,7 @@
 	DefaultRetryRatio        = 0.1 // bounds retry amplification at 1.1
 	DefaultQueueLength       = 1000
 	DefaultBodyBytes         = 1 << 20
+	DefaultWeightRate        = 1 << 30
 	DefaultSameRegionDelay   = 2 * time.Millisecond
 	DefaultOtherRegionDelay  = 40 * time.Millisecond
 )
@@ -19,6 +20,7 @@
 		RetryRatio:        DefaultRetryRatio,
 		QueueLength:       DefaultQueueLength,
 		BodyBytes:         DefaultBodyBytes,
+		WeightRate:        DefaultWeightRate,
 		SameRegionDelay:   DefaultSameRegionDelay,
 		OtherRegionDelay:  DefaultOtherRegionDelay,
 	}
--- a/core/config/ranges.go
+++ b/core/config/ranges.go
@@ -94,10 +94,12 @@
 	hasModel := service.Kind == Encode || service.Kind == Rerank || service.Kind == Generate
 	checker.require(!hasModel || service.Model != "", "Model", service.Model, "the name of the model")
 	checker.require(!strings.ContainsFunc(service.Model, isControl), "Model", service.Model, "text without control characters")
+	checker.require(!strings.ContainsFunc(service.Version, isControl), "Version", service.Version, "text without control characters")
 	checker.text("Model", service.Model)
 	checker.within(service.Capacity, 0, maxCapacity, "Capacity")
 	checker.within(service.ColdLimit, 0, maxCapacity, "ColdLimit")
 	checker.within(service.WarmAfter, 0, maxCapacity, "WarmAfter")
+	checker.require(service.WeightBytes >= 0, "WeightBytes", service.WeightBytes, "0 or more bytes")
 	capacity := max(service.Capacity, 1)
 	checker.require(max(service.ColdLimit, 1) <= capacity, "ColdLimit", service.ColdLimit,
 		fmt.Sprintf("at most the Capacity of %d", capacity))
@@ -133,6 +135,7 @@
 	checker.within(limits.RetriesPerRequest, 0, maxRetries, "RetriesPerRequest")
 	checker.require(0 <= limits.RetryRatio && limits.RetryRatio <= 1, "RetryRatio", limits.RetryRatio, "a share from 0 to 1")
 	checker.within(limits.QueueLength, 1, maxQueue, "QueueLength")
+	checker.require(limits.WeightRate >= 0, "WeightRate", limits.WeightRate, "0 or more bytes a second")
 	checker.within(limits.BodyBytes, minBodyBytes, maxBodyBytes, "BodyBytes")
 	checker.duration(limits.SameRegionDelay, 0, maxDelay, "SameRegionDelay")
 	checker.duration(limits.OtherRegionDelay, 0, maxDelay, "OtherRegionDelay")
--- a/core/config/types.go
+++ b/core/config/types.go
@@ -82,6 +82,8 @@
 	Name          string
 	Kind          ServiceKind
 	Model         string
+	Version       string        // of the model; targets are ordered to load it
+	WeightBytes   int64         // size of the model's weights, for the pace of loads; 0 is not paced
 	Capacity      int           // requests that a warm target runs at once; 0 counts as 1
 	ColdLimit     int           // requests that a target just started bears; 0 counts as 1
 	WarmAfter     int           // completed requests after a start during which ColdLimit holds; 0 raises the limit at once
@@ -128,6 +130,7 @@
 	RetryRatio        float64 // retries per request that the daemon's budget gains
 	QueueLength       int     // requests waiting in one pool
 	BodyBytes         int
+	WeightRate        int64         // bytes a second that all daemons together may have targets load
 	SameRegionDelay   time.Duration // network distance within a region
 	OtherRegionDelay  time.Duration // network distance between regions
 }
--- a/core/order/plan.go
+++ b/core/order/plan.go
@@ -48,7 +48,8 @@
 	}
 	needed := time.Duration(0)
 	if !planner.settings.ChecksFencing {
-		needed = planner.settings.longest()
+		// The order arrives within the lease; the next holder waits for the time that the target may work on it.
+		needed = planner.settings.transit()
 	}
 	return remaining(now, leaseUntil) > needed
 }
--- a/core/order/planner.go
+++ b/core/order/planner.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// defaultTransit is the longest time between the check before an order and its arrival at the target.
+	defaultTransit = time.Second
 	// defaultLongest bounds an order when the settings leave it open.
 	defaultLongest = 30 * time.Second
 	// copyFresh is the age up to which a load report proves that a copy of a model exists.
@@ -34,11 +36,19 @@
 // Settings are the properties of a pool that the planner depends on.
 type Settings struct {
 	ChecksFencing  bool          // targets refuse orders with an old fencing token
+	Transit        time.Duration // that an order may be on its way; 0 means 1 s
 	Longest        time.Duration // that a target may work on an order; 0 means 30 s
 	BytesPerSecond float64       // share of the weights store's rate; 0 means no loads
 	Burst          float64       // bytes that may be loaded at once
 }
 
+func (settings Settings) transit() time.Duration {
+	if settings.Transit <= 0 {
+		return defaultTransit
+	}
+	return settings.Transit
+}
+
 func (settings Settings) longest() time.Duration {
 	if settings.Longest <= 0 {
 		return defaultLongest
--- a/io/codec/decode.go
+++ b/io/codec/decode.go
@@ -52,6 +52,8 @@
 		Name:          name,
 		Kind:          reader.serviceKind(wire.Kind),
 		Model:         wire.Model,
+		Version:       wire.Version,
+		WeightBytes:   wire.WeightBytes,
 		Capacity:      wire.Capacity,
 		ColdLimit:     wire.ColdLimit,
 		WarmAfter:     wire.WarmAfter,
@@ -111,6 +113,7 @@
 		RetryRatio:        wire.RetryRatio,
 		QueueLength:       wire.QueueLength,
 		BodyBytes:         wire.BodyBytes,
+		WeightRate:        wire.WeightRate,
 		SameRegionDelay:   reader.duration("SameRegionDelay", wire.SameRegionDelay),
 		OtherRegionDelay:  reader.duration("OtherRegionDelay", wire.OtherRegionDelay),
 	}
--- a/io/codec/encode.go
+++ b/io/codec/encode.go
@@ -39,6 +39,8 @@
 	return &wireService{
 		Kind:          service.Kind.String(),
 		Model:         service.Model,
+		Version:       service.Version,
+		WeightBytes:   service.WeightBytes,
 		Capacity:      service.Capacity,
 		ColdLimit:     service.ColdLimit,
 		WarmAfter:     service.WarmAfter,
@@ -93,6 +95,7 @@
 		RetryRatio:        limits.RetryRatio,
 		QueueLength:       limits.QueueLength,
 		BodyBytes:         limits.BodyBytes,
+		WeightRate:        limits.WeightRate,
 		SameRegionDelay:   limits.SameRegionDelay.String(),
 		OtherRegionDelay:  limits.OtherRegionDelay.String(),
 	}
--- a/io/codec/wire.go
+++ b/io/codec/wire.go
@@ -30,6 +30,8 @@
 type wireService struct {
 	Kind          string
 	Model         string
+	Version       string
+	WeightBytes   int64
 	Capacity      int
 	ColdLimit     int
 	WarmAfter     int
@@ -68,6 +70,7 @@
 	RetryRatio        float64
 	QueueLength       int
 	BodyBytes         int
+	WeightRate        int64
 	SameRegionDelay   string
 	OtherRegionDelay  string
 }
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -147,6 +147,7 @@
 		pool.dispatcher.Tick(now)
 		control.deliver(pool)
 		control.collectSuspects(now, pool)
+		control.sendOrders(now, pool)
 	}
 }
 
--- a/io/daemon/pools.go
+++ b/io/daemon/pools.go
@@ -16,6 +16,8 @@
 	token      core.FencingToken
 	dispatcher *pool.Dispatcher
 	planner    order.Planner
+	model      string // label of the model that the targets should hold; empty for plain services
+	ordered    map[core.TargetName]bool
 	waiting    map[core.GrantID]chan core.GrantReply // asks to be answered when their place is served
 }
 
@@ -72,7 +74,7 @@
 		return max(1, team.Weight)
 	}
 	owned.dispatcher.Configure(service, settings.PoolTargets(owned.id), settings.Limits(), open, weight)
-	owned.planner.Configure(order.Settings{ChecksFencing: service.ChecksFencing})
+	control.configureOrders(owned, service)
 }
 
 // deliver answers waiting asks whose place was served.
@@ -195,11 +197,13 @@
 		return
 	}
 	now := control.now()
-	if err != nil {
+	if err == nil {
+		owned.planner.Report(now, name, report)
+	}
+	if err != nil || !owned.holdsModel(report) {
 		owned.dispatcher.ReportFailed(now, name)
 	} else {
 		owned.dispatcher.Report(now, name, report)
-		owned.planner.Report(now, name, report)
 	}
 	control.deliver(owned)
 }
--- a/io/inifmt/doc.go
+++ b/io/inifmt/doc.go
@@ -10,12 +10,12 @@
 //	[Ticket]                 Number!, Operator!, Note
 //	[Team NAME]              Weight, TokenSHA256
 //	[DataCentre NAME]        Region!, State (In or Out; In)
-//	[Service NAME]           Kind!, Model, Capacity (1), ColdLimit (1), WarmAfter (0), LeastTime (0s), MayRepeat (false), ChecksFencing (false)
+//	[Service NAME]           Kind!, Model, Version, WeightBytes (0), Capacity (1), ColdLimit (1), WarmAfter (0), LeastTime (0s), MayRepeat (false), ChecksFencing (false)
 //	[Target NAME]            Service!, DataCentre!, Address! (IP:port), State (In)
 //	[Pipeline NAME]          Deadline!, Stages! (list)
 //	[Stage PIPELINE/STAGE]   Service!, Top, MaxTokens, Path
 //	[ServiceLevel PIPELINE]  Objective!, Period!
-//	[Limits Default]         RetriesPerRequest, RetryRatio, QueueLength, BodyBytes, SameRegionDelay, OtherRegionDelay
+//	[Limits Default]         RetriesPerRequest, RetryRatio, QueueLength, BodyBytes, WeightRate, SameRegionDelay, OtherRegionDelay
 //
 // "Delete = true" as the only key of a section removes the object.
 //
--- a/io/inifmt/format.go
+++ b/io/inifmt/format.go
@@ -80,6 +80,8 @@
 func (writer *writer) service(service config.Service) {
 	writer.key("Kind", service.Kind)
 	writer.text("Model", service.Model)
+	writer.text("Version", service.Version)
+	writer.key("WeightBytes", service.WeightBytes)
 	writer.key("Capacity", service.Capacity)
 	writer.key("ColdLimit", service.ColdLimit)
 	writer.key("WarmAfter", service.WarmAfter)
@@ -124,6 +126,7 @@
 	writer.key("RetryRatio", limits.RetryRatio)
 	writer.key("QueueLength", limits.QueueLength)
 	writer.key("BodyBytes", limits.BodyBytes)
+	writer.key("WeightRate", limits.WeightRate)
 	writer.key("SameRegionDelay", limits.SameRegionDelay)
 	writer.key("OtherRegionDelay", limits.OtherRegionDelay)
 }
--- a/io/inifmt/object.go
+++ b/io/inifmt/object.go
@@ -67,6 +67,8 @@
 		Name:          name,
 		Kind:          choice(table, "Kind", config.Call, config.ParseServiceKind, kinds),
 		Model:         table.text("Model", ""),
+		Version:       table.text("Version", ""),
+		WeightBytes:   table.number64("WeightBytes", 0),
 		Capacity:      table.number("Capacity", 0),
 		ColdLimit:     table.number("ColdLimit", 0),
 		WarmAfter:     table.number("WarmAfter", 0),
@@ -74,7 +76,7 @@
 		MayRepeat:     table.boolean("MayRepeat", false),
 		ChecksFencing: table.boolean("ChecksFencing", false),
 	}
-	table.close(oneOf("Kind", "Model", "Capacity", "ColdLimit", "WarmAfter", "LeastTime", "MayRepeat", "ChecksFencing", deleteKey))
+	table.close(oneOf("Kind", "Model", "Version", "WeightBytes", "Capacity", "ColdLimit", "WarmAfter", "LeastTime", "MayRepeat", "ChecksFencing", deleteKey))
 	return service
 }
 
@@ -144,10 +146,11 @@
 		RetryRatio:        table.share("RetryRatio", defaults.RetryRatio),
 		QueueLength:       table.number("QueueLength", defaults.QueueLength),
 		BodyBytes:         table.number("BodyBytes", defaults.BodyBytes),
+		WeightRate:        table.number64("WeightRate", defaults.WeightRate),
 		SameRegionDelay:   table.duration("SameRegionDelay", defaults.SameRegionDelay),
 		OtherRegionDelay:  table.duration("OtherRegionDelay", defaults.OtherRegionDelay),
 	}
-	table.close(oneOf("RetriesPerRequest", "RetryRatio", "QueueLength", "BodyBytes", "SameRegionDelay", "OtherRegionDelay",
+	table.close(oneOf("RetriesPerRequest", "RetryRatio", "QueueLength", "BodyBytes", "WeightRate", "SameRegionDelay", "OtherRegionDelay",
 		deleteKey))
 	return limits
 }
