--- a/stand/engine/engine.go
+++ b/stand/engine/engine.go
@@ -17,6 +17,7 @@
 	name     string
 	life     *life
 	down     bool
+	halted   bool
 	waiting  []*waiter
 	running  int
 	faults   Faults
@@ -149,6 +150,22 @@
 	engine.fall()
 }
 
+// Halt takes the target down until Resume.
+func (engine *Engine) Halt() {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.halted = true
+	engine.fall()
+}
+
+// Resume starts a halted target again, cold and with a new start identifier.
+func (engine *Engine) Resume() {
+	engine.mutex.Lock()
+	engine.halted = false
+	engine.mutex.Unlock()
+	engine.restart()
+}
+
 func (engine *Engine) fall() {
 	if engine.down {
 		return
@@ -168,6 +185,9 @@
 func (engine *Engine) restart() {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
+	if engine.halted || !engine.down {
+		return
+	}
 	engine.begin()
 	engine.down = false
 	if engine.server != nil {
--- /dev/null
+++ b/stand/model/model_test.go
@@ -0,0 +1,153 @@
+package model
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"catkincove/core/config"
+	"catkincove/stand/engine"
+	"catkincove/stand/wire"
+)
+
+func start(t *testing.T, settings Settings) (*Target, string) {
+	settings.Kind = config.Generate
+	target := New("t", settings)
+	server, err := wire.Listen("127.0.0.1:0", target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	return target, "http://" + server.Address()
+}
+
+func complete(address, prompt, last, received string) (string, int) {
+	body := fmt.Sprintf(`{"prompt":%q,"max_tokens":40,"stream":true,"received":%q}`, prompt, received)
+	request, _ := http.NewRequest(http.MethodPost, address+"/v1/completions", strings.NewReader(body))
+	request.Header.Set("X-Request-Id", "r1")
+	if last != "" {
+		request.Header.Set("Last-Event-ID", last)
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return "", 0
+	}
+	defer response.Body.Close()
+	answer, _ := io.ReadAll(response.Body)
+	return string(answer), response.StatusCode
+}
+
+// TestResume guards against a resumed stream that repeats or skips a token, and against a target that takes up a text
+// that is not its own.
+func TestResume(t *testing.T) {
+	prompt := "Passages:\n[circular-9] the price is EUR 4.20\nQuestion: price?"
+	tokens, finish := Answer(prompt, 48, 40)
+	if text := strings.Join(tokens, ""); finish != "length" || !strings.HasPrefix(text, "According to [circular-9]: the price is EUR 4.20 ") {
+		t.Fatalf("answer %q ends by %s", text, finish)
+	}
+	_, address := start(t, Settings{TokenTime: time.Microsecond})
+	tests := []struct {
+		last, received string
+		status         int
+		first          string
+	}{
+		{"", "", 200, fmt.Sprintf(`id: 4\ndata: {"choices":[{"finish_reason":null,"index":0,"text":%q}]}`, strings.Join(tokens[:4], ""))},
+		{"5", strings.Join(tokens[:5], ""), 200, fmt.Sprintf(`id: 9\ndata: {"choices":[{"finish_reason":null,"index":0,"text":%q}]}`, strings.Join(tokens[5:9], ""))},
+		{"40", strings.Join(tokens, ""), 200, `id: 40\ndata: {"choices":[{"finish_reason":"length","index":0,"text":""}]}`},
+		{"5", "something else", 400, ""},
+		{"41", "", 400, ""},
+	}
+	for _, test := range tests {
+		answer, status := complete(address, prompt, test.last, test.received)
+		first := strings.ReplaceAll(test.first, `\n`, "\n")
+		if status != test.status || !strings.HasPrefix(answer, first) {
+			t.Errorf("after %q: status %d, got %q, want %q", test.last, status, answer, first)
+		}
+		if status == 200 && !strings.HasSuffix(answer, "data: [DONE]\n\n") {
+			t.Errorf("after %q: no end marker", test.last)
+		}
+	}
+}
+
+// TestColdOverload guards against a stand-in that bears more than a cold target does, which would hide broken ramp-up.
+func TestColdOverload(t *testing.T) {
+	tests := []struct {
+		name      string
+		warm      int // requests completed before
+		parallel  int
+		wantFalls int
+	}{
+		{"cold within bearing", 0, 2, 0},
+		{"cold above bearing", 0, 3, 1},
+		{"warm above cold bearing", 3, 3, 0},
+		{"warm above hard limit", 3, 6, 1},
+	}
+	for _, test := range tests {
+		target, address := start(t, Settings{
+			Settings:  engine.Settings{Capacity: 4, ColdBearing: 2, WarmAfter: 3, HardLimit: 5, Restart: 50 * time.Millisecond},
+			TokenTime: time.Millisecond, BlockTime: 10 * time.Millisecond,
+		})
+		for range test.warm {
+			complete(address, "warm", "", "")
+		}
+		before := target.Start()
+		var group sync.WaitGroup
+		for range test.parallel {
+			group.Go(func() { complete(address, "load", "", "") })
+		}
+		group.Wait()
+		if falls := target.Counts().Falls; falls != test.wantFalls {
+			t.Errorf("%s: %d falls, want %d", test.name, falls, test.wantFalls)
+		}
+		if test.wantFalls == 0 {
+			continue
+		}
+		if _, status := complete(address, "down", "", ""); status != 0 {
+			t.Errorf("%s: status %d while down", test.name, status)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if _, status := complete(address, "up", "", ""); status != 200 || target.Start() == before || !target.Cold() {
+			t.Errorf("%s: status %d after the restart, start %s before and %s after", test.name, status, before, target.Start())
+		}
+	}
+}
+
+// TestCancel guards against a target that goes on with a stream whose caller has left.
+func TestCancel(t *testing.T) {
+	target, address := start(t, Settings{TokenTime: 50 * time.Millisecond})
+	client := http.Client{Timeout: 100 * time.Millisecond}
+	_, _ = client.Post(address+"/v1/completions", "application/json", strings.NewReader(`{"prompt":"p"}`))
+	for deadline := time.Now().Add(time.Second); target.Running() > 0 && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if journal := target.Journal(); target.Running() != 0 || journal[0].Outcome != engine.Cancelled {
+		t.Errorf("%d running, journal %+v", target.Running(), journal)
+	}
+}
+
+// TestCache guards against prefill that ignores the prefix cache and against events that reveal more than they should.
+func TestCache(t *testing.T) {
+	prompt := strings.Repeat("x", 64*6)
+	cache := cache{settings: Settings{CacheBlocks: 4, GapEvery: 3}}
+	if cached := cache.use(Blocks(prompt[:64*3])); cached != 0 {
+		t.Errorf("%d blocks cached at first", cached)
+	}
+	if cached := cache.use(Blocks(prompt)); cached != 3 {
+		t.Errorf("%d blocks cached, want 3", cached)
+	}
+	if len(cache.blocks) != 4 {
+		t.Errorf("%d blocks held, want 4", len(cache.blocks))
+	}
+	if events := cache.after(0); len(events) != 6 { // 6 stored and 2 evicted, of which the third and the sixth are lost
+		t.Errorf("%d events, want 6", len(events))
+	}
+	cache.settings.CacheLag = time.Hour
+	if events := cache.after(0); len(events) != 0 {
+		t.Errorf("%d events before their time", len(events))
+	}
+}
--- a/stand/wire/gate.go
+++ b/stand/wire/gate.go
@@ -7,10 +7,10 @@
 	"syscall"
 )
 
-// gate is a listener that can refuse connections for a while without giving up its port.
+// Gate is a listener that can refuse connections for a while without giving up its port.
 //
 // A bound socket that does not listen keeps the port, so no outgoing connection can take it while the gate is down.
-type gate struct {
+type Gate struct {
 	mutex    sync.Mutex
 	hold     int
 	address  string
@@ -22,16 +22,17 @@
 
 type gateConn struct {
 	*net.TCPConn
-	gate *gate
+	gate *Gate
 }
 
-func newGate(address string) (*gate, error) {
+// NewGate listens on the address, which may have port 0.
+func NewGate(address string) (*Gate, error) {
 	hold, bound, err := holdPort(address)
 	if err != nil {
 		return nil, fmt.Errorf("binding %s: %w", address, err)
 	}
-	gate := &gate{hold: hold, address: bound, changed: make(chan struct{}), conns: map[*gateConn]struct{}{}}
-	if err := gate.raise(); err != nil {
+	gate := &Gate{hold: hold, address: bound, changed: make(chan struct{}), conns: map[*gateConn]struct{}{}}
+	if err := gate.Raise(); err != nil {
 		_ = syscall.Close(hold)
 		return nil, err
 	}
@@ -63,8 +64,8 @@
 	return hold, (&net.TCPAddr{IP: bound.Addr[:], Port: bound.Port}).String(), nil
 }
 
-// raise listens again; it does nothing on a closed or listening gate.
-func (gate *gate) raise() error {
+// Raise listens again; it does nothing on a closed or listening gate.
+func (gate *Gate) Raise() error {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
 	if gate.closed || gate.listener != nil {
@@ -80,19 +81,18 @@
 	return nil
 }
 
-// lower refuses new connections and resets the open ones.
-func (gate *gate) lower() {
+// Lower refuses new connections and keeps the open ones.
+func (gate *Gate) Lower() {
 	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
 	if gate.listener != nil {
 		_ = gate.listener.Close()
 		gate.listener = nil
 	}
-	gate.mutex.Unlock()
-	gate.reset()
 }
 
-// reset ends the open connections with a TCP reset.
-func (gate *gate) reset() {
+// Reset ends the open connections with a TCP reset.
+func (gate *Gate) Reset() {
 	gate.mutex.Lock()
 	conns := make([]*gateConn, 0, len(gate.conns))
 	for conn := range gate.conns {
@@ -106,7 +106,7 @@
 }
 
 // Accept waits while the gate is down.
-func (gate *gate) Accept() (net.Conn, error) {
+func (gate *Gate) Accept() (net.Conn, error) {
 	for {
 		gate.mutex.Lock()
 		listener, changed, closed := gate.listener, gate.changed, gate.closed
@@ -124,7 +124,7 @@
 	}
 }
 
-func (gate *gate) track(conn *net.TCPConn, listener net.Listener) net.Conn {
+func (gate *Gate) track(conn *net.TCPConn, listener net.Listener) net.Conn {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
 	tracked := &gateConn{TCPConn: conn, gate: gate}
@@ -136,7 +136,7 @@
 }
 
 // Close ends the gate and gives up the port.
-func (gate *gate) Close() error {
+func (gate *Gate) Close() error {
 	gate.mutex.Lock()
 	if gate.closed {
 		gate.mutex.Unlock()
@@ -145,12 +145,13 @@
 	gate.closed = true
 	close(gate.changed)
 	gate.mutex.Unlock()
-	gate.lower()
+	gate.Lower()
+	gate.Reset()
 	return syscall.Close(gate.hold)
 }
 
 // Addr returns the address, which stays the same while the gate is down.
-func (gate *gate) Addr() net.Addr {
+func (gate *Gate) Addr() net.Addr {
 	address, _ := net.ResolveTCPAddr("tcp4", gate.address)
 	return address
 }
--- a/stand/wire/server.go
+++ b/stand/wire/server.go
@@ -8,7 +8,7 @@
 
 // Server serves a handler over HTTP/1.1 and HTTP/2 without TLS.
 type Server struct {
-	gate *gate
+	gate *Gate
 	http *http.Server
 	done chan struct{}
 }
@@ -21,7 +21,7 @@
 
 // Listen starts a server on the address, which may have port 0.
 func Listen(address string, handler http.Handler) (*Server, error) {
-	gate, err := newGate(address)
+	gate, err := NewGate(address)
 	if err != nil {
 		return nil, err
 	}
@@ -45,13 +45,16 @@
 func (server *Server) Address() string { return server.gate.address }
 
 // Down refuses new connections and resets the open ones, as after the end of a process.
-func (server *Server) Down() { server.gate.lower() }
+func (server *Server) Down() {
+	server.gate.Lower()
+	server.gate.Reset()
+}
 
 // Up accepts connections again on the same address.
-func (server *Server) Up() error { return server.gate.raise() }
+func (server *Server) Up() error { return server.gate.Raise() }
 
 // Reset ends the open connections and keeps accepting new ones.
-func (server *Server) Reset() { server.gate.reset() }
+func (server *Server) Reset() { server.gate.Reset() }
 
 // Close ends the server and its connections.
 func (server *Server) Close() {
