--- a/stand/engine/http.go
+++ b/stand/engine/http.go
@@ -26,10 +26,8 @@
 		return
 	}
 	job := &Job{Writer: writer, Request: request, Body: body, engine: engine, record: engine.receive(request, body)}
+	engine.HoldFrozen(request)
 	faults := engine.Faults()
-	if faults.Freeze {
-		engine.freeze(request)
-	}
 	engine.identify(writer, request, faults.SwapIDs)
 	if !engine.admit(job) {
 		job.end(Rejected)
@@ -85,11 +83,14 @@
 	writer.Header().Set("X-Start-Id", engine.Start())
 }
 
-// freeze holds a request until the caller leaves or the target crashes.
-func (engine *Engine) freeze(request *http.Request) {
+// HoldFrozen holds a request to a frozen target until the caller leaves or the target crashes.
+func (engine *Engine) HoldFrozen(request *http.Request) {
 	engine.mutex.Lock()
-	over := engine.life.over
+	frozen, over := engine.faults.Freeze, engine.life.over
 	engine.mutex.Unlock()
+	if !frozen {
+		return
+	}
 	select {
 	case <-request.Context().Done():
 	case <-over:
@@ -111,9 +112,7 @@
 func (engine *Engine) Common(writer http.ResponseWriter, request *http.Request, models []string) bool {
 	switch request.Method + " " + request.URL.Path {
 	case "GET /load":
-		if engine.Faults().Freeze {
-			engine.freeze(request)
-		}
+		engine.HoldFrozen(request)
 		engine.reportLoad(writer, models)
 	case "GET /control/journal":
 		wire.Reply(writer, http.StatusOK, engine.Journal())
--- a/stand/fault/fault_test.go
+++ b/stand/fault/fault_test.go
@@ -60,6 +60,7 @@
 		{Rule{Mode: Cut}, "broken", "broken"},
 		{Rule{Mode: Silent}, "silent", "works"},
 		{Rule{Mode: Silent, Direction: Down}, "silent", "works"},
+		{Rule{Mode: Silent, Direction: Up}, "silent", "works"},
 		{Rule{Mode: SilentAll}, "silent", "silent"},
 		{Rule{Mode: Delay, Delay: 10 * time.Millisecond}, "works", "works"},
 		{Rule{Mode: Refuse}, "works", "broken"},
--- a/stand/model/order.go
+++ b/stand/model/order.go
@@ -21,7 +21,7 @@
 func (target *Target) Models() []string {
 	target.mutex.Lock()
 	defer target.mutex.Unlock()
-	return slices.Clone(target.models)
+	return append([]string{}, target.models...)
 }
 
 // Role returns the role that the last order gave.
--- a/stand/model/target.go
+++ b/stand/model/target.go
@@ -103,9 +103,11 @@
 	path := request.URL.Path
 	switch {
 	case path == "/cache/events":
+		target.HoldFrozen(request)
 		after, _ := strconv.ParseInt(request.URL.Query().Get("after"), 10, 64)
 		wire.Reply(writer, http.StatusOK, wire.Object{"events": target.cache.after(after)})
 	case path == "/orders" && request.Method == http.MethodPost:
+		target.HoldFrozen(request)
 		target.order(writer, request)
 	case work[path] != nil && request.Method == http.MethodPost:
 		target.Serve(writer, request, work[path])
--- a/stand/world/world.go
+++ b/stand/world/world.go
@@ -25,7 +25,7 @@
 type Options struct {
 	DataCentres []config.DataCentre                              // default: north and south in one region
 	Replicas    map[string]int                                   // targets of a service in each data centre; default 2
-	Store       kvsrv.Settings                                   //
+	Store       kvsrv.Settings                                   // of the store
 	ListLag     time.Duration                                    // of the list of VMs
 	Model       func(service string, settings *model.Settings)   // edits the settings of model targets
 	Plain       func(service string, settings *plain.Settings)   // edits the settings of plain services
