--- a/stand/kvsrv/http.go
+++ b/stand/kvsrv/http.go
@@ -45,7 +45,7 @@
 			refuse(writer, err)
 			return
 		}
-		server.watch(writer, request, &watch)
+		server.serveWatch(writer, request, &watch)
 		return
 	}
 	server.answer(writer, name, body)
