--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -68,6 +68,14 @@
 
 // startFleet starts the platform and daemons spread over its data centres, and applies the world's configuration.
 func startFleet(t *testing.T, daemons int, options world.Options) *fleet {
+	t.Helper()
+	fleet := startDaemons(t, daemons, options)
+	fleet.served()
+	return fleet
+}
+
+// startDaemons does the same without waiting for owners of the pools.
+func startDaemons(t *testing.T, daemons int, options world.Options) *fleet {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	platform, err := world.Start(ctx, options)
@@ -90,7 +98,6 @@
 	fleet.client = fleet.newClient("test")
 	fleet.ready(fleet.daemons...)
 	fleet.apply(platform.Config()...)
-	fleet.served()
 	return fleet
 }
 
@@ -169,12 +176,14 @@
 	return proxy
 }
 
-// nextHost numbers the loopback addresses of daemons, so that a port chosen for one is never taken by another process.
+// nextHost numbers the loopback addresses of daemons. With the process number they are unique, so that the port of one is
+// never taken by another process or by another run of the tests.
 var nextHost atomic.Int32
 
 func freeAddress() string {
-	number := nextHost.Add(1)
-	return fmt.Sprintf("127.77.%d.%d:7070", number/250, 1+number%250)
+	const hosts = 250
+	process := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:7070", 64+process/hosts%128, process%hosts, 1+nextHost.Add(1)%hosts)
 }
 
 func (daemon *process) address() string { return daemon.front.Address() }
--- a/stand/demo/demo.go
+++ b/stand/demo/demo.go
@@ -45,6 +45,7 @@
 	out     io.Writer
 	world   *world.World
 	client  *caller.Client
+	near    []*caller.Client // one in each data centre
 	daemons []*daemon.Daemon
 }
 
@@ -147,6 +148,8 @@
 		}
 		demo.daemons = append(demo.daemons, started)
 		seeds = append(seeds, started.Address())
+		near := &caller.Client{Seeds: []string{started.Address()}, Team: "fans", Name: "caller-" + dataCentre}
+		demo.near = append(demo.near, near)
 		go func() { done <- started.Run(ctx) }()
 	}
 	demo.client = &caller.Client{Seeds: seeds, Team: "fans", Name: "demo"}
--- a/stand/demo/move.go
+++ b/stand/demo/move.go
@@ -28,10 +28,11 @@
 	load.group.Go(func() {
 		ticker := time.NewTicker(loadInterval)
 		defer ticker.Stop()
-		for {
+		for number := 0; ; number++ {
 			select {
 			case <-ticker.C:
-				load.group.Go(func() { demo.lookup(load) })
+				client := demo.near[number%len(demo.near)]
+				load.group.Go(func() { load.lookup(client) })
 			case <-ctx.Done():
 				return
 			}
@@ -40,12 +41,12 @@
 	return load
 }
 
-func (demo *demo) lookup(load *load) {
+func (load *load) lookup(client *caller.Client) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	load.sent.Add(1)
 	request := caller.Request{Pipeline: "lookup", Body: entry.RequestBody{Question: "how many racks are left?"}}
-	if _, err := demo.client.Do(ctx, request, func(caller.Event) {}); err != nil {
+	if _, err := client.Do(ctx, request, func(caller.Event) {}); err != nil {
 		load.failed.Add(1)
 	}
 }
