--- a/core/pool/blame.go
+++ b/core/pool/blame.go
@@ -28,18 +28,25 @@
 
 // suspicion is what is known about one content.
 type suspicion struct {
-	state   core.SuspectState
-	since   time.Time
-	here    bool // found in this pool
-	passed  bool // finished alone in this pool, but was found elsewhere
-	running bool // runs alone at present, or its broken connection is not yet explained
+	finding
+	running    bool      // runs alone at present, or its broken connection is not yet explained
+	heldUntil  time.Time // not run before
+	forgivenAt time.Time // when crashes that coincide last were not blamed on it for the first time
+}
+
+// finding is the part of a suspicion that is taken back when nobody is blamed.
+type finding struct {
+	state  core.SuspectState
+	since  time.Time
+	here   bool // found in this pool
+	passed bool // finished alone in this pool, but was found elsewhere
 }
 
 // content is one request that was on a target when it failed.
 type content struct {
 	fingerprint core.Fingerprint
 	alone       bool
-	before      suspicion // to go back to when nobody is blamed
+	before      finding // to go back to when nobody is blamed
 }
 
 // incident is a broken connection that may turn out to be a crash.
@@ -73,9 +80,10 @@
 	return known.since.Add(correlationWindow).Sub(now)
 }
 
-func (blame *blame) isRunning(fingerprint core.Fingerprint) bool {
+// mayRun reports whether a suspect may be granted a target for itself.
+func (blame *blame) mayRun(now time.Time, fingerprint core.Fingerprint) bool {
 	known := blame.suspicions[fingerprint]
-	return known != nil && known.running
+	return known == nil || (!known.running && !now.Before(known.heldUntil))
 }
 
 func (blame *blame) run(fingerprint core.Fingerprint) {
@@ -109,15 +117,14 @@
 	if known.state != core.SuspectNone && !known.passed {
 		return
 	}
-	*known = newSuspicion(core.SuspectAlone, now)
+	known.finding = finding{state: core.SuspectAlone, since: now, here: true}
 }
 
 // newContent notes a request of a failed target with the present finding.
 func (blame *blame) newContent(entry *entry) content {
 	found := content{fingerprint: entry.fingerprint, alone: entry.alone}
 	if known := blame.suspicions[entry.fingerprint]; known != nil {
-		found.before = *known
-		found.before.running = false
+		found.before = known.finding
 	}
 	return found
 }
@@ -128,7 +135,7 @@
 		blame.suspect(now, content.fingerprint)
 		blame.stop(content.fingerprint)
 		if known := blame.suspicions[content.fingerprint]; content.alone && known != nil {
-			known.state, known.since, known.here = core.SuspectQuarantined, now, true
+			known.finding = finding{state: core.SuspectQuarantined, since: now, here: true}
 			quarantined++
 		}
 	}
@@ -139,8 +146,7 @@
 
 // forgiveCorrelated takes back the findings of crashes that coincide on several targets with different contents.
 //
-// A content that was on all targets but one stays suspect; one that was on all of them stays as it was found. Others
-// were on two targets of the failed rack because they were repeated.
+// A content that was on all of these targets is not forgiven.
 func (blame *blame) forgiveCorrelated(now time.Time) {
 	latest := blame.crashes[0].at
 	for _, crash := range blame.crashes {
@@ -160,20 +166,36 @@
 	if len(crashedTargets) < correlatedTargets {
 		return
 	}
-	// The latest crash is taken back first, so that the finding before the first one is left.
-	for _, crash := range slices.Backward(blame.crashes) {
+	for _, crash := range blame.crashes {
 		for _, content := range crash.contents {
-			unexplained := len(crashedTargets) - crashesOf[content.fingerprint]
-			switch {
-			case unexplained >= correlatedTargets-1:
-				blame.restore(now, content)
-			case unexplained > 0:
-				blame.suspectOnly(content.fingerprint)
+			if hits := crashesOf[content.fingerprint]; hits < len(crashedTargets) {
+				blame.forgive(now, crash, content, hits)
 			}
 		}
 	}
 }
 
+// forgive takes a finding back, but not again in a later event: two contents that crash targets at the same time would
+// otherwise forgive each other for ever. A content that was hit twice may be one of these, so it waits for the end of the
+// event and then runs alone.
+func (blame *blame) forgive(now time.Time, crash *incident, content content, hits int) {
+	known := blame.suspicions[content.fingerprint]
+	if known == nil {
+		return
+	}
+	if known.forgivenAt.IsZero() {
+		known.forgivenAt = now
+	}
+	switch {
+	case crash.at.Sub(known.forgivenAt) > correlationWindow:
+	case hits == 1:
+		blame.restore(now, content)
+	default:
+		known.finding = finding{state: core.SuspectAlone, since: now, here: true}
+		known.heldUntil = known.forgivenAt.Add(correlationWindow)
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -199,9 +221,7 @@
 		known.clear(now)
 		return
 	}
-	running := known.running
-	*known = content.before
-	known.running = running
+	known.finding = content.before
 }
 
 // clear makes the content unsuspected, in a way that other daemons take over.
@@ -209,21 +229,8 @@
 	if suspicion.state == core.SuspectNone {
 		return
 	}
-	running := suspicion.running
-	*suspicion = newSuspicion(core.SuspectNone, later(now, suspicion.since.Add(2*clockTolerance)))
-	suspicion.running = running
-}
-
-func newSuspicion(state core.SuspectState, since time.Time) suspicion {
-	return suspicion{state: state, since: since, here: true}
-}
-
-// suspectOnly ends the quarantine of a content, which then runs alone.
-func (blame *blame) suspectOnly(fingerprint core.Fingerprint) {
-	known := blame.suspicions[fingerprint]
-	if known != nil && known.state == core.SuspectQuarantined {
-		known.state = core.SuspectAlone
-	}
+	since := later(now, suspicion.since.Add(2*clockTolerance))
+	suspicion.finding = finding{since: since, here: true}
 }
 
 // finishedAlone clears a content that did not crash the target on which it ran alone.
@@ -242,28 +249,28 @@
 func (blame *blame) expire(now time.Time) {
 	for fingerprint, known := range blame.suspicions {
 		age := now.Sub(known.since)
-		if age >= quarantineFor || (known.state == core.SuspectNone && age >= clearedFor) {
+		if age >= quarantineFor || (known.state == core.SuspectNone && known.forgivenAt.IsZero() && age >= clearedFor) {
 			delete(blame.suspicions, fingerprint)
 		}
 	}
 }
 
 // learn takes a finding of another daemon over when it is newer, or graver at the same time.
-func (blame *blame) learn(now time.Time, finding core.Suspect) {
-	since := now.Add(-finding.Age)
-	known := blame.suspicions[finding.Fingerprint]
-	if finding.Age >= quarantineFor || (known == nil && len(blame.suspicions) >= mostSuspicions) {
+func (blame *blame) learn(now time.Time, learned core.Suspect) {
+	since := now.Add(-learned.Age)
+	known := blame.suspicions[learned.Fingerprint]
+	if learned.Age >= quarantineFor || (known == nil && len(blame.suspicions) >= mostSuspicions) {
 		return
 	}
 	if known == nil {
-		blame.suspicions[finding.Fingerprint] = &suspicion{state: finding.State, since: since}
+		blame.suspicions[learned.Fingerprint] = &suspicion{finding: finding{state: learned.State, since: since}}
 		return
 	}
 	newer := since.Sub(known.since) > clockTolerance
-	graver := finding.State > known.state && since.Sub(known.since) >= -clockTolerance
+	graver := learned.State > known.state && since.Sub(known.since) >= -clockTolerance
 	if newer || graver {
-		changed := known.state != finding.State
-		known.state, known.since = finding.State, since
+		changed := known.state != learned.State
+		known.state, known.since = learned.State, since
 		known.here = known.here && !changed
 		known.passed = known.passed && !changed
 	}
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -176,6 +177,49 @@
 	}
 }
 
+// TestQueue guards against suspects that never get a target for themselves, or get two, and against requests that wait
+// although they can no longer finish.
+func TestQueue(t *testing.T) {
+	dispatcher := newPool(2, 1, 1)
+	dispatcher.Learn(simStart, []core.Suspect{{Fingerprint: 7, State: core.SuspectAlone}})
+	suspect := func(request *core.GrantRequest) { request.Fingerprint = 7 }
+	short := func(request *core.GrantRequest) { request.TimeLeft = time.Second }
+	var grants, places []core.GrantID
+	for id, change := range []func(*core.GrantRequest){nil, nil, suspect, suspect, nil, short} {
+		reply := ask(dispatcher, simStart, id, change)
+		if reply.Grant != nil {
+			grants = append(grants, reply.Grant.ID)
+		} else {
+			places = append(places, reply.Queue)
+		}
+	}
+	done := func(grant core.GrantID) func() {
+		return func() { dispatcher.Release(simStart, core.Release{Grant: grant, Outcome: core.OutcomeDone}) }
+	}
+	steps := []struct {
+		name string
+		act  func()
+		want []core.GrantID
+	}{
+		{"one target is kept free", func() {}, nil},
+		{"first suspect alone, the other one waits", done(grants[0]), places[:1]},
+		{"an ordinary one on the other target", done(grants[1]), places[3:4]},
+		{"time passed", func() { dispatcher.Tick(simStart.Add(time.Second)) }, nil},
+		{"cleared, so the other one is ordinary", done(places[0]), places[1:2]},
+		{"the last one", done(places[3]), places[2:3]},
+	}
+	for _, step := range steps {
+		step.act()
+		var got []core.GrantID
+		for _, assignment := range dispatcher.Dispatch(simStart) {
+			got = append(got, assignment.Queue)
+		}
+		if !slices.Equal(got, step.want) {
+			t.Errorf("%s: answered %v, want %v of %v", step.name, got, step.want, places)
+		}
+	}
+}
+
 // TestFindingsSpread guards against a cleared content that other daemons bring back, and against a finding that is lost.
 func TestFindingsSpread(t *testing.T) {
 	here, there := newPool(1, 8, 8), newPool(1, 8, 8)
--- a/core/pool/serve.go
+++ b/core/pool/serve.go
@@ -87,7 +87,7 @@
 	case state == core.SuspectQuarantined || dispatcher.isLate(now, entry):
 		dispatcher.redirect(now, entry)
 		return
-	case !dispatcher.blame.isRunning(entry.fingerprint):
+	case dispatcher.blame.mayRun(now, entry.fingerprint):
 		if target := dispatcher.chooseAlone(entry); target != nil {
 			dispatcher.assign(now, entry, target, true)
 			return
@@ -99,28 +99,24 @@
 // chooseAlone returns an idle target; when there is none, it keeps the least loaded one free.
 func (dispatcher *Dispatcher) chooseAlone(entry *entry) *target {
 	var least *target
+	reserved := false
 	for _, target := range dispatcher.order {
-		if !target.usable || target.alone || excludes(entry.exclude, target.declared.Name) {
+		mine := target.reservedFor == entry.id
+		if !target.usable || target.alone || (target.reservedFor != "" && !mine) ||
+			excludes(entry.exclude, target.declared.Name) {
 			continue
 		}
-		if target.reservedFor == entry.id {
-			least = target
-			break
-		}
-		if target.reservedFor != "" {
-			continue
+		if target.isIdle() {
+			return target
 		}
+		reserved = reserved || mine
 		if least == nil || len(target.grants)+target.foreign < len(least.grants)+least.foreign {
 			least = target
 		}
 	}
-	if least == nil {
-		return nil
-	}
-	if least.isIdle() {
-		return least
+	if least != nil && !reserved {
+		dispatcher.reserve(least, entry)
 	}
-	dispatcher.reserve(least, entry)
 	return nil
 }
 
