Do not blame a request for a restart that its answer shows

Cause: a suspect that ran alone and was answered by a target that had restarted before was quarantined. Ruled out: ignoring start identifiers in answers; they are the earliest sign of a restart. Before and after: TestAnswerAcquits failed for both orders of report and release of a request alone, and passes now. Also: heartbeats carry at most 16 findings, quarantined ones first, to stay within the control bandwidth. Conclusion: an answered request is never among the causes of a crash.

--- a/core/pool/blame.go
+++ b/core/pool/blame.go
@@ -22,8 +22,9 @@
 	clearedFor = 30 * time.Second
 	// mostSuspicions bounds the memory when very many connections break, to about 1 MB.
 	mostSuspicions = 8192
-	// mostReported bounds the findings in one heartbeat.
-	mostReported = 256
+	// mostReported bounds the findings in one heartbeat: at about 60 B each, twice a second to 4 peers, they stay under
+	// the 18 KB/s that a daemon may use for control.
+	mostReported = 16
 )
 
 // suspicion is what is known about one content.
@@ -246,6 +247,13 @@
 	known.clear(now)
 }
 
+// acquit clears a content that a crash was wrongly attributed to in this pool.
+func (blame *blame) acquit(now time.Time, fingerprint core.Fingerprint) {
+	if known := blame.suspicions[fingerprint]; known != nil && known.here {
+		known.clear(now)
+	}
+}
+
 func (blame *blame) expire(now time.Time) {
 	for fingerprint, known := range blame.suspicions {
 		age := now.Sub(known.since)
@@ -276,7 +284,7 @@
 	}
 }
 
-// reported returns the newest findings for a heartbeat; a cleared content is reported with SuspectNone.
+// reported returns findings for a heartbeat, quarantined ones first, then the newest; a cleared content is reported with SuspectNone.
 func (blame *blame) reported(now time.Time) []core.Suspect {
 	suspects := make([]core.Suspect, 0, len(blame.suspicions))
 	for fingerprint, known := range blame.suspicions {
@@ -284,7 +292,8 @@
 		suspects = append(suspects, core.Suspect{Fingerprint: fingerprint, State: known.state, Age: age})
 	}
 	slices.SortFunc(suspects, func(a, b core.Suspect) int {
-		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Fingerprint, b.Fingerprint))
+		return cmp.Or(cmp.Compare(b.State/core.SuspectQuarantined, a.State/core.SuspectQuarantined),
+			cmp.Compare(a.Age, b.Age), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
 	return suspects[:min(len(suspects), mostReported)]
 }
--- a/core/pool/events.go
+++ b/core/pool/events.go
@@ -18,8 +18,11 @@
 		delete(dispatcher.entries, entry.id)
 		return
 	}
-	target := entry.target
-	dispatcher.noteStart(now, target, release.Start, entry.granted)
+	if isAnswer(release.Outcome) {
+		// A restart that the answer shows was before this request ran, so it is not among the causes.
+		dispatcher.returnGrant(now, entry)
+	}
+	dispatcher.noteStart(now, entry.target, release.Start, entry.granted)
 	switch release.Outcome {
 	case core.OutcomeBroken:
 		dispatcher.broke(now, entry)
@@ -30,6 +33,11 @@
 	dispatcher.clearAlone(now, entry, release.Outcome)
 }
 
+// isAnswer reports whether the target gave a complete answer.
+func isAnswer(outcome core.Outcome) bool {
+	return outcome == core.OutcomeDone || outcome == core.OutcomeFailed || outcome == core.OutcomeRejected
+}
+
 func (dispatcher *Dispatcher) returnGrant(now time.Time, entry *entry) {
 	target := entry.target
 	delete(dispatcher.entries, entry.id)
@@ -58,10 +66,11 @@
 			dispatcher.index.add(target, block)
 		}
 	}
-	if entry.blamed && !entry.alone {
+	if entry.blamed {
 		// It finished on the target whose crash was attributed to it.
-		dispatcher.blame.finishedAlone(now, entry.fingerprint)
+		dispatcher.blame.acquit(now, entry.fingerprint)
 	}
+	dispatcher.refresh(target)
 }
 
 func (dispatcher *Dispatcher) clearAlone(now time.Time, entry *entry, outcome core.Outcome) {
