Let a new owner start at the work that targets are running

Cause: each change of owner took all targets back to the cold limit; with 32 requests of 3 s a target needs 32 steps of 3 s to be used in full again. A restart under another owner also counted as a crash of this one. Ruled out: keeping limits over owners; the target may have restarted unseen. Before and after: TestNewOwnerKeepsWarmTargets failed for running, above capacity and restarted in between; passes now. The 96 s are computed, not measured. TestHandover still holds the limit. Conclusion: only the first load report after Open counts, and a restart takes the limit back to cold.

--- a/core/pool/events.go
+++ b/core/pool/events.go
@@ -198,6 +198,7 @@
 	}
 	target.noteForeign(taken, report.Running+report.Waiting)
 	if taken.After(target.probeAfter) {
+		target.inherit(report.Running)
 		target.probed = true
 	}
 	dispatcher.refresh(target)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -166,6 +166,8 @@
 	dispatcher.prefix = grantPrefix(fencing)
 	dispatcher.blame.stopRunning()
 	for _, target := range dispatcher.order {
+		dispatcher.index.clear(target)
+		target.cache.sequence = 0
 		target.forget(now)
 		dispatcher.refresh(target)
 	}
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -255,6 +255,35 @@
 	}
 }
 
+// TestNewOwnerKeepsWarmTargets guards against a pool that falls back to its cold limits with each new owner, and against
+// taking foreign work of a restarted target, or later foreign work, for a sign of warmth.
+func TestNewOwnerKeepsWarmTargets(t *testing.T) {
+	cases := []struct {
+		name    string
+		reports []core.LoadReport
+		limit   int
+	}{
+		{"running", []core.LoadReport{{Start: "1", Running: 5, Waiting: 3}}, 5},
+		{"restarted in between", []core.LoadReport{{Start: "2", Running: 5}}, 5},
+		{"idle", []core.LoadReport{{Start: "1"}}, 2},
+		{"later", []core.LoadReport{{Start: "1"}, {Start: "1", Running: 5}}, 2},
+		{"restarted", []core.LoadReport{{Start: "1", Running: 5}, {Start: "2", Running: 5}}, 2},
+		{"above capacity", []core.LoadReport{{Start: "1", Running: 50}}, 8},
+		{"from before", []core.LoadReport{{Start: "1", Running: 5, Age: 10 * time.Millisecond}, {Start: "1"}}, 2},
+	}
+	for _, test := range cases {
+		dispatcher := newPool(1, 2, 8)
+		dispatcher.Close(simStart.Add(time.Second))
+		dispatcher.Open(simStart.Add(2*time.Second), 2)
+		for i, report := range test.reports {
+			dispatcher.Report(simStart.Add(2*time.Second+time.Duration(i+1)*time.Millisecond), "t0", report)
+		}
+		if limit := dispatcher.Status(simStart)[0].Limit; limit != test.limit {
+			t.Errorf("%s: limit %d, want %d", test.name, limit, test.limit)
+		}
+	}
+}
+
 // TestFindingsSpread guards against a cleared content that other daemons bring back, and against a finding that is lost.
 func TestFindingsSpread(t *testing.T) {
 	here, there := newPool(1, 8, 8), newPool(1, 8, 8)
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -51,6 +51,7 @@
 	foreign     int
 	start       string
 	startSeen   time.Time
+	inherited   bool // no load report yet since ownership began
 	probed      bool
 	probeAfter  time.Time
 	lastTaken   time.Time
@@ -79,13 +80,29 @@
 	target.foreign = 0
 	target.alone, target.reservedFor = false, ""
 	target.incident = nil
+	// A restart under another owner is not a crash of this one's requests.
+	target.start, target.startSeen, target.crashed = "", time.Time{}, false
+	target.firstTokens = nil
 	target.demandProbe(now)
 	target.reset()
+	target.inherited = true
+}
+
+// inherit starts a new owner at the work that the target is running.
+//
+// The former owner granted that work within its limit. Without this, a target that runs 32 requests of 3 s each would
+// need 96 s after each change of owner to be used in full again.
+func (target *target) inherit(running int) {
+	if target.inherited {
+		target.limit = max(target.limit, min(running, target.capacity))
+	}
+	target.inherited = false
 }
 
 func (target *target) reset() {
 	target.limit = target.cold
 	target.completed = 0
+	target.inherited = false
 }
 
 // demandProbe keeps the target out of use until a load report that was taken after now.
