Do not attribute crashes to requests without a fingerprint

Cause: a sender that knows no fingerprint sends 0; one crash would have made all such requests run alone. Ruled out: refusing such requests. Before and after: the check in TestFindingsSpread fails without the rule and passes with it. Conclusion: requests without a fingerprint are never suspect.

--- a/core/pool/blame.go
+++ b/core/pool/blame.go
@@ -106,7 +106,12 @@
 }
 
 // suspect makes a content run alone from now on; a quarantined one stays so.
+//
+// The fingerprint 0 means that the sender knows none; blaming it would hit all such requests.
 func (blame *blame) suspect(now time.Time, fingerprint core.Fingerprint) {
+	if fingerprint == 0 {
+		return
+	}
 	known := blame.suspicions[fingerprint]
 	if known == nil {
 		if len(blame.suspicions) >= mostSuspicions {
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -287,6 +287,10 @@
 // TestFindingsSpread guards against a cleared content that other daemons bring back, and against a finding that is lost.
 func TestFindingsSpread(t *testing.T) {
 	here, there := newPool(1, 8, 8), newPool(1, 8, 8)
+	here.blame.suspect(simStart, 0)
+	if here.blame.state(0) != core.SuspectNone {
+		t.Error("the unknown content is suspect")
+	}
 	steps := []struct {
 		name  string
 		act   func(now time.Time)
