Fix the seeds of the property tests

Cause: rapid draws another seed each time, so a verdict could differ between runs. Before and after: seed 1 unless -rapid.seed is given; 20,000 checks of TestInvariants with seed 1 and 3,000 checks of both property tests with seeds 2 to 4 pass. Removing foreign work from the limit, the wait of a new owner, or the check before sending still fails them. Conclusion: the tests give the same verdict each time.

--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"flag"
 	"testing"
 	"time"
 
@@ -145,6 +146,7 @@
 // TestTwoHoldersDoNotOverlap guards against a paused holder whose order meets that of its successor on a target that
 // ignores the token: the order may be in transit and in work for the longest time each.
 func TestTwoHoldersDoNotOverlap(t *testing.T) {
+	fixSeed(t)
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func(name string, most float64) float64 { return rapid.Float64Range(0, most).Draw(t, name) }
 		lapse := at(20 + draw("lapse", 40))
@@ -178,3 +180,14 @@
 		}
 	})
 }
+
+// fixSeed makes the property test draw the same values each time, unless the command line gives a seed.
+func fixSeed(t *testing.T) {
+	seed := flag.Lookup("rapid.seed")
+	if seed.Value.String() != "0" {
+		return
+	}
+	if err := seed.Value.Set("1"); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -399,5 +400,17 @@
 
 // TestInvariants guards against limits exceeded, grants given twice and lost asks over random events.
 func TestInvariants(t *testing.T) {
+	fixSeed(t)
 	rapid.Check(t, func(t *rapid.T) { newModel(t).run(rapid.IntRange(1, 200).Draw(t, "steps")) })
 }
+
+// fixSeed makes the property test draw the same values each time, unless the command line gives a seed.
+func fixSeed(t *testing.T) {
+	seed := flag.Lookup("rapid.seed")
+	if seed.Value.String() != "0" {
+		return
+	}
+	if err := seed.Value.Set("1"); err != nil {
+		t.Fatal(err)
+	}
+}
