--- a/core/order/plan.go
+++ b/core/order/plan.go
@@ -43,7 +43,7 @@
 }
 
 func (planner *Planner) mayOrder(now, leaseUntil time.Time) bool {
-	if !planner.owned || core.Elapsed(now, planner.first) > 0 {
+	if !planner.owned || core.Elapsed(now, planner.first()) > 0 {
 		return false
 	}
 	needed := time.Duration(0)
@@ -54,6 +54,14 @@
 	return remaining(now, leaseUntil) > needed
 }
 
+// first is the time of the first order.
+func (planner *Planner) first() time.Time {
+	if planner.settings.ChecksFencing {
+		return planner.opened
+	}
+	return planner.opened.Add(planner.settings.longest())
+}
+
 // remaining returns the smaller of the monotonic and the wall-clock time left.
 func remaining(now, until time.Time) time.Duration {
 	return -core.Elapsed(until, now)
--- a/core/order/planner.go
+++ b/core/order/planner.go
@@ -67,7 +67,7 @@
 	settings Settings
 	owned    bool
 	fencing  core.FencingToken
-	first    time.Time // no order before this
+	opened   time.Time
 	bucket   bucket
 	targets  map[core.TargetName]*target
 	inUse    map[string]bool
@@ -130,10 +130,7 @@
 // Targets that ignore the token may still work on the last order of the former owner for the longest time of an order.
 func (planner *Planner) Open(now time.Time, fencing core.FencingToken) {
 	planner.owned, planner.fencing = true, fencing
-	planner.first = now
-	if !planner.settings.ChecksFencing {
-		planner.first = now.Add(planner.settings.longest())
-	}
+	planner.opened = now
 	// The former owner may just have used the burst.
 	planner.bucket = bucket{filledAt: now}
 	for _, target := range planner.targets {
--- a/proof/order_test.go
+++ b/proof/order_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"catkincove/core/config"
 	"catkincove/stand/model"
 	"catkincove/stand/world"
 )
@@ -18,6 +19,7 @@
 			settings.ChecksFencing = true
 		}
 	}})
+	fleet.apply(checkingFencing(fleet, "generate"))
 	fleet.eventually(readyTimeout, "all targets hold the model", func() bool {
 		for _, target := range fleet.world.Of("generate", "") {
 			if !holds(target.Model.Models(), "generator") {
@@ -42,6 +44,19 @@
 	}
 }
 
+// checkingFencing declares that the targets of a service reject orders with an old token.
+func checkingFencing(fleet *fleet, service string) config.Object {
+	for _, object := range fleet.world.Config() {
+		if object.Service != nil && object.Service.Name == service {
+			changed := *object.Service
+			changed.ChecksFencing = true
+			return config.NewService(changed)
+		}
+	}
+	fleet.t.Fatalf("service %q is not declared", service)
+	return config.Object{}
+}
+
 func holds(models []string, name string) bool {
 	for _, held := range models {
 		if held == name {
