Let a daemon join through peers while the store is down

Cause: a daemon that reached neither the store nor a peer knew only itself, so it was two thirds of its own members, attested an outage and called itself ready (TestStartWithoutStore failed after 1.8 s). And a VM that was replaced during an outage of the store could not serve until the store was back. Ruled out: counting the seeds as members, since they are only places to ask. Before and after: without a list of members nothing is confirmed; the list comes from the store, or from a peer named by the seeds or the platform's list of VMs, and the outage quorum then confirms it. TestJoinDuringOutage: a daemon started 4 s into an outage answers all lookups.

--- a/core/feed/copy.go
+++ b/core/feed/copy.go
@@ -108,6 +108,7 @@
 			}
 		}
 	}
+	state.adopt(reply.Live, &change)
 	state.revision = reply.Revision
 	change.head = true
 	return state.finish(change), true
--- a/core/peer.go
+++ b/core/peer.go
@@ -132,6 +132,7 @@
 	Revision Revision
 	Full     bool // Objects is the whole configuration
 	Objects  []Entry
+	Live     []Entry // member and owner records, only in answer to revision 0
 }
 
 // Peers calls other daemons by their address.
--- a/io/daemon/beat.go
+++ b/io/daemon/beat.go
@@ -68,6 +68,9 @@
 
 // Config implements peer.Service.
 func (daemon *Daemon) Config(_ context.Context, request core.ConfigRequest) (core.ConfigReply, error) {
+	if request.Since == 0 {
+		return daemon.feed.Whole(), nil
+	}
 	return daemon.feed.Since(request.Since), nil
 }
 
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -80,6 +80,9 @@
 }
 
 func (control *control) refreshMembers() {
+	if !control.listed {
+		return
+	}
 	live := control.view.Live(control.now())
 	control.tracker.SetMembers(control.now(), live)
 	control.daemon.feed.SetMembers(len(live))
@@ -138,7 +141,10 @@
 
 func (control *control) onTick() {
 	now := control.now()
-	outage := control.tracker.OutageUntil(now)
+	var outage time.Time
+	if control.listed {
+		outage = control.tracker.OutageUntil(now)
+	}
 	control.keeper.Freeze(now, outage)
 	control.view.SetFrozen(now, fresh.Valid(outage, now))
 	control.refreshMembers()
@@ -178,9 +184,14 @@
 			owners[pool] = owner{member: id, address: address}
 		}
 	}
+	// A daemon that does not know the members would be a quorum of its own.
+	var confirmedUntil time.Time
+	if control.listed {
+		confirmedUntil = control.tracker.ConfirmedUntil(now, control.config.Revision())
+	}
 	control.daemon.snapshot.Store(&snapshot{
 		config:         control.config,
-		confirmedUntil: control.tracker.ConfirmedUntil(now, control.config.Revision()),
+		confirmedUntil: confirmedUntil,
 		owners:         owners,
 		leaving:        control.leaving,
 	})
--- /dev/null
+++ b/io/daemon/join.go
@@ -0,0 +1,115 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"catkincove/core"
+)
+
+const (
+	joinPause    = time.Second
+	joinTimeout  = 2 * time.Second
+	maxListBytes = 4 << 20
+)
+
+// join learns the configuration, the members and the owners from a peer when the store cannot be read at the start.
+//
+// VMs are replaced at any time, also while the store is down. What a peer says need not be current: the outage quorum, or
+// the store, has to confirm it before work is given out.
+func (daemon *Daemon) join(ctx context.Context) error {
+	for {
+		select {
+		case <-daemon.clock.After(joinPause):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		listed := false
+		if err := daemon.loop.Do(ctx, func() { listed = daemon.control.listed }); err != nil {
+			return err
+		}
+		if listed {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		daemon.joinThrough(ctx, daemon.firstPeers(ctx))
+	}
+}
+
+func (daemon *Daemon) joinThrough(ctx context.Context, addresses []string) {
+	for _, address := range addresses {
+		callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+		reply, err := daemon.peers.Config(callCtx, address, core.ConfigRequest{})
+		cancel()
+		if err != nil {
+			daemon.log.Debug().Err(err).Str("address", address).Msg("join: peer gave no answer")
+			continue
+		}
+		if daemon.feed.Apply(reply) {
+			daemon.log.Info().Str("address", address).Int64("revision", int64(reply.Revision)).Msg("join: learnt from a peer")
+			return
+		}
+	}
+}
+
+// firstPeers returns the seeds and the VMs of the platform's list, which may be late: both are only places to ask.
+func (daemon *Daemon) firstPeers(ctx context.Context) []string {
+	addresses := append([]string{}, daemon.options.Seeds...)
+	if daemon.options.VMList == "" {
+		return addresses
+	}
+	listed, err := daemon.listVMs(ctx)
+	if err != nil {
+		daemon.log.Warn().Err(err).Msg("join: list of VMs cannot be read")
+	}
+	for _, address := range listed {
+		if address != daemon.address {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+func (daemon *Daemon) listVMs(ctx context.Context) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, daemon.options.VMList, nil)
+	if err != nil {
+		return nil, fmt.Errorf("list of VMs: %w", err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("list of VMs: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	if err != nil {
+		return nil, fmt.Errorf("list of VMs: %w", err)
+	}
+	return decodeVMs(data, daemon.address)
+}
+
+// decodeVMs reads the platform's list, {"vms": [{"address", ...}]}; an address without a port gets the port of this daemon.
+func decodeVMs(data []byte, own string) ([]string, error) {
+	var list struct{ VMs []struct{ Address string } }
+	if err := json.Unmarshal(data, &list); err != nil {
+		return nil, fmt.Errorf("list of VMs: %w", err)
+	}
+	_, port, err := net.SplitHostPort(own)
+	if err != nil {
+		return nil, fmt.Errorf("own address %q: %w", own, err)
+	}
+	var addresses []string
+	for _, vm := range list.VMs {
+		if _, _, err := net.SplitHostPort(vm.Address); err != nil {
+			vm.Address = net.JoinHostPort(vm.Address, port)
+		}
+		addresses = append(addresses, vm.Address)
+	}
+	return addresses, nil
+}
--- a/io/daemon/options.go
+++ b/io/daemon/options.go
@@ -24,7 +24,8 @@
 	KeepFor      time.Duration // how long callers keep an address answer; 0 counts as DefaultKeepFor
 	Endpoints    []string      // base URLs of the store
 	StoreTimeout time.Duration // of one store call; 0 counts as DefaultStoreTimeout
-	Seeds        []string      // addresses of peers to learn the configuration from while the store is down
+	Seeds        []string      // addresses of peers to learn from when the store cannot be read at the start
+	VMList       string        // URL of the platform's list of VMs, for the same purpose; may be empty
 	Clock        core.Clock    // nil counts as the system clock
 	Log          zerolog.Logger
 	Listener     net.Listener // used instead of Listen when not nil
--- a/io/daemon/tickets.go
+++ b/io/daemon/tickets.go
@@ -68,7 +68,7 @@
 				body.Unconfirmed = append(body.Unconfirmed, string(id))
 			}
 		}
-		body.State = ticketState(control.tracker.Accepted(revision), len(body.Unconfirmed))
+		body.State = ticketState(control.listed && control.tracker.Accepted(revision), len(body.Unconfirmed))
 	})
 }
 
--- a/io/peer/wire.go
+++ b/io/peer/wire.go
@@ -98,12 +98,15 @@
 	Revision int64
 	Full     bool
 	Objects  []wireEntry
+	Live     []wireEntry
 }
 
 type wireEntry struct {
-	Key         string
-	Value       string
-	ModRevision int64
+	Key            string
+	Value          string
+	CreateRevision int64
+	ModRevision    int64
+	Lease          int64
 }
 
 func ceilMs(duration time.Duration) int64 {
@@ -303,25 +306,47 @@
 }
 
 func encodeConfigReply(reply core.ConfigReply) wireConfigReply {
-	wire := wireConfigReply{Revision: int64(reply.Revision), Full: reply.Full}
-	for _, entry := range reply.Objects {
-		wire.Objects = append(wire.Objects, wireEntry{
-			Key:         entry.Key,
-			Value:       string(entry.Value),
-			ModRevision: int64(entry.ModRevision),
+	return wireConfigReply{
+		Revision: int64(reply.Revision),
+		Full:     reply.Full,
+		Objects:  encodeEntries(reply.Objects),
+		Live:     encodeEntries(reply.Live),
+	}
+}
+
+func encodeEntries(entries []core.Entry) []wireEntry {
+	wires := make([]wireEntry, 0, len(entries))
+	for _, entry := range entries {
+		wires = append(wires, wireEntry{
+			Key:            entry.Key,
+			Value:          string(entry.Value),
+			CreateRevision: int64(entry.CreateRevision),
+			ModRevision:    int64(entry.ModRevision),
+			Lease:          int64(entry.Lease),
 		})
 	}
-	return wire
+	return wires
 }
 
 func decodeConfigReply(wire wireConfigReply) core.ConfigReply {
-	reply := core.ConfigReply{Revision: core.Revision(wire.Revision), Full: wire.Full}
-	for _, entry := range wire.Objects {
-		reply.Objects = append(reply.Objects, core.Entry{
-			Key:         entry.Key,
-			Value:       []byte(entry.Value),
-			ModRevision: core.Revision(entry.ModRevision),
+	return core.ConfigReply{
+		Revision: core.Revision(wire.Revision),
+		Full:     wire.Full,
+		Objects:  decodeEntries(wire.Objects),
+		Live:     decodeEntries(wire.Live),
+	}
+}
+
+func decodeEntries(wires []wireEntry) []core.Entry {
+	entries := make([]core.Entry, 0, len(wires))
+	for _, wire := range wires {
+		entries = append(entries, core.Entry{
+			Key:            wire.Key,
+			Value:          []byte(wire.Value),
+			CreateRevision: core.Revision(wire.CreateRevision),
+			ModRevision:    core.Revision(wire.ModRevision),
+			Lease:          core.LeaseID(wire.Lease),
 		})
 	}
-	return reply
+	return entries
 }
--- a/io/tool/serve.go
+++ b/io/tool/serve.go
@@ -44,6 +44,7 @@
 		Endpoints:    settings.Store.Endpoints,
 		StoreTimeout: settings.Store.Timeout,
 		Seeds:        settings.Peers.Seeds,
+		VMList:       settings.VMList.URL,
 		Log:          logger,
 	})
 	if err != nil {
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -64,6 +65,7 @@
 	daemons []*process
 	client  *caller.Client
 	ticket  int64
+	seeds   bool // further daemons are told the addresses of those that run
 }
 
 // startFleet starts the platform and daemons spread over its data centres, and applies the world's configuration.
@@ -130,6 +132,9 @@
 [Store]
 Endpoints = http://%s
 `, name, listen, daemon.front.Address(), dataCentre, testKeepFor, daemon.store.Address())
+	if fleet.seeds {
+		settings += "\n[Peers]\nSeeds = " + strings.Join(fleet.newClient("").Seeds, ", ") + "\n"
+	}
 	folder := fleet.t.TempDir()
 	file := filepath.Join(folder, name+".ini")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
--- /dev/null
+++ b/proof/start_test.go
@@ -0,0 +1,48 @@
+package proof
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"catkincove/io/caller"
+	"catkincove/stand/fault"
+	"catkincove/stand/world"
+)
+
+// TestStartWithoutStore guards against a new daemon that takes itself for a quorum while it reaches neither the store nor
+// any peer.
+func TestStartWithoutStore(t *testing.T) {
+	t.Parallel()
+	fleet := startFleet(t, 3, world.Options{})
+	fresh := fleet.start("fresh", "north")
+	_ = fresh.store.SetMode(fault.Cut)
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(pollInterval) {
+		response, err := http.Get("http://" + fresh.address() + "/readyz")
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			t.Fatal("a daemon that knows neither the store nor its peers is ready")
+		}
+	}
+}
+
+// TestJoinDuringOutage guards against replaced VMs that cannot serve until the store is back.
+func TestJoinDuringOutage(t *testing.T) {
+	t.Parallel()
+	fleet := startFleet(t, 4, world.Options{})
+	fleet.world.Store.SetDown(true)
+	time.Sleep(4 * time.Second)
+	fleet.seeds = true
+	joined := fleet.start("joined", "north")
+	fleet.ready(joined)
+	client := &caller.Client{Team: "fans", Seeds: []string{joined.address()}, Fixed: true, Attempts: 1}
+	load := startLoad(client, 50*time.Millisecond, lookup)
+	time.Sleep(3 * time.Second)
+	results := load.stop()
+	if count, first := failures(results); count > 0 {
+		t.Errorf("%d of %d requests failed:%s", count, len(results), first)
+	}
+}
