--- a/io/daemon/beat.go
+++ b/io/daemon/beat.go
@@ -112,7 +112,7 @@
 	if !daemon.fetching.CompareAndSwap(false, true) {
 		return
 	}
-	daemon.requests.Go(func() {
+	go func() {
 		defer daemon.fetching.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), configTimeout)
 		defer cancel()
@@ -122,5 +122,5 @@
 			return
 		}
 		daemon.feed.Apply(reply)
-	})
+	}()
 }
--- a/io/daemon/grants.go
+++ b/io/daemon/grants.go
@@ -14,6 +14,7 @@
 	grantTimeout   = time.Second
 	releaseTimeout = time.Second
 	releaseTries   = 3
+	brokenWait     = 200 * time.Millisecond
 	ownerRetry     = 300 * time.Millisecond
 )
 
@@ -34,6 +35,7 @@
 // Acquire asks the owner until the request is granted or refused.
 func (granter granter) Acquire(ctx context.Context, request core.GrantRequest) (core.Permit, error) {
 	daemon := granter.daemon
+	daemon.awaitBroken(ctx, request.Pool)
 	began := daemon.clock.Now()
 	timeLeft := request.TimeLeft
 	for {
@@ -98,7 +100,9 @@
 		daemon.loop.Post(func() { daemon.control.onRelease(release) })
 		return
 	}
+	done := daemon.noteBroken(release)
 	daemon.requests.Go(func() {
+		defer done()
 		for range releaseTries {
 			ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 			err := daemon.peers.Release(ctx, owner.address, release)
@@ -110,6 +114,33 @@
 	})
 }
 
+// noteBroken remembers that a release after a broken connection is on its way to the owner of a pool.
+func (daemon *Daemon) noteBroken(release core.Release) (done func()) {
+	if release.Outcome != core.OutcomeBroken {
+		return func() {}
+	}
+	delivered := make(chan struct{})
+	daemon.broken.Store(release.Pool, delivered)
+	return func() {
+		close(delivered)
+		daemon.broken.CompareAndDelete(release.Pool, delivered)
+	}
+}
+
+// awaitBroken lets the release overtake the ask that follows it: otherwise the owner does not know yet that the request was
+// on a target that may have crashed, and lets it run beside others.
+func (daemon *Daemon) awaitBroken(ctx context.Context, pool core.PoolID) {
+	delivered, found := daemon.broken.Load(pool)
+	if !found {
+		return
+	}
+	select {
+	case <-delivered.(chan struct{}):
+	case <-daemon.clock.After(brokenWait):
+	case <-ctx.Done():
+	}
+}
+
 // Grant implements peer.Service: it decides on a grant of a pool that this daemon owns.
 func (daemon *Daemon) Grant(ctx context.Context, request core.GrantRequest) (core.GrantReply, error) {
 	replies := make(chan core.GrantReply, 1)
--- a/io/daemon/pools.go
+++ b/io/daemon/pools.go
@@ -107,6 +107,7 @@
 
 type poll struct {
 	address string
+	cached  bool // the target publishes the events of its prompt cache
 	cancel  context.CancelFunc
 	wake    chan struct{} // asks for a report without waiting for the interval
 }
@@ -127,6 +128,8 @@
 		running = map[core.TargetName]poll{}
 		control.polls.running[owned.id] = running
 	}
+	service, _ := control.config.Service(owned.id.Service)
+	cached := service.Kind == config.Generate
 	declared := map[core.TargetName]string{}
 	for _, target := range control.config.PoolTargets(owned.id) {
 		declared[target.Name] = target.Address
@@ -142,7 +145,7 @@
 			continue
 		}
 		ctx, cancel := context.WithCancel(context.Background())
-		started := poll{address: address, cancel: cancel, wake: make(chan struct{}, 1)}
+		started := poll{address: address, cached: cached, cancel: cancel, wake: make(chan struct{}, 1)}
 		running[name] = started
 		go control.daemon.pollLoad(ctx, owned.id, name, started)
 	}
@@ -182,6 +185,9 @@
 		// The age is counted from when the report was asked for: the answer may have been on its way for long.
 		report.Age += core.Elapsed(asked, daemon.clock.Now())
 		daemon.loop.Post(func() { daemon.control.onLoad(ctx, id, name, report, err) })
+		if err == nil && poll.cached {
+			daemon.pollCache(ctx, id, name, poll.address)
+		}
 		select {
 		case <-daemon.clock.After(loadInterval):
 		case <-poll.wake:
@@ -191,6 +197,31 @@
 	}
 }
 
+// pollCache takes the events of a target's prompt cache over. They only improve the choice of targets, so a failure is not
+// reported.
+func (daemon *Daemon) pollCache(ctx context.Context, id core.PoolID, name core.TargetName, address string) {
+	var after int64
+	err := daemon.loop.Do(ctx, func() {
+		if owned := daemon.control.pools[id]; owned != nil {
+			after = owned.dispatcher.CacheSequence(name)
+		}
+	})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	events, err := daemon.targets.CacheEvents(ctx, address, after)
+	if err != nil || len(events) == 0 {
+		return
+	}
+	daemon.loop.Post(func() {
+		if owned := daemon.control.pools[id]; owned != nil {
+			owned.dispatcher.CacheEvents(daemon.control.now(), name, events)
+		}
+	})
+}
+
 func (control *control) onLoad(ctx context.Context, id core.PoolID, name core.TargetName, report core.LoadReport, err error) {
 	owned := control.pools[id]
 	if owned == nil || ctx.Err() != nil {
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -115,11 +115,20 @@
 
 // start runs one more daemon.
 func (fleet *fleet) start(name, dataCentre string) *process {
+	fleet.t.Helper()
+	return fleet.startWith(name, dataCentre, fault.Pass)
+}
+
+// startWith runs one more daemon, whose way to the store has the mode from the beginning.
+func (fleet *fleet) startWith(name, dataCentre string, store fault.Mode) *process {
 	fleet.t.Helper()
 	listen := freeAddress()
 	daemon := &process{name: name, exited: make(chan error, 1)}
 	daemon.store = fleet.proxy(fleet.world.StoreServer.Address())
 	daemon.front = fleet.proxy(listen)
+	if err := daemon.store.SetMode(store); err != nil {
+		fleet.t.Fatal(err)
+	}
 	settings := fmt.Sprintf(`[Daemon]
 Name = %s
 Listen = %s
