--- a/core/fakes/store.go
+++ b/core/fakes/store.go
@@ -48,6 +48,7 @@
 type watch struct {
 	prefix string
 	events chan core.WatchEvent
+	muted  bool
 }
 
 // Calls returns how often a method was called.
--- a/core/lease/carry.go
+++ b/core/lease/carry.go
@@ -87,10 +87,7 @@
 		releases = releases[len(batch):]
 		txns := make([]core.Txn, 0, len(batch))
 		for _, owner := range batch {
-			key := OwnerKey(owner.Pool)
-			token := core.Revision(owner.Token)
-			compare := core.Compare{Key: key, CreateRevision: &token}
-			txns = append(txns, core.Txn{Compares: []core.Compare{compare}, Deletes: []string{key}})
+			txns = append(txns, releaseTxn(owner))
 		}
 		agent.counters.releases.Add(int64(len(batch)))
 		_, err := agent.commit(ctx, txns)
@@ -106,3 +103,10 @@
 	}
 	return failed
 }
+
+func releaseTxn(owner Owner) core.Txn {
+	key := OwnerKey(owner.Pool)
+	token := core.Revision(owner.Token)
+	compare := core.Compare{Key: key, CreateRevision: &token}
+	return core.Txn{Compares: []core.Compare{compare}, Deletes: []string{key}}
+}
--- a/core/lease/keeper.go
+++ b/core/lease/keeper.go
@@ -18,6 +18,10 @@
 	LongTTL  = 10 * time.Second
 	// Margin is the part of the lease that is not used, for clock rate and the store's expiry.
 	Margin = 500 * time.Millisecond
+	// Grace is the part of the margin in which an outage quorum may still continue a hold: the key is in the store until
+	// the margin's end, so nobody can have claimed it. An outage is known 1 to 1.5 s after the last contact, the usable
+	// part of a lease renewed 1 s before that ends as early.
+	Grace = Margin / 2
 	// HandoverGap is 1 s for grants of the previous owner and 0.25 s for clock rate.
 	HandoverGap = 1250 * time.Millisecond
 	// SpreadPause separates pools that are given up for balance, so that claims follow before the next one.
@@ -79,7 +83,8 @@
 	lease   core.LeaseID // under which the key is
 	claimed time.Time
 	gap     time.Duration // after claimed before the first grant
-	until   time.Time     // end of the unbroken cover by the lease or by outage quorums
+	until   time.Time     // end of the cover by the lease or by outage quorums
+	lapses  time.Time     // up to which a renewal or an outage quorum may still continue the hold
 }
 
 // Keeper decides on ownership; it is used on the control goroutine only, and needs Self and Address.
@@ -124,9 +129,8 @@
 	}
 	keeper.lease = lease
 	for pool, held := range keeper.held {
-		if held.lease == lease && later(until, held.until) {
-			held.until = until
-			keeper.held[pool] = held
+		if held.lease == lease {
+			keeper.held[pool] = held.covered(until, Grace)
 		}
 	}
 }
@@ -149,22 +153,30 @@
 		return
 	}
 	for pool, held := range keeper.held {
-		if later(outageUntil, held.until) {
-			held.until = outageUntil
-			keeper.held[pool] = held
-		}
+		keeper.held[pool] = held.covered(outageUntil, 0)
 	}
 }
 
 // lapse drops the pools whose cover has ended, so that no later renewal or quorum revives them.
 func (keeper *Keeper) lapse(now time.Time) {
 	for pool, held := range keeper.held {
-		if !ahead(held.until, now) {
+		if !ahead(held.lapses, now) {
 			keeper.drop(pool)
 		}
 	}
 }
 
+// covered returns the hold with a cover that lasts at least until the time.
+func (held Held) covered(until time.Time, grace time.Duration) Held {
+	if later(until, held.until) {
+		held.until = until
+	}
+	if later(until.Add(grace), held.lapses) {
+		held.lapses = until.Add(grace)
+	}
+	return held
+}
+
 func (keeper *Keeper) drop(pool core.PoolID) {
 	delete(keeper.held, pool)
 	keeper.dropped[pool] = true
--- a/core/lease/observe.go
+++ b/core/lease/observe.go
@@ -26,18 +26,16 @@
 	if claim.Token != 0 || claim.Lease != keeper.lease || !ahead(keeper.until, now) {
 		return // the hold broke in the meantime; the key is released and claimed anew
 	}
-	keeper.held[claim.Pool] = Held{
-		Pool: claim.Pool, Token: token, lease: claim.Lease,
-		claimed: now, gap: HandoverGap, until: keeper.until,
-	}
+	held = Held{Pool: claim.Pool, Token: token, lease: claim.Lease, claimed: now, gap: HandoverGap}
+	keeper.held[claim.Pool] = held.covered(keeper.until, Grace)
 }
 
 // adopt continues an unbroken hold under the lease of the owner record.
 func (keeper *Keeper) adopt(held Held, owner Owner) {
 	held.Token = owner.Token
 	held.lease = owner.Lease
-	if owner.Lease == keeper.lease && later(keeper.until, held.until) {
-		held.until = keeper.until
+	if owner.Lease == keeper.lease {
+		held = held.covered(keeper.until, Grace)
 	}
 	keeper.held[held.Pool] = held
 }
