Drop members whose address another daemon has registered

When more than a third of the members end at once, the survivors can form no store quorum over the old view, so nothing could ever be claimed or accepted again. Death cannot be told from a partition by silence. A new daemon at the address of a vanished one shows that the old one has ended: View.Replaced lists these, Tracker.Forget drops them. Daemons that are not replaced at their address still count; the lead has to decide whether operators may name them.

--- a/core/fresh/fresh_test.go
+++ b/core/fresh/fresh_test.go
@@ -121,4 +121,8 @@
 	if len(tracker.Members()) != 2 {
 		t.Fatalf("view stays %v with a store quorum", tracker.Members())
 	}
+	tracker.Forget([]core.MemberID{"a", "b"})
+	if len(tracker.Members()) != 1 || !tracker.StoreQuorum(now) {
+		t.Fatalf("view is %v after the end of the others", tracker.Members())
+	}
 }
--- a/core/fresh/tracker.go
+++ b/core/fresh/tracker.go
@@ -147,6 +147,15 @@
 	}
 }
 
+// Forget drops members that have certainly ended, without a quorum.
+//
+// When more than a third of the members end at once, no quorum of the old view can come about to drop them.
+func (tracker *Tracker) Forget(ended []core.MemberID) {
+	tracker.members = slices.DeleteFunc(tracker.members, func(member core.MemberID) bool {
+		return member != tracker.Self && slices.Contains(ended, member)
+	})
+}
+
 // Members returns the members that quorums are counted over, sorted.
 func (tracker *Tracker) Members() []core.MemberID { return tracker.members }
 
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -142,3 +142,18 @@
 		}
 	}
 }
+
+// TestReplaced guards against dead daemons that count for quorums although another runs at their address.
+func TestReplaced(t *testing.T) {
+	record := func(id core.MemberID, address string) core.Entry { return entryOf(Record{ID: id, Address: address}) }
+	view := &View{Self: Record{ID: "a", Address: "1"}}
+	view.ObserveStore(start, []core.Entry{record("b", "2"), record("c", "3")})
+	view.ObserveStore(at(5), nil)
+	if replaced := view.Replaced(); replaced != nil {
+		t.Fatalf("%v count as replaced while they are only gone", replaced)
+	}
+	view.ObserveStore(at(6), []core.Entry{record("d", "2")})
+	if replaced := view.Replaced(); !reflect.DeepEqual(replaced, []core.MemberID{"b"}) {
+		t.Fatalf("%v count as replaced", replaced)
+	}
+}
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -21,6 +21,7 @@
 	Self Record
 
 	daemons map[core.MemberID]*daemon
+	gone    map[core.MemberID]string // addresses of dropped daemons
 	frozen  bool
 }
 
@@ -59,6 +60,7 @@
 	held, known := view.daemons[record.ID]
 	if !known {
 		view.daemons[record.ID] = &daemon{record: record, stored: true}
+		delete(view.gone, record.ID)
 		return
 	}
 	record.Leaving = record.Leaving || held.record.Leaving // a daemon never returns from leaving
@@ -97,10 +99,29 @@
 	for id, daemon := range view.daemons {
 		if id != view.Self.ID && !view.live(now, daemon) {
 			delete(view.daemons, id)
+			view.gone[id] = daemon.record.Address
 		}
 	}
 }
 
+// Replaced returns, once, the dropped daemons whose address another daemon has registered, so that they have certainly ended.
+func (view *View) Replaced() []core.MemberID {
+	view.init()
+	used := make(map[string]bool)
+	for _, daemon := range view.daemons {
+		used[daemon.record.Address] = used[daemon.record.Address] || daemon.stored
+	}
+	var replaced []core.MemberID
+	for id, address := range view.gone {
+		if address != "" && used[address] {
+			replaced = append(replaced, id)
+			delete(view.gone, id)
+		}
+	}
+	slices.Sort(replaced)
+	return replaced
+}
+
 func (view *View) live(now time.Time, daemon *daemon) bool {
 	if daemon.stored || view.frozen {
 		return true
@@ -113,6 +134,7 @@
 func (view *View) init() {
 	if view.daemons == nil {
 		view.daemons = make(map[core.MemberID]*daemon)
+		view.gone = make(map[core.MemberID]string)
 	}
 	if held, known := view.daemons[view.Self.ID]; known {
 		held.record = view.Self
