--- a/core/fresh/tracker.go
+++ b/core/fresh/tracker.go
@@ -59,6 +59,16 @@
 // twoThirds is the least size of a quorum; two such quorums of one view intersect in a third of it.
 func twoThirds(count int) int { return (2*count + 2) / 3 }
 
+// majority is the least size of a store quorum. It intersects an outage quorum of two thirds while the two views differ by
+// less than a third, added and removed members together; two thirds here would leave the pools of a lost data centre with
+// three of eight daemons without owners.
+func majority(count int) int {
+	if count == 0 {
+		return 0
+	}
+	return count/2 + 1
+}
+
 func (tracker *Tracker) quorum(count int) int {
 	if tracker.quorumOf != nil {
 		return tracker.quorumOf(count)
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -85,6 +85,7 @@
 	}
 	live := control.view.Live(control.now())
 	control.tracker.SetMembers(control.now(), live)
+	control.tracker.Forget(control.view.Replaced())
 	control.daemon.feed.SetMembers(len(live))
 }
 
