Measure what control costs with daemons as processes

Daemons count bodies of store calls only and no bytes towards targets, so the stand-ins count the bytes of their own connections.

--- /dev/null
+++ b/stand/bench/sample.go
@@ -0,0 +1,95 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// vars is the part of a daemon's /debug/vars that is measured.
+type vars struct {
+	Memstats struct {
+		HeapAlloc, Sys, TotalAlloc, Mallocs float64
+	}
+	Catkincove struct {
+		ControlBytesRead, ControlBytesWritten           float64
+		ControlBusyMicroseconds, ProcessCPUMicroseconds float64
+		Pools                                           map[string]json.RawMessage
+		Store                                           struct {
+			Calls, Failures          map[string]float64
+			BytesSent, BytesReceived float64
+		}
+	}
+}
+
+// sample is the state of the counters of the whole fleet at one moment.
+type sample struct {
+	at          time.Time
+	daemons     []vars
+	times       []time.Time
+	store       map[string]int64
+	storeBytes  int64 // on the store's connections, both ways, headers included
+	targetBytes int64
+}
+
+func (fleet *Fleet) sample() (sample, error) {
+	taken := sample{at: time.Now(), store: fleet.platform.store.Counters()}
+	taken.storeBytes = fleet.platform.storeBytes.Read() + fleet.platform.storeBytes.Written()
+	taken.targetBytes = fleet.platform.targetBytes.Read() + fleet.platform.targetBytes.Written()
+	for _, daemon := range fleet.daemons {
+		found, err := fleet.vars(daemon)
+		if err != nil {
+			return taken, fmt.Errorf("daemon %s: %w", daemon.address, err)
+		}
+		taken.daemons = append(taken.daemons, found)
+		taken.times = append(taken.times, time.Now())
+	}
+	return taken, nil
+}
+
+func (fleet *Fleet) vars(daemon *process) (vars, error) {
+	var found vars
+	return found, fleet.get(daemon, "/debug/vars", &found)
+}
+
+func (fleet *Fleet) get(daemon *process, path string, into any) error {
+	response, err := fleet.client.Get("http://" + daemon.address + path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered status %d", path, response.StatusCode)
+	}
+	return json.NewDecoder(response.Body).Decode(into)
+}
+
+// residentMB reads the resident memory of a daemon.
+func (daemon *process) residentMB() float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", daemon.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmRSS:" {
+			kilobytes, _ := strconv.ParseFloat(fields[1], 64)
+			return kilobytes / 1024
+		}
+	}
+	return 0
+}
+
+// loadAverage is the machine's load over the last minute.
+func loadAverage() float64 {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+	first, _, _ := strings.Cut(string(text), " ")
+	load, _ := strconv.ParseFloat(first, 64)
+	return load
+}
