--- a/stand/bench/result.go
+++ b/stand/bench/result.go
@@ -28,6 +28,8 @@
 	SysMB           Spread
 	ResidentMB      Spread
 	Mallocs         Spread
+	StatusBytes     float64 // answer of one daemon to GET /v1/status
+	ConfigBytes     float64 // answer of one daemon to a peer that asks for the whole configuration
 	Tickets         TicketResult
 }
 
@@ -109,12 +111,12 @@
 	}
 	text := fmt.Sprintf("%d daemons, %d targets in %d pools, %d teams: CPU %.2f%% (%.2f to %.2f), control goroutine %.2f%%, "+
 		"peers %.0f B/s, store %.0f B/s (bodies %.0f), targets %.0f B/s, store reads %.2f/s, writes %.2f/s, all: %s; "+
-		"heap %.1f MB, resident %.1f MB (at most %.1f), load %.1f",
+		"heap %.1f MB, resident %.1f MB (at most %.1f), status %.0f B, load %.1f",
 		result.Daemons, result.Targets, result.Pools, result.Teams,
 		result.CPUPercent.Median, result.CPUPercent.Min, result.CPUPercent.Max, result.BusyPercent.Median,
 		result.PeerBytes.Median, result.StoreWireBytes, result.StoreBodyBytes.Median, result.TargetWireBytes,
 		result.StoreReads.Median, result.StoreWrites.Median, strings.Join(calls, ", "),
-		result.HeapMB.Median, result.ResidentMB.Median, result.ResidentMB.Max, result.LoadAverage)
+		result.HeapMB.Median, result.ResidentMB.Median, result.ResidentMB.Max, result.StatusBytes, result.LoadAverage)
 	if result.Tickets.Sent > 0 {
 		text += ", " + result.Tickets.String()
 	}
@@ -134,5 +136,6 @@
 	}
 	result := fleet.result(before, after)
 	result.Run, result.Tickets = run, tickets
+	result.StatusBytes, result.ConfigBytes = fleet.answerSizes()
 	return result, nil
 }
--- a/stand/bench/sample.go
+++ b/stand/bench/sample.go
@@ -3,11 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
 	"time"
+
+	"catkincove/io/peer"
 )
 
 // vars is the part of a daemon's /debug/vars that is measured.
@@ -93,3 +96,19 @@
 	load, _ := strconv.ParseFloat(first, 64)
 	return load
 }
+
+// answerSizes returns the bytes of the largest answers of a daemon, headers left out.
+func (fleet *Fleet) answerSizes() (status, configuration float64) {
+	base := "http://" + fleet.daemons[0].address
+	size := func(response *http.Response, err error) float64 {
+		if err != nil {
+			return 0
+		}
+		defer func() { _ = response.Body.Close() }()
+		count, _ := io.Copy(io.Discard, response.Body)
+		return float64(count)
+	}
+	status = size(fleet.client.Get(base + "/v1/status"))
+	configuration = size(fleet.client.Post(base+peer.ConfigPath, "application/json", strings.NewReader("{}")))
+	return status, configuration
+}
