--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -54,6 +55,8 @@
 	command *exec.Cmd
 	store   *fault.Proxy
 	front   *fault.Proxy
+	board   *switchboard // nil unless the fleet separates the links between daemons
+	log     string       // path of the log file
 	exited  chan error
 }
 
@@ -64,18 +67,33 @@
 	daemons []*process
 	client  *caller.Client
 	ticket  int64
+	links   bool       // each pair of daemons has a proxy of its own
+	mutex   sync.Mutex // guards daemons against the goroutines of switchboards
 }
 
 // startFleet starts the platform and daemons spread over its data centres, and applies the world's configuration.
 func startFleet(t *testing.T, daemons int, options world.Options) *fleet {
 	t.Helper()
+	return (&fleet{t: t}).begin(daemons, options)
+}
+
+// startLinkedFleet starts a fleet in which each pair of daemons has a proxy of its own.
+func startLinkedFleet(t *testing.T, daemons int, options world.Options) *fleet {
+	t.Helper()
+	return (&fleet{t: t, links: true}).begin(daemons, options)
+}
+
+func (fleet *fleet) begin(daemons int, options world.Options) *fleet {
+	t := fleet.t
+	t.Helper()
+	fleet.reserve(daemons)
 	ctx, cancel := context.WithCancel(context.Background())
 	platform, err := world.Start(ctx, options)
 	if err != nil {
 		cancel()
 		t.Fatal(err)
 	}
-	fleet := &fleet{t: t, world: platform}
+	fleet.world = platform
 	t.Cleanup(func() {
 		for _, daemon := range fleet.daemons {
 			daemon.kill()
@@ -94,6 +112,31 @@
 	return fleet
 }
 
+// Daemons that run at once in all parallel tests; a test that starts more later goes beyond it by a few.
+const mostDaemons = 36
+
+var (
+	daemonsMutex sync.Mutex
+	daemonsFree  = sync.NewCond(&daemonsMutex)
+	daemonsUsed  int
+)
+
+// reserve waits until the machine has room for the daemons of a test.
+func (fleet *fleet) reserve(daemons int) {
+	daemonsMutex.Lock()
+	defer daemonsMutex.Unlock()
+	for daemonsUsed+daemons > mostDaemons {
+		daemonsFree.Wait()
+	}
+	daemonsUsed += daemons
+	fleet.t.Cleanup(func() {
+		daemonsMutex.Lock()
+		defer daemonsMutex.Unlock()
+		daemonsUsed -= daemons
+		daemonsFree.Broadcast()
+	})
+}
+
 func dataCentres(platform *world.World) []string {
 	var names []string
 	for _, object := range platform.Config() {
@@ -111,6 +154,11 @@
 	daemon := &process{name: name, exited: make(chan error, 1)}
 	daemon.store = fleet.proxy(fleet.world.StoreServer.Address())
 	daemon.front = fleet.proxy(listen)
+	advertise := daemon.front.Address()
+	if fleet.links {
+		daemon.board = fleet.newSwitchboard(daemon.front)
+		advertise = daemon.board.listener.Addr().String()
+	}
 	settings := fmt.Sprintf(`[Daemon]
 Name = %s
 Listen = %s
@@ -122,7 +170,7 @@
 
 [Store]
 Endpoints = http://%s
-`, name, listen, daemon.front.Address(), dataCentre, testKeepFor, daemon.store.Address())
+`, name, listen, advertise, dataCentre, testKeepFor, daemon.store.Address())
 	folder := fleet.t.TempDir()
 	file := filepath.Join(folder, name+".ini")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
@@ -133,6 +181,7 @@
 	if err != nil {
 		fleet.t.Fatal(err)
 	}
+	daemon.log = log.Name()
 	daemon.command.Stdout, daemon.command.Stderr = log, log
 	if err := daemon.command.Start(); err != nil {
 		fleet.t.Fatal(err)
@@ -142,6 +191,8 @@
 		_ = log.Close()
 	}()
 	fleet.t.Cleanup(func() { fleet.showLog(log.Name()) })
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
 	fleet.daemons = append(fleet.daemons, daemon)
 	return daemon
 }
@@ -237,14 +288,8 @@
 func (fleet *fleet) ownedPools() int {
 	owned := 0
 	for _, daemon := range fleet.daemons {
-		var status struct {
-			Pools []struct {
-				Pool string
-				Free int
-			}
-		}
-		data, err := fleet.call(daemon, http.MethodGet, "/v1/status", "")
-		if err != nil || json.Unmarshal(data, &status) != nil {
+		status, err := fleet.status(daemon)
+		if err != nil {
 			continue
 		}
 		for _, pool := range status.Pools {
@@ -256,6 +301,27 @@
 	return owned
 }
 
+// statusBody is the part of a daemon's status that tests read.
+type statusBody struct {
+	Revision    int64
+	Confirmed   bool
+	StoreOutage bool
+	DataCentres []struct{ Name, Region, State string }
+	Pools       []struct {
+		Pool string
+		Free int
+	}
+}
+
+func (fleet *fleet) status(daemon *process) (statusBody, error) {
+	var status statusBody
+	data, err := fleet.call(daemon, http.MethodGet, "/v1/status", "")
+	if err != nil {
+		return status, err
+	}
+	return status, json.Unmarshal(data, &status)
+}
+
 func (fleet *fleet) call(daemon *process, method, path, body string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
