Give each run of the proofs its own loopback addresses

Cause: freeAddress counted from 127.77.0.1 in every test process, so two runs on one machine talked to each other's daemons: ticket 1 conflicted within 0.2 s in four of four tests while another run was in progress. Ruled out: the product; with addresses that depend on the process the same tests pass beside another run. Conclusion: results of runs that overlapped with another run of this package are not to be relied on.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -223,9 +223,12 @@
 // nextHost numbers the loopback addresses of daemons, so that a port chosen for one is never taken by another process.
 var nextHost atomic.Int32
 
+// freeAddress depends on the process as well: with the same addresses, two runs of these tests on one machine send
+// their requests and tickets to each other's daemons.
 func freeAddress() string {
-	number := nextHost.Add(1)
-	return fmt.Sprintf("127.77.%d.%d:7070", number/250, 1+number%250)
+	const hosts = 250
+	process, number := os.Getpid(), int(nextHost.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+process%hosts, process/hosts%hosts, 1+number%hosts, 7070+number/hosts)
 }
 
 func (daemon *process) address() string { return daemon.front.Address() }
