Watch a caller's connection from the start of the request

Cause: the caller's watchdog began after the response headers, so a request on a kept connection that had gone silent hung until the caller's own context ended (30 s in the test; for ever without one). Ruled out: the daemon; its other callers were answered. Seen failing: TestSilentConnections/caller_and_daemon, 'took 30.000127942s, bound 5s'. Before: 30 s. Conclusion: the watchdog now covers the time before the headers, and idle connections are dropped after a failure.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -121,8 +121,13 @@
 		return entry.AnswerBody{}, core.Errorf(core.BadRequest, "address %q: %v", address, err)
 	}
 	client.setHeaders(httpRequest, request)
+	// The response headers are the first sign of life: a kept connection may have gone silent before the request.
+	watch := watchdog{cancel: cancel}
+	defer watch.stop()
+	watch.feed()
 	response, err := client.http().Do(httpRequest)
 	if err != nil {
+		client.http().CloseIdleConnections() // one that went silent is rarely the only one
 		return entry.AnswerBody{}, broken(address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -133,8 +138,6 @@
 		}
 		return entry.AnswerBody{}, answer.Read(response.StatusCode, body)
 	}
-	watch := watchdog{cancel: cancel}
-	defer watch.stop()
 	watch.feed()
 	body, err := readEvents(response.Body, watch.feed, emit)
 	var answered *core.Error
