--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -55,6 +56,8 @@
 	command *exec.Cmd
 	store   *fault.Proxy
 	front   *fault.Proxy
+	board   *switchboard // nil unless the fleet separates the links between daemons
+	log     string       // path of the log file
 	exited  chan error
 }
 
@@ -65,13 +68,15 @@
 	daemons []*process
 	client  *caller.Client
 	ticket  int64
-	seeds   bool // further daemons are told the addresses of those that run
+	seeds   bool       // further daemons are told the addresses of those that run
+	links   bool       // each pair of daemons has a proxy of its own
+	mutex   sync.Mutex // guards daemons against the goroutines of switchboards
 }
 
 // startFleet starts the platform and daemons spread over its data centres, and applies the world's configuration.
 func startFleet(t *testing.T, daemons int, options world.Options) *fleet {
 	t.Helper()
-	fleet := startDaemons(t, daemons, options)
+	fleet := (&fleet{t: t}).begin(daemons, options)
 	fleet.served()
 	return fleet
 }
@@ -79,13 +84,29 @@
 // startDaemons does the same without waiting for owners of the pools.
 func startDaemons(t *testing.T, daemons int, options world.Options) *fleet {
 	t.Helper()
+	return (&fleet{t: t}).begin(daemons, options)
+}
+
+// startLinkedFleet starts a fleet in which each pair of daemons has a proxy of its own.
+func startLinkedFleet(t *testing.T, daemons int, options world.Options) *fleet {
+	t.Helper()
+	fleet := (&fleet{t: t, links: true}).begin(daemons, options)
+	fleet.served()
+	return fleet
+}
+
+// begin starts the platform and the daemons, and applies the world's configuration.
+func (fleet *fleet) begin(daemons int, options world.Options) *fleet {
+	t := fleet.t
+	t.Helper()
+	fleet.reserve(daemons)
 	ctx, cancel := context.WithCancel(context.Background())
 	platform, err := world.Start(ctx, options)
 	if err != nil {
 		cancel()
 		t.Fatal(err)
 	}
-	fleet := &fleet{t: t, world: platform}
+	fleet.world = platform
 	t.Cleanup(func() {
 		for _, daemon := range fleet.daemons {
 			daemon.kill()
@@ -103,6 +124,31 @@
 	return fleet
 }
 
+// Daemons that run at once in all parallel tests; a test that starts more later goes beyond it by a few.
+const mostDaemons = 36
+
+var (
+	daemonsMutex sync.Mutex
+	daemonsFree  = sync.NewCond(&daemonsMutex)
+	daemonsUsed  int
+)
+
+// reserve waits until the machine has room for the daemons of a test.
+func (fleet *fleet) reserve(daemons int) {
+	daemonsMutex.Lock()
+	defer daemonsMutex.Unlock()
+	for daemonsUsed+daemons > mostDaemons {
+		daemonsFree.Wait()
+	}
+	daemonsUsed += daemons
+	fleet.t.Cleanup(func() {
+		daemonsMutex.Lock()
+		defer daemonsMutex.Unlock()
+		daemonsUsed -= daemons
+		daemonsFree.Broadcast()
+	})
+}
+
 func dataCentres(platform *world.World) []string {
 	var names []string
 	for _, object := range platform.Config() {
@@ -129,6 +175,11 @@
 	if err := daemon.store.SetMode(store); err != nil {
 		fleet.t.Fatal(err)
 	}
+	advertise := daemon.front.Address()
+	if fleet.links {
+		daemon.board = fleet.newSwitchboard(daemon.front)
+		advertise = daemon.board.listener.Addr().String()
+	}
 	settings := fmt.Sprintf(`[Daemon]
 Name = %s
 Listen = %s
@@ -140,7 +191,7 @@
 
 [Store]
 Endpoints = http://%s
-`, name, listen, daemon.front.Address(), dataCentre, testKeepFor, daemon.store.Address())
+`, name, listen, advertise, dataCentre, testKeepFor, daemon.store.Address())
 	if fleet.seeds {
 		settings += "\n[Peers]\nSeeds = " + strings.Join(fleet.newClient("").Seeds, ", ") + "\n"
 	}
@@ -154,6 +205,7 @@
 	if err != nil {
 		fleet.t.Fatal(err)
 	}
+	daemon.log = log.Name()
 	daemon.command.Stdout, daemon.command.Stderr = log, log
 	if err := daemon.command.Start(); err != nil {
 		fleet.t.Fatal(err)
@@ -163,6 +215,8 @@
 		_ = log.Close()
 	}()
 	fleet.t.Cleanup(func() { fleet.showLog(log.Name()) })
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
 	fleet.daemons = append(fleet.daemons, daemon)
 	return daemon
 }
@@ -194,10 +248,12 @@
 // never taken by another process or by another run of the tests.
 var nextHost atomic.Int32
 
+// freeAddress depends on the process as well: with the same addresses, two runs of these tests on one machine send
+// their requests and tickets to each other's daemons.
 func freeAddress() string {
 	const hosts = 250
-	process := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:7070", 64+process/hosts%128, process%hosts, 1+nextHost.Add(1)%hosts)
+	process, number := os.Getpid(), int(nextHost.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+process%hosts, process/hosts%hosts, 1+number%hosts, 7070+number/hosts)
 }
 
 func (daemon *process) address() string { return daemon.front.Address() }
@@ -260,14 +316,8 @@
 func (fleet *fleet) ownedPools() int {
 	owned := 0
 	for _, daemon := range fleet.daemons {
-		var status struct {
-			Pools []struct {
-				Pool string
-				Free int
-			}
-		}
-		data, err := fleet.call(daemon, http.MethodGet, "/v1/status", "")
-		if err != nil || json.Unmarshal(data, &status) != nil {
+		status, err := fleet.status(daemon)
+		if err != nil {
 			continue
 		}
 		for _, pool := range status.Pools {
@@ -279,6 +329,27 @@
 	return owned
 }
 
+// statusBody is the part of a daemon's status that tests read.
+type statusBody struct {
+	Revision    int64
+	Confirmed   bool
+	StoreOutage bool
+	DataCentres []struct{ Name, Region, State string }
+	Pools       []struct {
+		Pool string
+		Free int
+	}
+}
+
+func (fleet *fleet) status(daemon *process) (statusBody, error) {
+	var status statusBody
+	data, err := fleet.call(daemon, http.MethodGet, "/v1/status", "")
+	if err != nil {
+		return status, err
+	}
+	return status, json.Unmarshal(data, &status)
+}
+
 func (fleet *fleet) call(daemon *process, method, path, body string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
