--- /dev/null
+++ b/stand/load/router.go
@@ -0,0 +1,112 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"catkincove/core"
+	"catkincove/core/flow"
+	"catkincove/io/target"
+	"catkincove/stand/world"
+)
+
+const (
+	plainRetries = 3
+	plainTimeout = 2 * time.Second // of one attempt
+)
+
+// Router is the baseline: it sends each stage round robin over all targets, with a timeout and retries and no limits.
+type Router struct {
+	client  target.Client
+	targets map[string][]string // addresses by service
+	next    atomic.Uint64
+	serial  atomic.Uint64
+	name    string
+}
+
+// NewRouter returns a plain router for the targets of the platform.
+func NewRouter(name string, platform *world.World) *Router {
+	router := &Router{name: name, targets: map[string][]string{}}
+	for _, target := range platform.Targets {
+		router.targets[target.Service] = append(router.targets[target.Service], target.Address)
+	}
+	return router
+}
+
+// plainRun is one request in a plain router.
+type plainRun struct {
+	router  *Router
+	id      core.RequestID
+	arrival Arrival
+	answer  Answer
+	vector  []float32
+	emit    func(count int)
+}
+
+// Run carries a request through its stages.
+func (router *Router) Run(ctx context.Context, arrival Arrival, emit func(count int)) (Answer, error) {
+	run := &plainRun{router: router, arrival: arrival, emit: emit}
+	run.id = core.RequestID(fmt.Sprintf("%s-%d", router.name, router.serial.Add(1)))
+	for _, stage := range arrival.Kind.Stages {
+		if err := run.stage(ctx, stage); err != nil {
+			return run.answer, core.AsError(err).WithStage(run.id, stage)
+		}
+	}
+	return run.answer, nil
+}
+
+func (run *plainRun) stage(ctx context.Context, stage string) (err error) {
+	addresses := run.router.targets[stage]
+	for attempt := range plainRetries + 1 {
+		attemptCtx, cancel := context.WithTimeout(ctx, plainTimeout)
+		call := core.TargetCall{
+			Address:  addresses[run.router.next.Add(1)%uint64(len(addresses))],
+			Request:  run.id,
+			Stage:    stage,
+			Attempt:  attempt + 1,
+			Deadline: time.Now().Add(plainTimeout),
+		}
+		err = run.call(attemptCtx, call)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
+func (run *plainRun) call(ctx context.Context, call core.TargetCall) (err error) {
+	client, question, kind := &run.router.client, run.arrival.Question.Text, run.arrival.Kind
+	switch call.Stage {
+	case "encode":
+		run.vector, _, err = client.Embed(ctx, call, "encoder", question)
+	case "retrieve":
+		run.answer.Passages, _, err = client.Search(ctx, call, question, run.vector, kind.Top)
+	case "rerank":
+		run.answer.Passages, _, err = client.Rerank(ctx, call, "reranker", question, run.answer.Passages, kind.Keep)
+	case generate:
+		err = run.generate(ctx, call)
+	default:
+		body, _ := json.Marshal(map[string]string{"Question": question})
+		run.answer.Stock, _, err = client.Call(ctx, call, "/stock", "", body)
+	}
+	return err
+}
+
+func (run *plainRun) generate(ctx context.Context, call core.TargetCall) error {
+	run.answer.Text = ""
+	input := core.GenerateInput{
+		Model:     "generator",
+		Prompt:    flow.Prompt(run.arrival.Question.Text, run.answer.Passages),
+		MaxTokens: run.arrival.Kind.Tokens,
+	}
+	_, err := run.router.client.Generate(ctx, call, input, func(token core.Token) error {
+		run.answer.Text += token.Text
+		run.emit(token.Count)
+		return nil
+	})
+	return err
+}
