Measure refusals without the caller's pause, and keep passages of the baseline over retries

The caller library waits for RetryAfter even before it returns the error of its last attempt, so refusal latencies had this pause in them.

--- a/stand/load/count.go
+++ b/stand/load/count.go
@@ -107,13 +107,10 @@
 		if good {
 			attained++
 			_ = latency.RecordValue(outcome.took.Microseconds())
-			report.Work += mix.least(outcome.arrival.Kind)
 		}
 	}
 	report.Attainment = ratio(attained, report.Offered)
 	report.FirstToken, report.TokenGap = ratio(quick, withTokens), ratio(smooth, withTokens)
-	report.Goodput = float64(attained) / window.Seconds()
-	report.Work /= window.Seconds()
 	report.Rate = float64(report.Offered) / window.Seconds()
 	report.P50Ms, report.P99Ms = milliseconds(latency, 50), milliseconds(latency, 99)
 	report.Groups = map[string]float64{}
@@ -123,6 +120,22 @@
 	report.Refusals = refusals(outcomes)
 }
 
+// produce fills in the goodput: what ended in time between two times of the run, whenever it arrived.
+//
+// Counting by arrival would credit an overloaded system with the queue that it works off after the last arrival.
+func (report *Report) produce(mix Mix, outcomes []outcome, from, until time.Duration) {
+	for _, outcome := range outcomes {
+		ended := outcome.arrival.At + outcome.took
+		if !outcome.attained() || ended < from || ended >= until {
+			continue
+		}
+		report.Goodput++
+		report.Work += mix.least(outcome.arrival.Kind)
+	}
+	report.Goodput /= (until - from).Seconds()
+	report.Work /= (until - from).Seconds()
+}
+
 func toInt(condition bool) int {
 	if condition {
 		return 1
--- a/stand/load/router.go
+++ b/stand/load/router.go
@@ -84,9 +84,9 @@
 	case "encode":
 		run.vector, _, err = client.Embed(ctx, call, "encoder", question)
 	case "retrieve":
-		run.answer.Passages, _, err = client.Search(ctx, call, question, run.vector, kind.Top)
+		err = run.keep(client.Search(ctx, call, question, run.vector, kind.Top))
 	case "rerank":
-		run.answer.Passages, _, err = client.Rerank(ctx, call, "reranker", question, run.answer.Passages, kind.Keep)
+		err = run.keep(client.Rerank(ctx, call, "reranker", question, run.answer.Passages, kind.Keep))
 	case generate:
 		err = run.generate(ctx, call)
 	default:
@@ -96,6 +96,14 @@
 	return err
 }
 
+// keep takes passages over; a failed attempt must not take away those that its repetition needs.
+func (run *plainRun) keep(passages []core.Passage, _ core.TargetInfo, err error) error {
+	if err == nil {
+		run.answer.Passages = passages
+	}
+	return err
+}
+
 func (run *plainRun) generate(ctx context.Context, call core.TargetCall) error {
 	run.answer.Text = ""
 	input := core.GenerateInput{
--- a/stand/load/run.go
+++ b/stand/load/run.go
@@ -26,6 +26,7 @@
 	warmCalls      = 5
 	callerPatience = 200 * time.Millisecond // beyond the deadline, after which a caller leaves
 	warmLoad       = 0.5
+	settling       = time.Second // from the start of the window until the goodput counts
 )
 
 // Settings choose one run.
@@ -222,6 +223,7 @@
 		}
 	}
 	report.judge(run.mix, inWindow, run.settings.Window)
+	report.produce(run.mix, run.outcomes, run.settings.Warmup+settling, run.settings.Warmup+run.settings.Window)
 	seen := map[string]bool{}
 	uses := map[string]use{}
 	for _, target := range run.platform.Targets {
--- a/stand/load/system.go
+++ b/stand/load/system.go
@@ -37,6 +37,17 @@
 	close()
 }
 
+// impatient is the clock of callers that make one attempt: the client would wait for RetryAfter before it returns the
+// refusal of its last attempt, and the latency of the refusal would be lost.
+type impatient struct{ core.SystemClock }
+
+// After returns a channel that is ready at once.
+func (impatient) After(time.Duration) <-chan time.Time {
+	ready := make(chan time.Time)
+	close(ready)
+	return ready
+}
+
 // fleet is a system of daemons in this process.
 type fleet struct {
 	daemons []*daemon.Daemon
@@ -69,7 +80,7 @@
 				// Each client starts at another daemon; the address answer would order them by a hash of few names.
 				Seeds: append(seeds[number%len(seeds):len(seeds):len(seeds)], seeds[:number%len(seeds)]...),
 				Team:  string(team.Name), Name: fmt.Sprintf("%s-%d", team.Name, number),
-				Attempts: 1, Fixed: true, HTTP: fleet.http,
+				Attempts: 1, Fixed: true, HTTP: fleet.http, Clock: impatient{},
 			})
 		}
 	}
