--- a/core/pool/ask.go
+++ b/core/pool/ask.go
@@ -107,7 +107,7 @@
 		if excludes(exclude, target.declared.Name) {
 			continue
 		}
-		if target.usable || target.mayRecover(now) {
+		if target.usable && !target.resting || target.mayRecover(now) {
 			return true
 		}
 	}
--- a/core/pool/events.go
+++ b/core/pool/events.go
@@ -24,7 +24,10 @@
 	case core.OutcomeBroken:
 		dispatcher.broke(now, entry)
 	case core.OutcomeDone:
+		target.failed = 0
 		dispatcher.completed(now, entry, release)
+	case core.OutcomeFailed:
+		dispatcher.noteFailure(now, target)
 	}
 	dispatcher.returnGrant(now, entry)
 	if release.Outcome == core.OutcomeCancelled || release.Outcome == core.OutcomeSilent {
@@ -151,6 +154,7 @@
 	}
 	target.start, target.startSeen = start, now
 	target.firstTokens = nil
+	target.failed, target.resting = 0, false
 	dispatcher.index.clear(target)
 	target.cache.sequence = 0
 	dispatcher.resetLimit(target)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -45,6 +45,7 @@
 	Abandoned   int // queue places that nobody asked for again
 	Expired     int // grants that were never released
 	Resets      int // limits set back to the cold limit
+	Rests       int // times a failing target was left alone for a while
 	Crashes     int
 	Quarantined int
 }
@@ -206,7 +207,9 @@
 	usable := target.isUsable() && dispatcher.open
 	free, room := 0, 0
 	if usable {
-		room = max(0, target.limit-target.foreign)
+		if !target.resting {
+			room = max(0, target.limit-target.foreign)
+		}
 		free = target.spare()
 	}
 	dispatcher.free += free - target.free
--- a/core/pool/serve.go
+++ b/core/pool/serve.go
@@ -100,7 +100,7 @@
 func (dispatcher *Dispatcher) chooseAlone(entry *entry) *target {
 	var least *target
 	for _, target := range dispatcher.order {
-		if !target.usable || target.alone || excludes(entry.exclude, target.declared.Name) {
+		if !target.usable || target.resting || target.alone || excludes(entry.exclude, target.declared.Name) {
 			continue
 		}
 		if target.reservedFor == entry.id {
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -62,6 +62,9 @@
 	incident    *incident
 	crashed     bool // a crash was attributed before the new start identifier was seen
 	alone       bool
+	failed      int       // failures in a row
+	resting     bool      // takes no work until restUntil, because it fails
+	restUntil   time.Time //
 	reservedFor core.GrantID
 	cache       cache
 	free        int // contributions to the sums of the dispatcher
@@ -82,6 +85,7 @@
 	target.ended, target.estimates, target.lingering = nil, nil, nil
 	target.foreign = 0
 	target.alone, target.reservedFor = false, ""
+	target.failed, target.resting = 0, false
 	target.incident = nil
 	target.demandProbe(now)
 	target.reset()
@@ -104,14 +108,14 @@
 
 // spare is the number of further ordinary requests that the limit permits.
 func (target *target) spare() int {
-	if target.alone || target.reservedFor != "" {
+	if target.alone || target.reservedFor != "" || target.resting {
 		return 0
 	}
 	return max(0, target.limit-len(target.grants)-len(target.lingering)-target.foreign)
 }
 
 func (target *target) isIdle() bool {
-	return target.usable && len(target.grants) == 0 && len(target.lingering) == 0 && target.foreign == 0
+	return target.usable && !target.resting && len(target.grants) == 0 && len(target.lingering) == 0 && target.foreign == 0
 }
 
 // completedOne raises the limit by one step after as many completions as the present limit, once the target is warm.
--- a/core/pool/tick.go
+++ b/core/pool/tick.go
@@ -15,6 +15,7 @@
 			dispatcher.crash(now, target)
 		}
 	}
+	dispatcher.endRests(now)
 	dispatcher.expireGrants(now)
 	for _, entry := range dispatcher.waiting() {
 		dispatcher.reviewWaiting(now, entry)
