Count the tokens of a prompt as a sixteenth of a generated token

Work is prompt tokens plus answer tokens, and the owner learns one time per unit of work. TestGenerateWork failed before.

--- a/core/flow/prompt.go
+++ b/core/flow/prompt.go
@@ -19,6 +19,10 @@
 
 const charactersPerToken = 4 // estimate of prompt length in tokens
 
+// promptTokensPerToken is how many tokens of a prompt take as long as one generated token: an engine reads a prompt in
+// parallel and generates one token after another.
+const promptTokensPerToken = 16
+
 // Prompt returns the prompt of a generating stage; passages come first, so that prompts with the same passages
 // share their prefix.
 func Prompt(question string, passages []core.Passage) string {
--- a/core/flow/work.go
+++ b/core/flow/work.go
@@ -47,7 +47,7 @@
 	run := stage.run
 	prompt := Prompt(run.request.Question, run.result.Passages)
 	stage.prefix = Prefix(prompt)
-	stage.tokens = len(prompt)/charactersPerToken + stage.config.MaxTokens
+	stage.tokens = len(prompt)/charactersPerToken/promptTokensPerToken + stage.config.MaxTokens
 	return func(ctx context.Context, call core.TargetCall, attempt *attempt) (func(), core.TargetInfo, error) {
 		info, err := run.runner.Targets.Generate(ctx, call, core.GenerateInput{
 			Model:     stage.service.Model,
