Ask congested later stages before the first stage runs

A daemon now announces a stage to its pool when the service refused work in the last second. The owner judges it like any request, with the same fair share, and counts its work as expected until the stage asks or 1 s has passed. Ruled out: refusing by the wait noted of the pool, which is the wait of all teams and would refuse small ones in a flood. GrantRequest gains the field Announce, also on the wire between daemons.

--- a/core/flow/fakes_test.go
+++ b/core/flow/fakes_test.go
@@ -118,6 +118,9 @@
 func (world *world) Acquire(ctx context.Context, request core.GrantRequest) (core.Permit, error) {
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
+	if request.Announce {
+		return core.Permit{}, nil
+	}
 	world.acquired[request.Request]++
 	fate := world.fate(request.Request)
 	if fate == ownerSilent {
--- a/core/flow/run.go
+++ b/core/flow/run.go
@@ -44,6 +44,7 @@
 	worked    bool        // a target has certainly worked on the request
 	retries   int
 	detours   int
+	announced map[string]core.PoolID // where later stages were announced
 	vector    []float32
 	result    Result
 	record    core.RequestRecord
@@ -120,6 +121,10 @@
 }
 
 func (run *run) stages() error {
+	run.announced = map[string]core.PoolID{}
+	if err := run.announce(); err != nil {
+		return err
+	}
 	for position := range run.pipeline.Stages {
 		stage := run.newStage(position)
 		if err := run.emit(Event{Kind: StageStarted, Stage: stage.name}); err != nil {
--- a/core/flow/stage.go
+++ b/core/flow/stage.go
@@ -137,7 +137,11 @@
 	return stage.firstOf(pools)
 }
 
+// firstOf returns the pool at which the stage was announced, or else the cheapest that was not tried.
 func (stage *stage) firstOf(pools []core.PoolID) (core.PoolID, bool) {
+	if announced, found := stage.run.announced[stage.name]; found && !stage.skipped[announced] && slices.Contains(pools, announced) {
+		return announced, true
+	}
 	i := slices.IndexFunc(pools, func(pool core.PoolID) bool { return !stage.skipped[pool] })
 	if i < 0 {
 		return core.PoolID{}, false
@@ -212,6 +216,7 @@
 	}
 	switch failure.Kind {
 	case core.Overloaded:
+		stage.run.runner.congestion.note(stage.run.runner.clock().Now(), stage.service.Name)
 		stage.run.runner.Router.Note(pool, core.PoolSummary{Wait: failure.RetryAfter})
 	case core.Unavailable, core.Internal, core.TargetFailed, core.DeadlineExceeded:
 		stage.run.runner.Router.Avoid(pool)
--- a/core/flow/types.go
+++ b/core/flow/types.go
@@ -39,6 +39,7 @@
 	Log      zerolog.Logger
 	Member   core.MemberID
 
+	congestion congestion
 	late       atomic.Int64
 	ownBudget  retry.Budget
 	background sync.WaitGroup
--- a/core/peer.go
+++ b/core/peer.go
@@ -64,6 +64,9 @@
 	Revision    Revision      // configuration in force at the sender
 	Queue       GrantID       // place in the queue from an earlier answer; empty at first
 	Exclude     []TargetName  // targets that failed for this request
+	// Announce asks whether the stage would be refused if it were due after earlier stages; it gets no place in the
+	// queue, but its work counts as expected until the stage asks.
+	Announce bool
 }
 
 // Grant permits one attempt on one target.
@@ -80,7 +83,8 @@
 // ErrNoOwner is the cause of an Unavailable error when a pool has no owner that answers; it will have one soon.
 var ErrNoOwner = errors.New("pool has no owner")
 
-// GrantReply is exactly one of a grant, a place in the queue, or a refusal.
+// GrantReply is exactly one of a grant, a place in the queue, or a refusal, and none of them for an announcement that is
+// not refused.
 type GrantReply struct {
 	Moved    bool // refused because the asked daemon does not own the pool
 	Grant    *Grant
@@ -148,7 +152,8 @@
 
 // Granter obtains and returns grants for the daemon's traffic.
 type Granter interface {
-	// Acquire waits for a grant of the pool, or returns an *Error that is "not run".
+	// Acquire waits for a grant of the pool, or returns an *Error that is "not run". An announcement that is not refused
+	// returns an empty permit at once.
 	//
 	// The returned time is the latest moment for the first byte, by Elapsed from now.
 	Acquire(ctx context.Context, request GrantRequest) (Permit, error)
--- a/core/pool/ask.go
+++ b/core/pool/ask.go
@@ -22,7 +22,15 @@
 	}
 	dispatcher.counters.Asked++
 	entry := dispatcher.newEntry(now, request)
-	if refusal := dispatcher.judge(now, entry); refusal != nil {
+	if request.Announce {
+		return dispatcher.announce(now, entry)
+	}
+	entry.promised = dispatcher.announced.take(entry)
+	refusal := dispatcher.judge(now, entry)
+	if refusal == nil {
+		refusal = dispatcher.makeRoom(entry)
+	}
+	if refusal != nil {
 		dispatcher.counters.Refused++
 		return core.GrantReply{Refused: refusal, Summary: dispatcher.Summary(now)}
 	}
@@ -75,18 +83,26 @@
 	wait := time.Duration(0)
 	if !alone && !dispatcher.startsAtOnce() {
 		entry.expected = dispatcher.expectedWait(entry)
-		wait = time.Duration(dispatcher.forecast.margin() * float64(entry.expected))
+		wait = time.Duration(dispatcher.marginFor(entry) * float64(entry.expected))
 	}
 	needed := wait + dispatcher.workTime(entry) + entry.reserve
 	if needed > entry.timeLeft {
 		return dispatcher.overloaded(needed-entry.timeLeft, "expected %v of waiting and work, %v left",
 			needed.Round(time.Millisecond), entry.timeLeft.Round(time.Millisecond))
 	}
-	if !alone && dispatcher.pushesOut(now, entry) {
+	if !alone && !entry.promised && dispatcher.pushesOut(now, entry) {
 		return dispatcher.overloaded(dispatcher.pace.wait(0, dispatcher.room, dispatcher.service.LeastTime),
 			"no time is left beside the requests that wait in pool %s", dispatcher.poolID)
 	}
-	return dispatcher.makeRoom(entry)
+	return nil
+}
+
+// marginFor spares a request the margin that its announcement was already held to.
+func (dispatcher *Dispatcher) marginFor(entry *entry) float64 {
+	if entry.promised {
+		return 1
+	}
+	return dispatcher.forecast.margin()
 }
 
 func (dispatcher *Dispatcher) judgePool(now time.Time, entry *entry) *core.Error {
@@ -119,14 +135,17 @@
 	return false
 }
 
-// startsAtOnce reports whether a free slot is left after the waiting requests.
+// startsAtOnce reports whether a free slot is left after the waiting and the announced requests.
 func (dispatcher *Dispatcher) startsAtOnce() bool {
-	return dispatcher.free > dispatcher.queue.length
+	return dispatcher.free > dispatcher.queue.length+len(dispatcher.announced.known)
 }
 
 func (dispatcher *Dispatcher) expectedWait(entry *entry) time.Duration {
-	ahead := dispatcher.queue.workAhead(entry, dispatcher.weightOf(entry.team))
-	return dispatcher.waitBehind(ahead)
+	return dispatcher.waitBehind(dispatcher.workAhead(entry))
+}
+
+func (dispatcher *Dispatcher) workAhead(entry *entry) int {
+	return dispatcher.queue.workAhead(entry, dispatcher.announced.work, dispatcher.weightOf)
 }
 
 func (dispatcher *Dispatcher) waitBehind(ahead int) time.Duration {
--- a/core/pool/forecast.go
+++ b/core/pool/forecast.go
@@ -50,7 +50,7 @@
 	}
 	for _, position := range []int{first, (first + last) / 2, last} {
 		waiting := team.entries[position]
-		ahead := dispatcher.queue.workAhead(waiting, dispatcher.weightOf(added.team)) + added.cost
+		ahead := dispatcher.workAhead(waiting) + added.cost
 		wait := time.Duration(dispatcher.forecast.margin() * float64(dispatcher.waitBehind(ahead)))
 		if now.Add(wait + dispatcher.workTime(waiting) + waiting.reserve).After(waiting.deadline) {
 			return true
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -70,11 +70,13 @@
 	index    index
 	pace     pace
 	forecast forecast
-	free     int // sum over targets
-	room     int // sum over usable targets of limit less foreign work
-	usable   int
-	reserved int
-	counters Counters
+
+	announced announcements
+	free      int // sum over targets
+	room      int // sum over usable targets of limit less foreign work
+	usable    int
+	reserved  int
+	counters  Counters
 }
 
 // New returns the dispatcher of a pool; it refuses until Configure and Open.
@@ -177,6 +179,7 @@
 		dispatcher.drop(entry, dispatcher.unavailable("daemon no longer owns pool %s", dispatcher.poolID))
 	}
 	clear(dispatcher.entries)
+	dispatcher.announced.clear()
 	dispatcher.blame.stopRunning()
 	for _, target := range dispatcher.order {
 		dispatcher.unreserve(target)
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -26,6 +26,7 @@
 	deadline    time.Time
 	reserve     time.Duration
 	expected    time.Duration // wait expected at enqueue time
+	promised    bool          // was announced and not refused
 	seen        time.Time     // last ask
 	target      *target       // nil while waiting
 	granted     time.Time
@@ -149,10 +150,10 @@
 	return nil
 }
 
-// workAhead estimates the work that is served before the entry, when its team has the weight.
-func (queue *queue) workAhead(entry *entry, weight int) int {
+// workAhead estimates the work, waiting and announced, that is served before the entry.
+func (queue *queue) workAhead(entry *entry, announced map[core.TeamName]int, weightOf func(core.TeamName) int) int {
 	own := queue.teams[entry.team]
-	before := entry.cost
+	before := entry.cost + announced[entry.team]
 	if own != nil {
 		position, _ := slices.BinarySearchFunc(own.entries, entry, compareEntries)
 		for _, earlier := range own.entries[:position] {
@@ -160,9 +161,15 @@
 		}
 	}
 	ahead := before - entry.cost
+	weight := weightOf(entry.team)
 	for _, team := range queue.ring {
 		if team != own {
-			ahead += min(team.work, before*team.weight/max(1, weight))
+			ahead += min(team.work, before*team.weight/weight)
+		}
+	}
+	for name, work := range announced {
+		if name != entry.team {
+			ahead += min(work, before*weightOf(name)/weight)
 		}
 	}
 	return ahead
--- a/core/pool/tick.go
+++ b/core/pool/tick.go
@@ -16,6 +16,7 @@
 		}
 	}
 	dispatcher.endRests(now)
+	dispatcher.announced.expire(now)
 	dispatcher.expireGrants(now)
 	for _, entry := range dispatcher.waiting() {
 		dispatcher.reviewWaiting(now, entry)
--- a/io/daemon/grants.go
+++ b/io/daemon/grants.go
@@ -59,6 +59,9 @@
 		if reply.Refused != nil {
 			return core.Permit{}, reply.Refused
 		}
+		if request.Announce {
+			return core.Permit{}, nil
+		}
 		if reply.Grant != nil {
 			return core.Permit{Grant: *reply.Grant, Asked: asked}, nil
 		}
@@ -148,7 +151,7 @@
 		return
 	}
 	reply := control.stamp(owned.dispatcher.Ask(control.now(), request))
-	if reply.Grant != nil || reply.Refused != nil {
+	if reply.Grant != nil || reply.Refused != nil || request.Announce {
 		replies <- reply
 	} else {
 		owned.waiting[reply.Queue] = replies
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -61,6 +61,7 @@
 		Pool: core.PoolID{Service: "generate", DataCentre: "a"}, Request: "r", Stage: "s", Attempt: 2, Member: "m",
 		Team: "t", Fingerprint: 1 << 63, Prefix: []uint64{1, 2}, TimeLeft: time.Second, Reserve: time.Millisecond,
 		Work: 5, Priority: -1, Revision: 9, Queue: "q", Exclude: []core.TargetName{"x"},
+		Announce: true,
 	}
 	reply, err := client.Grant(t.Context(), server.Listener.Addr().String(), request)
 	if err != nil {
--- a/io/peer/wire.go
+++ b/io/peer/wire.go
@@ -57,6 +57,7 @@
 	Revision    int64
 	Queue       string
 	Exclude     []string
+	Announce    bool
 }
 
 type wireGrant struct {
@@ -202,6 +203,7 @@
 		Priority:    request.Priority,
 		Revision:    int64(request.Revision),
 		Queue:       string(request.Queue),
+		Announce:    request.Announce,
 	}
 	for _, target := range request.Exclude {
 		wire.Exclude = append(wire.Exclude, string(target))
@@ -225,6 +227,7 @@
 		Priority:    wire.Priority,
 		Revision:    core.Revision(wire.Revision),
 		Queue:       core.GrantID(wire.Queue),
+		Announce:    wire.Announce,
 	}
 	for _, target := range wire.Exclude {
 		request.Exclude = append(request.Exclude, core.TargetName(target))
