--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -36,7 +36,7 @@
 		Usage: "runs one stand-in of the platform until SIGTERM; prints a JSON line with its Address when it is ready",
 		Flags: []cli.Flag{&cli.StringFlag{Name: "address", Value: "127.0.0.1:0", Usage: "listening IP:port"}},
 		Commands: []*cli.Command{
-			storeCommand(), vmlistCommand(), modelCommand(), plainCommand(), proxyCommand(), measureCommand(),
+			storeCommand(), vmlistCommand(), modelCommand(), plainCommand(), proxyCommand(), measureCommand(), loadCommand(),
 		},
 	}
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -22,9 +22,6 @@
 	defaultQueueLength = 1024
 	// hopeFor is how long a request may queue for targets that have not been probed yet.
 	hopeFor = time.Second
-	// waitMargin is applied to the expected wait at enqueue time. Without it, one request was refused after it had waited
-	// for each 20 that were refused at once (TestOverload).
-	waitMargin = 1.05
 	// leastRetryAfter and mostRetryAfter bound what refused senders are told.
 	leastRetryAfter = 100 * time.Millisecond
 	mostRetryAfter  = 30 * time.Second
@@ -45,6 +42,7 @@
 	Abandoned   int // queue places that nobody asked for again
 	Expired     int // grants that were never released
 	Resets      int // limits set back to the cold limit
+	Rests       int // times a failing target was left alone for a while
 	Crashes     int
 	Quarantined int
 }
@@ -71,11 +69,14 @@
 	blame    blame
 	index    index
 	pace     pace
-	free     int // sum over targets
-	room     int // sum over usable targets of limit less foreign work
-	usable   int
-	reserved int
-	counters Counters
+	forecast forecast
+
+	announced announcements
+	free      int // sum over targets
+	room      int // sum over usable targets of limit less foreign work
+	usable    int
+	reserved  int
+	counters  Counters
 }
 
 // New returns the dispatcher of a pool; it refuses until Configure and Open.
@@ -180,6 +181,7 @@
 		dispatcher.drop(entry, dispatcher.unavailable("daemon no longer owns pool %s", dispatcher.poolID))
 	}
 	clear(dispatcher.entries)
+	dispatcher.announced.clear()
 	dispatcher.blame.stopRunning()
 	for _, target := range dispatcher.order {
 		dispatcher.unreserve(target)
@@ -208,7 +210,9 @@
 	usable := target.isUsable() && dispatcher.open
 	free, room := 0, 0
 	if usable {
-		room = max(0, target.limit-target.foreign)
+		if !target.resting {
+			room = max(0, target.limit-target.foreign)
+		}
 		free = target.spare()
 	}
 	dispatcher.free += free - target.free
--- a/core/pool/serve.go
+++ b/core/pool/serve.go
@@ -62,6 +62,8 @@
 
 func (dispatcher *Dispatcher) late(entry *entry) *core.Error {
 	wait := dispatcher.expectedWait(entry)
+	// It would have waited longer still; how much is not known.
+	dispatcher.forecast.note(entry.expected, 2*entry.timeLeft)
 	return dispatcher.overloaded(wait, "waited until too little time was left")
 }
 
@@ -102,7 +104,7 @@
 	reserved := false
 	for _, target := range dispatcher.order {
 		mine := target.reservedFor == entry.id
-		if !target.usable || target.alone || (target.reservedFor != "" && !mine) ||
+		if !target.usable || target.resting || target.alone || (target.reservedFor != "" && !mine) ||
 			excludes(entry.exclude, target.declared.Name) {
 			continue
 		}
@@ -191,6 +193,7 @@
 // assign turns a request that was taken off the queue into a grant.
 func (dispatcher *Dispatcher) assign(now time.Time, entry *entry, target *target, alone bool) {
 	dispatcher.leaveQueue(entry)
+	dispatcher.forecast.note(entry.expected, now.Sub(entry.enqueued))
 	entry.target, entry.granted, entry.alone = target, now, alone
 	left := max(0, entry.deadline.Sub(now))
 	entry.until = now.Add(min(left, maxHold) + holdMargin)
--- a/core/pool/tick.go
+++ b/core/pool/tick.go
@@ -15,6 +15,8 @@
 			dispatcher.crash(now, target)
 		}
 	}
+	dispatcher.endRests(now)
+	dispatcher.announced.expire(now)
 	dispatcher.expireGrants(now)
 	for _, entry := range dispatcher.waiting() {
 		dispatcher.reviewWaiting(now, entry)
