Keep learned limits of targets for the next owner of a pool

During the handover gap of 1.25 s short requests run out, so that the new owner saw idle targets and began at their cold limits, although they were warm. Ruled out: starting at the running work alone, which helps only requests longer than the gap; publishing limits in heartbeats, since their bytes grow with the targets; a shorter gap, since it is the time for which old grants may be used. The owner now writes limits that have risen to the store, at most once a second and only after a change, under the condition that it still owns the pool; the next owner reads them once and applies them to targets that have not restarted.

--- a/core/pool/events.go
+++ b/core/pool/events.go
@@ -209,6 +209,7 @@
 	if taken.After(target.probeAfter) {
 		target.inherit(report.Running)
 		target.probed = true
+		dispatcher.recall(target)
 	}
 	dispatcher.refresh(target)
 }
--- /dev/null
+++ b/core/pool/learned_test.go
@@ -0,0 +1,48 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"catkincove/core"
+	"catkincove/core/config"
+)
+
+// TestNewOwnerRemembers guards against a warm pool that begins at its cold limits after each change of owner, and against
+// a remembered limit that is applied to a target that has restarted or failed since.
+func TestNewOwnerRemembers(t *testing.T) {
+	service := config.Service{Name: "generate", Kind: config.Generate, Capacity: 8, ColdLimit: 1, WarmAfter: 4}
+	learned := []Learned{{Target: "one", Start: "s1", Limit: 6}}
+	tests := []struct {
+		name   string
+		start  string // of the target that the new owner finds
+		before func(*Dispatcher, time.Time)
+		want   int
+	}{
+		{"same run", "s1", nil, 6},
+		{"restarted", "s2", nil, 1},
+		{"broken since", "s1", func(dispatcher *Dispatcher, now time.Time) {
+			grant := grantsNow(dispatcher, now, "a")[0]
+			dispatcher.Release(now, core.Release{Pool: dispatcher.poolID, Grant: grant.ID, Outcome: core.OutcomeBroken})
+		}, 1},
+	}
+	for _, test := range tests {
+		dispatcher, now := warmPool(service)
+		if test.start != "s1" {
+			now = now.Add(time.Second)
+			dispatcher.Report(now, "one", core.LoadReport{Start: test.start})
+		}
+		if test.before != nil {
+			test.before(dispatcher, now)
+		}
+		dispatcher.Remember(learned)
+		if limit := dispatcher.Status(now)[0].Limit; limit != test.want {
+			t.Errorf("%s: limit %d, expected %d", test.name, limit, test.want)
+		}
+	}
+	dispatcher, _ := warmPool(service)
+	dispatcher.Remember(learned)
+	if got := dispatcher.Learned(); len(got) != 1 || got[0] != learned[0] {
+		t.Errorf("learned %v, expected %v for the next owner", got, learned)
+	}
+}
--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -55,6 +55,8 @@
 	start       string
 	startSeen   time.Time
 	inherited   bool // no load report yet since ownership began
+	untouched   bool // the limit was not reset since ownership began
+	remembered  Learned
 	probed      bool
 	probeAfter  time.Time
 	lastTaken   time.Time
@@ -93,7 +95,8 @@
 	target.firstTokens = nil
 	target.demandProbe(now)
 	target.reset()
-	target.inherited = true
+	target.inherited, target.untouched = true, true
+	target.remembered = Learned{}
 }
 
 // inherit starts a new owner at the work that the target is running.
@@ -110,7 +113,7 @@
 func (target *target) reset() {
 	target.limit = target.cold
 	target.completed, target.warmth = 0, 0
-	target.inherited = false
+	target.inherited, target.untouched = false, false
 }
 
 // demandProbe keeps the target out of use until a load report that was taken after now.
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -161,6 +161,7 @@
 		control.deliver(pool)
 		control.collectSuspects(now, pool)
 		control.sendOrders(now, pool)
+		control.saveLearned(now, pool)
 	}
 }
 
--- a/io/daemon/pools.go
+++ b/io/daemon/pools.go
@@ -18,6 +18,7 @@
 	planner    order.Planner
 	model      string // label of the model that the targets should hold; empty for plain services
 	ordered    map[core.TargetName]bool
+	saved      saved
 	waiting    map[core.GrantID]chan core.GrantReply // asks to be answered when their place is served
 }
 
@@ -36,6 +37,7 @@
 	opened.dispatcher.Learn(now, control.suspects.list(now))
 	opened.planner.Open(now, token)
 	control.updatePolls(opened)
+	go control.daemon.readLearned(opened)
 	control.daemon.log.Info().Stringer("pool", id).Int64("token", int64(token)).Msg("pool: owned")
 }
 
