--- a/io/report/html.go
+++ b/io/report/html.go
@@ -22,7 +22,8 @@
 	"latency":  latencyPlot,
 	"burnPlot": burnPlot,
 	"costs":    costPlot,
-	"window":   func(i int) string { return short(burn.Windows[i]) },
+	"share":    func(share float64) string { return fmt.Sprintf("%.2f%%", 100*share) },
+	"window":   func(i int) string { return windowName(burn.Windows[i]) },
 	"quantile": func(latency burn.Distribution, share float64) string { return short(latency.Quantile(share)) },
 }).Parse(pageText))
 
@@ -127,7 +128,7 @@
 			class = "bad"
 		}
 		plot.box(float64(i)*width+10, plotHeight-height, width-20, height, class)
-		plot.text(float64(i)*width+plotMargin+10, plotHeight+plotMargin+14, fmt.Sprintf("%s: %.1f", short(burn.Windows[i]), rate))
+		plot.text(float64(i)*width+plotMargin+10, plotHeight+plotMargin+14, fmt.Sprintf("%s: %.1f", windowName(burn.Windows[i]), rate))
 	}
 	plot.line(0, plotHeight*(1-1/most), plotWidth, plotHeight*(1-1/most), "limit")
 	return plot.html()
@@ -135,7 +136,7 @@
 
 // costPlot shows target time (useful, then wasted) and waiting time of each stage.
 func costPlot(stages []burn.StageReport) template.HTML {
-	plot := newSVG("Time by stage: useful, wasted, waiting")
+	plot := newSVG("Time by stage: useful (blue), wasted (red), waiting for a target (grey)")
 	most := time.Duration(1)
 	for _, stage := range stages {
 		most = max(most, stage.Target+stage.Wasted+stage.Queued)
--- a/io/report/levels.go
+++ b/io/report/levels.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -53,3 +54,16 @@
 		return duration.Round(100 * time.Microsecond).String()
 	}
 }
+
+// windowName returns a window's length in its largest whole unit, such as "3 d".
+func windowName(length time.Duration) string {
+	const day = 24 * time.Hour
+	switch {
+	case length%day == 0:
+		return fmt.Sprintf("%d d", length/day)
+	case length%time.Hour == 0:
+		return fmt.Sprintf("%d h", length/time.Hour)
+	default:
+		return fmt.Sprintf("%d min", length/time.Minute)
+	}
+}
--- a/io/report/text.go
+++ b/io/report/text.go
@@ -43,7 +43,7 @@
 		if row.hasLevel {
 			rate = fmt.Sprintf("%.1f", row.burn.Rates[i])
 		}
-		fmt.Fprintf(text, "  %-9s %s %8d %6s %12s %10s\n", short(burn.Windows[i]), attainment(count), count.Total(), rate,
+		fmt.Fprintf(text, "  %-9s %s %8d %6s %12s %10s\n", windowName(burn.Windows[i]), attainment(count), count.Total(), rate,
 			percent(pipeline.FirstToken[i]), percent(pipeline.TokenGap[i]))
 	}
 	fmt.Fprintf(text, "  Latency: median %s, 95%% %s, 99%% %s\n", short(pipeline.Latency.Quantile(0.5)),
