--- a/core/pool/events.go
+++ b/core/pool/events.go
@@ -219,6 +219,18 @@
 	dispatcher.refresh(target)
 }
 
+// ReportRefused notes that a target refused or reset the connection for a load report: it is down or has restarted.
+//
+// Until a report says which, it gets no work: a target that came back cold after two refused reports was sent as much as
+// it had borne before, and fell over.
+func (dispatcher *Dispatcher) ReportRefused(now time.Time, name core.TargetName) {
+	if target := dispatcher.targets[name]; target != nil && target.probed {
+		target.demandProbe(now)
+		dispatcher.resetLimit(target)
+	}
+	dispatcher.ReportFailed(now, name)
+}
+
 // CacheEvents takes events of a target's prompt cache over.
 func (dispatcher *Dispatcher) CacheEvents(_ time.Time, name core.TargetName, events []core.CacheEvent) {
 	if target := dispatcher.targets[name]; target != nil {
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -64,6 +64,9 @@
 		{"broken", release(func(r *core.Release) { r.Outcome = core.OutcomeBroken }), 2, 0, false},
 		{"slow first token", release(func(r *core.Release) { r.FirstToken = 130 * time.Millisecond }), 2, 2, true},
 		{"fairly slow first token", release(func(r *core.Release) { r.FirstToken = 110 * time.Millisecond }), 8, 8, true},
+		{"report refused", func(dispatcher *Dispatcher, _ core.GrantID) {
+			dispatcher.ReportRefused(simStart.Add(time.Minute), "t0")
+		}, 2, 0, false},
 		{"foreign work", report(core.LoadReport{Start: "1", Running: 3, Waiting: 1}), 8, 4, true},
 		{"aged report", report(core.LoadReport{Start: "1", Running: 3, Age: 2 * time.Second}), 8, 4, true},
 		{"report from before the break", func(dispatcher *Dispatcher, grant core.GrantID) {
--- a/io/daemon/pools.go
+++ b/io/daemon/pools.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"catkincove/core"
@@ -195,9 +197,12 @@
 		return
 	}
 	now := control.now()
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+		owned.dispatcher.ReportRefused(now, name)
+	case err != nil:
 		owned.dispatcher.ReportFailed(now, name)
-	} else {
+	default:
 		owned.dispatcher.Report(now, name, report)
 		owned.planner.Report(now, name, report)
 	}
