--- a/stand/load/count.go
+++ b/stand/load/count.go
@@ -22,6 +22,7 @@
 // outcome is the end of one offered request.
 type outcome struct {
 	arrival Arrival
+	lag     time.Duration // of the generator behind the schedule
 	took    time.Duration
 	first   time.Duration // 0 when nothing was generated
 	last    time.Duration
@@ -63,6 +64,7 @@
 	Seed                     uint64
 	Rate                     float64 // offered requests per second in the window
 	LoadAverage              string
+	LagP99Ms                 float64 // how late the generator itself was: a starved machine shows here
 	Offered, Finished, Wrong int
 	Attainment               float64 // of offered requests
 	FirstToken, TokenGap     float64 // attainment of their objectives among the requests with tokens
@@ -89,11 +91,12 @@
 
 // judge fills in what the callers saw; only requests that arrived in the window count.
 func (report *Report) judge(mix Mix, outcomes []outcome, window time.Duration) {
-	latency := hdrhistogram.New(1, longestNoted, digits)
+	latency, lag := hdrhistogram.New(1, longestNoted, digits), hdrhistogram.New(1, longestNoted, digits)
 	groups := map[string][2]int{}
 	withTokens, quick, smooth, attained := 0, 0, 0, 0
 	for _, outcome := range outcomes {
 		report.Offered++
+		_ = lag.RecordValue(max(1, outcome.lag.Microseconds()))
 		good := outcome.attained()
 		count(groups, outcome.arrival, good)
 		if outcome.err == nil && !outcome.right {
@@ -112,6 +115,7 @@
 	report.Attainment = ratio(attained, report.Offered)
 	report.FirstToken, report.TokenGap = ratio(quick, withTokens), ratio(smooth, withTokens)
 	report.Rate = float64(report.Offered) / window.Seconds()
+	report.LagP99Ms = milliseconds(lag, 99)
 	report.P50Ms, report.P99Ms = milliseconds(latency, 50), milliseconds(latency, 99)
 	report.Groups = map[string]float64{}
 	for name, counts := range groups {
--- a/stand/load/run.go
+++ b/stand/load/run.go
@@ -195,8 +195,8 @@
 func (run *run) send(ctx context.Context, number int, arrival Arrival) {
 	ctx, cancel := context.WithTimeout(ctx, arrival.Kind.Deadline+callerPatience)
 	defer cancel()
-	result := outcome{arrival: arrival}
 	offered := run.began.Add(arrival.At)
+	result := outcome{arrival: arrival, lag: time.Since(offered)}
 	answer, err := run.system.send(ctx, number, arrival, func(count int) {
 		result.last = time.Since(offered)
 		if result.tokens == 0 {
