--- a/io/daemon/pools.go
+++ b/io/daemon/pools.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"catkincove/core"
@@ -233,9 +235,12 @@
 	if err == nil {
 		owned.planner.Report(now, name, report)
 	}
-	if err != nil || !owned.holdsModel(report) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+		owned.dispatcher.ReportRefused(now, name)
+	case err != nil, !owned.holdsModel(report):
 		owned.dispatcher.ReportFailed(now, name)
-	} else {
+	default:
 		owned.dispatcher.Report(now, name, report)
 	}
 	control.deliver(owned)
