Name a daemon that is cut off as unconfirmed when its lease ends first

Cause: while the operator waits up to 3 s for confirmations, a daemon that is cut off loses its lease of 3 s and leaves the view, and the answer turned into InForce although the daemon may still run. Ruled out: a hole in the proxies between daemons. There was one in the harness (the system gives one local port to several connections, so that a link was taken for another); with it closed the answer was still wrong. Conclusion: once named as unconfirmed, a daemon stays so until it confirms.

--- a/io/daemon/tickets.go
+++ b/io/daemon/tickets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"catkincove/core"
@@ -52,6 +53,9 @@
 }
 
 // confirmations fills in which daemons have the revision of a ticket in force.
+//
+// A daemon that was named as unconfirmed before stays so when it is no longer a member: one that is cut off loses its
+// lease while the operator waits, but may still run.
 func (daemon *Daemon) confirmations(ctx context.Context, body *entry.TicketBody) error {
 	return daemon.loop.Do(ctx, func() {
 		control := &daemon.control
@@ -60,14 +64,22 @@
 		for _, id := range control.tracker.ConfirmedBy(revision) {
 			confirmed[id] = true
 		}
+		former := body.Unconfirmed
 		body.Confirmed, body.Unconfirmed = nil, nil
-		for _, id := range control.view.Live(control.now()) {
+		live := control.view.Live(control.now())
+		for _, id := range live {
 			if confirmed[id] {
 				body.Confirmed = append(body.Confirmed, string(id))
 			} else {
 				body.Unconfirmed = append(body.Unconfirmed, string(id))
 			}
 		}
+		for _, name := range former {
+			id := core.MemberID(name)
+			if !confirmed[id] && !slices.Contains(live, id) {
+				body.Unconfirmed = append(body.Unconfirmed, name)
+			}
+		}
 		body.State = ticketState(control.tracker.Accepted(revision), len(body.Unconfirmed))
 	})
 }
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -69,6 +69,7 @@
 	ticket  int64
 	links   bool       // each pair of daemons has a proxy of its own
 	mutex   sync.Mutex // guards daemons against the goroutines of switchboards
+	sockets sockets
 }
 
 // startFleet starts the platform and daemons spread over its data centres, and applies the world's configuration.
--- a/proof/links_test.go
+++ b/proof/links_test.go
@@ -1,7 +1,6 @@
 package proof
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"time"
 
 	"catkincove/stand/fault"
 )
@@ -49,8 +49,12 @@
 
 func (board *switchboard) pass(down net.Conn) {
 	defer func() { _ = down.Close() }()
+	from, known := board.fleet.dialler(down.RemoteAddr().String() + " " + down.LocalAddr().String())
+	if !known {
+		return
+	}
 	target := board.front.Address()
-	if from := board.fleet.dialler(down.RemoteAddr().String()); from != "" {
+	if from != "" {
 		target = board.link(from).Address()
 	}
 	up, err := net.Dial("tcp", target)
@@ -78,46 +82,80 @@
 	return board.links[from]
 }
 
-// dialler returns the name of the daemon whose socket has the local address, or nothing.
-func (fleet *fleet) dialler(address string) string {
-	inode := socketInode(address)
-	if inode == "" {
-		return ""
+// sockets is who holds which TCP socket of this machine, by its own and the other address: the system gives one local
+// port to several connections with different destinations.
+type sockets struct {
+	mutex sync.Mutex
+	taken time.Time
+	names map[string]string
+}
+
+// dialler returns the name of the daemon whose socket has the addresses, and nothing for the test process.
+//
+// A read of /proc/net/tcp can miss a socket while others come and go, so that it is repeated.
+func (fleet *fleet) dialler(addresses string) (name string, known bool) {
+	const tries = 10
+	for range tries {
+		if name, known = fleet.sockets.find(fleet, addresses, time.Now()); known {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// find uses a table that was read after the connection came; connections that come together share one.
+func (sockets *sockets) find(fleet *fleet, addresses string, came time.Time) (string, bool) {
+	const pause = 10 * time.Millisecond // keeps the processor free when many connections are refused
+	sockets.mutex.Lock()
+	defer sockets.mutex.Unlock()
+	if sockets.taken.Before(came) {
+		time.Sleep(pause)
+		sockets.taken = time.Now()
+		sockets.names = fleet.socketNames()
 	}
+	name, known := sockets.names[addresses]
+	return name, known
+}
+
+func (fleet *fleet) socketNames() map[string]string {
 	fleet.mutex.Lock()
-	daemons := append([]*process{}, fleet.daemons...)
+	processes := map[string]int{"": os.Getpid()}
+	for _, daemon := range fleet.daemons {
+		processes[daemon.name] = daemon.command.Process.Pid
+	}
 	fleet.mutex.Unlock()
-	for _, daemon := range daemons {
-		files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", daemon.command.Process.Pid))
+	sockets := socketAddresses()
+	names := map[string]string{}
+	for name, process := range processes {
+		folder := fmt.Sprintf("/proc/%d/fd", process)
+		files, _ := os.ReadDir(folder)
 		for _, file := range files {
-			if name, err := os.Readlink(file); err == nil && name == "socket:["+inode+"]" {
-				return daemon.name
+			link, _ := os.Readlink(filepath.Join(folder, file.Name()))
+			if addresses, found := sockets[link]; found {
+				names[addresses] = name
 			}
 		}
 	}
-	return ""
+	return names
 }
 
-// socketInode returns the inode of the TCP socket with the local IPv4 address, as /proc/net/tcp lists it.
-func socketInode(address string) string {
-	tcp, err := net.ResolveTCPAddr("tcp4", address)
-	if err != nil {
-		return ""
-	}
-	host := tcp.IP.To4()
-	local := fmt.Sprintf("%02X%02X%02X%02X:%04X", host[3], host[2], host[1], host[0], tcp.Port)
-	table, err := os.Open("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	defer func() { _ = table.Close() }()
-	for lines := bufio.NewScanner(table); lines.Scan(); {
-		fields := strings.Fields(lines.Text())
-		if len(fields) > 9 && fields[1] == local {
-			return fields[9]
+// socketAddresses returns both addresses of each IPv4 TCP socket by its name in /proc/PID/fd.
+func socketAddresses() map[string]string {
+	addresses := map[string]string{}
+	data, _ := os.ReadFile("/proc/net/tcp")
+	for line := range strings.Lines(string(data)) {
+		if fields := strings.Fields(line); len(fields) > 9 {
+			addresses["socket:["+fields[9]+"]"] = readAddress(fields[1]) + " " + readAddress(fields[2])
 		}
 	}
-	return ""
+	return addresses
+}
+
+func readAddress(text string) string {
+	var a, b, c, d byte
+	var port int
+	_, _ = fmt.Sscanf(text, "%02X%02X%02X%02X:%04X", &d, &c, &b, &a, &port)
+	return fmt.Sprintf("%d.%d.%d.%d:%d", a, b, c, d, port)
 }
 
 // cutOff separates a daemon from the store and from all other daemons; callers still reach it at its front.
