Pass findings about contents on at once, and pass on that they are cleared

Cause: a daemon kept the gravest finding about a content for 10 min, so a cleared content stayed a suspect for new owners and peers; and findings left the pool's owner only with the next tick of 100 ms, after a retry had reached another pool. Ruled out: the pool's own rules, which take the newer finding. Conclusion: findings are replaced by newer ones as in the pool, and leave the owner with the event that caused them.

--- a/io/daemon/grants.go
+++ b/io/daemon/grants.go
@@ -196,5 +196,8 @@
 		return
 	}
 	owned.dispatcher.Release(control.now(), release)
+	if release.Outcome == core.OutcomeBroken {
+		control.collectSuspects(control.now(), owned)
+	}
 	control.deliver(owned)
 }
--- a/io/daemon/pools.go
+++ b/io/daemon/pools.go
@@ -197,6 +197,7 @@
 	now := control.now()
 	if err != nil {
 		owned.dispatcher.ReportFailed(now, name)
+		control.collectSuspects(now, owned)
 	} else {
 		owned.dispatcher.Report(now, name, report)
 		owned.planner.Report(now, name, report)
--- a/io/daemon/suspects.go
+++ b/io/daemon/suspects.go
@@ -8,7 +8,9 @@
 
 const (
 	suspectLifetime = 10 * time.Minute
-	maxSuspects     = 64 // sent with each heartbeat; crashes of targets are rare
+	clearedLifetime = 30 * time.Second       // in which all daemons learn that a content is cleared
+	ageTolerance    = 100 * time.Millisecond // ages are rounded on the way between daemons
+	maxSuspects     = 64                     // sent with each heartbeat; crashes of targets are rare
 )
 
 // suspects are the findings about request contents of all pools and daemons, passed on with heartbeats.
@@ -27,7 +29,7 @@
 	for _, suspect := range list {
 		at := now.Add(-suspect.Age)
 		held, known := suspects.found[suspect.Fingerprint]
-		if suspect.Age > suspectLifetime || (known && held.state >= suspect.State) {
+		if suspect.Age > lifetime(suspect.State) || (known && !held.yieldsTo(suspect.State, at)) {
 			continue
 		}
 		if suspects.found == nil {
@@ -39,12 +41,26 @@
 	return changed
 }
 
+func lifetime(state core.SuspectState) time.Duration {
+	if state == core.SuspectNone {
+		return clearedLifetime
+	}
+	return suspectLifetime
+}
+
+// yieldsTo reports whether another finding is newer, or graver at the same time. A cleared content has a newer finding;
+// without it the content would run alone, or be refused, until the old one ends.
+func (finding finding) yieldsTo(state core.SuspectState, at time.Time) bool {
+	later := at.Sub(finding.at)
+	return later > ageTolerance && state != finding.state || later >= -ageTolerance && state > finding.state
+}
+
 // list returns the findings for a heartbeat and forgets old ones.
 func (suspects *suspects) list(now time.Time) []core.Suspect {
 	var list []core.Suspect
 	for print, finding := range suspects.found {
 		age := core.Elapsed(finding.at, now)
-		if age > suspectLifetime {
+		if age > lifetime(finding.state) {
 			delete(suspects.found, print)
 			continue
 		}
