Bound the targets that one content crashes, and blame no request that sent nothing

Causes: (1) after a broken attempt the retry went to a pool whose owner did not know the finding yet, so a content crashed a third target; (2) a refused connection counted as a crash by the request that was refused, and a suspect that met two targets of a lost data centre was put in quarantine; (3) a pool of two targets could never show three crashes, so a lost data centre was never recognised there. Changes: the grant request says that an earlier attempt broke off, and a stage ends after two of these; releases say that nothing was sent; in a pool of two targets two crashes with different contents count as a failure of the rack. Conclusion: GrantRequest.Suspect and Release.Unsent are additive. A pool with a single target in a lost data centre is still blamed on its contents.

--- a/core/flow/decide.go
+++ b/core/flow/decide.go
@@ -39,6 +39,7 @@
 		Took:       took,
 		Start:      reply.info.Start,
 		Tokens:     attempt.tokens,
+		Unsent:     !attempt.sent,
 	})
 	if reply.err == nil {
 		stage.grant, stage.useful = permit.Grant, took
@@ -49,6 +50,9 @@
 	if attempt.sent {
 		stage.wasted += took
 	}
+	if attempt.sent && outcome == core.OutcomeBroken {
+		stage.broken++
+	}
 	stage.run.worked = stage.run.worked || outcome == core.OutcomeFailed || attempt.tokens > 0
 	stage.log.Warn().Int("attempt", attempt.number).Str("target", string(permit.Grant.Target)).Bool("sent", attempt.sent).
 		Msg("flow: attempt failed: " + reply.err.Error())
--- a/core/flow/run.go
+++ b/core/flow/run.go
@@ -19,6 +19,9 @@
 	// maxDetours bounds the attempts of a request that used no retry: permits that expired, pools without
 	// capacity and targets that rejected the call.
 	maxDetours = 8
+	// mostBroken ends a stage of which two attempts broke off: its content may crash targets, and a third one in another
+	// pool would fall before the findings about the first two are known there.
+	mostBroken = 2
 	// ownerWait is how long a stage waits for pools without an owner: a drained daemon's pools have a new owner after
 	// the handover gap of 1.25 s.
 	ownerWait  = 2 * time.Second
--- a/core/flow/stage.go
+++ b/core/flow/stage.go
@@ -33,6 +33,7 @@
 	excluded []core.TargetName
 	again    bool // all pools have been tried once
 	awaited  time.Duration
+	broken   int // attempts that broke off after a byte was sent
 	last     error
 	attempts int
 	grant    core.Grant // of the attempt that counted
@@ -197,6 +198,7 @@
 		Priority:    run.request.Priority,
 		Revision:    run.runner.revision(),
 		Exclude:     slices.Clone(stage.excluded),
+		Suspect:     stage.broken > 0,
 	})
 	stage.queued += run.runner.clock().Now().Sub(asked)
 	return permit, err
@@ -240,7 +242,7 @@
 	if err := stage.affordable(); err != nil {
 		return err
 	}
-	if run.retries >= run.plan.Limits().RetriesPerRequest || !run.runner.budget().Take() {
+	if stage.broken >= mostBroken || run.retries >= run.plan.Limits().RetriesPerRequest || !run.runner.budget().Take() {
 		return stage.exhausted()
 	}
 	run.retries++
--- a/core/peer.go
+++ b/core/peer.go
@@ -64,6 +64,7 @@
 	Revision    Revision      // configuration in force at the sender
 	Queue       GrantID       // place in the queue from an earlier answer; empty at first
 	Exclude     []TargetName  // targets that failed for this request
+	Suspect     bool          // an earlier attempt of the stage broke off after it was sent
 }
 
 // Grant permits one attempt on one target.
@@ -120,6 +121,7 @@
 	Took       time.Duration
 	Start      string // the target's start identifier from its answer; empty if unknown
 	Tokens     int
+	Unsent     bool // no byte was written; with OutcomeBroken the connection was refused
 }
 
 // ConfigRequest asks a peer for objects changed after the revision.
--- a/core/pool/ask.go
+++ b/core/pool/ask.go
@@ -21,6 +21,10 @@
 		return dispatcher.answer(known)
 	}
 	dispatcher.counters.Asked++
+	if request.Suspect {
+		// The finding of the pool whose target broke off may still be on its way.
+		dispatcher.blame.suspect(now, request.Fingerprint)
+	}
 	entry := dispatcher.newEntry(now, request)
 	if refusal := dispatcher.judge(now, entry); refusal != nil {
 		dispatcher.counters.Refused++
--- a/core/pool/blame.go
+++ b/core/pool/blame.go
@@ -37,6 +37,7 @@
 
 // content is one request that was on a target when it failed.
 type content struct {
+	grant       core.GrantID
 	fingerprint core.Fingerprint
 	alone       bool
 	before      suspicion // to go back to when nobody is blamed
@@ -51,6 +52,7 @@
 
 // blame attributes crashes to contents.
 type blame struct {
+	targets    int // of the pool
 	suspicions map[core.Fingerprint]*suspicion
 	crashes    []*incident // of the last correlationWindow
 }
@@ -114,7 +116,7 @@
 
 // newContent notes a request of a failed target with the present finding.
 func (blame *blame) newContent(entry *entry) content {
-	found := content{fingerprint: entry.fingerprint, alone: entry.alone}
+	found := content{grant: entry.id, fingerprint: entry.fingerprint, alone: entry.alone}
 	if known := blame.suspicions[entry.fingerprint]; known != nil {
 		found.before = *known
 		found.before.running = false
@@ -157,7 +159,8 @@
 			crashesOf[fingerprint]++
 		}
 	}
-	if len(crashedTargets) < correlatedTargets {
+	needed := blame.correlated()
+	if len(crashedTargets) < needed {
 		return
 	}
 	// The latest crash is taken back first, so that the finding before the first one is left.
@@ -165,7 +168,7 @@
 		for _, content := range crash.contents {
 			unexplained := len(crashedTargets) - crashesOf[content.fingerprint]
 			switch {
-			case unexplained >= correlatedTargets-1:
+			case unexplained >= needed-1:
 				blame.restore(now, content)
 			case unexplained > 0:
 				blame.suspectOnly(content.fingerprint)
@@ -174,6 +177,14 @@
 	}
 }
 
+// correlated returns how many targets have to crash for a failure of the rack; a pool of two targets has no third.
+func (blame *blame) correlated() int {
+	if blame.targets == 2 {
+		return 2
+	}
+	return correlatedTargets
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/core/pool/events.go
+++ b/core/pool/events.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"catkincove/core"
@@ -20,6 +21,10 @@
 	}
 	target := entry.target
 	dispatcher.noteStart(now, target, release.Start, entry.granted)
+	if release.Unsent && release.Outcome == core.OutcomeBroken {
+		dispatcher.refused(now, entry)
+		release.Outcome = core.OutcomeUnsent
+	}
 	switch release.Outcome {
 	case core.OutcomeBroken:
 		dispatcher.broke(now, entry)
@@ -87,21 +92,38 @@
 	dispatcher.refresh(target)
 }
 
+// refused opens an incident for the other requests of the target; one that sent no byte cannot have crashed it.
+func (dispatcher *Dispatcher) refused(now time.Time, entry *entry) {
+	target := entry.target
+	if entry.blamed || target.detached {
+		return
+	}
+	dispatcher.suspend(now, target)
+	target.incident.contents = slices.DeleteFunc(target.incident.contents, func(content content) bool {
+		return content.grant == entry.id
+	})
+}
+
 // broke opens an incident; the next load report tells whether the target crashed.
 func (dispatcher *Dispatcher) broke(now time.Time, entry *entry) {
 	target := entry.target
 	if entry.blamed || target.detached {
 		return
 	}
+	dispatcher.suspend(now, target)
+	if !entry.alone {
+		dispatcher.blame.suspect(now, entry.fingerprint)
+	}
+}
+
+// suspend takes a target out of use until the next load report tells whether it crashed.
+func (dispatcher *Dispatcher) suspend(now time.Time, target *target) {
 	dispatcher.resetLimit(target)
 	target.demandProbe(now)
 	dispatcher.refresh(target)
 	if target.incident == nil {
 		target.incident = dispatcher.newIncident(now, target)
 	}
-	if !entry.alone {
-		dispatcher.blame.suspect(now, entry.fingerprint)
-	}
 }
 
 func (dispatcher *Dispatcher) newIncident(now time.Time, target *target) *incident {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -104,6 +104,7 @@
 	}
 	dispatcher.forgetOthers(kept)
 	dispatcher.targets = kept
+	dispatcher.blame.targets = len(kept)
 	slices.SortFunc(dispatcher.order, func(a, b *target) int {
 		return strings.Compare(string(a.declared.Name), string(b.declared.Name))
 	})
--- a/io/peer/wire.go
+++ b/io/peer/wire.go
@@ -57,6 +57,7 @@
 	Revision    int64
 	Queue       string
 	Exclude     []string
+	Suspect     bool
 }
 
 type wireGrant struct {
@@ -88,6 +89,7 @@
 	TookUs       int64
 	Start        string
 	Tokens       int
+	Unsent       bool
 }
 
 type wireConfigRequest struct {
@@ -202,6 +204,7 @@
 		Priority:    request.Priority,
 		Revision:    int64(request.Revision),
 		Queue:       string(request.Queue),
+		Suspect:     request.Suspect,
 	}
 	for _, target := range request.Exclude {
 		wire.Exclude = append(wire.Exclude, string(target))
@@ -225,6 +228,7 @@
 		Priority:    wire.Priority,
 		Revision:    core.Revision(wire.Revision),
 		Queue:       core.GrantID(wire.Queue),
+		Suspect:     wire.Suspect,
 	}
 	for _, target := range wire.Exclude {
 		request.Exclude = append(request.Exclude, core.TargetName(target))
@@ -287,6 +291,7 @@
 		TookUs:       release.Took.Microseconds(),
 		Start:        release.Start,
 		Tokens:       release.Tokens,
+		Unsent:       release.Unsent,
 	}
 }
 
@@ -299,6 +304,7 @@
 		Took:       time.Duration(wire.TookUs) * time.Microsecond,
 		Start:      wire.Start,
 		Tokens:     wire.Tokens,
+		Unsent:     wire.Unsent,
 	}
 }
 
