--- a/core/peer.go
+++ b/core/peer.go
@@ -67,6 +67,7 @@
 	// Announce asks whether the stage would be refused if it were due after earlier stages; it gets no place in the
 	// queue, but its work counts as expected until the stage asks.
 	Announce bool
+	Suspect  bool // an earlier attempt of the stage broke off after it was sent
 }
 
 // Grant permits one attempt on one target.
@@ -124,6 +125,7 @@
 	Took       time.Duration
 	Start      string // the target's start identifier from its answer; empty if unknown
 	Tokens     int
+	Unsent     bool // no byte was written; with OutcomeBroken the connection was refused
 }
 
 // ConfigRequest asks a peer for objects changed after the revision.
--- a/core/pool/blame.go
+++ b/core/pool/blame.go
@@ -45,6 +45,7 @@
 
 // content is one request that was on a target when it failed.
 type content struct {
+	grant       core.GrantID
 	fingerprint core.Fingerprint
 	alone       bool
 	before      finding // to go back to when nobody is blamed
@@ -59,6 +60,7 @@
 
 // blame attributes crashes to contents.
 type blame struct {
+	targets    int // of the pool
 	suspicions map[core.Fingerprint]*suspicion
 	crashes    []*incident // of the last correlationWindow
 }
@@ -128,7 +130,7 @@
 
 // newContent notes a request of a failed target with the present finding.
 func (blame *blame) newContent(entry *entry) content {
-	found := content{fingerprint: entry.fingerprint, alone: entry.alone}
+	found := content{grant: entry.id, fingerprint: entry.fingerprint, alone: entry.alone}
 	if known := blame.suspicions[entry.fingerprint]; known != nil {
 		found.before = known.finding
 	}
@@ -169,7 +171,8 @@
 			crashesOf[fingerprint]++
 		}
 	}
-	if len(crashedTargets) < correlatedTargets {
+	needed := blame.correlated()
+	if len(crashedTargets) < needed {
 		return
 	}
 	for _, crash := range blame.crashes {
@@ -202,6 +205,14 @@
 	}
 }
 
+// correlated returns how many targets have to crash for a failure of the rack; a pool of two targets has no third.
+func (blame *blame) correlated() int {
+	if blame.targets == 2 {
+		return 2
+	}
+	return correlatedTargets
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/io/daemon/pools.go
+++ b/io/daemon/pools.go
@@ -243,5 +243,8 @@
 	default:
 		owned.dispatcher.Report(now, name, report)
 	}
+	if err != nil {
+		control.collectSuspects(now, owned)
+	}
 	control.deliver(owned)
 }
--- a/io/peer/wire.go
+++ b/io/peer/wire.go
@@ -58,6 +58,7 @@
 	Queue       string
 	Exclude     []string
 	Announce    bool
+	Suspect     bool
 }
 
 type wireGrant struct {
@@ -89,6 +90,7 @@
 	TookUs       int64
 	Start        string
 	Tokens       int
+	Unsent       bool
 }
 
 type wireConfigRequest struct {
@@ -208,6 +210,7 @@
 		Revision:    int64(request.Revision),
 		Queue:       string(request.Queue),
 		Announce:    request.Announce,
+		Suspect:     request.Suspect,
 	}
 	for _, target := range request.Exclude {
 		wire.Exclude = append(wire.Exclude, string(target))
@@ -232,6 +235,7 @@
 		Revision:    core.Revision(wire.Revision),
 		Queue:       core.GrantID(wire.Queue),
 		Announce:    wire.Announce,
+		Suspect:     wire.Suspect,
 	}
 	for _, target := range wire.Exclude {
 		request.Exclude = append(request.Exclude, core.TargetName(target))
@@ -294,6 +298,7 @@
 		TookUs:       release.Took.Microseconds(),
 		Start:        release.Start,
 		Tokens:       release.Tokens,
+		Unsent:       release.Unsent,
 	}
 }
 
@@ -306,6 +311,7 @@
 		Took:       time.Duration(wire.TookUs) * time.Microsecond,
 		Start:      wire.Start,
 		Tokens:     wire.Tokens,
+		Unsent:     wire.Unsent,
 	}
 }
 
