Drop members whose VMs the platform's list no longer shows

Cause: when half or more of the daemons die at once, the rest is no store quorum, so that their pools stay without owners although the store is up (TestMostDaemonsEnded: no owners within 20 s). Ruled out: dropping silent members, which a partition would abuse; an operator's command, since the expert is often away. A process that dies on a VM that lives on is still counted until it restarts at its address.

--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -36,6 +36,8 @@
 	departed bool      // a member that has gone is still counted in quorums
 
 	suspects suspects
+	vms      vmWatch
+	records  map[core.MemberID]member.Record // of all members that quorums are counted over
 }
 
 func newControl(daemon *Daemon, seed uint64) control {
@@ -84,6 +86,7 @@
 	}
 	control.listed = true
 	control.refreshMembers()
+	control.noteRecords()
 	control.publish()
 }
 
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -184,6 +184,7 @@
 	daemon.add(ctx, &group, daemon.tick)
 	daemon.add(ctx, &group, daemon.beat)
 	daemon.add(ctx, &group, daemon.join)
+	daemon.add(ctx, &group, daemon.watchVMs)
 	daemon.add(ctx, &group, daemon.sweep)
 	daemon.add(ctx, &group, func(ctx context.Context) error { return daemon.drain(ctx, server) })
 	daemon.log.Info().Str("address", daemon.address).Str("member", string(daemon.id)).Msg("daemon: serving")
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -20,6 +20,7 @@
 	"catkincove/io/entry"
 	"catkincove/io/inifmt"
 	"catkincove/stand/fault"
+	"catkincove/stand/vmlist"
 	"catkincove/stand/world"
 )
 
@@ -59,6 +60,7 @@
 	board   *switchboard // nil unless the fleet separates the links between daemons
 	log     string       // path of the log file
 	exited  chan error
+	ended   func() // takes the VM off the platform's list
 }
 
 // fleet is a running system: the platform's stand-ins and daemons.
@@ -68,6 +70,7 @@
 	daemons []*process
 	client  *caller.Client
 	ticket  int64
+	alone   bool       // further daemons know neither seeds nor the list of VMs
 	seeds   bool       // further daemons are told the addresses of those that run
 	links   bool       // each pair of daemons has a proxy of its own
 	mutex   sync.Mutex // guards daemons against the goroutines of switchboards
@@ -193,6 +196,11 @@
 [Store]
 Endpoints = http://%s
 `, name, listen, advertise, dataCentre, testKeepFor, daemon.store.Address())
+	if !fleet.alone {
+		settings += "\n[VMList]\nURL = http://" + fleet.world.ListServer.Address() + "/vms\n"
+	}
+	fleet.world.VMs.Set(vmlist.VM{Address: advertise, DataCentre: dataCentre, State: vmlist.Live})
+	daemon.ended = func() { fleet.world.VMs.Set(vmlist.VM{Address: advertise, State: vmlist.Gone}) }
 	if fleet.seeds {
 		settings += "\n[Peers]\nSeeds = " + strings.Join(fleet.newClient("").Seeds, ", ") + "\n"
 	}
--- a/proof/loss_test.go
+++ b/proof/loss_test.go
@@ -59,3 +59,19 @@
 		t.Errorf("status is %s (%v), expected a confirmed daemon", data, err)
 	}
 }
+
+// TestMostDaemonsEnded guards against pools that stay without owners when so many VMs end at once that the rest is no
+// store quorum; the platform's list shows that they have ended.
+func TestMostDaemonsEnded(t *testing.T) {
+	t.Parallel()
+	fleet := startFleet(t, 5, world.Options{})
+	time.Sleep(3 * time.Second) // the daemons have read the list: a VM that was never on it proves nothing
+	for _, daemon := range fleet.daemons[:3] {
+		daemon.kill()
+		daemon.ended()
+	}
+	ended := time.Now()
+	fleet.daemons = fleet.daemons[3:]
+	fleet.served()
+	t.Logf("all pools were granted on again after %v", time.Since(ended))
+}
--- a/proof/start_test.go
+++ b/proof/start_test.go
@@ -15,6 +15,7 @@
 func TestStartWithoutStore(t *testing.T) {
 	t.Parallel()
 	fleet := startFleet(t, 3, world.Options{})
+	fleet.alone = true
 	fresh := fleet.startWith("fresh", "north", fault.Cut)
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(pollInterval) {
 		response, err := http.Get("http://" + fresh.address() + "/readyz")
