Compare ways to count teams over a window

Service-level reports and fairness between teams might use the number of requests that each team sent in the last 5 minutes over all daemons. `standin measure-window` compares periodic sums, threshold tracking after Cormode and Yi and the present pull, in virtual time and on the same load.

The list of falling levels is sent once at the cut: one message for each step has the same steps and one envelope more for each. Exact times in place of an exponential histogram: a daemon has about 1,000 requests in a window.

Tests seen to fail on a broken copy: another call than that of the level in the list, levels of 1+2 epsilon, counts kept over a cut, pending calls kept after a message, the wrong oldest bucket, a doubled period, the inverse weight. A second turn of the ring before each message made no difference to any test and is left out.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -37,6 +37,7 @@
 		Flags: []cli.Flag{&cli.StringFlag{Name: "address", Value: "127.0.0.1:0", Usage: "listening IP:port"}},
 		Commands: []*cli.Command{
 			storeCommand(), vmlistCommand(), modelCommand(), plainCommand(), proxyCommand(), measureCommand(), loadCommand(),
+			measureWindow(),
 		},
 	}
 }
