Shorten the comparison of window counters

The text line cut the names of figures to four letters, because the precision of a format applies to strings too.

--- a/stand/bench/window.go
+++ b/stand/bench/window.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -48,8 +49,9 @@
 	return ways
 }
 
-// WindowResult is what one way to count teams costs and how well it counts; a Spread runs over the seeds. Bytes are a
-// second and daemon, payload only; AnswerBytes is one daemon's answer to GET /v1/report after days; State is bytes beyond core/burn; errors are relative to the count of the last 5 minutes.
+// WindowResult is what one way to count teams costs and how well it counts; a Spread runs over the seeds. Messages and
+// bytes are a second and daemon, payload only, but AnswerBytes, which is one answer to GET /v1/report of a daemon that
+// ran for days. States are bytes beyond core/burn. Errors are relative to the count of the last 5 minutes.
 type WindowResult struct {
 	WindowShape
 	Counter string
@@ -58,22 +60,25 @@
 
 // String returns the result as one line for people.
 func (result WindowResult) String() string {
-	return fmt.Sprintf("%s, %d sites, {min median max}: %.4v", result.Counter, result.Sites, result.Figures)
+	text := fmt.Sprintf("%s, %d sites:", result.Counter, result.Sites)
+	for _, name := range slices.Sorted(maps.Keys(result.Figures)) {
+		text += fmt.Sprintf(" %s %.4g", name, result.Figures[name])
+	}
+	return text + " (min, median, max)"
 }
 
 // MeasureWindow runs all ways to count teams on the same load, once for each of the seeds from 1.
-func MeasureWindow(shape WindowShape, seeds int) []WindowResult {
-	results := make([]WindowResult, len(newWays(shape)))
-	values := make([]map[string][]float64, len(results))
+func MeasureWindow(shape WindowShape, seeds int) (results []WindowResult) {
+	values := map[string][]float64{}
 	for seed := range seeds {
 		for number, way := range runWindow(shape, uint64(seed+1)) {
 			if seed == 0 {
-				results[number] = WindowResult{WindowShape: shape, Counter: way.name, Figures: map[string]Spread{}}
-				values[number] = map[string][]float64{}
+				results = append(results, WindowResult{shape, way.name, map[string]Spread{}})
 			}
 			for name, figure := range way.figures() {
-				values[number][name] = append(values[number][name], figure)
-				results[number].Figures[name] = SpreadOf(values[number][name])
+				key := way.name + name
+				values[key] = append(values[key], figure)
+				results[number].Figures[name] = SpreadOf(values[key])
 			}
 		}
 	}
@@ -163,8 +168,7 @@
 func answerBytes(teams int) float64 {
 	recorder := &burn.Recorder{}
 	for team := range teams {
-		name := core.TeamName(teamName(team))
-		recorder.Record(core.RequestRecord{Pipeline: "ask", Team: name, Took: time.Second, Deadline: time.Second})
+		recorder.Record(core.RequestRecord{Pipeline: "ask", Team: core.TeamName(teamName(team)), Deadline: time.Second})
 	}
 	var answer bytes.Buffer
 	_ = report.JSON(&answer, recorder.Report(time.Now()), nil) // a buffer takes all writes
--- a/stand/bench/windowload.go
+++ b/stand/bench/windowload.go
@@ -82,13 +82,9 @@
 }
 
 func (rows rows) encodeJSON(site, number int) []byte {
-	type wireRow struct {
-		Team   string
-		Counts []int
-	}
-	var teams []wireRow
+	var teams []map[string]any
 	for team, figures := range rows {
-		teams = append(teams, wireRow{teamName(team), figures})
+		teams = append(teams, map[string]any{"Team": teamName(team), "Counts": figures})
 	}
 	from := fmt.Sprintf("d%d-01KCQ4G6T2M9V0W3X5Y7Z8ABCD", site)
 	data, _ := json.Marshal(map[string]any{"From": from, "Number": number, "Teams": teams}) // always has a JSON form
--- a/stand/bench/windowsum.go
+++ b/stand/bench/windowsum.go
@@ -41,7 +41,12 @@
 
 func (sums *sums) advance(now time.Duration) {
 	for sums.due <= now && sums.period > 0 {
-		sums.send(sums.sends % len(sums.pending))
+		site := sums.sends % len(sums.pending)
+		for _, call := range sums.pending[site] {
+			sums.deliver(call)
+		}
+		sums.record(site, sums.newest, rowsOf(sums.pending[site], sumWidth))
+		sums.pending[site] = sums.pending[site][:0]
 		sums.sends++
 		sums.due = sums.period * time.Duration(sums.sends) / time.Duration(len(sums.pending))
 	}
@@ -58,15 +63,6 @@
 	}
 }
 
-func (sums *sums) send(site int) {
-	pending := sums.pending[site]
-	for _, call := range pending {
-		sums.deliver(call)
-	}
-	sums.record(site, sums.newest, rowsOf(pending, sumWidth))
-	sums.pending[site] = pending[:0]
-}
-
 func (sums *sums) estimate(team int, now time.Duration) float64 {
 	sum, past := 0, 1.0
 	for _, count := range sums.asker[team] {
