--- a/proof/match_test.go
+++ b/proof/match_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -31,6 +32,9 @@
 	mostTokens        = 64
 )
 
+// swapping are the targets that answer with the identifiers of another request.
+var swapping = []string{"generate-north-1", "stock-north-1"}
+
 // tokenLog collects the token events of one request since its last beginning.
 type tokenLog struct {
 	text  strings.Builder
@@ -92,6 +96,11 @@
 	case log.text.String() != body.Answer || log.count != len(tokens):
 		return fmt.Sprintf("%d tokens %q streamed, answer %q", log.count, log.text.String(), body.Answer)
 	}
+	for _, stage := range body.Trace {
+		if slices.Contains(swapping, stage.Target) {
+			return "the answer of " + stage.Target + " was taken, although it names another request"
+		}
+	}
 	for i, passage := range body.Passages {
 		if passage.ID != passages[i].ID {
 			return fmt.Sprintf("passage %d is %s, expected %s", i, passage.ID, passages[i].ID)
@@ -138,6 +147,7 @@
 				if number%2 == 0 {
 					request = assistant(number)
 				}
+				request.Body.Trace = true
 				matcher.send(client, request)
 			}
 		})
@@ -170,8 +180,9 @@
 	}
 	fleet := startFleet(t, 4, options)
 	generators := fleet.world.Of("generate", "")
-	generators[0].SetFaults(engine.Faults{SwapIDs: true})
-	fleet.world.Of("stock", "north")[0].SetFaults(engine.Faults{SwapIDs: true})
+	for _, name := range swapping {
+		fleet.world.Target(core.TargetName(name)).SetFaults(engine.Faults{SwapIDs: true})
+	}
 	ended := make(chan struct{})
 	var disturber sync.WaitGroup
 	disturber.Go(func() {
--- a/proof/outage_test.go
+++ b/proof/outage_test.go
@@ -165,21 +165,21 @@
 	})
 	t.Run("data centre out and its daemons killed", func(t *testing.T) {
 		t.Parallel()
-		fleet := startFleet(t, 6, world.Options{})
+		// Two daemons in each of three data centres, so that the rest holds two thirds.
+		fleet := startFleet(t, 6, world.Options{DataCentres: []config.DataCentre{
+			{Name: "north", Region: "coast"}, {Name: "south", Region: "coast"}, {Name: "east", Region: "coast"},
+		}})
 		owners := fleet.watchOwners()
 		load := startLoad(fleet.client, 25*time.Millisecond, lookup)
 		time.Sleep(time.Second)
 		fleet.apply(place("south", config.Out))
 		accepted := time.Now()
-		for i, daemon := range fleet.daemons {
-			if i%2 == 1 {
-				daemon.kill()
-			}
-		}
+		fleet.daemons[1].kill()
+		fleet.daemons[4].kill()
 		time.Sleep(stopBound - time.Since(accepted))
 		before := fleet.received("south")
 		fleet.world.Lose("south")
-		fleet.recovered([]*process{fleet.daemons[0], fleet.daemons[2], fleet.daemons[4]})
+		fleet.recovered([]*process{fleet.daemons[0], fleet.daemons[2], fleet.daemons[3], fleet.daemons[5]})
 		if during := fleet.received("south") - before; during != 0 {
 			t.Errorf("%d new calls to the data centre after %v", during, stopBound)
 		}
@@ -189,6 +189,16 @@
 	})
 }
 
+// TestHalfOfTheDaemonsKilled guards against pools that stay without an owner when more than a third of the daemons die
+// at once while the store is up: two data centres, of which one loses its daemons.
+func TestHalfOfTheDaemonsKilled(t *testing.T) {
+	t.Parallel()
+	fleet := startFleet(t, 4, world.Options{})
+	fleet.daemons[1].kill()
+	fleet.daemons[3].kill()
+	fleet.recovered([]*process{fleet.daemons[0], fleet.daemons[2]})
+}
+
 // recovered waits until each daemon finishes a request at once and takes a ticket.
 func (fleet *fleet) recovered(daemons []*process) {
 	fleet.t.Helper()
--- a/proof/silent_test.go
+++ b/proof/silent_test.go
@@ -35,29 +35,31 @@
 	name    string
 	silence func(fleet *fleet, targets []*fault.Proxy)
 	bound   time.Duration // of the requests in flight
+	// attempts of the caller in that time: a second one of a daemon's error would have a deadline of its own.
+	attempts int
 }
 
 var silentLinks = []silentLink{
 	{"caller and daemon", func(fleet *fleet, _ []*fault.Proxy) {
 		_ = fleet.daemons[0].front.SetMode(fault.Silent)
-	}, callerBound},
+	}, callerBound, 2},
 	{"daemon and targets", func(_ *fleet, targets []*fault.Proxy) {
 		for _, proxy := range targets {
 			_ = proxy.SetMode(fault.Silent)
 		}
-	}, pipelineBound},
+	}, pipelineBound, 1},
 	{"daemon and daemons", func(fleet *fleet, _ []*fault.Proxy) {
 		for _, to := range fleet.daemons {
 			for _, from := range fleet.daemons {
 				_ = to.board.link(from.name).SetMode(fault.Silent)
 			}
 		}
-	}, pipelineBound},
+	}, pipelineBound, 1},
 	{"daemons and store", func(fleet *fleet, _ []*fault.Proxy) {
 		for _, daemon := range fleet.daemons {
 			_ = daemon.store.SetMode(fault.Silent)
 		}
-	}, pipelineBound},
+	}, pipelineBound, 1},
 }
 
 // TestSilentConnections guards against requests that hang when the open connections of one kind of link go silent, and
@@ -77,7 +79,9 @@
 				return proxy.Address()
 			}}
 			fleet := startLinkedFleet(t, 3, options)
-			load := startLoad(fleet.plainClient(fleet.daemons...), 30*time.Millisecond, lookup)
+			client := fleet.plainClient(fleet.daemons...)
+			client.Attempts = link.attempts
+			load := startLoad(client, 30*time.Millisecond, lookup)
 			time.Sleep(2 * time.Second)
 			link.silence(fleet, targets)
 			began := time.Now()
@@ -91,13 +95,16 @@
 			time.Sleep(pipelineBound - time.Since(began))
 			settled := startLoad(fleet.plainClient(fleet.daemons...), 30*time.Millisecond, lookup)
 			time.Sleep(2 * time.Second)
-			for _, result := range load.stop() {
+			inFlight := load.stop()
+			count, first := failures(inFlight)
+			t.Logf("%d of %d requests in flight and after failed%s", count, len(inFlight), first)
+			for _, result := range inFlight {
 				if result.took > link.bound {
 					t.Errorf("%s took %v, bound %v: %v", result.question, result.took, link.bound, result.err)
 				}
 			}
 			results := settled.stop()
-			count, first := failures(results)
+			count, first = failures(results)
 			for _, result := range results {
 				if result.took > atOnceBound {
 					count++
