Count attempts only where a pool was asked, and name both files of a reused ticket number

Cause: read as a newcomer, the demo's trace showed 31 attempts for a stage that had waited for its pool's owner, and check named neither of two files with the same ticket number. Ruled out: hiding the wait, which the trace shows as time.

--- a/core/flow/stage.go
+++ b/core/flow/stage.go
@@ -227,7 +227,8 @@
 	}
 	stage.skipped[pool] = true
 	if errors.Is(failure, core.ErrNoOwner) {
-		return errNext // awaitOwner bounds these
+		stage.attempts-- // nobody was asked
+		return errNext   // awaitOwner bounds these
 	}
 	return stage.detour()
 }
--- a/io/tool/check.go
+++ b/io/tool/check.go
@@ -33,7 +33,7 @@
 
 func checkFiles(command *cli.Command, files []string) error {
 	var faults []error
-	var tickets []config.Ticket
+	var tickets []fileTicket
 	for _, file := range files {
 		ticket, isTicket, err := checkFile(file)
 		if err != nil {
@@ -41,7 +41,7 @@
 			continue
 		}
 		if isTicket {
-			tickets = append(tickets, ticket)
+			tickets = append(tickets, fileTicket{file, ticket})
 		}
 		printf(command, "%s: ok\n", file)
 	}
@@ -80,15 +80,22 @@
 	return false
 }
 
+// fileTicket is a ticket with the file that it was read from.
+type fileTicket struct {
+	file   string
+	ticket config.Ticket
+}
+
 // checkResult applies the tickets to an empty configuration; With keeps the higher ticket number, whatever the order.
-func checkResult(tickets []config.Ticket) error {
+func checkResult(tickets []fileTicket) error {
 	var result config.Config
-	numbers := map[int64]string{}
-	for _, ticket := range tickets {
-		if hash, used := numbers[ticket.Number]; used && hash != ticket.Hash() {
-			return fmt.Errorf("two tickets with other content have the number %d", ticket.Number)
+	numbers := map[int64]fileTicket{}
+	for _, read := range tickets {
+		ticket := read.ticket
+		if other, used := numbers[ticket.Number]; used && other.ticket.Hash() != ticket.Hash() {
+			return fmt.Errorf("%s and %s: both have ticket number %d, with different content", other.file, read.file, ticket.Number)
 		}
-		numbers[ticket.Number] = ticket.Hash()
+		numbers[ticket.Number] = read
 		objects := make([]config.Object, 0, len(ticket.Objects))
 		for _, object := range ticket.Objects {
 			objects = append(objects, object.WithTicket(ticket.Number))
