Return the caller's last error at once

Cause: the caller library waited for RetryAfter even after its last attempt, so that a refusal came seconds late. Ruled out: a shorter wait; there is nothing to wait for.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -81,7 +81,8 @@
 		}
 		last = err
 		wait, retry := client.judge(address, request, err, attempt)
-		if !retry || ctx.Err() != nil {
+		// The error of the last attempt is returned at once; waiting would only hold the caller back.
+		if !retry || attempt == client.attempts()-1 || ctx.Err() != nil {
 			break
 		}
 		select {
