Return the daemon's error when a caller's context ends in a pause

Cause: after the context had ended in the pause before the next attempt, the caller made that attempt all the same, and its 'context deadline exceeded' (Internal, run unknown) replaced the refusal of the daemon. Ruled out: connections that hang; a dump of goroutines in TestRollingRestart showed all waiting requests in this pause. Seen failing: TestErrorOutlivesTheContext, 'error is Internal ... context deadline exceeded'. After: Overloaded, not run. Conclusion: failures of TestRollingRestart now show their cause (Overloaded).

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -84,14 +84,23 @@
 		if !retry || ctx.Err() != nil {
 			break
 		}
-		select {
-		case <-client.clock().After(wait):
-		case <-ctx.Done():
+		if !client.pause(ctx, wait) {
+			break
 		}
 	}
 	return entry.AnswerBody{}, last
 }
 
+// pause reports false when ctx ends first: another attempt would fail with the context's error and hide the daemon's.
+func (client *Client) pause(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-client.clock().After(wait):
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // judge decides whether the request may be sent again and after which time.
 func (client *Client) judge(address string, request Request, err error, attempt int) (time.Duration, bool) {
 	e := core.AsError(err)
