Estimate the wait at a new owner by requests, not by tokens

Cause: before the first finished request, a pool's owner took the service's least time (of a request) for each unit of work (a token), so that one waiting request of 90 tokens counted as seconds. After a handover it refused all but the first requests with 'expected 30.288s of waiting', and callers waited up to 30 s as they were told. Seen failing: TestNewOwnerQueues, 'expected wait is 3.605s' for 8 waiting requests of 10 ms; TestRollingRestart failed in 3 of 7 runs beside other tests (3, 32 and 79 requests of about 450). Conclusion: the least time is spread over the mean cost of the requests asked for.

--- a/core/pool/ask.go
+++ b/core/pool/ask.go
@@ -26,6 +26,7 @@
 		dispatcher.blame.suspect(now, request.Fingerprint)
 	}
 	entry := dispatcher.newEntry(now, request)
+	dispatcher.pace.ask(entry.cost)
 	if refusal := dispatcher.judge(now, entry); refusal != nil {
 		dispatcher.counters.Refused++
 		return core.GrantReply{Refused: refusal, Summary: dispatcher.Summary(now)}
--- a/core/pool/pace.go
+++ b/core/pool/pace.go
@@ -14,6 +14,15 @@
 	mean      float64 // nanoseconds per unit of work; 0 before the first sample
 	deviation float64
 	cost      float64 // mean cost of a request
+	asked     float64 // mean cost of the requests asked for; the same before the first sample
+}
+
+// ask notes the cost of a request that is asked for.
+func (pace *pace) ask(cost int) {
+	if pace.asked == 0 {
+		pace.asked = float64(cost)
+	}
+	pace.asked += paceGain * (float64(cost) - pace.asked)
 }
 
 func (pace *pace) note(took time.Duration, cost int) {
@@ -41,7 +50,10 @@
 func (pace *pace) wait(ahead, slots int, least time.Duration) time.Duration {
 	perWork, cost := pace.mean, pace.cost
 	if perWork == 0 {
-		perWork, cost = float64(least), 1
+		// The least time is that of a whole request. Counted for each unit of work (token), it made a new owner refuse
+		// everything behind one waiting request.
+		cost = max(1, pace.asked)
+		perWork = float64(least) / cost
 	}
 	return time.Duration((float64(ahead) + cost) * perWork / float64(max(1, slots)))
 }
