Dial a peer again after a call without an answer

Cause: after a grant request had timed out, further ones used the same HTTP/2 connection until its pings failed after 3 s; each cost 1 s, and requests reached their deadline of 5 s without an owner of their pool. Ruled out: the rest of the path; silent links to callers, targets and the store passed in the same runs. Conclusion: each peer address has a client of its own, which is replaced after a timeout; calls in progress are not cut.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"catkincove/core"
@@ -18,7 +20,8 @@
 	pingInterval   = time.Second
 	pingTimeout    = 2 * time.Second
 	connectTimeout = time.Second
-	maxAnswerBytes = 16 << 20 // a full configuration of 5,800 teams and 1,300 targets is about 3 MB
+	idleTimeout    = 30 * time.Second // heartbeats come every 0.5 s; only abandoned connections are idle for so long
+	maxAnswerBytes = 16 << 20         // a full configuration of 5,800 teams and 1,300 targets is about 3 MB
 )
 
 // Paths of the calls between daemons.
@@ -31,24 +34,56 @@
 
 // Client implements core.Peers over HTTP/2 without TLS; use NewClient.
 type Client struct {
-	http    *http.Client
 	counter *meter.Counter
+	mutex   sync.Mutex
+	clients map[string]*http.Client // by address
 }
 
 // NewClient returns a client whose connections are checked by HTTP/2 pings and counted in the counter.
 func NewClient(counter *meter.Counter) *Client {
+	return &Client{counter: counter, clients: map[string]*http.Client{}}
+}
+
+// Close drops idle connections.
+func (client *Client) Close() {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	for _, used := range client.clients {
+		used.CloseIdleConnections()
+	}
+}
+
+// to returns the HTTP client for an address, which has one connection.
+func (client *Client) to(address string) *http.Client {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	if client.clients[address] == nil {
+		client.clients[address] = client.newClient()
+	}
+	return client.clients[address]
+}
+
+func (client *Client) newClient() *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	transport := &http.Transport{
-		Protocols:   protocols,
-		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
-		DialContext: meter.Dialer(&net.Dialer{Timeout: connectTimeout}, counter),
-	}
-	return &Client{http: &http.Client{Transport: transport}, counter: counter}
+	return &http.Client{Transport: &http.Transport{
+		Protocols:       protocols,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+		DialContext:     meter.Dialer(&net.Dialer{Timeout: connectTimeout}, client.counter),
+		IdleConnTimeout: idleTimeout,
+	}}
 }
 
-// Close drops idle connections.
-func (client *Client) Close() { client.http.CloseIdleConnections() }
+// renew makes the next call to an address dial, after one that got no answer in time: its connection may have gone
+// silent, and its pings would show that only after 3 s. Calls in progress on the old connection go on.
+func (client *Client) renew(address string, used *http.Client) {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	if client.clients[address] == used {
+		delete(client.clients, address)
+	}
+	used.CloseIdleConnections()
+}
 
 // Heartbeat exchanges heartbeats with the daemon at the address.
 func (client *Client) Heartbeat(ctx context.Context, address string, heartbeat core.Heartbeat) (core.Heartbeat, error) {
@@ -85,7 +120,11 @@
 	if err != nil {
 		return fmt.Errorf("peer %s: %w", address, err)
 	}
-	response, err := client.http.Do(request)
+	used := client.to(address)
+	response, err := used.Do(request)
+	if errors.Is(err, context.DeadlineExceeded) {
+		client.renew(address, used)
+	}
 	if err != nil {
 		return fmt.Errorf("peer %s: %w", address, err)
 	}
--- a/proof/silent_test.go
+++ b/proof/silent_test.go
@@ -55,14 +55,14 @@
 	}, pipelineBound, 1},
 }
 
-// silentPeers is a test of its own because it is listed in KNOWN-RED.txt.
+// silentPeers is apart because it has failed for a cause of its own: calls that went on using a silent connection.
 var silentPeers = silentLink{"daemon and daemons", func(fleet *fleet, _ []*fault.Proxy) {
-		for _, to := range fleet.daemons {
-			for _, from := range fleet.daemons {
-				_ = to.board.link(from.name).SetMode(fault.Silent)
-			}
+	for _, to := range fleet.daemons {
+		for _, from := range fleet.daemons {
+			_ = to.board.link(from.name).SetMode(fault.Silent)
 		}
-	}, pipelineBound, 1}
+	}
+}, pipelineBound, 1}
 
 // TestSilentConnections guards against requests that hang when the open connections of one kind of link go silent, and
 // against new requests that suffer from it.
