--- a/core/pool/ask.go
+++ b/core/pool/ask.go
@@ -29,6 +29,7 @@
 	if request.Announce {
 		return dispatcher.announce(now, entry)
 	}
+	dispatcher.pace.ask(entry.cost)
 	entry.promised = dispatcher.announced.take(entry)
 	refusal := dispatcher.judge(now, entry)
 	if refusal == nil {
