Hold a content whose break is not yet explained

The trace shows two ways to a third target: the confirmed crash of the first target ended the run alone on the second one, and a content that had just broken off alone reached another pool within 1 ms, while the crash is confirmed by a load report up to 100 ms later. Ruled out: confirming a crash by the broken connection alone, since a reset may come from between the two ends. Now a run alone is ended only by its own grant; an unexplained break of a content that ran alone counts as quarantine, is passed on at once, and is taken back when the target has not restarted; and the daemon that saw two attempts break off refuses the content for 2 s as not run. TestUnexplainedBreakHoldsTheContent fails without either rule of the pool. A second daemon that gets the content within the millisecond before the finding arrives can still run it.

--- a/core/flow/decide.go
+++ b/core/flow/decide.go
@@ -52,6 +52,9 @@
 	}
 	if attempt.sent && outcome == core.OutcomeBroken {
 		stage.broken++
+		if stage.broken >= mostBroken {
+			runner.held.note(runner.clock().Now(), stage.run.print)
+		}
 	}
 	stage.run.worked = stage.run.worked || outcome == core.OutcomeFailed || attempt.tokens > 0
 	stage.log.Warn().Int("attempt", attempt.number).Str("target", string(permit.Grant.Target)).Bool("sent", attempt.sent).
--- a/core/flow/run.go
+++ b/core/flow/run.go
@@ -100,6 +100,9 @@
 	if err := run.checkBodies(); err != nil {
 		return err
 	}
+	if err := run.checkHeld(); err != nil {
+		return err
+	}
 	return run.assignKeys()
 }
 
--- a/core/flow/types.go
+++ b/core/flow/types.go
@@ -40,6 +40,7 @@
 	Member   core.MemberID
 
 	congestion congestion
+	held       held
 	late       atomic.Int64
 	ownBudget  retry.Budget
 	background sync.WaitGroup
--- a/core/pool/blame.go
+++ b/core/pool/blame.go
@@ -30,9 +30,9 @@
 // suspicion is what is known about one content.
 type suspicion struct {
 	finding
-	running    bool      // runs alone at present, or its broken connection is not yet explained
-	heldUntil  time.Time // not run before
-	forgivenAt time.Time // when crashes that coincide last were not blamed on it for the first time
+	running    core.GrantID // with which it runs alone, or whose broken connection is not yet explained
+	heldUntil  time.Time    // not run before
+	forgivenAt time.Time    // when crashes that coincide last were not blamed on it for the first time
 }
 
 // finding is the part of a suspicion that is taken back when nobody is blamed.
@@ -86,24 +86,35 @@
 // mayRun reports whether a suspect may be granted a target for itself.
 func (blame *blame) mayRun(now time.Time, fingerprint core.Fingerprint) bool {
 	known := blame.suspicions[fingerprint]
-	return known == nil || (!known.running && !now.Before(known.heldUntil))
+	return known == nil || (known.running == "" && !now.Before(known.heldUntil))
 }
 
-func (blame *blame) run(fingerprint core.Fingerprint) {
+func (blame *blame) run(fingerprint core.Fingerprint, grant core.GrantID) {
 	if known := blame.suspicions[fingerprint]; known != nil {
-		known.running = true
+		known.running = grant
 	}
 }
 
-func (blame *blame) stop(fingerprint core.Fingerprint) {
-	if known := blame.suspicions[fingerprint]; known != nil {
-		known.running = false
+// stop ends the run of a content alone with the grant; an earlier grant of the same content changes nothing.
+//
+// The crash of the first target is often confirmed while the content already runs alone on the second one. Ending that run
+// there let the content onto a third target.
+func (blame *blame) stop(fingerprint core.Fingerprint, grant core.GrantID) {
+	if known := blame.suspicions[fingerprint]; known != nil && known.running == grant {
+		known.running = ""
 	}
 }
 
 func (blame *blame) stopRunning() {
 	for _, known := range blame.suspicions {
-		known.running = false
+		known.running = ""
+	}
+}
+
+// quarantine refuses a content from now on.
+func (blame *blame) quarantine(now time.Time, fingerprint core.Fingerprint) {
+	if known := blame.suspicions[fingerprint]; known != nil {
+		known.finding = finding{state: core.SuspectQuarantined, since: now, here: true}
 	}
 }
 
@@ -141,9 +152,9 @@
 func (blame *blame) crashed(now time.Time, crash *incident) (quarantined int) {
 	for _, content := range crash.contents {
 		blame.suspect(now, content.fingerprint)
-		blame.stop(content.fingerprint)
-		if known := blame.suspicions[content.fingerprint]; content.alone && known != nil {
-			known.finding = finding{state: core.SuspectQuarantined, since: now, here: true}
+		blame.stop(content.fingerprint, content.grant)
+		if content.alone {
+			blame.quarantine(now, content.fingerprint)
 			quarantined++
 		}
 	}
--- a/core/pool/events.go
+++ b/core/pool/events.go
@@ -91,7 +91,7 @@
 	if !entry.alone || unexplained {
 		return
 	}
-	dispatcher.blame.stop(entry.fingerprint)
+	dispatcher.blame.stop(entry.fingerprint, entry.id)
 	if !entry.blamed && (outcome == core.OutcomeDone || outcome == core.OutcomeFailed) {
 		dispatcher.blame.finishedAlone(now, entry.fingerprint)
 	}
@@ -123,7 +123,11 @@
 		return
 	}
 	dispatcher.suspend(now, target)
-	if !entry.alone {
+	if entry.alone {
+		// Until the next load report shows whether the target crashed, which can take 100 ms, no pool may run the content:
+		// it reached a third target in another pool within a millisecond.
+		dispatcher.blame.quarantine(now, entry.fingerprint)
+	} else {
 		dispatcher.blame.suspect(now, entry.fingerprint)
 	}
 }
@@ -164,7 +168,7 @@
 // noCrash takes back what broken connections made suspect, because the target has not restarted.
 func (dispatcher *Dispatcher) noCrash(now time.Time, target *target) {
 	for _, content := range target.incident.contents {
-		dispatcher.blame.stop(content.fingerprint)
+		dispatcher.blame.stop(content.fingerprint, content.grant)
 		dispatcher.blame.restore(now, content)
 	}
 	target.incident = nil
--- a/core/pool/serve.go
+++ b/core/pool/serve.go
@@ -200,7 +200,7 @@
 	target.grants[entry.id] = entry
 	target.alone = alone
 	if alone {
-		dispatcher.blame.run(entry.fingerprint)
+		dispatcher.blame.run(entry.fingerprint, entry.id)
 	}
 	dispatcher.refresh(target)
 	dispatcher.counters.Granted++
