Close idle connections to targets after 2 s

Connections that had been idle all the time were still kept (60 s) and used then. Ruled out: the ones in use, which are found by the first request and closed together with the idle ones of their address. A new request can still wait 3 s on a connection that went silent less than 2 s ago.

--- a/core/pool/target.go
+++ b/core/pool/target.go
@@ -65,9 +65,9 @@
 	incident    *incident
 	crashed     bool // a crash was attributed before the new start identifier was seen
 	alone       bool
-	failed      int       // failures in a row
-	resting     bool      // takes no work until restUntil, because it fails
-	restUntil   time.Time //
+	failed      int  // failures in a row
+	resting     bool // takes no work until restUntil, because it fails
+	restUntil   time.Time
 	reservedFor core.GrantID
 	cache       cache
 	free        int // contributions to the sums of the dispatcher
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -20,8 +20,10 @@
 )
 
 const (
-	dialTimeout     = time.Second
-	idleTimeout     = 60 * time.Second
+	dialTimeout = time.Second
+	// idleTimeout is short because an idle connection can go silent unnoticed, and the first request on it then waits for
+	// most of its deadline; opening a new one costs a round trip.
+	idleTimeout     = 2 * time.Second
 	idlePerTarget   = 64
 	idleConnections = 4096
 	readBufferSize  = 16 << 10 // holds several token events, so that one read delivers a batch
