--- /dev/null
+++ b/core/admit/admit.go
@@ -0,0 +1,130 @@
+package admit
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"catkincove/core"
+	"catkincove/core/batch"
+)
+
+const (
+	urgencyMargin  = 0.12                   // of the aim that each step of priority leaves free for more urgent requests
+	leastAim       = 0.5                    // of the aim that the least urgent requests may plan with
+	lateShare      = 0.6                    // of the time left within which a late answer is still likely
+	floorShare     = 0.5                    // of each kind's recent requests are taken by its whole aim, whatever its urgency
+	leastReturn    = 200 * time.Millisecond // before a caller comes back
+	noTargetReturn = time.Second            // while a service has no targets
+)
+
+// Stage is one stage of a request with the forecast of its pool.
+type Stage struct {
+	Spec     core.StageSpec
+	Pieces   int
+	Item     time.Duration
+	Forecast batch.Forecast
+	Known    bool // the forecast is recent
+}
+
+// Request is what the decision needs to know.
+type Request struct {
+	Stages   []Stage
+	Target   time.Duration // usual time from the last stage to the first event
+	Aim      time.Duration // left until the response should begin
+	Left     time.Duration // left until the request fails
+	Priority int           // 0 is the most urgent
+	Taken    float64       // share of the recent requests of this kind that were taken
+}
+
+// Plan says when the stages of a request should be done.
+type Plan struct {
+	Finish time.Duration   // until the response begins
+	After  []time.Duration // of each stage: usual time from its end to the response
+	Start  []time.Duration // of each stage: how long it can wait without delaying the response
+}
+
+// Verdict is the decision.
+type Verdict struct {
+	Admit      bool
+	Late       bool // the response is not expected within its aim
+	RetryAfter time.Duration
+	Reason     string
+}
+
+// Forecast works out the usual times of a request's stages.
+func Forecast(request Request) Plan {
+	count := len(request.Stages)
+	plan := Plan{After: make([]time.Duration, count), Start: make([]time.Duration, count)}
+	// Stages name earlier ones only through After, in any order, so a pass for each stage settles all.
+	ends := make([]time.Duration, count)
+	took := make([]time.Duration, count)
+	for i, stage := range request.Stages {
+		took[i] = duration(stage, request.Aim)
+	}
+	for range count {
+		for i, stage := range request.Stages {
+			var start time.Duration
+			for _, before := range stage.Spec.After {
+				start = max(start, ends[before])
+			}
+			ends[i] = start + took[i]
+			for _, before := range stage.Spec.After {
+				plan.After[before] = max(plan.After[before], plan.After[i]+took[i])
+			}
+		}
+	}
+	var last time.Duration
+	for i := range request.Stages {
+		last = max(last, ends[i])
+	}
+	for i := range request.Stages {
+		plan.Start[i] = max(last-plan.After[i]-ends[i], 0)
+		plan.After[i] += request.Target
+	}
+	plan.Finish = last + request.Target
+	return plan
+}
+
+// duration is the wait for the stage's call and the call itself.
+func duration(stage Stage, aim time.Duration) time.Duration {
+	if stage.Pieces == 0 {
+		return 0
+	}
+	return stage.Forecast.Wait(aim) + stage.Forecast.Call
+}
+
+// Decide takes a request that will probably be on time, or that will at least be answered; the others are refused at once
+// with the time after which there will be room.
+//
+// Load pattern: a burst of one kind fills the stages. Less urgent kinds plan with a part of their aim only, so that they
+// give way first; each kind keeps a share of its requests.
+func Decide(request Request, random *rand.Rand) Verdict {
+	for _, stage := range request.Stages {
+		if stage.Pieces > 0 && stage.Known && stage.Forecast.Capacity <= 0 {
+			return refuse("StageHasNoTargets", noTargetReturn, random)
+		}
+	}
+	if len(request.Stages) == 0 {
+		return Verdict{Admit: true} // whether targets have places is known only when one is chosen
+	}
+	plan := Forecast(request)
+	allowed := max(1-urgencyMargin*float64(request.Priority), leastAim)
+	if request.Taken < floorShare {
+		allowed = 1
+	}
+	excess := plan.Finish - time.Duration(float64(request.Aim)*allowed)
+	switch {
+	case excess <= 0:
+		return Verdict{Admit: true}
+	case plan.Finish <= time.Duration(float64(request.Left)*lateShare) && request.Aim <= 0:
+		return Verdict{Admit: true, Late: true}
+	default:
+		return refuse("WouldBeLate", excess, random)
+	}
+}
+
+// refuse spreads the returns over the time in which room appears, so that callers do not come back all at once.
+func refuse(reason string, after time.Duration, random *rand.Rand) Verdict {
+	spread := time.Duration(float64(after) * (0.5 + random.Float64()))
+	return Verdict{Reason: reason, RetryAfter: max(spread, leastReturn)}
+}
--- /dev/null
+++ b/core/place/place.go
@@ -0,0 +1,315 @@
+package place
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	failureWeight  = 0.3                    // of the newest answer in a target's share of failures
+	latencyWeight  = 0.2                    // of the newest answer in a target's usual latency
+	firstRest      = 300 * time.Millisecond // after a failure; doubled with each further one
+	longestRest    = 4 * time.Second
+	failurePenalty = 4.0                   // a target that fails always counts as this many times slower, and one more
+	usualLatency   = 20 * time.Millisecond // before the first answer
+	spareLoad      = 3.0                   // requests by which the target that holds the prompt may exceed the mean
+	loadRatio      = 1.6                   // of the mean, for the same
+	slowRatio      = 4.0                   // a target this many times slower than the median keeps no prompts
+	coldShare      = 0.7                   // of the bound on cold targets that all daemons use together
+	stateLife      = time.Minute           // of what is known of a target that is gone
+	connectionFill = 0.8                   // of a target's connections that all daemons use together
+)
+
+// Target is a candidate.
+type Target struct {
+	ID             string
+	Address        string
+	Zone           string
+	ColdUntil      time.Time
+	ColdRate       float64 // requests per second that it tolerates while cold, from all daemons; 0 means no limit
+	MaxConnections int     // from all daemons; 0 means no limit
+}
+
+// Request says what matters for the choice.
+type Request struct {
+	Prompt  string   // targets that have read this shared part of a prompt are preferred; empty means none
+	Exclude []string // targets that have been tried
+}
+
+// Fault says why there is no target.
+type Fault int
+
+// The faults.
+const (
+	Chosen Fault = iota
+	NoTargets
+	AllResting
+	AllFull
+)
+
+// String returns the name used in logs.
+func (fault Fault) String() string {
+	return [...]string{"Chosen", "NoTargets", "AllResting", "AllFull"}[fault]
+}
+
+// Outcome is the end of a request at a target.
+type Outcome int
+
+// The outcomes.
+const (
+	Good     Outcome = iota
+	Erred            // the target answered with an error of its own
+	Full             // the target states that it did not run the request
+	Lost             // no answer, or one that broke off
+	Silent           // no answer for far longer than usual
+	Unjudged         // the caller left, or the request never reached the target
+)
+
+type state struct {
+	inFlight int
+	latency  time.Duration
+	failures float64 // share of recent answers
+	strikes  int
+	rest     time.Time
+	probing  bool // one request tests whether it has recovered
+	cold     bucket
+	seen     time.Time
+}
+
+// bucket admits requests at a rate, one at a time.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+func (bucket *bucket) take(now time.Time, rate, burst float64) bool {
+	if bucket.at.IsZero() {
+		bucket.tokens = burst
+	} else {
+		bucket.tokens = min(bucket.tokens+rate*now.Sub(bucket.at).Seconds(), burst)
+	}
+	bucket.at = now
+	if bucket.tokens < 1 {
+		return false
+	}
+	bucket.tokens--
+	return true
+}
+
+// Chooser chooses targets; Random must be set. It is not safe for concurrent use.
+//
+// Load patterns: targets that are slow, failing or silent while they call themselves healthy; cold targets that come back
+// together; one prompt that gets much of the traffic.
+type Chooser struct {
+	Random *rand.Rand
+	// Daemons is how many daemons may send to the same targets; 0 counts as 1.
+	Daemons int
+	// ColdOver and ColdSlack are the bound on cold targets in one second: rate x ColdOver + ColdSlack.
+	ColdOver, ColdSlack float64
+
+	states map[string]*state
+}
+
+func (chooser *Chooser) state(id string) *state {
+	if chooser.states == nil {
+		chooser.states = map[string]*state{}
+	}
+	known := chooser.states[id]
+	if known == nil {
+		known = &state{}
+		chooser.states[id] = known
+	}
+	return known
+}
+
+// Choose returns the index of the target for the request and counts the request there until Finish.
+func (chooser *Chooser) Choose(now time.Time, targets []Target, request Request) (int, Fault) {
+	candidates, fault := chooser.candidates(now, targets, request)
+	if fault != Chosen {
+		return 0, fault
+	}
+	var order []int
+	if request.Prompt != "" {
+		order = chooser.byPrompt(now, targets, candidates, request.Prompt)
+	} else {
+		order = chooser.byLoad(now, targets, candidates)
+	}
+	for _, i := range order {
+		state := chooser.state(targets[i].ID)
+		if !chooser.admitCold(now, state, targets[i]) {
+			continue
+		}
+		state.inFlight++
+		state.seen = now
+		state.probing = state.strikes > 0
+		return i, Chosen
+	}
+	return 0, AllFull
+}
+
+// candidates leaves out tried, resting and full targets; when all are resting, the one that rests least is tried, because
+// an attempt may succeed and a refusal never does.
+func (chooser *Chooser) candidates(now time.Time, targets []Target, request Request) ([]int, Fault) {
+	var usable, resting []int
+	full := false
+	for i, target := range targets {
+		if slices.Contains(request.Exclude, target.ID) {
+			continue
+		}
+		state := chooser.state(target.ID)
+		limit := int(float64(target.MaxConnections) * connectionFill / float64(max(chooser.Daemons, 1)))
+		switch {
+		case target.MaxConnections > 0 && state.inFlight >= max(limit, 2):
+			full = true
+		case now.Before(state.rest) || state.strikes > 0 && state.probing && state.inFlight > 0:
+			resting = append(resting, i)
+		default:
+			usable = append(usable, i)
+		}
+	}
+	switch {
+	case len(usable) > 0:
+		return usable, Chosen
+	case len(resting) > 0:
+		first := slices.MinFunc(resting, func(a, b int) int {
+			return chooser.state(targets[a].ID).rest.Compare(chooser.state(targets[b].ID).rest)
+		})
+		return []int{first}, Chosen
+	case full:
+		return nil, AllFull
+	default:
+		return nil, NoTargets
+	}
+}
+
+// cost is the expected time of one more request at the target.
+func (chooser *Chooser) cost(now time.Time, target Target) float64 {
+	state := chooser.state(target.ID)
+	latency := state.latency
+	if latency == 0 {
+		latency = usualLatency
+	}
+	cost := float64(latency) * float64(state.inFlight+1) * (1 + failurePenalty*state.failures)
+	if now.Before(target.ColdUntil) {
+		cost *= 2
+	}
+	return cost
+}
+
+// byLoad orders two random candidates by cost before the others, so that daemons do not all choose the same target.
+func (chooser *Chooser) byLoad(now time.Time, targets []Target, candidates []int) []int {
+	order := slices.Clone(candidates)
+	chooser.Random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	if len(order) >= 2 && chooser.cost(now, targets[order[1]]) < chooser.cost(now, targets[order[0]]) {
+		order[0], order[1] = order[1], order[0]
+	}
+	return order
+}
+
+// byPrompt orders the candidates by rendezvous hash of the prompt, so that all daemons agree on the target that keeps it
+// without talking; a target that is overloaded or slow gives way to the next.
+func (chooser *Chooser) byPrompt(now time.Time, targets []Target, candidates []int, prompt string) []int {
+	order := slices.Clone(candidates)
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(rank(prompt, targets[b].ID), rank(prompt, targets[a].ID)), cmp.Compare(a, b))
+	})
+	limit, slow := chooser.bounds(targets, candidates)
+	accepted := func(i int) bool {
+		state := chooser.state(targets[i].ID)
+		return float64(state.inFlight) <= limit && state.latency <= slow && !now.Before(targets[i].ColdUntil)
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Compare(btoi(!accepted(a)), btoi(!accepted(b)))
+	})
+	return order
+}
+
+// bounds returns the load and the latency above which a target loses its prompts for a while.
+func (chooser *Chooser) bounds(targets []Target, candidates []int) (float64, time.Duration) {
+	sum := 0
+	var latencies []time.Duration
+	for _, i := range candidates {
+		state := chooser.state(targets[i].ID)
+		sum += state.inFlight
+		if state.latency > 0 {
+			latencies = append(latencies, state.latency)
+		}
+	}
+	limit := float64(sum)/float64(len(candidates))*loadRatio + spareLoad
+	if len(latencies) == 0 {
+		return limit, time.Hour
+	}
+	slices.Sort(latencies)
+	return limit, time.Duration(float64(latencies[len(latencies)/2])*slowRatio) + usualLatency
+}
+
+func (chooser *Chooser) admitCold(now time.Time, state *state, target Target) bool {
+	if target.ColdRate <= 0 || !now.Before(target.ColdUntil) {
+		return true
+	}
+	share := (target.ColdRate*chooser.ColdOver + chooser.ColdSlack) * coldShare / float64(max(chooser.Daemons, 1))
+	return state.cold.take(now, share, max(min(share, 2), 1))
+}
+
+// Finish ends a request; latency is the time to its answer's first byte.
+func (chooser *Chooser) Finish(now time.Time, id string, outcome Outcome, latency time.Duration) {
+	state := chooser.state(id)
+	state.inFlight = max(state.inFlight-1, 0)
+	chooser.Judge(now, id, outcome, latency)
+}
+
+// Judge records an outcome without ending the request, for one that is still waited for.
+func (chooser *Chooser) Judge(now time.Time, id string, outcome Outcome, latency time.Duration) {
+	state := chooser.state(id)
+	state.seen = now
+	failed := 0.0
+	switch outcome {
+	case Unjudged:
+		return
+	case Good:
+		state.strikes, state.probing = 0, false
+		if state.latency == 0 {
+			state.latency = latency
+		}
+		state.latency += time.Duration(float64(latency-state.latency) * latencyWeight)
+	case Erred:
+		failed = 1
+	case Full:
+		state.rest = now.Add(firstRest / 3)
+		return
+	case Lost, Silent:
+		failed = 1
+		state.rest = now.Add(min(firstRest<<min(state.strikes, 5), longestRest))
+		state.strikes++
+	}
+	state.failures += (failed - state.failures) * failureWeight
+}
+
+// InFlight returns the requests of this daemon at the target.
+func (chooser *Chooser) InFlight(id string) int { return chooser.state(id).inFlight }
+
+// Sweep forgets targets that have not been used for long.
+func (chooser *Chooser) Sweep(now time.Time) {
+	for id, state := range chooser.states {
+		if state.inFlight == 0 && now.Sub(state.seen) > stateLife {
+			delete(chooser.states, id)
+		}
+	}
+}
+
+func rank(prompt, id string) uint64 {
+	seed := binary.BigEndian.AppendUint64(nil, xxhash.Sum64String(prompt))
+	return xxhash.Sum64(append(seed, id...))
+}
+
+func btoi(value bool) int {
+	if value {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/core/routing.go
@@ -0,0 +1,244 @@
+package core
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Repeat says how often one request may run on targets.
+type Repeat int
+
+// The values of Repeat; the zero value is NotRepeatable, so that an undeclared request never runs twice.
+const (
+	NotRepeatable Repeat = iota
+	Repeatable
+)
+
+// ServiceShare is a service with its share of a route's requests, relative to the other shares.
+type ServiceShare struct {
+	Service string
+	Weight  int
+}
+
+// StageSpec is a step of a route that must be done before its request can run.
+type StageSpec struct {
+	Service     string
+	After       []int // stages whose results are inputs
+	ResultBytes int64 // approximate size of one result
+}
+
+// Route says where the requests with a host and a path prefix go.
+type Route struct {
+	Name       string
+	Host       string
+	Prefix     string
+	Repeat     Repeat
+	Stream     bool // the response is a series of numbered events
+	Resumable  bool // a stream may go on at another target
+	Timeout    time.Duration
+	Aim        time.Duration // response time (first event, for streams) that callers expect
+	PauseAim   time.Duration // longest pause between events that callers expect
+	Priority   int           // 0 is the most urgent
+	Services   []ServiceShare
+	MaxTargets int // targets that one request may be sent to
+	Stages     []StageSpec
+	Public     bool // no credential is needed
+}
+
+// Leaves returns the stages whose results the final target needs: those that no other stage follows.
+func (route Route) Leaves() []int {
+	followed := make([]bool, len(route.Stages))
+	for _, stage := range route.Stages {
+		for _, before := range stage.After {
+			followed[before] = true
+		}
+	}
+	var leaves []int
+	for i := range route.Stages {
+		if !followed[i] {
+			leaves = append(leaves, i)
+		}
+	}
+	return leaves
+}
+
+// BatchSpec describes targets that work on pieces in batches.
+type BatchSpec struct {
+	Size       int           // pieces of one call
+	Calls      int           // calls in progress at one target
+	Call       time.Duration // fixed time of a call
+	Item       time.Duration // time of each piece, approximate
+	Room       int64         // bytes that one target holds of results
+	ResultLife time.Duration // results are dropped this long after their call
+}
+
+// EngineSpec describes targets that generate tokens.
+type EngineSpec struct {
+	Slots        int
+	MemoryTokens int
+}
+
+// ServiceSpec describes the targets of one service.
+type ServiceSpec struct {
+	Name           string
+	MaxConnections int     // of all daemons together, for each target
+	ColdRate       float64 // requests per second that a cold target tolerates; 0 means no limit
+	Batch          *BatchSpec
+	Engine         *EngineSpec
+}
+
+// TeamSpec is a group of callers as the configuration names it.
+type TeamSpec struct {
+	Name        TeamName
+	Priority    int
+	HasPriority bool // Priority takes the place of the route's
+}
+
+// Bounds of what a caller may send.
+type Bounds struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Routing is one immutable version of the routes, services and teams; the zero value matches nothing.
+type Routing struct {
+	Version  int64
+	Services map[string]ServiceSpec
+	Bounds   Bounds
+
+	routes map[string][]Route // by host, longest prefix first
+	teams  map[string]TeamSpec
+	known  bool
+}
+
+// RoutingOptions are the parts of a Routing.
+type RoutingOptions struct {
+	Version  int64
+	Routes   []Route
+	Services []ServiceSpec
+	Teams    map[string]TeamSpec // by credential; nil means that no credentials are asked for
+	Bounds   Bounds
+}
+
+// NewRouting indexes the routes by host and prefix.
+func NewRouting(options RoutingOptions) Routing {
+	routing := Routing{
+		Version: options.Version, Bounds: options.Bounds, teams: options.Teams, known: true,
+		Services: map[string]ServiceSpec{}, routes: map[string][]Route{},
+	}
+	for _, service := range options.Services {
+		routing.Services[service.Name] = service
+	}
+	for _, route := range options.Routes {
+		routing.routes[route.Host] = append(routing.routes[route.Host], route)
+	}
+	for _, routes := range routing.routes {
+		slices.SortStableFunc(routes, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return routing
+}
+
+// Known reports whether a configuration has been read.
+func (routing Routing) Known() bool { return routing.known }
+
+// Match returns the route of the host whose prefix is the longest that begins the path.
+func (routing Routing) Match(host, path string) (Route, bool) {
+	for _, route := range routing.routes[host] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+// Authenticates reports whether requests need a credential.
+func (routing Routing) Authenticates() bool { return routing.teams != nil }
+
+// Team returns the team that holds the credential.
+func (routing Routing) Team(credential string) (TeamSpec, bool) {
+	team, found := routing.teams[credential]
+	return team, found
+}
+
+// TargetEntry is what a target says of itself in the registry.
+type TargetEntry struct {
+	ID       string
+	Service  string
+	Address  string // IP:port
+	Zone     string // data centre
+	Slots    int
+	Draining bool
+	ColdLeft time.Duration // how long the target stays cold, as of the entry's writing
+	Born     time.Time     // start of this run of the target
+	Sequence int64         // entries written in this run
+}
+
+// PromptPart is one part of a prompt; requests that begin with the same parts can share their cached tokens.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// CallerRequest is what a caller states about its request.
+type CallerRequest struct {
+	Attempt    string // identifies this attempt of the caller
+	Credential string
+	Left       time.Duration // how long the caller waits; 0 means that it does not say
+	LastEvent  string        // last event that the caller has of a stream that broke
+	Prompt     []PromptPart
+	Pieces     []int // pieces of each stage; 0 leaves the stage out
+	PieceKey   string
+}
+
+// Forward is what a daemon tells a target beside the caller's own request.
+type Forward struct {
+	Target    string // only this target may run the request
+	Left      time.Duration
+	Team      TeamName
+	Priority  int      // 0 to 9
+	Inputs    []string // handles of stage results
+	LastEvent string   // continue after this event; empty leaves the caller's own value
+}
+
+// TargetAnswer is what the head of a target's response says about the run.
+type TargetAnswer struct {
+	Attempt string // the attempt that the response belongs to; empty when the target does not say
+	NotRun  bool   // the target states that the request has not run and will not
+	Sealed  bool   // the response carries the target's digest
+}
+
+// Piece is one unit of work of a stage.
+type Piece struct {
+	Attempt string
+	Stage   int
+	Number  int
+	Left    time.Duration
+	Key     string   // of pieces without inputs
+	Inputs  []string // handles
+}
+
+// PieceResult is the outcome of one piece: a handle, or the reason why there is none.
+type PieceResult struct {
+	Handle string
+	Fault  PieceFault
+}
+
+// PieceFault is the reason why a piece has no result.
+type PieceFault int
+
+// The faults of pieces.
+const (
+	PieceDone PieceFault = iota
+	PieceLate
+	PieceInputGone
+	PieceNoRoom
+	PieceFailed
+)
+
+// String returns the name used in logs.
+func (fault PieceFault) String() string {
+	return [...]string{"Done", "Late", "InputGone", "NoRoom", "Failed"}[fault]
+}
--- /dev/null
+++ b/io/edge/member.go
@@ -0,0 +1,259 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"catkincove/core"
+	"catkincove/core/member"
+)
+
+const (
+	memberTTL     = 3 * time.Second // a killed daemon leaves the directory by then
+	renewEvery    = time.Second
+	renewRetry    = 300 * time.Millisecond
+	pingEvery     = 500 * time.Millisecond
+	pingTimeout   = 800 * time.Millisecond
+	suspectAfter  = 1300 * time.Millisecond // two pings without an answer
+	droppedAfter  = 2500 * time.Millisecond // the directory no longer names a daemon that is silent for this long
+	forgetAfter   = 30 * time.Second        // a daemon that neither the store nor a ping has shown
+	directoryKeep = 2 * time.Second         // for which callers keep addresses: short enough for changes, long enough for calm
+	maxAddresses  = 64
+)
+
+// record is what a daemon publishes of itself.
+type record struct {
+	ID         core.MemberID
+	Front      string
+	Peer       string
+	DataCentre string
+}
+
+// peer is what this daemon knows of another one.
+type peer struct {
+	record
+	stored    bool // the store lists it
+	leaving   bool
+	added     time.Time
+	answered  time.Time // the newest ping that it answered
+	failed    bool      // the newest call failed
+	silent    bool      // logged as silent
+	forecasts map[string]forecastAt
+	cancel    context.CancelFunc // ends the calls in progress
+	calls     context.Context
+}
+
+func newMemberID(name string, random *rand.Rand) core.MemberID {
+	return core.MemberID(fmt.Sprintf("%s-%08x", name, random.Uint32()))
+}
+
+func (daemon *Daemon) self() record {
+	settings := daemon.options.Settings
+	return record{ID: daemon.id, Front: settings.Front, Peer: settings.Peer, DataCentre: settings.DataCentre}
+}
+
+// keepMembership keeps this daemon's record in the store under a lease until it leaves.
+func (daemon *Daemon) keepMembership(ctx context.Context) error {
+	value, err := json.Marshal(daemon.self())
+	if err != nil {
+		return err
+	}
+	var lease core.LeaseID
+	for ctx.Err() == nil {
+		if daemon.leaving.Load() {
+			if lease != 0 {
+				if err := daemon.store.RevokeLease(ctx, lease); err != nil {
+					daemon.log.Warn().Str("Event", "LeaseNotRevoked").Err(err).Msg("the record lapses with its lease")
+				}
+			}
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		pause := renewEvery
+		if lease, err = daemon.renew(ctx, lease, value); err != nil {
+			pause = renewRetry
+			daemon.metrics.storeErrors.Add(1)
+		}
+		select {
+		case <-daemon.clock.After(pause):
+		case <-daemon.left:
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+func (daemon *Daemon) renew(ctx context.Context, lease core.LeaseID, value []byte) (core.LeaseID, error) {
+	if lease != 0 {
+		_, err := daemon.store.KeepAlive(ctx, lease)
+		if !errors.Is(err, core.ErrLeaseNotFound) {
+			return lease, err
+		}
+		daemon.log.Warn().Str("Event", "LeaseLapsed").Int64("Lease", int64(lease)).Msg("the record is written again")
+	}
+	granted, err := daemon.store.GrantLease(ctx, memberTTL)
+	if err != nil {
+		return 0, err
+	}
+	put := core.Put{Key: core.MemberPrefix + string(daemon.id), Value: value, Lease: granted}
+	if _, err := daemon.store.Commit(ctx, core.Txn{Puts: []core.Put{put}}); err != nil {
+		return 0, err
+	}
+	return granted, nil
+}
+
+// rebuildMembers takes over the store's list of daemons; it must run on the loop.
+func (daemon *Daemon) rebuildMembers(now time.Time) {
+	for _, known := range daemon.control.peers {
+		known.stored = false
+	}
+	for _, entry := range daemon.control.members.Entries(now) {
+		var listed record
+		if err := json.Unmarshal(entry.Value, &listed); err != nil || listed.ID == "" {
+			daemon.log.Warn().Str("Event", "MemberIgnored").Str("Key", entry.Key).AnErr("Cause", err).Msg("record of a daemon is not readable")
+			continue
+		}
+		if listed.ID != daemon.id {
+			daemon.meet(now, listed).stored = true
+		}
+	}
+	daemon.control.chooser.Daemons = max(daemon.control.chooser.Daemons, len(daemon.control.peers)+1)
+	settings := daemon.settings.Load()
+	daemon.control.chooser.ColdOver, daemon.control.chooser.ColdSlack = settings.Bounds.ColdOver, settings.Bounds.ColdSlack
+}
+
+// meet adds a daemon, and drops an earlier run at the same address.
+func (daemon *Daemon) meet(now time.Time, met record) *peer {
+	if known := daemon.control.peers[met.ID]; known != nil {
+		return known
+	}
+	for id, known := range daemon.control.peers {
+		if known.Peer == met.Peer {
+			known.cancel()
+			delete(daemon.control.peers, id)
+		}
+	}
+	calls, cancel := context.WithCancel(context.Background())
+	added := &peer{record: met, added: now, answered: now, calls: calls, cancel: cancel, forecasts: map[string]forecastAt{}}
+	daemon.control.peers[met.ID] = added
+	daemon.log.Info().Str("Event", "PeerMet").Str("Peer", string(met.ID)).Msg("daemon is known")
+	return added
+}
+
+// forgetPeers drops daemons that the store does not list and that do not answer; it must run on the loop.
+func (daemon *Daemon) forgetPeers(now time.Time) {
+	for id, known := range daemon.control.peers {
+		silence := now.Sub(known.answered)
+		if !known.stored && !daemon.control.members.Out() && silence > droppedAfter || silence > forgetAfter {
+			known.cancel()
+			delete(daemon.control.peers, id)
+			daemon.log.Info().Str("Event", "PeerForgotten").Str("Peer", string(id)).Dur("SilentFor", silence).Msg("daemon is gone")
+		}
+	}
+	// The share of limits follows slowly: a daemon that has just gone may be back.
+	daemon.control.chooser.Daemons = len(daemon.control.peers) + 1
+}
+
+func (known *peer) suspect(now time.Time) bool {
+	return known.failed || now.Sub(known.answered) > suspectAfter
+}
+
+// senders returns the daemons, this one included, in the order in which they should send the batches of the service; it
+// must run on the loop.
+func (daemon *Daemon) senders(service string) []core.MemberID {
+	now := daemon.clock.Now()
+	var ids []core.MemberID
+	if !daemon.leaving.Load() {
+		ids = append(ids, daemon.id)
+	}
+	for id, known := range daemon.control.peers {
+		if !known.leaving && !known.suspect(now) {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		ids = append(ids, daemon.id)
+	}
+	return member.Rendezvous(ids, core.PoolID{Service: service})
+}
+
+// peerAddresses returns the addresses of other daemons in random order, those that answer first, and the settings' seeds
+// while none is known; it must run on the loop.
+func (daemon *Daemon) peerAddresses() []string {
+	now := daemon.clock.Now()
+	var addresses, suspects []string
+	for _, known := range daemon.control.peers {
+		if known.suspect(now) {
+			suspects = append(suspects, known.Peer)
+		} else {
+			addresses = append(addresses, known.Peer)
+		}
+	}
+	shuffle := func(list []string) {
+		daemon.control.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	shuffle(addresses)
+	shuffle(suspects)
+	addresses = append(addresses, suspects...)
+	if len(addresses) == 0 {
+		for _, seed := range daemon.settings.Load().Seeds {
+			if seed != daemon.options.Settings.Peer {
+				addresses = append(addresses, seed)
+			}
+		}
+		shuffle(addresses)
+	}
+	return addresses
+}
+
+// serveDirectory names the daemons that callers may connect to.
+func (daemon *Daemon) serveDirectory(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path != daemon.dialect.DirectoryPath() {
+		http.NotFound(writer, request)
+		return
+	}
+	zone := daemon.dialect.AddressQuery(request.URL.Query())
+	var addresses []string
+	daemon.do(func() { addresses = daemon.frontAddresses(zone) })
+	if len(addresses) == 0 || !daemon.view.Load().routing.Known() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	keep := min(directoryKeep, daemon.settings.Load().Bounds.DirectoryKeep)
+	writer.Header().Set("Content-Type", "application/json")
+	_, _ = writer.Write(daemon.dialect.AddressAnswer(addresses, keep))
+}
+
+// frontAddresses returns up to maxAddresses daemons that live, in random order.
+func (daemon *Daemon) frontAddresses(string) []string {
+	now := daemon.clock.Now()
+	var addresses []string
+	if !daemon.leaving.Load() {
+		addresses = append(addresses, daemon.options.Settings.Front)
+	}
+	for _, known := range daemon.control.peers {
+		if !known.leaving && now.Sub(known.answered) <= droppedAfter && !known.failed {
+			addresses = append(addresses, known.Front)
+		}
+	}
+	daemon.control.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return slices.Clip(addresses[:min(len(addresses), maxAddresses)])
+}
+
+// serveReady answers the platform's readiness check.
+func (daemon *Daemon) serveReady(writer http.ResponseWriter, request *http.Request) {
+	if !strings.HasPrefix(request.URL.Path, daemon.dialect.ReadyPath()) {
+		http.NotFound(writer, request)
+		return
+	}
+	if daemon.leaving.Load() || !daemon.view.Load().routing.Known() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/io/edge/peer.go
@@ -0,0 +1,236 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"catkincove/core"
+	"catkincove/core/batch"
+	"catkincove/core/blame"
+)
+
+const (
+	peerDialTimeout = 600 * time.Millisecond
+	peerConnections = 64 // kept to each daemon; stages of one request each hold one while they wait
+	peerIdle        = 30 * time.Second
+	copyTimeout     = time.Second
+	maxPeerBody     = 16 << 20 // bytes; a copy holds the whole configuration
+)
+
+// Paths between daemons.
+const (
+	pathPing   = "/peer/ping"
+	pathCopies = "/peer/copies"
+	pathPieces = "/peer/pieces"
+	pathFree   = "/peer/free"
+)
+
+// forecastAt is a forecast with the time at which it came.
+type forecastAt struct {
+	batch.Forecast
+	at time.Time
+}
+
+// pingReply is what a daemon tells the others twice a second.
+type pingReply struct {
+	Record    record
+	Leaving   bool
+	Forecasts map[string]batch.Forecast // of the services whose batches it sends
+	Losses    []blame.Loss
+}
+
+func (daemon *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathPing, daemon.answerPing)
+	mux.HandleFunc("GET "+pathCopies, daemon.answerCopies)
+	mux.HandleFunc("POST "+pathPieces, daemon.answerPieces)
+	mux.HandleFunc("POST "+pathFree, daemon.answerFree)
+	return mux
+}
+
+func (daemon *Daemon) pingReply() pingReply {
+	reply := pingReply{Record: daemon.self(), Leaving: daemon.leaving.Load()}
+	daemon.do(func() {
+		now := daemon.clock.Now()
+		reply.Losses = daemon.control.ledger.Losses(now)
+		reply.Forecasts = map[string]batch.Forecast{}
+		for service, sender := range daemon.control.pools {
+			if sender.used(now) {
+				reply.Forecasts[service] = sender.pool.Forecast(now)
+			}
+		}
+	})
+	return reply
+}
+
+func (daemon *Daemon) answerPing(writer http.ResponseWriter, request *http.Request) {
+	var caller pingReply
+	if !readJSON(writer, request, &caller) {
+		return
+	}
+	daemon.loop.Post(func() { daemon.heard(caller) })
+	writeJSON(writer, daemon.pingReply())
+}
+
+// heard takes over what another daemon says of itself; it must run on the loop.
+func (daemon *Daemon) heard(reply pingReply) {
+	if reply.Record.ID == daemon.id || reply.Record.ID == "" {
+		return
+	}
+	now := daemon.clock.Now()
+	known := daemon.meet(now, reply.Record)
+	known.answered, known.failed, known.leaving = now, false, reply.Leaving
+	if known.silent {
+		known.silent = false
+		daemon.log.Info().Str("Event", "PeerReturned").Str("Peer", string(known.ID)).Msg("daemon answers again")
+	}
+	for service, forecast := range reply.Forecasts {
+		known.forecasts[service] = forecastAt{Forecast: forecast, at: now}
+	}
+	for _, loss := range reply.Losses {
+		daemon.control.ledger.Add(now, loss)
+	}
+}
+
+// pingPeers asks all daemons twice a second whether they live.
+func (daemon *Daemon) pingPeers(ctx context.Context) error {
+	for core.Pause(ctx, daemon.clock, pingEvery) {
+		var addresses []string
+		daemon.do(func() { addresses = daemon.peerAddresses() })
+		body := daemon.pingReply()
+		var group sync.WaitGroup
+		for _, address := range addresses {
+			group.Go(func() {
+				pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+				defer cancel()
+				var reply pingReply
+				err := daemon.callPeer(pingCtx, address, pathPing, body, &reply)
+				daemon.loop.Post(func() {
+					if err != nil {
+						daemon.unheard(address, err)
+						return
+					}
+					daemon.heard(reply)
+				})
+			})
+		}
+		group.Wait()
+	}
+	return ctx.Err()
+}
+
+// unheard notes a call that failed; calls in progress end when the daemon has been silent for long. It must run on the
+// loop.
+func (daemon *Daemon) unheard(address string, err error) {
+	now := daemon.clock.Now()
+	daemon.metrics.peerErrors.Add(1)
+	for _, known := range daemon.control.peers {
+		if known.Peer != address || now.Sub(known.answered) < suspectAfter {
+			continue
+		}
+		known.cancel()
+		known.calls, known.cancel = context.WithCancel(context.Background())
+		if !known.silent {
+			known.silent = true
+			daemon.log.Warn().Str("Event", "PeerSilent").Str("Peer", string(known.ID)).Dur("SilentFor", now.Sub(known.answered)).Err(err).Msg("daemon is passed over")
+		}
+	}
+}
+
+// avoid passes over a daemon at once, until it answers a ping; it must run on the loop.
+func (daemon *Daemon) avoid(id core.MemberID, err error) {
+	if known := daemon.control.peers[id]; known != nil && !known.failed {
+		known.failed = true
+		daemon.log.Warn().Str("Event", "PeerFailed").Str("Peer", string(id)).Err(err).Msg("daemon is passed over until it answers a ping")
+	}
+}
+
+func (daemon *Daemon) callPeer(ctx context.Context, address, path string, message, reply any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return daemon.exchangePeer(request, reply)
+}
+
+func (daemon *Daemon) exchangePeer(request *http.Request, reply any) error {
+	response, err := daemon.peers.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxPeerBody))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d", request.URL.Path, response.StatusCode)
+	}
+	return json.Unmarshal(data, reply)
+}
+
+// fetchCopies asks a daemon for what changed in its copies since the revisions.
+func (daemon *Daemon) fetchCopies(ctx context.Context, address string, since [3]core.Revision) ([3]core.Snapshot, error) {
+	var snapshots [3]core.Snapshot
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	target := "http://" + address + pathCopies + "?"
+	for _, revision := range since {
+		target += "Since=" + strconv.FormatInt(int64(revision), 10) + "&"
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return snapshots, err
+	}
+	return snapshots, daemon.exchangePeer(request, &snapshots)
+}
+
+func (daemon *Daemon) answerCopies(writer http.ResponseWriter, request *http.Request) {
+	since := request.URL.Query()["Since"]
+	var snapshots [3]core.Snapshot
+	daemon.do(func() {
+		for i, copy := range daemon.copies() {
+			known := int64(0)
+			if i < len(since) {
+				known, _ = strconv.ParseInt(since[i], 10, 64) // an unreadable revision asks for everything
+			}
+			if int64(copy.Revision()) > known {
+				snapshots[i] = copy.Snapshot()
+			}
+		}
+	})
+	writeJSON(writer, snapshots)
+}
+
+func readJSON(writer http.ResponseWriter, request *http.Request, message any) bool {
+	data, err := io.ReadAll(io.LimitReader(request.Body, maxPeerBody))
+	if err == nil {
+		err = json.Unmarshal(data, message)
+	}
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(writer http.ResponseWriter, message any) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_, _ = writer.Write(body)
+}
--- a/io/tool/tool.go
+++ b/io/tool/tool.go
@@ -49,6 +49,7 @@
 		ErrWriter:   stderr,
 		Commands: []*cli.Command{
 			serveCommand(),
+			edgeCommand(),
 			demoCommand(),
 			addressCommand(),
 			requestCommand(),
