--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -403,9 +403,17 @@
 	}
 }
 
-// usualCall is the time of a call with half a batch.
+// usualCall is the time of a call at the present length of the queue: half a batch at least, as form takes.
 func (pool *Pool) usualCall() time.Duration {
-	return pool.spec.Call + pool.spec.Item*time.Duration(pool.spec.Size)/2
+	size := min(max(len(pool.queue)/max(len(pool.workers), 1), (pool.spec.Size+1)/2), pool.spec.Size)
+	var items time.Duration
+	for _, waiting := range pool.queue {
+		items += pool.item(waiting.job.Class)
+	}
+	if len(pool.queue) == 0 {
+		return pool.spec.Call + pool.spec.Item*time.Duration(size)
+	}
+	return pool.spec.Call + items*time.Duration(size)/time.Duration(len(pool.queue))
 }
 
 // Wake returns when Next may have something to do without further events; zero means never.
--- /dev/null
+++ b/core/batch/pool_test.go
@@ -0,0 +1,286 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"catkincove/core"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// warehouse is a service whose targets work on eight pieces in 368 ms and hold twelve large results.
+var warehouse = core.BatchSpec{
+	Size: 8, Calls: 1, Call: 200 * time.Millisecond, Item: 21 * time.Millisecond, Room: 18_000_000, ResultLife: 4 * time.Second,
+}
+
+func targets(count int) []Target {
+	var list []Target
+	for i := range count {
+		list = append(list, Target{ID: fmt.Sprintf("t%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i)})
+	}
+	return list
+}
+
+// world runs a pool against targets that take their declared time, times slow.
+type world struct {
+	pool    *Pool
+	now     time.Time
+	running map[CallID]flight
+	slow    map[string]float64
+	silent  map[string]bool
+	results map[JobID]Result
+	endedAt map[JobID]time.Time
+	calls   int
+	pieces  int
+	perPart time.Duration
+	unused  int
+}
+
+type flight struct {
+	call Call
+	ends time.Time
+}
+
+func newWorld(spec core.BatchSpec, count int) *world {
+	world := &world{
+		pool: New(spec), now: start, running: map[CallID]flight{}, slow: map[string]float64{}, silent: map[string]bool{},
+		results: map[JobID]Result{}, endedAt: map[JobID]time.Time{}, perPart: spec.Item,
+	}
+	world.pool.SetTargets(targets(count))
+	return world
+}
+
+func (world *world) note(ended []Result, unused []string) {
+	for _, result := range ended {
+		world.results[result.Job] = result
+		world.endedAt[result.Job] = world.now
+	}
+	world.pool.Free(unused)
+	world.unused += len(unused)
+}
+
+func (world *world) pump() {
+	calls, ended, unused := world.pool.Next(world.now)
+	world.note(ended, unused)
+	for _, call := range calls {
+		took := world.pool.spec.Call + world.perPart*time.Duration(len(call.Pieces))
+		if factor := world.slow[call.Target.ID]; factor > 0 {
+			took = time.Duration(float64(took) * factor)
+		}
+		world.calls++
+		world.pieces += len(call.Pieces)
+		ends := world.now.Add(took)
+		if world.silent[call.Target.ID] {
+			ends = world.now.Add(call.Timeout)
+		}
+		world.running[call.ID] = flight{call: call, ends: ends}
+	}
+}
+
+// step moves the time on by 5 ms.
+func (world *world) step() {
+	world.now = world.now.Add(5 * time.Millisecond)
+	for id, flight := range world.running {
+		if flight.ends.After(world.now) {
+			continue
+		}
+		delete(world.running, id)
+		if world.silent[flight.call.Target.ID] {
+			world.note(world.pool.Finish(world.now, id, Broken, nil))
+			continue
+		}
+		var results []core.PieceResult
+		for i := range flight.call.Pieces {
+			results = append(results, core.PieceResult{Handle: fmt.Sprintf("%s/%d-%d", flight.call.Target.Address, id, i)})
+		}
+		world.note(world.pool.Finish(world.now, id, Answered, results))
+	}
+	world.pump()
+}
+
+func (world *world) submit(pieces int, aim, deadline time.Duration) JobID {
+	id := world.pool.Submit(Job{
+		Attempt: fmt.Sprint(world.now, len(world.pool.jobs)), Pieces: pieces, Class: "quote/0", Bytes: 8000,
+		Aim: world.now.Add(aim), Deadline: world.now.Add(deadline),
+	})
+	world.pump()
+	return id
+}
+
+func (world *world) run(duration time.Duration) {
+	for end := world.now.Add(duration); world.now.Before(end); {
+		world.step()
+	}
+}
+
+// TestBurstFillsBatches guards against calls that are nearly empty while pieces wait: 47 pieces a second, which four
+// targets can do only in full batches, were beyond them one by one.
+func TestBurstFillsBatches(t *testing.T) {
+	world := newWorld(warehouse, 4)
+	var ids []JobID
+	for range 20 * 47 / 2 {
+		ids = append(ids, world.submit(2, 2*time.Second, 6*time.Second))
+		world.run(2 * time.Second / 47)
+	}
+	world.run(3 * time.Second)
+	late := 0
+	for _, id := range ids {
+		if result, ended := world.results[id]; !ended || result.Fault != core.PieceDone {
+			late++
+		}
+	}
+	if late > 0 {
+		t.Errorf("%d of %d jobs have no result", late, len(ids))
+	}
+	if mean := float64(world.pieces) / float64(world.calls); mean < 2 {
+		t.Errorf("%.1f pieces a call", mean)
+	}
+}
+
+// TestOverloadPrefersJobsInTime guards against a queue in which every job waits until all are late.
+func TestOverloadPrefersJobsInTime(t *testing.T) {
+	world := newWorld(warehouse, 1) // 21.7 pieces a second
+	type sent struct {
+		id  JobID
+		aim time.Time
+	}
+	var jobs []sent
+	for range 300 { // 60 pieces a second for 5 s
+		id := world.submit(1, time.Second, 1200*time.Millisecond)
+		jobs = append(jobs, sent{id, world.now.Add(time.Second)})
+		world.run(time.Second / 60)
+	}
+	world.run(3 * time.Second)
+	inTime := 0
+	for _, job := range jobs {
+		if world.results[job.id].Fault == core.PieceDone && len(world.results[job.id].Handles) > 0 && !world.endedAt[job.id].After(job.aim) {
+			inTime++
+		}
+	}
+	// 5 s at 21.7 pieces a second are 108; a first-come queue has less than 30 of them in time.
+	if inTime < 80 {
+		t.Errorf("%d of %d jobs were in time", inTime, len(jobs))
+	}
+	for _, job := range jobs {
+		if _, ended := world.results[job.id]; !ended {
+			t.Fatalf("job %d was neither done nor refused", job.id)
+		}
+	}
+}
+
+// TestHopelessJobIsRefusedAtOnce guards against jobs that are held until their deadline although they cannot be done.
+func TestHopelessJobIsRefusedAtOnce(t *testing.T) {
+	world := newWorld(warehouse, 1)
+	id := world.submit(1, 100*time.Millisecond, 150*time.Millisecond)
+	if result := world.results[id]; result.Fault != core.PieceLate {
+		t.Errorf("fault is %v", result.Fault)
+	}
+}
+
+// TestSlowTarget guards against jobs that wait for a target that has become five times slower, and against going on to
+// send it work.
+func TestSlowTarget(t *testing.T) {
+	world := newWorld(warehouse, 3)
+	world.run(10 * time.Millisecond)
+	world.slow["t0"] = 5
+	var ids []JobID
+	for range 100 {
+		ids = append(ids, world.submit(1, time.Second, 4*time.Second))
+		world.run(50 * time.Millisecond)
+	}
+	world.run(2 * time.Second)
+	slow := 0
+	for i, id := range ids {
+		begun := start.Add(10*time.Millisecond + time.Duration(i)*50*time.Millisecond)
+		if world.endedAt[id].Sub(begun) > time.Second {
+			slow++
+		}
+	}
+	if slow > 5 {
+		t.Errorf("%d of %d jobs took more than a second", slow, len(ids))
+	}
+}
+
+// TestSilentTarget guards against jobs that are lost with a target that never answers.
+func TestSilentTarget(t *testing.T) {
+	world := newWorld(warehouse, 2)
+	world.silent["t0"] = true
+	var ids []JobID
+	for range 20 {
+		ids = append(ids, world.submit(1, 2*time.Second, 4*time.Second))
+		world.run(100 * time.Millisecond)
+	}
+	world.run(4 * time.Second)
+	for _, id := range ids {
+		if world.results[id].Fault != core.PieceDone || len(world.results[id].Handles) != 1 {
+			t.Errorf("job %d: %+v", id, world.results[id])
+		}
+	}
+}
+
+// TestRoom guards against results that a target has no room for: it holds eleven of 1.5 MB beside the margin.
+func TestRoom(t *testing.T) {
+	pool := New(warehouse)
+	pool.SetTargets(targets(1))
+	now := start
+	held := 0
+	for range 4 {
+		pool.Submit(Job{Attempt: "a", Pieces: 4, Bytes: 1_500_000, Aim: now.Add(3 * time.Second), Deadline: now.Add(4 * time.Second)})
+	}
+	var handles []string
+	for range 10 {
+		calls, _, _ := pool.Next(now)
+		now = now.Add(300 * time.Millisecond)
+		for _, call := range calls {
+			var results []core.PieceResult
+			for i := range call.Pieces {
+				handle := fmt.Sprintf("10.0.0.0:80/%d-%d", call.ID, i)
+				handles = append(handles, handle)
+				results = append(results, core.PieceResult{Handle: handle})
+			}
+			held += len(call.Pieces)
+			pool.Finish(now, call.ID, Answered, results)
+		}
+	}
+	if held != 11 {
+		t.Errorf("%d results are held, room is for 11", held)
+	}
+	pool.Free(handles)
+	if calls, _, _ := pool.Next(now); len(calls) != 1 {
+		t.Errorf("%d calls after room was freed", len(calls))
+	}
+}
+
+// TestCancelledJob guards against pieces of callers that have left, and against results that nobody frees.
+func TestCancelledJob(t *testing.T) {
+	world := newWorld(warehouse, 1)
+	running := world.submit(1, time.Second, 2*time.Second)
+	waiting := world.submit(1, time.Second, 2*time.Second)
+	world.pool.Cancel(running)
+	world.pool.Cancel(waiting)
+	world.run(time.Second)
+	if world.calls != 1 || world.unused != 1 || len(world.results) != 0 {
+		t.Errorf("%d calls, %d unused results, %d results", world.calls, world.unused, len(world.results))
+	}
+}
+
+// TestForecastGrowsWithTheQueue guards against daemons that go on taking work for a pool that is far behind.
+func TestForecastGrowsWithTheQueue(t *testing.T) {
+	world := newWorld(warehouse, 2)
+	empty := world.pool.Forecast(world.now).Wait(2 * time.Second)
+	for range 40 {
+		world.submit(1, 2*time.Second, 4*time.Second)
+	}
+	full := world.pool.Forecast(world.now)
+	if empty != 0 || full.Wait(2500*time.Millisecond) < 500*time.Millisecond {
+		t.Errorf("wait is %v for an empty pool, %v for 40 pieces", empty, full.Wait(2500*time.Millisecond))
+	}
+	if urgent := full.Wait(500 * time.Millisecond); urgent >= full.Wait(2500*time.Millisecond) {
+		t.Errorf("an urgent job waits %v", urgent)
+	}
+	if gone := New(warehouse).Forecast(start); gone.Capacity != 0 {
+		t.Errorf("capacity without targets is %v", gone.Capacity)
+	}
+}
