Run pieces near their inputs, and count room only once it is free

Change: jobs name the zone of their inputs and wait for a target there while they have time; models are chosen near large inputs unless the prompt is kept elsewhere; room counts as free when the target has answered; jobs that are late wait at most 0.7 s for spare places. Peers are kept by address and take part once they have answered a ping: after a loss of power the store lists the daemons that are gone. Ruled out: frees that fail (none did).

--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -17,6 +17,8 @@
 	classWeight    = 0.2 // of the newest call in the estimate of a class's time
 	leastClass     = 0.05
 	mostClass      = 4.0
+	zonePatience   = 1.3                    // calls: a job with less time left to its aim takes a target in any data centre
+	lateLimit      = 700 * time.Millisecond // that a job waits for spare places once it cannot be on time
 	priorityOffset = 100 * time.Millisecond // less urgent jobs count as due this much later for each step
 )
 
@@ -50,6 +52,7 @@
 	pieces  []piece
 	handles []string
 	left    int
+	late    time.Time // when it was first seen to be late
 }
 
 type call struct {
@@ -146,11 +149,12 @@
 	ended, unused = pool.refuseHopeless(now)
 	pool.sortQueue(now)
 	idle := pool.idle(now)
+	zones := pool.zones(now)
 	for i, worker := range idle {
 		if len(pool.queue) == 0 {
 			break
 		}
-		if formed := pool.form(now, worker, len(idle)-i); formed != nil {
+		if formed := pool.form(now, worker, len(idle)-i, zones); formed != nil {
 			calls = append(calls, pool.begin(now, worker, formed))
 		}
 	}
@@ -184,7 +188,11 @@
 	shortest := pool.spec.Call
 	refused := map[*job]bool{}
 	for _, waiting := range pool.queue {
-		if waiting.running == 0 && now.Add(shortest).After(waiting.job.Deadline) {
+		if waiting.running > 0 {
+			continue
+		}
+		overdue := !waiting.job.late.IsZero() && now.Sub(waiting.job.late) > lateLimit
+		if overdue || now.Add(shortest).After(waiting.job.Deadline) {
 			refused[waiting.job] = true
 		}
 	}
@@ -200,11 +208,16 @@
 func (pool *Pool) sortQueue(now time.Time) {
 	usual := pool.usualCall()
 	late := func(waiting *piece) int {
-		if now.Add(usual).After(waiting.job.Aim) {
+		if !waiting.job.late.IsZero() {
 			return 1
 		}
 		return 0
 	}
+	for _, waiting := range pool.queue {
+		if waiting.job.late.IsZero() && now.Add(usual).After(waiting.job.Aim) {
+			waiting.job.late = now
+		}
+	}
 	due := func(job *job) time.Time { return job.Aim.Add(time.Duration(job.Priority) * priorityOffset) }
 	slices.SortStableFunc(pool.queue, func(a, b *piece) int {
 		return cmp.Or(cmp.Compare(late(a), late(b)), due(a.job).Compare(due(b.job)), cmp.Compare(a.job.id, b.job.id))
@@ -235,8 +248,24 @@
 	return idle
 }
 
-// form takes the pieces of one call off the queue; with several idle targets it leaves them a share.
-func (pool *Pool) form(now time.Time, worker *worker, idle int) []*piece {
+// zones returns the data centres with usable targets.
+func (pool *Pool) zones(now time.Time) map[string]bool {
+	zones := map[string]bool{}
+	for _, worker := range pool.workers {
+		if worker.usable(now) {
+			zones[worker.Zone] = true
+		}
+	}
+	return zones
+}
+
+// form takes the pieces of one call off the queue; with several idle targets it leaves them a share. A piece waits for a
+// target near its inputs while it has time: every piece of a stage fetches all results of the stage before.
+func (pool *Pool) form(now time.Time, worker *worker, idle int, zones map[string]bool) []*piece {
+	hurry := now.Add(time.Duration(float64(pool.usualCall()) * zonePatience))
+	fits := func(job *job) bool {
+		return job.Zone == "" || job.Zone == worker.Zone || !zones[job.Zone] || hurry.After(job.Aim)
+	}
 	size := max((len(pool.queue)+idle-1)/idle, (pool.spec.Size+1)/2)
 	size = min(size, pool.spec.Size)
 	room := worker.room(now, pool.spec.Room)
@@ -247,12 +276,15 @@
 			rest = append(rest, pool.queue[i:]...)
 			break
 		}
-		if waiting.job.Bytes > room {
+		if waiting.job.Bytes > room || !fits(waiting.job) {
 			rest = append(rest, waiting)
 			continue
 		}
 		room -= waiting.job.Bytes
 		waiting.queued = false
+		if waiting.job.Zone == "" {
+			waiting.job.Zone = worker.Zone // its other pieces stay together
+		}
 		formed = append(formed, waiting)
 	}
 	clear(pool.queue[len(rest):])
@@ -274,6 +306,7 @@
 		})
 	}
 	request.Timeout = time.Duration(float64(begun.expected)*callTimeout*max(worker.slow, 1)) + callMargin
+	request.Bytes, request.Held = begun.bytes, worker.heldBytes+worker.reserved
 	worker.calls++
 	worker.reserved += begun.bytes
 	pool.calls[begun.id] = begun
--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -22,6 +22,7 @@
 	Bytes    int64     // size of one result
 	Class    string    // pieces of one class take about the same time
 	Priority int       // 0 is the most urgent
+	Zone     string    // data centre that holds most of the inputs or needs the results; empty means any
 	Aim      time.Time // the request is on time when the job is done by then
 	Deadline time.Time // the request fails when the job is not done by then
 }
@@ -30,6 +31,7 @@
 type Target struct {
 	ID      string
 	Address string
+	Zone    string
 }
 
 // Call is a batch to be sent to a target.
@@ -38,6 +40,8 @@
 	Target  Target
 	Pieces  []core.Piece
 	Timeout time.Duration // no answer is expected after this
+	Bytes   int64         // expected size of the results
+	Held    int64         // expected size of the results that the target holds already
 }
 
 // Ending says how a call ended.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -38,6 +38,7 @@
 // Request says what matters for the choice.
 type Request struct {
 	Prompt  string   // targets that have read this shared part of a prompt are preferred; empty means none
+	Zone    string   // targets in this data centre are preferred to those that have read the prompt; empty means none
 	Exclude []string // targets that have been tried
 }
 
@@ -135,7 +136,7 @@
 	}
 	var order []int
 	if request.Prompt != "" {
-		order = chooser.byPrompt(now, targets, candidates, request.Prompt)
+		order = chooser.byPrompt(now, targets, candidates, request)
 	} else {
 		order = chooser.byLoad(now, targets, candidates)
 	}
@@ -213,10 +214,10 @@
 
 // byPrompt orders the candidates by rendezvous hash of the prompt, so that all daemons agree on the target that keeps it
 // without talking; a target that is overloaded or slow gives way to the next.
-func (chooser *Chooser) byPrompt(now time.Time, targets []Target, candidates []int, prompt string) []int {
+func (chooser *Chooser) byPrompt(now time.Time, targets []Target, candidates []int, request Request) []int {
 	order := slices.Clone(candidates)
 	slices.SortFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(rank(prompt, targets[b].ID), rank(prompt, targets[a].ID)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(rank(request.Prompt, targets[b].ID), rank(request.Prompt, targets[a].ID)), cmp.Compare(a, b))
 	})
 	limit, slow := chooser.bounds(targets, candidates)
 	accepted := func(i int) bool {
@@ -224,11 +225,27 @@
 		return float64(state.inFlight) <= limit && state.latency <= slow && !now.Before(targets[i].ColdUntil)
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Compare(btoi(!accepted(a)), btoi(!accepted(b)))
+		return cmp.Or(
+			cmp.Compare(btoi(!accepted(a)), btoi(!accepted(b))),
+			cmp.Compare(btoi(request.elsewhere(targets[a])), btoi(request.elsewhere(targets[b]))))
 	})
 	return order
 }
 
+func (request Request) elsewhere(target Target) bool {
+	return request.Zone != "" && target.Zone != request.Zone
+}
+
+// Home returns the data centre of the target that keeps the prompt; empty without targets.
+func Home(targets []Target, prompt string) string {
+	if len(targets) == 0 {
+		return ""
+	}
+	return slices.MaxFunc(targets, func(a, b Target) int {
+		return cmp.Compare(rank(prompt, a.ID), rank(prompt, b.ID))
+	}).Zone
+}
+
 // bounds returns the load and the latency above which a target loses its prompts for a while.
 func (chooser *Chooser) bounds(targets []Target, candidates []int) (float64, time.Duration) {
 	sum := 0
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -86,7 +86,7 @@
 	ledger   blame.Ledger
 	windows  map[string]*retry.Window // by service
 	pools    map[string]*sender       // of the services whose batches this daemon has been asked to send
-	peers    map[core.MemberID]*peer
+	peers    map[string]*peer         // by address
 	first    map[string]time.Duration // usual time to the first event, by route
 	taken    map[string]float64       // share of requests taken less 1, by route
 	rebuild  bool                     // a rebuild of the view is posted
@@ -116,7 +116,7 @@
 	daemon.id = newMemberID(options.Settings.Name, random)
 	daemon.control = control{
 		entries: mirror.Copy{HoldLapsed: true}, members: mirror.Copy{HoldLapsed: true},
-		windows: map[string]*retry.Window{}, pools: map[string]*sender{}, peers: map[core.MemberID]*peer{},
+		windows: map[string]*retry.Window{}, pools: map[string]*sender{}, peers: map[string]*peer{},
 		first: map[string]time.Duration{}, taken: map[string]float64{}, random: random,
 	}
 	daemon.control.chooser = place.Chooser{Random: random, Daemons: 1}
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -157,7 +157,7 @@
 	now := daemon.clock.Now()
 	before := daemon.view.Load()
 	next := &view{
-		routing: before.routing, targets: map[string][]place.Target{}, addresses: map[string]bool{}, known: map[string]string{},
+		routing: before.routing, targets: map[string][]place.Target{}, addresses: map[string]bool{}, known: map[string]string{}, zones: map[string]string{},
 	}
 	evacuated := map[string]bool{}
 	for _, entry := range daemon.control.routes.Entries(now) {
@@ -201,6 +201,7 @@
 		}
 		next.known[target.ID] = target.Service
 		next.addresses[target.Address] = true
+		next.zones[target.Address] = target.Zone
 		if run.draining || evacuated[target.Zone] {
 			continue
 		}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -43,6 +43,7 @@
 
 	inputs      []string // handles for the final target
 	released    bool     // the inputs are freed
+	inputZone   string   // data centre that holds the large inputs; empty when there are none
 	resumeAfter string   // last event that the caller has
 	tries       int      // sendings to targets
 	ran         bool     // a target may have run it
@@ -183,6 +184,9 @@
 		leaves := request.route.Leaves()
 		for _, i := range leaves {
 			request.inputs = append(request.inputs, handles[i]...)
+			if bytes := request.route.Stages[i].ResultBytes; bytes >= largeResult && len(handles[i]) > 0 {
+				request.inputZone, _ = daemon.zoneOf(handles[i], bytes)
+			}
 		}
 		freed := false
 		free := func() {
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -36,13 +36,14 @@
 	DataCentre string
 }
 
-// peer is what this daemon knows of another one.
+// peer is what this daemon knows of the daemon at one address.
 type peer struct {
 	record
-	stored    bool // the store lists it
+	revision  core.Revision // of the record in the store
+	stored    bool          // the store lists it
 	leaving   bool
 	added     time.Time
-	answered  time.Time // the newest ping that it answered
+	answered  time.Time // the newest ping that it answered or sent; zero means none
 	failed    bool      // the newest call failed
 	silent    bool      // logged as silent
 	forecasts map[string]forecastAt
@@ -116,12 +117,18 @@
 	}
 	for _, entry := range daemon.control.members.Entries(now) {
 		var listed record
-		if err := json.Unmarshal(entry.Value, &listed); err != nil || listed.ID == "" {
+		if err := json.Unmarshal(entry.Value, &listed); err != nil || listed.Peer == "" {
 			daemon.log.Warn().Str("Event", "MemberIgnored").Str("Key", entry.Key).AnErr("Cause", err).Msg("record of a daemon is not readable")
 			continue
 		}
-		if listed.ID != daemon.id {
-			daemon.meet(now, listed).stored = true
+		if listed.Peer == daemon.options.Settings.Peer {
+			continue
+		}
+		known := daemon.meet(now, listed)
+		known.stored = true
+		// Records of earlier runs at the address stay until their leases end.
+		if known.answered.IsZero() && entry.CreateRevision > known.revision {
+			known.record, known.revision = listed, entry.CreateRevision
 		}
 	}
 	daemon.control.chooser.Daemons = max(daemon.control.chooser.Daemons, len(daemon.control.peers)+1)
@@ -129,59 +136,59 @@
 	daemon.control.chooser.ColdOver, daemon.control.chooser.ColdSlack = settings.Bounds.ColdOver, settings.Bounds.ColdSlack
 }
 
-// meet adds a daemon, and drops an earlier run at the same address.
+// meet adds the daemon at an address. It takes part in nothing before it has answered a ping: after a loss of power the
+// store lists daemons that are gone.
 func (daemon *Daemon) meet(now time.Time, met record) *peer {
-	if known := daemon.control.peers[met.ID]; known != nil {
+	if known := daemon.control.peers[met.Peer]; known != nil {
 		return known
 	}
-	for id, known := range daemon.control.peers {
-		if known.Peer == met.Peer {
-			known.cancel()
-			delete(daemon.control.peers, id)
-		}
-	}
 	calls, cancel := context.WithCancel(context.Background())
-	added := &peer{record: met, added: now, answered: now, calls: calls, cancel: cancel, forecasts: map[string]forecastAt{}}
-	daemon.control.peers[met.ID] = added
+	added := &peer{record: met, added: now, calls: calls, cancel: cancel, forecasts: map[string]forecastAt{}}
+	daemon.control.peers[met.Peer] = added
 	daemon.log.Info().Str("Event", "PeerMet").Str("Peer", string(met.ID)).Msg("daemon is known")
+	go daemon.ping(met.Peer)
 	return added
 }
 
 // forgetPeers drops daemons that the store does not list and that do not answer; it must run on the loop.
 func (daemon *Daemon) forgetPeers(now time.Time) {
-	for id, known := range daemon.control.peers {
-		silence := now.Sub(known.answered)
+	for address, known := range daemon.control.peers {
+		silence := known.silence(now)
 		if !known.stored && !daemon.control.members.Out() && silence > droppedAfter || silence > forgetAfter {
 			known.cancel()
-			delete(daemon.control.peers, id)
-			daemon.log.Info().Str("Event", "PeerForgotten").Str("Peer", string(id)).Dur("SilentFor", silence).Msg("daemon is gone")
+			delete(daemon.control.peers, address)
+			daemon.log.Info().Str("Event", "PeerForgotten").Str("Peer", string(known.ID)).Dur("SilentFor", silence).Msg("daemon is gone")
 		}
 	}
 	// The share of limits follows slowly: a daemon that has just gone may be back.
 	daemon.control.chooser.Daemons = len(daemon.control.peers) + 1
 }
 
+// silence is the time since the daemon was last heard, or met.
+func (known *peer) silence(now time.Time) time.Duration {
+	if known.answered.IsZero() {
+		return now.Sub(known.added)
+	}
+	return now.Sub(known.answered)
+}
+
 func (known *peer) suspect(now time.Time) bool {
-	return known.failed || now.Sub(known.answered) > suspectAfter
+	return known.failed || known.answered.IsZero() || now.Sub(known.answered) > suspectAfter
 }
 
-// senders returns the daemons, this one included, in the order in which they should send the batches of the service; it
-// must run on the loop.
-func (daemon *Daemon) senders(service string) []core.MemberID {
+// senderOf returns the daemon that sends the batches of the service; nil means this one. It must run on the loop.
+func (daemon *Daemon) senderOf(service string) *peer {
 	now := daemon.clock.Now()
-	var ids []core.MemberID
+	var addresses []core.MemberID
 	if !daemon.leaving.Load() {
-		ids = append(ids, daemon.id)
+		addresses = append(addresses, core.MemberID(daemon.options.Settings.Peer))
 	}
-	for id, known := range daemon.control.peers {
+	for address, known := range daemon.control.peers {
 		if !known.leaving && !known.suspect(now) {
-			ids = append(ids, id)
+			addresses = append(addresses, core.MemberID(address))
 		}
 	}
-	if len(ids) == 0 {
-		ids = append(ids, daemon.id)
-	}
-	return member.Rendezvous(ids, core.PoolID{Service: service})
+	return daemon.control.peers[string(member.First(addresses, core.PoolID{Service: service}))]
 }
 
 // peerAddresses returns the addresses of other daemons in random order, those that answer first, and the settings' seeds
@@ -239,7 +246,7 @@
 		addresses = append(addresses, daemon.options.Settings.Front)
 	}
 	for _, known := range daemon.control.peers {
-		if !known.leaving && now.Sub(known.answered) <= droppedAfter && !known.failed {
+		if !known.leaving && !known.answered.IsZero() && now.Sub(known.answered) <= droppedAfter && !known.failed {
 			addresses = append(addresses, known.Front)
 		}
 	}
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -86,6 +86,12 @@
 	}
 	now := daemon.clock.Now()
 	known := daemon.meet(now, reply.Record)
+	if known.ID != reply.Record.ID {
+		// Another run of the daemon answers at the address: calls to the earlier one have failed.
+		known.cancel()
+		known.calls, known.cancel = context.WithCancel(context.Background())
+		known.record, known.forecasts = reply.Record, map[string]forecastAt{}
+	}
 	known.answered, known.failed, known.leaving = now, false, reply.Leaving
 	if known.silent {
 		known.silent = false
@@ -104,51 +110,51 @@
 	for core.Pause(ctx, daemon.clock, pingEvery) {
 		var addresses []string
 		daemon.do(func() { addresses = daemon.peerAddresses() })
-		body := daemon.pingReply()
 		var group sync.WaitGroup
 		for _, address := range addresses {
-			group.Go(func() {
-				pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-				defer cancel()
-				var reply pingReply
-				err := daemon.callPeer(pingCtx, address, pathPing, body, &reply)
-				daemon.loop.Post(func() {
-					if err != nil {
-						daemon.unheard(address, err)
-						return
-					}
-					daemon.heard(reply)
-				})
-			})
+			group.Go(func() { daemon.ping(address) })
 		}
 		group.Wait()
 	}
 	return ctx.Err()
 }
 
+func (daemon *Daemon) ping(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+	defer cancel()
+	var reply pingReply
+	err := daemon.callPeer(ctx, address, pathPing, daemon.pingReply(), &reply)
+	daemon.loop.Post(func() {
+		if err != nil {
+			daemon.unheard(address, err)
+			return
+		}
+		daemon.heard(reply)
+	})
+}
+
 // unheard notes a call that failed; calls in progress end when the daemon has been silent for long. It must run on the
 // loop.
 func (daemon *Daemon) unheard(address string, err error) {
 	now := daemon.clock.Now()
 	daemon.metrics.peerErrors.Add(1)
-	for _, known := range daemon.control.peers {
-		if known.Peer != address || now.Sub(known.answered) < suspectAfter {
-			continue
-		}
-		known.cancel()
-		known.calls, known.cancel = context.WithCancel(context.Background())
-		if !known.silent {
-			known.silent = true
-			daemon.log.Warn().Str("Event", "PeerSilent").Str("Peer", string(known.ID)).Dur("SilentFor", now.Sub(known.answered)).Err(err).Msg("daemon is passed over")
-		}
+	known := daemon.control.peers[address]
+	if known == nil || known.answered.IsZero() || known.silence(now) < suspectAfter {
+		return
+	}
+	known.cancel()
+	known.calls, known.cancel = context.WithCancel(context.Background())
+	if !known.silent {
+		known.silent = true
+		daemon.log.Warn().Str("Event", "PeerSilent").Str("Peer", string(known.ID)).Dur("SilentFor", known.silence(now)).Err(err).Msg("daemon is passed over")
 	}
 }
 
 // avoid passes over a daemon at once, until it answers a ping; it must run on the loop.
-func (daemon *Daemon) avoid(id core.MemberID, err error) {
-	if known := daemon.control.peers[id]; known != nil && !known.failed {
+func (daemon *Daemon) avoid(known *peer, err error) {
+	if !known.failed {
 		known.failed = true
-		daemon.log.Warn().Str("Event", "PeerFailed").Str("Peer", string(id)).Err(err).Msg("daemon is passed over until it answers a ping")
+		daemon.log.Warn().Str("Event", "PeerFailed").Str("Peer", string(known.ID)).Err(err).Msg("daemon is passed over until it answers a ping")
 	}
 }
 
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	freeDelay    = 15 * time.Millisecond // results that are freed in this time go in one call
+	freeDelay    = 4 * time.Millisecond // results that are freed in this time go in one call
 	freeTimeout  = time.Second
 	senderIdle   = 3 * time.Second // without jobs after which a sender no longer counts as in use
 	maxStageBody = 1 << 20         // bytes of an answer to a call with pieces
@@ -49,7 +49,7 @@
 func batchTargets(targets []place.Target) []batch.Target {
 	list := make([]batch.Target, 0, len(targets))
 	for _, target := range targets {
-		list = append(list, batch.Target{ID: target.ID, Address: target.Address})
+		list = append(list, batch.Target{ID: target.ID, Address: target.Address, Zone: target.Zone})
 	}
 	return list
 }
@@ -122,6 +122,16 @@
 		daemon.log.Warn().Str("Event", "BatchFailed").Str("Service", sender.service).Str("Target", call.Target.ID).Int("Pieces", len(call.Pieces)).
 			Bool("NotRun", ending == batch.Refused).Dur("Took", daemon.clock.Now().Sub(began)).Err(err).Msg("pieces are queued again")
 	}
+	faults := map[core.PieceFault]int{}
+	for _, result := range results {
+		faults[result.Fault]++
+	}
+	for fault, count := range faults {
+		if fault != core.PieceDone {
+			daemon.log.Warn().Str("Event", "PiecesFailed").Str("Service", sender.service).Str("Target", call.Target.ID).Int("Pieces", len(call.Pieces)).
+				Str("Fault", fault.String()).Int("Failed", count).Int64("ResultBytes", call.Bytes).Int64("HeldBytes", call.Held).Msg("pieces of a batch have no result")
+		}
+	}
 	daemon.loop.Post(func() {
 		ended, unused := sender.pool.Finish(daemon.clock.Now(), call.ID, ending, results)
 		daemon.settle(sender, ended, unused)
@@ -165,7 +175,6 @@
 	if len(handles) == 0 {
 		return
 	}
-	sender.pool.Free(handles)
 	if len(sender.freeing) == 0 {
 		time.AfterFunc(freeDelay, func() { daemon.loop.Post(func() { daemon.sendFrees(sender) }) })
 	}
@@ -173,12 +182,18 @@
 		address := daemon.dialect.HandleAddress(handle)
 		sender.freeing[address] = append(sender.freeing[address], handle)
 	}
-	daemon.pump(sender)
 }
 
 func (daemon *Daemon) sendFrees(sender *sender) {
 	for address, handles := range sender.freeing {
-		go daemon.sendFree(address, handles)
+		go func() {
+			daemon.sendFree(address, handles)
+			// Only now is there room: a call that is sent before would find the target full.
+			daemon.loop.Post(func() {
+				sender.pool.Free(handles)
+				daemon.pump(sender)
+			})
+		}()
 	}
 	sender.freeing = map[string][]string{}
 }
@@ -191,6 +206,10 @@
 		Address: address, Method: http.MethodPost, URI: path, Host: address,
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body,
 	})
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d", response.StatusCode)
+		_ = response.Body.Close()
+	}
 	if err != nil {
 		daemon.log.Warn().Str("Event", "FreeFailed").Str("Address", address).Int("Handles", len(handles)).Err(err).Msg("results lapse by themselves")
 		return
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -126,12 +126,10 @@
 func (daemon *Daemon) begin(ctx context.Context, request *request, service core.ServiceSpec, tried []string) (*attempt, error) {
 	view := daemon.view.Load()
 	targets := view.targets[service.Name]
-	chosen := place.Request{Exclude: tried}
-	if count := len(request.caller.Prompt); count >= 2 {
-		// The last part belongs to the request itself; the one before it is the longest prefix that others share.
-		chosen.Prompt = request.caller.Prompt[count-2].ID
-	} else if count == 1 {
-		chosen.Prompt = request.caller.Prompt[0].ID
+	prompt, tokens := request.sharedPrompt()
+	chosen := place.Request{Exclude: tried, Prompt: prompt}
+	if tokens < tokensForZone {
+		chosen.Zone = request.inputZone
 	}
 	var index int
 	var fault place.Fault
@@ -149,6 +147,20 @@
 	return &attempt{target: targets[index], began: daemon.clock.Now()}, nil
 }
 
+// sharedPrompt returns the longest part of the prompt that other requests share, with the tokens up to it; the last part
+// belongs to the request itself or its session.
+func (request *request) sharedPrompt() (string, int) {
+	parts := request.caller.Prompt
+	if len(parts) == 0 {
+		return "", 0
+	}
+	tokens := 0
+	for _, part := range parts[:len(parts)-1] {
+		tokens += part.Tokens
+	}
+	return parts[max(len(parts)-2, 0)].ID, tokens
+}
+
 // window returns the bound on repeats of a service; it must run on the loop.
 func (daemon *Daemon) window(service string) *retry.Window {
 	known := daemon.control.windows[service]
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -12,6 +12,7 @@
 	"catkincove/core"
 	"catkincove/core/admit"
 	"catkincove/core/batch"
+	"catkincove/core/place"
 )
 
 const (
@@ -19,6 +20,7 @@
 	forecastLife   = 1500 * time.Millisecond
 	largeResult    = 200_000 // bytes; results from this size on are made as late as the response allows
 	lateStartShare = 0.8     // of the time that a large result could wait
+	tokensForZone  = 1000    // shared tokens from which on reading them again costs more than moving results
 	freeCallLimit  = 800 * time.Millisecond
 )
 
@@ -33,6 +35,7 @@
 	Bytes    int64
 	Class    string
 	Priority int
+	Zone     string
 	Aim      time.Duration // left until the stage should be done
 	Left     time.Duration // left until it must be done
 }
@@ -162,12 +165,45 @@
 	now := run.daemon.clock.Now()
 	return piecesMessage{
 		Service: stage.Service, Attempt: request.caller.Attempt, Stage: i, Pieces: pieces, Key: request.caller.PieceKey,
-		Inputs: inputs, Bytes: stage.ResultBytes, Class: fmt.Sprintf("%s/%d", request.route.Name, i), Priority: request.priority,
+		Inputs: inputs, Bytes: stage.ResultBytes, Zone: run.zone(i, inputs), Class: fmt.Sprintf("%s/%d", request.route.Name, i), Priority: request.priority,
 		Aim:  request.aimAt.Sub(now) - run.plan.After[i],
 		Left: request.deadline.Sub(now) - run.plan.After[i]/2,
 	}
 }
 
+// zone returns the data centre in which the stage should run: where its inputs lie, or where the prompt is kept if its
+// results are large.
+func (run *stageRun) zone(i int, inputs []string) string {
+	if len(inputs) > 0 {
+		zone, _ := run.daemon.zoneOf(inputs, 1)
+		return zone
+	}
+	if run.request.route.Stages[i].ResultBytes < largeResult {
+		return ""
+	}
+	prompt, tokens := run.request.sharedPrompt()
+	if tokens < tokensForZone {
+		return ""
+	}
+	view := run.daemon.view.Load()
+	return place.Home(view.targets[run.daemon.service(run.request).Name], prompt)
+}
+
+// zoneOf returns the data centre that holds most of the results, with their bytes there.
+func (daemon *Daemon) zoneOf(handles []string, bytes int64) (string, int64) {
+	view := daemon.view.Load()
+	sums := map[string]int64{}
+	most := ""
+	for _, handle := range handles {
+		zone := view.zones[daemon.dialect.HandleAddress(handle)]
+		sums[zone] += bytes
+		if sums[zone] > sums[most] || most == "" {
+			most = zone
+		}
+	}
+	return most, sums[most]
+}
+
 func (run *stageRun) free(i int) {
 	run.mutex.Lock()
 	handles := run.handles[i]
@@ -192,16 +228,15 @@
 func (daemon *Daemon) produce(ctx context.Context, message piecesMessage) ([]string, error) {
 	began := daemon.clock.Now()
 	for range maxSenders {
-		var owner core.MemberID
+		var owner *peer
 		var address string
 		var calls context.Context
 		daemon.do(func() {
-			owner = daemon.senders(message.Service)[0]
-			if known := daemon.control.peers[owner]; known != nil {
-				address, calls = known.Peer, known.calls
+			if owner = daemon.senderOf(message.Service); owner != nil {
+				address, calls = owner.Peer, owner.calls
 			}
 		})
-		if owner == daemon.id || address == "" {
+		if owner == nil {
 			return daemon.produceHere(ctx, message)
 		}
 		elapsed := daemon.clock.Now().Sub(began)
@@ -218,14 +253,12 @@
 		}
 		if err != nil {
 			daemon.do(func() { daemon.avoid(owner, err) })
-			daemon.log.Warn().Str("Event", "SenderFailed").Str("Request", message.Attempt).Str("Peer", string(owner)).Str("Service", message.Service).
+			daemon.log.Warn().Str("Event", "SenderFailed").Str("Request", message.Attempt).Str("Peer", address).Str("Service", message.Service).
 				Int("Stage", message.Stage).Err(err).Msg("pieces go to the next daemon")
 			continue
 		}
-		daemon.do(func() {
-			if known := daemon.control.peers[owner]; known != nil {
-				known.forecasts[message.Service] = forecastAt{Forecast: reply.Forecast, at: daemon.clock.Now()}
-			}
+		daemon.loop.Post(func() {
+			owner.forecasts[message.Service] = forecastAt{Forecast: reply.Forecast, at: daemon.clock.Now()}
 		})
 		return reply.handles(message.Stage)
 	}
@@ -253,7 +286,7 @@
 		owner = daemon.sender(message.Service, *spec)
 		id, result = daemon.submit(owner, batch.Job{
 			Attempt: message.Attempt, Stage: message.Stage, Pieces: message.Pieces, Key: message.Key, Inputs: message.Inputs,
-			Bytes: message.Bytes, Class: message.Class, Priority: message.Priority,
+			Bytes: message.Bytes, Class: message.Class, Priority: message.Priority, Zone: message.Zone,
 			Aim: now.Add(message.Aim), Deadline: now.Add(message.Left),
 		})
 	})
@@ -300,8 +333,7 @@
 		return
 	}
 	daemon.loop.Post(func() {
-		owner := daemon.senders(service)[0]
-		known := daemon.control.peers[owner]
+		known := daemon.senderOf(service)
 		if known == nil {
 			if here := daemon.control.pools[service]; here != nil {
 				daemon.free(here, handles)
@@ -310,11 +342,12 @@
 			daemon.freeDirectly(handles)
 			return
 		}
+		address := known.Peer
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), freeCallLimit)
 			defer cancel()
 			var reply struct{}
-			if err := daemon.callPeer(ctx, known.Peer, pathFree, freeMessage{Service: service, Handles: handles}, &reply); err != nil {
+			if err := daemon.callPeer(ctx, address, pathFree, freeMessage{Service: service, Handles: handles}, &reply); err != nil {
 				daemon.freeDirectly(handles)
 			}
 		}()
@@ -351,15 +384,13 @@
 func (daemon *Daemon) forecast(service string) (batch.Forecast, bool) {
 	view := daemon.view.Load()
 	now := daemon.clock.Now()
-	owner := daemon.senders(service)[0]
-	if owner == daemon.id {
+	known := daemon.senderOf(service)
+	if known == nil {
 		if here := daemon.control.pools[service]; here != nil {
 			return here.pool.Forecast(now), true
 		}
-	} else if known := daemon.control.peers[owner]; known != nil {
-		if told, found := known.forecasts[service]; found && now.Sub(told.at) < forecastLife {
-			return told.Forecast, true
-		}
+	} else if told, found := known.forecasts[service]; found && now.Sub(told.at) < forecastLife {
+		return told.Forecast, true
 	}
 	idle := batch.Forecast{Capacity: float64(len(view.targets[service]))}
 	if spec := view.routing.Services[service].Batch; spec != nil {
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -13,6 +13,7 @@
 	targets   map[string][]place.Target // by service; without those that drain or are in an evacuated data centre
 	addresses map[string]bool           // of all registered targets
 	known     map[string]string         // service by target ID
+	zones     map[string]string         // data centre by address
 }
 
 // registry remembers what must not be taken back by older registrations.
