Count results of unknown owners, and let pieces wait for a near target in proportion to their time

Cause 2: with the fixed patience of 1.3 calls, pieces waited for a near target while all others stood idle under load. Change: a call with pieces that had no room sets an estimate of unknown results, which lapses over the life of a result; pieces wait for a near target up to 0.3 of the time left to their aim. TestRoomOfUnknownResults failed before (10 calls to a full target in 4 s).

--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -17,7 +17,7 @@
 	classWeight    = 0.2 // of the newest call in the estimate of a class's time
 	leastClass     = 0.05
 	mostClass      = 4.0
-	zonePatience   = 1.3                    // calls: a job with less time left to its aim takes a target in any data centre
+	zonePatience   = 0.3                    // of the time left to its aim that a piece waits for a target near its inputs
 	lateLimit      = 700 * time.Millisecond // that a job waits for spare places once it cannot be on time
 	priorityOffset = 100 * time.Millisecond // less urgent jobs count as due this much later for each step
 )
@@ -248,27 +248,55 @@
 	return idle
 }
 
+// zone is the state of the targets of one data centre.
+type zone struct {
+	targets int
+	free    time.Duration // until the first of them has a place
+	ahead   int           // pieces that wait for it
+}
+
 // zones returns the data centres with usable targets.
-func (pool *Pool) zones(now time.Time) map[string]bool {
-	zones := map[string]bool{}
+func (pool *Pool) zones(now time.Time) map[string]*zone {
+	zones := map[string]*zone{}
+	free := map[*worker]time.Duration{}
+	for _, call := range pool.calls {
+		left := max(time.Duration(float64(call.expected)*call.worker.slow)-now.Sub(call.began), 0)
+		free[call.worker] = max(free[call.worker], left)
+	}
 	for _, worker := range pool.workers {
-		if worker.usable(now) {
-			zones[worker.Zone] = true
+		if !worker.usable(now) {
+			continue
 		}
+		if zones[worker.Zone] == nil {
+			zones[worker.Zone] = &zone{free: free[worker]}
+		}
+		zones[worker.Zone].targets++
+		zones[worker.Zone].free = min(zones[worker.Zone].free, free[worker])
 	}
 	return zones
 }
 
+// wait is how long a piece waits for a place in the data centre behind the pieces that were passed over for it so far.
+func (zone *zone) wait(size int, call time.Duration) time.Duration {
+	rounds := zone.ahead / (size * zone.targets)
+	return zone.free + call*time.Duration(rounds)
+}
+
 // form takes the pieces of one call off the queue; with several idle targets it leaves them a share. A piece waits for a
-// target near its inputs while it has time: every piece of a stage fetches all results of the stage before.
-func (pool *Pool) form(now time.Time, worker *worker, idle int, zones map[string]bool) []*piece {
-	hurry := now.Add(time.Duration(float64(pool.usualCall()) * zonePatience))
-	fits := func(job *job) bool {
-		return job.Zone == "" || job.Zone == worker.Zone || !zones[job.Zone] || hurry.After(job.Aim)
+// target near its inputs while that takes a small part of the time left to its aim: every piece of a stage fetches all
+// results of the stage before.
+func (pool *Pool) form(now time.Time, worker *worker, idle int, zones map[string]*zone) []*piece {
+	usual := pool.usualCall()
+	waits := func(job *job) bool {
+		if job.Zone == "" || job.Zone == worker.Zone || zones[job.Zone] == nil {
+			return false
+		}
+		spare := float64(job.Aim.Sub(now) - usual)
+		return float64(zones[job.Zone].wait(pool.spec.Size, usual)) < spare*zonePatience
 	}
 	size := max((len(pool.queue)+idle-1)/idle, (pool.spec.Size+1)/2)
 	size = min(size, pool.spec.Size)
-	room := worker.room(now, pool.spec.Room)
+	room := worker.room(now, pool.spec)
 	var formed []*piece
 	rest := pool.queue[:0]
 	for i, waiting := range pool.queue {
@@ -276,7 +304,12 @@
 			rest = append(rest, pool.queue[i:]...)
 			break
 		}
-		if waiting.job.Bytes > room || !fits(waiting.job) {
+		if waits(waiting.job) {
+			zones[waiting.job.Zone].ahead++
+			rest = append(rest, waiting)
+			continue
+		}
+		if waiting.job.Bytes > room {
 			rest = append(rest, waiting)
 			continue
 		}
@@ -342,6 +375,7 @@
 	pool.learn(call, took)
 	worker.succeeded(now, took, call.expected)
 	expires := now.Add(pool.spec.ResultLife)
+	full := false
 	for i, part := range call.pieces {
 		result := results[i]
 		switch {
@@ -353,7 +387,7 @@
 			ended = append(ended, pool.complete(part, result.Handle)...)
 		case part.done:
 		case result.Fault == core.PieceNoRoom:
-			worker.roomRest = now.Add(roomRest)
+			full = true
 			pool.enqueue(part)
 		case result.Fault == core.PieceFailed:
 			failed, freed := pool.retry([]*piece{part})
@@ -363,6 +397,11 @@
 			ended = append(ended, Result{Job: part.job.id, Fault: result.Fault})
 		}
 	}
+	if full {
+		worker.noRoom(now, pool.spec)
+	} else {
+		worker.fullCalls = 0
+	}
 	return ended, unused
 }
 
--- a/core/batch/pool_test.go
+++ b/core/batch/pool_test.go
@@ -284,3 +284,62 @@
 		t.Errorf("capacity without targets is %v", gone.Capacity)
 	}
 }
+
+// TestRoomOfUnknownResults guards against call after call to a target that is full of results which nobody frees, as after
+// a loss of all daemons: each such call costs 200 ms and makes nothing.
+func TestRoomOfUnknownResults(t *testing.T) {
+	pool := New(warehouse)
+	pool.SetTargets(targets(1))
+	now := start
+	calls := 0
+	for end := now.Add(warehouse.ResultLife); now.Before(end); now = now.Add(100 * time.Millisecond) {
+		pool.Submit(Job{Attempt: "a", Pieces: 1, Bytes: 1_500_000, Aim: now.Add(9 * time.Second), Deadline: now.Add(9 * time.Second)})
+		started, _, _ := pool.Next(now)
+		for _, call := range started {
+			calls++
+			results := make([]core.PieceResult, len(call.Pieces))
+			for i := range results {
+				results[i].Fault = core.PieceNoRoom
+			}
+			pool.Finish(now.Add(200*time.Millisecond), call.ID, Answered, results)
+		}
+	}
+	// 4 s of calls that take 200 ms and rest for 200 ms would be 10.
+	if calls > 6 {
+		t.Errorf("%d calls to a full target in %v", calls, warehouse.ResultLife)
+	}
+}
+
+// TestPiecesStayNearTheirInputs guards against results that cross data centres although a target near them is free in
+// time, and against pieces that wait for such a target until they are late.
+func TestPiecesStayNearTheirInputs(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		aim  time.Duration
+		want string
+	}{
+		{"time to wait", 3 * time.Second, "near"},
+		{"no time to wait", 500 * time.Millisecond, "far"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			pool := New(warehouse)
+			pool.SetTargets([]Target{{ID: "near", Address: "10.0.0.1:80", Zone: "a"}, {ID: "far", Address: "10.0.0.2:80", Zone: "b"}})
+			pool.Submit(Job{Attempt: "first", Pieces: 8, Zone: "a", Aim: start.Add(time.Second), Deadline: start.Add(3 * time.Second)})
+			first, _, _ := pool.Next(start)
+			if len(first) != 1 || first[0].Target.ID != "near" {
+				t.Fatalf("first calls are %+v", first)
+			}
+			now := start.Add(50 * time.Millisecond)
+			pool.Submit(Job{Attempt: "second", Pieces: 1, Zone: "a", Aim: now.Add(test.aim), Deadline: now.Add(4 * time.Second)})
+			second, _, _ := pool.Next(now)
+			if len(second) == 0 {
+				now = start.Add(368 * time.Millisecond)
+				pool.Finish(now, first[0].ID, Answered, make([]core.PieceResult, 8))
+				second, _, _ = pool.Next(now)
+			}
+			if len(second) != 1 || second[0].Target.ID != test.want {
+				t.Errorf("calls are %+v, want one to %s", second, test.want)
+			}
+		})
+	}
+}
--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -2,19 +2,22 @@
 
 import (
 	"time"
+
+	"catkincove/core"
 )
 
 const (
-	refusedRest   = 100 * time.Millisecond // a full target has a place after part of a call
-	brokenRest    = 500 * time.Millisecond // doubled with each further failure
-	longestRest   = 4 * time.Second
-	roomRest      = 200 * time.Millisecond // results are freed within about a call
-	slowWeight    = 0.5                    // of the newest call in the estimate of a target's speed
-	slowest       = 20.0                   // bounds the estimate, so that one stalled call does not outlast its cause
-	roomShare     = 0.95                   // results are a little larger or smaller than declared
-	unusablySlow  = 3.0                    // slower targets get work only while they are the only ones
-	retestSlow    = 3 * time.Second        // after this a slow target gets a call again, to see whether it has recovered
-	heldResultCap = 10_000                 // bounds the memory for results that are never freed
+	refusedRest     = 100 * time.Millisecond // a full target has a place after part of a call
+	brokenRest      = 500 * time.Millisecond // doubled with each further failure
+	longestRest     = 4 * time.Second
+	roomRest        = 200 * time.Millisecond // results are freed within about a call
+	slowWeight      = 0.5                    // of the newest call in the estimate of a target's speed
+	slowest         = 20.0                   // bounds the estimate, so that one stalled call does not outlast its cause
+	longestRoomRest = 800 * time.Millisecond // doubled from roomRest with each further full call
+	roomShare       = 0.95                   // results are a little larger or smaller than declared
+	unusablySlow    = 3.0                    // slower targets get work only while they are the only ones
+	retestSlow      = 3 * time.Second        // after this a slow target gets a call again, to see whether it has recovered
+	heldResultCap   = 10_000                 // bounds the memory for results that are never freed
 )
 
 type held struct {
@@ -32,8 +35,11 @@
 	rest      time.Time // no call before
 	failures  int
 	roomRest  time.Time
+	fullCalls int   // calls in a row with a piece that had no room
 	reserved  int64 // bytes of results of running calls
 	heldBytes int64
+	foreign   int64 // bytes of results that this pool does not know, as of foreignAt
+	foreignAt time.Time
 	held      map[string]held // by handle
 }
 
@@ -62,11 +68,28 @@
 	}
 }
 
-func (worker *worker) room(now time.Time, total int64) int64 {
+func (worker *worker) room(now time.Time, spec core.BatchSpec) int64 {
 	if now.Before(worker.roomRest) {
 		return 0
 	}
-	return int64(float64(total)*roomShare) - worker.reserved - worker.heldBytes
+	return int64(float64(spec.Room)*roomShare) - worker.reserved - worker.heldBytes - worker.foreignBytes(now, spec.ResultLife)
+}
+
+// foreignBytes is what results of unknown owners still take up: they lapse evenly over the life of a result.
+func (worker *worker) foreignBytes(now time.Time, life time.Duration) int64 {
+	left := 1 - float64(now.Sub(worker.foreignAt))/float64(max(life, time.Millisecond))
+	return int64(float64(worker.foreign) * max(left, 0))
+}
+
+// noRoom notes that the target had no room although the pool counted on it: after a daemon has been killed, nobody frees
+// the results of its requests.
+func (worker *worker) noRoom(now time.Time, spec core.BatchSpec) {
+	worker.roomRest = now.Add(min(roomRest<<worker.fullCalls, longestRoomRest))
+	worker.fullCalls++
+	known := worker.reserved + worker.heldBytes
+	if unknown := int64(float64(spec.Room)*roomShare) - known; unknown > worker.foreignBytes(now, spec.ResultLife) {
+		worker.foreign, worker.foreignAt = unknown, now
+	}
 }
 
 func (worker *worker) succeeded(now time.Time, took, expected time.Duration) {
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -51,7 +51,8 @@
 	outcome     string   // for the log
 	target      string
 	first       time.Duration
-	staged      time.Duration // spent in the stages
+	staged      time.Duration   // spent in the stages
+	stageTimes  []time.Duration // of each stage, from its inputs to its results
 }
 
 // serveFront serves one request of a caller.
@@ -323,6 +324,6 @@
 	daemon.log.Info().Str("Event", "RequestEnded").Str("Request", request.caller.Attempt).Str("Route", request.route.Name).
 		Str("Team", string(request.team.Name)).Int64("RoutingVersion", daemon.view.Load().routing.Version).
 		Str("Outcome", request.outcome).Int("Status", status).Str("Target", request.target).Int("Tries", request.tries).
-		Dur("Stages", request.staged).Dur("First", request.first).Dur("Took", now.Sub(request.began)).
+		Dur("Stages", request.staged).Durs("StageTimes", request.stageTimes).Dur("First", request.first).Dur("Took", now.Sub(request.began)).
 		Dur("Forecast", request.plan.Finish).AnErr("Cause", err).Send()
 }
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -77,6 +77,7 @@
 // runStages returns the handles of the stages that no other one follows; they must be freed.
 func (daemon *Daemon) runStages(ctx context.Context, request *request) ([][]string, error) {
 	stages := request.route.Stages
+	request.stageTimes = make([]time.Duration, len(stages))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	run := &stageRun{
@@ -140,7 +141,9 @@
 			return
 		}
 	}
+	began := run.daemon.clock.Now()
 	handles, err := run.daemon.produce(ctx, run.message(i, pieces, inputs))
+	run.request.stageTimes[i] = run.daemon.clock.Now().Sub(began)
 	if err != nil {
 		run.fail(err)
 		return
