Count a caller's aim from its first attempt, and let urgent kinds go first

Change: each step of a kind's priority leaves 6% of its aim free, each of the team's 2%; callers are told to come back after a fifth of the time they have left, spread by half; a caller that states less than 0.82 of its route's time limit has come back, so its aim counts from its first attempt and it takes only places that are spare.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -9,10 +9,12 @@
 )
 
 const (
-	urgencyMargin  = 0.12                   // of the aim that each step of priority leaves free for more urgent requests
+	urgencyMargin  = 0.06                   // of the aim that each step of priority of the kind leaves free for more urgent kinds
+	teamMargin     = 0.02                   // the same for each step of priority of the team
 	leastAim       = 0.5                    // of the aim that the least urgent requests may plan with
 	lateShare      = 0.6                    // of the time left within which a late answer is still likely
 	floorShare     = 0.5                    // of each kind's recent requests are taken by its whole aim, whatever its urgency
+	returnShare    = 0.2                    // of its time left after which a refused caller should come back: a burst lasts seconds
 	leastReturn    = 200 * time.Millisecond // before a caller comes back
 	noTargetReturn = time.Second            // while a service has no targets
 )
@@ -32,7 +34,8 @@
 	Target   time.Duration // usual time from the last stage to the first event
 	Aim      time.Duration // left until the response should begin
 	Left     time.Duration // left until the request fails
-	Priority int           // 0 is the most urgent
+	Priority int           // of the kind; 0 is the most urgent
+	Team     int           // priority of the team; 0 is the most urgent
 	Taken    float64       // share of the recent requests of this kind that were taken
 }
 
@@ -108,7 +111,7 @@
 		return Verdict{Admit: true} // whether targets have places is known only when one is chosen
 	}
 	plan := Forecast(request)
-	allowed := max(1-urgencyMargin*float64(request.Priority), leastAim)
+	allowed := max(1-urgencyMargin*float64(request.Priority)-teamMargin*float64(request.Team), leastAim)
 	if request.Taken < floorShare {
 		allowed = 1
 	}
@@ -116,10 +119,11 @@
 	switch {
 	case excess <= 0:
 		return Verdict{Admit: true}
-	case plan.Finish <= time.Duration(float64(request.Left)*lateShare) && request.Aim <= 0:
+	case request.Aim <= 0 && plan.Finish <= time.Duration(float64(request.Left)*lateShare):
+		// The caller was refused before: it is late already, and takes places that nobody else needs.
 		return Verdict{Admit: true, Late: true}
 	default:
-		return refuse("WouldBeLate", excess, random)
+		return refuse("WouldBeLate", max(excess, time.Duration(float64(request.Left)*returnShare)), random)
 	}
 }
 
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -24,6 +24,8 @@
 	usualFirst     = 150 * time.Millisecond // to the first event, before any has been seen
 	firstWeight    = 0.1                    // of the newest first event in the usual time
 	takenWeight    = 0.05                   // of the newest decision in the share of requests taken
+	leastFirst     = 0.82                   // of the route's time limit that callers state on a first attempt: 0.85 to 1
+	usualFirstLeft = 0.92
 	retryAfterName = "Retry-After"
 )
 
@@ -120,6 +122,8 @@
 	return host
 }
 
+// setTimes works out how long the request may take. A caller that comes back after a refusal states far less time than
+// the route gives, and its aim counts from its first attempt.
 func (request *request) setTimes(now time.Time) {
 	left := defaultLeft
 	if request.route.Timeout > 0 {
@@ -130,6 +134,10 @@
 	}
 	request.deadline = now.Add(left)
 	request.aimAt = now.Add(min(request.route.Aim, left))
+	limit := float64(request.route.Timeout)
+	if stated := float64(request.caller.Left); stated > 0 && stated < limit*leastFirst {
+		request.aimAt = request.aimAt.Add(-time.Duration(limit*usualFirstLeft - stated))
+	}
 }
 
 // readBody reads the whole body, so that it can be sent again; its memory is bounded over all requests.
@@ -239,7 +247,7 @@
 		first = usualFirst
 	}
 	plan := admit.Request{
-		Target: first, Aim: request.aimAt.Sub(now), Left: request.deadline.Sub(now), Priority: request.priority,
+		Target: first, Aim: request.aimAt.Sub(now), Left: request.deadline.Sub(now), Priority: request.route.Priority, Team: request.team.Priority,
 		Taken: 1 + daemon.control.taken[request.route.Name],
 	}
 	for i, spec := range request.route.Stages {
@@ -322,8 +330,8 @@
 func (daemon *Daemon) report(request *request, status int, err error) {
 	now := daemon.clock.Now()
 	daemon.log.Info().Str("Event", "RequestEnded").Str("Request", request.caller.Attempt).Str("Route", request.route.Name).
-		Str("Team", string(request.team.Name)).Int64("RoutingVersion", daemon.view.Load().routing.Version).
+		Str("Team", string(request.team.Name)).Int("Priority", request.priority).Int64("RoutingVersion", daemon.view.Load().routing.Version).
 		Str("Outcome", request.outcome).Int("Status", status).Str("Target", request.target).Int("Tries", request.tries).
 		Dur("Stages", request.staged).Durs("StageTimes", request.stageTimes).Dur("First", request.first).Dur("Took", now.Sub(request.began)).
-		Dur("Forecast", request.plan.Finish).AnErr("Cause", err).Send()
+		Dur("Left", request.caller.Left).Dur("Forecast", request.plan.Finish).AnErr("Cause", err).Send()
 }
