Tell pauses of a daemon from slow targets, and finish requests before the end of a drain

Cause 2: pings waited for the slowest of a round, so a daemon that sends batches was passed over 1 to 2.2 s after it stood still. Cause 3: http.Server.Serve returns when Shutdown begins, which ended the process and cut the requests that Shutdown waits for. Change: a pool notices that Next came late and does not count that time; capacity is measured against the median target, and what is known of a target's speed fades; senders are pinged four times a second and passed over 0.7 s after a ping without an answer; the servers end when the drain has ended. TestPausedDaemon failed before.

--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -19,6 +19,7 @@
 	mostClass      = 4.0
 	zonePatience   = 0.3                    // of the time left to its aim that a piece waits for a target near its inputs
 	lateLimit      = 700 * time.Millisecond // that a job waits for spare places once it cannot be on time
+	leastPause     = 300 * time.Millisecond // by which Next comes late when the daemon has been paused
 	priorityOffset = 100 * time.Millisecond // less urgent jobs count as due this much later for each step
 )
 
@@ -35,6 +36,7 @@
 	classes map[string]float64 // time of a piece against spec.Item
 	lastJob JobID
 	lastRun CallID
+	due     time.Time // when Next must be called at the latest
 }
 
 type piece struct {
@@ -142,6 +144,7 @@
 
 // Next returns the calls to send now, the jobs that cannot be done in time, and the results that nobody needs.
 func (pool *Pool) Next(now time.Time) (calls []Call, ended []Result, unused []string) {
+	pool.resume(now)
 	for _, worker := range pool.workers {
 		worker.expire(now)
 	}
@@ -161,12 +164,28 @@
 	return calls, ended, unused
 }
 
+// resume notices that this daemon has been paused: Next is due at the latest when a call stalls. The time of the pause
+// says nothing about the targets, whose answers may be waiting to be read.
+func (pool *Pool) resume(now time.Time) {
+	if pool.due.IsZero() {
+		return
+	}
+	pause := now.Sub(pool.due)
+	pool.due = time.Time{}
+	if pause < leastPause {
+		return
+	}
+	for _, call := range pool.calls {
+		call.began = call.began.Add(pause + leastPause) // answers that wait are read in the meantime
+	}
+}
+
 // repeatStalled queues the pieces of calls that take far longer than expected once more: their target has become slow or
 // silent, and a piece may be produced twice.
 func (pool *Pool) repeatStalled(now time.Time) {
 	for _, call := range pool.calls {
 		elapsed := now.Sub(call.began)
-		if call.stalled || elapsed < pool.stallAfter(call) {
+		if call.stalled || elapsed < pool.stallAfter(now, call) {
 			continue
 		}
 		call.stalled = true
@@ -179,8 +198,8 @@
 	}
 }
 
-func (pool *Pool) stallAfter(call *call) time.Duration {
-	return time.Duration(float64(call.expected)*max(call.worker.slow, 1)*stallRatio) + stallMargin
+func (pool *Pool) stallAfter(now time.Time, call *call) time.Duration {
+	return time.Duration(float64(call.expected)*max(call.worker.pace(now), 1)*stallRatio) + stallMargin
 }
 
 // refuseHopeless ends the jobs that would not be done by their deadline even if their turn came in the present order.
@@ -229,7 +248,7 @@
 	var idle []*worker
 	fast := false
 	for _, worker := range pool.workers {
-		if worker.usable(now) && worker.slow < unusablySlow {
+		if worker.usable(now) && worker.pace(now) < unusablySlow {
 			fast = true
 		}
 	}
@@ -237,13 +256,13 @@
 		if !worker.usable(now) || worker.calls >= pool.spec.Calls {
 			continue
 		}
-		if fast && worker.slow >= unusablySlow && now.Sub(worker.slowSince) < retestSlow {
+		if fast && worker.pace(now) >= unusablySlow {
 			continue
 		}
 		idle = append(idle, worker)
 	}
 	slices.SortFunc(idle, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(a.slow, b.slow), cmp.Compare(a.heldBytes+a.reserved, b.heldBytes+b.reserved), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.pace(now), b.pace(now)), cmp.Compare(a.heldBytes+a.reserved, b.heldBytes+b.reserved), cmp.Compare(a.ID, b.ID))
 	})
 	return idle
 }
@@ -260,7 +279,7 @@
 	zones := map[string]*zone{}
 	free := map[*worker]time.Duration{}
 	for _, call := range pool.calls {
-		left := max(time.Duration(float64(call.expected)*call.worker.slow)-now.Sub(call.began), 0)
+		left := max(time.Duration(float64(call.expected)*call.worker.pace(now))-now.Sub(call.began), 0)
 		free[call.worker] = max(free[call.worker], left)
 	}
 	for _, worker := range pool.workers {
@@ -338,7 +357,7 @@
 			Left: part.job.Deadline.Sub(now), Key: part.job.Key, Inputs: part.job.Inputs,
 		})
 	}
-	request.Timeout = time.Duration(float64(begun.expected)*callTimeout*max(worker.slow, 1)) + callMargin
+	request.Timeout = time.Duration(float64(begun.expected)*callTimeout*max(worker.pace(now), 1)) + callMargin
 	request.Bytes, request.Held = begun.bytes, worker.heldBytes+worker.reserved
 	worker.calls++
 	worker.reserved += begun.bytes
@@ -352,6 +371,7 @@
 	if call == nil {
 		return nil, nil
 	}
+	pool.resume(now)
 	delete(pool.calls, id)
 	worker := call.worker
 	worker.calls--
@@ -456,7 +476,7 @@
 // learn adjusts the times of the classes to the time of a call on a target of usual speed.
 func (pool *Pool) learn(call *call, took time.Duration) {
 	const usualLow, usualHigh = 0.7, 1.4
-	if call.worker.slow < usualLow || call.worker.slow > usualHigh || call.expected <= pool.spec.Call {
+	if pace := call.worker.pace(call.began); pace < usualLow || pace > usualHigh || call.expected <= pool.spec.Call {
 		return
 	}
 	ratio := float64(took-pool.spec.Call) / float64(call.expected-pool.spec.Call)
@@ -498,7 +518,7 @@
 	}
 	for _, call := range pool.calls {
 		if !call.stalled {
-			sooner(call.began.Add(pool.stallAfter(call)))
+			sooner(call.began.Add(pool.stallAfter(now, call)))
 		}
 	}
 	if len(pool.queue) > 0 {
@@ -515,18 +535,19 @@
 		}
 	}
 	if !wake.IsZero() && !wake.After(now) {
-		return now.Add(time.Millisecond)
+		wake = now.Add(time.Millisecond)
 	}
+	pool.due = wake
 	return wake
 }
 
 // Forecast returns how long new jobs would wait.
 func (pool *Pool) Forecast(now time.Time) Forecast {
 	forecast := Forecast{Call: pool.usualCall(), Ahead: make([]time.Duration, forecastSteps)}
-	for _, worker := range pool.workers {
-		if worker.usable(now) {
-			forecast.Capacity += 1 / max(worker.slow, 1)
-		}
+	paces := pool.paces(now)
+	for _, pace := range paces {
+		// All targets slow at once are as likely a pause of this daemon; that must not stop it from taking work.
+		forecast.Capacity += 1 / max(pace/paces[len(paces)/2], 1)
 	}
 	perPiece := pool.spec.Call / time.Duration(pool.spec.Size)
 	for _, waiting := range pool.queue {
@@ -554,5 +575,17 @@
 	return forecast
 }
 
+// paces returns the paces of the usable targets, fastest first.
+func (pool *Pool) paces(now time.Time) []float64 {
+	var paces []float64
+	for _, worker := range pool.workers {
+		if worker.usable(now) {
+			paces = append(paces, max(worker.pace(now), 1))
+		}
+	}
+	slices.Sort(paces)
+	return paces
+}
+
 // Length returns how many pieces wait and how many calls run.
 func (pool *Pool) Length() (waiting, running int) { return len(pool.queue), len(pool.calls) }
--- a/core/batch/pool_test.go
+++ b/core/batch/pool_test.go
@@ -343,3 +343,24 @@
 		})
 	}
 }
+
+// TestPausedDaemon guards against a daemon that takes its own pause for slow targets: after 5 s in which it stood still it
+// repeated all calls, and forecast waits of seconds for a pool that was idle.
+func TestPausedDaemon(t *testing.T) {
+	world := newWorld(warehouse, 4)
+	for range 4 {
+		world.submit(4, time.Second, 9*time.Second) // as many as a call takes while others are idle
+	}
+	before := world.calls
+	world.pool.Wake(world.now)
+	world.now = world.now.Add(5 * time.Second)
+	world.pump() // a timer runs before the answers have been read
+	world.run(10 * time.Millisecond)
+	if world.calls != before {
+		t.Errorf("%d calls were repeated", world.calls-before)
+	}
+	forecast := world.pool.Forecast(world.now)
+	if forecast.Capacity < 3.5 || forecast.Wait(2*time.Second) > 100*time.Millisecond {
+		t.Errorf("forecast is %+v", forecast)
+	}
+}
--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"math"
 	"time"
 
 	"catkincove/core"
@@ -16,7 +17,7 @@
 	longestRoomRest = 800 * time.Millisecond // doubled from roomRest with each further full call
 	roomShare       = 0.95                   // results are a little larger or smaller than declared
 	unusablySlow    = 3.0                    // slower targets get work only while they are the only ones
-	retestSlow      = 3 * time.Second        // after this a slow target gets a call again, to see whether it has recovered
+	slowHalfLife    = 2 * time.Second        // of what is known of a target's speed, so that a slow one is tried again
 	heldResultCap   = 10_000                 // bounds the memory for results that are never freed
 )
 
@@ -30,8 +31,8 @@
 	Target
 	gone      bool // left the registry; its calls may still end
 	calls     int
-	slow      float64 // time of a call against the expected time
-	slowSince time.Time
+	slow      float64 // time of a call against the expected time, as of slowAt
+	slowAt    time.Time
 	rest      time.Time // no call before
 	failures  int
 	roomRest  time.Time
@@ -45,6 +46,13 @@
 
 func (worker *worker) usable(now time.Time) bool { return !worker.gone && !now.Before(worker.rest) }
 
+// pace is the present estimate of the time of a call against the expected time; it returns to 1 without news, because a
+// target that gets no calls could never show that it has recovered.
+func (worker *worker) pace(now time.Time) float64 {
+	halfLives := now.Sub(worker.slowAt).Seconds() / slowHalfLife.Seconds()
+	return 1 + (worker.slow-1)*math.Exp2(-halfLives)
+}
+
 func (worker *worker) hold(handle string, bytes int64, expires time.Time) {
 	if len(worker.held) >= heldResultCap {
 		return
@@ -95,14 +103,13 @@
 func (worker *worker) succeeded(now time.Time, took, expected time.Duration) {
 	worker.failures = 0
 	ratio := min(float64(took)/float64(max(expected, time.Millisecond)), slowest)
-	worker.slow += (ratio - worker.slow) * slowWeight
-	worker.slowSince = now
+	pace := worker.pace(now)
+	worker.slow, worker.slowAt = pace+(ratio-pace)*slowWeight, now
 }
 
 // stalled notes that a call has already taken that much longer than expected.
 func (worker *worker) stalled(now time.Time, ratio float64) {
-	worker.slow = min(max(worker.slow, ratio), slowest)
-	worker.slowSince = now
+	worker.slow, worker.slowAt = min(max(worker.pace(now), ratio), slowest), now
 }
 
 func (worker *worker) failed(now time.Time) {
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -161,7 +162,13 @@
 		if err != nil {
 			return err
 		}
-		group.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
+		group.Add(func() error {
+			err := server.Serve(listener)
+			if errors.Is(err, http.ErrServerClosed) {
+				<-ctx.Done() // Serve returns when Shutdown begins; its requests go on until the drain has ended
+			}
+			return err
+		}, func(error) { cancel(); _ = server.Close() })
 	}
 	daemon.addTask(&group, ctx, func(ctx context.Context) error { return daemon.drainOnSignal(ctx, servers[0]) })
 	err := group.Run()
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -19,9 +19,10 @@
 	memberTTL     = 3 * time.Second // a killed daemon leaves the directory by then
 	renewEvery    = time.Second
 	renewRetry    = 300 * time.Millisecond
-	pingEvery     = 500 * time.Millisecond
+	pingEvery     = 250 * time.Millisecond // of daemons that send batches; their pause delays every request
+	pingRounds    = 4                      // of which other daemons are asked in one
 	pingTimeout   = 800 * time.Millisecond
-	suspectAfter  = 1300 * time.Millisecond // two pings without an answer
+	suspectAfter  = 700 * time.Millisecond  // since the first ping without an answer
 	droppedAfter  = 2500 * time.Millisecond // the directory no longer names a daemon that is silent for this long
 	forgetAfter   = 30 * time.Second        // a daemon that neither the store nor a ping has shown
 	directoryKeep = 2 * time.Second         // for which callers keep addresses: short enough for changes, long enough for calm
@@ -44,6 +45,7 @@
 	leaving   bool
 	added     time.Time
 	answered  time.Time // the newest ping that it answered or sent; zero means none
+	asked     time.Time // the first ping since then; zero when it was answered
 	failed    bool      // the newest call failed
 	silent    bool      // logged as silent
 	forecasts map[string]forecastAt
@@ -173,7 +175,7 @@
 }
 
 func (known *peer) suspect(now time.Time) bool {
-	return known.failed || known.answered.IsZero() || now.Sub(known.answered) > suspectAfter
+	return known.failed || known.answered.IsZero() || !known.asked.IsZero() && now.Sub(known.asked) > suspectAfter
 }
 
 // senderOf returns the daemon that sends the batches of the service; nil means this one. It must run on the loop.
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"catkincove/core"
@@ -92,7 +91,7 @@
 		known.calls, known.cancel = context.WithCancel(context.Background())
 		known.record, known.forecasts = reply.Record, map[string]forecastAt{}
 	}
-	known.answered, known.failed, known.leaving = now, false, reply.Leaving
+	known.answered, known.asked, known.failed, known.leaving = now, time.Time{}, false, reply.Leaving
 	if known.silent {
 		known.silent = false
 		daemon.log.Info().Str("Event", "PeerReturned").Str("Peer", string(known.ID)).Msg("daemon answers again")
@@ -105,21 +104,32 @@
 	}
 }
 
-// pingPeers asks all daemons twice a second whether they live.
+// pingPeers asks the daemons that this one depends on four times a second whether they live, and the others once.
 func (daemon *Daemon) pingPeers(ctx context.Context) error {
-	for core.Pause(ctx, daemon.clock, pingEvery) {
-		var addresses []string
-		daemon.do(func() { addresses = daemon.peerAddresses() })
-		var group sync.WaitGroup
-		for _, address := range addresses {
-			group.Go(func() { daemon.ping(address) })
-		}
-		group.Wait()
+	for round := 0; core.Pause(ctx, daemon.clock, pingEvery); round++ {
+		daemon.loop.Post(func() {
+			needed := map[string]bool{}
+			for service := range daemon.view.Load().routing.Services {
+				if known := daemon.senderOf(service); known != nil {
+					needed[known.Peer] = true
+				}
+			}
+			for i, address := range daemon.peerAddresses() {
+				if needed[address] || (round+i)%pingRounds == 0 {
+					go daemon.ping(address)
+				}
+			}
+		})
 	}
 	return ctx.Err()
 }
 
 func (daemon *Daemon) ping(address string) {
+	daemon.do(func() {
+		if known := daemon.control.peers[address]; known != nil && known.asked.IsZero() {
+			known.asked = daemon.clock.Now()
+		}
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 	defer cancel()
 	var reply pingReply
@@ -139,7 +149,7 @@
 	now := daemon.clock.Now()
 	daemon.metrics.peerErrors.Add(1)
 	known := daemon.control.peers[address]
-	if known == nil || known.answered.IsZero() || known.silence(now) < suspectAfter {
+	if known == nil || known.answered.IsZero() || !known.suspect(now) {
 		return
 	}
 	known.cancel()
