Try a slow target again with a single piece

Cause: what is known of a slow target fades, and the call that tests it took up to a whole batch, at a target five times slower. Change: the call that tests it takes one piece, and the half-life is 4 s.

--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -315,6 +315,9 @@
 	}
 	size := max((len(pool.queue)+idle-1)/idle, (pool.spec.Size+1)/2)
 	size = min(size, pool.spec.Size)
+	if worker.slow >= unusablySlow {
+		size = 1 // a call that only shows whether the target is still slow
+	}
 	room := worker.room(now, pool.spec)
 	var formed []*piece
 	rest := pool.queue[:0]
--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -17,7 +17,7 @@
 	longestRoomRest = 800 * time.Millisecond // doubled from roomRest with each further full call
 	roomShare       = 0.95                   // results are a little larger or smaller than declared
 	unusablySlow    = 3.0                    // slower targets get work only while they are the only ones
-	slowHalfLife    = 2 * time.Second        // of what is known of a target's speed, so that a slow one is tried again
+	slowHalfLife    = 4 * time.Second        // of what is known of a target's speed, so that a slow one is tried again
 	heldResultCap   = 10_000                 // bounds the memory for results that are never freed
 )
 
