Compare targets by their pace, and collect watch answers for 0.8 s

Change: the time to an answer counts against the usual time of its route; watches pause 0.8 s (a drain may take 2 s).

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -12,7 +13,8 @@
 
 const (
 	failureWeight  = 0.3                    // of the newest answer in a target's share of failures
-	latencyWeight  = 0.2                    // of the newest answer in a target's usual latency
+	paceWeight     = 0.2                    // of the newest answer in a target's pace
+	mostPace       = 20.0                   // bounds the weight of a single answer
 	firstRest      = 300 * time.Millisecond // after a failure; doubled with each further one
 	longestRest    = 4 * time.Second
 	failurePenalty = 4.0                   // a target that fails always counts as this many times slower, and one more
@@ -73,7 +75,7 @@
 
 type state struct {
 	inFlight int
-	latency  time.Duration
+	pace     float64 // time to an answer against the usual time of its kind; 0 before the first
 	failures float64 // share of recent answers
 	strikes  int
 	rest     time.Time
@@ -191,11 +193,11 @@
 // cost is the expected time of one more request at the target.
 func (chooser *Chooser) cost(now time.Time, target Target) float64 {
 	state := chooser.state(target.ID)
-	latency := state.latency
-	if latency == 0 {
-		latency = usualLatency
+	pace := state.pace
+	if pace == 0 {
+		pace = 1
 	}
-	cost := float64(latency) * float64(state.inFlight+1) * (1 + failurePenalty*state.failures)
+	cost := pace * float64(state.inFlight+1) * (1 + failurePenalty*state.failures)
 	if now.Before(target.ColdUntil) {
 		cost *= 2
 	}
@@ -222,7 +224,7 @@
 	limit, slow := chooser.bounds(targets, candidates)
 	accepted := func(i int) bool {
 		state := chooser.state(targets[i].ID)
-		return float64(state.inFlight) <= limit && state.latency <= slow && !now.Before(targets[i].ColdUntil)
+		return float64(state.inFlight) <= limit && state.pace <= slow && !now.Before(targets[i].ColdUntil)
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
 		return cmp.Or(
@@ -246,23 +248,23 @@
 	}).Zone
 }
 
-// bounds returns the load and the latency above which a target loses its prompts for a while.
-func (chooser *Chooser) bounds(targets []Target, candidates []int) (float64, time.Duration) {
+// bounds returns the load and the pace above which a target loses its prompts for a while.
+func (chooser *Chooser) bounds(targets []Target, candidates []int) (load, pace float64) {
 	sum := 0
-	var latencies []time.Duration
+	var paces []float64
 	for _, i := range candidates {
 		state := chooser.state(targets[i].ID)
 		sum += state.inFlight
-		if state.latency > 0 {
-			latencies = append(latencies, state.latency)
+		if state.pace > 0 {
+			paces = append(paces, state.pace)
 		}
 	}
 	limit := float64(sum)/float64(len(candidates))*loadRatio + spareLoad
-	if len(latencies) == 0 {
-		return limit, time.Hour
+	if len(paces) == 0 {
+		return limit, math.Inf(1)
 	}
-	slices.Sort(latencies)
-	return limit, time.Duration(float64(latencies[len(latencies)/2])*slowRatio) + usualLatency
+	slices.Sort(paces)
+	return limit, paces[len(paces)/2]*slowRatio + 1
 }
 
 func (chooser *Chooser) admitCold(now time.Time, state *state, target Target) bool {
@@ -273,15 +275,15 @@
 	return state.cold.take(now, share, max(min(share, 2), 1))
 }
 
-// Finish ends a request; latency is the time to its answer's first byte.
-func (chooser *Chooser) Finish(now time.Time, id string, outcome Outcome, latency time.Duration) {
+// Finish ends a request; pace is the time to its answer against the usual time of its kind.
+func (chooser *Chooser) Finish(now time.Time, id string, outcome Outcome, pace float64) {
 	state := chooser.state(id)
 	state.inFlight = max(state.inFlight-1, 0)
-	chooser.Judge(now, id, outcome, latency)
+	chooser.Judge(now, id, outcome, pace)
 }
 
 // Judge records an outcome without ending the request, for one that is still waited for.
-func (chooser *Chooser) Judge(now time.Time, id string, outcome Outcome, latency time.Duration) {
+func (chooser *Chooser) Judge(now time.Time, id string, outcome Outcome, pace float64) {
 	state := chooser.state(id)
 	state.seen = now
 	failed := 0.0
@@ -290,10 +292,10 @@
 		return
 	case Good:
 		state.strikes, state.probing = 0, false
-		if state.latency == 0 {
-			state.latency = latency
+		if state.pace == 0 {
+			state.pace = pace
 		}
-		state.latency += time.Duration(float64(latency-state.latency) * latencyWeight)
+		state.pace += (min(pace, mostPace) - state.pace) * paceWeight
 	case Erred:
 		failed = 1
 	case Full:
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -184,13 +184,17 @@
 }
 
 // judge records the outcome of an attempt once.
-func (daemon *Daemon) judge(attempt *attempt, outcome place.Outcome, latency time.Duration) {
+func (daemon *Daemon) judge(request *request, attempt *attempt, outcome place.Outcome, took time.Duration) {
 	if attempt.judged {
 		return
 	}
 	attempt.judged = true
 	daemon.loop.Post(func() {
-		daemon.control.chooser.Finish(daemon.clock.Now(), attempt.target.ID, outcome, latency)
+		pace := 1.0
+		if usual := daemon.control.first[request.route.Name]; usual > 0 {
+			pace = float64(took) / float64(usual)
+		}
+		daemon.control.chooser.Finish(daemon.clock.Now(), attempt.target.ID, outcome, pace)
 	})
 }
 
@@ -280,13 +284,13 @@
 	facts := relay.daemon.dialect.TargetAnswer(response.StatusCode, response.Header)
 	switch {
 	case facts.NotRun:
-		relay.daemon.judge(relay.attempt, place.Full, 0)
+		relay.daemon.judge(relay.request, relay.attempt, place.Full, 0)
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, bufferedAnswer))
 		return &sendError{run: core.NotRun, cause: fmt.Errorf("target answered %d and did not run the request", response.StatusCode)}
 	case response.StatusCode >= http.StatusMultipleChoices:
 		return relay.failure(ctx, response)
 	case !facts.Sealed:
-		relay.daemon.judge(relay.attempt, place.Lost, 0)
+		relay.daemon.judge(relay.request, relay.attempt, place.Lost, 0)
 		return &sendError{run: core.Unknown, cause: errors.New("success without the target's digest")}
 	case relay.request.route.Stream:
 		return relay.stream(ctx, response)
@@ -313,14 +317,14 @@
 		return response, nil
 	}
 	if ctx.Err() != nil {
-		daemon.judge(relay.attempt, place.Unjudged, 0)
+		daemon.judge(request, relay.attempt, place.Unjudged, 0)
 		request.ran = request.ran || xchg.Sent(err)
 		if relay.silenced() {
 			return nil, &sendError{run: core.Unknown, cause: errSilent}
 		}
 		return nil, ctx.Err()
 	}
-	daemon.judge(relay.attempt, place.Lost, 0)
+	daemon.judge(request, relay.attempt, place.Lost, 0)
 	daemon.targets.CloseIdle(target.Address)
 	if !xchg.Sent(err) {
 		return nil, &sendError{unsent: true, run: core.NotRun, cause: err}
@@ -333,14 +337,14 @@
 func (relay *relay) failure(ctx context.Context, response *http.Response) error {
 	body, err := io.ReadAll(io.LimitReader(response.Body, bufferedAnswer))
 	if err != nil {
-		relay.daemon.judge(relay.attempt, place.Lost, 0)
+		relay.daemon.judge(relay.request, relay.attempt, place.Lost, 0)
 		return &sendError{run: core.Unknown, cause: err}
 	}
 	outcome := place.Good
 	if response.StatusCode >= http.StatusInternalServerError {
 		outcome = place.Erred
 	}
-	relay.daemon.judge(relay.attempt, outcome, relay.daemon.clock.Now().Sub(relay.attempt.began))
+	relay.daemon.judge(relay.request, relay.attempt, outcome, relay.daemon.clock.Now().Sub(relay.attempt.began))
 	cause := fmt.Errorf("target answered %d", response.StatusCode)
 	if promisesNotRun(response.StatusCode) {
 		// The target does not say that it did not run the request, so the status must not say so either.
@@ -377,7 +381,9 @@
 	}
 	relay.read()
 	if body.Len() < bufferedAnswer {
-		relay.daemon.judge(relay.attempt, place.Good, relay.daemon.clock.Now().Sub(relay.attempt.began))
+		took := relay.daemon.clock.Now().Sub(relay.attempt.began)
+		relay.daemon.judge(relay.request, relay.attempt, place.Good, took)
+		relay.daemon.observeFirst(relay.request.route.Name, took)
 		whole := answer{status: response.StatusCode, header: response.Header, body: body.Bytes()}
 		whole.write(relay.writer)
 		relay.daemon.cleared(relay.request)
@@ -390,7 +396,7 @@
 	if _, err := io.Copy(relay.writer, response.Body); err != nil {
 		return relay.broken(ctx, err)
 	}
-	relay.daemon.judge(relay.attempt, place.Good, relay.daemon.clock.Now().Sub(relay.attempt.began))
+	relay.daemon.judge(relay.request, relay.attempt, place.Good, relay.daemon.clock.Now().Sub(relay.attempt.began))
 	relay.daemon.cleared(relay.request)
 	return nil
 }
@@ -399,10 +405,10 @@
 func (relay *relay) broken(ctx context.Context, err error) error {
 	relay.request.ran = true
 	if ctx.Err() != nil && !relay.silenced() {
-		relay.daemon.judge(relay.attempt, place.Unjudged, 0)
+		relay.daemon.judge(relay.request, relay.attempt, place.Unjudged, 0)
 		return ctx.Err()
 	}
-	relay.daemon.judge(relay.attempt, place.Lost, 0)
+	relay.daemon.judge(relay.request, relay.attempt, place.Lost, 0)
 	relay.daemon.crashed(relay.request, relay.attempt.target.ID)
 	return &sendError{run: core.Unknown, cause: err}
 }
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -131,7 +131,7 @@
 		// A stream that has ended before this attempt's first event is whole, if the target says so.
 		relay.firstEvent(response)
 	}
-	relay.daemon.judge(relay.attempt, place.Good, relay.latency)
+	relay.daemon.judge(relay.request, relay.attempt, place.Good, relay.latency)
 	relay.daemon.cleared(relay.request)
 	return nil
 }
--- a/io/tool/edge.go
+++ b/io/tool/edge.go
@@ -16,7 +16,7 @@
 
 const (
 	storeDialTimeout = 600 * time.Millisecond
-	watchPause       = 400 * time.Millisecond // collects the heartbeats of all targets in few calls; draining may take 2 s
+	watchPause       = 800 * time.Millisecond // collects the heartbeats of all targets in few calls; draining may take 2 s
 )
 
 func edgeCommand() *cli.Command {
