Place the prompts of all daemons in one place

Change: the daemon that sends the batches of a service also places the prompts of an engine service: it counts the tokens that each engine still has to read and the parts it keeps, learns the rate, and keeps large inputs in their data centre. Without an answer within 250 ms a daemon chooses by rendezvous hash as before. Hints tell a new placer which engine read a prompt last. What is known of failures fades, and a repeatable request tests a target that has rested. TestFailingTargetRests and TestColdTargetsGetTheirShare failed first: a target that had recovered was never chosen again while others were idle, and daemons that all begin with one request in hand send a cold target too many.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -22,7 +22,9 @@
 	spareLoad      = 3.0                   // requests by which the target that holds the prompt may exceed the mean
 	loadRatio      = 1.6                   // of the mean, for the same
 	slowRatio      = 4.0                   // a target this many times slower than the median keeps no prompts
-	coldShare      = 0.7                   // of the bound on cold targets that all daemons use together
+	coldShare      = 0.2                   // of the bound on cold targets that all daemons use when each places for itself
+	coldBurst      = 2.0                   // requests that a cold target may get at once from the daemon that places for all
+	fadeHalfLife   = 4 * time.Second       // of what is known of a target's failures and pace, so that it gets requests again
 	stateLife      = time.Minute           // of what is known of a target that is gone
 	connectionFill = 0.8                   // of a target's connections that all daemons use together
 )
@@ -32,6 +34,7 @@
 	ID             string
 	Address        string
 	Zone           string
+	Born           time.Time // start of this run; the prompts of earlier ones are gone
 	ColdUntil      time.Time
 	ColdRate       float64 // requests per second that it tolerates while cold, from all daemons; 0 means no limit
 	MaxConnections int     // from all daemons; 0 means no limit
@@ -42,6 +45,7 @@
 	Prompt  string   // targets that have read this shared part of a prompt are preferred; empty means none
 	Zone    string   // targets in this data centre are preferred to those that have read the prompt; empty means none
 	Exclude []string // targets that have been tried
+	Probe   bool     // the request may be repeated, so that it can test whether a target has recovered
 }
 
 // Fault says why there is no target.
@@ -75,8 +79,9 @@
 
 type state struct {
 	inFlight int
-	pace     float64 // time to an answer against the usual time of its kind; 0 before the first
-	failures float64 // share of recent answers
+	pace     float64 // time to an answer against the usual time of its kind, as of judged; 0 before the first
+	failures float64 // share of recent answers, as of judged
+	judged   time.Time
 	strikes  int
 	rest     time.Time
 	probing  bool // one request tests whether it has recovered
@@ -84,16 +89,26 @@
 	seen     time.Time
 }
 
+// fade lets what is known of the target return to the usual with time.
+func (state *state) fade(now time.Time) {
+	left := math.Exp2(-now.Sub(state.judged).Seconds() / fadeHalfLife.Seconds())
+	state.failures *= left
+	if state.pace == 0 {
+		state.pace = 1
+	}
+	state.pace = 1 + (state.pace-1)*left
+	state.judged = now
+}
+
 // bucket admits requests at a rate, one at a time.
 type bucket struct {
 	tokens float64
 	at     time.Time
 }
 
+// take starts empty: daemons that all begin with a request in hand would send too many at once.
 func (bucket *bucket) take(now time.Time, rate, burst float64) bool {
-	if bucket.at.IsZero() {
-		bucket.tokens = burst
-	} else {
+	if !bucket.at.IsZero() {
 		bucket.tokens = min(bucket.tokens+rate*now.Sub(bucket.at).Seconds(), burst)
 	}
 	bucket.at = now
@@ -144,7 +159,7 @@
 	}
 	for _, i := range order {
 		state := chooser.state(targets[i].ID)
-		if !chooser.admitCold(now, state, targets[i]) {
+		if !chooser.admitCold(now, targets[i], coldShare/float64(max(chooser.Daemons, 1))) {
 			continue
 		}
 		state.inFlight++
@@ -175,6 +190,13 @@
 			usable = append(usable, i)
 		}
 	}
+	if request.Probe {
+		for _, i := range usable {
+			if state := chooser.state(targets[i].ID); state.strikes > 0 && state.inFlight == 0 {
+				return []int{i}, Chosen // it would lose against any other, and never show that it has recovered
+			}
+		}
+	}
 	switch {
 	case len(usable) > 0:
 		return usable, Chosen
@@ -193,11 +215,8 @@
 // cost is the expected time of one more request at the target.
 func (chooser *Chooser) cost(now time.Time, target Target) float64 {
 	state := chooser.state(target.ID)
-	pace := state.pace
-	if pace == 0 {
-		pace = 1
-	}
-	cost := pace * float64(state.inFlight+1) * (1 + failurePenalty*state.failures)
+	state.fade(now)
+	cost := max(state.pace, 0.1) * float64(state.inFlight+1) * (1 + failurePenalty*state.failures)
 	if now.Before(target.ColdUntil) {
 		cost *= 2
 	}
@@ -221,7 +240,7 @@
 	slices.SortFunc(order, func(a, b int) int {
 		return cmp.Or(cmp.Compare(rank(request.Prompt, targets[b].ID), rank(request.Prompt, targets[a].ID)), cmp.Compare(a, b))
 	})
-	limit, slow := chooser.bounds(targets, candidates)
+	limit, slow := chooser.bounds(now, targets, candidates)
 	accepted := func(i int) bool {
 		state := chooser.state(targets[i].ID)
 		return float64(state.inFlight) <= limit && state.pace <= slow && !now.Before(targets[i].ColdUntil)
@@ -249,30 +268,27 @@
 }
 
 // bounds returns the load and the pace above which a target loses its prompts for a while.
-func (chooser *Chooser) bounds(targets []Target, candidates []int) (load, pace float64) {
+func (chooser *Chooser) bounds(now time.Time, targets []Target, candidates []int) (load, pace float64) {
 	sum := 0
 	var paces []float64
 	for _, i := range candidates {
 		state := chooser.state(targets[i].ID)
 		sum += state.inFlight
-		if state.pace > 0 {
-			paces = append(paces, state.pace)
-		}
+		state.fade(now)
+		paces = append(paces, state.pace)
 	}
 	limit := float64(sum)/float64(len(candidates))*loadRatio + spareLoad
-	if len(paces) == 0 {
-		return limit, math.Inf(1)
-	}
 	slices.Sort(paces)
 	return limit, paces[len(paces)/2]*slowRatio + 1
 }
 
-func (chooser *Chooser) admitCold(now time.Time, state *state, target Target) bool {
+// admitCold keeps to a part of the bound on the requests that a cold target gets.
+func (chooser *Chooser) admitCold(now time.Time, target Target, part float64) bool {
 	if target.ColdRate <= 0 || !now.Before(target.ColdUntil) {
 		return true
 	}
-	share := (target.ColdRate*chooser.ColdOver + chooser.ColdSlack) * coldShare / float64(max(chooser.Daemons, 1))
-	return state.cold.take(now, share, max(min(share, 2), 1))
+	share := (target.ColdRate*chooser.ColdOver + chooser.ColdSlack) * part
+	return chooser.state(target.ID).cold.take(now, share, max(min(share, coldBurst), 1))
 }
 
 // Finish ends a request; pace is the time to its answer against the usual time of its kind.
@@ -286,15 +302,13 @@
 func (chooser *Chooser) Judge(now time.Time, id string, outcome Outcome, pace float64) {
 	state := chooser.state(id)
 	state.seen = now
+	state.fade(now)
 	failed := 0.0
 	switch outcome {
 	case Unjudged:
 		return
 	case Good:
 		state.strikes, state.probing = 0, false
-		if state.pace == 0 {
-			state.pace = pace
-		}
 		state.pace += (min(pace, mostPace) - state.pace) * paceWeight
 	case Erred:
 		failed = 1
@@ -309,6 +323,14 @@
 	state.failures += (failed - state.failures) * failureWeight
 }
 
+// Begin counts a request at a target that was chosen elsewhere, until Finish.
+func (chooser *Chooser) Begin(now time.Time, id string) {
+	state := chooser.state(id)
+	state.inFlight++
+	state.seen = now
+	state.probing = state.strikes > 0
+}
+
 // InFlight returns the requests of this daemon at the target.
 func (chooser *Chooser) InFlight(id string) int { return chooser.state(id).inFlight }
 
--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,193 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"catkincove/core"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func engines(count int) (*Engines, []Target) {
+	var targets []Target
+	for i := range count {
+		targets = append(targets, Target{ID: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: string(rune('a' + i%3))})
+	}
+	chooser := &Chooser{Random: rand.New(rand.NewPCG(1, 2)), Daemons: 6}
+	return &Engines{Chooser: chooser, Memory: 300_000}, targets
+}
+
+func prompt(attempt, shared string, sharedTokens, own int) Prompt {
+	return Prompt{Attempt: attempt, Parts: []core.PromptPart{{ID: shared, Tokens: sharedTokens}, {ID: attempt, Tokens: own}}}
+}
+
+// TestShortPromptsAvoidLongOnes guards against chats that wait for a prompt of 40,000 tokens, which takes an engine a
+// second, while other engines are idle.
+func TestShortPromptsAvoidLongOnes(t *testing.T) {
+	engines, targets := engines(4)
+	long, _ := engines.Choose(start, targets, prompt("long", "catalogue", 6300, 39_600))
+	now := start.Add(50 * time.Millisecond)
+	for i := range 7 { // in which the long prompt is being read
+		chosen, fault := engines.Choose(now, targets, prompt(fmt.Sprint("short", i), "catalogue", 6300, 500))
+		if fault != Chosen || chosen == long {
+			t.Errorf("short prompt %d: engine %d, %v; the long prompt is at %d", i, chosen, fault, long)
+		}
+		now = now.Add(150 * time.Millisecond)
+		engines.Read(now, targets[chosen].ID, fmt.Sprint("short", i), Good, 150*time.Millisecond)
+	}
+}
+
+// TestPromptsStayWithTheirEngine guards against shared parts that are read again: one engine keeps them while it has time.
+func TestPromptsStayWithTheirEngine(t *testing.T) {
+	engines, targets := engines(12)
+	now := start
+	at := map[string]int{}
+	for i := range 200 {
+		shared := fmt.Sprint("catalogue", i%20)
+		attempt := fmt.Sprint(i)
+		chosen, fault := engines.Choose(now, targets, prompt(attempt, shared, 6300, 800))
+		if fault != Chosen {
+			t.Fatal(fault)
+		}
+		if known, found := at[shared]; found && known != chosen {
+			t.Errorf("request %d: %s moves from engine %d to %d", i, shared, known, chosen)
+		}
+		at[shared] = chosen
+		now = now.Add(100 * time.Millisecond)
+		engines.Read(now, targets[chosen].ID, attempt, Good, 100*time.Millisecond)
+	}
+}
+
+// TestNextPlacerBelievesHints guards against prompts that are all read again when another daemon takes over.
+func TestNextPlacerBelievesHints(t *testing.T) {
+	engines, targets := engines(12)
+	for i := range 40 {
+		one := prompt(fmt.Sprint(i), fmt.Sprint("catalogue", i), 6300, 800)
+		one.Hint = targets[(i*7)%12].ID
+		chosen, _ := engines.Choose(start.Add(time.Duration(i)*time.Second), targets, one)
+		if targets[chosen].ID != one.Hint {
+			t.Errorf("prompt %d goes to %s, kept by %s", i, targets[chosen].ID, one.Hint)
+		}
+		engines.Read(start.Add(time.Duration(i)*time.Second+100*time.Millisecond), targets[chosen].ID, one.Attempt, Good, 100*time.Millisecond)
+	}
+}
+
+// TestRestartedEngineKeepsNothing guards against prompts that go to an engine that has lost them.
+func TestRestartedEngineKeepsNothing(t *testing.T) {
+	engines, targets := engines(1)
+	_, _ = engines.Choose(start, targets, prompt("a", "catalogue", 6300, 100))
+	if unread := engines.engine(targets[0]).unread(prompt("b", "catalogue", 6300, 100).Parts); unread != 100 {
+		t.Errorf("%d tokens to read while the engine keeps the shared part", unread)
+	}
+	targets[0].Born = start.Add(time.Second)
+	if unread := engines.engine(targets[0]).unread(prompt("b", "catalogue", 6300, 100).Parts); unread != 6400 {
+		t.Errorf("%d tokens to read after the restart", unread)
+	}
+}
+
+// TestMemoryIsBounded guards against prompts that are thought to be kept by an engine which has dropped them.
+func TestMemoryIsBounded(t *testing.T) {
+	engines, targets := engines(1)
+	for i := range 100 {
+		attempt := fmt.Sprint(i)
+		_, _ = engines.Choose(start.Add(time.Duration(i)*time.Second), targets, prompt(attempt, fmt.Sprint("s", i), 6000, 1000))
+		engines.Read(start.Add(time.Duration(i)*time.Second), targets[0].ID, attempt, Good, time.Millisecond)
+	}
+	if held := engines.engine(targets[0]).held; held > 210_000 {
+		t.Errorf("%d tokens are counted as kept", held)
+	}
+}
+
+// TestLargeInputsKeepTheirZone guards against results of some megabytes that cross data centres for a short prompt.
+func TestLargeInputsKeepTheirZone(t *testing.T) {
+	engines, targets := engines(12)
+	for i := range 30 {
+		one := prompt(fmt.Sprint(i), fmt.Sprint("chat", i%5), 170, 500)
+		one.Zone, one.InputBytes = "b", 3_750_000
+		chosen, _ := engines.Choose(start.Add(time.Duration(i)*200*time.Millisecond), targets, one)
+		if targets[chosen].Zone != "b" {
+			t.Errorf("request %d runs in %s", i, targets[chosen].Zone)
+		}
+		engines.Read(start.Add(time.Duration(i)*200*time.Millisecond+30*time.Millisecond), targets[chosen].ID, one.Attempt, Good, 30*time.Millisecond)
+	}
+}
+
+func ledger() (*Chooser, []Target) {
+	targets := []Target{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	return &Chooser{Random: rand.New(rand.NewPCG(3, 4))}, targets
+}
+
+// TestFailingTargetRests guards against requests that go on to a target that loses them while its health is good, and
+// against a target that never gets a request again.
+func TestFailingTargetRests(t *testing.T) {
+	chooser, targets := ledger()
+	now := start
+	lost, later := 0, 0
+	for i := range 400 {
+		chosen, _ := chooser.Choose(now, targets, Request{Probe: true})
+		outcome := Good
+		if targets[chosen].ID == "a" && i < 200 {
+			outcome = Lost
+			lost++
+		}
+		if targets[chosen].ID == "a" && i >= 300 {
+			later++
+		}
+		now = now.Add(25 * time.Millisecond)
+		chooser.Finish(now, targets[chosen].ID, outcome, 1)
+	}
+	if lost > 12 {
+		t.Errorf("%d of 200 requests went to the failing target", lost)
+	}
+	if later == 0 {
+		t.Error("the target gets nothing after it has recovered")
+	}
+}
+
+// TestColdTargetsGetTheirShare guards against cold targets that fall over because daemons together send more than they
+// tolerate: 11 requests a second x 1.5 + 5.
+func TestColdTargetsGetTheirShare(t *testing.T) {
+	const daemons = 8
+	targets := []Target{{ID: "cold", ColdUntil: start.Add(time.Minute), ColdRate: 11}}
+	sent := 0
+	for daemon := range daemons {
+		chooser := &Chooser{Random: rand.New(rand.NewPCG(uint64(daemon), 1)), Daemons: daemons, ColdOver: 1.5, ColdSlack: 5}
+		for i := range 1000 {
+			now := start.Add(time.Duration(i) * time.Millisecond)
+			if _, fault := chooser.Choose(now, targets, Request{}); fault == Chosen {
+				sent++
+				chooser.Finish(now, "cold", Good, 1)
+			}
+		}
+	}
+	placer := &Engines{Chooser: &Chooser{Random: rand.New(rand.NewPCG(9, 9)), ColdOver: 1.5, ColdSlack: 5}, Memory: 300_000}
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		one := prompt(fmt.Sprint(i), "s", 10, 10)
+		if _, fault := placer.Choose(now, targets, one); fault == Chosen {
+			sent++
+			placer.Read(now, "cold", one.Attempt, Good, time.Millisecond)
+		}
+	}
+	if limit := 21; sent > limit || sent < 5 {
+		t.Errorf("%d requests in a second, the target tolerates %d", sent, limit)
+	}
+}
+
+// TestTriedTargetsAreLeftOut guards against a request that comes to the same target twice.
+func TestTriedTargetsAreLeftOut(t *testing.T) {
+	chooser, targets := ledger()
+	for range 20 {
+		chosen, fault := chooser.Choose(start, targets, Request{Exclude: []string{"a", "c"}})
+		if fault != Chosen || targets[chosen].ID != "b" {
+			t.Fatalf("chosen %d, %v", chosen, fault)
+		}
+		chooser.Finish(start, "b", Good, 1)
+	}
+	if _, fault := chooser.Choose(start, targets, Request{Exclude: []string{"a", "b", "c"}}); fault != NoTargets {
+		t.Errorf("fault is %v", fault)
+	}
+}
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -85,12 +85,14 @@
 	registry registry
 	chooser  place.Chooser
 	ledger   blame.Ledger
-	windows  map[string]*retry.Window // by service
-	pools    map[string]*sender       // of the services whose batches this daemon has been asked to send
-	peers    map[string]*peer         // by address
-	first    map[string]time.Duration // usual time to the first event, by route
-	taken    map[string]float64       // share of requests taken less 1, by route
-	rebuild  bool                     // a rebuild of the view is posted
+	windows  map[string]*retry.Window  // by service
+	engines  map[string]*place.Engines // of the services whose prompts this daemon places for all
+	hints    map[string]string         // engine that last read a prompt, by its longest shared part
+	pools    map[string]*sender        // of the services whose batches this daemon has been asked to send
+	peers    map[string]*peer          // by address
+	first    map[string]time.Duration  // usual time to the first event, by route
+	taken    map[string]float64        // share of requests taken less 1, by route
+	rebuild  bool                      // a rebuild of the view is posted
 	random   *rand.Rand
 	decoded  map[string]decodedTarget // by key
 
@@ -117,7 +119,7 @@
 	daemon.id = newMemberID(options.Settings.Name, random)
 	daemon.control = control{
 		entries: mirror.Copy{HoldLapsed: true}, members: mirror.Copy{HoldLapsed: true},
-		windows: map[string]*retry.Window{}, pools: map[string]*sender{}, peers: map[string]*peer{},
+		windows: map[string]*retry.Window{}, pools: map[string]*sender{}, engines: map[string]*place.Engines{}, hints: map[string]string{}, peers: map[string]*peer{},
 		first: map[string]time.Duration{}, taken: map[string]float64{}, random: random,
 	}
 	daemon.control.chooser = place.Chooser{Random: random, Daemons: 1}
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -207,7 +207,7 @@
 		}
 		service := next.routing.Services[target.Service]
 		next.targets[target.Service] = append(next.targets[target.Service], place.Target{
-			ID: target.ID, Address: target.Address, Zone: target.Zone,
+			ID: target.ID, Address: target.Address, Zone: target.Zone, Born: run.born,
 			ColdUntil: run.cold, ColdRate: service.ColdRate, MaxConnections: service.MaxConnections,
 		})
 	}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -46,6 +46,7 @@
 	inputs      []string // handles for the final target
 	released    bool     // the inputs are freed
 	inputZone   string   // data centre that holds the large inputs; empty when there are none
+	inputBytes  int64    // size of the inputs there
 	resumeAfter string   // last event that the caller has
 	tries       int      // sendings to targets
 	ran         bool     // a target may have run it
@@ -194,7 +195,7 @@
 		for _, i := range leaves {
 			request.inputs = append(request.inputs, handles[i]...)
 			if bytes := request.route.Stages[i].ResultBytes; bytes >= largeResult && len(handles[i]) > 0 {
-				request.inputZone, _ = daemon.zoneOf(handles[i], bytes)
+				request.inputZone, request.inputBytes = daemon.zoneOf(handles[i], bytes)
 			}
 		}
 		freed := false
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -27,6 +27,7 @@
 	stageCalls  atomic.Int64
 	stagePieces atomic.Int64
 	stageFaults atomic.Int64
+	placedAlone atomic.Int64
 
 	mutex     sync.Mutex
 	outcomes  map[string]int64
@@ -74,6 +75,7 @@
 	set("BatchCalls", metrics.stageCalls.Load())
 	set("BatchPieces", metrics.stagePieces.Load())
 	set("BatchFaults", metrics.stageFaults.Load())
+	set("PlacedAlone", metrics.placedAlone.Load())
 	set("ConnectionsOpened", daemon.targets.Opened())
 	set("LogLinesDropped", daemon.lines.dropped.Load())
 	metrics.mutex.Lock()
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -28,6 +28,8 @@
 	pathPing   = "/peer/ping"
 	pathCopies = "/peer/copies"
 	pathPieces = "/peer/pieces"
+	pathPlace  = "/peer/place"
+	pathRead   = "/peer/read"
 	pathFree   = "/peer/free"
 )
 
@@ -51,6 +53,8 @@
 	mux.HandleFunc("GET "+pathCopies, daemon.answerCopies)
 	mux.HandleFunc("POST "+pathPieces, daemon.answerPieces)
 	mux.HandleFunc("POST "+pathFree, daemon.answerFree)
+	mux.HandleFunc("POST "+pathPlace, daemon.answerPlace)
+	mux.HandleFunc("POST "+pathRead, daemon.answerRead)
 	return mux
 }
 
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -31,6 +31,9 @@
 type attempt struct {
 	target place.Target
 	began  time.Time
+	placed *peer  // the daemon that placed the prompt; nil means this one
+	engine string // the service, if a daemon has placed the prompt for all
+	read   bool   // that daemon knows that the prompt has been read
 	judged bool
 	cancel context.CancelFunc
 }
@@ -126,8 +129,13 @@
 func (daemon *Daemon) begin(ctx context.Context, request *request, service core.ServiceSpec, tried []string) (*attempt, error) {
 	view := daemon.view.Load()
 	targets := view.targets[service.Name]
+	if service.Engine != nil {
+		if attempt := daemon.placeEngine(ctx, request, service, targets, tried); attempt != nil {
+			return attempt, nil
+		}
+	}
 	prompt, tokens := request.sharedPrompt()
-	chosen := place.Request{Exclude: tried, Prompt: prompt}
+	chosen := place.Request{Exclude: tried, Prompt: prompt, Probe: request.route.Repeat == core.Repeatable}
 	if tokens < tokensForZone {
 		chosen.Zone = request.inputZone
 	}
@@ -189,12 +197,17 @@
 		return
 	}
 	attempt.judged = true
+	local := outcome
+	if attempt.engine != "" && attempt.placed == nil && !attempt.read {
+		local = place.Unjudged // this daemon places the prompts and judges the engine by that
+	}
+	daemon.promptRead(request, attempt, outcome, took)
 	daemon.loop.Post(func() {
 		pace := 1.0
 		if usual := daemon.control.first[request.route.Name]; usual > 0 {
 			pace = float64(took) / float64(usual)
 		}
-		daemon.control.chooser.Finish(daemon.clock.Now(), attempt.target.ID, outcome, pace)
+		daemon.control.chooser.Finish(daemon.clock.Now(), attempt.target.ID, local, pace)
 	})
 }
 
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -124,6 +124,7 @@
 		daemon.observeFirst(request.route.Name, took)
 	}
 	relay.latency = took
+	daemon.promptRead(request, relay.attempt, place.Good, took)
 }
 
 func (relay *relay) streamEnded(response *http.Response, count int) error {
