Hand waiting jobs to the next sender, end the loop last, and run stages again for a stream that goes on

The loop now ends last. Queued jobs now move, and calls within 0.7 s of the first one of a sender neither stall early nor tell the speed of a target.

--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -19,6 +19,7 @@
 	mostClass      = 4.0
 	zonePatience   = 0.3                    // of the time left to its aim that a piece waits for a target near its inputs
 	lateLimit      = 700 * time.Millisecond // that a job waits for spare places once it cannot be on time
+	takeOver       = 700 * time.Millisecond // in which calls of the daemon that sent before may still run
 	leastPause     = 300 * time.Millisecond // by which Next comes late when the daemon has been paused
 	priorityOffset = 100 * time.Millisecond // less urgent jobs count as due this much later for each step
 )
@@ -37,6 +38,7 @@
 	lastJob JobID
 	lastRun CallID
 	due     time.Time // when Next must be called at the latest
+	first   time.Time // of the first call
 }
 
 type piece struct {
@@ -65,6 +67,7 @@
 	expected time.Duration // at a target of usual speed
 	bytes    int64
 	stalled  bool
+	shared   bool // may have waited behind a call of the daemon that sent before
 }
 
 // New returns an empty pool of targets with the specification.
@@ -133,6 +136,19 @@
 	return slices.DeleteFunc(slices.Clone(dropped.handles), func(handle string) bool { return handle == "" })
 }
 
+// Withdraw ends the jobs that no call has taken up yet, for the daemon that sends after this one.
+func (pool *Pool) Withdraw() []Result {
+	var moved []Result
+	for id, waiting := range pool.jobs {
+		begun := slices.ContainsFunc(waiting.pieces, func(part piece) bool { return part.running > 0 || part.done })
+		if !begun {
+			pool.drop(waiting)
+			moved = append(moved, Result{Job: id, Fault: core.PieceMoved})
+		}
+	}
+	return moved
+}
+
 // Free notes that results are no longer held.
 func (pool *Pool) Free(handles []string) {
 	for _, handle := range handles {
@@ -199,7 +215,11 @@
 }
 
 func (pool *Pool) stallAfter(now time.Time, call *call) time.Duration {
-	return time.Duration(float64(call.expected)*max(call.worker.pace(now), 1)*stallRatio) + stallMargin
+	patience := time.Duration(float64(call.expected)*max(call.worker.pace(now), 1)*stallRatio) + stallMargin
+	if call.shared {
+		patience += call.expected
+	}
+	return patience
 }
 
 // refuseHopeless ends the jobs that would not be done by their deadline even if their turn came in the present order.
@@ -349,7 +369,10 @@
 
 func (pool *Pool) begin(now time.Time, worker *worker, pieces []*piece) Call {
 	pool.lastRun++
-	begun := &call{id: pool.lastRun, worker: worker, pieces: pieces, began: now, expected: pool.expected(pieces)}
+	if pool.first.IsZero() {
+		pool.first = now
+	}
+	begun := &call{shared: now.Sub(pool.first) < takeOver, id: pool.lastRun, worker: worker, pieces: pieces, began: now, expected: pool.expected(pieces)}
 	request := Call{ID: begun.id, Target: worker.Target}
 	for _, part := range pieces {
 		part.tries++
@@ -395,8 +418,10 @@
 		return pool.retry(call.pieces)
 	}
 	took := now.Sub(call.began)
-	pool.learn(call, took)
-	worker.succeeded(now, took, call.expected)
+	if !call.shared {
+		pool.learn(call, took)
+		worker.succeeded(now, took, call.expected)
+	}
 	expires := now.Add(pool.spec.ResultLife)
 	full := false
 	for i, part := range call.pieces {
--- a/core/batch/pool_test.go
+++ b/core/batch/pool_test.go
@@ -364,3 +364,35 @@
 		t.Errorf("forecast is %+v", forecast)
 	}
 }
+
+// TestWithdraw guards against jobs that wait at a daemon that is leaving, and against pieces in progress that are done twice.
+func TestWithdraw(t *testing.T) {
+	world := newWorld(warehouse, 1)
+	running := world.submit(4, time.Second, 3*time.Second)
+	waiting := world.submit(4, time.Second, 3*time.Second)
+	moved := world.pool.Withdraw()
+	if len(moved) != 1 || moved[0].Job != waiting || moved[0].Fault != core.PieceMoved {
+		t.Errorf("moved %+v", moved)
+	}
+	world.run(time.Second)
+	if result := world.results[running]; len(result.Handles) != 4 || world.calls != 1 {
+		t.Errorf("result %+v after %d calls", result, world.calls)
+	}
+}
+
+// TestTakeOver guards against a new sender that takes the calls of the one before it, which its own wait behind, for
+// slow targets and sends everything twice.
+func TestTakeOver(t *testing.T) {
+	world := newWorld(warehouse, 2)
+	world.slow["t0"], world.slow["t1"] = 2, 2
+	for range 2 {
+		world.submit(4, 2*time.Second, 4*time.Second)
+	}
+	world.run(700 * time.Millisecond)
+	if world.calls != 2 {
+		t.Errorf("%d calls for 2 jobs", world.calls)
+	}
+	if forecast := world.pool.Forecast(world.now); forecast.Capacity < 2 {
+		t.Errorf("capacity is %v", forecast.Capacity)
+	}
+}
--- a/core/routing.go
+++ b/core/routing.go
@@ -236,9 +236,10 @@
 	PieceInputGone
 	PieceNoRoom
 	PieceFailed
+	PieceMoved // the daemon that sends the batches is leaving; another one has to be asked
 )
 
 // String returns the name used in logs.
 func (fault PieceFault) String() string {
-	return [...]string{"Done", "Late", "InputGone", "NoRoom", "Failed"}[fault]
+	return [...]string{"Done", "Late", "InputGone", "NoRoom", "Failed", "Moved"}[fault]
 }
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -60,13 +60,15 @@
 	lines   *lineWriter
 	log     zerolog.Logger
 
-	loop     loop.Loop
-	control  control // used on the loop only
-	view     atomic.Pointer[view]
-	settings atomic.Pointer[inifmt.EdgeSettings]
-	targets  *xchg.Client
-	peers    *http.Client
-	metrics  *metrics
+	loop        loop.Loop
+	loopContext context.Context
+	stopLoop    context.CancelFunc
+	control     control // used on the loop only
+	view        atomic.Pointer[view]
+	settings    atomic.Pointer[inifmt.EdgeSettings]
+	targets     *xchg.Client
+	peers       *http.Client
+	metrics     *metrics
 
 	id       core.MemberID
 	leaving  atomic.Bool
@@ -106,6 +108,7 @@
 		lines: newLineWriter(options.Clock), left: make(chan struct{}), metrics: newMetrics(),
 		targets: &xchg.Client{Clock: options.Clock},
 	}
+	daemon.loopContext, daemon.stopLoop = context.WithCancel(context.Background())
 	daemon.log = daemon.lines.logger(options.Settings.Name)
 	daemon.settings.Store(&options.Settings)
 	daemon.view.Store(&view{})
@@ -138,10 +141,14 @@
 	go func() { daemon.lines.run(daemon.options.Log, stopLog); close(logDone) }()
 	defer func() { close(stopLog); <-logDone }()
 
+	// The loop ends last: the other parts wait for it while they end.
+	loopDone := make(chan struct{})
+	go func() { _ = daemon.loop.Run(daemon.loopContext); close(loopDone) }()
+	defer func() { daemon.stopLoop(); <-loopDone }()
+
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group run.Group
-	daemon.addTask(&group, ctx, daemon.loop.Run)
 	daemon.addTask(&group, ctx, daemon.followAll)
 	daemon.addTask(&group, ctx, daemon.keepMembership)
 	daemon.addTask(&group, ctx, daemon.pingPeers)
@@ -194,7 +201,7 @@
 }
 
 // do runs a function on the control loop and waits for it.
-func (daemon *Daemon) do(function func()) { _ = daemon.loop.Do(context.Background(), function) }
+func (daemon *Daemon) do(function func()) { _ = daemon.loop.Do(daemon.loopContext, function) }
 
 type drained struct{}
 
@@ -223,6 +230,7 @@
 	began := daemon.clock.Now()
 	grace := daemon.settings.Load().Grace
 	daemon.leaveNow.Do(func() { daemon.leaving.Store(true); close(daemon.left) })
+	daemon.loop.Post(daemon.handOver)
 	daemon.log.Info().Str("Event", "Drain").Dur("Grace", grace).Int64("Active", daemon.active.Load()).Msg("daemon leaves")
 	for {
 		if !core.Pause(ctx, daemon.clock, 100*time.Millisecond) {
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -43,8 +43,7 @@
 	deadline time.Time
 	plan     admit.Plan
 
-	inputs      []string // handles for the final target
-	released    bool     // the inputs are freed
+	inputs      []string // handles for the final target; nil when they are freed
 	inputZone   string   // data centre that holds the large inputs; empty when there are none
 	inputBytes  int64    // size of the inputs there
 	resumeAfter string   // last event that the caller has
@@ -185,33 +184,13 @@
 	if err := daemon.admit(request); err != nil {
 		return err
 	}
-	if len(request.route.Stages) > 0 {
-		handles, err := daemon.runStages(ctx, request)
-		if err != nil {
-			return err
-		}
-		request.staged = daemon.clock.Now().Sub(request.began)
-		leaves := request.route.Leaves()
-		for _, i := range leaves {
-			request.inputs = append(request.inputs, handles[i]...)
-			if bytes := request.route.Stages[i].ResultBytes; bytes >= largeResult && len(handles[i]) > 0 {
-				request.inputZone, request.inputBytes = daemon.zoneOf(handles[i], bytes)
-			}
-		}
-		freed := false
-		free := func() {
-			if freed {
-				return
-			}
-			freed = true
-			for _, i := range leaves {
-				daemon.release(request.route.Stages[i].Service, handles[i])
-			}
-		}
-		defer free()
-		return daemon.send(ctx, writer, request, free)
+	inputs := &inputs{daemon: daemon, request: request}
+	defer inputs.free()
+	if err := inputs.produce(ctx); err != nil {
+		return err
 	}
-	return daemon.send(ctx, writer, request, func() {})
+	request.staged = daemon.clock.Now().Sub(request.began)
+	return daemon.send(ctx, writer, request, inputs)
 }
 
 // admit refuses a request that has crashed targets before, and one that would be late.
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -103,6 +103,18 @@
 	daemon.free(sender, unused)
 }
 
+// handOver gives the jobs that wait to the daemon that will send next; it must run on the loop.
+func (daemon *Daemon) handOver() {
+	for service, sender := range daemon.control.pools {
+		if daemon.senderOf(service) == nil {
+			continue // no other daemon is known
+		}
+		moved := sender.pool.Withdraw()
+		daemon.settle(sender, moved, nil)
+		daemon.log.Info().Str("Event", "JobsHandedOver").Str("Service", service).Int("Jobs", len(moved)).Msg("another daemon sends the batches")
+	}
+}
+
 // cancel drops a job that nobody waits for any more; it must run on the loop.
 func (daemon *Daemon) cancel(sender *sender, id batch.JobID) {
 	if waiting := sender.waiting[id]; waiting != nil {
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -38,13 +38,17 @@
 	cancel context.CancelFunc
 }
 
-// send forwards the request to targets until one has answered; read is called when the inputs are no longer needed.
-func (daemon *Daemon) send(ctx context.Context, writer http.ResponseWriter, request *request, read func()) error {
+// send forwards the request to targets until one has answered.
+func (daemon *Daemon) send(ctx context.Context, writer http.ResponseWriter, request *request, inputs *inputs) error {
 	service := daemon.service(request)
 	var tried []string
 	refusals, runs := 0, 0
 	var last error
 	for dials := 0; dials < maxDials; {
+		// A stream that goes on at another target needs the inputs again, which were freed for the sake of their room.
+		if err := inputs.produce(ctx); err != nil {
+			return err
+		}
 		attempt, err := daemon.begin(ctx, request, service, tried)
 		if err != nil {
 			if last != nil && request.ran {
@@ -54,7 +58,7 @@
 		}
 		tried = append(tried, attempt.target.ID)
 		request.target = attempt.target.ID
-		relay := &relay{daemon: daemon, request: request, attempt: attempt, writer: writer, read: read}
+		relay := &relay{daemon: daemon, request: request, attempt: attempt, writer: writer, inputs: inputs}
 		last = relay.run(ctx)
 		attempt.cancel()
 		if last == nil {
@@ -75,6 +79,9 @@
 			continue
 		case failure.run == core.NotRun:
 			refusals++
+			if failure.status == http.StatusConflict {
+				inputs.free() // the target found one of them gone
+			}
 			if refusals > maxRefusals || !daemon.repeat(service.Name) {
 				return daemon.allFull(last)
 			}
@@ -82,7 +89,7 @@
 		}
 		request.ran = true
 		runs++
-		if request.route.Repeat != core.Repeatable || runs >= request.route.MaxTargets || relay.spent || !daemon.repeat(service.Name) {
+		if request.route.Repeat != core.Repeatable || runs >= request.route.MaxTargets || !daemon.repeat(service.Name) {
 			if failure.answer != nil {
 				request.outcome = "TargetErred"
 				failure.answer.write(writer)
@@ -222,6 +229,7 @@
 type sendError struct {
 	unsent bool // no byte was written
 	run    core.Run
+	status int // of the target's response; 0 without one
 	cause  error
 	answer *answer // the target's own error, for callers when there is no further attempt
 }
@@ -277,12 +285,11 @@
 	request *request
 	attempt *attempt
 	writer  http.ResponseWriter
-	read    func()
+	inputs  *inputs
 
 	quiet     *silence
 	latency   time.Duration // to the first event
 	resumable bool          // the response has begun and may go on at another target
-	spent     bool          // the inputs of the request are gone
 }
 
 func (relay *relay) run(ctx context.Context) error {
@@ -299,7 +306,7 @@
 	case facts.NotRun:
 		relay.daemon.judge(relay.request, relay.attempt, place.Full, 0)
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, bufferedAnswer))
-		return &sendError{run: core.NotRun, cause: fmt.Errorf("target answered %d and did not run the request", response.StatusCode)}
+		return &sendError{run: core.NotRun, status: response.StatusCode, cause: fmt.Errorf("target answered %d and did not run the request", response.StatusCode)}
 	case response.StatusCode >= http.StatusMultipleChoices:
 		return relay.failure(ctx, response)
 	case !facts.Sealed:
@@ -392,7 +399,7 @@
 	if err != nil {
 		return relay.broken(ctx, err)
 	}
-	relay.read()
+	relay.inputs.free()
 	if body.Len() < bufferedAnswer {
 		took := relay.daemon.clock.Now().Sub(relay.attempt.began)
 		relay.daemon.judge(relay.request, relay.attempt, place.Good, took)
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -215,6 +215,44 @@
 	run.daemon.release(run.request.route.Stages[i].Service, handles)
 }
 
+// inputs are the results of the stages that the final target of a request fetches.
+type inputs struct {
+	daemon  *Daemon
+	request *request
+	handles [][]string // by stage; nil when they are freed
+}
+
+// produce runs the stages, once more when the results are gone.
+func (inputs *inputs) produce(ctx context.Context) error {
+	daemon, request := inputs.daemon, inputs.request
+	if len(request.route.Stages) == 0 || inputs.handles != nil {
+		return nil
+	}
+	handles, err := daemon.runStages(ctx, request)
+	if err != nil {
+		return err
+	}
+	inputs.handles = handles
+	for _, i := range request.route.Leaves() {
+		request.inputs = append(request.inputs, handles[i]...)
+		if bytes := request.route.Stages[i].ResultBytes; bytes >= largeResult && len(handles[i]) > 0 {
+			request.inputZone, request.inputBytes = daemon.zoneOf(handles[i], bytes)
+		}
+	}
+	return nil
+}
+
+// free gives the results up: a target has fetched them, or nobody will.
+func (inputs *inputs) free() {
+	if inputs.handles == nil {
+		return
+	}
+	for _, i := range inputs.request.route.Leaves() {
+		inputs.daemon.release(inputs.request.route.Stages[i].Service, inputs.handles[i])
+	}
+	inputs.handles, inputs.request.inputs = nil, nil
+}
+
 // pieces returns how many pieces the request has of a stage; without a statement each stage has one.
 func (request *request) pieces(stage int) int {
 	if stage < len(request.caller.Pieces) {
@@ -240,7 +278,11 @@
 			}
 		})
 		if owner == nil {
-			return daemon.produceHere(ctx, message)
+			handles, err := daemon.produceHere(ctx, message)
+			if failed := (*stageError)(nil); errors.As(err, &failed) && failed.fault == core.PieceMoved {
+				continue
+			}
+			return handles, err
 		}
 		elapsed := daemon.clock.Now().Sub(began)
 		sent := message
@@ -263,6 +305,10 @@
 		daemon.loop.Post(func() {
 			owner.forecasts[message.Service] = forecastAt{Forecast: reply.Forecast, at: daemon.clock.Now()}
 		})
+		if reply.Fault == core.PieceMoved {
+			daemon.do(func() { owner.leaving = true })
+			continue
+		}
 		return reply.handles(message.Stage)
 	}
 	return daemon.produceHere(ctx, message)
@@ -312,6 +358,10 @@
 	if !readJSON(writer, request, &message) {
 		return
 	}
+	if daemon.leaving.Load() {
+		writeJSON(writer, piecesReply{Fault: core.PieceMoved})
+		return
+	}
 	handles, err := daemon.produceHere(request.Context(), message)
 	reply := piecesReply{Handles: handles}
 	var failed *stageError
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -63,16 +63,11 @@
 func (relay *relay) mayMove() bool {
 	request := relay.request
 	if request.route.Stream {
-		return request.route.Resumable && request.tries < request.route.MaxTargets && relay.hasInputs()
+		return request.route.Resumable && request.tries < request.route.MaxTargets
 	}
 	return false
 }
 
-// hasInputs reports whether the results of the stages are still held for another target.
-func (relay *relay) hasInputs() bool {
-	return len(relay.request.inputs) == 0 || !relay.request.released
-}
-
 // stream passes events on as they arrive, whole ones only, so that another target can go on after the last one.
 func (relay *relay) stream(ctx context.Context, response *http.Response) error {
 	reader := bufio.NewReaderSize(response.Body, eventBuffer)
@@ -84,8 +79,7 @@
 			return relay.streamEnded(response, count)
 		}
 		if err != nil {
-			relay.resumable = request.route.Resumable && relay.hasInputs()
-			relay.spent = !relay.hasInputs()
+			relay.resumable = request.route.Resumable
 			return relay.broken(ctx, err)
 		}
 		relay.heardEvent()
@@ -114,8 +108,7 @@
 func (relay *relay) firstEvent(response *http.Response) {
 	request, daemon := relay.request, relay.daemon
 	took := daemon.clock.Now().Sub(relay.attempt.began)
-	relay.read()
-	request.released = true
+	relay.inputs.free()
 	if !request.started {
 		request.started = true
 		request.first = daemon.clock.Now().Sub(request.began)
