List all keys again when one watch has missed changes

The watch of the registry was told after a second, the quiet one of the operator's keys waited 5 s. Ruled out: a configuration that was rejected or reverted (the version was never read). TestMissedChanges failed before.

--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -18,13 +18,45 @@
 	peerCopyEvery = 300 * time.Millisecond // between two copies from peers while the store is away
 )
 
+// follower keeps the copy of the keys under one prefix.
+type follower struct {
+	prefix string
+	copy   *mirror.Copy
+	busy   bool // the keys change all the time, so that a watch without changes has missed some
+
+	mutex  sync.Mutex
+	stale  bool               // the keys have to be listed before they are watched
+	cancel context.CancelFunc // ends the present watch
+}
+
+// distrust makes the follower list its keys again.
+func (follower *follower) distrust() {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.stale = true
+	if follower.cancel != nil {
+		follower.cancel()
+	}
+}
+
 // followAll keeps the copies of the operator's, the targets' and the daemons' keys.
 func (daemon *Daemon) followAll(ctx context.Context) error {
 	control := &daemon.control
+	followers := []*follower{
+		{prefix: daemon.dialect.RoutingPrefix(), copy: &control.routes, stale: true},
+		{prefix: daemon.dialect.TargetPrefix(), copy: &control.entries, stale: true, busy: true},
+		{prefix: core.MemberPrefix, copy: &control.members, stale: true},
+	}
+	// What one watch has missed, the others may have missed as well: they wait longer for their next change.
+	distrustAll := func() {
+		for _, follower := range followers {
+			follower.distrust()
+		}
+	}
 	var group sync.WaitGroup
-	group.Go(func() { daemon.follow(ctx, daemon.dialect.RoutingPrefix(), &control.routes) })
-	group.Go(func() { daemon.follow(ctx, daemon.dialect.TargetPrefix(), &control.entries) })
-	group.Go(func() { daemon.follow(ctx, core.MemberPrefix, &control.members) })
+	for _, follower := range followers {
+		group.Go(func() { daemon.follow(ctx, follower, distrustAll) })
+	}
 	group.Go(func() { daemon.copyFromPeers(ctx) })
 	group.Wait()
 	return ctx.Err()
@@ -32,41 +64,67 @@
 
 // follow lists the keys and then watches them; a watch that fails goes on from where it was, unless the store has
 // forgotten that history.
-func (daemon *Daemon) follow(ctx context.Context, prefix string, copy *mirror.Copy) {
-	listed := false
+func (daemon *Daemon) follow(ctx context.Context, follower *follower, distrustAll func()) {
 	for ctx.Err() == nil {
-		if !listed {
-			snapshot, err := daemon.store.List(ctx, prefix)
-			if err != nil {
-				daemon.lost(prefix, copy, err)
+		watchCtx, stale := follower.begin(ctx)
+		if stale {
+			if err := daemon.list(ctx, follower); err != nil {
+				follower.distrust()
+				daemon.lost(follower.prefix, follower.copy, err)
 				core.Pause(ctx, daemon.clock, followRetry)
 				continue
 			}
-			listed = true
-			daemon.do(func() {
-				daemon.returned(prefix, copy)
-				copy.Replace(daemon.clock.Now(), snapshot)
-				daemon.changed()
-			})
 		}
-		if err := daemon.watch(ctx, prefix, copy); err != nil && ctx.Err() == nil {
-			if errors.Is(err, core.ErrCompacted) {
-				listed = false
-				daemon.log.Warn().Str("Event", "HistoryLost").Str("Prefix", prefix).Msg("the store forgot its history; keys are listed again")
-				continue
-			}
-			daemon.lost(prefix, copy, err)
+		err := daemon.watch(watchCtx, follower)
+		switch {
+		case watchCtx.Err() != nil: // the daemon ends, or the keys are to be listed again
+		case errors.Is(err, core.ErrCompacted), errors.Is(err, errMissedChanges):
+			daemon.log.Warn().Str("Event", "HistoryLost").Str("Prefix", follower.prefix).Err(err).Msg("all keys are listed again")
+			distrustAll()
+		case err != nil:
+			daemon.lost(follower.prefix, follower.copy, err)
 			core.Pause(ctx, daemon.clock, followRetry)
 		}
 	}
 }
 
-func (daemon *Daemon) watch(ctx context.Context, prefix string, copy *mirror.Copy) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+// begin returns the context of the next watch, and whether the keys have to be listed before.
+func (follower *follower) begin(ctx context.Context) (context.Context, bool) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	if follower.cancel != nil {
+		follower.cancel()
+	}
+	watchCtx, cancel := context.WithCancel(ctx)
+	stale := follower.stale
+	follower.cancel, follower.stale = cancel, false
+	return watchCtx, stale
+}
+
+func (daemon *Daemon) list(ctx context.Context, follower *follower) error {
+	snapshot, err := daemon.store.List(ctx, follower.prefix)
+	if err != nil {
+		return err
+	}
+	daemon.do(func() {
+		daemon.returned(follower.prefix, follower.copy)
+		follower.copy.Replace(daemon.clock.Now(), snapshot)
+		daemon.changed()
+	})
+	return nil
+}
+
+// errMissedChanges reports a watch that heard nothing of keys that change all the time.
+var errMissedChanges = errors.New("the watch hears no changes")
+
+func (daemon *Daemon) watch(ctx context.Context, follower *follower) error {
 	var after core.Revision
-	daemon.do(func() { after = copy.Revision() })
-	events, err := daemon.store.Watch(ctx, prefix, after)
+	var keys int
+	daemon.do(func() {
+		after = follower.copy.Revision()
+		keys = len(follower.copy.Entries(daemon.clock.Now()))
+	})
+	events, err := daemon.store.Watch(ctx, follower.prefix, after)
 	if err != nil {
 		return err
 	}
@@ -74,13 +132,17 @@
 		if event.Err != nil {
 			return event.Err
 		}
+		silent := len(event.Puts)+len(event.Deletes) == 0
 		daemon.do(func() {
-			daemon.returned(prefix, copy)
-			copy.Apply(daemon.clock.Now(), event)
-			if len(event.Puts)+len(event.Deletes) > 0 {
+			daemon.returned(follower.prefix, follower.copy)
+			follower.copy.Apply(daemon.clock.Now(), event)
+			if !silent {
 				daemon.changed()
 			}
 		})
+		if silent && follower.busy && keys > 0 {
+			return errMissedChanges
+		}
 	}
 	return ctx.Err()
 }
