--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -22,7 +22,6 @@
 type follower struct {
 	prefix string
 	copy   *mirror.Copy
-	busy   bool // the keys change all the time, so that a watch without changes has missed some
 
 	mutex  sync.Mutex
 	stale  bool               // the keys have to be listed before they are watched
@@ -44,7 +43,7 @@
 	control := &daemon.control
 	followers := []*follower{
 		{prefix: daemon.dialect.RoutingPrefix(), copy: &control.routes, stale: true},
-		{prefix: daemon.dialect.TargetPrefix(), copy: &control.entries, stale: true, busy: true},
+		{prefix: daemon.dialect.TargetPrefix(), copy: &control.entries, stale: true},
 		{prefix: core.MemberPrefix, copy: &control.members, stale: true},
 	}
 	// What one watch has missed, the others may have missed as well: they wait longer for their next change.
@@ -78,7 +77,7 @@
 		err := daemon.watch(watchCtx, follower)
 		switch {
 		case watchCtx.Err() != nil: // the daemon ends, or the keys are to be listed again
-		case errors.Is(err, core.ErrCompacted), errors.Is(err, errMissedChanges):
+		case errors.Is(err, core.ErrCompacted):
 			daemon.log.Warn().Str("Event", "HistoryLost").Str("Prefix", follower.prefix).Err(err).Msg("all keys are listed again")
 			distrustAll()
 		case err != nil:
@@ -114,16 +113,9 @@
 	return nil
 }
 
-// errMissedChanges reports a watch that heard nothing of keys that change all the time.
-var errMissedChanges = errors.New("the watch hears no changes")
-
 func (daemon *Daemon) watch(ctx context.Context, follower *follower) error {
 	var after core.Revision
-	var keys int
-	daemon.do(func() {
-		after = follower.copy.Revision()
-		keys = len(follower.copy.Entries(daemon.clock.Now()))
-	})
+	daemon.do(func() { after = follower.copy.Revision() })
 	events, err := daemon.store.Watch(ctx, follower.prefix, after)
 	if err != nil {
 		return err
@@ -132,17 +124,13 @@
 		if event.Err != nil {
 			return event.Err
 		}
-		silent := len(event.Puts)+len(event.Deletes) == 0
 		daemon.do(func() {
 			daemon.returned(follower.prefix, follower.copy)
 			follower.copy.Apply(daemon.clock.Now(), event)
-			if !silent {
+			if len(event.Puts)+len(event.Deletes) > 0 {
 				daemon.changed()
 			}
 		})
-		if silent && follower.busy && keys > 0 {
-			return errMissedChanges
-		}
 	}
 	return ctx.Err()
 }
