Let a daemon that sends batches go on sending after others return

Cause: in a rolling restart each service moved twice, away from the daemon that left and back to it when it returned, and each sender began without knowing its targets, results and queue. Change: daemons tell in pings which services they send for; one that does goes on, and only when none does is the sender chosen by rendezvous hash. Late jobs wait up to 1 s for spare places if earlier stages have worked for them, 0.7 s otherwise. Changes of the registry are collected for 0.2 s, as they are rare.

--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -9,19 +9,20 @@
 )
 
 const (
-	maxTries       = 4                      // calls that one piece may be part of before its job fails
-	stallRatio     = 1.8                    // a call that takes this much longer than expected is repeated elsewhere
-	stallMargin    = 150 * time.Millisecond // beyond the ratio, for short calls
-	callTimeout    = 3.0                    // a call is given up after this multiple of the slowest expectation
-	callMargin     = 2 * time.Second
-	classWeight    = 0.2 // of the newest call in the estimate of a class's time
-	leastClass     = 0.05
-	mostClass      = 4.0
-	zonePatience   = 0.3                    // of the time left to its aim that a piece waits for a target near its inputs
-	lateLimit      = 700 * time.Millisecond // that a job waits for spare places once it cannot be on time
-	takeOver       = 700 * time.Millisecond // in which calls of the daemon that sent before may still run
-	leastPause     = 300 * time.Millisecond // by which Next comes late when the daemon has been paused
-	priorityOffset = 100 * time.Millisecond // less urgent jobs count as due this much later for each step
+	maxTries        = 4                      // calls that one piece may be part of before its job fails
+	stallRatio      = 1.8                    // a call that takes this much longer than expected is repeated elsewhere
+	stallMargin     = 150 * time.Millisecond // beyond the ratio, for short calls
+	callTimeout     = 3.0                    // a call is given up after this multiple of the slowest expectation
+	callMargin      = 2 * time.Second
+	classWeight     = 0.2 // of the newest call in the estimate of a class's time
+	leastClass      = 0.05
+	mostClass       = 4.0
+	zonePatience    = 0.3                    // of the time left to its aim that a piece waits for a target near its inputs
+	lateLimit       = 700 * time.Millisecond // that a job waits for spare places once it cannot be on time
+	takeOver        = 700 * time.Millisecond // in which calls of the daemon that sent before may still run
+	leastPause      = 300 * time.Millisecond // by which Next comes late when the daemon has been paused
+	lateInputsLimit = 1 * time.Second        // the same for a job that earlier stages have worked for
+	priorityOffset  = 100 * time.Millisecond // less urgent jobs count as due this much later for each step
 )
 
 // Pool forms the calls to the targets of one service; it is not safe for concurrent use.
@@ -230,7 +231,11 @@
 		if waiting.running > 0 {
 			continue
 		}
-		overdue := !waiting.job.late.IsZero() && now.Sub(waiting.job.late) > lateLimit
+		patience := lateLimit
+		if len(waiting.job.Inputs) > 0 {
+			patience = lateInputsLimit
+		}
+		overdue := !waiting.job.late.IsZero() && now.Sub(waiting.job.late) > patience
 		if overdue || now.Add(shortest).After(waiting.job.Deadline) {
 			refused[waiting.job] = true
 		}
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -90,6 +90,7 @@
 	windows  map[string]*retry.Window  // by service
 	engines  map[string]*place.Engines // of the services whose prompts this daemon places for all
 	hints    map[string]string         // engine that last read a prompt, by its longest shared part
+	placed   map[string]time.Time      // when this daemon last placed a prompt for all, by service
 	pools    map[string]*sender        // of the services whose batches this daemon has been asked to send
 	peers    map[string]*peer          // by address
 	first    map[string]time.Duration  // usual time to the first event, by route
@@ -122,7 +123,7 @@
 	daemon.id = newMemberID(options.Settings.Name, random)
 	daemon.control = control{
 		entries: mirror.Copy{HoldLapsed: true}, members: mirror.Copy{HoldLapsed: true},
-		windows: map[string]*retry.Window{}, pools: map[string]*sender{}, engines: map[string]*place.Engines{}, hints: map[string]string{}, peers: map[string]*peer{},
+		windows: map[string]*retry.Window{}, pools: map[string]*sender{}, engines: map[string]*place.Engines{}, hints: map[string]string{}, placed: map[string]time.Time{}, peers: map[string]*peer{},
 		first: map[string]time.Duration{}, taken: map[string]float64{}, random: random,
 	}
 	daemon.control.chooser = place.Chooser{Random: random, Daemons: 1}
--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -90,6 +90,7 @@
 	targets := daemon.view.Load().targets[message.Service]
 	var reply placeReply
 	daemon.do(func() {
+		daemon.control.placed[message.Service] = daemon.clock.Now()
 		var index int
 		index, reply.Fault = daemon.enginesOf(message.Service).Choose(daemon.clock.Now(), targets, message.Prompt)
 		if reply.Fault == place.Chosen {
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -49,6 +49,7 @@
 	failed    bool      // the newest call failed
 	silent    bool      // logged as silent
 	forecasts map[string]forecastAt
+	sends     map[string]bool    // services whose batches it sends or whose prompts it places
 	cancel    context.CancelFunc // ends the calls in progress
 	calls     context.Context
 }
@@ -181,16 +182,34 @@
 // senderOf returns the daemon that sends the batches of the service; nil means this one. It must run on the loop.
 func (daemon *Daemon) senderOf(service string) *peer {
 	now := daemon.clock.Now()
-	var addresses []core.MemberID
+	var live, sending []core.MemberID
+	add := func(address string, sends bool) {
+		live = append(live, core.MemberID(address))
+		if sends {
+			sending = append(sending, core.MemberID(address))
+		}
+	}
 	if !daemon.leaving.Load() {
-		addresses = append(addresses, core.MemberID(daemon.options.Settings.Peer))
+		add(daemon.options.Settings.Peer, daemon.sends(now, service))
 	}
 	for address, known := range daemon.control.peers {
 		if !known.leaving && !known.suspect(now) {
-			addresses = append(addresses, core.MemberID(address))
+			add(address, known.sends[service])
 		}
 	}
-	return daemon.control.peers[string(member.First(addresses, core.PoolID{Service: service}))]
+	// A daemon that sends already goes on: one that comes back after a restart would have to learn everything again.
+	if len(sending) > 0 {
+		live = sending
+	}
+	return daemon.control.peers[string(member.First(live, core.PoolID{Service: service}))]
+}
+
+// sends reports whether this daemon has sent batches or placed prompts of the service lately; it must run on the loop.
+func (daemon *Daemon) sends(now time.Time, service string) bool {
+	if sender := daemon.control.pools[service]; sender != nil && sender.used(now) {
+		return true
+	}
+	return now.Sub(daemon.control.placed[service]) < senderIdle
 }
 
 // peerAddresses returns the addresses of other daemons in random order, those that answer first, and the settings' seeds
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -44,6 +44,7 @@
 	Record    record
 	Leaving   bool
 	Forecasts map[string]batch.Forecast // of the services whose batches it sends
+	Sends     []string                  // services whose batches it sends or whose prompts it places
 	Losses    []blame.Loss
 }
 
@@ -63,6 +64,11 @@
 	daemon.do(func() {
 		now := daemon.clock.Now()
 		reply.Losses = daemon.control.ledger.Losses(now)
+		for service := range daemon.view.Load().routing.Services {
+			if daemon.sends(now, service) {
+				reply.Sends = append(reply.Sends, service)
+			}
+		}
 		reply.Forecasts = map[string]batch.Forecast{}
 		for service, sender := range daemon.control.pools {
 			if sender.used(now) {
@@ -100,6 +106,10 @@
 		known.silent = false
 		daemon.log.Info().Str("Event", "PeerReturned").Str("Peer", string(known.ID)).Msg("daemon answers again")
 	}
+	known.sends = map[string]bool{}
+	for _, service := range reply.Sends {
+		known.sends[service] = true
+	}
 	for service, forecast := range reply.Forecasts {
 		known.forecasts[service] = forecastAt{Forecast: forecast, at: now}
 	}
--- a/io/tool/edge.go
+++ b/io/tool/edge.go
@@ -16,7 +16,7 @@
 
 const (
 	storeDialTimeout = 600 * time.Millisecond
-	watchPause       = 800 * time.Millisecond // collects the heartbeats of all targets in few calls; draining may take 2 s
+	watchPause       = 200 * time.Millisecond // collects changes that come together
 )
 
 func edgeCommand() *cli.Command {
