Close idle connections to the store when a call on one of them has failed

Cause: TestSilentConnections/daemons_and_store failed inside whole runs of the proofs with "pool has no owner": when all open connections to the store went silent, the renewal of a 3 s lease timed out after 1 s, and its retry took the next silent idle connection, so the lease was lost and the pool with it. Change: a call that fails after it was sent closes the idle connections, as the client of the targets does.

--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -79,6 +79,9 @@
 			return answer, err
 		}
 		client.count(func(counters *Counters) { counters.Failures[path]++ })
+		if !errors.Is(err, errRefused) {
+			client.closeIdle()
+		}
 		client.preferred.Add(1)
 		again := repeatable || errors.Is(err, errRefused)
 		if left <= 1 || !again || ctx.Err() != nil {
@@ -87,6 +90,14 @@
 	}
 }
 
+// closeIdle closes the idle connections, as one that went silent is rarely the only one: the renewal of a lease has time
+// for one call that fails.
+func (client *Client) closeIdle() {
+	if transport, closes := client.transport().(interface{ CloseIdleConnections() }); closes {
+		transport.CloseIdleConnections()
+	}
+}
+
 // attempt gives one endpoint an equal part of the time that is left.
 func (client *Client) attempt(ctx context.Context, path string, body []byte, left int) (fields, error) {
 	deadline, _ := ctx.Deadline()
