--- /dev/null
+++ b/io/xchg/client_test.go
@@ -0,0 +1,188 @@
+package xchg
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"catkincove/core"
+)
+
+// target answers each connection with the script, which gets the connection after a whole request has been read.
+func target(t *testing.T, script func(connection net.Conn, reader *bufio.Reader)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = connection.Close() }()
+				script(connection, bufio.NewReader(connection))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func readRequest(reader *bufio.Reader) (string, error) {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(request.Body)
+	return request.Header.Get("Attempt") + ":" + string(body), err
+}
+
+func exchangeWith(client *Client, address, attempt string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	response, err := client.Do(ctx, Request{
+		Address: address, Method: http.MethodPost, URI: "/x?y=1", Host: "h", Header: http.Header{"Attempt": {attempt}}, Body: []byte("b"),
+		Match: func(response *http.Response) bool { return response.Header.Get("Attempt") == attempt },
+	})
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+func answer(connection net.Conn, attempt, body string) {
+	_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nContent-Length: %d\r\n\r\n%s", attempt, len(body), body)
+}
+
+// TestAnswersOfOthers guards against an answer that is given to another request: an extra one after a whole answer, and a
+// late one where the next is expected.
+func TestAnswersOfOthers(t *testing.T) {
+	for _, late := range []time.Duration{0, 30 * time.Millisecond} {
+		address := target(t, func(connection net.Conn, reader *bufio.Reader) {
+			for {
+				got, err := readRequest(reader)
+				if err != nil {
+					return
+				}
+				attempt, _, _ := strings.Cut(got, ":")
+				answer(connection, attempt, "own "+attempt)
+				time.Sleep(late)
+				answer(connection, attempt, "extra "+attempt)
+			}
+		})
+		client := &Client{Clock: core.SystemClock{}}
+		for i := range 6 {
+			attempt := fmt.Sprint("a", i)
+			body, err := exchangeWith(client, address, attempt)
+			if err != nil || body != "own "+attempt {
+				t.Errorf("extra answer after %v, request %d: %q, %v", late, i, body, err)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// TestSent guards against a failure that says "not sent" although the target may have run the request.
+func TestSent(t *testing.T) {
+	client := &Client{Clock: core.SystemClock{}}
+	closed := target(t, func(net.Conn, *bufio.Reader) {})
+	lost := target(t, func(_ net.Conn, reader *bufio.Reader) { _, _ = readRequest(reader) })
+	garbage := target(t, func(connection net.Conn, reader *bufio.Reader) {
+		_, _ = readRequest(reader)
+		_, _ = io.WriteString(connection, "no answer at all\r\n\r\n")
+	})
+	silent := target(t, func(_ net.Conn, reader *bufio.Reader) {
+		_, _ = readRequest(reader)
+		time.Sleep(3 * time.Second)
+	})
+	for _, test := range []struct {
+		name, address string
+		sent          bool
+	}{{"closed", closed, true}, {"lost answer", lost, true}, {"garbage", garbage, true}, {"silent", silent, true}, {"no listener", refusing(t), false}} {
+		if _, err := exchangeWith(client, test.address, "a"); err == nil || Sent(err) != test.sent {
+			t.Errorf("%s: %v, sent %v", test.name, err, Sent(err))
+		}
+	}
+}
+
+// refusing returns an address on which nobody listens.
+func refusing(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// TestKeptConnections guards against a connection for each request, and against requests on connections that the target
+// has closed.
+func TestKeptConnections(t *testing.T) {
+	address := target(t, func(connection net.Conn, reader *bufio.Reader) {
+		for i := 0; i < 3; i++ { // the target closes after three answers without saying so
+			got, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			attempt, _, _ := strings.Cut(got, ":")
+			answer(connection, attempt, "own "+attempt)
+		}
+	})
+	client := &Client{Clock: core.SystemClock{}}
+	for i := range 9 {
+		if _, err := exchangeWith(client, address, fmt.Sprint("k", i)); err != nil {
+			t.Errorf("request %d: %v", i, err)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if opened := client.Opened(); opened != 3 {
+		t.Errorf("%d connections for 9 requests", opened)
+	}
+}
+
+// TestEarlyAnswer guards against bytes of a body that the target reads as the next request, when it answers before it
+// has read a long body.
+func TestEarlyAnswer(t *testing.T) {
+	address := target(t, func(connection net.Conn, reader *bufio.Reader) {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		answer(connection, request.Header.Get("Attempt"), "early")
+		_, _ = io.Copy(io.Discard, request.Body)
+	})
+	client := &Client{Clock: core.SystemClock{}}
+	response, err := client.Do(t.Context(), Request{
+		Address: address, Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{"Attempt": {"e"}}, Body: make([]byte, 4<<20),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	if string(body) != "early" || err != nil {
+		t.Errorf("%q, %v", body, err)
+	}
+}
+
+// TestBrokenBody guards against a cut answer that looks whole.
+func TestBrokenBody(t *testing.T) {
+	address := target(t, func(connection net.Conn, reader *bufio.Reader) {
+		_, _ = readRequest(reader)
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nAttempt: a\r\nContent-Length: 10\r\n\r\nhalf")
+	})
+	if body, err := exchangeWith(&Client{Clock: core.SystemClock{}}, address, "a"); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("%q, %v", body, err)
+	}
+}
