Send from large VMs only, and keep the cost of a long queue off each event

The daemon that sent the batches of a service sat on a VM with a fifth of a core; from 5 s on it fell behind, left pings unanswered for 0.7 s and was passed over, all its calls were cancelled and sent again to the next one, which fell behind as well (2,700 SenderFailed in 4 s). Each event sorted the whole queue, and each of 280 pings a second made a forecast of it. Change: only daemons with at least 0.75 of the largest processor send; Next ends before it sorts when no target has a place; hopeless jobs are looked for every 10 ms; forecasts and ping replies are made at most every 50 ms; from 16 daemons on, senders are pinged every 0.75 s and passed over after 2 s.

--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -19,6 +19,7 @@
 	mostClass       = 4.0
 	zonePatience    = 0.3                    // of the time left to its aim that a piece waits for a target near its inputs
 	lateLimit       = 700 * time.Millisecond // that a job waits for spare places once it cannot be on time
+	checkEvery      = 10 * time.Millisecond  // between two searches of the queue for hopeless jobs
 	takeOver        = 700 * time.Millisecond // in which calls of the daemon that sent before may still run
 	leastPause      = 300 * time.Millisecond // by which Next comes late when the daemon has been paused
 	lateInputsLimit = 1 * time.Second        // the same for a job that earlier stages have worked for
@@ -38,6 +39,7 @@
 	classes map[string]float64 // time of a piece against spec.Item
 	lastJob JobID
 	lastRun CallID
+	checked time.Time // when the queue was last searched for hopeless jobs
 	due     time.Time // when Next must be called at the latest
 	first   time.Time // of the first call
 }
@@ -167,8 +169,11 @@
 	}
 	pool.repeatStalled(now)
 	ended, unused = pool.refuseHopeless(now)
-	pool.sortQueue(now)
 	idle := pool.idle(now)
+	if len(idle) == 0 || len(pool.queue) == 0 {
+		return nil, ended, unused // most events of a long queue end here, before it is sorted
+	}
+	pool.sortQueue(now)
 	zones := pool.zones(now)
 	for i, worker := range idle {
 		if len(pool.queue) == 0 {
@@ -225,6 +230,11 @@
 
 // refuseHopeless ends the jobs that would not be done by their deadline even if their turn came in the present order.
 func (pool *Pool) refuseHopeless(now time.Time) (ended []Result, unused []string) {
+	if now.Sub(pool.checked) < checkEvery {
+		return nil, nil
+	}
+	pool.checked = now
+	pool.markLate(now)
 	shortest := pool.spec.Call
 	refused := map[*job]bool{}
 	for _, waiting := range pool.queue {
@@ -250,22 +260,27 @@
 // sortQueue puts the jobs that can still be on time first, those due earliest before the others; late ones fill up what
 // is left of a call.
 func (pool *Pool) sortQueue(now time.Time) {
-	usual := pool.usualCall()
+	pool.markLate(now)
 	late := func(waiting *piece) int {
 		if !waiting.job.late.IsZero() {
 			return 1
 		}
 		return 0
 	}
+	due := func(job *job) time.Time { return job.Aim.Add(time.Duration(job.Priority) * priorityOffset) }
+	slices.SortStableFunc(pool.queue, func(a, b *piece) int {
+		return cmp.Or(cmp.Compare(late(a), late(b)), due(a.job).Compare(due(b.job)), cmp.Compare(a.job.id, b.job.id))
+	})
+}
+
+// markLate notes the jobs that can no longer be on time.
+func (pool *Pool) markLate(now time.Time) {
+	usual := pool.usualCall()
 	for _, waiting := range pool.queue {
 		if waiting.job.late.IsZero() && now.Add(usual).After(waiting.job.Aim) {
 			waiting.job.late = now
 		}
 	}
-	due := func(job *job) time.Time { return job.Aim.Add(time.Duration(job.Priority) * priorityOffset) }
-	slices.SortStableFunc(pool.queue, func(a, b *piece) int {
-		return cmp.Or(cmp.Compare(late(a), late(b)), due(a.job).Compare(due(b.job)), cmp.Compare(a.job.id, b.job.id))
-	})
 }
 
 // idle returns the targets with a free place, fastest first.
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -81,23 +81,25 @@
 
 // control is the state that the loop owns.
 type control struct {
-	routes   mirror.Copy
-	entries  mirror.Copy
-	members  mirror.Copy
-	registry registry
-	chooser  place.Chooser
-	ledger   blame.Ledger
-	windows  map[string]*retry.Window  // by service
-	engines  map[string]*place.Engines // of the services whose prompts this daemon places for all
-	hints    map[string]string         // engine that last read a prompt, by its longest shared part
-	placed   map[string]time.Time      // when this daemon last placed a prompt for all, by service
-	pools    map[string]*sender        // of the services whose batches this daemon has been asked to send
-	peers    map[string]*peer          // by address
-	first    map[string]time.Duration  // usual time to the first event, by route
-	taken    map[string]float64        // share of requests taken less 1, by route
-	rebuild  bool                      // a rebuild of the view is posted
-	random   *rand.Rand
-	decoded  map[string]decodedTarget // by key
+	routes    mirror.Copy
+	entries   mirror.Copy
+	members   mirror.Copy
+	registry  registry
+	chooser   place.Chooser
+	ledger    blame.Ledger
+	windows   map[string]*retry.Window  // by service
+	engines   map[string]*place.Engines // of the services whose prompts this daemon places for all
+	hints     map[string]string         // engine that last read a prompt, by its longest shared part
+	placed    map[string]time.Time      // when this daemon last placed a prompt for all, by service
+	pools     map[string]*sender        // of the services whose batches this daemon has been asked to send
+	peers     map[string]*peer          // by address
+	first     map[string]time.Duration  // usual time to the first event, by route
+	taken     map[string]float64        // share of requests taken less 1, by route
+	reply     pingReply                 // what this daemon tells others, as of repliedAt
+	repliedAt time.Time
+	rebuild   bool // a rebuild of the view is posted
+	random    *rand.Rand
+	decoded   map[string]decodedTarget // by key
 
 	routingRevision core.Revision // of the routing in force
 }
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -16,17 +16,21 @@
 )
 
 const (
-	memberTTL     = 3 * time.Second // a killed daemon leaves the directory by then
-	renewEvery    = time.Second
-	renewRetry    = 300 * time.Millisecond
-	pingEvery     = 250 * time.Millisecond // of daemons that send batches; their pause delays every request
-	pingRounds    = 4                      // of which other daemons are asked in one
-	pingTimeout   = 800 * time.Millisecond
-	suspectAfter  = 700 * time.Millisecond  // since the first ping without an answer
-	droppedAfter  = 2500 * time.Millisecond // the directory no longer names a daemon that is silent for this long
-	forgetAfter   = 30 * time.Second        // a daemon that neither the store nor a ping has shown
-	directoryKeep = 2 * time.Second         // for which callers keep addresses: short enough for changes, long enough for calm
-	maxAddresses  = 64
+	memberTTL         = 3 * time.Second // a killed daemon leaves the directory by then
+	renewEvery        = time.Second
+	renewRetry        = 300 * time.Millisecond
+	pingEvery         = 250 * time.Millisecond // of daemons that send batches; their pause delays every request
+	pingRounds        = 4                      // of which other daemons are asked in one
+	pingTimeout       = 800 * time.Millisecond
+	largeShare        = 0.75                    // of the largest VM's processor, from which on a daemon sends for others
+	largeFleet        = 16                      // daemons, from which on pings to senders are rarer
+	largePingRounds   = 3                       // the same as pingRounds for senders of a large fleet
+	suspectAfterLarge = 2 * time.Second         // the same as suspectAfter in a large fleet, where moving a service is dearer
+	suspectAfter      = 700 * time.Millisecond  // since the first ping without an answer
+	droppedAfter      = 2500 * time.Millisecond // the directory no longer names a daemon that is silent for this long
+	forgetAfter       = 30 * time.Second        // a daemon that neither the store nor a ping has shown
+	directoryKeep     = 2 * time.Second         // for which callers keep addresses: short enough for changes, long enough for calm
+	maxAddresses      = 64
 )
 
 // record is what a daemon publishes of itself.
@@ -35,6 +39,7 @@
 	Front      string
 	Peer       string
 	DataCentre string
+	Cores      float64 // processor of its VM
 }
 
 // peer is what this daemon knows of the daemon at one address.
@@ -60,7 +65,7 @@
 
 func (daemon *Daemon) self() record {
 	settings := daemon.options.Settings
-	return record{ID: daemon.id, Front: settings.Front, Peer: settings.Peer, DataCentre: settings.DataCentre}
+	return record{ID: daemon.id, Front: settings.Front, Peer: settings.Peer, DataCentre: settings.DataCentre, Cores: settings.Cores}
 }
 
 // keepMembership keeps this daemon's record in the store under a lease until it leaves.
@@ -175,33 +180,58 @@
 	return now.Sub(known.answered)
 }
 
-func (known *peer) suspect(now time.Time) bool {
-	return known.failed || known.answered.IsZero() || !known.asked.IsZero() && now.Sub(known.asked) > suspectAfter
+func (known *peer) suspect(now time.Time, after time.Duration) bool {
+	return known.failed || known.answered.IsZero() || !known.asked.IsZero() && now.Sub(known.asked) > after
 }
 
 // senderOf returns the daemon that sends the batches of the service; nil means this one. It must run on the loop.
+//
+// Only daemons on large VMs send while there are any: one sender does work for all daemons, and a small VM that falls
+// behind delays every request of the service.
 func (daemon *Daemon) senderOf(service string) *peer {
 	now := daemon.clock.Now()
-	var live, sending []core.MemberID
-	add := func(address string, sends bool) {
-		live = append(live, core.MemberID(address))
-		if sends {
-			sending = append(sending, core.MemberID(address))
-		}
-	}
+	var candidates []candidate
 	if !daemon.leaving.Load() {
-		add(daemon.options.Settings.Peer, daemon.sends(now, service))
+		candidates = append(candidates, candidate{daemon.options.Settings.Peer, daemon.sends(now, service), daemon.options.Settings.Cores})
 	}
+	largest := 0.0
 	for address, known := range daemon.control.peers {
-		if !known.leaving && !known.suspect(now) {
-			add(address, known.sends[service])
+		if !known.leaving && !known.suspect(now, daemon.suspectAfter()) {
+			candidates = append(candidates, candidate{address, known.sends[service], known.Cores})
+		}
+	}
+	for _, candidate := range candidates {
+		largest = max(largest, candidate.cores)
+	}
+	var able, sending []core.MemberID
+	for _, candidate := range candidates {
+		if candidate.cores < largest*largeShare {
+			continue
+		}
+		able = append(able, core.MemberID(candidate.address))
+		if candidate.sends {
+			sending = append(sending, core.MemberID(candidate.address))
 		}
 	}
 	// A daemon that sends already goes on: one that comes back after a restart would have to learn everything again.
 	if len(sending) > 0 {
-		live = sending
+		able = sending
+	}
+	return daemon.control.peers[string(member.First(able, core.PoolID{Service: service}))]
+}
+
+type candidate struct {
+	address string
+	sends   bool
+	cores   float64
+}
+
+// suspectAfter is how long a ping may stay without an answer; it must run on the loop.
+func (daemon *Daemon) suspectAfter() time.Duration {
+	if len(daemon.control.peers) >= largeFleet {
+		return suspectAfterLarge
 	}
-	return daemon.control.peers[string(member.First(live, core.PoolID{Service: service}))]
+	return suspectAfter
 }
 
 // sends reports whether this daemon has sent batches or placed prompts of the service lately; it must run on the loop.
@@ -218,7 +248,7 @@
 	now := daemon.clock.Now()
 	var addresses, suspects []string
 	for _, known := range daemon.control.peers {
-		if known.suspect(now) {
+		if known.suspect(now, daemon.suspectAfter()) {
 			suspects = append(suspects, known.Peer)
 		} else {
 			addresses = append(addresses, known.Peer)
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -19,6 +19,7 @@
 	peerDialTimeout = 600 * time.Millisecond
 	peerConnections = 64 // kept to each daemon; stages of one request each hold one while they wait
 	peerIdle        = 30 * time.Second
+	replyLife       = 50 * time.Millisecond // of the answer to pings; forecasts change within a call of 200 ms and more
 	copyTimeout     = time.Second
 	maxPeerBody     = 16 << 20 // bytes; a copy holds the whole configuration
 )
@@ -59,26 +60,39 @@
 	return mux
 }
 
+// pingReply returns what this daemon tells others, made anew at most every replyLife.
 func (daemon *Daemon) pingReply() pingReply {
-	reply := pingReply{Record: daemon.self(), Leaving: daemon.leaving.Load()}
+	var reply pingReply
 	daemon.do(func() {
 		now := daemon.clock.Now()
-		reply.Losses = daemon.control.ledger.Losses(now)
-		for service := range daemon.view.Load().routing.Services {
-			if daemon.sends(now, service) {
-				reply.Sends = append(reply.Sends, service)
-			}
-		}
-		reply.Forecasts = map[string]batch.Forecast{}
-		for service, sender := range daemon.control.pools {
-			if sender.used(now) {
-				reply.Forecasts[service] = sender.pool.Forecast(now)
-			}
+		control := &daemon.control
+		if now.Sub(control.repliedAt) > replyLife || control.reply.Leaving != daemon.leaving.Load() {
+			control.reply, control.repliedAt = daemon.newReply(now), now
 		}
+		reply = control.reply
 	})
 	return reply
 }
 
+// newReply must run on the loop.
+func (daemon *Daemon) newReply(now time.Time) pingReply {
+	reply := pingReply{
+		Record: daemon.self(), Leaving: daemon.leaving.Load(), Losses: daemon.control.ledger.Losses(now),
+		Forecasts: map[string]batch.Forecast{},
+	}
+	for service := range daemon.view.Load().routing.Services {
+		if daemon.sends(now, service) {
+			reply.Sends = append(reply.Sends, service)
+		}
+	}
+	for service, sender := range daemon.control.pools {
+		if sender.used(now) {
+			reply.Forecasts[service] = sender.forecast(now)
+		}
+	}
+	return reply
+}
+
 func (daemon *Daemon) answerPing(writer http.ResponseWriter, request *http.Request) {
 	var caller pingReply
 	if !readJSON(writer, request, &caller) {
@@ -129,7 +143,14 @@
 				}
 			}
 			for i, address := range daemon.peerAddresses() {
-				if needed[address] || (round+i)%pingRounds == 0 {
+				rounds := pingRounds
+				if needed[address] {
+					rounds = 1
+					if len(daemon.control.peers) >= largeFleet {
+						rounds = largePingRounds
+					}
+				}
+				if (round+i)%rounds == 0 {
 					go daemon.ping(address)
 				}
 			}
@@ -163,7 +184,7 @@
 	now := daemon.clock.Now()
 	daemon.metrics.peerErrors.Add(1)
 	known := daemon.control.peers[address]
-	if known == nil || known.answered.IsZero() || !known.suspect(now) {
+	if known == nil || known.answered.IsZero() || !known.suspect(now, daemon.suspectAfter()) {
 		return
 	}
 	known.cancel()
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -28,6 +28,17 @@
 	lastJob time.Time
 	wakeAt  time.Time
 	freeing map[string][]string // handles to free, by address
+
+	lastForecast batch.Forecast
+	forecastAt   time.Time
+}
+
+// forecast returns the pool's forecast, made anew at most every replyLife.
+func (sender *sender) forecast(now time.Time) batch.Forecast {
+	if now.Sub(sender.forecastAt) > replyLife {
+		sender.lastForecast, sender.forecastAt = sender.pool.Forecast(now), now
+	}
+	return sender.lastForecast
 }
 
 func (sender *sender) used(now time.Time) bool { return now.Sub(sender.lastJob) < senderIdle }
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -373,7 +373,7 @@
 	}
 	daemon.do(func() {
 		if owner := daemon.control.pools[message.Service]; owner != nil {
-			reply.Forecast = owner.pool.Forecast(daemon.clock.Now())
+			reply.Forecast = owner.forecast(daemon.clock.Now())
 		}
 	})
 	writeJSON(writer, reply)
@@ -440,7 +440,7 @@
 	known := daemon.senderOf(service)
 	if known == nil {
 		if here := daemon.control.pools[service]; here != nil {
-			return here.pool.Forecast(now), true
+			return here.forecast(now), true
 		}
 	} else if told, found := known.forecasts[service]; found && now.Sub(told.at) < forecastLife {
 		return told.Forecast, true
--- a/io/inifmt/edge.go
+++ b/io/inifmt/edge.go
@@ -24,8 +24,9 @@
 	Peer       string // IP:port for other daemons; required
 	Metrics    string // IP:port for metrics; empty means none
 	Seeds      []string
-	Store      string // IP:port; required
-	MemoryMB   int    // of the process
+	Store      string  // IP:port; required
+	MemoryMB   int     // of the process
+	Cores      float64 // processor of the VM; 0 counts as unknown
 	Grace      time.Duration
 	Bounds     EdgeBounds
 }
@@ -78,9 +79,10 @@
 		Seeds:      table.list("Seeds"),
 		Store:      table.text("Store", ""),
 		MemoryMB:   table.number("MemoryMB", DefaultMemory),
+		Cores:      table.share("Cores", 0),
 		Grace:      table.duration("Grace", DefaultGrace),
 	}
-	table.close(oneOf("Name", "DataCentre", "Front", "Ready", "Directory", "Peer", "Metrics", "Seeds", "Store", "MemoryMB", "Grace"))
+	table.close(oneOf("Name", "DataCentre", "Front", "Ready", "Directory", "Peer", "Metrics", "Seeds", "Store", "MemoryMB", "Cores", "Grace"))
 	return settings
 }
 
