--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -15,108 +15,97 @@
 
 const (
 	followRetry   = 250 * time.Millisecond // between two tries to reach the store
+	allKeys       = ""                     // the prefix of all keys
 	peerCopyEvery = 300 * time.Millisecond // between two copies from peers while the store is away
 )
 
-// follower keeps the copy of the keys under one prefix.
-type follower struct {
-	prefix string
-	copy   *mirror.Copy
-
-	mutex  sync.Mutex
-	stale  bool               // the keys have to be listed before they are watched
-	cancel context.CancelFunc // ends the present watch
-}
-
-// distrust makes the follower list its keys again.
-func (follower *follower) distrust() {
-	follower.mutex.Lock()
-	defer follower.mutex.Unlock()
-	follower.stale = true
-	if follower.cancel != nil {
-		follower.cancel()
-	}
-}
-
 // followAll keeps the copies of the operator's, the targets' and the daemons' keys.
 func (daemon *Daemon) followAll(ctx context.Context) error {
-	control := &daemon.control
-	followers := []*follower{
-		{prefix: daemon.dialect.RoutingPrefix(), copy: &control.routes, stale: true},
-		{prefix: daemon.dialect.TargetPrefix(), copy: &control.entries, stale: true},
-		{prefix: core.MemberPrefix, copy: &control.members, stale: true},
-	}
-	// What one watch has missed, the others may have missed as well: they wait longer for their next change.
-	distrustAll := func() {
-		for _, follower := range followers {
-			follower.distrust()
-		}
-	}
 	var group sync.WaitGroup
-	for _, follower := range followers {
-		group.Go(func() { daemon.follow(ctx, follower, distrustAll) })
-	}
+	group.Go(func() { daemon.follow(ctx) })
 	group.Go(func() { daemon.copyFromPeers(ctx) })
 	group.Wait()
 	return ctx.Err()
 }
 
-// follow lists the keys and then watches them; a watch that fails goes on from where it was, unless the store has
+// follow lists all keys and then watches them; a watch that fails goes on from where it was, unless the store has
 // forgotten that history.
-func (daemon *Daemon) follow(ctx context.Context, follower *follower, distrustAll func()) {
+//
+// One watch serves all prefixes: a waiting watch costs a call, and a quiet one learns late that it has missed changes.
+func (daemon *Daemon) follow(ctx context.Context) {
+	listed := false
 	for ctx.Err() == nil {
-		watchCtx, stale := follower.begin(ctx)
-		if stale {
-			if err := daemon.list(ctx, follower); err != nil {
-				follower.distrust()
-				daemon.lost(follower.prefix, follower.copy, err)
+		if !listed {
+			snapshot, err := daemon.store.List(ctx, allKeys)
+			if err != nil {
+				daemon.lost(err)
 				core.Pause(ctx, daemon.clock, followRetry)
 				continue
 			}
+			listed = true
+			daemon.do(func() { daemon.replace(snapshot) })
 		}
-		err := daemon.watch(watchCtx, follower)
+		err := daemon.watch(ctx)
 		switch {
-		case watchCtx.Err() != nil: // the daemon ends, or the keys are to be listed again
+		case err == nil || ctx.Err() != nil:
 		case errors.Is(err, core.ErrCompacted):
-			daemon.log.Warn().Str("Event", "HistoryLost").Str("Prefix", follower.prefix).Err(err).Msg("all keys are listed again")
-			distrustAll()
-		case err != nil:
-			daemon.lost(follower.prefix, follower.copy, err)
+			listed = false
+			daemon.log.Warn().Str("Event", "HistoryLost").Err(err).Msg("all keys are listed again")
+		default:
+			daemon.lost(err)
 			core.Pause(ctx, daemon.clock, followRetry)
 		}
 	}
 }
 
-// begin returns the context of the next watch, and whether the keys have to be listed before.
-func (follower *follower) begin(ctx context.Context) (context.Context, bool) {
-	follower.mutex.Lock()
-	defer follower.mutex.Unlock()
-	if follower.cancel != nil {
-		follower.cancel()
+// prefixes returns the prefixes of the copies, in the order of copies.
+func (daemon *Daemon) prefixes() [3]string {
+	return [3]string{daemon.dialect.RoutingPrefix(), daemon.dialect.TargetPrefix(), core.MemberPrefix}
+}
+
+// replace takes over a listing of all keys; it must run on the loop.
+func (daemon *Daemon) replace(snapshot core.Snapshot) {
+	daemon.returned()
+	for i, prefix := range daemon.prefixes() {
+		part := core.Snapshot{Revision: snapshot.Revision}
+		for _, entry := range snapshot.Entries {
+			if strings.HasPrefix(entry.Key, prefix) {
+				part.Entries = append(part.Entries, entry)
+			}
+		}
+		daemon.copies()[i].Replace(daemon.clock.Now(), part)
 	}
-	watchCtx, cancel := context.WithCancel(ctx)
-	stale := follower.stale
-	follower.cancel, follower.stale = cancel, false
-	return watchCtx, stale
+	daemon.changed()
 }
 
-func (daemon *Daemon) list(ctx context.Context, follower *follower) error {
-	snapshot, err := daemon.store.List(ctx, follower.prefix)
-	if err != nil {
-		return err
+// apply takes over the changes of a watch of all keys; it must run on the loop.
+func (daemon *Daemon) apply(event core.WatchEvent) {
+	daemon.returned()
+	for i, prefix := range daemon.prefixes() {
+		part := core.WatchEvent{Revision: event.Revision}
+		for _, entry := range event.Puts {
+			if strings.HasPrefix(entry.Key, prefix) {
+				part.Puts = append(part.Puts, entry)
+			}
+		}
+		for _, key := range event.Deletes {
+			if strings.HasPrefix(key, prefix) {
+				part.Deletes = append(part.Deletes, key)
+			}
+		}
+		daemon.copies()[i].Apply(daemon.clock.Now(), part)
 	}
-	daemon.do(func() {
-		daemon.returned(follower.prefix, follower.copy)
-		follower.copy.Replace(daemon.clock.Now(), snapshot)
+	if len(event.Puts)+len(event.Deletes) > 0 {
 		daemon.changed()
-	})
-	return nil
+	}
 }
 
-func (daemon *Daemon) watch(ctx context.Context, follower *follower) error {
+func (daemon *Daemon) watch(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var after core.Revision
-	daemon.do(func() { after = follower.copy.Revision() })
-	events, err := daemon.store.Watch(ctx, follower.prefix, after)
+	daemon.do(func() { after = daemon.control.routes.Revision() })
+	events, err := daemon.store.Watch(ctx, allKeys, after)
 	if err != nil {
 		return err
 	}
@@ -124,33 +113,31 @@
 		if event.Err != nil {
 			return event.Err
 		}
-		daemon.do(func() {
-			daemon.returned(follower.prefix, follower.copy)
-			follower.copy.Apply(daemon.clock.Now(), event)
-			if len(event.Puts)+len(event.Deletes) > 0 {
-				daemon.changed()
-			}
-		})
+		daemon.do(func() { daemon.apply(event) })
 	}
 	return ctx.Err()
 }
 
-func (daemon *Daemon) lost(prefix string, copy *mirror.Copy, err error) {
+func (daemon *Daemon) lost(err error) {
 	daemon.do(func() {
-		if !copy.Out() {
+		if !daemon.control.routes.Out() {
 			daemon.metrics.storeLost.Add(1)
-			daemon.log.Warn().Str("Event", "StoreLost").Str("Prefix", prefix).Int64("Revision", int64(copy.Revision())).Err(err).Msg("the copy ages")
+			daemon.log.Warn().Str("Event", "StoreLost").Int64("Revision", int64(daemon.control.routes.Revision())).Err(err).Msg("the copies age")
+		}
+		for _, copy := range daemon.copies() {
+			copy.Lost()
 		}
-		copy.Lost()
 	})
 }
 
 // returned must run on the loop.
-func (daemon *Daemon) returned(prefix string, copy *mirror.Copy) {
-	if copy.Out() {
-		daemon.log.Info().Str("Event", "StoreReturned").Str("Prefix", prefix).Int64("Revision", int64(copy.Revision())).Msg("the copy is kept current again")
+func (daemon *Daemon) returned() {
+	if daemon.control.routes.Out() {
+		daemon.log.Info().Str("Event", "StoreReturned").Int64("Revision", int64(daemon.control.routes.Revision())).Msg("the copies are kept current again")
+	}
+	for _, copy := range daemon.copies() {
+		copy.Returned(daemon.clock.Now())
 	}
-	copy.Returned(daemon.clock.Now())
 }
 
 // copyFromPeers asks other daemons for their copies while the store does not answer this one: the store may turn single
