--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -2,16 +2,20 @@
 
 import "time"
 
-const windowSlots = 20 // the window slides in steps of a twentieth
+const (
+	windowSlots = 20 // the window slides in steps of a twentieth
+	// DefaultLength is the span of a Window that states none.
+	DefaultLength = 10 * time.Second // of a Window
+)
 
-// Window bounds repeats to a share of the requests of the last Length plus Slack; set the fields before use.
+// Window bounds repeats to a share of the requests of the last Length plus Slack; the zero value allows none.
 //
 // Each daemon uses it with its share of the slack that all daemons have together, so that the sum holds whatever the
 // daemons know of each other.
 type Window struct {
-	Length time.Duration
-	Ratio  float64 // repeats for each request
-	Slack  float64 // repeats beyond the ratio
+	Length time.Duration // 0 counts as DefaultLength
+	Ratio  float64       // repeats for each request
+	Slack  float64       // repeats beyond the ratio
 
 	start    time.Time
 	slot     int64
@@ -23,7 +27,11 @@
 	if window.start.IsZero() {
 		window.start = now
 	}
-	slot := int64(now.Sub(window.start) / (window.Length / windowSlots))
+	length := window.Length
+	if length <= 0 {
+		length = DefaultLength
+	}
+	slot := int64(now.Sub(window.start) / (length / windowSlots))
 	for i := max(window.slot+1, slot-windowSlots+1); i <= slot; i++ {
 		window.requests[i%windowSlots], window.repeats[i%windowSlots] = 0, 0
 	}
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -43,3 +43,12 @@
 		}
 	}
 }
+
+// TestZeroWindow guards against settings that are left out and stop the daemon.
+func TestZeroWindow(t *testing.T) {
+	var window Window
+	window.Request(time.Now())
+	if window.Take(time.Now()) {
+		t.Error("a window without ratio and slack covers a repeat")
+	}
+}
