--- a/core/place/engines.go
+++ b/core/place/engines.go
@@ -234,15 +234,3 @@
 	}
 	engines.Chooser.Judge(now, id, outcome, took.Seconds()/expected)
 }
-
-// Backlog returns the usual time until a prompt of that many tokens has been read by the engine with the least to do.
-func (engines *Engines) Backlog(now time.Time, targets []Target, tokens int) time.Duration {
-	least := 0.0
-	for i, target := range targets {
-		backlog := engines.engine(target).backlog(now, engines.rate)
-		if i == 0 || backlog < least {
-			least = backlog
-		}
-	}
-	return time.Duration((least + float64(tokens)) / max(engines.rate, leastRate) * float64(time.Second))
-}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -331,9 +331,6 @@
 	state.probing = state.strikes > 0
 }
 
-// InFlight returns the requests of this daemon at the target.
-func (chooser *Chooser) InFlight(id string) int { return chooser.state(id).inFlight }
-
 // Sweep forgets targets that have not been used for long.
 func (chooser *Chooser) Sweep(now time.Time) {
 	for id, state := range chooser.states {
