Forget the results of a target that has started again under its id

Cause: a stage target that starts again holds nothing, but the pool went on counting its results as held for up to 4 s.

--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -87,7 +87,7 @@
 		worker.gone = true
 	}
 	for _, target := range targets {
-		if known := pool.workers[target.ID]; known != nil && known.Address == target.Address {
+		if known := pool.workers[target.ID]; known != nil && known.Target == target {
 			known.gone = false
 			continue
 		}
--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -32,6 +32,7 @@
 	ID      string
 	Address string
 	Zone    string
+	Born    time.Time // start of this run; the results of earlier ones are gone
 }
 
 // Call is a batch to be sent to a target.
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -29,12 +29,11 @@
 )
 
 const (
-	memoryShare     = 0.6                    // of the process's memory that the collector aims to stay under
-	housekeeping    = time.Second            // period of sweeps and of the check of the settings file
-	headerTimeout   = 10 * time.Second       // for a caller to send a request's head; callers may open connections ahead
-	idleTimeout     = 75 * time.Second       // longer than callers keep idle connections, so that they close them
-	maxHeader       = 64 << 10               // bytes
-	closingAfter    = 500 * time.Millisecond // from SIGTERM until connections are closed after their next answer
+	memoryShare     = 0.6              // of the process's memory that the collector aims to stay under
+	housekeeping    = time.Second      // period of sweeps and of the check of the settings file
+	headerTimeout   = 10 * time.Second // for a caller to send a request's head; callers may open connections ahead
+	idleTimeout     = 75 * time.Second // longer than callers keep idle connections, so that they close them
+	maxHeader       = 64 << 10         // bytes
 	exitReserve     = 1500 * time.Millisecond
 	lastExit        = 400 * time.Millisecond // before the end of the grace period, whatever is still running
 	quietBeforeExit = time.Second            // without requests before an early exit
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -60,7 +60,7 @@
 func batchTargets(targets []place.Target) []batch.Target {
 	list := make([]batch.Target, 0, len(targets))
 	for _, target := range targets {
-		list = append(list, batch.Target{ID: target.ID, Address: target.Address, Zone: target.Zone})
+		list = append(list, batch.Target{ID: target.ID, Address: target.Address, Zone: target.Zone, Born: target.Born})
 	}
 	return list
 }
