--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -22,7 +22,6 @@
 	maxRefusals    = 2                      // targets that state that they did not run the request
 	windowShare    = 0.8                    // of the bound on repeats; the rest covers daemons that do not know each other yet
 	bufferedAnswer = 1 << 20                // bytes; a longer response is passed on as it arrives
-	silentFactor   = 4                      // a target is silent after this multiple of the usual time to its answer
 	fullReturn     = 400 * time.Millisecond // before callers come back to a service whose targets are all full
 )
 
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -21,6 +21,7 @@
 	pauseFactor   = 2                       // a stream has stalled after this multiple of the pause that callers expect
 	leastPause    = 800 * time.Millisecond  // for routes that state none
 	firstPatience = 1500 * time.Millisecond // for a first event before another target is tried
+	silentFactor  = 4                       // a target is silent after this multiple of the usual time to its answer
 )
 
 var (
