--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -12,10 +12,10 @@
 	stallRatio      = 1.8                    // a call that takes this much longer than expected is repeated elsewhere
 	stallMargin     = 150 * time.Millisecond // beyond the ratio, for short calls
 	callTimeout     = 3.0                    // a call is given up after this multiple of the slowest expectation
-	callMargin      = 2 * time.Second
-	classWeight     = 0.2 // of the newest call in the estimate of a class's time
-	leastClass      = 0.05
-	mostClass       = 4.0
+	callMargin      = 2 * time.Second        // beyond callTimeout, for the calls that wait at the target before it
+	classWeight     = 0.2                    // of the newest call in the estimate of a class's time
+	leastClass      = 0.05                   // bounds of the estimate of a class, so that one odd call does not upset it
+	mostClass       = 4.0                    // the same, upwards
 	zonePatience    = 0.3                    // of the time left to its aim that a piece waits for a target near its inputs
 	lateLimit       = 700 * time.Millisecond // that a job waits for spare places once it cannot be on time
 	checkEvery      = 10 * time.Millisecond  // between two searches of the queue for hopeless jobs
--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -10,7 +10,7 @@
 const (
 	refusedRest     = 100 * time.Millisecond // a full target has a place after part of a call
 	brokenRest      = 500 * time.Millisecond // doubled with each further failure
-	longestRest     = 4 * time.Second
+	longestRest     = 4 * time.Second        // of a target that goes on failing; then one call tries it again
 	roomRest        = 200 * time.Millisecond // results are freed within about a call
 	slowWeight      = 0.5                    // of the newest call in the estimate of a target's speed
 	slowest         = 20.0                   // bounds the estimate, so that one stalled call does not outlast its cause
--- a/core/dialect.go
+++ b/core/dialect.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/url"
 	"time"
 )
 
@@ -42,8 +41,6 @@
 	ReadyPath() string
 	// DirectoryPath is the path on which callers ask for addresses.
 	DirectoryPath() string
-	// AddressQuery returns the data centre of the caller that asks for addresses.
-	AddressQuery(query url.Values) (zone string)
 	// AddressAnswer returns the body of the answer.
 	AddressAnswer(addresses []string, keep time.Duration) []byte
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -16,16 +16,16 @@
 	paceWeight     = 0.2                    // of the newest answer in a target's pace
 	mostPace       = 20.0                   // bounds the weight of a single answer
 	firstRest      = 300 * time.Millisecond // after a failure; doubled with each further one
-	longestRest    = 4 * time.Second
-	failurePenalty = 4.0             // a target that fails always counts as this many times slower, and one more
-	spareLoad      = 3.0             // requests by which the target that holds the prompt may exceed the mean
-	loadRatio      = 1.6             // of the mean, for the same
-	slowRatio      = 4.0             // a target this many times slower than the median keeps no prompts
-	coldShare      = 0.2             // of the bound on cold targets that all daemons use when each places for itself
-	coldBurst      = 2.0             // requests that a cold target may get at once from the daemon that places for all
-	fadeHalfLife   = 4 * time.Second // of what is known of a target's failures and pace, so that it gets requests again
-	stateLife      = time.Minute     // of what is known of a target that is gone
-	connectionFill = 0.8             // of a target's connections that all daemons use together
+	longestRest    = 4 * time.Second        // of a target that goes on failing; then one request tries it again
+	failurePenalty = 4.0                    // a target that fails always counts as this many times slower, and one more
+	spareLoad      = 3.0                    // requests by which the target that holds the prompt may exceed the mean
+	loadRatio      = 1.6                    // of the mean, for the same
+	slowRatio      = 4.0                    // a target this many times slower than the median keeps no prompts
+	coldShare      = 0.2                    // of the bound on cold targets that all daemons use when each places for itself
+	coldBurst      = 2.0                    // requests that a cold target may get at once from the daemon that places for all
+	fadeHalfLife   = 4 * time.Second        // of what is known of a target's failures and pace, so that it gets requests again
+	stateLife      = time.Minute            // of what is known of a target that is gone
+	connectionFill = 0.8                    // of a target's connections that all daemons use together
 )
 
 // Target is a candidate.
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -29,15 +29,15 @@
 )
 
 const (
-	memoryShare     = 0.6              // of the process's memory that the collector aims to stay under
-	housekeeping    = time.Second      // period of sweeps and of the check of the settings file
-	headerTimeout   = 10 * time.Second // for a caller to send a request's head; callers may open connections ahead
-	idleTimeout     = 75 * time.Second // longer than callers keep idle connections, so that they close them
-	maxHeader       = 64 << 10         // bytes
-	exitReserve     = 1500 * time.Millisecond
-	lastExit        = 400 * time.Millisecond // before the end of the grace period, whatever is still running
-	quietBeforeExit = time.Second            // without requests before an early exit
-	leastDrain      = 3500 * time.Millisecond
+	memoryShare     = 0.6                     // of the process's memory that the collector aims to stay under
+	housekeeping    = time.Second             // period of sweeps and of the check of the settings file
+	headerTimeout   = 10 * time.Second        // for a caller to send a request's head; callers may open connections ahead
+	idleTimeout     = 75 * time.Second        // longer than callers keep idle connections, so that they close them
+	maxHeader       = 64 << 10                // bytes
+	exitReserve     = 1500 * time.Millisecond // of the grace period, in which the last requests end after no more are accepted
+	lastExit        = 400 * time.Millisecond  // before the end of the grace period, whatever is still running
+	quietBeforeExit = time.Second             // without requests before an early exit
+	leastDrain      = 3500 * time.Millisecond // for which callers may still hold the address: the directory says 2 s, and a look-up takes up to 1 s
 )
 
 // Options configure a daemon; all fields but Settings.Metrics must be set.
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -33,7 +33,7 @@
 		{"next run", entry(born.Add(time.Second), 1, false), true, false},
 		{"entry of the run before", entry(born, 9, true), false, false},
 	} {
-		run, current := registry.note(start, test.entry, 1)
+		run, current := registry.note(start, test.entry)
 		if current != test.current || current && run.draining != test.draining {
 			t.Errorf("%s: current %v, draining %v", test.name, current, run.draining)
 		}
@@ -44,8 +44,8 @@
 func TestColdEntryIsCountedOnce(t *testing.T) {
 	var registry registry
 	cold := core.TargetEntry{ID: "i", ColdLeft: 3 * time.Second, Sequence: 1}
-	registry.note(start, cold, 1)
-	run, _ := registry.note(start.Add(2*time.Second), cold, 1)
+	registry.note(start, cold)
+	run, _ := registry.note(start.Add(2*time.Second), cold)
 	if want := start.Add(3 * time.Second); !run.cold.Equal(want) {
 		t.Errorf("cold until %v, want %v", run.cold, want)
 	}
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -232,7 +232,7 @@
 			continue
 		}
 		present[target.ID] = true
-		run, current := daemon.control.registry.note(now, target, entry.ModRevision)
+		run, current := daemon.control.registry.note(now, target)
 		if !current {
 			continue
 		}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -25,8 +25,8 @@
 	firstWeight    = 0.1                    // of the newest first event in the usual time
 	takenWeight    = 0.05                   // of the newest decision in the share of requests taken
 	leastFirst     = 0.82                   // of the route's time limit that callers state on a first attempt: 0.85 to 1
-	usualFirstLeft = 0.92
-	retryAfterName = "Retry-After"
+	usualFirstLeft = 0.92                   // the middle of what callers state on a first attempt
+	retryAfterName = "Retry-After"          // in seconds, with fractions
 )
 
 // request is one request of a caller on its way through the daemon.
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -16,12 +16,12 @@
 )
 
 const (
-	memberTTL         = 3 * time.Second // a killed daemon leaves the directory by then
-	renewEvery        = time.Second
-	renewRetry        = 300 * time.Millisecond
-	pingEvery         = 250 * time.Millisecond // of daemons that send batches; their pause delays every request
-	pingRounds        = 4                      // of which other daemons are asked in one
-	pingTimeout       = 800 * time.Millisecond
+	memberTTL         = 3 * time.Second         // a killed daemon leaves the directory by then
+	renewEvery        = time.Second             // a third of memberTTL, so that two renewals may fail
+	renewRetry        = 300 * time.Millisecond  // after a renewal that failed
+	pingEvery         = 250 * time.Millisecond  // of daemons that send batches; their pause delays every request
+	pingRounds        = 4                       // of which other daemons are asked in one
+	pingTimeout       = 800 * time.Millisecond  // of one ping; a healthy daemon answers within some milliseconds
 	largeShare        = 0.75                    // of the largest VM's processor, from which on a daemon sends for others
 	largeFleet        = 16                      // daemons, from which on pings to senders are rarer
 	largePingRounds   = 3                       // the same as pingRounds for senders of a large fleet
@@ -30,7 +30,7 @@
 	droppedAfter      = 2500 * time.Millisecond // the directory no longer names a daemon that is silent for this long
 	forgetAfter       = 30 * time.Second        // a daemon that neither the store nor a ping has shown
 	directoryKeep     = 2 * time.Second         // for which callers keep addresses: short enough for changes, long enough for calm
-	maxAddresses      = 64
+	maxAddresses      = 64                      // that callers take from one answer
 )
 
 // record is what a daemon publishes of itself.
@@ -277,9 +277,8 @@
 		http.NotFound(writer, request)
 		return
 	}
-	zone := daemon.dialect.AddressQuery(request.URL.Query())
 	var addresses []string
-	daemon.do(func() { addresses = daemon.frontAddresses(zone) })
+	daemon.do(func() { addresses = daemon.frontAddresses() })
 	if len(addresses) == 0 || !daemon.view.Load().routing.Known() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -290,7 +289,7 @@
 }
 
 // frontAddresses returns up to maxAddresses daemons that live, in random order.
-func (daemon *Daemon) frontAddresses(string) []string {
+func (daemon *Daemon) frontAddresses() []string {
 	now := daemon.clock.Now()
 	var addresses []string
 	if !daemon.leaving.Load() {
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -14,8 +14,8 @@
 const (
 	leastLatency = int64(1)      // milliseconds
 	mostLatency  = int64(60_000) // milliseconds
-	digits       = 2
-	maxSeries    = 64 // routes with a histogram of their own
+	digits       = 2             // significant ones, an error of 1 in 100
+	maxSeries    = 64            // routes with a histogram of their own
 )
 
 // metrics are the counters and histograms of a daemon.
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -16,12 +16,12 @@
 )
 
 const (
-	peerDialTimeout = 600 * time.Millisecond
-	peerConnections = 64 // kept to each daemon; stages of one request each hold one while they wait
-	peerIdle        = 30 * time.Second
-	replyLife       = 50 * time.Millisecond // of the answer to pings; forecasts change within a call of 200 ms and more
-	copyTimeout     = time.Second
-	maxPeerBody     = 16 << 20 // bytes; a copy holds the whole configuration
+	peerDialTimeout = 600 * time.Millisecond // below pingTimeout, so that a dead machine shows as such
+	peerConnections = 64                     // kept to each daemon; stages of one request each hold one while they wait
+	peerIdle        = 30 * time.Second       // of a kept connection; pings come once a second at least
+	replyLife       = 50 * time.Millisecond  // of the answer to pings; forecasts change within a call of 200 ms and more
+	copyTimeout     = time.Second            // of a whole configuration from a peer
+	maxPeerBody     = 16 << 20               // bytes; a copy holds the whole configuration
 )
 
 // Paths between daemons.
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -15,9 +15,9 @@
 
 const (
 	freeDelay    = 4 * time.Millisecond // results that are freed in this time go in one call
-	freeTimeout  = time.Second
-	senderIdle   = 3 * time.Second // without jobs after which a sender no longer counts as in use
-	maxStageBody = 1 << 20         // bytes of an answer to a call with pieces
+	freeTimeout  = time.Second          // results lapse by themselves after some seconds
+	senderIdle   = 3 * time.Second      // without jobs after which a sender no longer counts as in use
+	maxStageBody = 1 << 20              // bytes of an answer to a call with pieces
 )
 
 // sender sends the batches of one service.
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -16,12 +16,12 @@
 )
 
 const (
-	maxSenders     = 3 // daemons that are asked to send one stage's pieces
-	forecastLife   = 1500 * time.Millisecond
-	largeResult    = 200_000 // bytes; results from this size on are made as late as the response allows
-	lateStartShare = 0.8     // of the time that a large result could wait
-	tokensForZone  = 1000    // shared tokens from which on reading them again costs more than moving results
-	freeCallLimit  = 800 * time.Millisecond
+	maxSenders     = 3                       // daemons that are asked to send one stage's pieces
+	forecastLife   = 1500 * time.Millisecond // of a forecast that was told; pings bring a new one within 0.75 s
+	largeResult    = 200_000                 // bytes; results from this size on are made as late as the response allows
+	lateStartShare = 0.8                     // of the time that a large result could wait
+	tokensForZone  = 1000                    // shared tokens from which on reading them again costs more than moving results
+	freeCallLimit  = 800 * time.Millisecond  // of a message that nobody waits for
 )
 
 // piecesMessage asks a daemon to have the pieces of one stage produced.
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	maxEvent      = 1 << 20 // bytes of one event
-	eventBuffer   = 4 << 10
+	maxEvent      = 1 << 20                 // bytes of one event
+	eventBuffer   = 4 << 10                 // bytes; an event of some tokens has about 250
 	pauseFactor   = 2                       // a stream has stalled after this multiple of the pause that callers expect
 	leastPause    = 800 * time.Millisecond  // for routes that state none
 	firstPatience = 1500 * time.Millisecond // for a first event before another target is tried
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -32,7 +32,7 @@
 
 // note merges a registration into what is known of the target; it reports false when the registration belongs to an
 // earlier run. Draining is not taken back within one run: an entry written before it may arrive late.
-func (registry *registry) note(now time.Time, entry core.TargetEntry, revision core.Revision) (targetRun, bool) {
+func (registry *registry) note(now time.Time, entry core.TargetEntry) (targetRun, bool) {
 	if registry.runs == nil {
 		registry.runs = map[string]targetRun{}
 	}
--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	bufferBytes  = 4 << 10
+	bufferBytes  = 4 << 10                // for reading; most heads of responses fit
 	dialTimeout  = time.Second            // callers allow a new connection the same
 	defaultIdle  = 4 * time.Second        // for targets that state no Keep-Alive
 	idleMargin   = 500 * time.Millisecond // connections are dropped this long before the target would close them
--- a/io/xchg/dial.go
+++ b/io/xchg/dial.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	keepAliveIdle  = time.Second // a connection that was cut silently is found within 3 s
-	keepAliveEvery = time.Second
-	keepAliveCount = 2
+	keepAliveIdle  = time.Second     // a connection that was cut silently is found within 3 s
+	keepAliveEvery = time.Second     // between two probes
+	keepAliveCount = 2               // probes without an answer that end a connection
 	unackedTimeout = 2 * time.Second // sent bytes that stay unacknowledged this long end the connection
 )
 
