Never answer "not run" after a target may have run the request

Cause: found when reading the change before the landing: a request that one target had lost the answer of, and that three others then refused, was answered 503, which promises that it has not run (repeatable kinds only; others end after the first target). Change: an answer that promises "not run" becomes 502 once a target may have run the request. TestRefusalAfterLostAnswer failed before (503 for a request that had run).

--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -270,6 +270,10 @@
 // refuse answers with an error of this daemon and logs it.
 func (daemon *Daemon) refuse(writer http.ResponseWriter, request *request, err error) {
 	e := core.AsError(err)
+	if request.ran && promisesNotRun(e.Kind.Answer().Status) {
+		// An earlier target may have run the request, so the answer must not say that it has not.
+		e = core.Errorf(core.TargetFailed, "%w", err)
+	}
 	status := e.Kind.Answer().Status
 	switch {
 	case errors.Is(err, errCallerLeft):
