Refuse streams that a leaving daemon would have to cut

Ruled out: the early end of the drain (requests were in progress all the time). Change: from 3 s after SIGTERM streams are refused at once as not run, and so are requests whose time limit is beyond the grace period.

--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -37,6 +37,7 @@
 	exitReserve     = 1500 * time.Millisecond // of the grace period, in which the last requests end after no more are accepted
 	lastExit        = 400 * time.Millisecond  // before the end of the grace period, whatever is still running
 	quietBeforeExit = time.Second             // without requests before an early exit
+	takeStreams     = 3 * time.Second         // after SIGTERM in which streams are still taken: most end within the rest of the grace period
 	leastDrain      = 3500 * time.Millisecond // for which callers may still hold the address: the directory says 2 s, and a look-up takes up to 1 s
 )
 
@@ -69,13 +70,14 @@
 	peers       *http.Client
 	metrics     *metrics
 
-	id       core.MemberID
-	leaving  atomic.Bool
-	leaveNow sync.Once
-	left     chan struct{} // closed when the daemon begins to leave
-	active   atomic.Int64  // requests of callers
-	lastCall atomic.Int64  // unix nanoseconds of the last request's end
-	bodies   atomic.Int64  // bytes of request bodies in memory
+	id         core.MemberID
+	leaving    atomic.Bool
+	leaveBegan atomic.Pointer[time.Time] // when leaving began; nil before
+	leaveNow   sync.Once
+	left       chan struct{} // closed when the daemon begins to leave
+	active     atomic.Int64  // requests of callers
+	lastCall   atomic.Int64  // unix nanoseconds of the last request's end
+	bodies     atomic.Int64  // bytes of request bodies in memory
 }
 
 // control is the state that the loop owns.
@@ -205,6 +207,20 @@
 // do runs a function on the control loop and waits for it.
 func (daemon *Daemon) do(function func()) { _ = daemon.loop.Do(daemon.loopContext, function) }
 
+// tooLate reports whether a leaving daemon would have to cut the request. Callers that kept an old address come until
+// shortly before the end; a refusal sends them on, a cut loses what they have.
+func (daemon *Daemon) tooLate(request *request) bool {
+	began := daemon.leaveBegan.Load()
+	if began == nil {
+		return false
+	}
+	grace := daemon.settings.Load().Grace
+	if request.route.Stream {
+		return daemon.clock.Now().Sub(*began) > min(takeStreams, grace/2)
+	}
+	return request.deadline.After(began.Add(grace - lastExit))
+}
+
 type drained struct{}
 
 func (drained) Error() string { return "drained" }
@@ -231,7 +247,11 @@
 	}
 	began := daemon.clock.Now()
 	grace := daemon.settings.Load().Grace
-	daemon.leaveNow.Do(func() { daemon.leaving.Store(true); close(daemon.left) })
+	daemon.leaveNow.Do(func() {
+		daemon.leaveBegan.Store(&began)
+		daemon.leaving.Store(true)
+		close(daemon.left)
+	})
 	daemon.loop.Post(daemon.handOver)
 	daemon.log.Info().Str("Event", "Drain").Dur("Grace", grace).Int64("Active", daemon.active.Load()).Msg("daemon leaves")
 	for {
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -19,6 +19,7 @@
 
 const (
 	defaultLeft    = 30 * time.Second       // of requests whose caller does not say how long it waits and whose route neither
+	leavingReturn  = 50 * time.Millisecond  // other daemons are ready
 	unknownReturn  = 500 * time.Millisecond // while no routing is known
 	memoryForBody  = 0.25                   // of the process's memory for request bodies
 	usualFirst     = 150 * time.Millisecond // to the first event, before any has been seen
@@ -112,6 +113,9 @@
 		}
 	}
 	request.setTimes(now)
+	if daemon.tooLate(request) {
+		return request, core.Errorf(core.Unavailable, "this daemon is leaving").WithRetryAfter(leavingReturn)
+	}
 	return request, daemon.readBody(request, view.routing.Bounds)
 }
 
