Blame no content for the loss of both targets of a pool

Cause: a request that was on the first target of a lost data centre ran alone on the second one within milliseconds, and that target was already failing. It was then on all crashed targets, which the rule for failed racks cannot clear in a pool of two.

Change: in a pool of two a suspected content waits 500 ms before it runs alone; by then the other target of a lost rack has failed too.

Ruled out: counting crashes of other pools of the data centre: their owners are other daemons, whose news comes up to half a second later, after the finding has spread.

--- a/core/pool/blame.go
+++ b/core/pool/blame.go
@@ -14,6 +14,10 @@
 	// correlationWindow and correlatedTargets tell a failed rack from a content that crashes targets.
 	correlationWindow = 2 * time.Second
 	correlatedTargets = 3
+	// smallRackHold is how long a content waits before it runs alone in a pool of two targets. The targets of a lost rack fail
+	// within some 100 ms of each other; one that ran on both of them would be on all crashed targets, as a content that
+	// crashes them is.
+	smallRackHold = 500 * time.Millisecond
 	// resolveWithin is how long broken connections wait for a load report that tells whether the target crashed.
 	resolveWithin = time.Second
 	// clockTolerance covers the rounding of ages when findings pass between daemons.
@@ -137,6 +141,9 @@
 		return
 	}
 	known.finding = finding{state: core.SuspectAlone, since: now, here: true}
+	if blame.targets == 2 {
+		known.heldUntil = later(known.heldUntil, now.Add(smallRackHold))
+	}
 }
 
 // newContent notes a request of a failed target with the present finding.
--- a/core/pool/world_test.go
+++ b/core/pool/world_test.go
@@ -275,3 +275,23 @@
 		}
 	}
 }
+
+// TestSmallRackFailure guards against blaming requests for the loss of both targets of a pool: one that was on the first
+// target and runs alone on the second when that fails was on all targets that crashed.
+func TestSmallRackFailure(t *testing.T) {
+	for seed := range seeds(40) {
+		world := newWorld(seed, 2, 2, 8)
+		owner := newOwner(world, 0)
+		world.arrivals("a", 20, 20*time.Second, func(repeated *call) {
+			repeated.content = core.Fingerprint(1 + repeated.id%4)
+			owner.submit(repeated)
+		})
+		apart := time.Duration(seed) * 5 * time.Millisecond
+		world.after(5*time.Second, func() { world.fall(world.machines[0], 0) })
+		world.after(5*time.Second+apart, func() { world.fall(world.machines[1], 0) })
+		world.runFor(20 * time.Second)
+		if blamed := world.share("a", "poison"); blamed > 0 {
+			t.Errorf("seed %d: targets that fail %v apart leave %.4f of the requests blamed", seed, apart, blamed)
+		}
+	}
+}
