Let a daemon advertise other addresses than it listens on

Cause: the soak puts a proxy before the port for callers and the one for other daemons, as a forwarder of the network would; the daemon could only announce the addresses that it listens on. Change: AdvertiseFront and AdvertisePeer, both empty by default. Ruled out: listening on all addresses, since several daemons share the machine in tests.

--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -107,6 +108,9 @@
 
 // New returns a daemon that does nothing until Run.
 func New(options Options) *Daemon {
+	settings := &options.Settings
+	settings.AdvertiseFront = cmp.Or(settings.AdvertiseFront, settings.Front)
+	settings.AdvertisePeer = cmp.Or(settings.AdvertisePeer, settings.Peer)
 	daemon := &Daemon{
 		options: options, dialect: options.Dialect, store: options.Store, clock: options.Clock,
 		lines: newLineWriter(options.Clock), left: make(chan struct{}), metrics: newMetrics(),
@@ -138,7 +142,7 @@
 	settings := daemon.options.Settings
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryShare * (1 << 20)))
 	began := daemon.clock.Now()
-	daemon.log.Info().Str("Event", "Start").Str("ID", string(daemon.id)).Str("Front", settings.Front).Msg("daemon starts")
+	daemon.log.Info().Str(eventField, eventStart).Str("ID", string(daemon.id)).Str("Front", settings.Front).Msg("daemon starts")
 
 	logDone := make(chan struct{})
 	stopLog := make(chan struct{})
@@ -169,7 +173,7 @@
 	for i, server := range servers {
 		listener, err := net.Listen("tcp", server.Addr)
 		if err != nil && i == len(servers)-1 && settings.Metrics != "" {
-			daemon.log.Error().Str("Event", "MetricsUnavailable").Err(err).Msg("metrics are not served")
+			daemon.log.Error().Str(eventField, eventMetricsUnavailable).Err(err).Msg("metrics are not served")
 			continue
 		}
 		if err != nil {
@@ -185,7 +189,7 @@
 	}
 	daemon.addTask(&group, ctx, func(ctx context.Context) error { return daemon.drainOnSignal(ctx, servers[0]) })
 	err := group.Run()
-	daemon.log.Info().Str("Event", "Stop").Dur("UpFor", daemon.clock.Now().Sub(began)).AnErr("Cause", err).Msg("daemon stops")
+	daemon.log.Info().Str(eventField, eventStop).Dur("UpFor", daemon.clock.Now().Sub(began)).AnErr("Cause", err).Msg("daemon stops")
 	if err == errDrained || ctx.Err() != nil {
 		return nil
 	}
@@ -253,7 +257,7 @@
 		close(daemon.left)
 	})
 	daemon.loop.Post(daemon.handOver)
-	daemon.log.Info().Str("Event", "Drain").Dur("Grace", grace).Int64("Active", daemon.active.Load()).Msg("daemon leaves")
+	daemon.log.Info().Str(eventField, eventDrain).Dur("Grace", grace).Int64("Active", daemon.active.Load()).Msg("daemon leaves")
 	for {
 		if !core.Pause(ctx, daemon.clock, 100*time.Millisecond) {
 			return ctx.Err()
@@ -268,7 +272,7 @@
 	stopCtx, cancel := context.WithTimeout(ctx, max(grace-lastExit-daemon.clock.Now().Sub(began), 0))
 	defer cancel()
 	if err := front.Shutdown(stopCtx); err != nil {
-		daemon.log.Warn().Str("Event", "DrainCut").Int64("Active", daemon.active.Load()).Err(err).Msg("requests outlast the grace period")
+		daemon.log.Warn().Str(eventField, eventDrainCut).Int64("Active", daemon.active.Load()).Err(err).Msg("requests outlast the grace period")
 	}
 	return errDrained
 }
@@ -294,7 +298,7 @@
 			daemon.changed() // cold targets turn warm and held entries lapse without an event
 		})
 		if now := daemon.lines.dropped.Load(); now > dropped {
-			daemon.log.Warn().Str("Event", "LogDropped").Int64("Lines", now-dropped).Msg("log lines were dropped")
+			daemon.log.Warn().Str(eventField, eventLogDropped).Int64("Lines", now-dropped).Msg("log lines were dropped")
 			dropped = now
 		}
 	}
@@ -307,10 +311,10 @@
 	}
 	settings, err := inifmt.LoadEdge(daemon.options.SettingsFile)
 	if err != nil {
-		daemon.log.Error().Str("Event", "ReloadFailed").Str("Cause", cause).Err(err).Msg("the settings in force stay")
+		daemon.log.Error().Str(eventField, eventReloadFailed).Str("Cause", cause).Err(err).Msg("the settings in force stay")
 		return
 	}
 	daemon.settings.Store(&settings)
 	daemon.loop.Post(func() { daemon.control.windows = map[string]*retry.Window{} })
-	daemon.log.Info().Str("Event", "Reload").Str("Cause", cause).Msg("settings are read again")
+	daemon.log.Info().Str(eventField, eventReload).Str("Cause", cause).Msg("settings are read again")
 }
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -65,7 +65,7 @@
 
 func (daemon *Daemon) self() record {
 	settings := daemon.options.Settings
-	return record{ID: daemon.id, Front: settings.Front, Peer: settings.Peer, DataCentre: settings.DataCentre, Cores: settings.Cores}
+	return record{ID: daemon.id, Front: settings.AdvertiseFront, Peer: settings.AdvertisePeer, DataCentre: settings.DataCentre, Cores: settings.Cores}
 }
 
 // keepMembership keeps this daemon's record in the store under a lease until it leaves.
@@ -79,7 +79,7 @@
 		if daemon.leaving.Load() {
 			if lease != 0 {
 				if err := daemon.store.RevokeLease(ctx, lease); err != nil {
-					daemon.log.Warn().Str("Event", "LeaseNotRevoked").Err(err).Msg("the record lapses with its lease")
+					daemon.log.Warn().Str(eventField, eventLeaseNotRevoked).Err(err).Msg("the record lapses with its lease")
 				}
 			}
 			<-ctx.Done()
@@ -105,7 +105,7 @@
 		if !errors.Is(err, core.ErrLeaseNotFound) {
 			return lease, err
 		}
-		daemon.log.Warn().Str("Event", "LeaseLapsed").Int64("Lease", int64(lease)).Msg("the record is written again")
+		daemon.log.Warn().Str(eventField, eventLeaseLapsed).Int64("Lease", int64(lease)).Msg("the record is written again")
 	}
 	granted, err := daemon.store.GrantLease(ctx, memberTTL)
 	if err != nil {
@@ -126,10 +126,10 @@
 	for _, entry := range daemon.control.members.Entries(now) {
 		var listed record
 		if err := json.Unmarshal(entry.Value, &listed); err != nil || listed.Peer == "" {
-			daemon.log.Warn().Str("Event", "MemberIgnored").Str("Key", entry.Key).AnErr("Cause", err).Msg("record of a daemon is not readable")
+			daemon.log.Warn().Str(eventField, eventMemberIgnored).Str("Key", entry.Key).AnErr("Cause", err).Msg("record of a daemon is not readable")
 			continue
 		}
-		if listed.Peer == daemon.options.Settings.Peer {
+		if listed.Peer == daemon.options.Settings.AdvertisePeer {
 			continue
 		}
 		known := daemon.meet(now, listed)
@@ -153,7 +153,7 @@
 	calls, cancel := context.WithCancel(context.Background())
 	added := &peer{record: met, added: now, calls: calls, cancel: cancel, forecasts: map[string]forecastAt{}}
 	daemon.control.peers[met.Peer] = added
-	daemon.log.Info().Str("Event", "PeerMet").Str("Peer", string(met.ID)).Msg("daemon is known")
+	daemon.log.Info().Str(eventField, eventPeerMet).Str("Peer", string(met.ID)).Msg("daemon is known")
 	go daemon.ping(met.Peer)
 	return added
 }
@@ -165,7 +165,7 @@
 		if !known.stored && !daemon.control.members.Out() && silence > droppedAfter || silence > forgetAfter {
 			known.cancel()
 			delete(daemon.control.peers, address)
-			daemon.log.Info().Str("Event", "PeerForgotten").Str("Peer", string(known.ID)).Dur("SilentFor", silence).Msg("daemon is gone")
+			daemon.log.Info().Str(eventField, eventPeerForgotten).Str("Peer", string(known.ID)).Dur("SilentFor", silence).Msg("daemon is gone")
 		}
 	}
 	// The share of limits follows slowly: a daemon that has just gone may be back.
@@ -192,7 +192,7 @@
 	now := daemon.clock.Now()
 	var candidates []candidate
 	if !daemon.leaving.Load() {
-		candidates = append(candidates, candidate{daemon.options.Settings.Peer, daemon.sends(now, service), daemon.options.Settings.Cores})
+		candidates = append(candidates, candidate{daemon.options.Settings.AdvertisePeer, daemon.sends(now, service), daemon.options.Settings.Cores})
 	}
 	largest := 0.0
 	for address, known := range daemon.control.peers {
@@ -262,7 +262,7 @@
 	addresses = append(addresses, suspects...)
 	if len(addresses) == 0 {
 		for _, seed := range daemon.settings.Load().Seeds {
-			if seed != daemon.options.Settings.Peer {
+			if seed != daemon.options.Settings.AdvertisePeer {
 				addresses = append(addresses, seed)
 			}
 		}
@@ -293,7 +293,7 @@
 	now := daemon.clock.Now()
 	var addresses []string
 	if !daemon.leaving.Load() {
-		addresses = append(addresses, daemon.options.Settings.Front)
+		addresses = append(addresses, daemon.options.Settings.AdvertiseFront)
 	}
 	for _, known := range daemon.control.peers {
 		if !known.leaving && !known.answered.IsZero() && now.Sub(known.answered) <= droppedAfter && !known.failed {
--- a/io/inifmt/edge.go
+++ b/io/inifmt/edge.go
@@ -22,13 +22,18 @@
 	Ready      string // IP:port for readiness checks; required
 	Directory  string // IP:port on which callers ask for addresses; required
 	Peer       string // IP:port for other daemons; required
-	Metrics    string // IP:port for metrics; empty means none
-	Seeds      []string
-	Store      string  // IP:port; required
-	MemoryMB   int     // of the process
-	Cores      float64 // processor of the VM; 0 counts as unknown
-	Grace      time.Duration
-	Bounds     EdgeBounds
+
+	// AdvertiseFront and AdvertisePeer are where callers and other daemons reach Front and Peer when something that forwards
+	// connections stands between; empty means at Front and Peer themselves.
+	AdvertiseFront, AdvertisePeer string
+
+	Metrics  string // IP:port for metrics; empty means none
+	Seeds    []string
+	Store    string  // IP:port; required
+	MemoryMB int     // of the process
+	Cores    float64 // processor of the VM; 0 counts as unknown
+	Grace    time.Duration
+	Bounds   EdgeBounds
 }
 
 // EdgeBounds are the limits that all daemons keep together.
@@ -76,13 +81,18 @@
 		Directory:  table.text("Directory", ""),
 		Peer:       table.text("Peer", ""),
 		Metrics:    table.text("Metrics", ""),
-		Seeds:      table.list("Seeds"),
-		Store:      table.text("Store", ""),
-		MemoryMB:   table.number("MemoryMB", DefaultMemory),
-		Cores:      table.share("Cores", 0),
-		Grace:      table.duration("Grace", DefaultGrace),
+
+		AdvertiseFront: table.text("AdvertiseFront", ""),
+		AdvertisePeer:  table.text("AdvertisePeer", ""),
+
+		Seeds:    table.list("Seeds"),
+		Store:    table.text("Store", ""),
+		MemoryMB: table.number("MemoryMB", DefaultMemory),
+		Cores:    table.share("Cores", 0),
+		Grace:    table.duration("Grace", DefaultGrace),
 	}
-	table.close(oneOf("Name", "DataCentre", "Front", "Ready", "Directory", "Peer", "Metrics", "Seeds", "Store", "MemoryMB", "Cores", "Grace"))
+	table.close(oneOf("Name", "DataCentre", "Front", "Ready", "Directory", "Peer", "AdvertiseFront", "AdvertisePeer",
+		"Metrics", "Seeds", "Store", "MemoryMB", "Cores", "Grace"))
 	return settings
 }
 
