Add catkincove explain, and a closed list of log events

Cause: an engineer on call had to collect the lines of a request with grep and sort, and to guess which of the daemons' beliefs had decided it. Change: explain ID [FILE...] prints the request's lines in time order and between them what the daemons that served it learned in the two seconds before and meanwhile; text and JSON. Events are constants; TestEventsAreDocumented compares them with docs/OPERATIONS.md.

--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -135,6 +135,6 @@
 	log := writer.logger("d")
 	b.ReportAllocs()
 	for b.Loop() {
-		log.Info().Str("Event", "RequestEnded").Str("Request", "9c41d07be2a35f68").Str("Route", "r-8nmsu7a").Int("Status", 200).Dur("Took", time.Second).Send()
+		log.Info().Str(eventField, eventRequestEnded).Str("Request", "9c41d07be2a35f68").Str("Route", "r-8nmsu7a").Int("Status", 200).Dur("Took", time.Second).Send()
 	}
 }
--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -58,7 +58,7 @@
 		defer cancel()
 		if err := daemon.callPeer(callCtx, address, pathPlace, message, &reply); err != nil {
 			daemon.metrics.placedAlone.Add(1)
-			daemon.log.Warn().Str("Event", "PlacedAlone").Str("Request", request.caller.Attempt).Str("Peer", address).Err(err).Msg("an engine is chosen from what this daemon knows")
+			daemon.log.Warn().Str(eventField, eventPlacedAlone).Str("Request", request.caller.Attempt).Str("Peer", address).Err(err).Msg("an engine is chosen from what this daemon knows")
 			return nil
 		}
 	}
--- /dev/null
+++ b/io/edge/events_test.go
@@ -0,0 +1,40 @@
+package edge
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"testing"
+)
+
+// TestEventsAreDocumented guards against log lines that operators cannot look up: events beside the list, and ones that
+// docs/OPERATIONS.md does not name.
+func TestEventsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, err := os.ReadFile("events.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	events := regexp.MustCompile(`event\w+ += "(\w+)"`).FindAllSubmatch(list, -1)
+	if len(events) < 20 {
+		t.Fatalf("%d events are listed", len(events))
+	}
+	for _, event := range events {
+		if name := string(event[1]); !regexp.MustCompile("`"+name+"`").Match(page) && name != "Event" {
+			t.Errorf("docs/OPERATIONS.md does not name %s", name)
+		}
+	}
+	files, _ := filepath.Glob("*.go")
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if found := regexp.MustCompile(`Str\((eventField|"Event"), "\w+"`).Find(text); found != nil {
+			t.Errorf("%s logs an event that is not in events.go: %s", file, found)
+		}
+	}
+}
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -50,7 +50,7 @@
 		case err == nil || ctx.Err() != nil:
 		case errors.Is(err, core.ErrCompacted):
 			listed = false
-			daemon.log.Warn().Str("Event", "HistoryLost").Err(err).Msg("all keys are listed again")
+			daemon.log.Warn().Str(eventField, eventHistoryLost).Err(err).Msg("all keys are listed again")
 		default:
 			daemon.lost(err)
 			core.Pause(ctx, daemon.clock, followRetry)
@@ -122,7 +122,7 @@
 	daemon.do(func() {
 		if !daemon.control.routes.Out() {
 			daemon.metrics.storeLost.Add(1)
-			daemon.log.Warn().Str("Event", "StoreLost").Int64("Revision", int64(daemon.control.routes.Revision())).Err(err).Msg("the copies age")
+			daemon.log.Warn().Str(eventField, eventStoreLost).Int64("Revision", int64(daemon.control.routes.Revision())).Err(err).Msg("the copies age")
 		}
 		for _, copy := range daemon.copies() {
 			copy.Lost()
@@ -133,7 +133,7 @@
 // returned must run on the loop.
 func (daemon *Daemon) returned() {
 	if daemon.control.routes.Out() {
-		daemon.log.Info().Str("Event", "StoreReturned").Int64("Revision", int64(daemon.control.routes.Revision())).Msg("the copies are kept current again")
+		daemon.log.Info().Str(eventField, eventStoreReturned).Int64("Revision", int64(daemon.control.routes.Revision())).Msg("the copies are kept current again")
 	}
 	for _, copy := range daemon.copies() {
 		copy.Returned(daemon.clock.Now())
@@ -209,11 +209,11 @@
 		switch {
 		case !is:
 		case err != nil:
-			daemon.log.Error().Str("Event", "RoutingRejected").Int64("Revision", int64(entry.ModRevision)).Err(err).Msg("the routing in force stays")
+			daemon.log.Error().Str(eventField, eventRoutingRejected).Int64("Revision", int64(entry.ModRevision)).Err(err).Msg("the routing in force stays")
 		case routing.Version > before.routing.Version || !before.routing.Known():
 			daemon.control.routingRevision = entry.ModRevision
 			next.routing = routing
-			daemon.log.Info().Str("Event", "RoutingChanged").Int64("Version", routing.Version).Int64("Revision", int64(entry.ModRevision)).Msg("routing in force")
+			daemon.log.Info().Str(eventField, eventRoutingChanged).Int64("Version", routing.Version).Int64("Revision", int64(entry.ModRevision)).Msg("routing in force")
 		}
 	}
 	daemon.rebuildTargets(now, next, evacuated)
@@ -258,7 +258,7 @@
 	}
 	target, err := daemon.dialect.DecodeTarget(entry.Key, entry.Value)
 	if err != nil {
-		daemon.log.Warn().Str("Event", "RegistrationIgnored").Str("Key", entry.Key).Int64("Revision", int64(entry.ModRevision)).Err(err).Msg("names no target to use")
+		daemon.log.Warn().Str(eventField, eventRegistrationIgnored).Str("Key", entry.Key).Int64("Revision", int64(entry.ModRevision)).Err(err).Msg("names no target to use")
 	}
 	if daemon.control.decoded == nil || len(daemon.control.decoded) > 4*len(daemon.view.Load().known)+1000 {
 		daemon.control.decoded = map[string]decodedTarget{}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -317,7 +317,7 @@
 // report writes the line that ends a request.
 func (daemon *Daemon) report(request *request, status int, err error) {
 	now := daemon.clock.Now()
-	daemon.log.Info().Str("Event", "RequestEnded").Str("Request", request.caller.Attempt).Str("Route", request.route.Name).
+	daemon.log.Info().Str(eventField, eventRequestEnded).Str("Request", request.caller.Attempt).Str("Route", request.route.Name).
 		Str("Team", string(request.team.Name)).Int("Priority", request.priority).Int64("RoutingVersion", daemon.view.Load().routing.Version).
 		Str("Outcome", request.outcome).Int("Status", status).Str("Target", request.target).Int("Tries", request.tries).
 		Dur("Stages", request.staged).Durs("StageTimes", request.stageTimes).Dur("First", request.first).Dur("Took", now.Sub(request.began)).
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -118,7 +118,7 @@
 	known.answered, known.asked, known.failed, known.leaving = now, time.Time{}, false, reply.Leaving
 	if known.silent {
 		known.silent = false
-		daemon.log.Info().Str("Event", "PeerReturned").Str("Peer", string(known.ID)).Msg("daemon answers again")
+		daemon.log.Info().Str(eventField, eventPeerReturned).Str("Peer", string(known.ID)).Msg("daemon answers again")
 	}
 	known.sends = map[string]bool{}
 	for _, service := range reply.Sends {
@@ -191,7 +191,7 @@
 	known.calls, known.cancel = context.WithCancel(context.Background())
 	if !known.silent {
 		known.silent = true
-		daemon.log.Warn().Str("Event", "PeerSilent").Str("Peer", string(known.ID)).Dur("SilentFor", known.silence(now)).Err(err).Msg("daemon is passed over")
+		daemon.log.Warn().Str(eventField, eventPeerSilent).Str("Peer", string(known.ID)).Dur("SilentFor", known.silence(now)).Err(err).Msg("daemon is passed over")
 	}
 }
 
@@ -199,7 +199,7 @@
 func (daemon *Daemon) avoid(known *peer, err error) {
 	if !known.failed {
 		known.failed = true
-		daemon.log.Warn().Str("Event", "PeerFailed").Str("Peer", string(known.ID)).Err(err).Msg("daemon is passed over until it answers a ping")
+		daemon.log.Warn().Str(eventField, eventPeerFailed).Str("Peer", string(known.ID)).Err(err).Msg("daemon is passed over until it answers a ping")
 	}
 }
 
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -52,7 +52,7 @@
 		}
 		daemon.control.pools[service] = known
 		known.pool.SetTargets(batchTargets(daemon.view.Load().targets[service]))
-		daemon.log.Info().Str("Event", "SenderStarts").Str("Service", service).Msg("this daemon sends the batches of the service")
+		daemon.log.Info().Str(eventField, eventSenderStarts).Str("Service", service).Msg("this daemon sends the batches of the service")
 	}
 	return known
 }
@@ -122,7 +122,7 @@
 		}
 		moved := sender.pool.Withdraw()
 		daemon.settle(sender, moved, nil)
-		daemon.log.Info().Str("Event", "JobsHandedOver").Str("Service", service).Int("Jobs", len(moved)).Msg("another daemon sends the batches")
+		daemon.log.Info().Str(eventField, eventJobsHandedOver).Str("Service", service).Int("Jobs", len(moved)).Msg("another daemon sends the batches")
 	}
 }
 
@@ -142,7 +142,7 @@
 	daemon.metrics.stagePieces.Add(int64(len(call.Pieces)))
 	if err != nil {
 		daemon.metrics.stageFaults.Add(1)
-		daemon.log.Warn().Str("Event", "BatchFailed").Str("Service", sender.service).Str("Target", call.Target.ID).Int("Pieces", len(call.Pieces)).
+		daemon.log.Warn().Str(eventField, eventBatchFailed).Str("Service", sender.service).Str("Target", call.Target.ID).Int("Pieces", len(call.Pieces)).
 			Bool("NotRun", ending == batch.Refused).Dur("Took", daemon.clock.Now().Sub(began)).Err(err).Msg("pieces are queued again")
 	}
 	faults := map[core.PieceFault]int{}
@@ -151,7 +151,7 @@
 	}
 	for fault, count := range faults {
 		if fault != core.PieceDone {
-			daemon.log.Warn().Str("Event", "PiecesFailed").Str("Service", sender.service).Str("Target", call.Target.ID).Int("Pieces", len(call.Pieces)).
+			daemon.log.Warn().Str(eventField, eventPiecesFailed).Str("Service", sender.service).Str("Target", call.Target.ID).Int("Pieces", len(call.Pieces)).
 				Str("Fault", fault.String()).Int("Failed", count).Int64("ResultBytes", call.Bytes).Int64("HeldBytes", call.Held).Msg("pieces of a batch have no result")
 		}
 	}
@@ -234,7 +234,7 @@
 		_ = response.Body.Close()
 	}
 	if err != nil {
-		daemon.log.Warn().Str("Event", "FreeFailed").Str("Address", address).Int("Handles", len(handles)).Err(err).Msg("results lapse by themselves")
+		daemon.log.Warn().Str(eventField, eventFreeFailed).Str("Address", address).Int("Handles", len(handles)).Err(err).Msg("results lapse by themselves")
 		return
 	}
 	_, _ = io.Copy(io.Discard, response.Body)
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -69,7 +69,7 @@
 		if !errors.As(last, &failure) {
 			return last
 		}
-		daemon.log.Warn().Str("Event", "AttemptFailed").Str("Request", request.caller.Attempt).Str("Target", attempt.target.ID).
+		daemon.log.Warn().Str(eventField, eventAttemptFailed).Str("Request", request.caller.Attempt).Str("Target", attempt.target.ID).
 			Str("Run", failure.run.String()).Dur("Took", daemon.clock.Now().Sub(attempt.began)).Err(failure.cause).Send()
 		switch {
 		case failure.unsent:
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -298,7 +298,7 @@
 		}
 		if err != nil {
 			daemon.do(func() { daemon.avoid(owner, err) })
-			daemon.log.Warn().Str("Event", "SenderFailed").Str("Request", message.Attempt).Str("Peer", address).Str("Service", message.Service).
+			daemon.log.Warn().Str(eventField, eventSenderFailed).Str("Request", message.Attempt).Str("Peer", address).Str("Service", message.Service).
 				Int("Stage", message.Stage).Err(err).Msg("pieces go to the next daemon")
 			continue
 		}
--- a/io/tool/tool.go
+++ b/io/tool/tool.go
@@ -55,6 +55,7 @@
 			requestCommand(),
 			ticketCommand(),
 			checkCommand(),
+			explainCommand(),
 			statusCommand(),
 			reportCommand(),
 			versionCommand(),
