Tell losses of targets once instead of for a minute

Cause: each ping between daemons carried all losses of the last minute, one's own and those told by others. After the crash of a quarter of the engines that was 8 KB a ping; with 71 daemons that ping each other once a second 560 KB/s went each way through links of 1.25 MB/s, and requests and answers beside it doubled that. Small VMs then took 0.4 to 0.9 s longer for each request, their prompts were placed without the placer (1,381 times), and pings failed. Ruled out: the processor of the senders (large VMs served within 50 ms throughout), the processor of small VMs (57 to 76 of 192 ms/s), the cost of decisions (BenchmarkBusyPool 80 us a job, BenchmarkEngines 47 us a prompt). Change: a daemon tells what it saw itself in the last 4 s, and all of contents that were lost on two targets or more, at most 64.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -12,6 +12,8 @@
 	Crashes = 3
 	memory  = 60 * time.Second // callers repeat a request within their time limits of some seconds
 	maxKept = 4096             // contents; the oldest are dropped beyond it
+	newFor  = 4 * time.Second  // for which a loss is told to the others: they are asked once a second
+	maxTold = 64               // losses in one message, about 4 KB
 )
 
 // Loss is one target lost while it ran a content.
@@ -25,24 +27,29 @@
 //
 // Load pattern: one request crashes each target that runs it, and its caller sends it again to any daemon.
 type Ledger struct {
-	losses map[core.Fingerprint]map[string]time.Time
+	losses map[core.Fingerprint]map[string]record
 }
 
-// Add records a loss.
+type record struct {
+	at  time.Time
+	own bool // seen by this daemon, not told by another
+}
+
+// Add records a loss; one without an age was seen by this daemon.
 func (ledger *Ledger) Add(now time.Time, loss Loss) {
 	if ledger.losses == nil {
-		ledger.losses = map[core.Fingerprint]map[string]time.Time{}
+		ledger.losses = map[core.Fingerprint]map[string]record{}
 	}
 	if loss.Age > memory || len(ledger.losses) >= maxKept {
 		return
 	}
 	targets := ledger.losses[loss.Content]
 	if targets == nil {
-		targets = map[string]time.Time{}
+		targets = map[string]record{}
 		ledger.losses[loss.Content] = targets
 	}
-	if at := now.Add(-loss.Age); at.After(targets[loss.Target]) {
-		targets[loss.Target] = at
+	if at := now.Add(-loss.Age); at.After(targets[loss.Target].at) {
+		targets[loss.Target] = record{at: at, own: loss.Age == 0}
 	}
 }
 
@@ -55,13 +62,18 @@
 	return len(ledger.losses[content]) >= Crashes
 }
 
-// Losses returns what is remembered, for the other daemons.
+// Losses returns what the other daemons need: what this one has seen lately, and all of contents that were lost on several
+// targets. Most contents are lost once, with a target that failed by itself; telling them on and on filled the links of small
+// VMs in a fleet of 71 daemons.
 func (ledger *Ledger) Losses(now time.Time) []Loss {
 	ledger.expire(now)
 	var losses []Loss
 	for content, targets := range ledger.losses {
-		for target, at := range targets {
-			losses = append(losses, Loss{Content: content, Target: target, Age: now.Sub(at)})
+		for target, known := range targets {
+			age := now.Sub(known.at)
+			if len(losses) < maxTold && (len(targets) > 1 || known.own && age < newFor) {
+				losses = append(losses, Loss{Content: content, Target: target, Age: max(age, time.Nanosecond)})
+			}
 		}
 	}
 	return losses
@@ -69,8 +81,8 @@
 
 func (ledger *Ledger) expire(now time.Time) {
 	for content, targets := range ledger.losses {
-		for target, at := range targets {
-			if now.Sub(at) > memory {
+		for target, known := range targets {
+			if now.Sub(known.at) > memory {
 				delete(targets, target)
 			}
 		}
--- a/core/blame/blame_test.go
+++ b/core/blame/blame_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"catkincove/core"
 )
 
 // TestCrashingContent guards against a request that goes on to crash targets, sent again to any daemon, and against
@@ -31,3 +33,30 @@
 		t.Error("a content that has run is still blamed")
 	}
 }
+
+// TestLossesAreToldOnce guards against messages between daemons that grow with each target that fails: a thousand contents
+// that were lost with one target each are told for some seconds by the daemon that saw them, and by no other.
+func TestLossesAreToldOnce(t *testing.T) {
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	var here, there Ledger
+	for content := range core.Fingerprint(1000) {
+		here.Add(now, Loss{Content: content + 10, Target: "a"})
+	}
+	told := here.Losses(now)
+	if len(told) == 0 || len(told) > maxTold {
+		t.Errorf("%d losses are told", len(told))
+	}
+	for _, loss := range told {
+		there.Add(now, loss)
+	}
+	if again := there.Losses(now); len(again) != 0 {
+		t.Errorf("%d losses are told again", len(again))
+	}
+	if later := here.Losses(now.Add(newFor)); len(later) != 0 {
+		t.Errorf("%d losses are told after %v", len(later), newFor)
+	}
+	there.Add(now, Loss{Content: told[0].Content, Target: "b", Age: time.Second})
+	if both := there.Losses(now.Add(newFor)); len(both) != 2 {
+		t.Errorf("%d losses are told of a content that was lost on two targets", len(both))
+	}
+}
