Follow the store through relays, and hear of daemons by gossip, in large fleets

Change: from 17 daemons on, two daemons of each data centre follow the store for the others, which wait at one of them for changes (heartbeats that say nothing new are left out) and go back to the store when it is silent for 0.8 s or its knowledge is older than 1.5 s; a daemon asks its senders and four others a second and learns of the rest from what these have heard; leases last 6 s there. A stream that a target broke off ends as TargetFailed in the log, not as Internal.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -17,8 +17,13 @@
 	// HoldLapsed keeps keys that vanish right after an outage of the store, because their leases may have lapsed
 	// while the store could not renew them.
 	HoldLapsed bool
+	// Same reports that a newer entry says nothing new; peers that copy from here are not told of it. Nil means never.
+	Same func(before, after core.Entry) bool
 
 	revision  core.Revision
+	changed   map[string]core.Revision // when each entry last said something new
+	removed   map[string]core.Revision // when keys were missed, since from
+	from      core.Revision
 	entries   map[string]core.Entry
 	lapsed    map[string]core.Entry
 	out       bool
@@ -55,22 +60,79 @@
 		entries[entry.Key] = entry
 		delete(copy.lapsed, entry.Key)
 	}
+	if copy.entries == nil {
+		copy.from = snapshot.Revision
+	}
 	for key, entry := range copy.entries {
 		if _, found := entries[key]; !found {
+			copy.remove(key, snapshot.Revision)
 			copy.lapse(now, entry)
 		}
 	}
+	for key, entry := range entries {
+		if known, found := copy.entries[key]; !found || known.ModRevision != entry.ModRevision {
+			copy.note(known, entry, found)
+		}
+	}
 	copy.entries, copy.revision = entries, snapshot.Revision
 	return true
 }
 
+// note remembers when an entry last said something new.
+func (copy *Copy) note(before, after core.Entry, known bool) {
+	if copy.changed == nil {
+		copy.changed = map[string]core.Revision{}
+	}
+	delete(copy.removed, after.Key)
+	if !known || copy.Same == nil || !copy.Same(before, after) {
+		copy.changed[after.Key] = after.ModRevision
+	}
+}
+
+// mostRemoved bounds the memory for keys that have gone; peers that are further behind get everything.
+const mostRemoved = 4096
+
+func (copy *Copy) remove(key string, revision core.Revision) {
+	delete(copy.changed, key)
+	if copy.removed == nil {
+		copy.removed = map[string]core.Revision{}
+	}
+	if len(copy.removed) >= mostRemoved {
+		clear(copy.removed)
+		copy.from = revision
+	}
+	copy.removed[key] = revision
+}
+
+// Since returns what has changed after the revision, for a peer that has copied up to there; whole means that it is the
+// whole state, because the copy does not reach back so far.
+func (copy *Copy) Since(revision core.Revision) (event core.WatchEvent, whole bool) {
+	event.Revision = copy.revision
+	whole = revision < copy.from || revision == 0
+	for key, entry := range copy.entries {
+		if whole || copy.changed[key] > revision {
+			event.Puts = append(event.Puts, entry)
+		}
+	}
+	if whole {
+		return event, true
+	}
+	for key, at := range copy.removed {
+		if at > revision {
+			event.Deletes = append(event.Deletes, key)
+		}
+	}
+	return event, false
+}
+
 // Apply takes over the changes of a watch.
 func (copy *Copy) Apply(now time.Time, event core.WatchEvent) {
 	if copy.entries == nil {
 		copy.entries = map[string]core.Entry{}
 	}
 	for _, entry := range event.Puts {
-		if entry.ModRevision >= copy.entries[entry.Key].ModRevision {
+		if known, found := copy.entries[entry.Key]; entry.ModRevision >= known.ModRevision {
+			copy.note(known, entry, found)
 			copy.entries[entry.Key] = entry
 			delete(copy.lapsed, entry.Key)
 		}
@@ -78,6 +140,7 @@
 	for _, key := range event.Deletes {
 		if entry, found := copy.entries[key]; found {
 			delete(copy.entries, key)
+			copy.remove(key, event.Revision)
 			copy.lapse(now, entry)
 		}
 	}
@@ -110,12 +173,3 @@
 	}
 	return entries
 }
-
-// Snapshot returns what the store last said, for a peer that cannot reach it.
-func (copy *Copy) Snapshot() core.Snapshot {
-	snapshot := core.Snapshot{Revision: copy.revision}
-	for _, entry := range copy.entries {
-		snapshot.Entries = append(snapshot.Entries, entry)
-	}
-	return snapshot
-}
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -55,3 +55,49 @@
 		t.Errorf("after %v: %+v", Settle, entries)
 	}
 }
+
+// TestPeersCatchUp guards against a peer that misses a change, keeps a key that has gone or is told of every heartbeat.
+func TestPeersCatchUp(t *testing.T) {
+	relay := Copy{HoldLapsed: true, Same: func(before, after core.Entry) bool { return string(before.Value) == string(after.Value) }}
+	put := func(revision core.Revision, key, value string) core.Entry {
+		return core.Entry{Key: key, Value: []byte(value), ModRevision: revision}
+	}
+	relay.Replace(start, core.Snapshot{Revision: 10, Entries: []core.Entry{put(3, "a", "1"), put(9, "b", "1"), put(4, "c", "1")}})
+	var peer Copy
+	copyFrom := func() (puts, deletes int, whole bool) {
+		event, whole := relay.Since(peer.Revision())
+		if whole {
+			peer.Replace(start, core.Snapshot{Revision: event.Revision, Entries: event.Puts})
+		} else {
+			peer.Apply(start, event)
+		}
+		return len(event.Puts), len(event.Deletes), whole
+	}
+	for _, test := range []struct {
+		name          string
+		event         core.WatchEvent
+		puts, deletes int
+		whole         bool
+		keys          int
+	}{
+		{"first", core.WatchEvent{Revision: 10}, 3, 0, true, 3},
+		{"heartbeat", core.WatchEvent{Revision: 11, Puts: []core.Entry{put(11, "a", "1")}}, 0, 0, false, 3},
+		{"change", core.WatchEvent{Revision: 13, Puts: []core.Entry{put(12, "b", "2"), put(13, "a", "1")}}, 1, 0, false, 3},
+		{"removal", core.WatchEvent{Revision: 14, Deletes: []string{"c"}}, 0, 1, false, 2},
+		{"return", core.WatchEvent{Revision: 15, Puts: []core.Entry{put(15, "c", "1")}}, 1, 0, false, 3},
+		{"nothing", core.WatchEvent{Revision: 15}, 0, 0, false, 3},
+	} {
+		relay.Apply(start, test.event)
+		puts, deletes, whole := copyFrom()
+		if puts != test.puts || deletes != test.deletes || whole != test.whole || len(peer.Entries(start)) != test.keys {
+			t.Errorf("%s: %d puts, %d deletes, whole %v, %d keys", test.name, puts, deletes, whole, len(peer.Entries(start)))
+		}
+	}
+	relay.Replace(start, core.Snapshot{Revision: 20, Entries: []core.Entry{put(3, "a", "1")}})
+	if _, deletes, whole := copyFrom(); deletes != 2 || whole || len(peer.Entries(start)) != 1 {
+		t.Errorf("a listing without two keys: %d deletes, whole %v", deletes, whole)
+	}
+	if event, whole := relay.Since(5); !whole || len(event.Puts) != 1 {
+		t.Errorf("a peer that is behind the first listing gets %+v, whole %v", event, whole)
+	}
+}
--- a/core/store.go
+++ b/core/store.go
@@ -107,3 +107,8 @@
 	MaxTxnOps       = 128
 	DefaultStoreRTT = time.Second
 )
+
+// WatchPacer is a store whose watches can be told how long to wait for a change before they answer; others keep their pace.
+type WatchPacer interface {
+	SetWatchWait(wait time.Duration)
+}
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -104,6 +104,9 @@
 	decoded   map[string]decodedTarget // by key
 
 	routingRevision core.Revision // of the routing in force
+	storeAt         time.Time     // when the store told last what the copies hold, here or to the daemon that they come from
+	news            chan struct{} // closed when the copies change
+	heardAt         time.Time     // when any other daemon was heard last
 }
 
 // New returns a daemon that does nothing until Run.
@@ -131,8 +134,9 @@
 	daemon.control = control{
 		entries: mirror.Copy{HoldLapsed: true}, members: mirror.Copy{HoldLapsed: true},
 		windows: map[string]*retry.Window{}, pools: map[string]*sender{}, engines: map[string]*place.Engines{}, hints: map[string]string{}, placed: map[string]time.Time{}, peers: map[string]*peer{},
-		first: map[string]time.Duration{}, taken: map[string]float64{}, random: random,
+		first: map[string]time.Duration{}, taken: map[string]float64{}, random: random, news: make(chan struct{}),
 	}
+	daemon.control.entries.Same = daemon.sameTarget
 	daemon.control.chooser = place.Chooser{Random: random, Daemons: 1}
 	return daemon
 }
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -138,3 +141,29 @@
 		log.Info().Str(eventField, eventRequestEnded).Str("Request", "9c41d07be2a35f68").Str("Route", "r-8nmsu7a").Int("Status", 200).Dur("Took", time.Second).Send()
 	}
 }
+
+// TestExplain guards against log lines that call a target's fault an internal error, and against one that says a request
+// has not run although a target may have run it.
+func TestExplain(t *testing.T) {
+	past, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+	defer cancel()
+	for _, test := range []struct {
+		name string
+		ctx  context.Context
+		ran  bool
+		err  error
+		kind core.Kind
+	}{
+		{"stream that broke off", context.Background(), true, &sendError{run: core.Unknown, cause: io.ErrUnexpectedEOF}, core.TargetFailed},
+		{"refusal of targets", context.Background(), false, core.Errorf(core.Unavailable, "full: %w", &sendError{run: core.NotRun, cause: io.EOF}), core.Unavailable},
+		{"time is over after sending", past, true, context.DeadlineExceeded, core.OutcomeUnknown},
+		{"time is over before sending", past, false, context.DeadlineExceeded, core.Unavailable},
+		{"fault of the daemon", context.Background(), false, io.ErrNoProgress, core.Internal},
+	} {
+		incoming := httptest.NewRequest(http.MethodGet, "/", nil)
+		request := &request{incoming: incoming, ran: test.ran}
+		if kind := core.AsError((&Daemon{}).explain(test.ctx, request, test.err)).Kind; kind != test.kind {
+			t.Errorf("%s: %s, expected %s", test.name, kind, test.kind)
+		}
+	}
+}
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -18,6 +18,8 @@
 	eventHistoryLost         = "HistoryLost"         // all keys are listed again
 	eventLeaseLapsed         = "LeaseLapsed"         // the daemon's record is written again
 	eventLeaseNotRevoked     = "LeaseNotRevoked"     // the daemon's record lapses by itself
+	eventRelayFollowed       = "RelayFollowed"       // another daemon follows the store for this one
+	eventRelayPassedOver     = "RelayPassedOver"     // the store is followed directly for a while
 	eventRoutingChanged      = "RoutingChanged"      // a newer routing is in force
 	eventRoutingRejected     = "RoutingRejected"     // a routing cannot be read
 	eventRegistrationIgnored = "RegistrationIgnored" // a target's registration names no target to use
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -3,22 +3,35 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"catkincove/core"
+	"catkincove/core/member"
 	"catkincove/core/mirror"
 	"catkincove/core/place"
 )
 
 const (
 	followRetry   = 250 * time.Millisecond // between two tries to reach the store
+	largeRetry    = time.Second            // the same of a daemon that has relays, which try more often
 	allKeys       = ""                     // the prefix of all keys
 	peerCopyEvery = 300 * time.Millisecond // between two copies from peers while the store is away
 )
 
+// Copies through other daemons, in a large fleet.
+const (
+	relaysPerZone = 2                       // daemons of each data centre that follow the store for the others there
+	relayWatch    = 700 * time.Millisecond  // of a watch of a daemon that others may copy from
+	relayWait     = 500 * time.Millisecond  // of a question to a relay that has nothing new
+	relayTimeout  = 800 * time.Millisecond  // of a question to a relay; a silent one costs this much of the bound on configurations
+	relayAge      = 1500 * time.Millisecond // of what a relay knows before it is passed over: a watch, its answer and a slow moment
+	relayRest     = 3 * time.Second         // without relays after one was passed over
+)
+
 // followAll keeps the copies of the operator's, the targets' and the daemons' keys.
 func (daemon *Daemon) followAll(ctx context.Context) error {
 	var group sync.WaitGroup
@@ -29,17 +42,25 @@
 }
 
 // follow lists all keys and then watches them; a watch that fails goes on from where it was, unless the store has
-// forgotten that history.
+// forgotten that history. In a large fleet most daemons copy from a relay instead.
 //
 // One watch serves all prefixes: a waiting watch costs a call, and a quiet one learns late that it has missed changes.
 func (daemon *Daemon) follow(ctx context.Context) {
 	listed := false
+	var rest time.Time // no relay before
 	for ctx.Err() == nil {
+		if listed && !daemon.clock.Now().Before(rest) && daemon.relay() != nil {
+			if err := daemon.followRelay(ctx); err != nil && ctx.Err() == nil {
+				rest = daemon.clock.Now().Add(relayRest)
+				daemon.log.Warn().Str(eventField, eventRelayPassedOver).Err(err).Msg("the store is followed directly")
+			}
+			continue
+		}
 		if !listed {
 			snapshot, err := daemon.store.List(ctx, allKeys)
 			if err != nil {
 				daemon.lost(err)
-				core.Pause(ctx, daemon.clock, followRetry)
+				core.Pause(ctx, daemon.clock, daemon.retryPause())
 				continue
 			}
 			listed = true
@@ -53,11 +74,19 @@
 			daemon.log.Warn().Str(eventField, eventHistoryLost).Err(err).Msg("all keys are listed again")
 		default:
 			daemon.lost(err)
-			core.Pause(ctx, daemon.clock, followRetry)
+			core.Pause(ctx, daemon.clock, daemon.retryPause())
 		}
 	}
 }
 
+// retryPause is the time between two tries to reach the store. Calls that it refuses are paid for as well.
+func (daemon *Daemon) retryPause() time.Duration {
+	if daemon.relay() != nil {
+		return largeRetry
+	}
+	return followRetry
+}
+
 // prefixes returns the prefixes of the copies, in the order of copies.
 func (daemon *Daemon) prefixes() [3]string {
 	return [3]string{daemon.dialect.RoutingPrefix(), daemon.dialect.TargetPrefix(), core.MemberPrefix}
@@ -65,6 +94,7 @@
 
 // replace takes over a listing of all keys; it must run on the loop.
 func (daemon *Daemon) replace(snapshot core.Snapshot) {
+	daemon.control.storeAt = daemon.clock.Now()
 	daemon.returned()
 	for i, prefix := range daemon.prefixes() {
 		part := core.Snapshot{Revision: snapshot.Revision}
@@ -80,6 +110,7 @@
 
 // apply takes over the changes of a watch of all keys; it must run on the loop.
 func (daemon *Daemon) apply(event core.WatchEvent) {
+	daemon.control.storeAt = daemon.clock.Now()
 	daemon.returned()
 	for i, prefix := range daemon.prefixes() {
 		part := core.WatchEvent{Revision: event.Revision}
@@ -104,7 +135,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var after core.Revision
-	daemon.do(func() { after = daemon.control.routes.Revision() })
+	wait := time.Duration(0)
+	daemon.do(func() {
+		after = daemon.control.routes.Revision()
+		if len(daemon.control.peers) >= largeFleet {
+			wait = relayWatch
+		}
+	})
+	if pacer, can := daemon.store.(core.WatchPacer); can {
+		pacer.SetWatchWait(wait)
+	}
 	events, err := daemon.store.Watch(ctx, allKeys, after)
 	if err != nil {
 		return err
@@ -114,10 +154,106 @@
 			return event.Err
 		}
 		daemon.do(func() { daemon.apply(event) })
+		if daemon.relay() != nil {
+			return nil
+		}
 	}
 	return ctx.Err()
 }
 
+// relay returns the daemon that follows the store for this one; nil means that it follows the store itself, as all do in a
+// small fleet: with 71 daemons their watches were the largest price of a day, and each read all heartbeats of 200 targets.
+func (daemon *Daemon) relay() *peer {
+	var chosen *peer
+	daemon.do(func() {
+		control, self := &daemon.control, daemon.self()
+		if len(control.peers) < largeFleet || daemon.leaving.Load() {
+			return
+		}
+		now := daemon.clock.Now()
+		candidates := []candidate{{address: self.Peer, cores: self.Cores}}
+		for address, known := range control.peers {
+			if known.DataCentre == self.DataCentre && !known.leaving && !daemon.suspects(now, known) {
+				candidates = append(candidates, candidate{address: address, cores: known.Cores})
+			}
+		}
+		relays := member.Rendezvous(large(candidates), core.PoolID{Service: "relay", DataCentre: self.DataCentre})
+		relays = relays[:min(len(relays), relaysPerZone)]
+		if len(relays) > 0 && !slices.Contains(relays, core.MemberID(self.Peer)) {
+			// The daemons of a data centre share its relays.
+			chosen = control.peers[string(member.First(relays, core.PoolID{Service: self.Peer}))]
+		}
+	})
+	return chosen
+}
+
+// followRelay copies from a relay until another one, or none, is to be asked; an error passes relays over for a while.
+func (daemon *Daemon) followRelay(ctx context.Context) error {
+	asked := daemon.relay()
+	if asked == nil {
+		return nil
+	}
+	daemon.log.Info().Str(eventField, eventRelayFollowed).Str("Peer", string(asked.ID)).Msg("another daemon follows the store for this one")
+	for ctx.Err() == nil && daemon.relay() == asked {
+		age, err := daemon.copyFrom(ctx, asked.Peer, relayWait, relayTimeout)
+		switch {
+		case err != nil:
+			daemon.do(func() { daemon.avoid(asked, err) })
+			return err
+		case age > relayAge:
+			return fmt.Errorf("relay %s heard the store %v ago", asked.ID, age.Round(time.Millisecond))
+		}
+	}
+	return nil
+}
+
+// copyFrom asks another daemon for what has changed since the own copies, and returns how old that is. While there is
+// nothing new, the daemon waits before it answers.
+func (daemon *Daemon) copyFrom(ctx context.Context, address string, wait, timeout time.Duration) (age time.Duration, err error) {
+	question := copiesQuestion{Wait: wait}
+	daemon.do(func() {
+		for i, copy := range daemon.copies() {
+			question.Since[i] = copy.Revision()
+		}
+	})
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	asked := daemon.clock.Now()
+	var reply copiesReply
+	if err := daemon.callPeer(ctx, address, pathCopies, question, &reply); err != nil {
+		return 0, err
+	}
+	daemon.do(func() {
+		now := daemon.clock.Now()
+		if wait > 0 && reply.Age <= relayAge {
+			daemon.returned()
+		}
+		if at := now.Add(-reply.Age); at.After(daemon.control.storeAt) {
+			daemon.control.storeAt = at
+		}
+		for i, copy := range daemon.copies() {
+			daemon.take(now, copy, reply.Parts[i])
+		}
+	})
+	return reply.Age + daemon.clock.Now().Sub(asked) - min(wait, daemon.clock.Now().Sub(asked)), nil
+}
+
+// take takes over a part of another daemon's copies; it must run on the loop.
+func (daemon *Daemon) take(now time.Time, copy *mirror.Copy, part copyPart) {
+	switch {
+	case part.Revision <= copy.Revision():
+	case part.Whole:
+		if copy.Replace(now, core.Snapshot{Revision: part.Revision, Entries: part.Puts}) {
+			daemon.changed()
+		}
+	default:
+		copy.Apply(now, core.WatchEvent{Revision: part.Revision, Puts: part.Puts, Deletes: part.Deletes})
+		if len(part.Puts)+len(part.Deletes) > 0 {
+			daemon.changed()
+		}
+	}
+}
+
 func (daemon *Daemon) lost(err error) {
 	daemon.do(func() {
 		if !daemon.control.routes.Out() {
@@ -145,31 +281,19 @@
 func (daemon *Daemon) copyFromPeers(ctx context.Context) {
 	for core.Pause(ctx, daemon.clock, peerCopyEvery) {
 		var out bool
-		var since [3]core.Revision
 		var addresses []string
 		daemon.do(func() {
-			copies := daemon.copies()
-			for i, copy := range copies {
+			for _, copy := range daemon.copies() {
 				out = out || copy.Out()
-				since[i] = copy.Revision()
 			}
 			addresses = daemon.peerAddresses()
 		})
 		if !out || len(addresses) == 0 {
 			continue
 		}
-		snapshots, err := daemon.fetchCopies(ctx, addresses[0], since)
-		if err != nil {
+		if _, err := daemon.copyFrom(ctx, addresses[0], 0, copyTimeout); err != nil {
 			daemon.metrics.peerErrors.Add(1)
-			continue
 		}
-		daemon.do(func() {
-			for i, copy := range daemon.copies() {
-				if copy.Out() && snapshots[i].Revision > copy.Revision() && copy.Replace(daemon.clock.Now(), snapshots[i]) {
-					daemon.changed()
-				}
-			}
-		})
 	}
 }
 
@@ -184,6 +308,8 @@
 		return
 	}
 	daemon.control.rebuild = true
+	close(daemon.control.news)
+	daemon.control.news = make(chan struct{})
 	daemon.loop.Post(func() {
 		daemon.control.rebuild = false
 		daemon.rebuildView()
@@ -251,6 +377,14 @@
 	daemon.control.registry.forget(present)
 }
 
+// sameTarget reports that a registration differs from an earlier one in its sequence only.
+func (daemon *Daemon) sameTarget(before, after core.Entry) bool {
+	known, errBefore := daemon.decodeTarget(before)
+	next, errAfter := daemon.decodeTarget(after)
+	known.Sequence = next.Sequence
+	return errBefore == nil && errAfter == nil && known == next
+}
+
 // decodeTarget decodes a registration once for each revision.
 func (daemon *Daemon) decodeTarget(entry core.Entry) (core.TargetEntry, error) {
 	if known, found := daemon.control.decoded[entry.Key]; found && known.revision == entry.ModRevision {
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -244,6 +244,7 @@
 // explain turns the end of a context into the error that the caller gets.
 func (daemon *Daemon) explain(ctx context.Context, request *request, err error) error {
 	var failed *stageError
+	var lost *sendError
 	switch {
 	case request.incoming.Context().Err() != nil:
 		return errCallerLeft
@@ -253,6 +254,8 @@
 		return core.Errorf(core.OutcomeUnknown, "no answer within the time limit")
 	case ctx.Err() != nil:
 		return core.Errorf(core.Unavailable, "not started within the time limit").WithRetryAfter(unknownReturn)
+	case errors.As(err, &lost) && core.AsError(err).Kind == core.Internal:
+		return core.Errorf(core.TargetFailed, "%w", err) // a stream that broke off and may not go on elsewhere
 	}
 	return err
 }
@@ -321,5 +324,5 @@
 		Str("Team", string(request.team.Name)).Int("Priority", request.priority).Int64("RoutingVersion", daemon.view.Load().routing.Version).
 		Str("Outcome", request.outcome).Int("Status", status).Str("Target", request.target).Int("Tries", request.tries).
 		Dur("Stages", request.staged).Durs("StageTimes", request.stageTimes).Dur("First", request.first).Dur("Took", now.Sub(request.began)).
-		Dur("Left", request.caller.Left).Dur("Forecast", request.plan.Finish).AnErr("Cause", err).Send()
+		Dur("Left", request.caller.Left).Dur("Limit", max(request.deadline.Sub(request.began), 0)).Dur("Forecast", request.plan.Finish).AnErr("Cause", err).Send()
 }
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -19,15 +20,19 @@
 	memberTTL         = 3 * time.Second         // a killed daemon leaves the directory by then
 	renewEvery        = time.Second             // a third of memberTTL, so that two renewals may fail
 	renewRetry        = 300 * time.Millisecond  // after a renewal that failed
+	largeTTL          = 6 * time.Second         // the same as memberTTL in a large fleet, which learns of a killed daemon from the others
+	largeRenewEvery   = 2 * time.Second         // a third of largeTTL
 	pingEvery         = 250 * time.Millisecond  // of daemons that send batches; their pause delays every request
 	pingRounds        = 4                       // of which other daemons are asked in one
 	pingTimeout       = 800 * time.Millisecond  // of one ping; a healthy daemon answers within some milliseconds
 	largeShare        = 0.75                    // of the largest VM's processor, from which on a daemon sends for others
 	largeFleet        = 16                      // daemons, from which on pings to senders are rarer
 	largePingRounds   = 3                       // the same as pingRounds for senders of a large fleet
+	largeOthers       = 1                       // daemons of a large fleet that are asked in each round beside the senders
 	suspectAfterLarge = 2 * time.Second         // the same as suspectAfter in a large fleet, where moving a service is dearer
 	suspectAfter      = 700 * time.Millisecond  // since the first ping without an answer
 	droppedAfter      = 2500 * time.Millisecond // the directory no longer names a daemon that is silent for this long
+	droppedAfterLarge = 4 * time.Second         // the same in a large fleet, where news of a daemon takes about a second
 	forgetAfter       = 30 * time.Second        // a daemon that neither the store nor a ping has shown
 	directoryKeep     = 2 * time.Second         // for which callers keep addresses: short enough for changes, long enough for calm
 	maxAddresses      = 64                      // that callers take from one answer
@@ -75,6 +80,7 @@
 		return err
 	}
 	var lease core.LeaseID
+	var leaseTTL time.Duration
 	for ctx.Err() == nil {
 		if daemon.leaving.Load() {
 			if lease != 0 {
@@ -85,9 +91,17 @@
 			<-ctx.Done()
 			return ctx.Err()
 		}
-		pause := renewEvery
-		if lease, err = daemon.renew(ctx, lease, value); err != nil {
-			pause = renewRetry
+		var fleetIsLarge bool
+		daemon.do(func() { fleetIsLarge = len(daemon.control.peers) >= largeFleet })
+		pause, retry, ttl := renewEvery, renewRetry, memberTTL
+		if fleetIsLarge {
+			pause, retry, ttl = largeRenewEvery, largeRetry, largeTTL
+		}
+		if ttl != leaseTTL {
+			lease, leaseTTL = 0, ttl // the fleet has grown or shrunk; the record moves to a lease of the other length
+		}
+		if lease, err = daemon.renew(ctx, lease, ttl, value); err != nil {
+			pause = retry
 			daemon.metrics.storeErrors.Add(1)
 		}
 		select {
@@ -99,7 +113,7 @@
 	return ctx.Err()
 }
 
-func (daemon *Daemon) renew(ctx context.Context, lease core.LeaseID, value []byte) (core.LeaseID, error) {
+func (daemon *Daemon) renew(ctx context.Context, lease core.LeaseID, ttl time.Duration, value []byte) (core.LeaseID, error) {
 	if lease != 0 {
 		_, err := daemon.store.KeepAlive(ctx, lease)
 		if !errors.Is(err, core.ErrLeaseNotFound) {
@@ -107,7 +121,7 @@
 		}
 		daemon.log.Warn().Str(eventField, eventLeaseLapsed).Int64("Lease", int64(lease)).Msg("the record is written again")
 	}
-	granted, err := daemon.store.GrantLease(ctx, memberTTL)
+	granted, err := daemon.store.GrantLease(ctx, ttl)
 	if err != nil {
 		return 0, err
 	}
@@ -154,7 +168,9 @@
 	added := &peer{record: met, added: now, calls: calls, cancel: cancel, forecasts: map[string]forecastAt{}}
 	daemon.control.peers[met.Peer] = added
 	daemon.log.Info().Str(eventField, eventPeerMet).Str("Peer", string(met.ID)).Msg("daemon is known")
-	go daemon.ping(met.Peer)
+	if len(daemon.control.peers) < largeFleet || met.Cores >= daemon.options.Settings.Cores {
+		go daemon.ping(met.Peer) // it may send for this one; of the others a large fleet hears from others
+	}
 	return added
 }
 
@@ -162,7 +178,7 @@
 func (daemon *Daemon) forgetPeers(now time.Time) {
 	for address, known := range daemon.control.peers {
 		silence := known.silence(now)
-		if !known.stored && !daemon.control.members.Out() && silence > droppedAfter || silence > forgetAfter {
+		if !known.stored && !daemon.control.members.Out() && silence > daemon.droppedAfter() || silence > forgetAfter {
 			known.cancel()
 			delete(daemon.control.peers, address)
 			daemon.log.Info().Str(eventField, eventPeerForgotten).Str("Peer", string(known.ID)).Dur("SilentFor", silence).Msg("daemon is gone")
@@ -180,8 +196,13 @@
 	return now.Sub(known.answered)
 }
 
-func (known *peer) suspect(now time.Time, after time.Duration) bool {
-	return known.failed || known.answered.IsZero() || !known.asked.IsZero() && now.Sub(known.asked) > after
+// suspects reports whether the daemon is passed over when there are others; it must run on the loop.
+//
+// The silence of one that is not asked is counted up to the newest news of any daemon: after a pause of this one, all of
+// them are old.
+func (daemon *Daemon) suspects(now time.Time, known *peer) bool {
+	return known.failed || known.answered.IsZero() || !known.asked.IsZero() && now.Sub(known.asked) > daemon.suspectAfter() ||
+		daemon.control.heardAt.Sub(known.answered) > droppedAfterLarge
 }
 
 // senderOf returns the daemon that sends the batches of the service; nil means this one. It must run on the loop.
@@ -194,22 +215,15 @@
 	if !daemon.leaving.Load() {
 		candidates = append(candidates, candidate{daemon.options.Settings.AdvertisePeer, daemon.sends(now, service), daemon.options.Settings.Cores})
 	}
-	largest := 0.0
 	for address, known := range daemon.control.peers {
-		if !known.leaving && !known.suspect(now, daemon.suspectAfter()) {
+		if !known.leaving && !daemon.suspects(now, known) {
 			candidates = append(candidates, candidate{address, known.sends[service], known.Cores})
 		}
 	}
+	able := large(candidates)
+	var sending []core.MemberID
 	for _, candidate := range candidates {
-		largest = max(largest, candidate.cores)
-	}
-	var able, sending []core.MemberID
-	for _, candidate := range candidates {
-		if candidate.cores < largest*largeShare {
-			continue
-		}
-		able = append(able, core.MemberID(candidate.address))
-		if candidate.sends {
+		if candidate.sends && slices.Contains(able, core.MemberID(candidate.address)) {
 			sending = append(sending, core.MemberID(candidate.address))
 		}
 	}
@@ -226,6 +240,29 @@
 	cores   float64
 }
 
+// large returns the addresses of the candidates on the largest VMs.
+func large(candidates []candidate) []core.MemberID {
+	largest := 0.0
+	for _, candidate := range candidates {
+		largest = max(largest, candidate.cores)
+	}
+	var able []core.MemberID
+	for _, candidate := range candidates {
+		if candidate.cores >= largest*largeShare {
+			able = append(able, core.MemberID(candidate.address))
+		}
+	}
+	return able
+}
+
+// droppedAfter is how long a daemon may be silent before the directory no longer names it; it must run on the loop.
+func (daemon *Daemon) droppedAfter() time.Duration {
+	if len(daemon.control.peers) >= largeFleet {
+		return droppedAfterLarge
+	}
+	return droppedAfter
+}
+
 // suspectAfter is how long a ping may stay without an answer; it must run on the loop.
 func (daemon *Daemon) suspectAfter() time.Duration {
 	if len(daemon.control.peers) >= largeFleet {
@@ -248,7 +285,7 @@
 	now := daemon.clock.Now()
 	var addresses, suspects []string
 	for _, known := range daemon.control.peers {
-		if known.suspect(now, daemon.suspectAfter()) {
+		if daemon.suspects(now, known) {
 			suspects = append(suspects, known.Peer)
 		} else {
 			addresses = append(addresses, known.Peer)
@@ -278,7 +315,8 @@
 		return
 	}
 	var addresses []string
-	daemon.do(func() { addresses = daemon.frontAddresses() })
+	caller, _, _ := net.SplitHostPort(request.RemoteAddr) // an address without a port is another caller of its own
+	daemon.do(func() { addresses = daemon.frontAddresses(caller) })
 	if len(addresses) == 0 || !daemon.view.Load().routing.Known() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -288,18 +326,20 @@
 	_, _ = writer.Write(daemon.dialect.AddressAnswer(addresses, keep))
 }
 
-// frontAddresses returns up to maxAddresses daemons that live, in random order.
-func (daemon *Daemon) frontAddresses() []string {
+// frontAddresses returns up to maxAddresses daemons that live, in random order, as the caller should choose among them; it
+// must run on the loop.
+func (daemon *Daemon) frontAddresses(caller string) []string {
 	now := daemon.clock.Now()
-	var addresses []string
-	if !daemon.leaving.Load() {
-		addresses = append(addresses, daemon.options.Settings.AdvertiseFront)
+	var live []member.Sized
+	if self := daemon.self(); !daemon.leaving.Load() {
+		live = append(live, member.Sized{Address: self.Front, Size: self.Cores})
 	}
 	for _, known := range daemon.control.peers {
-		if !known.leaving && !known.answered.IsZero() && now.Sub(known.answered) <= droppedAfter && !known.failed {
-			addresses = append(addresses, known.Front)
+		if !known.leaving && !known.answered.IsZero() && now.Sub(known.answered) <= daemon.droppedAfter() && !known.failed {
+			live = append(live, member.Sized{Address: known.Front, Size: known.Cores})
 		}
 	}
+	addresses := member.Spread(caller, live)
 	daemon.control.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	return slices.Clip(addresses[:min(len(addresses), maxAddresses)])
 }
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"catkincove/core"
@@ -21,6 +20,7 @@
 	peerIdle        = 30 * time.Second       // of a kept connection; pings come once a second at least
 	replyLife       = 50 * time.Millisecond  // of the answer to pings; forecasts change within a call of 200 ms and more
 	copyTimeout     = time.Second            // of a whole configuration from a peer
+	maxHeard        = 24                     // daemons named in a message, about 1 KB
 	maxPeerBody     = 16 << 20               // bytes; a copy holds the whole configuration
 )
 
@@ -40,19 +40,26 @@
 	at time.Time
 }
 
-// pingReply is what a daemon tells the others twice a second.
+// pingReply is what a daemon tells the others when they ask, or when it asks them.
 type pingReply struct {
 	Record    record
 	Leaving   bool
 	Forecasts map[string]batch.Forecast // of the services whose batches it sends
 	Sends     []string                  // services whose batches it sends or whose prompts it places
 	Losses    []blame.Loss
+	Heard     []heardAge // of other daemons, in a large fleet
+}
+
+// heardAge tells when a daemon at an address was last heard, by anyone.
+type heardAge struct {
+	Peer string
+	Age  time.Duration
 }
 
 func (daemon *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathPing, daemon.answerPing)
-	mux.HandleFunc("GET "+pathCopies, daemon.answerCopies)
+	mux.HandleFunc("POST "+pathCopies, daemon.answerCopies)
 	mux.HandleFunc("POST "+pathPieces, daemon.answerPieces)
 	mux.HandleFunc("POST "+pathFree, daemon.answerFree)
 	mux.HandleFunc("POST "+pathPlace, daemon.answerPlace)
@@ -90,6 +97,13 @@
 			reply.Forecasts[service] = sender.forecast(now)
 		}
 	}
+	if len(daemon.control.peers) >= largeFleet {
+		for address, known := range daemon.control.peers { // in random order
+			if age := now.Sub(known.answered); age < droppedAfterLarge && len(reply.Heard) < maxHeard {
+				reply.Heard = append(reply.Heard, heardAge{Peer: address, Age: age})
+			}
+		}
+	}
 	return reply
 }
 
@@ -116,6 +130,7 @@
 		known.record, known.forecasts = reply.Record, map[string]forecastAt{}
 	}
 	known.answered, known.asked, known.failed, known.leaving = now, time.Time{}, false, reply.Leaving
+	daemon.control.heardAt = now
 	if known.silent {
 		known.silent = false
 		daemon.log.Info().Str(eventField, eventPeerReturned).Str("Peer", string(known.ID)).Msg("daemon answers again")
@@ -130,35 +145,59 @@
 	for _, loss := range reply.Losses {
 		daemon.control.ledger.Add(now, loss)
 	}
+	for _, told := range reply.Heard {
+		if other := daemon.control.peers[told.Peer]; other != nil && now.Add(-told.Age).After(other.answered) {
+			other.answered = now.Add(-told.Age)
+		}
+	}
 }
 
-// pingPeers asks the daemons that this one depends on four times a second whether they live, and the others once.
+// pingPeers asks the daemons that this one depends on four times a second whether they live. In a small fleet it asks the
+// others once a second; in a large one it asks a few, which also tell whom they have heard.
 func (daemon *Daemon) pingPeers(ctx context.Context) error {
 	for round := 0; core.Pause(ctx, daemon.clock, pingEvery); round++ {
 		daemon.loop.Post(func() {
-			needed := map[string]bool{}
-			for service := range daemon.view.Load().routing.Services {
-				if known := daemon.senderOf(service); known != nil {
-					needed[known.Peer] = true
-				}
-			}
-			for i, address := range daemon.peerAddresses() {
-				rounds := pingRounds
-				if needed[address] {
-					rounds = 1
-					if len(daemon.control.peers) >= largeFleet {
-						rounds = largePingRounds
-					}
-				}
-				if (round+i)%rounds == 0 {
-					go daemon.ping(address)
-				}
+			for _, address := range daemon.toPing(round) {
+				go daemon.ping(address)
 			}
 		})
 	}
 	return ctx.Err()
 }
 
+// toPing returns the daemons to ask in a round; it must run on the loop.
+func (daemon *Daemon) toPing(round int) []string {
+	needed := map[string]bool{}
+	for service := range daemon.view.Load().routing.Services {
+		if known := daemon.senderOf(service); known != nil {
+			needed[known.Peer] = true
+		}
+	}
+	fleetIsLarge := len(daemon.control.peers) >= largeFleet
+	var asked []string
+	others := 0
+	for i, address := range daemon.peerAddresses() {
+		known := daemon.control.peers[address]
+		rounds := pingRounds
+		switch {
+		case needed[address] && fleetIsLarge:
+			rounds = largePingRounds
+		case needed[address]:
+			rounds = 1
+		case fleetIsLarge && known != nil && !daemon.suspects(daemon.clock.Now(), known):
+			// The addresses are in random order, so that news of each daemon reaches all others within some rounds.
+			if others++; others <= largeOthers {
+				asked = append(asked, address)
+			}
+			continue
+		}
+		if (round+i)%rounds == 0 {
+			asked = append(asked, address)
+		}
+	}
+	return asked
+}
+
 func (daemon *Daemon) ping(address string) {
 	daemon.do(func() {
 		if known := daemon.control.peers[address]; known != nil && known.asked.IsZero() {
@@ -184,7 +223,7 @@
 	now := daemon.clock.Now()
 	daemon.metrics.peerErrors.Add(1)
 	known := daemon.control.peers[address]
-	if known == nil || known.answered.IsZero() || !known.suspect(now, daemon.suspectAfter()) {
+	if known == nil || known.answered.IsZero() || !daemon.suspects(now, known) {
 		return
 	}
 	known.cancel()
@@ -231,37 +270,56 @@
 	return json.Unmarshal(data, reply)
 }
 
-// fetchCopies asks a daemon for what changed in its copies since the revisions.
-func (daemon *Daemon) fetchCopies(ctx context.Context, address string, since [3]core.Revision) ([3]core.Snapshot, error) {
-	var snapshots [3]core.Snapshot
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
-	target := "http://" + address + pathCopies + "?"
-	for _, revision := range since {
-		target += "Since=" + strconv.FormatInt(int64(revision), 10) + "&"
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
-	if err != nil {
-		return snapshots, err
-	}
-	return snapshots, daemon.exchangePeer(request, &snapshots)
+// copiesQuestion asks for what has changed in a daemon's copies.
+type copiesQuestion struct {
+	Since [3]core.Revision // of the asking daemon's copies
+	Wait  time.Duration    // while there is nothing new
+}
+
+// copiesReply is what has changed, in the order of copies.
+type copiesReply struct {
+	Age   time.Duration // since the store last told what the copies hold
+	Parts [3]copyPart
+}
+
+type copyPart struct {
+	Revision core.Revision
+	Whole    bool // Puts is the whole state
+	Puts     []core.Entry
+	Deletes  []string
 }
 
 func (daemon *Daemon) answerCopies(writer http.ResponseWriter, request *http.Request) {
-	since := request.URL.Query()["Since"]
-	var snapshots [3]core.Snapshot
-	daemon.do(func() {
-		for i, copy := range daemon.copies() {
-			known := int64(0)
-			if i < len(since) {
-				known, _ = strconv.ParseInt(since[i], 10, 64) // an unreadable revision asks for everything
-			}
-			if int64(copy.Revision()) > known {
-				snapshots[i] = copy.Snapshot()
+	var question copiesQuestion
+	if !readJSON(writer, request, &question) {
+		return
+	}
+	waited := daemon.clock.After(min(question.Wait, relayWait))
+	for {
+		var reply copiesReply
+		var news chan struct{}
+		something := false
+		daemon.do(func() {
+			news = daemon.control.news
+			reply.Age = daemon.clock.Now().Sub(daemon.control.storeAt)
+			for i, copy := range daemon.copies() {
+				event, whole := copy.Since(question.Since[i])
+				something = something || len(event.Puts)+len(event.Deletes) > 0
+				reply.Parts[i] = copyPart{Revision: event.Revision, Whole: whole, Puts: event.Puts, Deletes: event.Deletes}
 			}
+		})
+		if something || question.Wait <= 0 {
+			writeJSON(writer, reply)
+			return
 		}
-	})
-	writeJSON(writer, snapshots)
+		select {
+		case <-news:
+		case <-waited:
+			question.Wait = 0
+		case <-request.Context().Done():
+			return
+		}
+	}
 }
 
 func readJSON(writer http.ResponseWriter, request *http.Request, message any) bool {
