Let relays hear the store often enough for the others

Cause: the shorter watch of a relay was set only when a watch began, and that of the start, with 2 s, went on for ever. Change: the wait is set before each answer. Ruled out: heartbeats that keep watches busy (the store shows no event for a heartbeat on this site; the log counts 0 events a second in calm). TestRelays without heartbeats and with a bound of 8 watches in 2 s for two relays fails before, passes after.

--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -135,16 +135,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var after core.Revision
-	wait := time.Duration(0)
-	daemon.do(func() {
-		after = daemon.control.routes.Revision()
-		if len(daemon.control.peers) >= largeFleet {
-			wait = relayWatch
-		}
-	})
-	if pacer, can := daemon.store.(core.WatchPacer); can {
-		pacer.SetWatchWait(wait)
-	}
+	daemon.do(func() { after = daemon.control.routes.Revision() })
+	daemon.paceWatch()
 	events, err := daemon.store.Watch(ctx, allKeys, after)
 	if err != nil {
 		return err
@@ -157,10 +149,26 @@
 		if daemon.relay() != nil {
 			return nil
 		}
+		daemon.paceWatch()
 	}
 	return ctx.Err()
 }
 
+// paceWatch lets the watches of a daemon that others may copy from answer more often, so that these know how fresh it is.
+func (daemon *Daemon) paceWatch() {
+	pacer, can := daemon.store.(core.WatchPacer)
+	if !can {
+		return
+	}
+	wait := time.Duration(0)
+	daemon.do(func() {
+		if len(daemon.control.peers) >= largeFleet {
+			wait = relayWatch
+		}
+	})
+	pacer.SetWatchWait(wait)
+}
+
 // relay returns the daemon that follows the store for this one; nil means that it follows the store itself, as all do in a
 // small fleet: with 71 daemons their watches were the largest price of a day, and each read all heartbeats of 200 targets.
 func (daemon *Daemon) relay() *peer {
