--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -168,9 +168,7 @@
 	added := &peer{record: met, added: now, calls: calls, cancel: cancel, forecasts: map[string]forecastAt{}}
 	daemon.control.peers[met.Peer] = added
 	daemon.log.Info().Str(eventField, eventPeerMet).Str("Peer", string(met.ID)).Msg("daemon is known")
-	if len(daemon.control.peers) < largeFleet || met.Cores >= daemon.options.Settings.Cores {
-		go daemon.ping(met.Peer) // it may send for this one; of the others a large fleet hears from others
-	}
+	go daemon.ping(met.Peer)
 	return added
 }
 
