Tell of leaving daemons, and bound the wait for a relay's answer only

Cause, by reading the diff: in a large fleet most daemons hear of another one from others, and were not told that it is leaving; they named it to callers until it had been silent for 4 s. And a relay was given 0.8 s for its whole answer: a configuration of 1,400 routes takes a second at 10 Mbit/s, so relays would have been passed over with each such change. Change: news of a daemon says whether it is leaving; the limit on a relay counts until its answer begins, and 3 s for the whole.

--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -27,7 +27,7 @@
 	relaysPerZone = 2                       // daemons of each data centre that follow the store for the others there
 	relayWatch    = 700 * time.Millisecond  // of a watch of a daemon that others may copy from
 	relayWait     = 500 * time.Millisecond  // of a question to a relay that has nothing new
-	relayTimeout  = 800 * time.Millisecond  // of a question to a relay; a silent one costs this much of the bound on configurations
+	relayTimeout  = 800 * time.Millisecond  // until a relay's answer begins; a silent one costs this much of the bound on configurations
 	relayAge      = 1500 * time.Millisecond // of what a relay knows before it is passed over: a watch, its answer and a slow moment
 	relayRest     = 3 * time.Second         // without relays after one was passed over
 )
@@ -216,19 +216,19 @@
 }
 
 // copyFrom asks another daemon for what has changed since the own copies, and returns how old that is. While there is
-// nothing new, the daemon waits before it answers.
-func (daemon *Daemon) copyFrom(ctx context.Context, address string, wait, timeout time.Duration) (age time.Duration, err error) {
+// nothing new, the daemon waits before it answers; first limits the time until the answer begins.
+func (daemon *Daemon) copyFrom(ctx context.Context, address string, wait, first time.Duration) (age time.Duration, err error) {
 	question := copiesQuestion{Wait: wait}
 	daemon.do(func() {
 		for i, copy := range daemon.copies() {
 			question.Since[i] = copy.Revision()
 		}
 	})
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	asked := daemon.clock.Now()
 	var reply copiesReply
-	if err := daemon.callPeer(ctx, address, pathCopies, question, &reply); err != nil {
+	if err := daemon.callPeerWithin(ctx, first, address, pathCopies, question, &reply); err != nil {
 		return 0, err
 	}
 	daemon.do(func() {
@@ -243,7 +243,8 @@
 			daemon.take(now, copy, reply.Parts[i])
 		}
 	})
-	return reply.Age + daemon.clock.Now().Sub(asked) - min(wait, daemon.clock.Now().Sub(asked)), nil
+	onTheWay := max(daemon.clock.Now().Sub(asked)-wait, 0) // at least; the other daemon may have waited less
+	return reply.Age + onTheWay, nil
 }
 
 // take takes over a part of another daemon's copies; it must run on the loop.
@@ -299,7 +300,7 @@
 		if !out || len(addresses) == 0 {
 			continue
 		}
-		if _, err := daemon.copyFrom(ctx, addresses[0], 0, copyTimeout); err != nil {
+		if _, err := daemon.copyFrom(ctx, addresses[0], 0, relayTimeout); err != nil {
 			daemon.metrics.peerErrors.Add(1)
 		}
 	}
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"catkincove/core"
@@ -19,7 +20,7 @@
 	peerConnections = 64                     // kept to each daemon; stages of one request each hold one while they wait
 	peerIdle        = 30 * time.Second       // of a kept connection; pings come once a second at least
 	replyLife       = 50 * time.Millisecond  // of the answer to pings; forecasts change within a call of 200 ms and more
-	copyTimeout     = time.Second            // of a whole configuration from a peer
+	copyTimeout     = 3 * time.Second        // of a whole configuration from a peer: 1 MB takes a second at 10 Mbit/s
 	maxHeard        = 24                     // daemons named in a message, about 1 KB
 	maxPeerBody     = 16 << 20               // bytes; a copy holds the whole configuration
 )
@@ -50,10 +51,11 @@
 	Heard     []heardAge // of other daemons, in a large fleet
 }
 
-// heardAge tells when a daemon at an address was last heard, by anyone.
+// heardAge tells when a daemon at an address was last heard, by anyone, and whether it was leaving then.
 type heardAge struct {
-	Peer string
-	Age  time.Duration
+	Peer    string
+	Age     time.Duration
+	Leaving bool
 }
 
 func (daemon *Daemon) peerHandler() http.Handler {
@@ -100,7 +102,7 @@
 	if len(daemon.control.peers) >= largeFleet {
 		for address, known := range daemon.control.peers { // in random order
 			if age := now.Sub(known.answered); age < droppedAfterLarge && len(reply.Heard) < maxHeard {
-				reply.Heard = append(reply.Heard, heardAge{Peer: address, Age: age})
+				reply.Heard = append(reply.Heard, heardAge{Peer: address, Age: age, Leaving: known.leaving})
 			}
 		}
 	}
@@ -147,7 +149,7 @@
 	}
 	for _, told := range reply.Heard {
 		if other := daemon.control.peers[told.Peer]; other != nil && now.Add(-told.Age).After(other.answered) {
-			other.answered = now.Add(-told.Age)
+			other.answered, other.leaving = now.Add(-told.Age), told.Leaving
 		}
 	}
 }
@@ -254,6 +256,17 @@
 	return daemon.exchangePeer(request, reply)
 }
 
+// callPeerWithin is callPeer with a limit on the time to the first byte of the answer: a long answer over a slow link shows
+// that the other daemon lives.
+func (daemon *Daemon) callPeerWithin(ctx context.Context, first time.Duration, address, path string, message, reply any) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(first, cancel)
+	defer timer.Stop()
+	trace := &httptrace.ClientTrace{GotFirstResponseByte: func() { timer.Stop() }}
+	return daemon.callPeer(httptrace.WithClientTrace(ctx, trace), address, path, message, reply)
+}
+
 func (daemon *Daemon) exchangePeer(request *http.Request, reply any) error {
 	response, err := daemon.peers.Do(request)
 	if err != nil {
