Check the settings of edge

Cause: check read them as settings of serve and reported every key; the daemon alone could judge them, at its start. Change: a file with an [Edge] section is parsed as the daemon parses it. Tests of check and explain through the command line. Ruled out: checking the template deploy/edge.ini, which the platform fills in first. Figures: TestCheckEdge fails before on all five files.

--- a/io/tool/check.go
+++ b/io/tool/check.go
@@ -17,7 +17,7 @@
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "check",
-		Usage:     "check settings and tickets offline",
+		Usage:     "check settings of serve and edge, and tickets, offline",
 		ArgsUsage: "FILE...",
 		Description: "Tickets are applied in the order of their numbers to an empty configuration, and the result is checked for\n" +
 			"dangling references. Every fault is printed with file, line, section, key, what was found and what was expected.",
@@ -56,24 +56,29 @@
 	return nil
 }
 
-// checkFile reads a file as a ticket when it has a [Ticket] section, and as settings otherwise.
+// checkFile reads a file as a ticket when it has a [Ticket] section, as settings of edge when it has an [Edge] section, and as
+// settings of serve otherwise.
 func checkFile(file string) (config.Ticket, bool, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return config.Ticket{}, false, fmt.Errorf("read file: %w", err)
 	}
 	text := string(data)
-	if hasTicketSection(text) {
+	if hasSection(text, "Ticket") {
 		ticket, err := inifmt.ParseTicket(file, text)
 		return ticket, true, err
 	}
+	if hasSection(text, "Edge") {
+		_, err = inifmt.ParseEdge(file, text)
+		return config.Ticket{}, false, err
+	}
 	_, err = inifmt.ParseSettings(file, text)
 	return config.Ticket{}, false, err
 }
 
-func hasTicketSection(text string) bool {
+func hasSection(text, name string) bool {
 	for line := range strings.Lines(text) {
-		if strings.TrimSpace(line) == "[Ticket]" {
+		if strings.TrimSpace(line) == "["+name+"]" {
 			return true
 		}
 	}
--- /dev/null
+++ b/io/tool/check_test.go
@@ -0,0 +1,67 @@
+package tool
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestCheckEdge guards against settings of edge that are judged as those of serve, and against faults without their place.
+func TestCheckEdge(t *testing.T) {
+	const whole = "[Edge]\nName = d1\nDataCentre = a\nFront = 10.0.0.1:1\nReady = 10.0.0.1:2\nDirectory = 10.0.0.1:3\nPeer = 10.0.0.1:4\nStore = 10.0.0.9:1\n"
+	for _, test := range []struct {
+		name, text string
+		code       int
+		says       string
+	}{
+		{"whole", whole + "[Bounds]\nRetrySlack = 50\n", 0, "ok"},
+		{"missing key", strings.Replace(whole, "Store = 10.0.0.9:1\n", "", 1), 64, "Store"},
+		{"unknown key", whole + "Colour = red\n", 64, "Colour"},
+		{"unknown section", whole + "[Odd]\nA = 1\n", 64, "Odd"},
+		{"not a duration", whole + "Grace = soon\n", 64, "[Edge] Grace"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "edge.ini")
+			if err := os.WriteFile(file, []byte(test.text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			var out, faults bytes.Buffer
+			code := Main(context.Background(), []string{"catkincove", "check", file}, &out, &faults)
+			said := out.String() + faults.String()
+			if code != test.code || !strings.Contains(said, test.says) || test.code != 0 && !strings.Contains(said, "edge.ini:") {
+				t.Errorf("exit code %d, %q", code, said)
+			}
+		})
+	}
+}
+
+// TestExplain guards against a request's story that does not reach the terminal, and against an unknown id that looks like a
+// request without events.
+func TestExplain(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "d1.log")
+	line := `{"Daemon":"d1","Event":"RequestEnded","Request":"a1","Outcome":"Served","Took":5,"time":"2026-12-04T08:00:01.5Z"}` + "\n"
+	if err := os.WriteFile(file, []byte(line), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, test := range []struct {
+		name      string
+		arguments []string
+		code      int
+		says      string
+	}{
+		{"text", []string{"explain", "a1", file}, 0, "RequestEnded"},
+		{"json", []string{"explain", "--output", "json", "a1", file}, 0, `"Unreadable":0`},
+		{"unknown", []string{"explain", "a2", file}, 66, "no line names the request"},
+		{"no id", []string{"explain"}, 64, "missing"},
+		{"no file", []string{"explain", "a1", file + "x"}, 64, "no such file"},
+	} {
+		var out, faults bytes.Buffer
+		code := Main(context.Background(), append([]string{"catkincove"}, test.arguments...), &out, &faults)
+		if said := out.String() + faults.String(); code != test.code || !strings.Contains(said, test.says) {
+			t.Errorf("%s: exit code %d, %q", test.name, code, said)
+		}
+	}
+}
