Split keys by prefix in one place, and tie explain to the events that are logged

Cause, by reading the change: a listing and a watch were split by prefix with the same lines; explain names the events that it shows as text of its own, so that a renamed event would have gone from every story without a failing test; a comment on the caller's address was wrong. Change: below() for both; TestEventsAreDocumented compares the names in io/story with those of io/edge (seen failing with a misspelt one). Conclusion: no behaviour changes.

--- a/io/edge/events_test.go
+++ b/io/edge/events_test.go
@@ -4,11 +4,12 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"testing"
 )
 
 // TestEventsAreDocumented guards against log lines that operators cannot look up: events beside the list, and ones that
-// docs/OPERATIONS.md does not name.
+// docs/OPERATIONS.md does not name, or names that explain looks for in vain.
 func TestEventsAreDocumented(t *testing.T) {
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
@@ -27,6 +28,21 @@
 			t.Errorf("docs/OPERATIONS.md does not name %s", name)
 		}
 	}
+	story, err := os.ReadFile("../story/story.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, beliefs, _ := strings.Cut(string(story), "var beliefs = ")
+	beliefs, _, _ = strings.Cut(beliefs, "}\n")
+	named := regexp.MustCompile(`"(\w+)"`).FindAllStringSubmatch(beliefs, -1)
+	if len(named) < 10 {
+		t.Fatalf("explain shows %d beliefs", len(named))
+	}
+	for _, belief := range named {
+		if !regexp.MustCompile(`= "` + belief[1] + `"`).Match(list) {
+			t.Errorf("explain looks for %s, which no daemon logs", belief[1])
+		}
+	}
 	files, _ := filepath.Glob("*.go")
 	for _, file := range files {
 		text, err := os.ReadFile(file)
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -97,28 +97,23 @@
 	daemon.control.storeAt = daemon.clock.Now()
 	daemon.returned()
 	for i, prefix := range daemon.prefixes() {
-		part := core.Snapshot{Revision: snapshot.Revision}
-		for _, entry := range snapshot.Entries {
-			if strings.HasPrefix(entry.Key, prefix) {
-				part.Entries = append(part.Entries, entry)
-			}
-		}
+		part := core.Snapshot{Revision: snapshot.Revision, Entries: below(prefix, snapshot.Entries)}
 		daemon.copies()[i].Replace(daemon.clock.Now(), part)
 	}
 	daemon.changed()
 }
 
+// below returns the entries whose keys have the prefix.
+func below(prefix string, entries []core.Entry) []core.Entry {
+	return slices.DeleteFunc(slices.Clone(entries), func(entry core.Entry) bool { return !strings.HasPrefix(entry.Key, prefix) })
+}
+
 // apply takes over the changes of a watch of all keys; it must run on the loop.
 func (daemon *Daemon) apply(event core.WatchEvent) {
 	daemon.control.storeAt = daemon.clock.Now()
 	daemon.returned()
 	for i, prefix := range daemon.prefixes() {
-		part := core.WatchEvent{Revision: event.Revision}
-		for _, entry := range event.Puts {
-			if strings.HasPrefix(entry.Key, prefix) {
-				part.Puts = append(part.Puts, entry)
-			}
-		}
+		part := core.WatchEvent{Revision: event.Revision, Puts: below(prefix, event.Puts)}
 		for _, key := range event.Deletes {
 			if strings.HasPrefix(key, prefix) {
 				part.Deletes = append(part.Deletes, key)
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -313,7 +313,7 @@
 		return
 	}
 	var addresses []string
-	caller, _, _ := net.SplitHostPort(request.RemoteAddr) // an address without a port is another caller of its own
+	caller, _, _ := net.SplitHostPort(request.RemoteAddr) // net/http always gives an address with a port
 	daemon.do(func() { addresses = daemon.frontAddresses(caller) })
 	if len(addresses) == 0 || !daemon.view.Load().routing.Known() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
