--- a/stand/fault/fault_test.go
+++ b/stand/fault/fault_test.go
@@ -88,3 +88,36 @@
 		proxy.Close()
 	}
 }
+
+// TestCloseWhileConnecting guards against a Close that never returns, because a connection that opens while it runs is
+// silenced: neither side then sees that the other one has closed.
+func TestCloseWhileConnecting(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	target := echo(t)
+	defer func() { _ = target.Close() }()
+	for _, mode := range []Mode{Pass, SilentAll} {
+		for round := range 100 {
+			proxy, err := Listen("127.0.0.1:0", target.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := proxy.SetMode(mode); err != nil {
+				t.Fatal(err)
+			}
+			for range 8 {
+				conn, err := net.Dial("tcp", proxy.Address())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = conn.Close() }()
+			}
+			closed := make(chan struct{})
+			go func() { proxy.Close(); close(closed) }()
+			select {
+			case <-closed:
+			case <-time.After(5 * time.Second):
+				t.Fatalf("mode %s, round %d: Close does not return", mode, round)
+			}
+		}
+	}
+}
--- a/stand/fault/proxy.go
+++ b/stand/fault/proxy.go
@@ -55,6 +55,7 @@
 	rule   Rule
 	counts Counts
 	links  map[*link]struct{}
+	closed bool
 }
 
 // link is one connection through the proxy.
@@ -116,6 +117,7 @@
 func (proxy *Proxy) Close() {
 	_ = proxy.gate.Close()
 	proxy.mutex.Lock()
+	proxy.closed = true
 	for link := range proxy.links {
 		link.abort()
 	}
@@ -144,7 +146,10 @@
 	defer proxy.mutex.Unlock()
 	proxy.counts.Connections++
 	proxy.links[opened] = struct{}{}
-	if proxy.rule.Mode == SilentAll {
+	switch {
+	case proxy.closed || proxy.rule.Mode == Cut: // the end of the open connections has already passed
+		opened.abort()
+	case proxy.rule.Mode == SilentAll:
 		opened.silence(proxy.rule.Direction)
 	}
 	proxy.group.Go(func() { proxy.pump(opened, Up, down, up) })
