Keep crash tracking, backoff and copies correct at their limits

Causes: the crash tracker recorded nothing once 4,096 contents were tracked, as after a failure of many targets, so a request that crashes targets was never quarantined, and a message with a negative age never expired; the backoff of a full target overflowed when it was doubled 36 times, and calls followed each other without one; a copy that received a change before its first listing counted as complete, and its peers missed all other keys. The tracker now evicts contents with a single crash. Quarantined no longer scans all contents for each request.

Each has a test that failed before: TestFullTracker, TestCrashFromTheFuture, TestTargetStaysFull, TestChangesBeforeTheListing. Looked at and not changed: a stalled piece whose sibling is rejected; the job cannot complete without the sibling, so ending it is right.

--- a/core/batch/pool_test.go
+++ b/core/batch/pool_test.go
@@ -400,3 +400,20 @@
 		t.Errorf("capacity is %v", forecast.Capacity)
 	}
 }
+
+// TestTargetStaysFull guards against calls to a full target that follow each other without a backoff: doubled 36 times, it
+// overflowed.
+func TestTargetStaysFull(t *testing.T) {
+	pool := New(warehouseSpec)
+	pool.SetTargets(targets(1))
+	worker := pool.workers["t0"]
+	now := start
+	for round := range 80 {
+		worker.recordFull(now, warehouseSpec)
+		backoff := worker.fullUntil.Sub(now)
+		if backoff < fullBackoff || backoff > maxFullBackoff {
+			t.Fatalf("backoff after %d calls without capacity is %v", round+1, backoff)
+		}
+		now = worker.fullUntil
+	}
+}
--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -95,7 +95,7 @@
 // recordFull records that the target had no free result capacity although the pool expected some: after a daemon has
 // crashed, nobody frees the results of its requests.
 func (worker *worker) recordFull(now time.Time, spec core.BatchSpec) {
-	worker.fullUntil = now.Add(min(fullBackoff<<worker.consecutiveFull, maxFullBackoff))
+	worker.fullUntil = now.Add(min(fullBackoff<<min(worker.consecutiveFull, 4), maxFullBackoff))
 	worker.consecutiveFull++
 	accounted := worker.reservedBytes + worker.retainedBytes
 	if unaccounted := int64(float64(spec.MaxResultBytes)*usableResultShare) - accounted; unaccounted > worker.remainingUnaccounted(now, spec.ResultTTL) {
--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -11,7 +11,7 @@
 	// an accident, such as a request and its retry that both meet a failing rack.
 	CrashLimit         = 3
 	crashTTL           = 60 * time.Second // lifetime of a crash: callers retry a request within their timeouts of some seconds
-	maxContents        = 4096             // crashes are not recorded while this many contents are tracked
+	maxContents        = 4096             // contents that are tracked, about 1 MB
 	gossipPeriod       = 4 * time.Second  // time for which a crash is gossiped: the other daemons ask once a second
 	maxGossipedCrashes = 64               // crashes in one message, about 4 KB
 )
@@ -40,11 +40,15 @@
 	if crashTracker.crashes == nil {
 		crashTracker.crashes = map[core.Fingerprint]map[string]record{}
 	}
-	if crash.Age > crashTTL || len(crashTracker.crashes) >= maxContents {
+	crash.Age = max(crash.Age, 0)
+	if crash.Age > crashTTL {
 		return
 	}
 	targets := crashTracker.crashes[crash.Content]
 	if targets == nil {
+		if len(crashTracker.crashes) >= maxContents && !crashTracker.evict(now) {
+			return
+		}
 		targets = map[string]record{}
 		crashTracker.crashes[crash.Content] = targets
 	}
@@ -53,6 +57,22 @@
 	}
 }
 
+// evict makes room for other contents and reports whether it found any to remove: expired ones, and half of those with a
+// single crash, which after a failure of many targets are nearly all.
+func (crashTracker *CrashTracker) evict(now time.Time) bool {
+	crashTracker.expire(now)
+	keepNext := false
+	for content, targets := range crashTracker.crashes {
+		if len(targets) > 1 {
+			continue
+		}
+		if keepNext = !keepNext; !keepNext {
+			delete(crashTracker.crashes, content)
+		}
+	}
+	return len(crashTracker.crashes) < maxContents
+}
+
 // Exonerate removes the crashes of a request content after it has completed.
 func (crashTracker *CrashTracker) Exonerate(content core.Fingerprint) {
 	delete(crashTracker.crashes, content)
@@ -60,8 +80,13 @@
 
 // Quarantined reports whether the request content has crashed too many targets.
 func (crashTracker *CrashTracker) Quarantined(now time.Time, content core.Fingerprint) bool {
-	crashTracker.expire(now)
-	return len(crashTracker.crashes[content]) >= CrashLimit
+	crashes := 0
+	for _, known := range crashTracker.crashes[content] {
+		if now.Sub(known.seenAt) <= crashTTL {
+			crashes++
+		}
+	}
+	return crashes >= CrashLimit
 }
 
 // CrashesToGossip returns the crashes that the other daemons need: those that this daemon has observed recently, and
--- a/core/blame/blame_test.go
+++ b/core/blame/blame_test.go
@@ -60,3 +60,38 @@
 		t.Errorf("%d crashes are gossiped of a content that crashed two targets", len(both))
 	}
 }
+
+// TestFullTracker guards against a request that is never quarantined because the tracker is full of contents that were
+// running when a data centre of targets failed.
+func TestFullTracker(t *testing.T) {
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	var tracker CrashTracker
+	tracker.Add(now, Crash{Content: 5, Target: "a"})
+	for content := range core.Fingerprint(2 * maxContents) {
+		tracker.Add(now.Add(time.Second), Crash{Content: content + 10, Target: "rack"})
+	}
+	for i, target := range []string{"a", "b", "c"} {
+		tracker.Add(now.Add(time.Duration(i+2)*time.Second), Crash{Content: 7, Target: target})
+		tracker.Add(now.Add(time.Duration(i+2)*time.Second), Crash{Content: 12, Target: target})
+	}
+	for _, content := range []core.Fingerprint{7, 12} {
+		if !tracker.Quarantined(now.Add(5*time.Second), content) {
+			t.Errorf("content %d is not quarantined after three targets", content)
+		}
+	}
+	if len(tracker.crashes) > maxContents {
+		t.Errorf("%d contents are tracked, limit %d", len(tracker.crashes), maxContents)
+	}
+}
+
+// TestCrashFromTheFuture guards against a peer's message with a negative age, whose crash would never expire.
+func TestCrashFromTheFuture(t *testing.T) {
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	var tracker CrashTracker
+	for _, target := range []string{"a", "b", "c"} {
+		tracker.Add(now, Crash{Content: 7, Target: target, Age: -time.Hour})
+	}
+	if tracker.Quarantined(now.Add(2*crashTTL), 7) {
+		t.Error("quarantine does not expire")
+	}
+}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -126,10 +126,10 @@
 	return event, false
 }
 
-// Apply applies a watch event; it ignores entries that are older than the copy.
+// Apply applies a watch event; it ignores entries that are older than the copy, and all of them before the first listing.
 func (copy *Copy) Apply(now time.Time, event core.WatchEvent) {
 	if copy.entries == nil {
-		copy.entries = map[string]core.Entry{}
+		return // the copy would count as complete
 	}
 	for _, entry := range event.Puts {
 		if previous, found := copy.entries[entry.Key]; entry.ModRevision >= previous.ModRevision {
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -101,3 +101,17 @@
 		t.Errorf("a peer that lags behind the first listing gets %+v, full %v", event, full)
 	}
 }
+
+// TestChangesBeforeTheListing guards against a copy that was never listed but counts as complete because it has received a
+// change: peers that copy from it would miss all other keys, and removals from before its listing.
+func TestChangesBeforeTheListing(t *testing.T) {
+	var state Copy
+	state.Apply(start, core.WatchEvent{Revision: 6, Puts: []core.Entry{{Key: "b", ModRevision: 6}}})
+	if !state.Unavailable() {
+		t.Error("a copy without a listing counts as available")
+	}
+	state.Replace(start, snapshot(8, "a"))
+	if _, full := state.Since(7); !full {
+		t.Error("a peer that is older than the listing gets only the changes since then")
+	}
+}
