io/xchg: bound what a target may send as a header or as a stale response

Cause: the header of a response, interim responses and the body of a response to another request were read without a limit. Now at most 64 KB for headers with interim responses and 1 MB for each of three stale responses are read.

--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -24,6 +24,8 @@
 	defaultIdleTimeout = 4 * time.Second        // for targets that send no Keep-Alive header
 	idleMargin         = 500 * time.Millisecond // connections are closed this long before the target would close them
 	maxStaleResponses  = 3                      // responses to earlier requests on one connection that fail an exchange
+	maxHeadBytes       = 64 << 10               // limit on a response's header, with the interim responses before it
+	maxStaleBytes      = 1 << 20                // limit on the body of a response to an earlier request
 	maxInlineBody      = 8 << 10                // bytes; longer bodies are written while the response is read
 	maxIdleConns       = 16                     // per target
 )
@@ -79,9 +81,10 @@
 
 type conn struct {
 	net      *net.TCPConn
-	reader   *bufio.Reader
-	closesAt time.Time   // the time when the target may close it
-	unusable atomic.Bool // must not be reused
+	input    *boundedReader
+	reader   *bufio.Reader // reads from input
+	closesAt time.Time     // the time when the target may close it
+	unusable atomic.Bool   // must not be reused
 }
 
 // Opened returns how many connections have been opened.
@@ -117,7 +120,8 @@
 		return nil, err
 	}
 	client.opened.Add(1)
-	return &conn{net: opened.(*net.TCPConn), reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
+	input := &boundedReader{source: opened}
+	return &conn{net: opened.(*net.TCPConn), input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}, nil
 }
 
 func (client *Client) takeIdle(address string) *conn {
@@ -214,20 +218,25 @@
 			exchange.written <- err
 		}()
 	}
+	input := exchange.conn.input
+	input.limit(maxHeadBytes)
 	for range maxStaleResponses {
 		response, err := exchange.readResponse(request)
 		if err != nil {
 			return nil, err
 		}
 		if request.Match == nil || request.Match(response) {
+			input.unlimit()
 			response.Body = &body{ReadCloser: response.Body, exchange: exchange, response: response}
 			return response, nil
 		}
 		// A stale response to an earlier request on this connection; the next response may belong to this request.
 		exchange.conn.unusable.Store(true)
+		input.limit(maxStaleBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
+		input.limit(maxHeadBytes)
 	}
 	return nil, ErrMismatchedResponse
 }
--- a/io/xchg/client_test.go
+++ b/io/xchg/client_test.go
@@ -186,3 +186,56 @@
 		t.Errorf("%q, %v", body, err)
 	}
 }
+
+// TestBytesWithoutEnd guards against a daemon that reads, and keeps in memory, whatever a target in trouble sends: bytes
+// that are no response may come until the daemon closes the connection.
+func TestBytesWithoutEnd(t *testing.T) {
+	const maxAccepted = 4 << 20 // bytes; well above the limits and the socket buffers, far below what a target can send in a second
+	header := func(text string) string { return "HTTP/1.1 200 OK\r\n" + text }
+	for _, test := range []struct {
+		name        string
+		begin, then string
+	}{
+		{"no response", "", "\x00\x01\xfe no answer "},
+		{"status line", "HTTP/1.1 200 ", "OK"},
+		{"header line", header("Attempt: "), "a"},
+		{"header lines", header(""), "X: y\r\n"},
+		{"interim responses", "", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"},
+		{"body of a stale response", header("Attempt: other\r\n\r\n"), "stale"},
+		{"chunks of a stale response", header("Attempt: other\r\nTransfer-Encoding: chunked\r\n\r\n"), "5\r\nstale\r\n"},
+		{"stale responses", "", header("Attempt: other\r\nContent-Length: 5\r\n\r\nstale")},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			accepted := make(chan int, 1)
+			address := serveTCP(t, func(connection net.Conn, reader *bufio.Reader) {
+				_, _ = readRequest(reader)
+				_, _ = io.WriteString(connection, test.begin)
+				chunk := []byte(strings.Repeat(test.then, 1+4096/len(test.then)))
+				sum := 0
+				for sum < 16*maxAccepted {
+					count, err := connection.Write(chunk)
+					if sum += count; err != nil {
+						break
+					}
+				}
+				accepted <- sum
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			client := &Client{Clock: core.SystemClock{}}
+			response, err := client.Do(ctx, Request{
+				Address: address, Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{},
+				Match: func(response *http.Response) bool { return response.Header.Get("Attempt") == "own" },
+			})
+			if err == nil {
+				t.Fatalf("response %v", response.Status)
+			}
+			if ctx.Err() != nil || !Sent(err) {
+				t.Errorf("error %v, sent %v", err, Sent(err))
+			}
+			if sum := <-accepted; sum > maxAccepted {
+				t.Errorf("%d bytes were accepted", sum)
+			}
+		})
+	}
+}
