io/edge: do not cut slow streams that no other target can take over

Causes: the watchdog cancelled an attempt before it was known whether another target exists and whether the retry budget covers the next attempt; a slow but sound stream then ended in the middle. It now reserves the next attempt first. Event framing took the end of a line that fills the read buffer for a blank line, so a part of an event could be passed on as a whole one, and an event of many short lines had no bound.

TestSlowStream failed before in two of three cases; TestReadEvent in four of its new cases; TestStalledStream (a byte now and then) passed before and guards the bound.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -212,6 +212,12 @@
 	}
 }
 
+// HasUsable reports whether there is a target, other than the excluded ones, that is neither full nor ejected.
+func (chooser *Chooser) HasUsable(now time.Time, targets []Target, exclude []string) bool {
+	candidates, fault := chooser.candidates(now, targets, Request{Exclude: exclude})
+	return fault == Chosen && !now.Before(chooser.state(targets[candidates[0]].ID).backoffUntil)
+}
+
 // cost returns the expected time of one more request at the target, relative to a usual response.
 func (chooser *Chooser) cost(now time.Time, target Target) float64 {
 	state := chooser.state(target.ID)
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -55,7 +55,8 @@
 	}
 }
 
-// TestReadEvent guards against passing on partial events, and against taking a truncated stream for a complete one.
+// TestReadEvent guards against passing on partial events, against taking a truncated stream for a complete one, and against
+// an event without end that fills the memory.
 func TestReadEvent(t *testing.T) {
 	for _, test := range []struct {
 		name, stream string
@@ -67,7 +68,11 @@
 		{"truncated inside an event", "id: 1\ndata: a\n\nid: 2\nda", "1", errTruncated},
 		{"truncated before the blank line", "id: 1\ndata: a\n", "", errTruncated},
 		{"long", "id: 1\ndata: " + strings.Repeat("x", 3*eventBufferBytes) + "\n\n", "1", io.EOF},
+		{"line that fills the buffer", "id: 1\ndata: " + strings.Repeat("x", eventBufferBytes-len("data: ")) + "\nid: 2\ndata: a\n\n", "2", io.EOF},
+		{"ID inside a long line", "id: 1\ndata: " + strings.Repeat("x", eventBufferBytes-len("data: ")) + "id: 7\n\n", "1", io.EOF},
 		{"empty", "", "", io.EOF},
+		{"one line without end", strings.Repeat("x", 2*maxEventBytes), "", errEventTooLong},
+		{"short lines without end", strings.Repeat("data: x\n", 2*maxEventBytes/8), "", errEventTooLong},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			reader := bufio.NewReaderSize(strings.NewReader(test.stream), eventBufferBytes)
--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -39,9 +39,9 @@
 // placeEngine returns an attempt at the engine chosen by the daemon that places the prompts of the service for the
 // whole fleet; nil means that it chose none or did not respond, and that the caller must choose a target from local
 // state.
-func (daemon *Daemon) placeEngine(ctx context.Context, request *request, service core.ServiceSpec, targets []place.Target, tried []string) *attempt {
+func (daemon *Daemon) placeEngine(ctx context.Context, request *request, service core.ServiceSpec, targets []place.Target) *attempt {
 	message := placeRequest{Service: service.Name, Prompt: place.Prompt{
-		Attempt: request.caller.Attempt, Parts: request.caller.Prompt, Zone: request.inputDataCentre, InputBytes: request.inputBytes, Exclude: tried,
+		Attempt: request.caller.Attempt, Parts: request.caller.Prompt, Zone: request.inputDataCentre, InputBytes: request.inputBytes, Exclude: request.triedTargets,
 	}}
 	shared, _ := request.sharedPrompt()
 	var owner *peer
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -49,6 +49,7 @@
 	inputBytes      int64    // size of the inputs in that data centre
 	resumeAfter     string   // ID of the last event that the caller has received
 	attempts        int      // attempts at targets so far
+	triedTargets    []string // IDs of the targets of those attempts
 	mayHaveRun      bool     // a target may have run the request
 	responseStarted bool     // the response to the caller has started
 	outcome         string   // outcome in log and metrics
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"catkincove/core"
@@ -29,17 +30,17 @@
 type attempt struct {
 	target          place.Target
 	startedAt       time.Time
-	placedBy        *peer  // daemon that placed the prompt; nil means this one
-	engineService   string // service of the engine, if the prompt was placed for the whole fleet; empty otherwise
-	prefillReported bool   // the end of the prefill was reported to the placing daemon
-	recorded        bool   // the outcome was recorded
+	placedBy        *peer       // daemon that placed the prompt; nil means this one
+	engineService   string      // service of the engine, if the prompt was placed for the whole fleet; empty otherwise
+	prefillReported bool        // the end of the prefill was reported to the placing daemon
+	recorded        bool        // the outcome was recorded
+	retryReserved   atomic.Bool // the retry budget is already charged for an attempt after this one
 	cancel          context.CancelFunc
 }
 
 // send forwards the request to targets until one responds or no further attempt is allowed.
 func (daemon *Daemon) send(ctx context.Context, writer http.ResponseWriter, request *request, inputs *inputs) error {
 	service := daemon.chooseService(request)
-	var tried []string
 	rejections, executions := 0, 0
 	var lastErr error
 	for dialFailures := 0; dialFailures < maxDialFailures; {
@@ -48,16 +49,16 @@
 		if err := inputs.produce(ctx); err != nil {
 			return err
 		}
-		attempt, err := daemon.beginAttempt(ctx, request, service, tried)
+		attempt, err := daemon.beginAttempt(ctx, request, service)
 		if err != nil {
 			if lastErr != nil && request.mayHaveRun {
 				return core.Errorf(core.TargetFailed, "%w", lastErr)
 			}
 			return err
 		}
-		tried = append(tried, attempt.target.ID)
+		request.triedTargets = append(request.triedTargets, attempt.target.ID)
 		request.targetID = attempt.target.ID
-		relay := &relay{daemon: daemon, request: request, attempt: attempt, writer: writer, inputs: inputs}
+		relay := &relay{daemon: daemon, request: request, service: service.Name, attempt: attempt, writer: writer, inputs: inputs}
 		lastErr = relay.run(ctx)
 		attempt.cancel()
 		if lastErr == nil {
@@ -88,7 +89,7 @@
 		}
 		request.mayHaveRun = true
 		executions++
-		if request.route.Repeat != core.Idempotent || executions >= request.route.MaxTargets || !daemon.allowRetry(service.Name) {
+		if request.route.Repeat != core.Idempotent || executions >= request.route.MaxTargets || !attempt.retryReserved.Load() && !daemon.allowRetry(service.Name) {
 			if failure.response != nil {
 				request.outcome = "TargetErred"
 				failure.response.write(writer)
@@ -132,16 +133,16 @@
 }
 
 // beginAttempt chooses a target and counts the attempt.
-func (daemon *Daemon) beginAttempt(ctx context.Context, request *request, service core.ServiceSpec, tried []string) (*attempt, error) {
+func (daemon *Daemon) beginAttempt(ctx context.Context, request *request, service core.ServiceSpec) (*attempt, error) {
 	view := daemon.view.Load()
 	targets := view.targets[service.Name]
 	if service.Engine != nil {
-		if attempt := daemon.placeEngine(ctx, request, service, targets, tried); attempt != nil {
+		if attempt := daemon.placeEngine(ctx, request, service, targets); attempt != nil {
 			return attempt, nil
 		}
 	}
 	prompt, tokens := request.sharedPrompt()
-	placement := place.Request{Exclude: tried, AffinityKey: prompt, Probe: request.route.Repeat == core.Idempotent}
+	placement := place.Request{Exclude: request.triedTargets, AffinityKey: prompt, Probe: request.route.Repeat == core.Idempotent}
 	if tokens < affinityTokens {
 		placement.DataCentre = request.inputDataCentre
 	}
@@ -282,6 +283,7 @@
 type relay struct {
 	daemon  *Daemon
 	request *request
+	service string
 	attempt *attempt
 	writer  http.ResponseWriter
 	inputs  *inputs
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -28,32 +29,55 @@
 	errTargetTimedOut = errors.New("the target timed out")
 	errGap            = errors.New("events are missing in the stream")
 	errTruncated      = errors.New("the stream ended inside an event")
+	errEventTooLong   = errors.New("an event is too long")
 )
 
-// watchdog cancels an attempt whose target sends nothing for too long, if the request may move to another target.
+// watchdog cancels an attempt whose target sends no whole event for too long, if another target can take over.
 type watchdog struct {
-	timer *time.Timer
-	fired atomic.Bool
+	timer  *time.Timer
+	fired  atomic.Bool
+	events atomic.Int64 // whole events received
+	tried  []string     // targets that cannot take over; nil if the request must not run elsewhere
 }
 
 // startWatchdog starts the timeout for the first event; the returned function stops it.
 func (relay *relay) startWatchdog() func() {
 	relay.watchdog = &watchdog{}
+	if relay.mayRetryElsewhere() {
+		relay.watchdog.tried = slices.Clone(relay.request.triedTargets)
+	}
 	timeout := max(minFirstEventTimeout, relay.daemon.usualFirstEventTime(relay.request)*firstEventTimeoutFactor)
-	relay.watchdog.timer = time.AfterFunc(timeout, func() {
-		relay.daemon.loop.Post(func() {
-			relay.daemon.control.chooser.RecordOutcome(relay.daemon.clock.Now(), relay.attempt.target.ID, place.TimedOut, 0)
-		})
-		if relay.mayRetryElsewhere() {
-			relay.watchdog.fired.Store(true)
-			relay.attempt.cancel()
-		}
-	})
+	relay.watchdog.timer = time.AfterFunc(timeout, relay.handleSilence)
 	return func() { relay.watchdog.timer.Stop() }
 }
 
+// handleSilence records that the target is slow and cancels the attempt if another target may take over. Otherwise the
+// stream goes on until the time limit of its request: it may be slow but sound.
+func (relay *relay) handleSilence() {
+	daemon, watchdog := relay.daemon, relay.watchdog
+	before := watchdog.events.Load()
+	takeOver := false
+	daemon.do(func() {
+		daemon.control.chooser.RecordOutcome(daemon.clock.Now(), relay.attempt.target.ID, place.TimedOut, 0)
+		takeOver = watchdog.tried != nil && watchdog.events.Load() == before && daemon.reserveTakeOver(relay.service, watchdog.tried)
+	})
+	if takeOver {
+		relay.attempt.retryReserved.Store(true)
+		watchdog.fired.Store(true)
+		relay.attempt.cancel()
+	}
+}
+
+// reserveTakeOver charges the retry budget for an attempt at another target, and reports false if there is no other
+// target or the budget is spent; it must run on the loop.
+func (daemon *Daemon) reserveTakeOver(service string, tried []string) bool {
+	now := daemon.clock.Now()
+	return daemon.control.chooser.HasUsable(now, daemon.view.Load().targets[service], tried) && daemon.retryWindow(service).Allow(now)
+}
+
 // resetWatchdog restarts the timeout for the next event.
 func (relay *relay) resetWatchdog() {
+	relay.watchdog.events.Add(1)
 	stallTimeout := max(relay.request.route.GapObjective*stallFactor, minStallTimeout)
 	relay.watchdog.timer.Reset(stallTimeout)
 }
@@ -62,11 +86,8 @@
 
 // mayRetryElsewhere reports whether the request may move to another target although this one may still be running it.
 func (relay *relay) mayRetryElsewhere() bool {
-	request := relay.request
-	if request.route.Stream {
-		return request.route.Resumable && request.attempts < request.route.MaxTargets
-	}
-	return false
+	route := relay.request.route
+	return route.Stream && route.Resumable && relay.request.attempts < route.MaxTargets
 }
 
 // stream forwards events as they arrive, whole ones only, so that another target can resume after the last one.
@@ -173,11 +194,14 @@
 // readEvent returns one whole event with its ID; io.EOF means that the stream ended between events, errTruncated inside
 // one.
 func readEvent(reader *bufio.Reader) (event []byte, id string, err error) {
-	for {
-		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
+	for lineBegins := true; ; {
+		part, err := reader.ReadSlice('\n')
+		event = append(event, part...)
 		switch {
-		case err == bufio.ErrBufferFull && len(event) < maxEventBytes:
+		case len(event) > maxEventBytes:
+			return nil, "", errEventTooLong
+		case err == bufio.ErrBufferFull:
+			lineBegins = false
 			continue
 		case err == io.EOF && len(event) == 0:
 			return nil, "", io.EOF
@@ -186,11 +210,12 @@
 		case err != nil:
 			return nil, "", fmt.Errorf("stream: %w", err)
 		}
-		if text, found := bytes.CutPrefix(line, []byte("id:")); found {
+		if text, found := bytes.CutPrefix(part, []byte("id:")); found && lineBegins {
 			id = string(bytes.TrimSpace(text))
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if lineBegins && len(bytes.TrimRight(part, "\r\n")) == 0 {
 			return event, id, nil
 		}
+		lineBegins = true
 	}
 }
