Recover from panics and check counts that come from outside

Causes, found by TestMalformedMessages: a message of another daemon with -1 or 10^12 pieces panicked on the control loop and ended the process, as did X-Pieces of a caller with 2 * 10^9; negative token counts went into the sums of an engine's cache; a route whose stages form a cycle kept its requests waiting for ever. Any other panic outside an HTTP handler ended the process as well. Counts are now checked where a message is decoded, and a panic fails only the request, message or task that met it: it is logged (Panic, with the stack) and counted (Panics).

Run returned no error when a server ended, because its ctx was shadowed, and left listeners open when a later address was in use (TestAddressInUse). Ruled out: ending the process and relying on its restart, which cuts all streams of the VM.

--- a/core/loop/loop.go
+++ b/core/loop/loop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +13,10 @@
 //
 // The queue is unbounded, so that Post never blocks a function that itself runs on the loop.
 type Loop struct {
+	// OnPanic receives the value and the stack of a panic of a posted function, after which the loop goes on; nil lets the
+	// panic end the process.
+	OnPanic func(value any, stack []byte)
+
 	mutex sync.Mutex
 	queue []func()
 	wake  chan struct{}
@@ -37,15 +43,23 @@
 	}
 }
 
-// Do posts a function and waits until it has run or ctx ends.
+// ErrPanicked reports that a function ended in a panic, which OnPanic has received.
+var ErrPanicked = errors.New("function panicked on the loop")
+
+// Do posts a function and waits until it has run or ctx ends; it returns ErrPanicked if the function panicked.
 func (loop *Loop) Do(ctx context.Context, function func()) error {
 	done := make(chan struct{})
+	completed := false
 	loop.Post(func() {
+		defer close(done)
 		function()
-		close(done)
+		completed = true
 	})
 	select {
 	case <-done:
+		if !completed {
+			return ErrPanicked
+		}
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -75,11 +89,22 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		function()
+		loop.call(function)
 	}
 	return nil
 }
 
+func (loop *Loop) call(function func()) {
+	if loop.OnPanic != nil {
+		defer func() {
+			if value := recover(); value != nil {
+				loop.OnPanic(value, debug.Stack())
+			}
+		}()
+	}
+	function()
+}
+
 // takeQueue removes and returns the queued functions.
 func (loop *Loop) takeQueue() []func() {
 	loop.mutex.Lock()
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -60,7 +60,11 @@
 
 // String returns the name used in logs.
 func (fault Fault) String() string {
-	return [...]string{"Chosen", "NoTargets", "AllResting", "AllFull"}[fault]
+	names := [...]string{"Chosen", "NoTargets", "AllResting", "AllFull"}
+	if fault < 0 || int(fault) >= len(names) {
+		return "Unknown" // received from another daemon
+	}
+	return names[fault]
 }
 
 // Outcome is the end of a request at a target.
--- a/core/routing.go
+++ b/core/routing.go
@@ -63,6 +63,17 @@
 	return leaves
 }
 
+// HasStageCycle reports whether a stage depends on itself, directly or through others, so that it could never begin.
+func (route Route) HasStageCycle() bool {
+	ended := make([]bool, len(route.Stages))
+	for range route.Stages {
+		for i, stage := range route.Stages {
+			ended[i] = !slices.ContainsFunc(stage.After, func(dependency int) bool { return !ended[dependency] })
+		}
+	}
+	return slices.Contains(ended, false)
+}
+
 // BatchSpec describes targets that work on pieces in batches.
 type BatchSpec struct {
 	MaxPieces      int           // maximum number of pieces per call
@@ -241,5 +252,9 @@
 
 // String returns the name used in logs.
 func (fault PieceFault) String() string {
-	return [...]string{"Done", "Late", "InputGone", "NoRoom", "Failed", "Moved"}[fault]
+	names := [...]string{"Done", "Late", "InputGone", "NoRoom", "Failed", "Moved"}
+	if fault < 0 || int(fault) >= len(names) {
+		return "Unknown" // received from another daemon
+	}
+	return names[fault]
 }
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -119,6 +120,7 @@
 		logWriter: newLogWriter(options.Clock), leaveStarted: make(chan struct{}), metrics: newMetrics(),
 		targets: &xchg.Client{Clock: options.Clock},
 	}
+	daemon.loop.OnPanic = func(value any, stack []byte) { daemon.reportPanic("loop", value, stack) }
 	daemon.loopContext, daemon.stopLoop = context.WithCancel(context.Background())
 	daemon.log = daemon.logWriter.logger(options.Settings.Name)
 	daemon.settings.Store(&options.Settings)
@@ -159,62 +161,86 @@
 	go func() { _ = daemon.loop.Run(daemon.loopContext); close(loopDone) }()
 	defer func() { daemon.stopLoop(); <-loopDone }()
 
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var group run.Group
-	daemon.addTask(&group, ctx, daemon.followAll)
-	daemon.addTask(&group, ctx, daemon.maintainMembership)
-	daemon.addTask(&group, ctx, daemon.pingPeers)
-	daemon.addTask(&group, ctx, daemon.housekeep)
-	servers := []*http.Server{
-		daemon.server(settings.Front, http.HandlerFunc(daemon.serveFront)),
-		daemon.server(settings.Ready, http.HandlerFunc(daemon.serveReady)),
-		daemon.server(settings.Directory, http.HandlerFunc(daemon.serveDirectory)),
-		daemon.server(settings.Peer, daemon.peerHandler()),
-	}
-	if settings.Metrics != "" {
-		servers = append(servers, daemon.server(settings.Metrics, http.HandlerFunc(daemon.serveMetrics)))
+	services, err := daemon.listen()
+	if err != nil {
+		return err
 	}
-	for i, server := range servers {
-		listener, err := net.Listen("tcp", server.Addr)
-		if err != nil && i == len(servers)-1 && settings.Metrics != "" {
-			daemon.log.Error().Str(eventField, eventMetricsUnavailable).Err(err).Msg("cannot listen on the metrics address; metrics are not served")
-			continue
-		}
-		if err != nil {
-			return err
-		}
+	serving, stopServing := context.WithCancel(ctx)
+	defer stopServing()
+	var group run.Group
+	daemon.addTask(&group, serving, "follow", daemon.followAll)
+	daemon.addTask(&group, serving, "membership", daemon.maintainMembership)
+	daemon.addTask(&group, serving, "pings", daemon.pingPeers)
+	daemon.addTask(&group, serving, "housekeeping", daemon.housekeep)
+	for _, service := range services {
 		group.Add(func() error {
-			err := server.Serve(listener)
+			err := service.server.Serve(service.listener)
 			if errors.Is(err, http.ErrServerClosed) {
-				<-ctx.Done() // Serve returns when Shutdown begins; the requests in progress continue until the drain has ended
+				<-serving.Done() // Serve returns when Shutdown begins; the requests in progress continue until the drain has ended
 			}
 			return err
-		}, func(error) { cancel(); _ = server.Close() })
+		}, func(error) { stopServing(); _ = service.server.Close() })
 	}
-	daemon.addTask(&group, ctx, func(ctx context.Context) error { return daemon.drainOnSignal(ctx, servers[0]) })
-	err := group.Run()
+	front := services[0].server
+	daemon.addTask(&group, serving, "drain", func(ctx context.Context) error { return daemon.drainOnSignal(ctx, front) })
+	err = group.Run()
 	daemon.log.Info().Str(eventField, eventStop).Dur("UpFor", daemon.clock.Now().Sub(began)).AnErr("Cause", err).Msg("daemon stops")
-	if err == errDrained || ctx.Err() != nil {
+	if errors.Is(err, errDrained) || ctx.Err() != nil {
 		return nil
 	}
 	return err
 }
 
-func (daemon *Daemon) addTask(group *run.Group, ctx context.Context, task func(context.Context) error) {
-	ctx, cancel := context.WithCancel(ctx)
-	group.Add(func() error { return task(ctx) }, func(error) { cancel() })
+// service is an HTTP server with the listener that it serves.
+type service struct {
+	server   *http.Server
+	listener net.Listener
 }
 
-func (daemon *Daemon) server(address string, handler http.Handler) *http.Server {
-	return &http.Server{
-		Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil,
+// listen opens all addresses of the settings, the one for callers first; it returns an error if one of them other than the
+// metrics address cannot be listened on, with none left open.
+func (daemon *Daemon) listen() ([]service, error) {
+	settings := daemon.options.Settings
+	var services []service
+	for _, address := range []struct {
+		address  string
+		part     string
+		handler  http.Handler
+		optional bool
+	}{
+		{settings.Front, "front", http.HandlerFunc(daemon.serveFront), false},
+		{settings.Ready, "ready", http.HandlerFunc(daemon.serveReady), false},
+		{settings.Directory, "directory", http.HandlerFunc(daemon.serveDirectory), false},
+		{settings.Peer, "peer", daemon.peerHandler(), false},
+		{settings.Metrics, "metrics", http.HandlerFunc(daemon.serveMetrics), true},
+	} {
+		if address.optional && address.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", address.address)
+		switch {
+		case err == nil:
+			services = append(services, service{daemon.server(daemon.guard(address.part, address.handler)), listener})
+		case address.optional:
+			daemon.log.Error().Str(eventField, eventMetricsUnavailable).Err(err).Msg("cannot listen on the metrics address; metrics are not served")
+		default:
+			for _, opened := range services {
+				_ = opened.listener.Close()
+			}
+			return nil, fmt.Errorf("%s address: %w", address.part, err)
+		}
 	}
+	return services, nil
 }
 
-// do runs a function on the control loop and waits for it.
-func (daemon *Daemon) do(function func()) { _ = daemon.loop.Do(daemon.loopContext, function) }
+func (daemon *Daemon) addTask(group *run.Group, ctx context.Context, part string, task func(context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error { return daemon.restartTask(ctx, part, task) }, func(error) { cancel() })
+}
+
+func (daemon *Daemon) server(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
+}
 
 // wouldBeCut reports whether the request may still be running when a leaving daemon cuts off requests. Callers with a
 // cached address connect until shortly before the end: a rejected caller goes to another daemon, while one that is cut
--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"catkincove/core"
@@ -130,14 +131,14 @@
 		return
 	}
 	address := attempt.placedBy.Peer
-	go func() {
+	daemon.spawn("prefill", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 		defer cancel()
 		var reply struct{}
 		if err := daemon.callPeer(ctx, address, pathRead, message, &reply); err != nil {
 			daemon.metrics.peerErrors.Add(1) // the other daemon counts the prompt as prefilled after a timeout
 		}
-	}()
+	})
 }
 
 // recordPrefill applies the report of a prefill; it must run on the loop.
@@ -147,15 +148,24 @@
 
 func (daemon *Daemon) servePlace(writer http.ResponseWriter, request *http.Request) {
 	var message placeRequest
-	if readJSON(writer, request, &message) {
-		writeJSON(writer, daemon.placeLocally(message))
+	if !readJSON(writer, request, &message) {
+		return
+	}
+	negative := slices.ContainsFunc(message.Prompt.Parts, func(part core.PromptPart) bool { return part.Tokens < 0 })
+	if negative || daemon.view.Load().routing.Services[message.Service].Engine == nil {
+		http.Error(writer, "prompt or service", http.StatusBadRequest)
+		return
 	}
+	writeJSON(writer, daemon.placeLocally(message))
 }
 
 func (daemon *Daemon) servePrefill(writer http.ResponseWriter, request *http.Request) {
 	var message prefillMessage
-	if readJSON(writer, request, &message) {
+	if !readJSON(writer, request, &message) {
+		return
+	}
+	if daemon.view.Load().routing.Services[message.Service].Engine != nil {
 		daemon.loop.Post(func() { daemon.recordPrefill(message) })
-		writeJSON(writer, struct{}{})
 	}
+	writeJSON(writer, struct{}{})
 }
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -97,6 +97,11 @@
 	if err != nil {
 		return request, core.Errorf(core.BadRequest, "headers: %w", err)
 	}
+	for _, count := range caller.Pieces {
+		if count > maxPieces {
+			return request, core.Errorf(core.BadRequest, "%d pieces, limit %d", count, maxPieces)
+		}
+	}
 	path, _, _ := strings.Cut(incoming.RequestURI, "?")
 	route, found := view.routing.Match(hostName(incoming.Host), path)
 	if !found {
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -168,7 +168,7 @@
 	added := &peer{record: listed, addedAt: now, callContext: calls, cancelCalls: cancel, forecasts: map[string]forecastAt{}}
 	daemon.control.peers[listed.Peer] = added
 	daemon.log.Info().Str(eventField, eventPeerMet).Str("Peer", string(listed.ID)).Msg("daemon added")
-	go daemon.ping(listed.Peer)
+	daemon.spawn("ping", func() { daemon.ping(listed.Peer) })
 	return added
 }
 
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -28,6 +28,7 @@
 	batchPieces      atomic.Int64
 	batchFaults      atomic.Int64
 	placedAlone      atomic.Int64
+	panics           atomic.Int64
 
 	mutex     sync.Mutex
 	outcomes  map[string]int64
@@ -76,6 +77,7 @@
 	set("BatchPieces", metrics.batchPieces.Load())
 	set("BatchFaults", metrics.batchFaults.Load())
 	set("PlacedAlone", metrics.placedAlone.Load())
+	set("Panics", metrics.panics.Load())
 	set("ConnectionsOpened", daemon.targets.Opened())
 	set("LogLinesDropped", daemon.logWriter.dropped.Load())
 	metrics.mutex.Lock()
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -148,7 +148,7 @@
 		daemon.control.crashTracker.Add(now, crash)
 	}
 	for _, entry := range status.Heard {
-		if other := daemon.control.peers[entry.Peer]; other != nil && now.Add(-entry.Age).After(other.lastSeen) {
+		if other := daemon.control.peers[entry.Peer]; other != nil && entry.Age >= 0 && now.Add(-entry.Age).After(other.lastSeen) {
 			other.lastSeen, other.leaving = now.Add(-entry.Age), entry.Leaving
 		}
 	}
@@ -160,7 +160,7 @@
 	for round := 0; core.Sleep(ctx, daemon.clock, pingInterval); round++ {
 		daemon.loop.Post(func() {
 			for _, address := range daemon.peersToPing(round) {
-				go daemon.ping(address)
+				daemon.spawn("ping", func() { daemon.ping(address) })
 			}
 		})
 	}
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -90,7 +90,7 @@
 	calls, ended, unused := sender.pool.Dispatch(now)
 	daemon.deliver(sender, ended, unused)
 	for _, call := range calls {
-		go daemon.runCall(sender, call)
+		daemon.spawn("batch", func() { daemon.runCall(sender, call) })
 	}
 	daemon.scheduleWakeup(sender, now)
 }
@@ -211,14 +211,14 @@
 
 func (daemon *Daemon) sendFrees(sender *sender) {
 	for address, handles := range sender.pendingFrees {
-		go func() {
+		daemon.spawn("free", func() {
 			daemon.sendFree(address, handles)
 			// The result capacity is free only now: a batch sent earlier would find the target full.
 			daemon.loop.Post(func() {
 				sender.pool.Free(handles)
 				daemon.dispatch(sender)
 			})
-		}()
+		})
 	}
 	sender.pendingFrees = map[string][]string{}
 }
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 )
 
 const (
+	maxPieces           = 4096                    // pieces of one stage of one request; the routes in use have up to 30
 	maxSenders          = 3                       // senders that are tried for the pieces of one stage
 	forecastTTL         = 1500 * time.Millisecond // lifetime of a received forecast; pings bring a new one within 0.75 s
 	largeResultBytes    = 200_000                 // results from this size on are produced as late as the response allows
@@ -95,6 +97,12 @@
 	for i := range stages {
 		group.Go(func() {
 			defer close(run.done[i])
+			defer func() {
+				if value := recover(); value != nil {
+					daemon.reportPanic("stage", value, debug.Stack())
+					run.fail(core.Errorf(core.Internal, "stage %d: panic: %v", i, value))
+				}
+			}()
 			run.runStage(ctx, i)
 		})
 	}
@@ -362,6 +370,10 @@
 	if !readJSON(writer, request, &message) {
 		return
 	}
+	if message.Pieces < 1 || message.Pieces > maxPieces {
+		http.Error(writer, "number of pieces", http.StatusBadRequest)
+		return
+	}
 	if daemon.leaving.Load() {
 		writeJSON(writer, piecesReply{Fault: core.PieceMoved})
 		return
@@ -401,14 +413,14 @@
 			return
 		}
 		address := known.Peer
-		go func() {
+		daemon.spawn("free", func() {
 			ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 			defer cancel()
 			var reply struct{}
 			if err := daemon.callPeer(ctx, address, pathFree, freeRequest{Service: service, Handles: handles}, &reply); err != nil {
 				daemon.freeDirectly(handles)
 			}
-		}()
+		})
 	})
 }
 
@@ -419,7 +431,7 @@
 		byAddress[address] = append(byAddress[address], handle)
 	}
 	for address, handles := range byAddress {
-		go daemon.sendFree(address, handles)
+		daemon.spawn("free", func() { daemon.sendFree(address, handles) })
 	}
 }
 
