io/edge: pass on long error responses whole, bound unfinished bodies, log the caller's status

Causes: an error response of a target over 1 MB was passed on cut, with the shortened length, so that it looked complete; a caller that stopped in the middle of its body was kept for ever, and bodies counted towards the memory limit only once complete, so that a few dozen unfinished ones could exhaust a small VM; RequestEnded said status 200 where the caller got the target's 500.

An unfinished body now ends with 408 at the request's time limit, and one for which there is no memory is refused at once.

--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -4,15 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"catkincove/core"
 	"catkincove/core/admit"
 )
@@ -21,7 +18,6 @@
 	defaultTimeout        = 30 * time.Second       // time limit of a request whose caller and route state none
 	leavingRetryAfter     = 50 * time.Millisecond  // Retry-After of a leaving daemon; other daemons are ready
 	defaultRetryAfter     = 500 * time.Millisecond // Retry-After without a routing or after the time limit, and the minimum after failed stages
-	bodyMemoryShare       = 0.25                   // share of MemoryMB for request bodies
 	defaultFirstEventTime = 150 * time.Millisecond // assumed time to the first event of a route before any was measured
 	firstEventAlpha       = 0.1                    // weight of the newest value in the average time to the first event
 	admittedAlpha         = 0.05                   // weight of the newest decision in the average admitted share
@@ -38,6 +34,7 @@
 	priority     int
 	incoming     *http.Request
 	body         []byte
+	bodyMemory   *bodyMemory
 	fingerprint  core.Fingerprint
 	startedAt    time.Time
 	softDeadline time.Time
@@ -53,6 +50,7 @@
 	mayHaveRun      bool     // a target may have run the request
 	responseStarted bool     // the response to the caller has started
 	outcome         string   // outcome in log and metrics
+	status          int      // status of the response to the caller; 0 before it has begun
 	targetID        string
 	firstEventAfter time.Duration   // time from the start of the request to the first event or the whole response
 	stagesDuration  time.Duration   // time from the start of the request to the end of its stages
@@ -69,12 +67,12 @@
 	if daemon.leaving.Load() {
 		writer.Header().Set("Connection", "close")
 	}
-	request, err := daemon.accept(incoming)
+	request, err := daemon.accept(writer, incoming)
 	if err != nil {
 		daemon.reject(writer, request, err)
 		return
 	}
-	defer daemon.bodyBytes.Add(-int64(len(request.body)))
+	defer request.bodyMemory.release()
 	ctx, cancel := context.WithDeadline(incoming.Context(), request.deadline)
 	defer cancel()
 	if err := daemon.serve(ctx, writer, request); err != nil {
@@ -85,7 +83,7 @@
 }
 
 // accept reads, authenticates and validates a request; it also returns the request with an error.
-func (daemon *Daemon) accept(incoming *http.Request) (*request, error) {
+func (daemon *Daemon) accept(writer http.ResponseWriter, incoming *http.Request) (*request, error) {
 	now := daemon.clock.Now()
 	request := &request{incoming: incoming, startedAt: now}
 	view := daemon.view.Load()
@@ -122,7 +120,7 @@
 	if daemon.wouldBeCut(request) {
 		return request, core.Errorf(core.Unavailable, "this daemon is leaving").WithRetryAfter(leavingRetryAfter)
 	}
-	return request, daemon.readBody(request, view.routing.RequestLimits)
+	return request, daemon.readBody(writer, request, view.routing.RequestLimits)
 }
 
 func hostName(host string) string {
@@ -150,46 +148,6 @@
 	}
 }
 
-// readBody reads the whole body, so that it can be sent again; it returns an error if the body, or the memory of all
-// bodies, exceeds its limit.
-func (daemon *Daemon) readBody(request *request, requestLimits core.RequestLimits) error {
-	incoming := request.incoming
-	limit := requestLimits.BodyBytes
-	if limit <= 0 {
-		limit = 4 << 20
-	}
-	if incoming.ContentLength > limit {
-		return tooLarge(limit)
-	}
-	body, err := io.ReadAll(io.LimitReader(incoming.Body, limit+1))
-	switch {
-	case err != nil:
-		return core.Errorf(core.BadRequest, "body: %w", err)
-	case int64(len(body)) > limit:
-		return tooLarge(limit)
-	}
-	budget := int64(float64(daemon.options.Settings.MemoryMB) * bodyMemoryShare * (1 << 20))
-	if daemon.bodyBytes.Add(int64(len(body))) > budget {
-		daemon.bodyBytes.Add(-int64(len(body)))
-		return core.Errorf(core.Unavailable, "request bodies exceed their memory limit").WithRetryAfter(time.Second)
-	}
-	request.body = body
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(incoming.RequestURI + "\x00" + request.caller.Credential + "\x00")
-	_, _ = digest.Write(body)
-	request.fingerprint = core.Fingerprint(digest.Sum64())
-	return nil
-}
-
-func tooLarge(limit int64) error {
-	e := core.Errorf(core.BadRequest, "body has more than %d bytes", limit)
-	e.Cause = errTooLarge
-	return e
-}
-
-var errTooLarge = errors.New("body is too large")
-
 // serve admits a request, runs its stages and forwards it to a target.
 func (daemon *Daemon) serve(ctx context.Context, writer http.ResponseWriter, request *request) error {
 	if err := daemon.admit(request); err != nil {
@@ -299,6 +257,8 @@
 		return
 	case errors.Is(err, errTooLarge):
 		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, errBodyTimeout):
+		status = http.StatusRequestTimeout
 	case e.Kind == core.Internal || e.Kind == core.TargetFailed:
 		status = http.StatusBadGateway
 	}
@@ -323,7 +283,7 @@
 	}
 	daemon.metrics.countOutcome(request.outcome)
 	daemon.metrics.observeLatency(request.route.Name, daemon.clock.Now().Sub(request.startedAt))
-	daemon.logRequest(request, http.StatusOK, nil)
+	daemon.logRequest(request, request.status, nil)
 }
 
 // logRequest writes the log line that ends a request.
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -26,6 +26,9 @@
 	fullRetryAfter      = 400 * time.Millisecond // Retry-After of a service whose targets are all full
 )
 
+// outcomeTargetErred is the outcome of a request whose caller received an error response of the target.
+const outcomeTargetErred = "TargetErred"
+
 // attempt is one attempt to send a request to a target.
 type attempt struct {
 	target          place.Target
@@ -91,8 +94,8 @@
 		executions++
 		if request.route.Repeat != core.Idempotent || executions >= request.route.MaxTargets || !attempt.retryReserved.Load() && !daemon.allowRetry(service.Name) {
 			if failure.response != nil {
-				request.outcome = "TargetErred"
-				failure.response.write(writer)
+				request.outcome = outcomeTargetErred
+				request.write(writer, failure.response)
 				return nil
 			}
 			return core.Errorf(core.TargetFailed, "%w", lastErr)
@@ -247,7 +250,9 @@
 	body   []byte
 }
 
-func (response *bufferedResponse) write(writer http.ResponseWriter) {
+// write sends the response of a target to the caller.
+func (request *request) write(writer http.ResponseWriter, response *bufferedResponse) {
+	request.status = response.status
 	copyHeader(writer.Header(), response.header)
 	if bodyAllowed(response.status) {
 		writer.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
@@ -358,8 +363,7 @@
 func (relay *relay) errorResponse(ctx context.Context, response *http.Response) error {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse))
 	if err != nil {
-		relay.daemon.recordOutcome(relay.request, relay.attempt, place.Disconnected, 0)
-		return &sendError{run: core.Unknown, cause: err}
+		return relay.disconnected(ctx, err)
 	}
 	outcome := place.Succeeded
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -372,15 +376,31 @@
 		// it.
 		return &sendError{run: core.Unknown, cause: cause}
 	}
+	if relay.request.responseStarted {
+		return &sendError{run: core.HasRun, cause: cause}
+	}
+	if len(body) == maxBufferedResponse {
+		relay.request.outcome = outcomeTargetErred
+		return relay.forwardLong(ctx, response, body)
+	}
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
-	if response.StatusCode >= http.StatusInternalServerError && !relay.request.responseStarted {
+	if response.StatusCode >= http.StatusInternalServerError {
 		return &sendError{run: core.HasRun, cause: cause, response: buffered}
 	}
-	if relay.request.responseStarted {
-		return &sendError{run: core.HasRun, cause: cause}
+	relay.request.outcome = outcomeTargetErred
+	relay.request.write(relay.writer, buffered)
+	return nil
+}
+
+// forwardLong forwards a response as it arrives, after the beginning of its body that was already read.
+func (relay *relay) forwardLong(ctx context.Context, response *http.Response, begin []byte) error {
+	copyHeader(relay.writer.Header(), response.Header)
+	relay.request.responseStarted, relay.request.status = true, response.StatusCode
+	relay.writer.WriteHeader(response.StatusCode)
+	_, _ = relay.writer.Write(begin)
+	if _, err := io.Copy(relay.writer, response.Body); err != nil {
+		return relay.disconnected(ctx, err)
 	}
-	relay.request.outcome = "TargetErred"
-	buffered.write(relay.writer)
 	return nil
 }
 
@@ -406,17 +426,12 @@
 		duration := relay.daemon.clock.Now().Sub(relay.attempt.startedAt)
 		relay.daemon.recordOutcome(relay.request, relay.attempt, place.Succeeded, duration)
 		relay.daemon.observeFirstEvent(relay.request.route.Name, duration)
-		buffered := bufferedResponse{status: response.StatusCode, header: response.Header, body: body.Bytes()}
-		buffered.write(relay.writer)
+		relay.request.write(relay.writer, &bufferedResponse{status: response.StatusCode, header: response.Header, body: body.Bytes()})
 		relay.daemon.clearCrashes(relay.request)
 		return nil
 	}
-	copyHeader(relay.writer.Header(), response.Header)
-	relay.request.responseStarted = true
-	relay.writer.WriteHeader(response.StatusCode)
-	_, _ = relay.writer.Write(body.Bytes())
-	if _, err := io.Copy(relay.writer, response.Body); err != nil {
-		return relay.disconnected(ctx, err)
+	if err := relay.forwardLong(ctx, response, body.Bytes()); err != nil {
+		return err
 	}
 	relay.daemon.recordOutcome(relay.request, relay.attempt, place.Succeeded, relay.daemon.clock.Now().Sub(relay.attempt.startedAt))
 	relay.daemon.clearCrashes(relay.request)
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -133,7 +133,7 @@
 	firstEventTime := daemon.clock.Now().Sub(relay.attempt.startedAt)
 	relay.inputs.free()
 	if !request.responseStarted {
-		request.responseStarted = true
+		request.responseStarted, request.status = true, response.StatusCode
 		request.firstEventAfter = daemon.clock.Now().Sub(request.startedAt)
 		copyHeader(relay.writer.Header(), response.Header)
 		relay.writer.WriteHeader(response.StatusCode)
