Do not run functions on the loop that their caller has given up on; wait for all disconnects

Causes: loop.Do returned when its context ended, and the loop ran the function later all the same, so that it wrote to variables that the caller had returned (a data race in io/daemon's status, addresses and counters). An abandoned function now never runs, and one that has begun is waited for (TestAbandonedFunctionDoesNotRun failed before).

--- a/core/loop/loop.go
+++ b/core/loop/loop.go
@@ -46,24 +46,32 @@
 // ErrPanicked reports that a function ended in a panic, which OnPanic has received.
 var ErrPanicked = errors.New("function panicked on the loop")
 
-// Do posts a function and waits until it has run or ctx ends; it returns ErrPanicked if the function panicked.
+// Do posts a function and waits until it has run; it returns ErrPanicked if the function panicked. When ctx ends before the
+// function has begun, Do returns the error of ctx and the function never runs: it may write to variables of its caller.
 func (loop *Loop) Do(ctx context.Context, function func()) error {
 	done := make(chan struct{})
+	var claimed atomic.Bool // by the loop, to run the function, or by the end of ctx, to abandon it
 	completed := false
 	loop.Post(func() {
+		if !claimed.CompareAndSwap(false, true) {
+			return
+		}
 		defer close(done)
 		function()
 		completed = true
 	})
 	select {
 	case <-done:
-		if !completed {
-			return ErrPanicked
-		}
-		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+		if claimed.CompareAndSwap(false, true) {
+			return ctx.Err()
+		}
+		<-done // the function has begun
+	}
+	if !completed {
+		return ErrPanicked
 	}
+	return nil
 }
 
 // Run executes posted functions until ctx ends; functions still queued then are dropped.
--- a/core/loop/loop_test.go
+++ b/core/loop/loop_test.go
@@ -55,3 +55,40 @@
 		t.Errorf("reported panics: %q", got)
 	}
 }
+
+// TestAbandonedFunctionDoesNotRun guards against a function that writes to variables of a caller of Do after Do has given
+// up waiting and its caller has returned them.
+func TestAbandonedFunctionDoesNotRun(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var loop Loop
+	go func() { _ = loop.Run(ctx) }()
+	release := make(chan struct{})
+	loop.Post(func() { <-release })
+	short, cancelShort := context.WithTimeout(ctx, 10*time.Millisecond)
+	defer cancelShort()
+	ran := false
+	if err := loop.Do(short, func() { ran = true }); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("Do returns %v", err)
+	}
+	close(release)
+	if err := loop.Do(ctx, func() {}); err != nil {
+		t.Fatal(err)
+	}
+	if ran {
+		t.Error("the function ran after Do had returned")
+	}
+
+	// A function that has begun is waited for.
+	begun, completed := make(chan struct{}), false
+	ending, end := context.WithCancel(ctx)
+	go func() { <-begun; end() }()
+	err := loop.Do(ending, func() {
+		close(begun)
+		time.Sleep(20 * time.Millisecond)
+		completed = true
+	})
+	if err != nil || !completed {
+		t.Errorf("Do returns %v before its function has ended", err)
+	}
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -64,14 +64,14 @@
 	control  control
 	snapshot atomic.Pointer[snapshot]
 
-	peerBytes          meter.Counter
-	releases           sync.WaitGroup
-	activeRequests     atomic.Int64
-	draining           chan struct{}
-	drainOnce          sync.Once
-	heartbeatNow       chan struct{}
-	fetchingConfig     atomic.Bool
-	pendingDisconnects sync.Map // core.PoolID to a channel that is closed when its last release after a disconnect is sent
+	peerBytes      meter.Counter
+	releases       sync.WaitGroup
+	activeRequests atomic.Int64
+	draining       chan struct{}
+	drainOnce      sync.Once
+	heartbeatNow   chan struct{}
+	fetchingConfig atomic.Bool
+	disconnects    disconnects
 }
 
 // New opens the listener and assembles the components; Run starts them.
--- a/io/daemon/grants.go
+++ b/io/daemon/grants.go
@@ -122,27 +122,16 @@
 	if release.Outcome != core.OutcomeDisconnected {
 		return func() {}
 	}
-	delivered := make(chan struct{})
-	daemon.pendingDisconnects.Store(release.Pool, delivered)
-	return func() {
-		close(delivered)
-		daemon.pendingDisconnects.CompareAndDelete(release.Pool, delivered)
-	}
+	return daemon.disconnects.track(release.Pool)
 }
 
-// awaitDisconnects waits until the release after a disconnect has reached the owner, so that it precedes the retry's
+// awaitDisconnects waits until the releases after disconnects have reached the owner, so that they precede the retry's
 // grant request: otherwise the owner does not know yet that the request was on a target that may have crashed, and lets
 // it run beside others.
 func (daemon *Daemon) awaitDisconnects(ctx context.Context, pool core.PoolID) {
-	delivered, found := daemon.pendingDisconnects.Load(pool)
-	if !found {
-		return
-	}
-	select {
-	case <-delivered.(chan struct{}):
-	case <-daemon.clock.After(disconnectTimeout):
-	case <-ctx.Done():
-	}
+	ctx, cancel := context.WithTimeout(ctx, disconnectTimeout)
+	defer cancel()
+	daemon.disconnects.wait(ctx, pool)
 }
 
 // Grant implements peer.Service: it decides on a grant request for a pool that this daemon owns.
