Tell a second copy of a batch response from the response to the next call

Cause: responses to batch calls carry no identifier, so a target that sends a response again, late, when its connection carries another call, had the handles of one request given to another: TestRepeatedResponses, with the check taken out, shows 'request r0-20 got the result i-stock1-141 of request r3-16'. Each handle is given out once, so a response with a handle that was seen in the last seconds is a copy; it is skipped and the connection is closed after the call. A response without handles cannot be told from its copy, so its connection is closed too, and calls that free results use connections of their own.

--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"catkincove/core"
+	"catkincove/core/batch"
 	"catkincove/core/blame"
 	"catkincove/core/loop"
 	"catkincove/core/mirror"
@@ -80,6 +81,9 @@
 	activeRequests atomic.Int64  // requests of callers in progress
 	lastRequestEnd atomic.Int64  // Unix time in nanoseconds
 	bodyBytes      atomic.Int64  // size of the request bodies in memory
+
+	repeatsMutex sync.Mutex
+	repeats      batch.Repeats // responses to batch calls, which are read outside the control loop
 }
 
 // control is the state owned by the control loop.
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"catkincove/core"
@@ -20,6 +21,10 @@
 	maxPiecesBody     = 1 << 20              // limit in bytes on the response to a batch call
 )
 
+// purposeBatch separates the connections of batch calls from others: a second copy of another call's response on them
+// would be read as the response to a batch call.
+const purposeBatch = "batch"
+
 // sender sends the batches of one service.
 type sender struct {
 	service      string
@@ -170,31 +175,49 @@
 	path, body := daemon.dialect.PiecesCall(call.Pieces)
 	header := http.Header{"Content-Type": {"application/json"}}
 	daemon.dialect.ExpectTarget(header, call.Target.ID)
+	var results []core.PieceResult
+	var decodeErr error
 	response, err := daemon.targets.Do(ctx, xchg.Request{
-		Address: call.Target.Address, Method: http.MethodPost, URI: path, Host: call.Target.Address, Header: header, Body: body,
+		Address: call.Target.Address, Method: http.MethodPost, URI: path, Host: call.Target.Address, Header: header, Body: body, Purpose: purposeBatch,
+		MaxBody: maxPiecesBody, MatchBody: func(response *http.Response, data []byte) bool {
+			if response.StatusCode != http.StatusOK {
+				return true
+			}
+			results, decodeErr = daemon.dialect.PieceResults(data, len(call.Pieces))
+			return !daemon.isRepeated(results)
+		},
 	})
 	if err != nil {
 		return nil, batch.Failed, err
 	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxPiecesBody))
-	if err != nil {
-		return nil, batch.Failed, err
+	if !anyResult(results) {
+		cancel() // closes the connection: a second copy of a response without handles could not be told from the next response
 	}
-	if response.StatusCode != http.StatusOK {
+	_ = response.Body.Close()
+	switch {
+	case response.StatusCode != http.StatusOK:
 		err := fmt.Errorf("status %d", response.StatusCode)
 		if daemon.dialect.TargetResponse(response.StatusCode, response.Header).NotRun {
 			return nil, batch.Rejected, err
 		}
 		return nil, batch.Failed, err
-	}
-	results, err := daemon.dialect.PieceResults(data, len(call.Pieces))
-	if err != nil {
-		return nil, batch.Failed, err
+	case decodeErr != nil:
+		return nil, batch.Failed, decodeErr
 	}
 	return results, batch.Responded, nil
 }
 
+func anyResult(results []core.PieceResult) bool {
+	return slices.ContainsFunc(results, func(result core.PieceResult) bool { return result.Handle != "" })
+}
+
+// isRepeated reports whether a response to a batch call is a second copy of an earlier one.
+func (daemon *Daemon) isRepeated(results []core.PieceResult) bool {
+	daemon.repeatsMutex.Lock()
+	defer daemon.repeatsMutex.Unlock()
+	return daemon.repeats.Add(daemon.clock.Now(), results)
+}
+
 // queueFree collects handles to free with one call to each target; it must run on the loop.
 func (daemon *Daemon) queueFree(sender *sender, handles []string) {
 	if len(handles) == 0 {
--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -38,12 +38,21 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
-	HasBody bool   // sends Content-Length even when the body is empty
-	Attempt string // ID of the attempt that the response must belong to; Match checks this, the client does not
+	HasBody bool // sends Content-Length even when the body is empty
+	// Purpose separates connections: one is reused only for requests of the same purpose.
+	Purpose string
 	// Match reports whether the status and headers of a response belong to the attempt; nil accepts any response.
 	Match func(response *http.Response) bool
+	// MatchBody is Match for responses that only their body identifies: the body is read first, up to MaxBody bytes.
+	MatchBody func(response *http.Response, body []byte) bool
+	MaxBody   int64
 }
 
+// connKey identifies the connections that a request may use.
+type connKey struct{ address, purpose string }
+
+func (request Request) connKey() connKey { return connKey{request.Address, request.Purpose} }
+
 // Error is a failed exchange.
 type Error struct {
 	Sent  bool // at least one byte may have been written, so that the request may have run
@@ -75,7 +84,7 @@
 	Clock core.Clock
 
 	mutex  sync.Mutex
-	idle   map[string][]*conn
+	idle   map[connKey][]*conn
 	opened atomic.Int64
 }
 
@@ -94,11 +103,11 @@
 //
 // The response's body must be closed. When ctx ends, the connection is closed, also while the body is read.
 func (client *Client) Do(ctx context.Context, request Request) (*http.Response, error) {
-	conn, err := client.connect(ctx, request.Address)
+	conn, err := client.connect(ctx, request.connKey())
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
-	exchange := &exchange{client: client, address: request.Address, conn: conn, written: make(chan error, 1)}
+	exchange := &exchange{client: client, key: request.connKey(), conn: conn, written: make(chan error, 1)}
 	exchange.stopAbort = context.AfterFunc(ctx, exchange.abort)
 	response, err := exchange.run(request)
 	if err != nil {
@@ -111,11 +120,11 @@
 	return response, nil
 }
 
-func (client *Client) connect(ctx context.Context, address string) (*conn, error) {
-	if idle := client.takeIdle(address); idle != nil {
+func (client *Client) connect(ctx context.Context, key connKey) (*conn, error) {
+	if idle := client.takeIdle(key); idle != nil {
 		return idle, nil
 	}
-	opened, err := Dialer(dialTimeout).DialContext(ctx, "tcp", address)
+	opened, err := Dialer(dialTimeout).DialContext(ctx, "tcp", key.address)
 	if err != nil {
 		return nil, err
 	}
@@ -124,17 +133,17 @@
 	return &conn{net: opened.(*net.TCPConn), input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}, nil
 }
 
-func (client *Client) takeIdle(address string) *conn {
+func (client *Client) takeIdle(key connKey) *conn {
 	now := client.Clock.Now()
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
 	for {
-		idle := client.idle[address]
+		idle := client.idle[key]
 		if len(idle) == 0 {
 			return nil
 		}
 		last := idle[len(idle)-1]
-		client.idle[address] = idle[:len(idle)-1]
+		client.idle[key] = idle[:len(idle)-1]
 		if now.Before(last.closesAt) && !hasPendingInput(last.net) {
 			return last
 		}
@@ -142,17 +151,17 @@
 	}
 }
 
-func (client *Client) putIdle(address string, freed *conn) {
+func (client *Client) putIdle(key connKey, freed *conn) {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
 	if client.idle == nil {
-		client.idle = map[string][]*conn{}
+		client.idle = map[connKey][]*conn{}
 	}
-	if len(client.idle[address]) >= maxIdleConns {
+	if len(client.idle[key]) >= maxIdleConns {
 		_ = freed.net.Close()
 		return
 	}
-	client.idle[address] = append(client.idle[address], freed)
+	client.idle[key] = append(client.idle[key], freed)
 }
 
 // Sweep closes connections that have been idle for too long, and all idle connections to addresses that are not live.
@@ -160,19 +169,19 @@
 	now := client.Clock.Now()
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
-	for address, idle := range client.idle {
+	for key, idle := range client.idle {
 		remaining := idle[:0]
 		for _, conn := range idle {
-			if live(address) && now.Before(conn.closesAt) {
+			if live(key.address) && now.Before(conn.closesAt) {
 				remaining = append(remaining, conn)
 			} else {
 				_ = conn.net.Close()
 			}
 		}
 		if len(remaining) == 0 {
-			delete(client.idle, address)
+			delete(client.idle, key)
 		} else {
-			client.idle[address] = remaining
+			client.idle[key] = remaining
 		}
 	}
 }
@@ -181,16 +190,21 @@
 func (client *Client) CloseIdle(address string) {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
-	for _, conn := range client.idle[address] {
-		_ = conn.net.Close()
+	for key, idle := range client.idle {
+		if key.address != address {
+			continue
+		}
+		for _, conn := range idle {
+			_ = conn.net.Close()
+		}
+		delete(client.idle, key)
 	}
-	delete(client.idle, address)
 }
 
 // exchange is one request and its response on one connection.
 type exchange struct {
 	client    *Client
-	address   string
+	key       connKey
 	conn      *conn
 	stopAbort func() bool
 	written   chan error
@@ -225,10 +239,21 @@
 		if err != nil {
 			return nil, err
 		}
-		if request.Match == nil || request.Match(response) {
+		matches := request.Match == nil || request.Match(response)
+		if matches {
 			input.unlimit()
 			response.Body = &body{ReadCloser: response.Body, exchange: exchange, response: response}
-			return response, nil
+			if request.MatchBody == nil {
+				return response, nil
+			}
+			content, err := io.ReadAll(io.LimitReader(response.Body, request.MaxBody+1))
+			if err != nil {
+				return nil, err
+			}
+			response.Body = replayed{bytes.NewReader(content), response.Body}
+			if request.MatchBody(response, content) {
+				return response, nil
+			}
 		}
 		// A stale response to an earlier request on this connection; the next response may belong to this request.
 		exchange.conn.unusable.Store(true)
@@ -269,7 +294,13 @@
 		_ = conn.net.Close()
 		return
 	}
-	exchange.client.putIdle(exchange.address, conn)
+	exchange.client.putIdle(exchange.key, conn)
+}
+
+// replayed is a response body that has been read before.
+type replayed struct {
+	io.Reader
+	io.Closer
 }
 
 // body is a response body that returns its connection to the pool when it is closed after it was read to its end.
