--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -186,28 +186,32 @@
 // 200 targets.
 func (daemon *Daemon) relay() *peer {
 	var chosen *peer
-	daemon.do(func() {
-		control, self := &daemon.control, daemon.self()
-		if len(control.peers) < largeFleet || daemon.leaving.Load() {
-			return
-		}
-		now := daemon.clock.Now()
-		candidates := []candidate{{address: self.Peer, cores: self.Cores}}
-		for address, known := range control.peers {
-			if known.DataCentre == self.DataCentre && !known.leaving && !daemon.isSuspect(now, known) {
-				candidates = append(candidates, candidate{address: address, cores: known.Cores})
-			}
-		}
-		relays := member.RankOwners(onLargeVMs(candidates), core.PoolID{Service: "relay", DataCentre: self.DataCentre})
-		relays = relays[:min(len(relays), relaysPerDataCentre)]
-		if len(relays) > 0 && !slices.Contains(relays, core.MemberID(self.Peer)) {
-			// Distribute the daemons of the data centre over its relays.
-			chosen = control.peers[string(member.PreferredOwner(relays, core.PoolID{Service: self.Peer}))]
-		}
-	})
+	daemon.do(func() { chosen = daemon.relayCandidate() })
 	return chosen
 }
 
+// relayCandidate is relay on the loop.
+func (daemon *Daemon) relayCandidate() *peer {
+	control, self := &daemon.control, daemon.self()
+	if len(control.peers) < largeFleet || daemon.leaving.Load() {
+		return nil
+	}
+	now := daemon.clock.Now()
+	candidates := []candidate{{address: self.Peer, cores: self.Cores}}
+	for address, known := range control.peers {
+		if known.DataCentre == self.DataCentre && !known.leaving && !daemon.isSuspect(now, known) {
+			candidates = append(candidates, candidate{address: address, cores: known.Cores})
+		}
+	}
+	relays := member.RankOwners(onLargeVMs(candidates), core.PoolID{Service: "relay", DataCentre: self.DataCentre})
+	relays = relays[:min(len(relays), relaysPerDataCentre)]
+	if len(relays) == 0 || slices.Contains(relays, core.MemberID(self.Peer)) {
+		return nil
+	}
+	// Distribute the daemons of the data centre over its relays.
+	return control.peers[string(member.PreferredOwner(relays, core.PoolID{Service: self.Peer}))]
+}
+
 // followRelay copies from a relay until this daemon is assigned another one or none; it returns an error if the relay
 // fails or its copies are too old.
 func (daemon *Daemon) followRelay(ctx context.Context) error {
