io/edge: look only at large VMs for senders and relays, and rebuild the view only at changes

Cause: each question for the sender of a service looked at all daemons of the fleet, each ping round sorted and shuffled them, and the view was rebuilt once a second and at each heartbeat of a target, with the records of all daemons decoded again. Peers are now kept sorted by the size of their VMs, records are decoded once for each revision, and a heartbeat that says nothing new rebuilds nothing.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -78,15 +78,17 @@
 	return true
 }
 
-// recordChange records the revision of a changed entry unless the change is equivalent.
-func (copy *Copy) recordChange(before, after core.Entry, known bool) {
+// recordChange records the revision of a changed entry unless the change is equivalent, and reports whether it is not.
+func (copy *Copy) recordChange(before, after core.Entry, known bool) bool {
 	if copy.changedAt == nil {
 		copy.changedAt = map[string]core.Revision{}
 	}
 	delete(copy.removedAt, after.Key)
-	if !known || copy.Equivalent == nil || !copy.Equivalent(before, after) {
-		copy.changedAt[after.Key] = after.ModRevision
+	if known && copy.Equivalent != nil && copy.Equivalent(before, after) {
+		return false
 	}
+	copy.changedAt[after.Key] = after.ModRevision
+	return true
 }
 
 // maxRemoved limits the number of removed keys that are remembered; peers that lag further behind get the full state.
@@ -126,14 +128,15 @@
 	return event, false
 }
 
-// Apply applies a watch event; it ignores entries that are older than the copy, and all of them before the first listing.
-func (copy *Copy) Apply(now time.Time, event core.WatchEvent) {
+// Apply applies a watch event; it ignores entries that are older than the copy, and all of them before the first listing. It
+// reports whether the event changes more than equivalent entries.
+func (copy *Copy) Apply(now time.Time, event core.WatchEvent) (changed bool) {
 	if copy.entries == nil {
-		return // the copy would count as complete
+		return false // the copy would count as complete
 	}
 	for _, entry := range event.Puts {
 		if previous, found := copy.entries[entry.Key]; entry.ModRevision >= previous.ModRevision {
-			copy.recordChange(previous, entry, found)
+			changed = copy.recordChange(previous, entry, found) || changed
 			copy.entries[entry.Key] = entry
 			delete(copy.expired, entry.Key)
 		}
@@ -143,11 +146,16 @@
 			delete(copy.entries, key)
 			copy.recordRemoval(key, event.Revision)
 			copy.retain(now, entry)
+			changed = true
 		}
 	}
 	copy.revision = max(copy.revision, event.Revision)
+	return changed
 }
 
+// RetainsEntries reports whether there are retained entries, which expire without an event.
+func (copy *Copy) RetainsEntries() bool { return len(copy.expired) > 0 }
+
 // retain keeps an entry that was deleted in or right after an outage if RetainExpired is set.
 func (copy *Copy) retain(now time.Time, entry core.Entry) {
 	if !copy.unavailable && now.After(copy.retainUntil) {
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -102,6 +103,7 @@
 	lastPlacement   map[string]time.Time      // time at which this daemon last placed a prompt for the fleet, by service
 	senders         map[string]*sender        // by service; for the services whose batches this daemon has been asked to send
 	peers           map[string]*peer          // by peer address
+	peersBySize     []*peer                   // the same, largest VM first; nil after a change
 	firstEventTimes map[string]time.Duration  // moving average of the time to the first event, by route
 	admittedOffset  map[string]float64        // moving average of the admitted share of requests less 1, by route; 0 means all
 	status          peerStatus                // status reported to other daemons, as of statusAt
@@ -109,6 +111,7 @@
 	rebuildPosted   bool // a rebuild of the view is queued on the loop
 	random          *rand.Rand
 	decoded         map[string]decodedTarget // decoded registrations, by key
+	decodedMembers  map[string]decodedMember // decoded records of daemons, by key
 
 	routingRevision core.Revision // revision of the routing in force
 	storeReadAt     time.Time     // last successful store read, by this daemon or by the one that the copies come from
@@ -334,7 +337,9 @@
 			now := daemon.clock.Now()
 			daemon.control.chooser.Sweep(now)
 			daemon.removePeers(now)
-			daemon.scheduleRebuild() // cold targets become warm and retained entries expire without an event
+			if slices.ContainsFunc(daemon.copyList(), (*mirror.Copy).RetainsEntries) {
+				daemon.scheduleRebuild() // retained entries expire without an event
+			}
 		})
 		if now := daemon.logWriter.dropped.Load(); now > reported {
 			daemon.log.Warn().Str(eventField, eventLogDropped).Int64("Lines", now-reported).Msg("log lines were dropped")
@@ -354,6 +359,9 @@
 		return
 	}
 	daemon.settings.Store(&settings)
-	daemon.loop.Post(func() { daemon.control.retryWindows = map[string]*retry.Window{} })
+	daemon.loop.Post(func() {
+		daemon.control.retryWindows = map[string]*retry.Window{}
+		daemon.scheduleRebuild() // applies the bounds
+	})
 	daemon.log.Info().Str(eventField, eventReload).Str("Cause", cause).Msg("settings reloaded")
 }
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -128,3 +128,75 @@
 		})
 	}
 }
+
+// TestLargePeers guards against small VMs that send for a whole fleet while a large one is usable, and against a fleet
+// without senders while none is.
+func TestLargePeers(t *testing.T) {
+	large := func(known *peer) bool { return known.Cores > 0.5 }
+	for _, test := range []struct {
+		name       string
+		change     func(now time.Time, known *peer)
+		dataCentre string
+		count      int
+		cores      float64
+	}{
+		{"all usable", func(time.Time, *peer) {}, "", fleetLargeVMs, 0.8},
+		{"one data centre", func(time.Time, *peer) {}, "dc-1", fleetLargeVMs / fleetDataCentres, 0.8},
+		{"other data centre", func(time.Time, *peer) {}, "dc-2", fleetLargeVMs / fleetDataCentres, 0.8},
+		{"large ones leave", func(_ time.Time, known *peer) { known.leaving = large(known) }, "", fleetDaemons - fleetLargeVMs, 0.192},
+		{"large ones failed", func(_ time.Time, known *peer) { known.callFailed = large(known) }, "", fleetDaemons - fleetLargeVMs, 0.192},
+		{"large ones do not respond", func(now time.Time, known *peer) {
+			if large(known) {
+				known.unansweredSince = now.Add(-time.Minute)
+			}
+		}, "", fleetDaemons - fleetLargeVMs, 0.192},
+		{"one large one is left", func(_ time.Time, known *peer) { known.leaving = large(known) && known.ID != fleetRecord(3).ID }, "", 1, 0.8},
+		{"all others failed", func(_ time.Time, known *peer) { known.callFailed = true }, "", 1, 0.192},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			daemon := newFleetMember(t)
+			daemon.do(func() {
+				now := daemon.clock.Now()
+				for _, known := range daemon.control.peers {
+					test.change(now, known)
+				}
+				found := daemon.largePeers(now, test.dataCentre)
+				if len(found) != test.count {
+					t.Errorf("%d daemons, want %d", len(found), test.count)
+				}
+				for _, known := range found {
+					if known.Cores != test.cores || test.dataCentre != "" && known.DataCentre != test.dataCentre {
+						t.Errorf("%s has %v cores and is in %s", known.ID, known.Cores, known.DataCentre)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestSenderKeepsItsRole guards against a sender that is replaced because a daemon that ranks higher has joined, and against
+// two daemons that choose different senders.
+func TestSenderKeepsItsRole(t *testing.T) {
+	first, second := newFleetMember(t), newFleetMember(t)
+	choose := func(daemon *Daemon, service string, current *record) string {
+		var chosen string
+		daemon.do(func() {
+			for _, known := range daemon.control.peers {
+				known.sendsFor = map[string]bool{service: current != nil && known.ID == current.ID}
+			}
+			chosen = daemon.senderOf(service).Peer
+		})
+		return chosen
+	}
+	for _, service := range fleetServices {
+		if a, b := choose(first, service, nil), choose(second, service, nil); a != b {
+			t.Errorf("senders of %s are %s and %s", service, a, b)
+		}
+		for i := range fleetLargeVMs {
+			current := fleetRecord(i)
+			if chosen := choose(first, service, &current); chosen != current.Peer {
+				t.Errorf("sender of %s is %s, the current one is %s", service, chosen, current.Peer)
+			}
+		}
+	}
+}
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -119,6 +119,7 @@
 func (daemon *Daemon) apply(event core.WatchEvent) {
 	daemon.control.storeReadAt = daemon.clock.Now()
 	daemon.markStoreAvailable()
+	changed := false
 	for i, prefix := range daemon.prefixes() {
 		part := core.WatchEvent{Revision: event.Revision, Puts: withPrefix(prefix, event.Puts)}
 		for _, key := range event.Deletes {
@@ -126,9 +127,9 @@
 				part.Deletes = append(part.Deletes, key)
 			}
 		}
-		daemon.copies()[i].Apply(daemon.clock.Now(), part)
+		changed = daemon.copies()[i].Apply(daemon.clock.Now(), part) || changed
 	}
-	if len(event.Puts)+len(event.Deletes) > 0 {
+	if changed {
 		daemon.scheduleRebuild()
 	}
 }
@@ -196,14 +197,11 @@
 	if len(control.peers) < largeFleet || daemon.leaving.Load() {
 		return nil
 	}
-	now := daemon.clock.Now()
-	candidates := []candidate{{address: self.Peer, cores: self.Cores}}
-	for address, known := range control.peers {
-		if known.DataCentre == self.DataCentre && !known.leaving && !daemon.isSuspect(now, known) {
-			candidates = append(candidates, candidate{address: address, cores: known.Cores})
-		}
+	var candidates []core.MemberID
+	for _, known := range daemon.largePeers(daemon.clock.Now(), self.DataCentre) {
+		candidates = append(candidates, core.MemberID(known.Peer))
 	}
-	relays := member.RankOwners(onLargeVMs(candidates), core.PoolID{Service: "relay", DataCentre: self.DataCentre})
+	relays := member.RankOwners(candidates, core.PoolID{Service: "relay", DataCentre: self.DataCentre})
 	relays = relays[:min(len(relays), relaysPerDataCentre)]
 	if len(relays) == 0 || slices.Contains(relays, core.MemberID(self.Peer)) {
 		return nil
@@ -284,8 +282,7 @@
 			daemon.scheduleRebuild()
 		}
 	default:
-		copy.Apply(now, core.WatchEvent{Revision: part.Revision, Puts: part.Puts, Deletes: part.Deletes})
-		if len(part.Puts)+len(part.Deletes) > 0 {
+		if copy.Apply(now, core.WatchEvent{Revision: part.Revision, Puts: part.Puts, Deletes: part.Deletes}) {
 			daemon.scheduleRebuild()
 		}
 	}
@@ -335,6 +332,12 @@
 	}
 }
 
+// copyList returns the copies as a list; it must run on the loop.
+func (daemon *Daemon) copyList() []*mirror.Copy {
+	copies := daemon.copies()
+	return copies[:]
+}
+
 // copies returns the copies in the order in which peers exchange them; it must run on the loop.
 func (daemon *Daemon) copies() [3]*mirror.Copy {
 	return [3]*mirror.Copy{&daemon.control.routes, &daemon.control.registrations, &daemon.control.members}
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -1,10 +1,12 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -138,12 +140,8 @@
 		known.listed = false
 	}
 	for _, entry := range daemon.control.members.Entries(now) {
-		var listed record
-		if err := json.Unmarshal(entry.Value, &listed); err != nil || listed.Peer == "" {
-			daemon.log.Warn().Str(eventField, eventMemberIgnored).Str("Key", entry.Key).AnErr("Cause", err).Msg("cannot decode a daemon's record; ignoring it")
-			continue
-		}
-		if listed.Peer == daemon.options.Settings.AdvertisePeer {
+		listed, ok := daemon.decodeMember(entry)
+		if !ok || listed.Peer == daemon.options.Settings.AdvertisePeer {
 			continue
 		}
 		known := daemon.addPeer(now, listed)
@@ -151,6 +149,7 @@
 		// Records of earlier runs at the address stay until their leases expire.
 		if known.lastSeen.IsZero() && entry.CreateRevision > known.revision {
 			known.record, known.revision = listed, entry.CreateRevision
+			daemon.control.peersBySize = nil
 		}
 	}
 	daemon.control.chooser.Daemons = max(daemon.control.chooser.Daemons, len(daemon.control.peers)+1)
@@ -158,6 +157,30 @@
 	daemon.control.chooser.ColdOver, daemon.control.chooser.ColdSlack = settings.Bounds.ColdOver, settings.Bounds.ColdSlack
 }
 
+// decodeMember decodes the record of a daemon once for each of its revisions, and reports whether it is valid.
+func (daemon *Daemon) decodeMember(entry core.Entry) (record, bool) {
+	if known, found := daemon.control.decodedMembers[entry.Key]; found && known.revision == entry.ModRevision {
+		return known.record, known.valid
+	}
+	decoded := decodedMember{revision: entry.ModRevision}
+	err := json.Unmarshal(entry.Value, &decoded.record)
+	decoded.valid = err == nil && decoded.record.Peer != ""
+	if !decoded.valid {
+		daemon.log.Warn().Str(eventField, eventMemberIgnored).Str("Key", entry.Key).AnErr("Cause", err).Msg("cannot decode a daemon's record; ignoring it")
+	}
+	if daemon.control.decodedMembers == nil || len(daemon.control.decodedMembers) > 4*len(daemon.control.peers)+1000 {
+		daemon.control.decodedMembers = map[string]decodedMember{}
+	}
+	daemon.control.decodedMembers[entry.Key] = decoded
+	return decoded.record, decoded.valid
+}
+
+type decodedMember struct {
+	revision core.Revision
+	record   record
+	valid    bool
+}
+
 // addPeer returns the daemon at an address and adds it if it is new. The daemon is not used before it has responded to
 // a ping: after a power failure the store lists daemons that no longer run.
 func (daemon *Daemon) addPeer(now time.Time, listed record) *peer {
@@ -166,7 +189,7 @@
 	}
 	calls, cancel := context.WithCancel(context.Background())
 	added := &peer{record: listed, addedAt: now, callContext: calls, cancelCalls: cancel, forecasts: map[string]forecastAt{}}
-	daemon.control.peers[listed.Peer] = added
+	daemon.control.peers[listed.Peer], daemon.control.peersBySize = added, nil
 	daemon.log.Info().Str(eventField, eventPeerMet).Str("Peer", string(listed.ID)).Msg("daemon added")
 	daemon.spawn("ping", func() { daemon.ping(listed.Peer) })
 	return added
@@ -180,6 +203,7 @@
 		if !known.listed && !daemon.control.members.Unavailable() && unseen > daemon.directoryTimeout() || unseen > removeAfter {
 			known.cancelCalls()
 			delete(daemon.control.peers, address)
+			daemon.control.peersBySize = nil
 			daemon.log.Info().Str(eventField, eventPeerForgotten).Str("Peer", string(known.ID)).Dur("SilentFor", unseen).Msg("daemon removed")
 		}
 	}
@@ -211,20 +235,11 @@
 // falls behind delays every request of the service.
 func (daemon *Daemon) senderOf(service string) *peer {
 	now := daemon.clock.Now()
-	var candidates []candidate
-	if !daemon.leaving.Load() {
-		candidates = append(candidates, candidate{daemon.options.Settings.AdvertisePeer, daemon.isSender(now, service), daemon.options.Settings.Cores})
-	}
-	for address, known := range daemon.control.peers {
-		if !known.leaving && !daemon.isSuspect(now, known) {
-			candidates = append(candidates, candidate{address, known.sendsFor[service], known.Cores})
-		}
-	}
-	eligible := onLargeVMs(candidates)
-	var current []core.MemberID
-	for _, candidate := range candidates {
-		if candidate.isSender && slices.Contains(eligible, core.MemberID(candidate.address)) {
-			current = append(current, core.MemberID(candidate.address))
+	var eligible, current []core.MemberID
+	for _, candidate := range daemon.largePeers(now, "") {
+		eligible = append(eligible, core.MemberID(candidate.Peer))
+		if candidate.isSelf() && daemon.isSender(now, service) || candidate.sendsFor[service] {
+			current = append(current, core.MemberID(candidate.Peer))
 		}
 	}
 	// A current sender keeps the role: a daemon that comes back after a restart would have to learn all its estimates
@@ -235,25 +250,41 @@
 	return daemon.control.peers[string(member.PreferredOwner(eligible, core.PoolID{Service: service}))]
 }
 
-type candidate struct {
-	address  string
-	isSender bool
-	cores    float64
-}
-
-// onLargeVMs returns the addresses of the candidates on the largest VMs.
-func onLargeVMs(candidates []candidate) []core.MemberID {
+// largePeers returns the usable daemons on the largest VMs of a data centre, or of the whole fleet if it is empty, with
+// this daemon among them; it must run on the loop.
+func (daemon *Daemon) largePeers(now time.Time, dataCentre string) []*peer {
+	var large []*peer
 	largest := 0.0
-	for _, candidate := range candidates {
-		largest = max(largest, candidate.cores)
+	if self := daemon.self(); !daemon.leaving.Load() && (dataCentre == "" || dataCentre == self.DataCentre) {
+		large, largest = append(large, &peer{record: self}), self.Cores
 	}
-	var eligible []core.MemberID
-	for _, candidate := range candidates {
-		if candidate.cores >= largest*largeVMShare {
-			eligible = append(eligible, core.MemberID(candidate.address))
+	for _, known := range daemon.sortedPeers() {
+		if known.Cores < largest*largeVMShare {
+			break
+		}
+		if known.leaving || dataCentre != "" && known.DataCentre != dataCentre || daemon.isSuspect(now, known) {
+			continue
 		}
+		large, largest = append(large, known), max(largest, known.Cores)
+	}
+	if len(large) > 0 && large[0].isSelf() && large[0].Cores < largest*largeVMShare {
+		large = large[1:]
+	}
+	return large
+}
+
+// isSelf reports whether the daemon is this one, which is none of its own peers.
+func (known *peer) isSelf() bool { return known.callContext == nil }
+
+// sortedPeers returns the other daemons, those on the largest VMs first; it must run on the loop.
+func (daemon *Daemon) sortedPeers() []*peer {
+	control := &daemon.control
+	if control.peersBySize == nil {
+		control.peersBySize = slices.SortedFunc(maps.Values(control.peers), func(a, b *peer) int {
+			return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Peer, b.Peer))
+		})
 	}
-	return eligible
+	return control.peersBySize
 }
 
 // directoryTimeout returns the time without contact after which the directory omits a daemon; it must run on the loop.
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -130,6 +130,7 @@
 		known.cancelCalls()
 		known.callContext, known.cancelCalls = context.WithCancel(context.Background())
 		known.record, known.forecasts = status.Record, map[string]forecastAt{}
+		daemon.control.peersBySize = nil
 	}
 	known.lastSeen, known.unansweredSince, known.callFailed, known.leaving = now, time.Time{}, false, status.Leaving
 	daemon.control.peerLastSeen = now
@@ -176,27 +177,31 @@
 			needed[known.Peer] = true
 		}
 	}
-	fleetIsLarge := len(daemon.control.peers) >= largeFleet
+	peers := daemon.sortedPeers()
+	if len(peers) == 0 {
+		return daemon.peerAddresses() // the seeds of the settings
+	}
+	now := daemon.clock.Now()
+	fleetIsLarge := len(peers) >= largeFleet
 	var addresses []string
-	others := 0
-	for i, address := range daemon.peerAddresses() {
-		known := daemon.control.peers[address]
+	for i, known := range peers {
 		rounds := roundsPerPing
 		switch {
-		case needed[address] && fleetIsLarge:
+		case needed[known.Peer] && fleetIsLarge:
 			rounds = largeFleetRoundsPerPing
-		case needed[address]:
+		case needed[known.Peer]:
 			rounds = 1
-		case fleetIsLarge && known != nil && !daemon.isSuspect(daemon.clock.Now(), known):
-			// The addresses are in random order, so that gossip about each daemon reaches all others within some
-			// rounds.
-			if others++; others <= largeFleetOtherPings {
-				addresses = append(addresses, address)
-			}
+		case fleetIsLarge && !daemon.isSuspect(now, known):
 			continue
 		}
 		if (round+i)%rounds == 0 {
-			addresses = append(addresses, address)
+			addresses = append(addresses, known.Peer)
+		}
+	}
+	if fleetIsLarge {
+		// Gossip about each daemon reaches all others within some rounds, since the choice is random.
+		for range largeFleetOtherPings {
+			addresses = append(addresses, peers[daemon.control.random.IntN(len(peers))].Peer)
 		}
 	}
 	return addresses
