Release stage results once the next stage has fetched them, while their targets are short of room

Targets hold the results of 2.2 calls, and a result was kept until the call of the next stage had ended, although that call fetches it at its beginning.

--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -62,7 +62,7 @@
 		call.stalled = true
 		call.worker.recordStall(now, float64(elapsed)/float64(call.expected))
 		for _, piece := range call.pieces {
-			if piece.attempts < maxAttempts {
+			if piece.attempts < maxAttempts && !piece.job.released {
 				pool.enqueue(piece)
 			}
 		}
@@ -91,11 +91,7 @@
 		if waiting.runningCalls > 0 {
 			continue
 		}
-		maxWait := maxLateWait
-		if len(waiting.job.Inputs) > 0 {
-			maxWait = maxLateWaitWithInputs
-		}
-		lateTooLong := !waiting.job.lateSince.IsZero() && now.Sub(waiting.job.lateSince) > maxWait
+		lateTooLong := !waiting.job.lateSince.IsZero() && now.Sub(waiting.job.lateSince) > maxLateWait
 		if lateTooLong || now.Add(minCallTime).After(waiting.job.Deadline) {
 			rejected[waiting.job] = true
 		}
@@ -249,6 +245,7 @@
 	for _, piece := range pieces {
 		piece.attempts++
 		piece.runningCalls++
+		pool.watchFetch(now, piece)
 		started.resultBytes += piece.job.ResultBytes
 		request.Pieces = append(request.Pieces, core.Piece{
 			Attempt: piece.job.Attempt, Stage: piece.job.Stage, Number: piece.number,
--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -85,6 +85,9 @@
 			wakeBy(waiting.job.Deadline.Add(-pool.spec.CallOverhead))
 		}
 	}
+	if len(pool.fetches) > 0 {
+		wakeBy(pool.fetches[0].at)
+	}
 	if !wake.IsZero() && !wake.After(now) {
 		wake = now.Add(time.Millisecond)
 	}
@@ -94,7 +97,7 @@
 
 // Forecast returns an estimate of how long new jobs would wait.
 func (pool *Pool) Forecast(now time.Time) Forecast {
-	forecast := Forecast{Call: pool.typicalCallTime(), Ahead: make([]time.Duration, forecastSteps)}
+	forecast := Forecast{Call: pool.typicalCallTime(), ShortOfRoom: pool.isShortOfRoom(now), Ahead: make([]time.Duration, forecastSteps)}
 	slowdowns := pool.slowdowns(now)
 	for _, slowdown := range slowdowns {
 		// Each slowdown counts relative to the median: when all targets look slow at once, this process may as well have
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -17,11 +17,10 @@
 	minClassFactor          = 0.05                   // lower bound of a class factor, so that one outlier does not distort it
 	maxClassFactor          = 4.0                    // upper bound of a class factor, for the same reason
 	localityWaitShare       = 0.3                    // share of a piece's slack that it may wait for a target near its inputs
-	maxLateWait             = 700 * time.Millisecond // longest wait for a free slot of a job that cannot meet its soft deadline
+	maxLateWait             = 1 * time.Second        // longest wait for a free slot of a job that cannot meet its soft deadline
 	infeasibleCheckInterval = 10 * time.Millisecond  // time between searches of the queue for infeasible jobs
 	handoverPeriod          = 700 * time.Millisecond // time after the first call in which targets may still run calls of the previous sender
 	minProcessStall         = 300 * time.Millisecond // a Dispatch that is late by this much shows a stall of this process
-	maxLateWaitWithInputs   = 1 * time.Second        // longest wait of such a job when earlier stages have already computed its inputs
 	priorityOffset          = 100 * time.Millisecond // each step of lower priority makes a job due this much later
 )
 
@@ -41,6 +40,8 @@
 	infeasibleCheckedAt time.Time // last search of the queue for infeasible jobs
 	dispatchDue         time.Time // latest time for the next Dispatch; zero means none
 	firstCallAt         time.Time // start of the first call
+	fetches             []fetch   // in order of time
+	releaseAfter        time.Time // inputs are not released early before this time
 }
 
 type piece struct {
@@ -50,6 +51,7 @@
 	runningCalls int // calls in flight that include it
 	done         bool
 	queued       bool
+	begun        bool // a call has included it that was not rejected
 }
 
 type job struct {
@@ -58,6 +60,8 @@
 	pieces    []piece
 	handles   []string
 	remaining int
+	toBegin   int       // pieces that no call has included yet
+	released  bool      // the inputs were returned by FetchedInputs
 	lateSince time.Time // time when it could first no longer meet its soft deadline
 }
 
@@ -103,7 +107,7 @@
 // Submit queues a job and returns its ID.
 func (pool *Pool) Submit(submitted Job) JobID {
 	pool.lastJobID++
-	added := &job{Job: submitted, id: pool.lastJobID, remaining: submitted.Pieces, handles: make([]string, submitted.Pieces)}
+	added := &job{Job: submitted, id: pool.lastJobID, remaining: submitted.Pieces, toBegin: submitted.Pieces, handles: make([]string, submitted.Pieces)}
 	added.pieces = make([]piece, submitted.Pieces)
 	pool.jobs[added.id] = added
 	for i := range added.pieces {
@@ -181,6 +185,7 @@
 		worker.backoffUntil = now.Add(rejectedBackoff)
 		for _, piece := range call.pieces {
 			piece.attempts--
+			piece.unwatchFetch()
 			pool.enqueue(piece)
 		}
 		return nil, nil
@@ -211,7 +216,12 @@
 		case result.Fault == core.PieceFailed:
 			failed, freed := pool.retryPieces([]*piece{returned})
 			ended, unused = append(ended, failed...), append(unused, freed...)
+		case result.Fault == core.PieceInputGone && returned.runningCalls > 0:
+			pool.recordGone(now, returned) // a call that began earlier still has the inputs
 		default: // late, or an input is gone: a retry on another target cannot succeed
+			if result.Fault == core.PieceInputGone {
+				pool.recordGone(now, returned)
+			}
 			unused = append(unused, pool.drop(returned.job)...)
 			ended = append(ended, Result{Job: returned.job.id, Fault: result.Fault})
 		}
@@ -237,7 +247,7 @@
 		return nil
 	}
 	delete(pool.jobs, owner.id)
-	return []Result{{Job: owner.id, Handles: owner.handles}}
+	return []Result{{Job: owner.id, Handles: owner.handles, InputsReleased: owner.released}}
 }
 
 // retryPieces queues pieces again after a failure, or ends their jobs when they have used up their attempts.
@@ -245,6 +255,9 @@
 	for _, piece := range pieces {
 		switch {
 		case piece.done || piece.runningCalls > 0:
+		case piece.job.released:
+			unused = append(unused, pool.drop(piece.job)...)
+			ended = append(ended, Result{Job: piece.job.id, Fault: core.PieceInputGone})
 		case piece.attempts < maxAttempts:
 			pool.enqueue(piece)
 		default:
--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -14,17 +14,19 @@
 
 // Job is the work of one stage of one request.
 type Job struct {
-	Attempt      string
-	Stage        int
-	Pieces       int
-	Key          string
-	Inputs       []string
-	ResultBytes  int64     // size of one result
-	Class        string    // pieces of one class take about the same time
-	Priority     int       // 0 is the most urgent
-	DataCentre   string    // where most of the inputs are, or where the results are needed; empty means any
-	SoftDeadline time.Time // the request meets its latency objective when the job is done by then
-	Deadline     time.Time // the request fails when the job is not done by then
+	Attempt     string
+	Stage       int
+	Pieces      int
+	Key         string
+	Inputs      []string
+	ResultBytes int64 // size of one result
+	// ReleaseInputs tells that nothing else needs the inputs, so that FetchedInputs may return them before the job ends.
+	ReleaseInputs bool
+	Class         string    // pieces of one class take about the same time
+	Priority      int       // 0 is the most urgent
+	DataCentre    string    // where most of the inputs are, or where the results are needed; empty means any
+	SoftDeadline  time.Time // the request meets its latency objective when the job is done by then
+	Deadline      time.Time // the request fails when the job is not done by then
 }
 
 // Target is one target of the service.
@@ -60,13 +62,16 @@
 	Job     JobID
 	Handles []string
 	Fault   core.PieceFault
+	// InputsReleased tells that FetchedInputs has returned the inputs of the job.
+	InputsReleased bool
 }
 
 // Forecast tells other daemons how long new work would wait; the zero value means no capacity.
 type Forecast struct {
-	Capacity float64         // usable targets; slow ones count in part
-	Call     time.Duration   // typical time of a call at the present batch size
-	Ahead    []time.Duration // work of all targets before a job; the index is the time left to its soft deadline, in ForecastStep
+	Capacity    float64         // usable targets; slow ones count in part
+	ShortOfRoom bool            // the targets have little free capacity for results
+	Call        time.Duration   // typical time of a call at the present batch size
+	Ahead       []time.Duration // work of all targets before a job; the index is the time left to its soft deadline, in ForecastStep
 }
 
 // ForecastStep is the width of the steps of Forecast.Ahead.
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -404,7 +404,7 @@
 		if !current {
 			continue
 		}
-		next.services[target.ID] = target.Service
+		next.services[target.Address] = target.Service
 		next.addresses[target.Address] = true
 		next.dataCentres[target.Address] = target.DataCentre
 		if run.draining || evacuated[target.DataCentre] {
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -94,12 +94,30 @@
 	now := daemon.clock.Now()
 	calls, ended, unused := sender.pool.Dispatch(now)
 	daemon.deliver(sender, ended, unused)
+	daemon.releaseFetched(sender.pool.FetchedInputs(now))
 	for _, call := range calls {
 		daemon.spawn("batch", func() { daemon.runCall(sender, call) })
 	}
 	daemon.scheduleWakeup(sender, now)
 }
 
+// releaseFetched releases inputs that no target will fetch any more, each through the sender of its service; it must run on
+// the loop.
+func (daemon *Daemon) releaseFetched(handles []string) {
+	if len(handles) == 0 {
+		return
+	}
+	byService := map[string][]string{}
+	view := daemon.view.Load()
+	for _, handle := range handles {
+		service := view.services[daemon.dialect.HandleAddress(handle)]
+		byService[service] = append(byService[service], handle)
+	}
+	for service, handles := range byService {
+		daemon.releaseResults(service, handles)
+	}
+}
+
 func (daemon *Daemon) scheduleWakeup(sender *sender, now time.Time) {
 	at := sender.pool.NextWakeup(now)
 	if at.IsZero() || sender.wakeupAt.After(now) && !at.Before(sender.wakeupAt) {
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -34,6 +34,7 @@
 	Pieces   int
 	Key      string
 	Inputs   []string
+	Release  bool  // nothing else needs the inputs, and their targets are short of room
 	Bytes    int64 // expected size of one result
 	Class    string
 	Priority int
@@ -44,6 +45,7 @@
 
 type piecesReply struct {
 	Handles  []string
+	Released bool // the inputs were released
 	Fault    core.PieceFault
 	Forecast batch.Forecast
 }
@@ -152,16 +154,21 @@
 		}
 	}
 	began := run.daemon.clock.Now()
-	handles, err := run.daemon.produce(ctx, run.message(i, pieces, inputs))
+	message := run.message(i, pieces, inputs)
+	message.Release = run.mayRelease(stage.After)
+	produced, err := run.daemon.produce(ctx, message)
 	run.request.stageDurations[i] = run.daemon.clock.Now().Sub(began)
 	if err != nil {
 		run.fail(err)
 		return
 	}
 	run.mutex.Lock()
-	run.handles[i] = handles
+	run.handles[i] = produced.Handles
 	var unneeded []int
 	for _, dependency := range stage.After {
+		if produced.Released {
+			run.handles[dependency] = nil
+		}
 		if run.pendingConsumers[dependency]--; run.pendingConsumers[dependency] == 0 {
 			unneeded = append(unneeded, dependency)
 		}
@@ -172,6 +179,28 @@
 	}
 }
 
+// mayRelease reports whether the results of the stages may be released as soon as the targets of the next stage have
+// fetched them: no other stage needs them, and their own targets are short of room.
+func (run *stageRun) mayRelease(stages []int) bool {
+	run.mutex.Lock()
+	defer run.mutex.Unlock()
+	for _, stage := range stages {
+		if run.pendingConsumers[stage] > 1 || !run.shortOfRoom(stage) {
+			return false
+		}
+	}
+	return len(stages) > 0
+}
+
+func (run *stageRun) shortOfRoom(stage int) bool {
+	short := false
+	run.daemon.do(func() {
+		forecast, fresh := run.daemon.forecast(run.request.route.Stages[stage].Service)
+		short = fresh && forecast.ShortOfRoom
+	})
+	return short
+}
+
 func (run *stageRun) message(i, pieces int, inputs []string) piecesRequest {
 	request := run.request
 	stage := request.route.Stages[i]
@@ -278,7 +307,7 @@
 
 // produce has the pieces produced by the daemon that sends the batches of the service, or by the next one if that
 // fails, since producing a piece is idempotent.
-func (daemon *Daemon) produce(ctx context.Context, message piecesRequest) ([]string, error) {
+func (daemon *Daemon) produce(ctx context.Context, message piecesRequest) (piecesReply, error) {
 	began := daemon.clock.Now()
 	for range maxSenders {
 		var owner *peer
@@ -290,11 +319,11 @@
 			}
 		})
 		if owner == nil {
-			handles, err := daemon.produceLocally(ctx, message)
+			reply, err := daemon.produceLocally(ctx, message)
 			if failed := (*stageError)(nil); errors.As(err, &failed) && failed.fault == core.PieceMoved {
 				continue
 			}
-			return handles, err
+			return reply, err
 		}
 		elapsed := daemon.clock.Now().Sub(began)
 		sent := message
@@ -306,7 +335,7 @@
 		stop()
 		cancel()
 		if ctx.Err() != nil {
-			return nil, ctx.Err()
+			return piecesReply{}, ctx.Err()
 		}
 		if err != nil {
 			daemon.do(func() { daemon.markFailed(owner, err) })
@@ -321,23 +350,24 @@
 			daemon.do(func() { owner.leaving = true })
 			continue
 		}
-		return reply.handles(message.Stage)
+		return reply.checked(message.Stage)
 	}
 	return daemon.produceLocally(ctx, message)
 }
 
-func (reply piecesReply) handles(stage int) ([]string, error) {
+// checked returns the reply, or its fault as an error.
+func (reply piecesReply) checked(stage int) (piecesReply, error) {
 	if reply.Fault != core.PieceDone {
-		return nil, &stageError{stage: stage, fault: reply.Fault}
+		return piecesReply{}, &stageError{stage: stage, fault: reply.Fault}
 	}
-	return reply.Handles, nil
+	return reply, nil
 }
 
 // produceLocally has the pieces produced by this daemon's own sender.
-func (daemon *Daemon) produceLocally(ctx context.Context, message piecesRequest) ([]string, error) {
+func (daemon *Daemon) produceLocally(ctx context.Context, message piecesRequest) (piecesReply, error) {
 	spec := daemon.view.Load().routing.Services[message.Service].Batch
 	if spec == nil {
-		return nil, &stageError{stage: message.Stage, fault: core.PieceFailed}
+		return piecesReply{}, &stageError{stage: message.Stage, fault: core.PieceFailed}
 	}
 	var id batch.JobID
 	var result <-chan batch.Result
@@ -347,13 +377,13 @@
 		owner = daemon.sender(message.Service, *spec)
 		id, result = daemon.submit(owner, batch.Job{
 			Attempt: message.Attempt, Stage: message.Stage, Pieces: message.Pieces, Key: message.Key, Inputs: message.Inputs,
-			ResultBytes: message.Bytes, Class: message.Class, Priority: message.Priority, DataCentre: message.Zone,
+			ReleaseInputs: message.Release, ResultBytes: message.Bytes, Class: message.Class, Priority: message.Priority, DataCentre: message.Zone,
 			SoftDeadline: now.Add(message.Aim), Deadline: now.Add(message.Left),
 		})
 	})
 	select {
 	case ended := <-result:
-		return piecesReply{Handles: ended.Handles, Fault: ended.Fault}.handles(message.Stage)
+		return piecesReply{Handles: ended.Handles, Fault: ended.Fault, Released: ended.InputsReleased}.checked(message.Stage)
 	case <-ctx.Done():
 		daemon.do(func() { daemon.cancelJob(owner, id) })
 		select {
@@ -361,7 +391,7 @@
 			daemon.releaseResults(message.Service, ended.Handles)
 		default:
 		}
-		return nil, ctx.Err()
+		return piecesReply{}, ctx.Err()
 	}
 }
 
@@ -378,8 +408,7 @@
 		writeJSON(writer, piecesReply{Fault: core.PieceMoved})
 		return
 	}
-	handles, err := daemon.produceLocally(request.Context(), message)
-	reply := piecesReply{Handles: handles}
+	reply, err := daemon.produceLocally(request.Context(), message)
 	var failed *stageError
 	switch {
 	case errors.As(err, &failed):
