--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -11,10 +11,13 @@
 const (
 	priorityMargin      = 0.06                   // share of the soft time left that each priority step of a route leaves to more urgent routes
 	teamPriorityMargin  = 0.02                   // share that each priority step of a team leaves to more urgent teams
+	sizeMargin          = 0.15                   // share that a request of twice its route's usual work leaves to smaller ones, which are more for the same work
+	maxSizeRatio        = 3.0                    // upper bound of a request's work relative to the usual one
 	minSoftTimeShare    = 0.5                    // smallest share of the soft time left that the least urgent requests may use
 	lateTimeShare       = 0.6                    // share of the time left within which a late response is still likely
 	minAdmittedShare    = 0.5                    // a route that admits a smaller share of its recent requests may use its whole soft time
-	retryAfterShare     = 0.2                    // smallest RetryAfter as a share of the time left: a burst lasts seconds
+	minRetryAfterShare  = 0.2                    // smallest RetryAfter as a share of the time left: a burst lasts seconds
+	maxRetryAfterShare  = 1.0 / 3                // callers wait no longer than this share, and would all return at its end
 	minRetryAfter       = 200 * time.Millisecond // smallest RetryAfter
 	noTargetsRetryAfter = time.Second            // RetryAfter while a service has no targets
 )
@@ -23,7 +26,7 @@
 type Stage struct {
 	Spec          core.StageSpec
 	Pieces        int
-	PieceTime     time.Duration
+	PieceTime     time.Duration // share of one piece in a full call
 	Forecast      batch.Forecast
 	ForecastFresh bool // the forecast is recent
 }
@@ -36,9 +39,28 @@
 	TimeLeft         time.Duration // time until the request fails
 	Priority         int           // priority of the route; 0 is the most urgent
 	TeamPriority     int           // priority of the team; 0 is the most urgent
+	Returning        bool          // the caller was rejected before
+	UsualWork        time.Duration // average Work of the route's requests; 0 means unknown
 	AdmittedShare    float64       // share of the recent requests of the route that were admitted
 }
 
+// Work returns the time of targets that the request takes in full calls.
+func (request Request) Work() time.Duration {
+	var work time.Duration
+	for _, stage := range request.Stages {
+		work += stage.PieceTime * time.Duration(stage.Pieces)
+	}
+	return work
+}
+
+// sizeRatio returns the work of the request relative to the usual one, or 1 if that is unknown.
+func (request Request) sizeRatio() float64 {
+	if request.UsualWork <= 0 {
+		return 1
+	}
+	return min(float64(request.Work())/float64(request.UsualWork), maxSizeRatio)
+}
+
 // Plan is the expected schedule of a request and its stages.
 type Plan struct {
 	TimeToResponse time.Duration   // time until the response begins
@@ -96,22 +118,25 @@
 	return stage.Forecast.Wait(softTimeLeft) + stage.Forecast.Call
 }
 
-// Decide admits a request that is likely to meet its soft deadline, or at least to get a late response; it rejects the
-// others at once with the time after which there will be free capacity.
+// Decide admits a request that is likely to meet its soft deadline, and one whose caller returns if it is likely to get a
+// late response; it rejects the others at once with the time after which there will be free capacity.
 //
-// During a burst on one route, less urgent routes may use only a part of their soft time, so that they are shed first;
-// each route keeps a share of its requests.
+// Load patterns: during a burst on one route, less urgent routes may use only a part of their soft time, so that they are
+// shed first; each route keeps a share of its requests. While a stage has too few targets, large requests leave a part of
+// their soft time to smaller ones, of which more can be served. Callers that return after a rejection retry no more, so
+// that one more rejection would be final.
 func Decide(request Request, random *rand.Rand) Decision {
 	for _, stage := range request.Stages {
 		if stage.Pieces > 0 && stage.ForecastFresh && stage.Forecast.Capacity <= 0 {
-			return reject("StageHasNoTargets", noTargetsRetryAfter, random)
+			return Decision{Reason: "StageHasNoTargets", RetryAfter: jittered(noTargetsRetryAfter, random)}
 		}
 	}
 	if len(request.Stages) == 0 {
 		return Decision{Admit: true} // whether targets have free slots is known only when one is chosen
 	}
 	plan := Forecast(request)
-	allowedShare := max(1-priorityMargin*float64(request.Priority)-teamPriorityMargin*float64(request.TeamPriority), minSoftTimeShare)
+	allowedShare := 1 - priorityMargin*float64(request.Priority) - teamPriorityMargin*float64(request.TeamPriority) - sizeMargin*(request.sizeRatio()-1)
+	allowedShare = min(max(allowedShare, minSoftTimeShare), 1)
 	if request.AdmittedShare < minAdmittedShare {
 		allowedShare = 1
 	}
@@ -119,17 +144,23 @@
 	switch {
 	case excess <= 0:
 		return Decision{Admit: true}
-	case request.SoftTimeLeft <= 0 && plan.TimeToResponse <= time.Duration(float64(request.TimeLeft)*lateTimeShare):
-		// A retry of a rejected request is past its soft deadline already; pools give it only slots that no other request
-		// needs.
+	case (request.Returning || request.SoftTimeLeft <= 0) && plan.TimeToResponse <= time.Duration(float64(request.TimeLeft)*lateTimeShare):
+		// Pools give it only slots that no other request needs.
 		return Decision{Admit: true, Late: true}
 	default:
-		return reject("WouldBeLate", max(excess, time.Duration(float64(request.TimeLeft)*retryAfterShare)), random)
+		return Decision{Reason: "WouldBeLate", RetryAfter: retryAfter(request.TimeLeft, excess, random)}
 	}
 }
 
-// reject adds jitter to the retry time, so that callers do not all retry at once but while capacity becomes free.
-func reject(reason string, mean time.Duration, random *rand.Rand) Decision {
-	retryAfter := time.Duration(float64(mean) * (0.5 + random.Float64()))
-	return Decision{Reason: reason, RetryAfter: max(retryAfter, minRetryAfter)}
+// retryAfter returns when a caller should return: after the excess, but not before a burst may have passed. The times of
+// several callers are spread, so that they do not all return at once but while capacity becomes free.
+func retryAfter(timeLeft, excess time.Duration, random *rand.Rand) time.Duration {
+	share := minRetryAfterShare + (maxRetryAfterShare-minRetryAfterShare)*random.Float64()
+	latest := time.Duration(float64(timeLeft) * maxRetryAfterShare)
+	return max(min(max(jittered(excess, random), time.Duration(float64(timeLeft)*share)), latest), minRetryAfter)
+}
+
+// jittered returns a time that is spread evenly around the mean.
+func jittered(mean time.Duration, random *rand.Rand) time.Duration {
+	return max(time.Duration(float64(mean)*(0.5+random.Float64())), minRetryAfter)
 }
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -105,6 +105,7 @@
 	peers           map[string]*peer          // by peer address
 	peersBySize     []*peer                   // the same, largest VM first; nil after a change
 	firstEventTimes map[string]time.Duration  // moving average of the time to the first event, by route
+	usualWork       map[string]time.Duration  // moving average of the work of requests in stages, by route
 	admittedOffset  map[string]float64        // moving average of the admitted share of requests less 1, by route; 0 means all
 	status          peerStatus                // status reported to other daemons, as of statusAt
 	statusAt        time.Time
@@ -145,7 +146,7 @@
 	daemon.control = control{
 		registrations: mirror.Copy{RetainExpired: true}, members: mirror.Copy{RetainExpired: true},
 		retryWindows: map[string]*retry.Window{}, senders: map[string]*sender{}, engines: map[string]*place.Engines{}, placementHints: map[string]string{}, lastPlacement: map[string]time.Time{}, peers: map[string]*peer{},
-		firstEventTimes: map[string]time.Duration{}, admittedOffset: map[string]float64{}, random: random, copiesChanged: make(chan struct{}),
+		firstEventTimes: map[string]time.Duration{}, admittedOffset: map[string]float64{}, usualWork: map[string]time.Duration{}, random: random, copiesChanged: make(chan struct{}),
 	}
 	daemon.control.registrations.Equivalent = daemon.equivalentTarget
 	daemon.control.chooser = place.Chooser{Random: random, Daemons: 1}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -20,6 +20,7 @@
 	defaultRetryAfter     = 500 * time.Millisecond // Retry-After without a routing or after the time limit, and the minimum after failed stages
 	defaultFirstEventTime = 150 * time.Millisecond // assumed time to the first event of a route before any was measured
 	firstEventAlpha       = 0.1                    // weight of the newest value in the average time to the first event
+	workAlpha             = 0.05                   // weight of the newest request in the average work of a route
 	admittedAlpha         = 0.05                   // weight of the newest decision in the average admitted share
 	minFirstTimeLeftShare = 0.82                   // share of the route's time limit below which a request is a retry; first attempts state 0.85 to 1
 	usualTimeLeftShare    = 0.92                   // middle of the shares that callers state on a first attempt
@@ -39,6 +40,7 @@
 	startedAt    time.Time
 	softDeadline time.Time
 	deadline     time.Time
+	returning    bool // the caller was rejected before
 	plan         admit.Plan
 
 	inputHandles    []string // handles of the results for the final target; nil once they are freed
@@ -145,6 +147,7 @@
 	request.softDeadline = now.Add(min(request.route.LatencyObjective, timeLeft))
 	limit := float64(request.route.Timeout)
 	if stated := float64(request.caller.TimeLeft); stated > 0 && stated < limit*minFirstTimeLeftShare {
+		request.returning = true
 		request.softDeadline = request.softDeadline.Add(-time.Duration(limit*usualTimeLeftShare - stated))
 	}
 }
@@ -172,6 +175,9 @@
 		quarantined = daemon.control.crashTracker.Quarantined(now, request.fingerprint)
 		plan := daemon.admissionRequest(request, now)
 		request.plan = admit.Forecast(plan)
+		if !request.returning {
+			daemon.observeWork(request.route.Name, plan.Work())
+		}
 		decision = admit.Decide(plan, daemon.control.random)
 		offset := daemon.control.admittedOffset[request.route.Name]
 		admitted := 0.0
@@ -198,15 +204,28 @@
 	}
 	plan := admit.Request{
 		TimeToFirstEvent: firstEventTime, SoftTimeLeft: request.softDeadline.Sub(now), TimeLeft: request.deadline.Sub(now), Priority: request.route.Priority, TeamPriority: request.team.Priority,
-		AdmittedShare: 1 + daemon.control.admittedOffset[request.route.Name],
+		AdmittedShare: 1 + daemon.control.admittedOffset[request.route.Name], Returning: request.returning, UsualWork: daemon.control.usualWork[request.route.Name],
 	}
 	for i, spec := range request.route.Stages {
 		forecast, fresh := daemon.forecast(spec.Service)
-		plan.Stages = append(plan.Stages, admit.Stage{Spec: spec, Pieces: request.pieces(i), Forecast: forecast, ForecastFresh: fresh})
+		stage := admit.Stage{Spec: spec, Pieces: request.pieces(i), Forecast: forecast, ForecastFresh: fresh}
+		if targets := daemon.view.Load().routing.Services[spec.Service].Batch; targets != nil {
+			stage.PieceTime = targets.CallOverhead/time.Duration(max(targets.MaxPieces, 1)) + targets.PieceTime
+		}
+		plan.Stages = append(plan.Stages, stage)
 	}
 	return plan
 }
 
+// observeWork includes the work of a request in the average of its route; it must run on the loop.
+func (daemon *Daemon) observeWork(route string, work time.Duration) {
+	usual, known := daemon.control.usualWork[route]
+	if !known {
+		usual = work
+	}
+	daemon.control.usualWork[route] = usual + time.Duration(float64(work-usual)*workAlpha)
+}
+
 // classify returns the error to report for a request; it gives the end of a context, failed stages and failed attempts
 // their kinds.
 func (daemon *Daemon) classify(ctx context.Context, request *request, err error) error {
