io/edge: let two daemons of a large fleet follow the store, and the others turn to the next relay

Now two daemons of the fleet follow the store, the relays of the data centres copy from them and the others from those; one that fails or is out of date is passed over for the next one, and the store is asked directly when none responds. Records have one lease of 12 s, renewals back off. A daemon that starts pings the large VMs only, and a few others in each round; gossip tells it of the rest.

--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -111,6 +111,7 @@
 	statusAt        time.Time
 	rebuildPosted   bool // a rebuild of the view is queued on the loop
 	random          *rand.Rand
+	largestCores    float64                  // processor cores of the largest VM that was ever listed
 	decoded         map[string]decodedTarget // decoded registrations, by key
 	decodedMembers  map[string]decodedMember // decoded records of daemons, by key
 
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -102,7 +102,7 @@
 	}{
 		{"PeersToPing", func() { daemon.peersToPing(1) }},
 		{"Sender", func() { daemon.senderOf("stock") }},
-		{"Relay", func() { daemon.relayCandidate() }},
+		{"Relay", func() { daemon.relayCandidates() }},
 		{"RebuildView", func() { daemon.rebuildView() }},
 		{"Directory", func() { daemon.frontAddresses("10.7.0.1") }},
 		{"NewStatus", func() { daemon.newStatus(daemon.clock.Now()) }},
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -3,35 +3,23 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"catkincove/core"
-	"catkincove/core/member"
 	"catkincove/core/mirror"
 	"catkincove/core/place"
 )
 
 const (
 	storeRetryDelay      = 250 * time.Millisecond // delay between two attempts to reach the store
-	largeFleetRetryDelay = time.Second            // storeRetryDelay of a daemon with relays, which retry more often, and delay after a failed lease renewal in a large fleet
+	largeFleetRetryDelay = time.Second            // storeRetryDelay of a daemon with relays, which retry more often
 	allKeys              = ""                     // prefix of all keys
 	peerCopyInterval     = 300 * time.Millisecond // interval of copies from peers while the store is unavailable
 )
 
-// Limits of relays, the daemons that follow the store for the others of a large fleet.
-const (
-	relaysPerDataCentre  = 2                       // daemons of each data centre that follow the store for the others there
-	relayWatchWait       = 700 * time.Millisecond  // longest wait of a store watch of a daemon that others may copy from
-	relayPollWait        = 500 * time.Millisecond  // longest wait of a request to a relay that has no changes
-	relayResponseTimeout = 800 * time.Millisecond  // limit on the time to a relay's first byte; an unresponsive relay takes this much of the time until a new configuration must be in force
-	maxRelayAge          = 1500 * time.Millisecond // maximum age of a relay's copies before it is passed over: a watch, its response and a short delay
-	relayBackoff         = 3 * time.Second         // time without relays after one was passed over
-)
-
 // followAll keeps the copies of the keys of the operator, the targets and the daemons up to date until ctx ends.
 func (daemon *Daemon) followAll(ctx context.Context) error {
 	var group sync.WaitGroup
@@ -48,32 +36,20 @@
 // some.
 func (daemon *Daemon) follow(ctx context.Context) {
 	listed := false
-	var backoffUntil time.Time // relays are not used before this time
+	relays := relays{daemon: daemon}
 	for ctx.Err() == nil {
-		if listed && !daemon.clock.Now().Before(backoffUntil) && daemon.relay() != nil {
-			if err := daemon.followRelay(ctx); err != nil && ctx.Err() == nil {
-				backoffUntil = daemon.clock.Now().Add(relayBackoff)
-				daemon.log.Warn().Str(eventField, eventRelayPassedOver).Err(err).Msg("relay failed; following the store directly")
-			}
+		if listed && relays.follow(ctx) {
 			continue
 		}
 		if !listed {
-			question := daemon.ask(ctx)
-			snapshot, err := daemon.store.List(question.ctx, allKeys)
-			question.cancel()
-			if question.outdated() {
-				continue
-			}
-			if err != nil {
-				daemon.markStoreUnavailable(err)
-				core.Sleep(ctx, daemon.clock, daemon.retryDelay())
+			if !daemon.list(ctx) {
 				continue
 			}
 			listed = true
-			daemon.do(func() { daemon.replaceCopies(snapshot) })
-			question.answered()
+			relays.await(ctx)
+			continue
 		}
-		err := daemon.watch(ctx)
+		err := daemon.watch(ctx, &relays)
 		switch {
 		case err == nil || ctx.Err() != nil:
 		case errors.Is(err, core.ErrCompacted):
@@ -81,17 +57,27 @@
 			daemon.log.Warn().Str(eventField, eventHistoryLost).Err(err).Msg("history compacted by the store; listing all keys again")
 		default:
 			daemon.markStoreUnavailable(err)
-			core.Sleep(ctx, daemon.clock, daemon.retryDelay())
+			core.Sleep(ctx, daemon.clock, relays.retryDelay())
 		}
 	}
 }
 
-// retryDelay returns the time between two attempts to reach the store, which bills rejected calls as well.
-func (daemon *Daemon) retryDelay() time.Duration {
-	if daemon.relay() != nil {
-		return largeFleetRetryDelay
+// list replaces the copies by a listing of all keys and reports whether it did; after a failure it waits for a moment.
+func (daemon *Daemon) list(ctx context.Context) bool {
+	question := daemon.ask(ctx)
+	snapshot, err := daemon.store.List(question.ctx, allKeys)
+	question.cancel()
+	if question.outdated() {
+		return false
+	}
+	if err != nil {
+		daemon.markStoreUnavailable(err)
+		core.Sleep(ctx, daemon.clock, storeRetryDelay)
+		return false
 	}
-	return storeRetryDelay
+	daemon.do(func() { daemon.replaceCopies(snapshot) })
+	question.answered()
+	return true
 }
 
 // prefixes returns the key prefixes of the copies, in the order of copies.
@@ -135,7 +121,7 @@
 }
 
 // watch applies changes of the store until a call fails, a relay takes over or the process was paused.
-func (daemon *Daemon) watch(ctx context.Context) error {
+func (daemon *Daemon) watch(ctx context.Context, relays *relays) error {
 	question := daemon.ask(ctx)
 	defer question.cancel()
 	var after core.Revision
@@ -154,7 +140,7 @@
 		}
 		daemon.do(func() { daemon.apply(event) })
 		question.answered()
-		if daemon.relay() != nil {
+		if relays.next() != nil {
 			return nil
 		}
 		daemon.setWatchWait()
@@ -182,64 +168,6 @@
 	pacer.SetWatchWait(wait)
 }
 
-// relay returns the daemon that follows the store for this one, or nil if this daemon follows the store itself, as all
-// do in a small fleet: with 71 daemons their watches were the largest cost of a day, and each read all heartbeats of
-// 200 targets.
-func (daemon *Daemon) relay() *peer {
-	var chosen *peer
-	daemon.do(func() { chosen = daemon.relayCandidate() })
-	return chosen
-}
-
-// relayCandidate is relay on the loop.
-func (daemon *Daemon) relayCandidate() *peer {
-	control, self := &daemon.control, daemon.self()
-	if len(control.peers) < largeFleet || daemon.leaving.Load() {
-		return nil
-	}
-	var candidates []core.MemberID
-	for _, known := range daemon.largePeers(daemon.clock.Now(), self.DataCentre) {
-		candidates = append(candidates, core.MemberID(known.Peer))
-	}
-	relays := member.RankOwners(candidates, core.PoolID{Service: "relay", DataCentre: self.DataCentre})
-	relays = relays[:min(len(relays), relaysPerDataCentre)]
-	if len(relays) == 0 || slices.Contains(relays, core.MemberID(self.Peer)) {
-		return nil
-	}
-	// Distribute the daemons of the data centre over its relays.
-	return control.peers[string(member.PreferredOwner(relays, core.PoolID{Service: self.Peer}))]
-}
-
-// followRelay copies from a relay until this daemon is assigned another one or none; it returns an error if the relay
-// fails or its copies are too old.
-func (daemon *Daemon) followRelay(ctx context.Context) error {
-	relay := daemon.relay()
-	if relay == nil {
-		return nil
-	}
-	daemon.log.Info().Str(eventField, eventRelayFollowed).Str("Peer", string(relay.ID)).Msg("copying from a relay instead of the store")
-	for ctx.Err() == nil && daemon.relay() == relay {
-		wait := relayPollWait
-		if daemon.pauses.Unchecked() != nil {
-			wait = 0
-		}
-		question := daemon.ask(ctx)
-		age, err := daemon.copyFrom(question.ctx, relay.Peer, wait, relayResponseTimeout)
-		question.cancel()
-		switch {
-		case question.outdated():
-			continue
-		case err != nil:
-			daemon.do(func() { daemon.markFailed(relay, err) })
-			return err
-		case age > maxRelayAge:
-			return fmt.Errorf("copies of relay %s are %v old", relay.ID, age.Round(time.Millisecond))
-		}
-		question.answered()
-	}
-	return nil
-}
-
 // copyFrom merges the changes since the local copies from another daemon and returns the age of the result. If there
 // are no changes, the other daemon waits up to wait before it responds; firstByteTimeout limits the time to its first
 // byte.
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -19,17 +19,17 @@
 )
 
 const (
-	memberTTL                  = 3 * time.Second         // TTL of a daemon's lease; a killed daemon leaves the directory by then
-	renewInterval              = time.Second             // a third of memberTTL, so that two renewals may fail
-	renewRetryDelay            = 300 * time.Millisecond  // delay after a failed lease renewal
-	largeFleetTTL              = 6 * time.Second         // memberTTL in a large fleet, which learns of a killed daemon by gossip
-	largeFleetRenewInterval    = 2 * time.Second         // a third of largeFleetTTL
+	memberTTL                  = 12 * time.Second        // TTL of a daemon's lease; other daemons learn from pings and gossip that it was killed
+	renewInterval              = 4 * time.Second         // a third of memberTTL, so that two renewals may fail
+	minRenewRetry              = 300 * time.Millisecond  // delay after a failed lease renewal, doubled with each consecutive one
+	maxRenewRetry              = 2 * time.Second         // upper bound of the delay: the store bills rejected calls as well
 	pingInterval               = 250 * time.Millisecond  // interval of pings to senders; a stall of a sender delays every request
 	roundsPerPing              = 4                       // other daemons are pinged in one of this many rounds
 	pingTimeout                = 800 * time.Millisecond  // limit on one ping; a healthy daemon responds within some milliseconds
 	largeVMShare               = 0.75                    // share of the cores of the largest VM from which on a daemon sends for others
 	largeFleet                 = 16                      // number of other daemons from which on a fleet is large: relays, gossip, longer leases and less frequent pings
 	largeFleetRoundsPerPing    = 3                       // senders of a large fleet are pinged in one of this many rounds
+	largeFleetSuspectPings     = 2                       // suspect daemons on small VMs that are pinged in each round
 	largeFleetOtherPings       = 1                       // daemons of a large fleet that are pinged in each round beside the senders
 	largeFleetSuspectAfter     = 2 * time.Second         // suspectAfter in a large fleet, where moving a service costs more
 	suspectAfter               = 700 * time.Millisecond  // time since the first unanswered ping after which a daemon is suspect
@@ -82,7 +82,7 @@
 		return err
 	}
 	var lease core.LeaseID
-	var leaseTTL time.Duration
+	retryDelay := minRenewRetry
 	for ctx.Err() == nil {
 		if daemon.leaving.Load() {
 			if lease != 0 {
@@ -93,18 +93,12 @@
 			<-ctx.Done()
 			return ctx.Err()
 		}
-		var fleetIsLarge bool
-		daemon.do(func() { fleetIsLarge = len(daemon.control.peers) >= largeFleet })
-		interval, retryDelay, ttl := renewInterval, renewRetryDelay, memberTTL
-		if fleetIsLarge {
-			interval, retryDelay, ttl = largeFleetRenewInterval, largeFleetRetryDelay, largeFleetTTL
-		}
-		if ttl != leaseTTL {
-			lease, leaseTTL = 0, ttl // the fleet has become large or small; the record moves to a lease with the other TTL
-		}
-		if lease, err = daemon.renew(ctx, lease, ttl, value); err != nil {
-			interval = retryDelay
+		interval := renewInterval
+		if lease, err = daemon.renew(ctx, lease, memberTTL, value); err != nil {
+			interval, retryDelay = retryDelay, min(2*retryDelay, maxRenewRetry)
 			daemon.metrics.storeErrors.Add(1)
+		} else {
+			retryDelay = minRenewRetry
 		}
 		select {
 		case <-daemon.clock.After(interval):
@@ -191,7 +185,12 @@
 	added := &peer{record: listed, addedAt: now, callContext: calls, cancelCalls: cancel, forecasts: map[string]forecastAt{}}
 	daemon.control.peers[listed.Peer], daemon.control.peersBySize = added, nil
 	daemon.log.Info().Str(eventField, eventPeerMet).Str("Peer", string(listed.ID)).Msg("daemon added")
-	daemon.spawn("ping", func() { daemon.ping(listed.Peer) })
+	daemon.control.largestCores = max(daemon.control.largestCores, listed.Cores)
+	if len(daemon.control.peers) <= largeFleet || listed.Cores >= daemon.control.largestCores*largeVMShare {
+		// In a large fleet only the daemons that may be senders and relays are pinged at once; gossip tells of the others.
+		// With 295 daemons the pings of a daemon that starts took most of a second of its processor.
+		daemon.spawn("ping", func() { daemon.ping(listed.Peer) })
+	}
 	return added
 }
 
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -183,7 +183,7 @@
 	}
 	now := daemon.clock.Now()
 	fleetIsLarge := len(peers) >= largeFleet
-	var addresses []string
+	var addresses, suspects []string
 	for i, known := range peers {
 		rounds := roundsPerPing
 		switch {
@@ -193,6 +193,9 @@
 			rounds = 1
 		case fleetIsLarge && !daemon.isSuspect(now, known):
 			continue
+		case fleetIsLarge && known.Cores < peers[0].Cores*largeVMShare:
+			suspects = append(suspects, known.Peer)
+			continue
 		}
 		if (round+i)%rounds == 0 {
 			addresses = append(addresses, known.Peer)
@@ -203,6 +206,9 @@
 		for range largeFleetOtherPings {
 			addresses = append(addresses, peers[daemon.control.random.IntN(len(peers))].Peer)
 		}
+		for range min(largeFleetSuspectPings, len(suspects)) {
+			addresses = append(addresses, suspects[daemon.control.random.IntN(len(suspects))])
+		}
 	}
 	return addresses
 }
