io/edge: follow the store after two relays that fail in a row

Traced in the log of daemon 0: it turned from the stopped relays to daemons that it had just elected itself, which depended on the same stopped relays and had copies 2.8 and 3.1 s old; copies of up to 2.5 s counted as current. Now the store is followed after two failures in a row, with calls 0.7 s apart, and copies may be 2 s old.

--- a/core/store.go
+++ b/core/store.go
@@ -108,8 +108,13 @@
 	DefaultStoreRTT = time.Second
 )
 
-// WatchPacer is a store that can set how long its watches wait for a change before they respond; others use a fixed
-// time.
+// WatchPace says how often a watch calls the store; a zero field stands for the default.
+type WatchPace struct {
+	Wait     time.Duration // longest wait for a change before the store responds
+	Interval time.Duration // time between a response with changes and the next call, which collects several changes
+}
+
+// WatchPacer is a store whose watches can be paced; others use fixed times.
 type WatchPacer interface {
-	SetWatchWait(wait time.Duration)
+	SetWatchPace(pace WatchPace)
 }
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -126,7 +126,7 @@
 	defer question.cancel()
 	var after core.Revision
 	daemon.do(func() { after = daemon.control.routes.Revision() })
-	daemon.setWatchWait()
+	daemon.setWatchPace()
 	events, err := daemon.store.Watch(question.ctx, allKeys, after)
 	if err != nil {
 		return err
@@ -143,29 +143,33 @@
 		if relays.next() != nil {
 			return nil
 		}
-		daemon.setWatchWait()
+		daemon.setWatchPace()
 	}
 	return ctx.Err()
 }
 
-// setWatchWait shortens the watches of a daemon that others may copy from, so that these know how fresh its copies are, and
-// the first watch after a pause, for whose response requests wait.
-func (daemon *Daemon) setWatchWait() {
+// setWatchPace shortens the watches of a daemon that others may copy from, so that these know how fresh its copies are, and
+// the first watch after a pause, for whose response requests wait. A daemon without a usable relay asks less often, since
+// many may be without one.
+func (daemon *Daemon) setWatchPace() {
 	pacer, ok := daemon.store.(core.WatchPacer)
 	if !ok {
 		return
 	}
-	if daemon.pauses.Unchecked() != nil {
-		pacer.SetWatchWait(time.Millisecond)
-		return
-	}
-	wait := time.Duration(0)
+	pace := core.WatchPace{}
 	daemon.do(func() {
-		if len(daemon.control.peers) >= largeFleet {
-			wait = relayWatchWait
+		if len(daemon.control.peers) < largeFleet {
+			return
+		}
+		pace.Wait = relayWatchWait
+		if len(daemon.relayCandidates()) > 0 {
+			pace = core.WatchPace{Interval: directWatchInterval}
 		}
 	})
-	pacer.SetWatchWait(wait)
+	if daemon.pauses.Unchecked() != nil {
+		pace.Wait = time.Millisecond
+	}
+	pacer.SetWatchPace(pace)
 }
 
 // copyFrom merges the changes since the local copies from another daemon and returns the age of the result. If there
--- a/io/edge/relay.go
+++ b/io/edge/relay.go
@@ -13,18 +13,20 @@
 
 // Limits of relays, the daemons that follow the store for the others of a large fleet.
 const (
-	rootRelays           = 2                       // daemons of a fleet that follow the store; the relays of the data centres copy from them
-	relaysPerDataCentre  = 2                       // daemons of each data centre that the others there copy from
-	relayWatchWait       = 700 * time.Millisecond  // longest wait of a store watch of a daemon that others may copy from
-	relayPollWait        = 500 * time.Millisecond  // longest wait of a request to a relay that has no changes
-	relayResponseTimeout = 800 * time.Millisecond  // limit on the time to a relay's first byte; an unresponsive relay takes this much of the time until a new configuration must be in force
-	relayProbeTimeout    = 300 * time.Millisecond  // the same for the first request to a relay, which does not wait for changes
-	maxRelayAge          = 2500 * time.Millisecond // maximum age of a relay's copies before it is passed over: a watch, two polls and short delays
-	relayBackoff         = 3 * time.Second         // time for which a relay that failed is passed over, and for which the store is followed when all have failed
-	staleBackoff         = time.Second             // time for which a relay with old copies is passed over
-	relayAwait           = 500 * time.Millisecond  // longest wait for a relay after the listing at the start
-	relayAwaitStep       = 50 * time.Millisecond   // interval of looking for a relay meanwhile
-	maxFleetProbes       = 20.0                    // probes of the store a second by all daemons while the relays say that it is unavailable
+	rootRelays           = 2                      // daemons of a fleet that follow the store; the relays of the data centres copy from them
+	relaysPerDataCentre  = 2                      // daemons of each data centre that the others there copy from
+	relayWatchWait       = 550 * time.Millisecond // longest wait of a store watch of a daemon that others may copy from
+	relayPollWait        = 400 * time.Millisecond // longest wait of a request to a relay that has no changes
+	relayResponseTimeout = 800 * time.Millisecond // limit on the time to a relay's first byte; an unresponsive relay takes this much of the time until a new configuration must be in force
+	relayProbeTimeout    = 300 * time.Millisecond // the same for the first request to a relay, which does not wait for changes
+	maxRelayAge          = 2 * time.Second        // maximum age of a relay's copies before it is passed over: a watch, a poll, and the time until a relay has found that its own relays fail
+	maxRelayFailures     = 2                      // consecutive relays that fail before the store is followed: further ones may depend on the same daemons
+	relayBackoff         = 3 * time.Second        // time for which a relay that failed is passed over, and for which the store is followed then
+	directWatchInterval  = 700 * time.Millisecond // time between store watches that return changes, for a daemon without a usable relay
+	staleBackoff         = time.Second            // time for which a relay with old copies is passed over
+	relayAwait           = 500 * time.Millisecond // longest wait for a relay after the listing at the start
+	relayAwaitStep       = 50 * time.Millisecond  // interval of looking for a relay meanwhile
+	maxFleetProbes       = 20.0                   // probes of the store a second by all daemons while the relays say that it is unavailable
 )
 
 // errStaleCopies reports that the copies of a relay are old: the store is unavailable to it.
@@ -38,6 +40,7 @@
 type relays struct {
 	daemon      *Daemon
 	passedOver  map[string]passedOver // by peer address
+	failures    int                   // consecutive relays that have failed
 	directUntil time.Time             // the store is followed until then
 }
 
@@ -136,7 +139,7 @@
 		return true
 	case relay == nil && stale:
 		relays.directUntil = daemon.clock.Now().Add(relayBackoff)
-		return false
+		return false // the store may be unavailable to the relays only
 	case relay == nil:
 		return false
 	}
@@ -173,6 +176,12 @@
 		passed = passedOver{until: now.Add(staleBackoff), stale: true}
 	}
 	relays.passedOver[relay.Peer] = passed
+	if !passed.stale {
+		relays.failures++
+	}
+	if relays.failures >= maxRelayFailures {
+		relays.failures, relays.directUntil = 0, now.Add(relayBackoff)
+	}
 	relays.daemon.log.Warn().Str(eventField, eventRelayPassedOver).Str("Peer", string(relay.ID)).Err(err).Msg("relay failed or is out of date; passing it over")
 }
 
@@ -207,6 +216,7 @@
 		case age > maxRelayAge:
 			return fmt.Errorf("%w: %v", errStaleCopies, age.Round(time.Millisecond))
 		}
+		relays.failures = 0
 		question.answered()
 	}
 	return nil
