--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -284,6 +284,8 @@
 	}
 }
 
+var errUnidentified = errors.New("response without the attempt's ID")
+
 // relay forwards the response of one attempt to the caller.
 type relay struct {
 	daemon  *Daemon
@@ -309,6 +311,9 @@
 	defer func() { _ = response.Body.Close() }()
 	facts := relay.daemon.dialect.TargetResponse(response.StatusCode, response.Header)
 	switch {
+	case facts.Attempt == "" && relay.request.caller.Attempt != "":
+		// It may be a second copy of the response to another request, whatever it says about this one.
+		return relay.disconnected(ctx, errUnidentified)
 	case facts.NotRun:
 		relay.daemon.recordOutcome(relay.request, relay.attempt, place.Rejected, 0)
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponse))
