Add 'catkincove losses': how requests ended and where those not served in time did, from logs

The command sums RequestEnded lines by route, outcome, cause without its figures, and, for late requests, the part that took longest; RequestEnded states the soft time left (SoftLeft) for that. TestSummarise, TestExplain.

--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -313,5 +313,5 @@
 		Str("Team", string(request.team.Name)).Int("Priority", request.priority).Int64("RoutingVersion", daemon.view.Load().routing.Version).
 		Str("Outcome", request.outcome).Int("Status", status).Str("Target", request.targetID).Int("Tries", request.attempts).
 		Dur("Stages", request.stagesDuration).Durs("StageTimes", request.stageDurations).Dur("First", request.firstEventAfter).Dur("Took", now.Sub(request.startedAt)).
-		Dur("Left", request.caller.TimeLeft).Dur("Limit", max(request.deadline.Sub(request.startedAt), 0)).Dur("Forecast", request.plan.TimeToResponse).AnErr("Cause", err).Send()
+		Dur("Left", request.caller.TimeLeft).Dur("Limit", max(request.deadline.Sub(request.startedAt), 0)).Dur("SoftLeft", request.softDeadline.Sub(request.startedAt)).Dur("Forecast", request.plan.TimeToResponse).AnErr("Cause", err).Send()
 }
--- a/io/story/story.go
+++ b/io/story/story.go
@@ -79,10 +79,7 @@
 }
 
 // elapsed returns the duration of the logged operation, which ended when the line was written; 0 if it has none.
-func (line Line) elapsed() time.Duration {
-	milliseconds, _ := line.Fields["Took"].(float64)
-	return time.Duration(milliseconds * float64(time.Millisecond))
-}
+func (line Line) elapsed() time.Duration { return line.duration("Took") }
 
 func read(log io.Reader) (lines []Line, unreadable int, err error) {
 	reader := bufio.NewReaderSize(log, maxLine)
--- a/io/story/story_test.go
+++ b/io/story/story_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -61,3 +62,37 @@
 		t.Errorf("%d unreadable, %v", story.Unreadable, err)
 	}
 }
+
+// TestSummarise guards against a summary that counts late requests as served in time, blames the wrong part for them, or
+// lists one cause once for each of its figures.
+func TestSummarise(t *testing.T) {
+	ended := func(fields string) string {
+		return `{"Event":"RequestEnded","time":"2026-12-04T08:00:01Z","Route":"quote",` + fields + "}\n"
+	}
+	log := ended(`"Outcome":"Served","First":900,"Stages":700,"StageTimes":[300,400],"SoftLeft":1000`) +
+		ended(`"Outcome":"Served","First":1500,"Stages":1300,"StageTimes":[300,1000],"SoftLeft":1000`) +
+		ended(`"Outcome":"Served","First":1500,"Stages":300,"StageTimes":[300,0],"SoftLeft":1000`) +
+		ended(`"Outcome":"Served","First":800,"Stages":700,"StageTimes":[300,400],"SoftLeft":-500`) +
+		ended(`"Outcome":"Unavailable","Cause":"Unavailable: WouldBeLate: response expected in 1.1s, soft deadline in 1s"`) +
+		ended(`"Outcome":"Unavailable","Cause":"Unavailable: WouldBeLate: response expected in 1.3s, soft deadline in 1s"`) +
+		ended(`"Outcome":"TargetErred"`) +
+		`{"Event":"AttemptFailed","time":"2026-12-04T08:00:01Z"}` + "\nno json\n"
+	summary, err := Summarise(strings.NewReader(log))
+	if err != nil || summary.Unreadable != 1 || len(summary.Routes) != 1 {
+		t.Fatalf("%+v, %v", summary, err)
+	}
+	route := summary.Routes[0]
+	want := []Loss{
+		{"Unavailable", "Unavailable: WouldBeLate", 2}, {"Late", "first attempt", 1}, {"Late", "stage 1", 1}, {"Late", "target", 1}, {"TargetErred", "", 1},
+	}
+	if route.Route != "quote" || route.Ended != 7 || route.InTime != 1 || !slices.Equal(route.Losses, want) {
+		t.Errorf("%+v", route)
+	}
+	var stages []string
+	for _, stage := range route.Stages {
+		stages = append(stages, stage.Stage+" "+stage.Median.String())
+	}
+	if got := strings.Join(stages, ", "); got != "stage 0 300ms, stage 1 400ms, target 200ms" {
+		t.Errorf("stages: %s", got)
+	}
+}
--- a/io/tool/check_test.go
+++ b/io/tool/check_test.go
@@ -57,6 +57,9 @@
 		{"json", []string{"explain", "--output", "json", "a1", file}, 0, `"Unreadable":0`},
 		{"unknown", []string{"explain", "a2", file}, 66, "no line names the request"},
 		{"no id", []string{"explain"}, 64, "missing"},
+		{"losses", []string{"losses", file}, 0, "1 ended"},
+		{"losses as json", []string{"losses", "--output", "json", file}, 0, `"Ended":1`},
+		{"losses of no file", []string{"losses", file + "x"}, 64, "no such file"},
 		{"no file", []string{"explain", "a1", file + "x"}, 64, "no such file"},
 	} {
 		var out, errs bytes.Buffer
--- a/io/tool/explain.go
+++ b/io/tool/explain.go
@@ -29,18 +29,11 @@
 			if id == "" {
 				return core.Errorf(core.BadRequest, "the request ID is missing")
 			}
-			logs := []io.Reader{command.Root().Reader}
-			if files := command.Args().Tail(); len(files) > 0 {
-				logs = nil
-				for _, name := range files {
-					file, err := os.Open(name)
-					if err != nil {
-						return core.Errorf(core.BadRequest, "%w", err)
-					}
-					defer func() { _ = file.Close() }()
-					logs = append(logs, file)
-				}
+			logs, closeLogs, err := openLogs(command, command.Args().Tail())
+			if err != nil {
+				return err
 			}
+			defer closeLogs()
 			found, err := story.Find(id, logs...)
 			if errors.Is(err, story.ErrUnknown) {
 				return core.Errorf(core.NotFound, "%w; %d lines could not be read", err, found.Unreadable)
@@ -56,6 +49,28 @@
 	}
 }
 
+// openLogs opens the files, or returns standard input if there are none.
+func openLogs(command *cli.Command, names []string) (logs []io.Reader, closeLogs func(), err error) {
+	if len(names) == 0 {
+		return []io.Reader{command.Root().Reader}, func() {}, nil
+	}
+	var files []*os.File
+	closeLogs = func() {
+		for _, file := range files {
+			_ = file.Close()
+		}
+	}
+	for _, name := range names {
+		file, err := os.Open(name)
+		if err != nil {
+			closeLogs()
+			return nil, nil, core.Errorf(core.BadRequest, "%w", err)
+		}
+		files, logs = append(files, file), append(logs, file)
+	}
+	return logs, closeLogs, nil
+}
+
 func storyAsJSON(found story.Story) map[string]any {
 	lines := []map[string]any{}
 	for _, line := range found.Lines {
--- a/io/tool/tool.go
+++ b/io/tool/tool.go
@@ -56,6 +56,7 @@
 			ticketCommand(),
 			checkCommand(),
 			explainCommand(),
+			lossesCommand(),
 			statusCommand(),
 			reportCommand(),
 			versionCommand(),
