--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -12,6 +12,7 @@
 	eventReload              = "Reload"              // the settings were reloaded
 	eventReloadFailed        = "ReloadFailed"        // the settings cannot be loaded; those in force stay
 	eventMetricsUnavailable  = "MetricsUnavailable"  // the metrics address cannot be listened on
+	eventStagesRepeated      = "StagesRepeated"      // the inputs of a stage are gone, and the stages of the request run again
 	eventPaused              = "Paused"              // the process was paused; what it knew before is checked
 	eventPanic               = "Panic"               // the daemon recovered from a panic, a fault of its own
 	eventLogDropped          = "LogDropped"          // log lines were dropped
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -29,6 +29,7 @@
 	batchFaults      atomic.Int64
 	placedAlone      atomic.Int64
 	panics           atomic.Int64
+	stagesRepeated   atomic.Int64
 
 	mutex     sync.Mutex
 	outcomes  map[string]int64
@@ -78,6 +79,7 @@
 	set("BatchFaults", metrics.batchFaults.Load())
 	set("PlacedAlone", metrics.placedAlone.Load())
 	set("Panics", metrics.panics.Load())
+	set("StagesRepeated", metrics.stagesRepeated.Load())
 	set("ConnectionsOpened", daemon.targets.Opened())
 	set("LogLinesDropped", daemon.logWriter.dropped.Load())
 	metrics.mutex.Lock()
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -69,8 +69,10 @@
 	daemon  *Daemon
 	request *request
 	plan    admit.Plan
-	done    []chan struct{}
-	handles [][]string
+	// releaseEarly allows to release the inputs of a stage before it ends.
+	releaseEarly bool
+	done         []chan struct{}
+	handles      [][]string
 
 	mutex            sync.Mutex
 	pendingConsumers []int // number of later stages that still need the handles, by stage
@@ -79,14 +81,14 @@
 }
 
 // runStages runs all stages and returns their handles by stage; only stages that no other one depends on keep theirs,
-// which the caller must free.
-func (daemon *Daemon) runStages(ctx context.Context, request *request) ([][]string, error) {
+// which the caller must free. Inputs may be released before their stage ends if releaseEarly is set.
+func (daemon *Daemon) runStages(ctx context.Context, request *request, releaseEarly bool) ([][]string, error) {
 	stages := request.route.Stages
 	request.stageDurations = make([]time.Duration, len(stages))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	run := &stageRun{
-		daemon: daemon, request: request, plan: request.plan, cancel: cancel,
+		daemon: daemon, request: request, plan: request.plan, releaseEarly: releaseEarly, cancel: cancel,
 		done: make([]chan struct{}, len(stages)), handles: make([][]string, len(stages)), pendingConsumers: make([]int, len(stages)),
 	}
 	for i, stage := range stages {
@@ -189,7 +191,7 @@
 			return false
 		}
 	}
-	return len(stages) > 0
+	return run.releaseEarly && len(stages) > 0
 }
 
 func (run *stageRun) shortOfRoom(stage int) bool {
@@ -268,7 +270,13 @@
 	if len(request.route.Stages) == 0 || inputs.handles != nil {
 		return nil
 	}
-	handles, err := daemon.runStages(ctx, request)
+	handles, err := daemon.runStages(ctx, request, true)
+	if failed := (*stageError)(nil); errors.As(err, &failed) && failed.fault == core.PieceInputGone {
+		// A piece failed after its inputs had been released, or the target that held them has ended.
+		daemon.metrics.stagesRepeated.Add(1)
+		daemon.log.Warn().Str(eventField, eventStagesRepeated).Str("Request", request.caller.Attempt).Int("Stage", failed.stage).Msg("inputs of a stage are gone; running the stages again")
+		handles, err = daemon.runStages(ctx, request, false)
+	}
 	if err != nil {
 		return err
 	}
