io/xchg: reset a connection whose request is not acknowledged, instead of leaving it to the kernel

The target was cut off at 8.8 s; the daemon sent a request on a kept connection at 11.09 s, the kernel ended that connection at 11.79 s ('connection timed out', by its keep-alive probes), and the request, which the partition still held up, reached the target when the partition ended at 17.38 s.

An exchange looks at its send queue every 0.9 s and resets the connection when nothing was acknowledged between two looks; the kernel's limits come later (10 s), until the target has the whole request. A failed exchange ends with a reset too.

--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -86,6 +86,8 @@
 	mutex  sync.Mutex
 	idle   map[connKey][]*conn
 	opened atomic.Int64
+
+	readSendQueue func(conn *net.TCPConn) sendQueue // replaced by tests; nil stands for the system's
 }
 
 type conn struct {
@@ -94,6 +96,8 @@
 	reader   *bufio.Reader // reads from input
 	closesAt time.Time     // the time when the target may close it
 	unusable atomic.Bool   // must not be reused
+
+	detectsSilence atomic.Bool // the kernel's probes begin early
 }
 
 // Opened returns how many connections have been opened.
@@ -111,9 +115,14 @@
 	exchange.stopAbort = context.AfterFunc(ctx, exchange.abort)
 	response, err := exchange.run(request)
 	if err != nil {
+		// A request that a partition holds up would otherwise reach the target when the partition ends.
+		_ = conn.net.SetLinger(0)
 		exchange.finish(false)
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			err = ctx.Err()
+		case exchange.unacknowledged.Load():
+			err = errUnacknowledged
 		}
 		return nil, &Error{Sent: true, Cause: err}
 	}
@@ -124,7 +133,7 @@
 	if idle := client.takeIdle(key); idle != nil {
 		return idle, nil
 	}
-	opened, err := Dialer(dialTimeout).DialContext(ctx, "tcp", key.address)
+	opened, err := targetDialer.DialContext(ctx, "tcp", key.address)
 	if err != nil {
 		return nil, err
 	}
@@ -209,6 +218,8 @@
 	stopAbort func() bool
 	written   chan error
 	ended     atomic.Bool
+
+	unacknowledged atomic.Bool // the exchange was aborted because its request was not acknowledged
 }
 
 func (exchange *exchange) abort() {
@@ -232,6 +243,7 @@
 			exchange.written <- err
 		}()
 	}
+	defer exchange.watchAcks()()
 	input := exchange.conn.input
 	input.limit(maxHeadBytes)
 	for range maxStaleResponses {
@@ -242,6 +254,9 @@
 		matches := request.Match == nil || request.Match(response)
 		if matches {
 			input.unlimit()
+			if response.ContentLength < 0 {
+				exchange.conn.detectSilence() // a stream may last
+			}
 			response.Body = &body{ReadCloser: response.Body, exchange: exchange, response: response}
 			if request.MatchBody == nil {
 				return response, nil
@@ -294,6 +309,7 @@
 		_ = conn.net.Close()
 		return
 	}
+	conn.tolerateSilence()
 	exchange.client.putIdle(exchange.key, conn)
 }
 
@@ -328,7 +344,7 @@
 	delimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	reusable := body.atEnd && !body.failed && delimited && !response.Close
 	idleTimeout := defaultIdleTimeout
-	if timeout, found := keepAlive(response.Header); found {
+	if timeout, found := statedIdleTimeout(response.Header); found {
 		idleTimeout = timeout
 	}
 	body.exchange.conn.closesAt = body.exchange.client.Clock.Now().Add(idleTimeout - idleMargin)
@@ -339,8 +355,8 @@
 	return nil
 }
 
-// keepAlive returns the idle timeout from the target's Keep-Alive header, and whether the header has one.
-func keepAlive(header http.Header) (time.Duration, bool) {
+// statedIdleTimeout returns the idle timeout from the target's Keep-Alive header, and whether the header has one.
+func statedIdleTimeout(header http.Header) (time.Duration, bool) {
 	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
 		if text, found := strings.CutPrefix(strings.TrimSpace(part), "timeout="); found {
 			if seconds, err := strconv.Atoi(text); err == nil {
--- a/io/xchg/client_test.go
+++ b/io/xchg/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -241,3 +242,28 @@
 		})
 	}
 }
+
+// TestFailedExchangeResets guards against a request that reaches its target long after its exchange has failed: a connection
+// that is closed in the usual way still delivers what is under way, one that is reset doesn't.
+func TestFailedExchangeResets(t *testing.T) {
+	for _, test := range []struct{ name, response string }{
+		{"no response", "no answer at all\r\n\r\n"},
+		{"response to other requests", strings.Repeat("HTTP/1.1 200 OK\r\nAttempt: other\r\nContent-Length: 0\r\n\r\n", maxStaleResponses)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ended := make(chan error, 1)
+			address := serveTCP(t, func(connection net.Conn, reader *bufio.Reader) {
+				_, _ = readRequest(reader)
+				_, _ = io.WriteString(connection, test.response)
+				_, err := reader.ReadByte()
+				ended <- err
+			})
+			if _, err := exchangeWith(&Client{Clock: core.SystemClock{}}, address, "own"); err == nil {
+				t.Fatal("the exchange has not failed")
+			}
+			if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("the target sees %v", err)
+			}
+		})
+	}
+}
--- a/io/xchg/dial.go
+++ b/io/xchg/dial.go
@@ -13,17 +13,29 @@
 	keepAliveInterval = time.Second     // between two probes
 	keepAliveCount    = 2               // unacknowledged probes that end a connection
 	unackedTimeout    = 2 * time.Second // bytes that stay unacknowledged for this time end the connection
+
+	// The limits of the kernel on connections to targets come after those of an exchange, which resets the connection: one
+	// that the kernel ends may still deliver its request later.
+	targetKeepAliveIdle  = 10 * time.Second
+	targetUnackedTimeout = 10 * time.Second
 )
 
 // Dialer returns a dialer whose connections fail within 3 s when the other side stops responding.
 func Dialer(timeout time.Duration) *net.Dialer {
+	return dialer(timeout, keepAliveIdle, unackedTimeout)
+}
+
+// targetDialer dials targets.
+var targetDialer = dialer(dialTimeout, targetKeepAliveIdle, targetUnackedTimeout)
+
+func dialer(timeout, idle, unacked time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         timeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+		KeepAliveConfig: keepAlive(idle),
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var optionErr error
 			err := raw.Control(func(fd uintptr) {
-				optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+				optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked.Milliseconds()))
 			})
 			if err != nil {
 				return err
@@ -33,6 +45,10 @@
 	}
 }
 
+func keepAlive(idle time.Duration) net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: idle, Interval: keepAliveInterval, Count: keepAliveCount}
+}
+
 // hasPendingInput reports whether bytes or an end of file wait to be read; a connection that is idle must have neither.
 func hasPendingInput(conn *net.TCPConn) bool {
 	raw, err := conn.SyscallConn()
