--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -237,9 +237,10 @@
 
 func (pool *Pool) startCall(now time.Time, worker *worker, pieces []*piece) Call {
 	pool.lastCallID++
-	if pool.firstCallAt.IsZero() {
-		pool.firstCallAt = now
+	if now.Sub(pool.lastCallAt) > handoverIdle {
+		pool.firstCallAt = now // another pool may have sent meanwhile
 	}
+	pool.lastCallAt = now
 	started := &call{afterHandover: now.Sub(pool.firstCallAt) < handoverPeriod, id: pool.lastCallID, worker: worker, pieces: pieces, startedAt: now, expected: pool.expectedTime(pieces)}
 	request := Call{ID: started.id, Target: worker.Target}
 	for _, piece := range pieces {
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -20,6 +20,7 @@
 	maxLateWait             = 1 * time.Second        // longest wait for a free slot of a job that cannot meet its soft deadline
 	infeasibleCheckInterval = 10 * time.Millisecond  // time between searches of the queue for infeasible jobs
 	handoverPeriod          = 700 * time.Millisecond // time after the first call in which targets may still run calls of the previous sender
+	handoverIdle            = 3 * time.Second        // time without calls after which another sender may have had the role
 	minProcessStall         = 300 * time.Millisecond // a Dispatch that is late by this much shows a stall of this process
 	priorityOffset          = 100 * time.Millisecond // each step of lower priority makes a job due this much later
 )
@@ -39,7 +40,8 @@
 	lastCallID          CallID
 	infeasibleCheckedAt time.Time // last search of the queue for infeasible jobs
 	dispatchDue         time.Time // latest time for the next Dispatch; zero means none
-	firstCallAt         time.Time // start of the first call
+	firstCallAt         time.Time // start of the first call since the pool began to send
+	lastCallAt          time.Time // start of the last call
 	fetches             []fetch   // in order of time
 	releaseAfter        time.Time // inputs are not released early before this time
 }
--- a/core/batch/release.go
+++ b/core/batch/release.go
@@ -8,6 +8,7 @@
 const (
 	inputFetchTime  = 80 * time.Millisecond // time after the start of its call within which a target has fetched the inputs of a piece
 	releaseSuspends = 5 * time.Second       // time without early releases after a piece found its inputs gone
+	releaseStarts   = 2 * time.Second       // time without early releases after this pool began to send: calls of another sender may run first
 	shortRoomShare  = 0.4                   // share of the result capacity below which a service is short of room
 )
 
@@ -48,6 +49,9 @@
 	for len(pool.fetches) > 0 && !now.Before(pool.fetches[0].at) {
 		job := pool.fetches[0].job
 		pool.fetches = pool.fetches[1:]
+		if now.Sub(pool.firstCallAt) < releaseStarts {
+			continue
+		}
 		repeated := job.toBegin > 0 || slices.ContainsFunc(job.pieces, func(piece piece) bool { return piece.queued })
 		if job.released || repeated || now.Before(pool.releaseAfter) {
 			continue // the inputs are released when the job ends
--- a/core/batch/release_test.go
+++ b/core/batch/release_test.go
@@ -8,6 +8,37 @@
 	"catkincove/core"
 )
 
+// sendingPool returns a pool with one target that has sent calls for some seconds.
+func sendingPool() *Pool {
+	pool := New(warehouseSpec)
+	pool.SetTargets(targets(1))
+	for before := releaseStarts + time.Second; before > 0; before -= time.Second {
+		pool.Submit(Job{Pieces: 1, SoftDeadline: start, Deadline: start})
+		calls, _, _ := pool.Dispatch(start.Add(-before))
+		pool.Finish(start.Add(400*time.Millisecond-before), calls[0].ID, Responded, []core.PieceResult{{Handle: "w"}})
+	}
+	return pool
+}
+
+// TestNoReleaseAfterHandover guards against inputs that are released before they are fetched, because the target still works
+// on a call of the daemon that sent before this one.
+func TestNoReleaseAfterHandover(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		pool     *Pool
+		at       time.Duration
+		released int
+	}{{"first call", New(warehouseSpec), 0, 0}, {"sending for a while", sendingPool(), 0, 1}, {"after a pause in sending", sendingPool(), 10 * time.Second, 0}} {
+		now := start.Add(test.at)
+		test.pool.SetTargets(targets(1))
+		test.pool.Submit(Job{Pieces: 1, Inputs: []string{"a"}, ReleaseInputs: true, SoftDeadline: now.Add(time.Second), Deadline: now.Add(5 * time.Second)})
+		test.pool.Dispatch(now)
+		if released := test.pool.FetchedInputs(now.Add(100 * time.Millisecond)); len(released) != test.released {
+			t.Errorf("%s: released %v", test.name, released)
+		}
+	}
+}
+
 // TestInputsAreReleasedOnceFetched guards against inputs that are released while a piece may still have to fetch them, and
 // against inputs that keep their place until the job ends although all pieces have fetched them.
 func TestInputsAreReleasedOnceFetched(t *testing.T) {
@@ -29,11 +60,10 @@
 		{"the call has ended", true, 1, func(pool *Pool, calls []Call) {
 			pool.Finish(start.Add(50*time.Millisecond), calls[0].ID, Responded, done)
 		}, true},
-		{"the job was cancelled", true, 1, func(pool *Pool, _ []Call) { pool.Cancel(1) }, true},
+		{"the job was cancelled", true, 1, func(pool *Pool, _ []Call) { pool.Cancel(2) }, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			pool := New(warehouseSpec)
-			pool.SetTargets(targets(1))
+			pool := sendingPool()
 			pool.Submit(Job{Pieces: test.pieces, Inputs: []string{"a", "b"}, ReleaseInputs: test.release, SoftDeadline: start.Add(time.Second), Deadline: start.Add(5 * time.Second)})
 			calls, _, _ := pool.Dispatch(start)
 			if len(calls) != 1 {
@@ -59,8 +89,7 @@
 // TestReleasedInputsAreGone guards against a job that goes on, or that is sent again and again, after its call failed and its
 // inputs had been released, and against further early releases when targets fetch later than expected.
 func TestReleasedInputsAreGone(t *testing.T) {
-	pool := New(warehouseSpec)
-	pool.SetTargets(targets(1))
+	pool := sendingPool()
 	submit := func(now time.Time) CallID {
 		pool.Submit(Job{Pieces: 1, Inputs: []string{"a"}, ReleaseInputs: true, SoftDeadline: now.Add(time.Second), Deadline: now.Add(5 * time.Second)})
 		calls, _, _ := pool.Dispatch(now)
