--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -53,6 +53,7 @@
 	responseStarted bool     // the response to the caller has started
 	outcome         string   // outcome in log and metrics
 	status          int      // status of the response to the caller; 0 before it has begun
+	aborted         bool     // the caller's connection was closed before the end of its response
 	targetID        string
 	firstEventAfter time.Duration   // time from the start of the request to the first event or the whole response
 	stagesDuration  time.Duration   // time from the start of the request to the end of its stages
@@ -284,11 +285,14 @@
 	}
 	request.outcome = e.Kind.String()
 	daemon.metrics.countOutcome(request.outcome)
-	daemon.logRequest(request, status, err)
 	if request.responseStarted {
 		// The headers are sent; only an aborted connection tells the caller that the response is incomplete.
+		request.aborted = true
+		daemon.metrics.responsesAborted.Add(1)
+		daemon.logRequest(request, request.status, err)
 		panic(http.ErrAbortHandler)
 	}
+	daemon.logRequest(request, status, err)
 	if e.RetryAfter > 0 {
 		writer.Header().Set(retryAfterHeader, strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 2, 64))
 	}
@@ -311,7 +315,7 @@
 	now := daemon.clock.Now()
 	daemon.log.Info().Str(eventField, eventRequestEnded).Str("Request", request.caller.Attempt).Str("Route", request.route.Name).
 		Str("Team", string(request.team.Name)).Int("Priority", request.priority).Int64("RoutingVersion", daemon.view.Load().routing.Version).
-		Str("Outcome", request.outcome).Int("Status", status).Str("Target", request.targetID).Int("Tries", request.attempts).
+		Str("Outcome", request.outcome).Int("Status", status).Bool("Aborted", request.aborted).Str("Target", request.targetID).Int("Tries", request.attempts).
 		Dur("Stages", request.stagesDuration).Durs("StageTimes", request.stageDurations).Dur("First", request.firstEventAfter).Dur("Took", now.Sub(request.startedAt)).
 		Dur("Left", request.caller.TimeLeft).Dur("Limit", max(request.deadline.Sub(request.startedAt), 0)).Dur("SoftLeft", request.softDeadline.Sub(request.startedAt)).Dur("Forecast", request.plan.TimeToResponse).AnErr("Cause", err).Send()
 }
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -30,6 +30,7 @@
 	placedAlone      atomic.Int64
 	panics           atomic.Int64
 	stagesRepeated   atomic.Int64
+	responsesAborted atomic.Int64
 
 	mutex     sync.Mutex
 	outcomes  map[string]int64
@@ -80,6 +81,7 @@
 	set("PlacedAlone", metrics.placedAlone.Load())
 	set("Panics", metrics.panics.Load())
 	set("StagesRepeated", metrics.stagesRepeated.Load())
+	set("ResponsesAborted", metrics.responsesAborted.Load())
 	set("ConnectionsOpened", daemon.targets.Opened())
 	set("LogLinesDropped", daemon.logWriter.dropped.Load())
 	metrics.mutex.Lock()
