io/xchg: dial a closed port that no other process can take in TestSent

The dial succeeded, so something accepted it on a port of 127.0.0.1 that had just been closed: a listener of another test process, or the dial itself when the kernel gives it that port as its own.

--- a/io/xchg/client_test.go
+++ b/io/xchg/client_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -117,9 +118,10 @@
 	}
 }
 
-// closedPort returns an address that refuses connections.
+// closedPort returns an address that refuses connections. On a shared loopback address, a listener of another test process could
+// take the port meanwhile, or the connection could be made to itself.
 func closedPort(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+os.Getpid()%250, 1+os.Getpid()/250%250))
 	if err != nil {
 		t.Fatal(err)
 	}
