io/edge: keep the stream of a silent target until another target has accepted the request

When any of these failed, the response had begun and only its connection could end. Class of fault: something that works is given up before its replacement is certain.

Now the takeover runs beside the open stream: stages, target, sending. An event of the silent target ends the takeover. A silent target is no longer recorded as crashed by the request.

--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -98,7 +98,7 @@
 
 // TestEventNumbering guards against a resumed stream that repeats or skips an event.
 func TestEventNumbering(t *testing.T) {
-	request := &request{resumeAfter: "4"}
+	request := &request{progress: progress{resumeAfter: "4"}}
 	if !request.isNext("5") || request.isNext("6") || request.isNext("4") || !request.isDuplicate("4") || request.isDuplicate("6") {
 		t.Error("events after ID 4 are classified wrongly")
 	}
@@ -167,7 +167,7 @@
 		{"fault of the daemon", context.Background(), false, io.ErrNoProgress, core.Internal},
 	} {
 		incoming := httptest.NewRequest(http.MethodGet, "/", nil)
-		request := &request{incoming: incoming, mayHaveRun: test.mayHaveRun}
+		request := &request{incoming: incoming, progress: progress{mayHaveRun: test.mayHaveRun}}
 		if kind := core.AsError((&Daemon{}).classify(test.ctx, request, test.err)).Kind; kind != test.kind {
 			t.Errorf("%s: %s, expected %s", test.name, kind, test.kind)
 		}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -43,6 +43,11 @@
 	returning    bool // the caller was rejected before
 	plan         admit.Plan
 
+	progress
+}
+
+// progress is the part of a request that its attempts change.
+type progress struct {
 	inputHandles    []string // handles of the results for the final target; nil once they are freed
 	inputDataCentre string   // data centre that holds the large inputs; empty if there are none
 	inputBytes      int64    // size of the inputs in that data centre
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"catkincove/core"
@@ -33,50 +32,67 @@
 type attempt struct {
 	target          place.Target
 	startedAt       time.Time
-	placedBy        *peer       // daemon that placed the prompt; nil means this one
-	engineService   string      // service of the engine, if the prompt was placed for the whole fleet; empty otherwise
-	prefillReported bool        // the end of the prefill was reported to the placing daemon
-	recorded        bool        // the outcome was recorded
-	retryReserved   atomic.Bool // the retry budget is already charged for an attempt after this one
+	placedBy        *peer  // daemon that placed the prompt; nil means this one
+	engineService   string // service of the engine, if the prompt was placed for the whole fleet; empty otherwise
+	prefillReported bool   // the end of the prefill was reported to the placing daemon
+	recorded        bool   // the outcome was recorded
 	cancel          context.CancelFunc
 }
 
 // send forwards the request to targets until one responds or no further attempt is allowed.
-func (daemon *Daemon) send(ctx context.Context, writer http.ResponseWriter, request *request, inputs *inputs) error {
+func (daemon *Daemon) send(ctx context.Context, writer http.ResponseWriter, received *request, inputs *inputs) error {
+	request := received
+	defer func() { received.progress = request.progress }() // a takeover replaces the request by a copy
 	service := daemon.chooseService(request)
 	rejections, executions := 0, 0
 	var lastErr error
+	var next *relay // attempt that has taken over
 	for dialFailures := 0; dialFailures < maxDialFailures; {
-		// A stream that resumes at another target needs the inputs again, which were freed early for their result
-		// capacity.
-		if err := inputs.produce(ctx); err != nil {
-			return err
-		}
-		attempt, err := daemon.beginAttempt(ctx, request, service)
-		if err != nil {
-			if lastErr != nil && request.mayHaveRun {
-				return core.Errorf(core.TargetFailed, "%w", lastErr)
+		current := next
+		if current == nil {
+			// A stream that resumes at another target needs the inputs again, which were freed early for their result
+			// capacity.
+			if err := inputs.produce(ctx); err != nil {
+				return err
+			}
+			attempt, err := daemon.beginAttempt(ctx, request, service)
+			if err != nil {
+				if lastErr != nil && request.mayHaveRun {
+					return core.Errorf(core.TargetFailed, "%w", lastErr)
+				}
+				return err
 			}
-			return err
+			request.triedTargets = append(request.triedTargets, attempt.target.ID)
+			request.targetID = attempt.target.ID
+			current = newRelay(daemon, request, service, attempt, writer, inputs)
+		}
+		lastErr = current.run(ctx)
+		current.attempt.cancel()
+		next = current.watchdog.successor
+		request.triedTargets = current.watchdog.tried
+		if failed := current.watchdog.failed; failed > 0 {
+			executions += failed
+			request.mayHaveRun = true
 		}
-		request.triedTargets = append(request.triedTargets, attempt.target.ID)
-		request.targetID = attempt.target.ID
-		relay := &relay{daemon: daemon, request: request, service: service.Name, attempt: attempt, writer: writer, inputs: inputs}
-		lastErr = relay.run(ctx)
-		attempt.cancel()
 		if lastErr == nil {
 			return nil
 		}
-		if ctx.Err() != nil || request.responseStarted && !relay.resumable {
+		if next == nil && (ctx.Err() != nil || request.responseStarted && !current.resumable) {
 			return lastErr
 		}
 		var failure *sendError
 		if !errors.As(lastErr, &failure) {
 			return lastErr
 		}
-		daemon.log.Warn().Str(eventField, eventAttemptFailed).Str("Request", request.caller.Attempt).Str("Target", attempt.target.ID).
-			Str("Run", failure.run.String()).Dur("Took", daemon.clock.Now().Sub(attempt.startedAt)).Err(failure.cause).Send()
+		daemon.log.Warn().Str(eventField, eventAttemptFailed).Str("Request", request.caller.Attempt).Str("Target", current.attempt.target.ID).
+			Str("Run", failure.run.String()).Dur("Took", daemon.clock.Now().Sub(current.attempt.startedAt)).Err(failure.cause).Send()
 		switch {
+		case next != nil:
+			executions++
+			*inputs = *next.inputs
+			request, next.inputs = next.request, inputs
+			request.mayHaveRun = true
+			continue
 		case failure.unsent:
 			dialFailures++
 			continue
@@ -92,7 +108,7 @@
 		}
 		request.mayHaveRun = true
 		executions++
-		if request.route.Repeat != core.Idempotent || executions >= request.route.MaxTargets || !attempt.retryReserved.Load() && !daemon.allowRetry(service.Name) {
+		if request.route.Repeat != core.Idempotent || executions >= request.route.MaxTargets || !daemon.allowRetry(service.Name) {
 			if failure.response != nil {
 				request.outcome = outcomeTargetErred
 				request.write(writer, failure.response)
@@ -284,49 +300,99 @@
 	}
 }
 
-var errUnidentified = errors.New("response without the attempt's ID")
+var (
+	errUnidentified = errors.New("response without the attempt's ID")
+	errTargetFailed = errors.New("the target responded with an error")
+)
 
 // relay forwards the response of one attempt to the caller.
 type relay struct {
 	daemon  *Daemon
 	request *request
-	service string
+	service core.ServiceSpec
 	attempt *attempt
 	writer  http.ResponseWriter
 	inputs  *inputs
 
+	parent            context.Context // of all attempts of the request
+	ctx               context.Context // of this attempt
+	opening           chan opened     // result of an attempt that was opened by a takeover; nil otherwise
 	watchdog          *watchdog
 	firstEventLatency time.Duration // time from the start of the attempt to its first event
 	resumable         bool          // the stream may be resumed at another target
 }
 
-func (relay *relay) run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	relay.attempt.cancel = cancel
+func newRelay(daemon *Daemon, request *request, service core.ServiceSpec, attempt *attempt, writer http.ResponseWriter, inputs *inputs) *relay {
+	return &relay{daemon: daemon, request: request, service: service, attempt: attempt, writer: writer, inputs: inputs}
+}
+
+// run opens the request at the target, unless a takeover has, and forwards the response.
+func (relay *relay) run(parent context.Context) error {
+	relay.parent = parent
+	if relay.opening == nil {
+		relay.ctx, relay.attempt.cancel = context.WithCancel(parent)
+	}
+	ctx := relay.ctx
 	defer relay.startWatchdog()()
-	response, err := relay.exchange(ctx)
+	response, err := relay.opened()
+	if err == nil {
+		defer func() { _ = response.Body.Close() }()
+	}
+	if !relay.watchdog.endWait(err == nil) {
+		return relay.replaced()
+	}
 	if err != nil {
+		if failure := (*sendError)(nil); errors.As(err, &failure) && failure.run != core.NotRun {
+			relay.request.mayHaveRun = true
+		}
 		return err
 	}
-	defer func() { _ = response.Body.Close() }()
+	switch {
+	case response.StatusCode >= http.StatusMultipleChoices:
+		return relay.errorResponse(ctx, response)
+	case relay.request.route.Stream:
+		return relay.stream(ctx, response)
+	}
+	return relay.forwardBuffered(ctx, response)
+}
+
+func (relay *relay) opened() (*http.Response, error) {
+	if relay.opening == nil {
+		return relay.open(relay.ctx)
+	}
+	result := <-relay.opening
+	return result.response, result.err
+}
+
+// replaced ends an attempt whose request another target has taken over. The target is not known to have failed.
+func (relay *relay) replaced() error {
+	relay.daemon.recordOutcome(relay.request, relay.attempt, place.Inconclusive, 0)
+	return &sendError{run: core.Unknown, cause: errTargetTimedOut}
+}
+
+// open sends the request and returns the response of a target that runs or has run it; it does not change the request.
+func (relay *relay) open(ctx context.Context) (*http.Response, error) {
+	response, err := relay.exchange(ctx)
+	if err != nil {
+		return nil, err
+	}
 	facts := relay.daemon.dialect.TargetResponse(response.StatusCode, response.Header)
 	switch {
 	case facts.Attempt == "" && relay.request.caller.Attempt != "":
 		// It may be a second copy of the response to another request, whatever it says about this one.
-		return relay.disconnected(ctx, errUnidentified)
+		err = relay.lost(ctx, errUnidentified)
 	case facts.NotRun:
 		relay.daemon.recordOutcome(relay.request, relay.attempt, place.Rejected, 0)
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponse))
-		return &sendError{run: core.NotRun, status: response.StatusCode, cause: fmt.Errorf("target responded with status %d and did not run the request", response.StatusCode)}
-	case response.StatusCode >= http.StatusMultipleChoices:
-		return relay.errorResponse(ctx, response)
-	case !facts.HasDigest:
+		err = &sendError{run: core.NotRun, status: response.StatusCode, cause: fmt.Errorf("target responded with status %d and did not run the request", response.StatusCode)}
+	case response.StatusCode < http.StatusMultipleChoices && !facts.HasDigest:
 		relay.daemon.recordOutcome(relay.request, relay.attempt, place.Disconnected, 0)
-		return &sendError{run: core.Unknown, cause: errors.New("successful response without the target's digest")}
-	case relay.request.route.Stream:
-		return relay.stream(ctx, response)
+		err = &sendError{run: core.Unknown, cause: errors.New("successful response without the target's digest")}
+	default:
+		return response, nil
 	}
-	return relay.forwardBuffered(ctx, response)
+	_ = response.Body.Close()
+	return nil, err
 }
 
 // exchange sends the request and returns the response with its body unread.
@@ -347,21 +413,21 @@
 	if err == nil {
 		return response, nil
 	}
+	run := core.Unknown
+	if !xchg.Sent(err) {
+		run = core.NotRun
+	}
 	if ctx.Err() != nil {
 		daemon.recordOutcome(request, relay.attempt, place.Inconclusive, 0)
-		request.mayHaveRun = request.mayHaveRun || xchg.Sent(err)
-		if relay.timedOut() {
-			return nil, &sendError{run: core.Unknown, cause: errTargetTimedOut}
-		}
-		return nil, ctx.Err()
+		return nil, &sendError{run: run, cause: ctx.Err()}
 	}
 	daemon.recordOutcome(request, relay.attempt, place.Disconnected, 0)
 	daemon.targets.CloseIdle(target.Address)
-	if !xchg.Sent(err) {
-		return nil, &sendError{unsent: true, run: core.NotRun, cause: err}
+	if run == core.NotRun {
+		return nil, &sendError{unsent: true, run: run, cause: err}
 	}
 	daemon.recordCrash(request, target.ID)
-	return nil, &sendError{run: core.Unknown, cause: err}
+	return nil, &sendError{run: run, cause: err}
 }
 
 // errorResponse forwards an error response of the target, or returns it as an error if another attempt may succeed.
@@ -420,6 +486,7 @@
 // forwardBuffered forwards a response that is not a stream; a short one is read to its end first, so that the request
 // can be retried if the target disconnects.
 func (relay *relay) forwardBuffered(ctx context.Context, response *http.Response) error {
+	relay.watchdog.wait()
 	var body bytes.Buffer
 	_, err := io.Copy(&body, io.LimitReader(response.Body, maxBufferedResponse))
 	relay.request.firstEventAfter = relay.daemon.clock.Now().Sub(relay.request.startedAt)
@@ -446,9 +513,14 @@
 // disconnected records an attempt whose response ended early and returns its error.
 func (relay *relay) disconnected(ctx context.Context, err error) error {
 	relay.request.mayHaveRun = true
-	if ctx.Err() != nil && !relay.timedOut() {
+	return relay.lost(ctx, err)
+}
+
+// lost is disconnected for an attempt that must not change its request.
+func (relay *relay) lost(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
 		relay.daemon.recordOutcome(relay.request, relay.attempt, place.Inconclusive, 0)
-		return ctx.Err()
+		return &sendError{run: core.Unknown, cause: ctx.Err()}
 	}
 	relay.daemon.recordOutcome(relay.request, relay.attempt, place.Disconnected, 0)
 	relay.daemon.recordCrash(relay.request, relay.attempt.target.ID)
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -8,95 +8,34 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"catkincove/core/place"
 )
 
 const (
-	maxEventBytes           = 1 << 20                 // limit on one event
-	eventBufferBytes        = 4 << 10                 // an event of some tokens has about 250 bytes
-	stallFactor             = 2                       // a stream has stalled after this multiple of the route's gap objective
-	minStallTimeout         = 800 * time.Millisecond  // minimum timeout for the next event, also for routes without a gap objective
-	minFirstEventTimeout    = 1500 * time.Millisecond // minimum wait for a first event before another target is tried
-	firstEventTimeoutFactor = 4                       // a target has timed out after this multiple of the usual time to the first event
+	maxEventBytes    = 1 << 20 // limit on one event
+	eventBufferBytes = 4 << 10 // an event of some tokens has about 250 bytes
 )
 
 var (
-	errTargetTimedOut = errors.New("the target timed out")
-	errGap            = errors.New("events are missing in the stream")
-	errTruncated      = errors.New("the stream ended inside an event")
-	errEventTooLong   = errors.New("an event is too long")
+	errGap          = errors.New("events are missing in the stream")
+	errTruncated    = errors.New("the stream ended inside an event")
+	errEventTooLong = errors.New("an event is too long")
 )
 
-// watchdog cancels an attempt whose target sends no whole event for too long, if another target can take over.
-type watchdog struct {
-	timer  *time.Timer
-	fired  atomic.Bool
-	events atomic.Int64 // whole events received
-	tried  []string     // targets that cannot take over; nil if the request must not run elsewhere
-}
-
-// startWatchdog starts the timeout for the first event; the returned function stops it.
-func (relay *relay) startWatchdog() func() {
-	relay.watchdog = &watchdog{}
-	if relay.mayRetryElsewhere() {
-		relay.watchdog.tried = slices.Clone(relay.request.triedTargets)
-	}
-	timeout := max(minFirstEventTimeout, relay.daemon.usualFirstEventTime(relay.request)*firstEventTimeoutFactor)
-	relay.watchdog.timer = time.AfterFunc(timeout, relay.handleSilence)
-	return func() { relay.watchdog.timer.Stop() }
-}
-
-// handleSilence records that the target is slow and cancels the attempt if another target may take over. Otherwise the
-// stream goes on until the time limit of its request: it may be slow but sound.
-func (relay *relay) handleSilence() {
-	daemon, watchdog := relay.daemon, relay.watchdog
-	before := watchdog.events.Load()
-	takeOver := false
-	daemon.do(func() {
-		daemon.control.chooser.RecordOutcome(daemon.clock.Now(), relay.attempt.target.ID, place.TimedOut, 0)
-		takeOver = watchdog.tried != nil && watchdog.events.Load() == before && daemon.reserveTakeOver(relay.service, watchdog.tried)
-	})
-	if takeOver {
-		relay.attempt.retryReserved.Store(true)
-		watchdog.fired.Store(true)
-		relay.attempt.cancel()
-	}
-}
-
-// reserveTakeOver charges the retry budget for an attempt at another target, and reports false if there is no other
-// target or the budget is spent; it must run on the loop.
-func (daemon *Daemon) reserveTakeOver(service string, tried []string) bool {
-	now := daemon.clock.Now()
-	return daemon.control.chooser.HasUsable(now, daemon.view.Load().targets[service], tried) && daemon.retryWindow(service).Allow(now)
-}
-
-// resetWatchdog restarts the timeout for the next event.
-func (relay *relay) resetWatchdog() {
-	relay.watchdog.events.Add(1)
-	stallTimeout := max(relay.request.route.GapObjective*stallFactor, minStallTimeout)
-	relay.watchdog.timer.Reset(stallTimeout)
-}
-
-func (relay *relay) timedOut() bool { return relay.watchdog != nil && relay.watchdog.fired.Load() }
-
-// mayRetryElsewhere reports whether the request may move to another target although this one may still be running it.
-func (relay *relay) mayRetryElsewhere() bool {
-	route := relay.request.route
-	return route.Stream && route.Resumable && relay.request.attempts < route.MaxTargets
-}
-
 // stream forwards events as they arrive, whole ones only, so that another target can resume after the last one.
 func (relay *relay) stream(ctx context.Context, response *http.Response) error {
 	reader := bufio.NewReaderSize(response.Body, eventBufferBytes)
 	request := relay.request
 	flusher := http.NewResponseController(relay.writer)
 	for count := 0; ; count++ {
+		relay.watchdog.wait()
 		event, id, err := readEvent(reader)
+		if !relay.watchdog.endWait(err == nil || err == io.EOF) {
+			return relay.replaced()
+		}
 		if err == io.EOF {
 			return relay.endStream(response, count)
 		}
@@ -104,7 +43,7 @@
 			relay.resumable = request.route.Resumable
 			return relay.disconnected(ctx, err)
 		}
-		relay.resetWatchdog()
+		relay.watchdog.receiveEvent()
 		if count == 0 {
 			relay.beginResponse(response)
 		}
