--- a/io/xchg/client_test.go
+++ b/io/xchg/client_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -190,6 +191,83 @@
 	}
 }
 
+// TestConnectionEnds guards against a response that ends with its connection and is cut, and against a request on the connection
+// of a response that allows none after it, or that was followed by further bytes.
+func TestConnectionEnds(t *testing.T) {
+	const body = "own answer"
+	const chunked = "Transfer-Encoding: chunked\r\n\r\na\r\n" + body + "\r\n0\r\n\r\n"
+	const framed = "Content-Length: 10\r\n"
+	for _, test := range []struct {
+		name     string
+		response string
+		reset    bool
+		complete bool
+	}{
+		{"no length", "HTTP/1.1 200 OK\r\nAttempt: own\r\n\r\n" + body, false, true},
+		{"no length, keep-alive", "HTTP/1.1 200 OK\r\nAttempt: own\r\nConnection: keep-alive\r\nKeep-Alive: timeout=9\r\n\r\n" + body, false, true},
+		{"no length, Connection: close", "HTTP/1.1 200 OK\r\nAttempt: own\r\nConnection: close\r\n\r\n" + body, false, true},
+		{"no length, HTTP/1.0", "HTTP/1.0 200 OK\r\nAttempt: own\r\n\r\n" + body, false, true},
+		{"no length, HTTP/1.0 with keep-alive", "HTTP/1.0 200 OK\r\nAttempt: own\r\nConnection: keep-alive\r\n\r\n" + body, false, true},
+		{"no length, after an interim response", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nAttempt: own\r\n\r\n" + body, false, true},
+		{"no length, reset", "HTTP/1.1 200 OK\r\nAttempt: own\r\n\r\n" + body, true, false},
+		{"no length, HTTP/1.0, reset", "HTTP/1.0 200 OK\r\nAttempt: own\r\n\r\n" + body, true, false},
+		{"length, HTTP/1.0", "HTTP/1.0 200 OK\r\nAttempt: own\r\n" + framed + "\r\n" + body, false, true},
+		{"length, Connection: close", "HTTP/1.1 200 OK\r\nAttempt: own\r\nConnection: close\r\n" + framed + "\r\n" + body, false, true},
+		{"length, bytes after it", "HTTP/1.1 200 OK\r\nAttempt: own\r\n" + framed + "\r\n" + body + "these bytes", false, true},
+		{"length, Connection: close, bytes after it", "HTTP/1.1 200 OK\r\nAttempt: own\r\nConnection: close\r\n" + framed + "\r\n" + body + "these bytes", false, true},
+		{"length, HTTP/1.0, bytes after it", "HTTP/1.0 200 OK\r\nAttempt: own\r\n" + framed + "\r\n" + body + "these bytes", false, true},
+		{"chunks, bytes after them", "HTTP/1.1 200 OK\r\nAttempt: own\r\n" + chunked + "these bytes", false, true},
+		{"chunks, Connection: close, bytes after them", "HTTP/1.1 200 OK\r\nAttempt: own\r\nConnection: close\r\n" + chunked + "these bytes", false, true},
+	} {
+		for _, kept := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, kept=%v", test.name, kept), func(t *testing.T) {
+				var reused atomic.Int64
+				address := serveTCP(t, func(connection net.Conn, reader *bufio.Reader) {
+					if kept {
+						if got, _ := readRequest(reader); got != "first:b" {
+							return
+						}
+						writeResponse(connection, "first", "first answer")
+					}
+					if got, _ := readRequest(reader); got != "own:b" {
+						return
+					}
+					_, _ = io.WriteString(connection, test.response)
+					if test.reset {
+						time.Sleep(50 * time.Millisecond) // a reset discards what has not been read
+						_ = connection.(*net.TCPConn).SetLinger(0)
+						return
+					}
+					if !strings.Contains(test.response, framed) && !strings.Contains(test.response, chunked) {
+						_ = connection.(*net.TCPConn).CloseWrite()
+					}
+					if _, err := readRequest(reader); err == nil {
+						reused.Add(1)
+					}
+				})
+				client := &Client{Clock: core.SystemClock{}}
+				if kept {
+					if _, err := exchangeWith(client, address, "first"); err != nil {
+						t.Fatal(err)
+					}
+				}
+				got, err := exchangeWith(client, address, "own")
+				if (err == nil) != test.complete || test.complete && got != body {
+					t.Errorf("%q, %v", got, err)
+				}
+				if opened := client.Opened(); opened != 1 {
+					t.Errorf("%d connections", opened)
+				}
+				time.Sleep(10 * time.Millisecond)
+				_, _ = exchangeWith(client, address, "next")
+				if reused.Load() > 0 || client.Opened() != 2 {
+					t.Errorf("the connection was used again")
+				}
+			})
+		}
+	}
+}
+
 // TestBytesWithoutEnd guards against a daemon that reads, and keeps in memory, whatever a target in trouble sends: bytes
 // that are no response may come until the daemon closes the connection.
 func TestBytesWithoutEnd(t *testing.T) {
