io/edge: reset the connection of a broken response to a caller of HTTP/1.0

A caller of HTTP/1.0 got 81 bytes of a stream whose target had broken off, or half of a response of 3 MB, with the target's status and digest and then an orderly end of its connection: a complete response, as far as it can tell.

Cause: net/http uses chunks for HTTP/1.1 only. A handler that aborts has its connection closed, which ends a response without a length.

The guard around the handlers now resets the connection of such a caller; a reset is the one end that does not complete the response. Callers of HTTP/1.1 see missing chunks as before.

--- a/io/edge/panic.go
+++ b/io/edge/panic.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -49,12 +50,28 @@
 			if value != http.ErrAbortHandler {
 				daemon.reportPanic(part, value, debug.Stack())
 			}
+			if !request.ProtoAtLeast(1, 1) {
+				resetConnection(writer)
+			}
 			panic(http.ErrAbortHandler)
 		}()
 		handler.ServeHTTP(writer, request)
 	})
 }
 
+// resetConnection ends a response without a length to a caller that knows no chunks, for whom any other end of the connection
+// means that the response is complete.
+func resetConnection(writer http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		return // the connection has ended already
+	}
+	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // restartTask runs a task again whenever it panics, until ctx ends.
 func (daemon *Daemon) restartTask(ctx context.Context, part string, task func(context.Context) error) error {
 	for {
