io/target: read no second copy of a response as a load report or the result of an order

An order that a target rejected because of its stale fencing token counted as accepted, and a load report came back with no start, no load and no models, when the target sent the response to an earlier request a second time on the connection in use.

Cause: only the responses to calls identify themselves; load reports, cache events and orders shared their connections, so a copy of any response with status 200 was read as theirs.

Load reports and cache events now have connections of their own, on which a copy is at worst an older report, or events that are known. Each order has a new connection, on which there is no earlier response; orders are rare. Calls keep theirs and are matched as before.

--- a/io/target/client.go
+++ b/io/target/client.go
@@ -40,7 +40,10 @@
 	PingTimeout    time.Duration
 
 	once       sync.Once
-	transport  *http.Transport
+	calls      *http.Transport
+	loads      *http.Transport // load reports
+	cache      *http.Transport // cache events
+	orders     *http.Transport
 	mutex      sync.Mutex
 	conns      map[string]map[*conn]struct{} // open connections by address
 	mismatched atomic.Int64
@@ -56,7 +59,9 @@
 // Close closes all idle connections.
 func (client *Client) Close() {
 	client.init()
-	client.transport.CloseIdleConnections()
+	for _, transport := range []*http.Transport{client.calls, client.loads, client.cache, client.orders} {
+		transport.CloseIdleConnections()
+	}
 }
 
 func (client *Client) init() { client.once.Do(client.setUp) }
@@ -71,7 +76,12 @@
 	setDefault(&client.PingInterval, DefaultPingInterval)
 	setDefault(&client.PingTimeout, DefaultPingTimeout)
 	client.conns = make(map[string]map[*conn]struct{})
-	client.transport = client.newTransport(&net.Dialer{Timeout: dialTimeout})
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	// Only the responses to calls identify themselves. A second copy of a response, which a target sends when its connection is
+	// in use again, must be read neither as a load report or cache events nor as the acceptance of an order.
+	client.calls, client.loads, client.cache = client.newTransport(dialer), client.newTransport(dialer), client.newTransport(dialer)
+	client.orders = client.newTransport(dialer)
+	client.orders.DisableKeepAlives = true
 }
 
 func setDefault[T comparable](setting *T, value T) {
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return exchange, core.Errorf(core.Internal, "building the request to %s: %w", call.Address, err)
 	}
-	response, err := client.transport.RoundTrip(request)
+	response, err := client.calls.RoundTrip(request)
 	if err != nil {
 		return exchange, exchange.transportError(err)
 	}
