io/target: limit the head of a target's response to 64 KB

A target in trouble that sends bytes without end instead of a response had 10 MB of them read and kept for each call, in 0.1 s.

Cause: net/http's own limit on a head is 10 MB. The transports now have the limit that io/xchg has.

TestBytesWithoutEnd (15 forms; at most 64 KB of a head, MaxBody, and the socket buffers) failed for 'no response', status line, header line, header lines and interim responses before, and passes. Trial on a scratch copy without the limits on a body, on the text of an error and on what follows an end marker: the forms of those fail.

--- a/io/target/client.go
+++ b/io/target/client.go
@@ -26,6 +26,7 @@
 	idleTimeout      = 2 * time.Second
 	maxIdlePerTarget = 64
 	maxIdleConns     = 4096
+	maxHeadBytes     = 64 << 10 // limit on a response's header, with the interim responses before it
 	readBufferSize   = 16 << 10 // holds several token events, so that one read delivers a batch
 )
 
@@ -93,12 +94,13 @@
 
 func (client *Client) newTransport(dialer *net.Dialer) *http.Transport {
 	transport := &http.Transport{
-		DialContext:         client.dialWith(dialer),
-		DisableCompression:  true,
-		MaxIdleConns:        maxIdleConns,
-		MaxIdleConnsPerHost: maxIdlePerTarget,
-		IdleConnTimeout:     idleTimeout,
-		ReadBufferSize:      readBufferSize,
+		DialContext:            client.dialWith(dialer),
+		DisableCompression:     true,
+		MaxIdleConns:           maxIdleConns,
+		MaxIdleConnsPerHost:    maxIdlePerTarget,
+		IdleConnTimeout:        idleTimeout,
+		ReadBufferSize:         readBufferSize,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	transport.Protocols = new(http.Protocols)
 	if !client.HTTP2 {
--- a/io/target/trouble_test.go
+++ b/io/target/trouble_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"catkincove/core"
 )
@@ -110,3 +112,72 @@
 		t.Errorf("%d calls were served and %d load reports received", served, reports)
 	}
 }
+
+// TestBytesWithoutEnd guards against a process that reads, and keeps in memory, whatever a target in trouble sends: bytes
+// that are no response, or belong to none, may come until the connection is closed.
+func TestBytesWithoutEnd(t *testing.T) {
+	// The limits of the client on a head, a body and what follows it, 6 MB in its socket buffer and 64 KB in that of the target.
+	const maxBody = 1 << 20
+	const maxAccepted = 64<<10 + maxBody + maxEventLine + 6<<20 + 64<<10
+	ok := "HTTP/1.1 200 OK\r\n" + identity
+	for _, test := range []struct {
+		name        string
+		stream      bool
+		begin, then string
+		complete    bool // the bytes come after a complete response
+	}{
+		{"no response", false, "", "\x00\x01\xfe no answer ", false},
+		{"status line", false, "HTTP/1.1 200 ", "OK", false},
+		{"header line", false, ok + "X-Long: ", "a", false},
+		{"header lines", false, ok, "X: y\r\n", false},
+		{"interim responses", false, "", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n", false},
+		{"body", false, ok + "\r\n", "[1,", false},
+		{"chunks", false, ok + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nabcde\r\n", false},
+		{"chunk extension", false, ok + "Transfer-Encoding: chunked\r\n\r\n5;", "x", false},
+		{"trailer", false, ok + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n", "X: y\r\n", false},
+		{"body of an error", false, "HTTP/1.1 500 Failed\r\n" + identity + "\r\n", "why ", false},
+		{"body of a rejection", false, "HTTP/1.1 503 Full\r\n" + identity + "\r\n", "why ", false},
+		{"body of another attempt", false, "HTTP/1.1 200 OK\r\nX-Attempt: 9\r\n\r\n", "stale", false},
+		{"after a body", false, ok + "Content-Length: 2\r\n\r\n{}", "extra", true},
+		{"line of an event", true, ok + "\r\ndata: ", "x", false},
+		{"after the end marker", true, ok + "\r\n" + event(1, "ab", `"stop"`) + endEvent, "extra", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			accepted := make(chan int, 1)
+			address := scriptedTarget(t, false, func(conn net.Conn, _ *bufio.Reader) {
+				_ = conn.(*net.TCPConn).SetWriteBuffer(32 << 10) // the kernel doubles it
+				_, _ = io.WriteString(conn, test.begin)
+				chunk := []byte(strings.Repeat(test.then, 1+4096/len(test.then)))
+				sum := 0
+				for sum < 16*maxAccepted {
+					count, err := conn.Write(chunk)
+					if sum += count; err != nil {
+						break
+					}
+				}
+				accepted <- sum
+			})
+			client := &Client{MaxBody: maxBody, TokenGap: 2 * time.Second}
+			defer client.Close()
+			call := callTo(address)
+			call.FirstByte = 2 * time.Second
+			var err error
+			if test.stream {
+				_, err = client.Generate(t.Context(), call, core.GenerateInput{MaxTokens: 50}, func(core.Token) error { return nil })
+			} else {
+				_, _, err = client.Call(t.Context(), call, "/x", "", []byte("{}"))
+			}
+			if (err == nil) != test.complete {
+				t.Errorf("error %v", err)
+			}
+			select {
+			case sum := <-accepted:
+				if sum > maxAccepted {
+					t.Errorf("%d bytes were accepted", sum)
+				}
+			case <-time.After(4 * time.Second):
+				t.Error("the connection stays open")
+			}
+		})
+	}
+}
