io/target: end a stream that sends bytes without end and no token

A target that sent comments, empty lines or event IDs without end had 54 to 136 MB and more read within 2 s, until the limit on the time between two tokens; nothing of it was kept, but the process did nothing else on that core.

Cause: only the data of one event had a limit. A stream now ends 2 MB after its last token, as a failure of the target; comments that keep a stream alive have some bytes each, and the data of an event may have 1 MB.

--- a/io/target/stream.go
+++ b/io/target/stream.go
@@ -14,6 +14,7 @@
 
 const (
 	maxEventLine   = 1 << 20 // bytes
+	maxIdleBytes   = 2 << 20 // bytes without a token after which a stream ends; comments that keep it alive take a few
 	maxEventTokens = 4096    // tokens of one event
 	drainTimeout   = 50 * time.Millisecond
 	drainBytes     = 4 << 10
@@ -36,6 +37,7 @@
 	hasID     bool
 	data      []byte
 	hasData   bool
+	idleBytes int // bytes since the last token
 }
 
 // relay passes tokens to emit until the end marker; it returns nil only after the marker.
@@ -45,6 +47,9 @@
 		if err != nil {
 			return stream.exchange.transportError(err)
 		}
+		if stream.idleBytes += len(line) + 1; stream.idleBytes > maxIdleBytes {
+			return stream.exchange.responseError("%d bytes without a token", stream.idleBytes)
+		}
 		if len(line) > 0 {
 			if err := stream.parseField(line); err != nil {
 				return err
@@ -140,7 +145,7 @@
 		return stream.exchange.responseError("event id %d exceeds the limit of %d tokens", id, stream.maxTokens)
 	}
 	token := core.Token{Offset: stream.received, Count: count, Text: text}
-	stream.received = id
+	stream.received, stream.idleBytes = id, 0
 	stream.exchange.recordToken()
 	if err := emit(token); err != nil {
 		stream.exchange.outcome = core.OutcomeCancelled
--- a/io/target/trouble_test.go
+++ b/io/target/trouble_test.go
@@ -140,6 +140,10 @@
 		{"body of another attempt", false, "HTTP/1.1 200 OK\r\nX-Attempt: 9\r\n\r\n", "stale", false},
 		{"after a body", false, ok + "Content-Length: 2\r\n\r\n{}", "extra", true},
 		{"line of an event", true, ok + "\r\ndata: ", "x", false},
+		{"lines of an event", true, ok + "\r\n", "data: x\n", false},
+		{"event IDs", true, ok + "\r\n", "id: 1\n", false},
+		{"comments", true, ok + "\r\n", ": still here\n", false},
+		{"empty lines", true, ok + "\r\n", "\n", false},
 		{"after the end marker", true, ok + "\r\n" + event(1, "ab", `"stop"`) + endEvent, "extra", true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
