io/edge, io/xchg: fuzz streams, messages of other daemons and responses of targets

FuzzReadEvent, FuzzPeerMessages, FuzzStatus and FuzzResponse. Made-up messages name addresses, which the daemon dialled: newFleetMember has no network now, for which xchg.Client has Dial.

--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -1,9 +1,13 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -22,6 +26,14 @@
 
 var fleetServices = []string{"model", "ledger", "stock", "billing", "freight"}
 
+var errNoNetwork = errors.New("this daemon has no network")
+
+// noNetwork fails all calls to other daemons: the addresses of the fleet, and those in messages that are made up, may exist.
+type noNetwork struct{}
+
+// RoundTrip returns an error.
+func (noNetwork) RoundTrip(*http.Request) (*http.Response, error) { return nil, errNoNetwork }
+
 // newFleetMember returns a daemon on a small VM that knows a whole fleet and follows a relay; its control loop runs until
 // the test ends.
 func newFleetMember(t testing.TB) *Daemon {
@@ -29,6 +41,8 @@
 		Settings: inifmt.EdgeSettings{Name: "self", DataCentre: "dc-1", AdvertiseFront: "10.1.0.1:80", AdvertisePeer: "10.1.0.1:81", Cores: 0.192, MemoryMB: 184},
 		Dialect:  plainDialect{}, Clock: core.SystemClock{},
 	})
+	daemon.targets.Dial = func(context.Context, string) (*net.TCPConn, error) { return nil, errNoNetwork }
+	daemon.peers.Transport = noNetwork{}
 	go func() { _ = daemon.loop.Run(daemon.loopContext) }()
 	t.Cleanup(daemon.stopLoop)
 	daemon.do(func() {
@@ -72,7 +86,14 @@
 func fleetRouting() []byte {
 	options := core.RoutingOptions{Version: 1, Routes: []core.Route{{Name: "r", Host: "h", Prefix: "/", Services: []core.ServiceShare{{Service: "model", Weight: 1}}}}}
 	for _, service := range fleetServices {
-		options.Services = append(options.Services, core.ServiceSpec{Name: service, MaxConnections: 100})
+		spec := core.ServiceSpec{Name: service, MaxConnections: 100}
+		switch service {
+		case "model":
+			spec.Engine = &core.EngineSpec{Slots: 8, MemoryTokens: 100_000}
+		case "stock":
+			spec.Batch = &core.BatchSpec{MaxPieces: 8, MaxCalls: 2, CallOverhead: 40 * time.Millisecond, PieceTime: 2 * time.Millisecond, MaxResultBytes: 18 << 20, ResultTTL: 4 * time.Second}
+		}
+		options.Services = append(options.Services, spec)
 	}
 	value, _ := json.Marshal(options)
 	return value
--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -82,6 +82,8 @@
 // Client is an HTTP/1.1 client with a pool of connections per target; Clock must be set.
 type Client struct {
 	Clock core.Clock
+	// Dial opens a connection to an address; nil stands for one with the limits of this package.
+	Dial func(ctx context.Context, address string) (*net.TCPConn, error)
 
 	mutex  sync.Mutex
 	idle   map[connKey][]*conn
@@ -133,13 +135,17 @@
 	if idle := client.takeIdle(key); idle != nil {
 		return idle, nil
 	}
-	opened, err := targetDialer.DialContext(ctx, "tcp", key.address)
+	dial := client.Dial
+	if dial == nil {
+		dial = dialTarget
+	}
+	opened, err := dial(ctx, key.address)
 	if err != nil {
 		return nil, err
 	}
 	client.opened.Add(1)
 	input := &boundedReader{source: opened}
-	return &conn{net: opened.(*net.TCPConn), input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}, nil
+	return &conn{net: opened, input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}, nil
 }
 
 func (client *Client) takeIdle(key connKey) *conn {
--- a/io/xchg/dial.go
+++ b/io/xchg/dial.go
@@ -1,6 +1,7 @@
 package xchg
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -28,6 +29,14 @@
 // targetDialer dials targets.
 var targetDialer = dialer(dialTimeout, targetKeepAliveIdle, targetUnackedTimeout)
 
+func dialTarget(ctx context.Context, address string) (*net.TCPConn, error) {
+	opened, err := targetDialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return opened.(*net.TCPConn), nil
+}
+
 func dialer(timeout, idle, unacked time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         timeout,
