io/edge: read the ID of an event that is longer than the buffer

An event whose ID has 4 KB or more was passed on as one without an ID, so a stream that broke off after it was resumed before it and the caller would have received it twice.

Cause: the field was looked for in the part of a line that ends at the line break, or not at all if the line begins in an earlier part. It is now looked for in the whole line. The seed of FuzzReadEvent with such an ID failed before and passes.

--- a/io/edge/fuzz_test.go
+++ b/io/edge/fuzz_test.go
@@ -21,6 +21,7 @@
 func FuzzReadEvent(f *testing.F) {
 	for _, seed := range []string{
 		"id: 1\ndata: a\n\nid: 2\n\n", "id: 1\r\ndata: a\r\n\r\n", "data: a", "id: 1\ndata: a\n", "\n\n\n", "id:\nid:7\n\n",
+		"id: " + string(bytes.Repeat([]byte("1"), eventBufferBytes)) + "\n\n",
 		"data: " + string(bytes.Repeat([]byte("x"), eventBufferBytes)) + "\n\n", string(bytes.Repeat([]byte("x"), eventBufferBytes)) + "id: 9\n\n",
 	} {
 		f.Add([]byte(seed))
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -133,15 +133,14 @@
 // readEvent returns one whole event with its ID; io.EOF means that the stream ended between events, errTruncated inside
 // one.
 func readEvent(reader *bufio.Reader) (event []byte, id string, err error) {
-	for lineBegins := true; ; {
+	for lineStart := 0; ; {
 		part, err := reader.ReadSlice('\n')
 		event = append(event, part...)
 		switch {
 		case len(event) > maxEventBytes:
 			return nil, "", errEventTooLong
 		case err == bufio.ErrBufferFull:
-			lineBegins = false
-			continue
+			continue // the line goes on
 		case err == io.EOF && len(event) == 0:
 			return nil, "", io.EOF
 		case err == io.EOF:
@@ -149,12 +148,13 @@
 		case err != nil:
 			return nil, "", fmt.Errorf("stream: %w", err)
 		}
-		if text, found := bytes.CutPrefix(part, []byte("id:")); found && lineBegins {
+		line := event[lineStart:]
+		if text, found := bytes.CutPrefix(line, []byte("id:")); found {
 			id = string(bytes.TrimSpace(text))
 		}
-		if lineBegins && len(bytes.TrimRight(part, "\r\n")) == 0 {
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return event, id, nil
 		}
-		lineBegins = true
+		lineStart = len(event)
 	}
 }
