io/edge: take no empty line or comment of a stalled target for an event

A resumable stream whose target sent an empty line now and then, and nothing else, was kept until its time limit and broken off, although another target was free: the caller got 20 empty lines in 4 s.

Cause: an empty line ended an event whatever was before it, and each event restarts the limit on the silence and ends a takeover. Empty lines and comments are now read as part of the event that follows, or at the end of the stream by themselves; the bytes that the caller gets are the same.

TestStalledStream did not see it, nor more than a target that stalls and is not chosen: engine 0 stalled, and requests of one prompt stay at the engine that has it, here often the other.

--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -130,9 +130,11 @@
 	return err == nil && next <= last
 }
 
-// readEvent returns one whole event with its ID; io.EOF means that the stream ended between events, errTruncated inside
-// one.
+// readEvent returns one whole event with its ID, and with the empty lines and comments before it, which are no sign that the
+// target works; those at the end of the stream are returned alone. io.EOF means that the stream ended between events,
+// errTruncated inside one.
 func readEvent(reader *bufio.Reader) (event []byte, id string, err error) {
+	hasContent := false
 	for lineStart := 0; ; {
 		part, err := reader.ReadSlice('\n')
 		event = append(event, part...)
@@ -143,6 +145,8 @@
 			continue // the line goes on
 		case err == io.EOF && len(event) == 0:
 			return nil, "", io.EOF
+		case err == io.EOF && len(event) == lineStart && !hasContent:
+			return event, "", nil
 		case err == io.EOF:
 			return nil, "", errTruncated
 		case err != nil:
@@ -152,8 +156,11 @@
 		if text, found := bytes.CutPrefix(line, []byte("id:")); found {
 			id = string(bytes.TrimSpace(text))
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		switch empty := len(bytes.TrimRight(line, "\r\n")) == 0; {
+		case empty && hasContent:
 			return event, id, nil
+		case !empty && line[0] != ':':
+			hasContent = true
 		}
 		lineStart = len(event)
 	}
