io/edge: return no response of another daemon to another call

The pieces of one request were given to another when the response of another daemon arrived a second time on a connection that was in use again: 10 of 20 requests got the results of the one before.

Cause: responses between daemons said nothing of the call that they belong to. A call now carries a random ID, which the other daemon echoes; a response with another ID is an error and closes the connection, and the pieces are asked for again, which is idempotent. A response without an ID is accepted, because older daemons echo none.

--- /dev/null
+++ b/io/edge/callid_test.go
@@ -0,0 +1,99 @@
+package edge
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"catkincove/core"
+	"catkincove/io/inifmt"
+)
+
+// repeatingServer starts a server that sends each response a second time when the next request on its connection has been
+// read.
+func repeatingServer(t *testing.T, handler http.Handler) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		var previous []byte
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, request)
+			response := recorder.Result()
+			response.ContentLength = int64(recorder.Body.Len())
+			var encoded bytes.Buffer
+			_ = response.Write(&encoded)
+			_, _ = conn.Write(previous)
+			previous = encoded.Bytes()
+			if _, err := conn.Write(previous); err != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestRepeatedPeerResponses guards against the pieces of one request that are given to another, because the response of another
+// daemon arrives a second time when its connection is in use again; and against a daemon that rejects responses of an older
+// one, which echoes no ID.
+func TestRepeatedPeerResponses(t *testing.T) {
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		var message piecesRequest
+		if readJSON(writer, request, &message) {
+			writeJSON(writer, piecesReply{Handles: []string{"result of " + message.Attempt}})
+		}
+	})
+	older := httptest.NewServer(handler)
+	t.Cleanup(older.Close)
+	for _, test := range []struct {
+		name, address string
+		minServed     int
+	}{
+		{"repeated responses", repeatingServer(t, echoCallID(handler)), 10}, // each copy costs one call
+		{"older daemon", older.Listener.Addr().String(), 20},
+	} {
+		daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self"}, Dialect: plainDialect{}, Clock: core.SystemClock{}})
+		served := 0
+		for i := range 20 {
+			attempt := fmt.Sprint("a", i)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			var reply piecesReply
+			err := daemon.callPeer(ctx, test.address, pathPieces, piecesRequest{Attempt: attempt}, &reply)
+			cancel()
+			if err != nil {
+				continue
+			}
+			served++
+			if got := fmt.Sprint(reply.Handles); got != "[result of "+attempt+"]" {
+				t.Errorf("%s: request %s got %s", test.name, attempt, got)
+			}
+		}
+		if served < test.minServed {
+			t.Errorf("%s: %d of 20 calls were served", test.name, served)
+		}
+	}
+}
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -136,12 +136,12 @@
 	daemon.log = daemon.logWriter.logger(options.Settings.Name)
 	daemon.settings.Store(&options.Settings)
 	daemon.view.Store(&view{})
-	daemon.peers = &http.Client{Transport: &http.Transport{
+	daemon.peers = &http.Client{Transport: identified{&http.Transport{
 		DialContext:         xchg.Dialer(peerDialTimeout).DialContext,
 		MaxIdleConnsPerHost: maxIdlePeerConnections,
 		IdleConnTimeout:     peerIdleTimeout,
 		DisableCompression:  true,
-	}}
+	}}}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	daemon.id = newMemberID(options.Settings.Name, random)
 	daemon.control = control{
@@ -222,7 +222,7 @@
 		{settings.Front, "front", http.HandlerFunc(daemon.serveFront), false},
 		{settings.Ready, "ready", http.HandlerFunc(daemon.serveReady), false},
 		{settings.Directory, "directory", http.HandlerFunc(daemon.serveDirectory), false},
-		{settings.Peer, "peer", daemon.peerHandler(), false},
+		{settings.Peer, "peer", echoCallID(daemon.peerHandler()), false},
 		{settings.Metrics, "metrics", http.HandlerFunc(daemon.serveMetrics), true},
 	} {
 		if address.optional && address.address == "" {
