io/edge, io/tool: limit the head of a response of another daemon or the store to 64 KB

Bytes without end from another daemon or the store, in place of a response or in its header, had 10 MB of them read and kept for each call.

Cause: net/http's own limit on a head. Both clients now have the limit of io/xchg, which is exported for that.

--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -137,10 +137,11 @@
 	daemon.settings.Store(&options.Settings)
 	daemon.view.Store(&view{})
 	daemon.peers = &http.Client{Transport: identified{&http.Transport{
-		DialContext:         xchg.Dialer(peerDialTimeout).DialContext,
-		MaxIdleConnsPerHost: maxIdlePeerConnections,
-		IdleConnTimeout:     peerIdleTimeout,
-		DisableCompression:  true,
+		DialContext:            xchg.Dialer(peerDialTimeout).DialContext,
+		MaxIdleConnsPerHost:    maxIdlePeerConnections,
+		IdleConnTimeout:        peerIdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: xchg.MaxHeadBytes,
 	}}}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	daemon.id = newMemberID(options.Settings.Name, random)
--- a/io/edge/callid_test.go
+++ b/io/edge/peer_test.go
@@ -97,3 +97,49 @@
 		}
 	}
 }
+
+// TestPeerBytesWithoutEnd guards against a daemon that reads, and keeps in memory, the head of another daemon's response whatever
+// its length.
+func TestPeerBytesWithoutEnd(t *testing.T) {
+	// 64 KB of a head, 6 MB in this daemon's socket buffer and 64 KB in that of the other.
+	const maxAccepted = 64<<10 + 6<<20 + 64<<10
+	for _, test := range []struct{ name, begin, then string }{
+		{"no response", "", "\x00\x01\xfe no answer "},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		accepted := make(chan int, 1)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			_ = conn.(*net.TCPConn).SetWriteBuffer(32 << 10) // the kernel doubles it
+			_, _ = conn.Write([]byte(test.begin))
+			chunk := bytes.Repeat([]byte(test.then), 1000)
+			sum := 0
+			for sum < 16*maxAccepted {
+				count, err := conn.Write(chunk)
+				if sum += count; err != nil {
+					break
+				}
+			}
+			accepted <- sum
+		}()
+		daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self"}, Dialect: plainDialect{}, Clock: core.SystemClock{}})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		var reply piecesReply
+		if err := daemon.callPeer(ctx, listener.Addr().String(), pathPieces, piecesRequest{}, &reply); err == nil || ctx.Err() != nil {
+			t.Errorf("%s: %v", test.name, err)
+		}
+		cancel()
+		if sum := <-accepted; sum > maxAccepted {
+			t.Errorf("%s: %d bytes were accepted", test.name, sum)
+		}
+	}
+}
--- a/io/tool/edge.go
+++ b/io/tool/edge.go
@@ -37,7 +37,7 @@
 				Settings: settings, SettingsFile: file, Dialect: plat.Dialect{}, Clock: clock, Log: writer(command),
 				Store: &plat.Store{
 					Address: settings.Store, Clock: clock, WatchInterval: watchDebounce,
-					HTTP: &http.Client{Transport: &http.Transport{DialContext: xchg.Dialer(storeDialTimeout).DialContext, MaxIdleConnsPerHost: 8}},
+					HTTP: storeClient(),
 				},
 			})
 			// SIGINT cancels ctx, which ends the other commands; a daemon handles SIGINT itself and drains.
@@ -45,3 +45,10 @@
 		},
 	}
 }
+
+// storeClient returns the HTTP client for the platform's store.
+func storeClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: xchg.Dialer(storeDialTimeout).DialContext, MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: xchg.MaxHeadBytes,
+	}}
+}
--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -18,13 +18,15 @@
 	"catkincove/core"
 )
 
+// MaxHeadBytes limits a response's header, with the interim responses before it.
+const MaxHeadBytes = 64 << 10
+
 const (
 	readBufferBytes    = 4 << 10                // most response headers fit
 	dialTimeout        = time.Second            // equals the connect timeout of callers
 	defaultIdleTimeout = 4 * time.Second        // for targets that send no Keep-Alive header
 	idleMargin         = 500 * time.Millisecond // connections are closed this long before the target would close them
 	maxStaleResponses  = 3                      // responses to earlier requests on one connection that fail an exchange
-	maxHeadBytes       = 64 << 10               // limit on a response's header, with the interim responses before it
 	maxStaleBytes      = 1 << 20                // limit on the body of a response to an earlier request
 	maxInlineBody      = 8 << 10                // bytes; longer bodies are written while the response is read
 	maxIdleConns       = 16                     // per target
@@ -251,7 +253,7 @@
 	}
 	defer exchange.watchAcks()()
 	input := exchange.conn.input
-	input.limit(maxHeadBytes)
+	input.limit(MaxHeadBytes)
 	for range maxStaleResponses {
 		response, err := exchange.readResponse(request)
 		if err != nil {
@@ -282,7 +284,7 @@
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
-		input.limit(maxHeadBytes)
+		input.limit(MaxHeadBytes)
 	}
 	return nil, ErrMismatchedResponse
 }
--- a/io/xchg/client_test.go
+++ b/io/xchg/client_test.go
@@ -272,7 +272,7 @@
 // that are no response may come until the daemon closes the connection.
 func TestBytesWithoutEnd(t *testing.T) {
 	// The limits of the client, 6 MB in its socket buffer and 64 KB in that of the target.
-	const maxAccepted = maxHeadBytes + maxStaleResponses*maxStaleBytes + 6<<20 + 64<<10
+	const maxAccepted = MaxHeadBytes + maxStaleResponses*maxStaleBytes + 6<<20 + 64<<10
 	header := func(text string) string { return "HTTP/1.1 200 OK\r\n" + text }
 	for _, test := range []struct {
 		name        string
