--- a/core/ids.go
+++ b/core/ids.go
@@ -1,6 +1,9 @@
 package core
 
-import "strings"
+import (
+	"fmt"
+	"strings"
+)
 
 // MemberID names one run of one daemon; a restarted daemon has a new one.
 type MemberID string
@@ -20,6 +23,9 @@
 // Fingerprint identifies the content of a request: a hash of team, pipeline and body.
 type Fingerprint uint64
 
+// String returns the fingerprint as 16 hexadecimal digits.
+func (fingerprint Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(fingerprint)) }
+
 // Revision is a modification revision of the configuration store; 0 means none.
 type Revision int64
 
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -40,6 +40,7 @@
 	eventPiecesFailed        = "PiecesFailed"        // pieces of a batch have no result
 	eventFreeFailed          = "FreeFailed"          // results were not freed and expire on their own
 	eventAttemptFailed       = "AttemptFailed"       // an attempt at a target failed
+	eventCrashRecorded       = "CrashRecorded"       // a target may have crashed under a request
 	eventTakeover            = "Takeover"            // a silent target's request was offered to another one
 	eventRequestEnded        = "RequestEnded"        // a request has ended
 )
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -239,11 +239,24 @@
 
 // recordCrash records that the target may have crashed while it ran the request.
 func (daemon *Daemon) recordCrash(request *request, target string) {
+	daemon.log.Info().Str(eventField, eventCrashRecorded).Str("Request", request.caller.Attempt).Str("Target", target).
+		Str("Content", request.fingerprint.String()).Strs("Parts", request.sharedParts()).Msg("the target disconnected and may have crashed under the request")
 	daemon.loop.Post(func() {
 		daemon.control.crashTracker.Add(daemon.clock.Now(), blame.Crash{Content: request.fingerprint, Target: target})
 	})
 }
 
+// sharedParts returns the IDs of the parts of the prompt that other requests can share, which are all but the last.
+func (request *request) sharedParts() []string {
+	var ids []string
+	for i, part := range request.caller.Prompt {
+		if i < len(request.caller.Prompt)-1 {
+			ids = append(ids, part.ID)
+		}
+	}
+	return ids
+}
+
 // sendError is a failed attempt.
 type sendError struct {
 	unsent   bool // no byte was written
