Quarantine a part of a prompt that crashes one target after the other

Cause: the crash tracker identified what crashes targets by path, credential and body. The requests had only one part of their prompts in common, so each of them was counted once. Class of fault: what is held responsible is finer than what causes the failure.

Now the parts of a prompt that requests share are suspects as well, while the response has not begun or has just begun. Three runs of targets, not within half a second, quarantine a part for a minute, and twice as long for each further crash; completed requests show that their parts are sound, and daemons tell each other so. Parts that were always beside a suspect are not refused without it. A response that ends with its connection exonerates nothing, since a crash ends it in the same way. The check is made at each attempt, since stages take seconds.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -1,33 +1,63 @@
 package blame
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"catkincove/core"
 )
 
 const (
-	// CrashLimit is the number of targets that a request content must have crashed before it is quarantined: two can be
-	// an accident, such as a request and its retry that both meet a failing rack.
+	// CrashLimit is the number of targets that a request content or a prompt part must have crashed before it is quarantined: two
+	// can be an accident, such as a request and its retry that both meet a failing rack.
 	CrashLimit         = 3
-	crashTTL           = 60 * time.Second // lifetime of a crash: callers retry a request within their timeouts of some seconds
-	maxContents        = 4096             // contents that are tracked, about 1 MB
-	gossipPeriod       = 4 * time.Second  // time for which a crash is gossiped: the other daemons ask once a second
-	maxGossipedCrashes = 64               // crashes in one message, about 4 KB
+	crashTTL           = 60 * time.Second       // lifetime of a crash of a content: callers retry a request within their timeouts of some seconds
+	partCrashTTL       = 20 * time.Minute       // lifetime of a crash of a part, which new requests bring again and again
+	minCrashSpan       = 500 * time.Millisecond // crashes of a part within less time count as one failure of several targets
+	partQuarantine     = time.Minute            // quarantine of a part after its newest crash, doubled for each crash beyond CrashLimit
+	maxPartCrashes     = 7                      // crashes that are kept of a part, so that its quarantine lasts 16 minutes at most
+	probeInterval      = 10 * time.Second       // time between two requests that probe a part after its quarantine
+	soundTTL           = 60 * time.Second       // time after a completed request in which its parts cannot be suspects
+	maxSoundParts      = 8192                   // sound parts that are remembered, about 0.5 MB
+	maxContents        = 4096                   // contents and parts that are tracked, about 1 MB
+	gossipPeriod       = 4 * time.Second        // time for which a crash is gossiped: the other daemons ask once a second
+	maxGossipedCrashes = 64                     // crashes in one message, about 4 KB
+	maxGossipedParts   = 64                     // sound parts in one message, about 1 KB
 )
 
-// Crash is one target that crashed while it ran a request content.
+// Request is what may crash the targets that run a request.
+type Request struct {
+	Content core.Fingerprint   // of the whole request
+	Parts   []core.Fingerprint // parts of the prompt that other requests share
+}
+
+// Crash is one target that crashed while it ran a request.
 type Crash struct {
-	Content core.Fingerprint
-	Target  string
+	Content core.Fingerprint // of the request or, with Part, of a part of its prompt
+	Part    bool
+	With    []core.Fingerprint // other parts of the prompt; all crashed requests with the part have them in common
+	Target  string             // identifies one run of a target
 	Age     time.Duration
 }
 
-// CrashTracker holds the crashes of the last minute; the zero value is empty. It is not safe for concurrent use.
+// CrashTracker holds the recent crashes; the zero value is empty. It is not safe for concurrent use.
 //
-// It is made for a request that crashes each target that runs it, and that its caller retries at any daemon.
+// It is made for a request that crashes each target that runs it, and that its caller retries at any daemon, and for a prompt
+// part that crashes each target which begins to respond to a prompt with it, while no two such requests are alike. Parts of
+// requests that have completed are sound.
 type CrashTracker struct {
-	crashes map[core.Fingerprint]map[string]record
+	suspects map[core.Fingerprint]*suspect
+	sound    map[core.Fingerprint]time.Time // time of the newest completed request, by part
+	cleared  map[core.Fingerprint]time.Time // time at which a suspected part was found to be sound; to be gossiped
+}
+
+type suspect struct {
+	part     bool
+	with     []core.Fingerprint // as in Crash, without those that are sound
+	crashes  map[string]record  // by run of a target
+	probedAt time.Time
 }
 
 type record struct {
@@ -35,58 +65,191 @@
 	local  bool // observed by this daemon, not received by gossip
 }
 
+// Record records a target that crashed under a request as observed by this daemon. Parts that cannot be the cause are left out
+// of the request by the caller.
+func (crashTracker *CrashTracker) Record(now time.Time, request Request, target string) {
+	crashTracker.Add(now, Crash{Content: request.Content, Target: target})
+	for i, part := range request.Parts {
+		with := slices.Concat(request.Parts[:i], request.Parts[i+1:])
+		crashTracker.Add(now, Crash{Content: part, Part: true, With: with, Target: target})
+	}
+}
+
 // Add records a crash; one with a zero Age was observed by this daemon.
 func (crashTracker *CrashTracker) Add(now time.Time, crash Crash) {
-	if crashTracker.crashes == nil {
-		crashTracker.crashes = map[core.Fingerprint]map[string]record{}
-	}
 	crash.Age = max(crash.Age, 0)
-	if crash.Age > crashTTL {
+	if crash.Age > crashTTL && !crash.Part || crash.Age > partCrashTTL {
 		return
 	}
-	targets := crashTracker.crashes[crash.Content]
-	if targets == nil {
-		if len(crashTracker.crashes) >= maxContents && !crashTracker.evict(now) {
+	if crash.Part && crashTracker.isSound(now, crash.Content) {
+		crashTracker.clear(now, crash.Content)
+		return
+	}
+	crash.With = slices.DeleteFunc(slices.Clone(crash.With), func(part core.Fingerprint) bool { return crashTracker.isSound(now, part) })
+	known := crashTracker.suspects[crash.Content]
+	if known == nil {
+		if len(crashTracker.suspects) >= maxContents && !crashTracker.evict(now) {
 			return
 		}
-		targets = map[string]record{}
-		crashTracker.crashes[crash.Content] = targets
+		known = &suspect{part: crash.Part, with: crash.With, crashes: map[string]record{}}
+		if crashTracker.suspects == nil {
+			crashTracker.suspects = map[core.Fingerprint]*suspect{}
+		}
+		crashTracker.suspects[crash.Content] = known
+	}
+	known.with = intersect(known.with, crash.With)
+	if at := now.Add(-crash.Age); at.After(known.crashes[crash.Target].seenAt) {
+		known.crashes[crash.Target] = record{seenAt: at, local: crash.Age == 0}
 	}
-	if at := now.Add(-crash.Age); at.After(targets[crash.Target].seenAt) {
-		targets[crash.Target] = record{seenAt: at, local: crash.Age == 0}
+	if known.part && len(known.crashes) > maxPartCrashes {
+		known.removeOldest()
 	}
 }
 
-// evict makes room for other contents and reports whether it found any to remove: expired ones, and half of those with a
-// single crash, which after a failure of many targets are nearly all.
+func intersect(a, b []core.Fingerprint) []core.Fingerprint {
+	return slices.DeleteFunc(slices.Clone(a), func(part core.Fingerprint) bool { return !slices.Contains(b, part) })
+}
+
+// removeOldest removes the oldest crash but for the first one, which shows how long the crashes have been going on.
+func (suspect *suspect) removeOldest() {
+	targets := slices.SortedFunc(maps.Keys(suspect.crashes), func(a, b string) int {
+		return cmp.Or(suspect.crashes[a].seenAt.Compare(suspect.crashes[b].seenAt), cmp.Compare(a, b))
+	})
+	delete(suspect.crashes, targets[1])
+}
+
+// evict makes room for others and reports whether it found any to remove: expired ones, and half of those with a single crash,
+// which after a failure of many targets are nearly all.
 func (crashTracker *CrashTracker) evict(now time.Time) bool {
 	crashTracker.expire(now)
 	keepNext := false
-	for content, targets := range crashTracker.crashes {
-		if len(targets) > 1 {
+	for content, known := range crashTracker.suspects {
+		if len(known.crashes) > 1 {
 			continue
 		}
 		if keepNext = !keepNext; !keepNext {
-			delete(crashTracker.crashes, content)
+			delete(crashTracker.suspects, content)
+		}
+	}
+	return len(crashTracker.suspects) < maxContents
+}
+
+// Exonerate removes the crashes of a request that has completed. Its parts are sound: a part that crashes targets crashes each
+// of them.
+func (crashTracker *CrashTracker) Exonerate(now time.Time, request Request) {
+	delete(crashTracker.suspects, request.Content)
+	for _, part := range request.Parts {
+		crashTracker.AddSound(now, part)
+	}
+}
+
+// AddSound records that a request with a part of a prompt has completed.
+func (crashTracker *CrashTracker) AddSound(now time.Time, part core.Fingerprint) {
+	if crashTracker.sound == nil {
+		crashTracker.sound = map[core.Fingerprint]time.Time{}
+	}
+	if len(crashTracker.sound) >= maxSoundParts {
+		crashTracker.evictSound(now)
+	}
+	crashTracker.sound[part] = now
+	if _, suspected := crashTracker.suspects[part]; !suspected {
+		return
+	}
+	delete(crashTracker.suspects, part)
+	for _, known := range crashTracker.suspects {
+		known.with = slices.DeleteFunc(slices.Clone(known.with), func(other core.Fingerprint) bool { return other == part })
+	}
+	crashTracker.clear(now, part)
+}
+
+// evictSound removes expired parts or, if there are none, half of all.
+func (crashTracker *CrashTracker) evictSound(now time.Time) {
+	maps.DeleteFunc(crashTracker.sound, func(part core.Fingerprint, _ time.Time) bool { return !crashTracker.isSound(now, part) })
+	if len(crashTracker.sound) < maxSoundParts {
+		return
+	}
+	keepNext := false
+	maps.DeleteFunc(crashTracker.sound, func(core.Fingerprint, time.Time) bool { keepNext = !keepNext; return !keepNext })
+}
+
+func (crashTracker *CrashTracker) isSound(now time.Time, part core.Fingerprint) bool {
+	at, found := crashTracker.sound[part]
+	return found && now.Sub(at) <= soundTTL
+}
+
+func (crashTracker *CrashTracker) clear(now time.Time, part core.Fingerprint) {
+	if crashTracker.cleared == nil {
+		crashTracker.cleared = map[core.Fingerprint]time.Time{}
+	}
+	crashTracker.cleared[part] = now
+}
+
+// Quarantined reports whether the request must not be sent because its content or a part of its prompt has crashed too many
+// targets, and names that one.
+func (crashTracker *CrashTracker) Quarantined(now time.Time, request Request) (core.Fingerprint, bool) {
+	if known := crashTracker.suspects[request.Content]; known != nil && !known.part && known.crashesSince(now.Add(-crashTTL)) >= CrashLimit {
+		return request.Content, true
+	}
+	for _, part := range request.Parts {
+		if known := crashTracker.suspects[part]; known != nil && known.isGuilty(now) && known.sharesWith(request.Parts) {
+			return part, true
+		}
+	}
+	return 0, false
+}
+
+// Probe reports whether the request may be sent to find out whether a part of its prompt still crashes targets: the quarantine has
+// lasted its time and no other request probes the part. Only one daemon of the fleet may probe.
+func (crashTracker *CrashTracker) Probe(now time.Time, part core.Fingerprint) bool {
+	known := crashTracker.suspects[part]
+	if known == nil || !known.part || now.Before(known.quarantineEnd()) || now.Sub(known.probedAt) < probeInterval {
+		return false
+	}
+	known.probedAt = now
+	return true
+}
+
+func (suspect *suspect) crashesSince(since time.Time) int {
+	count := 0
+	for _, known := range suspect.crashes {
+		if !known.seenAt.Before(since) {
+			count++
 		}
 	}
-	return len(crashTracker.crashes) < maxContents
+	return count
 }
 
-// Exonerate removes the crashes of a request content after it has completed.
-func (crashTracker *CrashTracker) Exonerate(content core.Fingerprint) {
-	delete(crashTracker.crashes, content)
+// isGuilty reports whether the part has crashed too many targets, not all in one moment.
+func (suspect *suspect) isGuilty(now time.Time) bool {
+	if !suspect.part || suspect.crashesSince(now.Add(-partCrashTTL)) < CrashLimit {
+		return false
+	}
+	first, last := suspect.span()
+	return last.Sub(first) >= minCrashSpan
 }
 
-// Quarantined reports whether the request content has crashed too many targets.
-func (crashTracker *CrashTracker) Quarantined(now time.Time, content core.Fingerprint) bool {
-	crashes := 0
-	for _, known := range crashTracker.crashes[content] {
-		if now.Sub(known.seenAt) <= crashTTL {
-			crashes++
+// span returns the times of the first and the newest crash.
+func (suspect *suspect) span() (first, last time.Time) {
+	for _, known := range suspect.crashes {
+		if first.IsZero() || known.seenAt.Before(first) {
+			first = known.seenAt
+		}
+		if known.seenAt.After(last) {
+			last = known.seenAt
 		}
 	}
-	return crashes >= CrashLimit
+	return first, last
+}
+
+func (suspect *suspect) quarantineEnd() time.Time {
+	_, last := suspect.span()
+	return last.Add(partQuarantine << max(len(suspect.crashes)-CrashLimit, 0))
+}
+
+// sharesWith reports whether a request has all parts that the crashed requests have in common. Without one of them it is no proof
+// of the same kind, and may show which of the parts is sound.
+func (suspect *suspect) sharesWith(parts []core.Fingerprint) bool {
+	return !slices.ContainsFunc(suspect.with, func(part core.Fingerprint) bool { return !slices.Contains(parts, part) })
 }
 
 // CrashesToGossip returns the crashes that the other daemons need: those that this daemon has observed recently, and
@@ -95,26 +258,45 @@
 func (crashTracker *CrashTracker) CrashesToGossip(now time.Time) []Crash {
 	crashTracker.expire(now)
 	var crashes []Crash
-	for content, targets := range crashTracker.crashes {
-		for target, known := range targets {
-			age := now.Sub(known.seenAt)
-			if len(crashes) < maxGossipedCrashes && (len(targets) > 1 || known.local && age < gossipPeriod) {
-				crashes = append(crashes, Crash{Content: content, Target: target, Age: max(age, time.Nanosecond)})
+	for content, known := range crashTracker.suspects {
+		several := len(known.crashes) > 1
+		if known.part && !known.isGuilty(now) {
+			_, last := known.span()
+			several = several && now.Sub(last) < 2*gossipPeriod
+		}
+		for target, crash := range known.crashes {
+			age := now.Sub(crash.seenAt)
+			if len(crashes) < maxGossipedCrashes && (several || crash.local && age < gossipPeriod) {
+				crashes = append(crashes, Crash{Content: content, Part: known.part, With: known.with, Target: target, Age: max(age, time.Nanosecond)})
 			}
 		}
 	}
 	return crashes
 }
 
+// SoundToGossip returns the parts that other daemons may suspect and that have turned out to be sound.
+func (crashTracker *CrashTracker) SoundToGossip(now time.Time) []core.Fingerprint {
+	var parts []core.Fingerprint
+	for part, at := range crashTracker.cleared {
+		switch {
+		case now.Sub(at) > gossipPeriod:
+			delete(crashTracker.cleared, part)
+		case len(parts) < maxGossipedParts:
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
 func (crashTracker *CrashTracker) expire(now time.Time) {
-	for content, targets := range crashTracker.crashes {
-		for target, known := range targets {
-			if now.Sub(known.seenAt) > crashTTL {
-				delete(targets, target)
-			}
+	for content, known := range crashTracker.suspects {
+		ttl := crashTTL
+		if known.part {
+			ttl = partCrashTTL
 		}
-		if len(targets) == 0 {
-			delete(crashTracker.crashes, content)
+		maps.DeleteFunc(known.crashes, func(_ string, crash record) bool { return now.Sub(crash.seenAt) > ttl })
+		if len(known.crashes) == 0 {
+			delete(crashTracker.suspects, content)
 		}
 	}
 }
--- a/core/blame/blame_test.go
+++ b/core/blame/blame_test.go
@@ -7,6 +7,11 @@
 	"catkincove/core"
 )
 
+func quarantined(tracker *CrashTracker, now time.Time, content core.Fingerprint) bool {
+	_, quarantined := tracker.Quarantined(now, Request{Content: content})
+	return quarantined
+}
+
 // TestCrashingContent guards against a request that its caller retries at any daemon and that crashes one target after
 // another, and against quarantining one that crashed a single target.
 func TestCrashingContent(t *testing.T) {
@@ -16,19 +21,19 @@
 	here.Add(now, Crash{Content: 7, Target: "a"})
 	there.Add(now, Crash{Content: 7, Target: "b"})
 	there.Add(now, Crash{Content: 7, Target: "c"})
-	if here.Quarantined(now, 7) {
+	if quarantined(&here, now, 7) {
 		t.Error("quarantined after one target")
 	}
 	for _, crash := range there.CrashesToGossip(now.Add(time.Second)) {
 		here.Add(now.Add(time.Second), crash)
 	}
-	if !here.Quarantined(now.Add(time.Second), 7) {
+	if !quarantined(&here, now.Add(time.Second), 7) {
 		t.Error("not quarantined after three targets")
 	}
-	if here.Quarantined(now.Add(2*time.Minute), 7) {
+	if quarantined(&here, now.Add(2*time.Minute), 7) {
 		t.Error("quarantine does not expire")
 	}
-	there.Exonerate(7)
+	there.Exonerate(now, Request{Content: 7})
 	if len(there.CrashesToGossip(now)) != 0 {
 		t.Error("crashes of a content that has completed are kept")
 	}
@@ -75,12 +80,12 @@
 		tracker.Add(now.Add(time.Duration(i+2)*time.Second), Crash{Content: 12, Target: target})
 	}
 	for _, content := range []core.Fingerprint{7, 12} {
-		if !tracker.Quarantined(now.Add(5*time.Second), content) {
+		if !quarantined(&tracker, now.Add(5*time.Second), content) {
 			t.Errorf("content %d is not quarantined after three targets", content)
 		}
 	}
-	if len(tracker.crashes) > maxContents {
-		t.Errorf("%d contents are tracked, limit %d", len(tracker.crashes), maxContents)
+	if len(tracker.suspects) > maxContents {
+		t.Errorf("%d contents are tracked, limit %d", len(tracker.suspects), maxContents)
 	}
 }
 
@@ -91,7 +96,7 @@
 	for _, target := range []string{"a", "b", "c"} {
 		tracker.Add(now, Crash{Content: 7, Target: target, Age: -time.Hour})
 	}
-	if tracker.Quarantined(now.Add(2*crashTTL), 7) {
+	if quarantined(&tracker, now.Add(2*crashTTL), 7) {
 		t.Error("quarantine does not expire")
 	}
 }
--- a/core/blame/doc.go
+++ b/core/blame/doc.go
@@ -1,2 +1,2 @@
-// Package blame counts the targets that a request content has crashed, over all daemons, and quarantines it.
+// Package blame counts the targets that a request content or a part of a prompt has crashed, over all daemons, and quarantines it.
 package blame
--- /dev/null
+++ b/core/blame/part_test.go
@@ -0,0 +1,219 @@
+package blame
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"catkincove/core"
+)
+
+const (
+	first core.Fingerprint = 1 + iota
+	second
+	third
+	bad
+)
+
+// TestCrashingPart guards against a part of a prompt that crashes one target after another while no two requests with it are
+// alike, and against rejecting sound requests that share their other parts with it.
+func TestCrashingPart(t *testing.T) {
+	start := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	type crash struct {
+		after  time.Duration
+		target string
+		parts  []core.Fingerprint
+	}
+	bads := []crash{{0, "a", []core.Fingerprint{first, bad}}, {time.Second, "b", []core.Fingerprint{first, bad}}, {2 * time.Second, "c", []core.Fingerprint{first, bad}}}
+	for _, test := range []struct {
+		name     string
+		crashes  []crash
+		sound    []core.Fingerprint // parts of requests that complete 1.5 s after the first crash
+		request  []core.Fingerprint
+		rejected bool
+	}{
+		{"the part again", bads, nil, []core.Fingerprint{first, bad}, true},
+		{"the part with others", bads, []core.Fingerprint{first}, []core.Fingerprint{second, bad}, true},
+		{"a part that was always beside it", bads, nil, []core.Fingerprint{first, second}, false},
+		{"a part that is known to be sound", bads, []core.Fingerprint{first}, []core.Fingerprint{first}, false},
+		{"two crashes", bads[:2], nil, []core.Fingerprint{first, bad}, false},
+		{"three crashes of one run of a target", []crash{{0, "a", []core.Fingerprint{bad}}, {time.Second, "a", []core.Fingerprint{bad}}, {2 * time.Second, "a", []core.Fingerprint{bad}}}, nil, []core.Fingerprint{bad}, false},
+		{"three targets of a rack", []crash{{0, "a", []core.Fingerprint{second}}, {100 * time.Millisecond, "b", []core.Fingerprint{second}}, {400 * time.Millisecond, "c", []core.Fingerprint{second}}}, nil, []core.Fingerprint{second}, false},
+		{"a part that has completed since", []crash{{0, "a", []core.Fingerprint{second}}, {time.Second, "b", []core.Fingerprint{second}}, {2 * time.Second, "c", []core.Fingerprint{second}}}, []core.Fingerprint{second}, []core.Fingerprint{second}, false},
+		{"other parts beside it", []crash{{0, "a", []core.Fingerprint{first, bad}}, {time.Second, "b", []core.Fingerprint{second, bad}}, {2 * time.Second, "c", []core.Fingerprint{third, bad}}}, nil, []core.Fingerprint{bad}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var here, there CrashTracker
+			completed := false
+			for i, crash := range test.crashes {
+				if crash.after > 1500*time.Millisecond && !completed {
+					there.Exonerate(start.Add(1500*time.Millisecond), Request{Content: 1000, Parts: test.sound})
+					completed = true
+				}
+				// Each crash is observed by one daemon; the other one hears of it.
+				tracker := []*CrashTracker{&here, &there}[i%2]
+				tracker.Record(start.Add(crash.after), Request{Content: core.Fingerprint(100 + i), Parts: crash.parts}, crash.target)
+			}
+			now := start.Add(3 * time.Second)
+			gossip(now, &here, &there)
+			gossip(now, &here, &there) // what was cleared is heard in the next message
+			for name, tracker := range map[string]*CrashTracker{"here": &here, "there": &there} {
+				if _, rejected := tracker.Quarantined(now, Request{Content: 999, Parts: test.request}); rejected != test.rejected {
+					t.Errorf("%s: rejected %v, expected %v", name, rejected, test.rejected)
+				}
+			}
+		})
+	}
+}
+
+// gossip exchanges messages between two daemons.
+func gossip(now time.Time, a, b *CrashTracker) {
+	for _, pair := range [][2]*CrashTracker{{a, b}, {b, a}} {
+		for _, crash := range pair[0].CrashesToGossip(now) {
+			pair[1].Add(now, crash)
+		}
+		for _, part := range pair[0].SoundToGossip(now) {
+			pair[1].AddSound(now, part)
+		}
+	}
+}
+
+// TestPartProbe guards against a quarantine of a part that never ends, against several requests that test at once whether it may
+// end, and against one that ends again and again while the part goes on crashing targets.
+func TestPartProbe(t *testing.T) {
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	var tracker CrashTracker
+	request := Request{Content: 999, Parts: []core.Fingerprint{bad}}
+	crash := func(target string) {
+		tracker.Record(now, request, target)
+		tracker.Exonerate(now, Request{Content: request.Content})
+		now = now.Add(time.Second)
+	}
+	for _, target := range []string{"a", "b", "c"} {
+		crash(target)
+	}
+	for _, test := range []struct {
+		after time.Duration
+		probe bool
+	}{{0, false}, {partQuarantine - 2*time.Second, false}, {time.Second, true}, {time.Second, false}, {probeInterval, true}} {
+		now = now.Add(test.after)
+		if _, quarantined := tracker.Quarantined(now, request); !quarantined {
+			t.Errorf("%v later: not quarantined", test.after)
+		}
+		if probe := tracker.Probe(now, bad); probe != test.probe {
+			t.Errorf("%v later: probe %v", test.after, probe)
+		}
+	}
+	crash("d")
+	now = now.Add(2*partQuarantine - 2*time.Second)
+	if tracker.Probe(now, bad) {
+		t.Error("a crash of a probe does not double the quarantine")
+	}
+	now = now.Add(2 * time.Second)
+	if !tracker.Probe(now, bad) {
+		t.Error("the doubled quarantine does not end")
+	}
+	tracker.Exonerate(now, request)
+	if _, quarantined := tracker.Quarantined(now, request); quarantined {
+		t.Error("quarantined after a probe that completed")
+	}
+}
+
+// TestCrashingPartReplay replays the load of an incident: eight daemons that exchange messages once a second, 60 requests a second
+// with eight first and 317 second parts, and two requests a second with a part that crashes each target which begins to respond.
+// It guards against more than three such requests that are sent later than 3 s after the fifth crash, and against sound requests
+// that are rejected.
+func TestCrashingPartReplay(t *testing.T) {
+	const (
+		daemons   = 8
+		targets   = 18
+		step      = 10 * time.Millisecond
+		length    = 30 * time.Second
+		contact   = 3 * time.Second
+		maxLater  = 3
+		firstTime = 300 * time.Millisecond // from sending to the first event
+		wholeTime = time.Second            // from sending to the end
+	)
+	type running struct {
+		daemon, target int
+		request        Request
+		sentAt         time.Time
+	}
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		start := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+		trackers := make([]CrashTracker, daemons)
+		runs := make([]int, targets)
+		upAt := make([]time.Time, targets)
+		var inFlight []running
+		var crashedAt []time.Time
+		later, rejected, sound := 0, 0, 0
+		for now := start; now.Sub(start) < length; now = now.Add(step) {
+			for daemon := range trackers {
+				if now.Sub(start)%time.Second == time.Duration(daemon)*100*time.Millisecond {
+					gossip(now, &trackers[daemon], &trackers[random.IntN(daemons)])
+					for other := range trackers {
+						gossip(now, &trackers[daemon], &trackers[other])
+					}
+				}
+			}
+			for _, kind := range []struct {
+				rate float64
+				bad  bool
+			}{{60, false}, {2, true}} {
+				if random.Float64() > kind.rate*step.Seconds() {
+					continue
+				}
+				parts := []core.Fingerprint{core.Fingerprint(10 + random.IntN(8)), core.Fingerprint(100 + random.IntN(317))}
+				if kind.bad {
+					parts[1] = bad
+				} else {
+					sound++
+				}
+				request := Request{Content: core.Fingerprint(random.Uint64()), Parts: parts}
+				daemon, target := random.IntN(daemons), random.IntN(targets)
+				if _, quarantined := trackers[daemon].Quarantined(now, request); quarantined {
+					if !kind.bad {
+						rejected++
+					}
+					continue
+				}
+				if kind.bad && len(crashedAt) >= 5 && now.Sub(crashedAt[4]) > contact {
+					later++
+				}
+				if !now.Before(upAt[target]) {
+					inFlight = append(inFlight, running{daemon, target, request, now})
+				}
+			}
+			var remaining []running
+			down := map[int]bool{}
+			for _, call := range inFlight {
+				if call.request.Parts[1] == bad && now.Sub(call.sentAt) >= firstTime && !down[call.target] {
+					down[call.target] = true
+					crashedAt = append(crashedAt, now)
+					upAt[call.target] = now.Add(2 * time.Second)
+					runs[call.target]++
+				}
+			}
+			for _, call := range inFlight {
+				switch {
+				case down[call.target]:
+					request := call.request
+					if now.Sub(call.sentAt) > firstTime {
+						request.Parts = nil
+					}
+					trackers[call.daemon].Record(now, request, fmt.Sprint(call.target, "/", runs[call.target]))
+				case now.Sub(call.sentAt) >= wholeTime:
+					trackers[call.daemon].Exonerate(now, call.request)
+				default:
+					remaining = append(remaining, call)
+				}
+			}
+			inFlight = remaining
+		}
+		if len(crashedAt) < CrashLimit || later > maxLater || rejected > 0 {
+			t.Errorf("seed %d: %d crashes, %d requests sent too late, %d of %d sound ones rejected", seed, len(crashedAt), later, rejected, sound)
+		}
+	}
+}
--- a/io/edge/body.go
+++ b/io/edge/body.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"catkincove/core"
+	"catkincove/core/blame"
 )
 
 const (
@@ -52,6 +53,12 @@
 	_, _ = digest.WriteString(incoming.RequestURI + "\x00" + request.caller.Credential + "\x00")
 	_, _ = digest.Write(body)
 	request.fingerprint = core.Fingerprint(digest.Sum64())
+	request.suspects = blame.Request{Content: request.fingerprint}
+	for i, part := range request.sharedParts() {
+		if i < maxSuspectParts {
+			request.suspects.Parts = append(request.suspects.Parts, partFingerprint(part))
+		}
+	}
 	return nil
 }
 
--- /dev/null
+++ b/io/edge/crash.go
@@ -0,0 +1,79 @@
+package edge
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"catkincove/core"
+)
+
+const (
+	maxSuspectParts = 64          // parts of a prompt that can be suspects
+	crashWindow     = time.Second // time after its first event in which a response may crash its target by its prompt
+)
+
+// sharedParts returns the IDs of the parts of the prompt that other requests can share, which are all but the last.
+func (request *request) sharedParts() []string {
+	var ids []string
+	for i, part := range request.caller.Prompt {
+		if i < len(request.caller.Prompt)-1 {
+			ids = append(ids, part.ID)
+		}
+	}
+	return ids
+}
+
+func partFingerprint(id string) core.Fingerprint {
+	return core.Fingerprint(xxhash.Sum64String("part\x00" + id))
+}
+
+// checkQuarantine returns an error if the request or a part of its prompt has crashed too many targets; it must run on the loop.
+//
+// After the quarantine of a part, the daemon that places the prompts of the service sends one request with it.
+func (daemon *Daemon) checkQuarantine(now time.Time, request *request) error {
+	guilty, quarantined := daemon.control.crashTracker.Quarantined(now, request.suspects)
+	if !quarantined || request.probe {
+		return nil
+	}
+	if guilty == request.suspects.Content {
+		return core.Errorf(core.Poison, "the request has crashed targets before")
+	}
+	if daemon.senderOf(daemon.chooseService(request).Name) == nil && daemon.control.crashTracker.Probe(now, guilty) {
+		request.probe = true
+		return nil
+	}
+	id := ""
+	for _, part := range request.sharedParts() {
+		if partFingerprint(part) == guilty {
+			id = part
+		}
+	}
+	return core.Errorf(core.Poison, "part %s of the prompt has crashed targets before", id)
+}
+
+// recordCrash records that the target may have crashed while it ran the request.
+func (relay *relay) recordCrash() {
+	daemon, request, target := relay.daemon, relay.request, relay.attempt.target
+	suspects := request.suspects
+	now := daemon.clock.Now()
+	if relay.firstEventLatency > 0 && now.Sub(relay.attempt.startedAt.Add(relay.firstEventLatency)) > crashWindow {
+		suspects.Parts = nil // the target had begun the response long before
+	}
+	daemon.log.Info().Str(eventField, eventCrashRecorded).Str("Request", request.caller.Attempt).Str("Target", target.ID).
+		Str("Content", suspects.Content.String()).Strs("Parts", request.sharedParts()).Bool("PartsSuspected", suspects.Parts != nil).
+		Msg("the target disconnected and may have crashed under the request")
+	run := fmt.Sprintf("%s/%s", target.ID, strconv.FormatInt(target.StartedAt.UnixMilli(), 36))
+	daemon.loop.Post(func() { daemon.control.crashTracker.Record(now, suspects, run) })
+}
+
+// clearCrashes exonerates the content and the prompt of a request that has run to its end.
+func (relay *relay) clearCrashes() {
+	if !relay.delimited {
+		return // a target that crashes ends such a response, too
+	}
+	daemon, suspects := relay.daemon, relay.request.suspects
+	daemon.loop.Post(func() { daemon.control.crashTracker.Exonerate(daemon.clock.Now(), suspects) })
+}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -12,6 +12,7 @@
 
 	"catkincove/core"
 	"catkincove/core/admit"
+	"catkincove/core/blame"
 )
 
 const (
@@ -37,6 +38,8 @@
 	body         []byte
 	bodyMemory   *bodyMemory
 	fingerprint  core.Fingerprint
+	suspects     blame.Request
+	probe        bool // finds out whether a part of its prompt still crashes targets
 	startedAt    time.Time
 	softDeadline time.Time
 	deadline     time.Time
@@ -175,10 +178,10 @@
 // admit rejects a request that has crashed targets before, and one that is expected to be late.
 func (daemon *Daemon) admit(request *request) error {
 	var decision admit.Decision
-	var quarantined bool
+	var quarantined error
 	daemon.do(func() {
 		now := daemon.clock.Now()
-		quarantined = daemon.control.crashTracker.Quarantined(now, request.fingerprint)
+		quarantined = daemon.checkQuarantine(now, request)
 		plan := daemon.admissionRequest(request, now)
 		request.plan = admit.Forecast(plan)
 		if !request.returning {
@@ -192,8 +195,8 @@
 		}
 		daemon.control.admittedOffset[request.route.Name] = offset + (admitted-1-offset)*admittedAlpha
 	})
-	if quarantined {
-		return core.Errorf(core.Poison, "the request has crashed targets before")
+	if quarantined != nil {
+		return quarantined
 	}
 	if !decision.Admit {
 		return core.Errorf(core.Unavailable, "%s: response expected in %v, soft deadline in %v", decision.Reason,
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -48,6 +48,7 @@
 	Forecasts map[string]batch.Forecast // by service; for the services whose batches it sends
 	Sends     []string                  // services whose batches it sends or whose prompts it places
 	Losses    []blame.Crash             // crashes of targets that are being gossiped
+	Sound     []core.Fingerprint        // parts of prompts that were suspected of crashes and are sound
 	Heard     []gossipEntry             // gossip about other daemons, in a large fleet
 }
 
@@ -87,6 +88,7 @@
 func (daemon *Daemon) newStatus(now time.Time) peerStatus {
 	status := peerStatus{
 		Record: daemon.self(), Leaving: daemon.leaving.Load(), Losses: daemon.control.crashTracker.CrashesToGossip(now),
+		Sound:     daemon.control.crashTracker.SoundToGossip(now),
 		Forecasts: map[string]batch.Forecast{},
 	}
 	for service := range daemon.view.Load().routing.Services {
@@ -146,7 +148,12 @@
 		known.forecasts[service] = forecastAt{Forecast: forecast, at: now}
 	}
 	for _, crash := range status.Losses {
-		daemon.control.crashTracker.Add(now, crash)
+		if len(crash.With) <= maxSuspectParts {
+			daemon.control.crashTracker.Add(now, crash)
+		}
+	}
+	for _, part := range status.Sound {
+		daemon.control.crashTracker.AddSound(now, part)
 	}
 	for _, entry := range status.Heard {
 		if other := daemon.control.peers[entry.Peer]; other != nil && entry.Age >= 0 && now.Add(-entry.Age).After(other.lastSeen) {
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"catkincove/core"
-	"catkincove/core/blame"
 	"catkincove/core/place"
 	"catkincove/core/retry"
 	"catkincove/io/xchg"
@@ -153,8 +152,12 @@
 
 // beginAttempt chooses a target and counts the attempt.
 func (daemon *Daemon) beginAttempt(ctx context.Context, request *request, service core.ServiceSpec) (*attempt, error) {
-	view := daemon.view.Load()
-	targets := view.targets[service.Name]
+	var quarantined error
+	daemon.do(func() { quarantined = daemon.checkQuarantine(daemon.clock.Now(), request) })
+	if quarantined != nil {
+		return nil, quarantined
+	}
+	targets := daemon.view.Load().targets[service.Name]
 	if service.Engine != nil {
 		if attempt := daemon.placeEngine(ctx, request, service, targets); attempt != nil {
 			return attempt, nil
@@ -237,26 +240,6 @@
 	})
 }
 
-// recordCrash records that the target may have crashed while it ran the request.
-func (daemon *Daemon) recordCrash(request *request, target string) {
-	daemon.log.Info().Str(eventField, eventCrashRecorded).Str("Request", request.caller.Attempt).Str("Target", target).
-		Str("Content", request.fingerprint.String()).Strs("Parts", request.sharedParts()).Msg("the target disconnected and may have crashed under the request")
-	daemon.loop.Post(func() {
-		daemon.control.crashTracker.Add(daemon.clock.Now(), blame.Crash{Content: request.fingerprint, Target: target})
-	})
-}
-
-// sharedParts returns the IDs of the parts of the prompt that other requests can share, which are all but the last.
-func (request *request) sharedParts() []string {
-	var ids []string
-	for i, part := range request.caller.Prompt {
-		if i < len(request.caller.Prompt)-1 {
-			ids = append(ids, part.ID)
-		}
-	}
-	return ids
-}
-
 // sendError is a failed attempt.
 type sendError struct {
 	unsent   bool // no byte was written
@@ -331,6 +314,7 @@
 	ctx               context.Context // of this attempt
 	opening           chan opened     // result of an attempt that was opened by a takeover; nil otherwise
 	watchdog          *watchdog
+	delimited         bool          // the end of the response can be told from the end of its connection
 	firstEventLatency time.Duration // time from the start of the attempt to its first event
 	resumable         bool          // the stream may be resumed at another target
 }
@@ -360,6 +344,7 @@
 		}
 		return err
 	}
+	relay.delimited = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	switch {
 	case response.StatusCode >= http.StatusMultipleChoices:
 		return relay.errorResponse(ctx, response)
@@ -439,7 +424,7 @@
 	if run == core.NotRun {
 		return nil, &sendError{unsent: true, run: run, cause: err}
 	}
-	daemon.recordCrash(request, target.ID)
+	relay.recordCrash()
 	return nil, &sendError{run: run, cause: err}
 }
 
@@ -512,14 +497,14 @@
 		relay.daemon.recordOutcome(relay.request, relay.attempt, place.Succeeded, duration)
 		relay.daemon.observeFirstEvent(relay.request.route.Name, duration)
 		relay.request.write(relay.writer, &bufferedResponse{status: response.StatusCode, header: response.Header, body: body.Bytes()})
-		relay.daemon.clearCrashes(relay.request)
+		relay.clearCrashes()
 		return nil
 	}
 	if err := relay.forwardLong(ctx, response, body.Bytes()); err != nil {
 		return err
 	}
 	relay.daemon.recordOutcome(relay.request, relay.attempt, place.Succeeded, relay.daemon.clock.Now().Sub(relay.attempt.startedAt))
-	relay.daemon.clearCrashes(relay.request)
+	relay.clearCrashes()
 	return nil
 }
 
@@ -536,11 +521,6 @@
 		return &sendError{run: core.Unknown, cause: ctx.Err()}
 	}
 	relay.daemon.recordOutcome(relay.request, relay.attempt, place.Disconnected, 0)
-	relay.daemon.recordCrash(relay.request, relay.attempt.target.ID)
+	relay.recordCrash()
 	return &sendError{run: core.Unknown, cause: err}
 }
-
-// clearCrashes exonerates the content of a request that has run to its end.
-func (daemon *Daemon) clearCrashes(request *request) {
-	daemon.loop.Post(func() { daemon.control.crashTracker.Exonerate(request.fingerprint) })
-}
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -88,7 +88,7 @@
 		relay.beginResponse(response)
 	}
 	relay.daemon.recordOutcome(relay.request, relay.attempt, place.Succeeded, relay.firstEventLatency)
-	relay.daemon.clearCrashes(relay.request)
+	relay.clearCrashes()
 	return nil
 }
 
