core/blame: gossip the crashes of quarantined parts first

With 2,000 requests that met two failing targets, the 64 crashes of a message were picked at random among 4,000, and a daemon that had not seen the crashes of a quarantined part did not hear of them. TestQuarantineIsGossipedFirst failed before.

Looked for beside it: a caller that leaves in the middle of a stream and is recorded as a crash of its target, by the failing write. Not seen: the request has ended before the write fails. TestCallerLeavesStream passed before and guards it.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -252,26 +252,32 @@
 	return !slices.ContainsFunc(suspect.with, func(part core.Fingerprint) bool { return !slices.Contains(parts, part) })
 }
 
-// CrashesToGossip returns the crashes that the other daemons need: those that this daemon has observed recently, and
-// all of contents that crashed several targets. Most contents have one crash, of a target that failed by itself;
-// repeating these in each message filled the links of small VMs in a fleet of 71 daemons.
+// CrashesToGossip returns the crashes that the other daemons need: those of quarantined parts first, then those that this daemon
+// has observed recently, and all of contents that crashed several targets. Most contents have one crash, of a target that failed
+// by itself; repeating these in each message filled the links of small VMs in a fleet of 71 daemons.
 func (crashTracker *CrashTracker) CrashesToGossip(now time.Time) []Crash {
 	crashTracker.expire(now)
-	var crashes []Crash
+	var guilty, others []Crash
 	for content, known := range crashTracker.suspects {
+		isGuilty := known.isGuilty(now)
 		several := len(known.crashes) > 1
-		if known.part && !known.isGuilty(now) {
+		if known.part && !isGuilty {
 			_, last := known.span()
 			several = several && now.Sub(last) < 2*gossipPeriod
 		}
 		for target, crash := range known.crashes {
 			age := now.Sub(crash.seenAt)
-			if len(crashes) < maxGossipedCrashes && (several || crash.local && age < gossipPeriod) {
-				crashes = append(crashes, Crash{Content: content, Part: known.part, With: known.with, Target: target, Age: max(age, time.Nanosecond)})
+			message := Crash{Content: content, Part: known.part, With: known.with, Target: target, Age: max(age, time.Nanosecond)}
+			switch {
+			case isGuilty:
+				guilty = append(guilty, message)
+			case len(others) < maxGossipedCrashes && (several || crash.local && age < gossipPeriod):
+				others = append(others, message)
 			}
 		}
 	}
-	return crashes
+	crashes := append(guilty, others...)
+	return crashes[:min(len(crashes), maxGossipedCrashes)]
 }
 
 // SoundToGossip returns the parts that other daemons may suspect and that have turned out to be sound.
--- a/core/blame/part_test.go
+++ b/core/blame/part_test.go
@@ -217,3 +217,24 @@
 		}
 	}
 }
+
+// TestQuarantineIsGossipedFirst guards against a quarantine that other daemons don't hear of because a failure of many targets fills
+// the messages.
+func TestQuarantineIsGossipedFirst(t *testing.T) {
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	for round := range 20 {
+		var here, there CrashTracker
+		for i, target := range []string{"a", "b", "c"} {
+			here.Record(now.Add(time.Duration(i)*time.Second), Request{Content: core.Fingerprint(5 + i), Parts: []core.Fingerprint{bad}}, target)
+		}
+		for i := range 2000 {
+			for _, target := range []string{"x", "y"} {
+				here.Record(now.Add(3*time.Second), Request{Content: core.Fingerprint(1000 + i)}, target)
+			}
+		}
+		gossip(now.Add(3*time.Second), &here, &there)
+		if _, quarantined := there.Quarantined(now.Add(3*time.Second), Request{Content: 999, Parts: []core.Fingerprint{bad}}); !quarantined {
+			t.Fatalf("round %d: the other daemon has not heard of the quarantine", round)
+		}
+	}
+}
