io/edge: record quarantined parts of prompts in the store

Found while looking for what else lets a part crash targets again: the quarantine was held in the memory of the daemons alone, so that a loss of all of them at once lifted it, and the next requests with the part crashed targets again.

One daemon of the fleet writes a record for each quarantined part, under a lease of ten minutes, and removes it when the part turns out to be sound; a daemon reads the records when it lists all keys at its start. That is two store calls for each part. Ruled out: a fourth copy that is watched and relayed, since daemons that run hear of crashes from each other.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -259,20 +259,15 @@
 	crashTracker.expire(now)
 	var guilty, others []Crash
 	for content, known := range crashTracker.suspects {
-		isGuilty := known.isGuilty(now)
-		several := len(known.crashes) > 1
-		if known.part && !isGuilty {
-			_, last := known.span()
-			several = several && now.Sub(last) < 2*gossipPeriod
+		if known.isGuilty(now) {
+			guilty = append(guilty, known.messages(now, content)...)
+			continue
 		}
-		for target, crash := range known.crashes {
-			age := now.Sub(crash.seenAt)
-			message := Crash{Content: content, Part: known.part, With: known.with, Target: target, Age: max(age, time.Nanosecond)}
-			switch {
-			case isGuilty:
-				guilty = append(guilty, message)
-			case len(others) < maxGossipedCrashes && (several || crash.local && age < gossipPeriod):
-				others = append(others, message)
+		_, last := known.span()
+		several := len(known.crashes) > 1 && (!known.part || now.Sub(last) < 2*gossipPeriod)
+		for _, crash := range known.messages(now, content) {
+			if len(others) < maxGossipedCrashes && (several || known.crashes[crash.Target].local && crash.Age < gossipPeriod) {
+				others = append(others, crash)
 			}
 		}
 	}
@@ -280,6 +275,27 @@
 	return crashes[:min(len(crashes), maxGossipedCrashes)]
 }
 
+// QuarantinedParts returns the crashes of each quarantined part.
+func (crashTracker *CrashTracker) QuarantinedParts(now time.Time) map[core.Fingerprint][]Crash {
+	parts := map[core.Fingerprint][]Crash{}
+	for content, known := range crashTracker.suspects {
+		if known.isGuilty(now) {
+			parts[content] = known.messages(now, content)
+		}
+	}
+	return parts
+}
+
+// messages returns the crashes for other daemons.
+func (suspect *suspect) messages(now time.Time, content core.Fingerprint) []Crash {
+	var crashes []Crash
+	for target, crash := range suspect.crashes {
+		age := max(now.Sub(crash.seenAt), time.Nanosecond)
+		crashes = append(crashes, Crash{Content: content, Part: suspect.part, With: suspect.with, Target: target, Age: age})
+	}
+	return crashes
+}
+
 // SoundToGossip returns the parts that other daemons may suspect and that have turned out to be sound.
 func (crashTracker *CrashTracker) SoundToGossip(now time.Time) []core.Fingerprint {
 	var parts []core.Fingerprint
--- a/core/store.go
+++ b/core/store.go
@@ -101,6 +101,7 @@
 	ConfigPrefix    = WatchPrefix + "config/"
 	MemberPrefix    = WatchPrefix + "member/"
 	OwnerPrefix     = WatchPrefix + "owner/"
+	CrashPrefix     = WatchPrefix + "crash/"
 	TicketPrefix    = KeyPrefix + "ticket/"
 	OncePrefix      = KeyPrefix + "once/"
 	MaxStoreValue   = 1 << 20 // bytes
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -183,6 +183,7 @@
 	daemon.addTask(&group, serving, "membership", daemon.maintainMembership)
 	daemon.addTask(&group, serving, "pings", daemon.pingPeers)
 	daemon.addTask(&group, serving, "housekeeping", daemon.housekeep)
+	daemon.addTask(&group, serving, "quarantine", daemon.recordQuarantines)
 	for _, service := range services {
 		group.Add(func() error {
 			err := service.server.Serve(service.listener)
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -41,6 +41,8 @@
 	eventFreeFailed          = "FreeFailed"          // results were not freed and expire on their own
 	eventAttemptFailed       = "AttemptFailed"       // an attempt at a target failed
 	eventCrashRecorded       = "CrashRecorded"       // a target may have crashed under a request
+	eventQuarantineRecorded  = "QuarantineRecorded"  // a part of prompts is quarantined, which the store records
+	eventQuarantineIgnored   = "QuarantineIgnored"   // the record of a quarantine cannot be decoded
 	eventTakeover            = "Takeover"            // a silent target's request was offered to another one
 	eventRequestEnded        = "RequestEnded"        // a request has ended
 )
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -93,6 +93,7 @@
 		part := core.Snapshot{Revision: snapshot.Revision, Entries: withPrefix(prefix, snapshot.Entries)}
 		daemon.copies()[i].Replace(daemon.clock.Now(), part)
 	}
+	daemon.adoptQuarantines(daemon.clock.Now(), snapshot)
 	daemon.scheduleRebuild()
 }
 
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -147,11 +147,7 @@
 	for service, forecast := range status.Forecasts {
 		known.forecasts[service] = forecastAt{Forecast: forecast, at: now}
 	}
-	for _, crash := range status.Losses {
-		if len(crash.With) <= maxSuspectParts {
-			daemon.control.crashTracker.Add(now, crash)
-		}
-	}
+	daemon.mergeCrashes(now, status.Losses)
 	for _, part := range status.Sound {
 		daemon.control.crashTracker.AddSound(now, part)
 	}
--- /dev/null
+++ b/io/edge/record.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"catkincove/core"
+	"catkincove/core/blame"
+)
+
+const (
+	recordInterval = time.Second      // period of the comparison of the quarantined parts with their records
+	recordTTL      = 10 * time.Minute // TTL of a record; the store allows no longer lease
+)
+
+// recordQuarantines keeps a record in the store for each quarantined part of a prompt until ctx ends, so that the quarantine
+// outlasts a loss of all daemons. One daemon of the fleet writes the records.
+func (daemon *Daemon) recordQuarantines(ctx context.Context) error {
+	leases := map[core.Fingerprint]core.LeaseID{} // of the records of this daemon
+	for core.Sleep(ctx, daemon.clock, recordInterval) {
+		var parts map[core.Fingerprint][]blame.Crash
+		daemon.do(func() {
+			if daemon.senderOf(core.CrashPrefix) == nil {
+				parts = daemon.control.crashTracker.QuarantinedParts(daemon.clock.Now())
+			}
+		})
+		for part, crashes := range parts {
+			if leases[part] != 0 {
+				continue
+			}
+			if lease, err := daemon.recordQuarantine(ctx, part, crashes); err != nil {
+				daemon.metrics.storeErrors.Add(1) // tried again in the next period
+			} else {
+				leases[part] = lease
+			}
+		}
+		for _, part := range slices.Collect(maps.Keys(leases)) {
+			if _, quarantined := parts[part]; parts != nil && !quarantined {
+				if err := daemon.store.RevokeLease(ctx, leases[part]); err == nil {
+					delete(leases, part)
+				}
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+func (daemon *Daemon) recordQuarantine(ctx context.Context, part core.Fingerprint, crashes []blame.Crash) (core.LeaseID, error) {
+	value, err := json.Marshal(crashes)
+	if err != nil {
+		return 0, err
+	}
+	lease, err := daemon.store.GrantLease(ctx, recordTTL)
+	if err != nil {
+		return 0, err
+	}
+	put := core.Put{Key: core.CrashPrefix + part.String(), Value: value, Lease: lease}
+	_, err = daemon.store.Commit(ctx, core.Txn{Puts: []core.Put{put}})
+	if err != nil {
+		return 0, err
+	}
+	daemon.log.Info().Str(eventField, eventQuarantineRecorded).Str("Part", part.String()).Int("Crashes", len(crashes)).Msg("a part of prompts is quarantined")
+	return lease, nil
+}
+
+// adoptQuarantines adds the crashes of the records in a listing of all keys, as if they had been seen shortly before it; it must
+// run on the loop. A daemon that runs hears of crashes from the others.
+func (daemon *Daemon) adoptQuarantines(now time.Time, snapshot core.Snapshot) {
+	for _, entry := range withPrefix(core.CrashPrefix, snapshot.Entries) {
+		var crashes []blame.Crash
+		if err := json.Unmarshal(entry.Value, &crashes); err != nil {
+			daemon.log.Warn().Str(eventField, eventQuarantineIgnored).Str("Key", entry.Key).Err(err).Msg("cannot decode the record of a quarantine; ignoring it")
+			continue
+		}
+		daemon.mergeCrashes(now, crashes)
+	}
+}
+
+// mergeCrashes adds crashes that other daemons have seen; it must run on the loop.
+func (daemon *Daemon) mergeCrashes(now time.Time, crashes []blame.Crash) {
+	for _, crash := range crashes {
+		if len(crash.With) <= maxSuspectParts {
+			daemon.control.crashTracker.Add(now, crash)
+		}
+	}
+}
