io/edge: wait for a target when a stream has broken and the other targets are full

Two causes: only an attempt that had itself forwarded events counted as resumable, so that one rejection of the next attempt ended the connection at once; and no usable target ended it as well.

A stream that has begun now waits, 0.1 s at first and 0.8 s at most, until a target accepts it or the request's time limit ends; the retry budget holds. Only a gap in the events and a caller that is gone end it. Requests whose response has not begun are rejected as before, since their callers can be told when to return. Left out: running the stages again more than once, whose work would be taken from other requests.

--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,6 +22,8 @@
 	maxRejections       = 2                      // rejections by targets after which another target is tried
 	retryBudgetShare    = 0.8                    // share of the retry budget that is used; the rest covers daemons that do not know each other yet
 	maxBufferedResponse = 1 << 20                // limit in bytes; a longer response is forwarded as it arrives
+	minRetryPause       = 100 * time.Millisecond // targets that are full accept a request some hundred milliseconds later
+	maxRetryPause       = 800 * time.Millisecond
 	fullRetryAfter      = 400 * time.Millisecond // Retry-After of a service whose targets are all full
 )
 
@@ -46,6 +49,7 @@
 	rejections, executions := 0, 0
 	var lastErr error
 	var next *relay // attempt that has taken over
+	var pause retryPause
 	for dialFailures := 0; dialFailures < maxDialFailures; {
 		current := next
 		if current == nil {
@@ -56,6 +60,9 @@
 			}
 			attempt, err := daemon.beginAttempt(ctx, request, service)
 			if err != nil {
+				if request.responseStarted && core.AsError(err).Kind != core.Poison && pause.sleep(ctx, daemon.clock) {
+					continue
+				}
 				if lastErr != nil && request.mayHaveRun {
 					return core.Errorf(core.TargetFailed, "%w", lastErr)
 				}
@@ -76,7 +83,7 @@
 		if lastErr == nil {
 			return nil
 		}
-		if next == nil && (ctx.Err() != nil || request.responseStarted && !current.resumable) {
+		if next == nil && (ctx.Err() != nil || request.responseStarted && !current.mayResume()) {
 			return lastErr
 		}
 		var failure *sendError
@@ -92,13 +99,25 @@
 			request, next.inputs = next.request, inputs
 			request.mayHaveRun = true
 			continue
+		case failure.run == core.NotRun && request.responseStarted:
+			if failure.status == http.StatusConflict {
+				inputs.free() // the target found that an input no longer exists
+			}
+			// The caller has a part of the stream, so the request waits for a target; this one may accept it later.
+			request.triedTargets = slices.DeleteFunc(request.triedTargets, func(id string) bool { return id == current.attempt.target.ID })
+			for allowed := false; !allowed; allowed = failure.unsent || daemon.allowRetry(service.Name) {
+				if !pause.sleep(ctx, daemon.clock) {
+					return lastErr
+				}
+			}
+			continue
 		case failure.unsent:
 			dialFailures++
 			continue
 		case failure.run == core.NotRun:
 			rejections++
 			if failure.status == http.StatusConflict {
-				inputs.free() // the target found that an input no longer exists
+				inputs.free()
 			}
 			if rejections > maxRejections || !daemon.allowRetry(service.Name) {
 				return daemon.fullError(lastErr)
@@ -122,6 +141,16 @@
 	return core.Errorf(core.Unavailable, "no target can be reached: %w", lastErr).WithRetryAfter(fullRetryAfter)
 }
 
+// retryPause is the pause before a further attempt for a request whose response has started; each is twice as long as the one before,
+// up to maxRetryPause.
+type retryPause time.Duration
+
+// sleep returns false if ctx ends.
+func (pause *retryPause) sleep(ctx context.Context, clock core.Clock) bool {
+	*pause = retryPause(min(max(2*time.Duration(*pause), minRetryPause), maxRetryPause))
+	return core.Sleep(ctx, clock, time.Duration(*pause))
+}
+
 func (daemon *Daemon) fullError(cause error) error {
 	return core.Errorf(core.Unavailable, "targets are full: %w", cause).WithRetryAfter(fullRetryAfter)
 }
@@ -316,9 +345,12 @@
 	watchdog          *watchdog
 	delimited         bool          // the end of the response can be told from the end of its connection
 	firstEventLatency time.Duration // time from the start of the attempt to its first event
-	resumable         bool          // the stream may be resumed at another target
+	unresumable       bool          // another target cannot resume the stream
 }
 
+// mayResume reports whether another target may resume the stream that this attempt has begun or resumed.
+func (relay *relay) mayResume() bool { return relay.request.route.Resumable && !relay.unresumable }
+
 func newRelay(daemon *Daemon, request *request, service core.ServiceSpec, attempt *attempt, writer http.ResponseWriter, inputs *inputs) *relay {
 	return &relay{daemon: daemon, request: request, service: service, attempt: attempt, writer: writer, inputs: inputs}
 }
