--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -17,7 +17,8 @@
 	partCrashTTL       = 20 * time.Minute       // lifetime of a crash of a part, which new requests bring again and again
 	minCrashSpan       = 500 * time.Millisecond // crashes of a part within less time count as one failure of several targets
 	partQuarantine     = time.Minute            // quarantine of a part after its newest crash, doubled for each crash beyond CrashLimit
-	maxPartCrashes     = 7                      // crashes that are kept of a part, so that its quarantine lasts 16 minutes at most
+	maxPartCrashes     = 24                     // crashes that are kept of a part
+	maxDoublings       = 4                      // the longest quarantine of a part is 16 minutes
 	probeInterval      = 10 * time.Second       // time between two requests that probe a part after its quarantine
 	soundTTL           = 60 * time.Second       // time after a completed request in which its parts cannot be suspects
 	maxSoundParts      = 8192                   // sound parts that are remembered, about 0.5 MB
@@ -191,7 +192,7 @@
 		return request.Content, true
 	}
 	for _, part := range request.Parts {
-		if known := crashTracker.suspects[part]; known != nil && known.isGuilty(now) && known.sharesWith(request.Parts) {
+		if known := crashTracker.suspects[part]; known != nil && crashTracker.isGuilty(now, known) && known.sharesWith(request.Parts) {
 			return part, true
 		}
 	}
@@ -219,13 +220,25 @@
 	return count
 }
 
-// isGuilty reports whether the part has crashed too many targets, not all in one moment.
-func (suspect *suspect) isGuilty(now time.Time) bool {
+// isGuilty reports whether the part has crashed too many targets, not all in one moment. Crashes that another part with more of them
+// explains do not count: requests that run beside the one that crashes their target are broken off as well.
+func (crashTracker *CrashTracker) isGuilty(now time.Time, suspect *suspect) bool {
 	if !suspect.part || suspect.crashesSince(now.Add(-partCrashTTL)) < CrashLimit {
 		return false
 	}
-	first, last := suspect.span()
-	return last.Sub(first) >= minCrashSpan
+	if first, last := suspect.span(); last.Sub(first) < minCrashSpan {
+		return false
+	}
+	unexplained := len(suspect.crashes)
+	for target := range suspect.crashes {
+		for _, other := range crashTracker.suspects {
+			if _, found := other.crashes[target]; found && other.part && len(other.crashes) > len(suspect.crashes) {
+				unexplained--
+				break
+			}
+		}
+	}
+	return unexplained >= CrashLimit
 }
 
 // span returns the times of the first and the newest crash.
@@ -243,7 +256,7 @@
 
 func (suspect *suspect) quarantineEnd() time.Time {
 	_, last := suspect.span()
-	return last.Add(partQuarantine << max(len(suspect.crashes)-CrashLimit, 0))
+	return last.Add(partQuarantine << min(max(len(suspect.crashes)-CrashLimit, 0), maxDoublings))
 }
 
 // sharesWith reports whether a request has all parts that the crashed requests have in common. Without one of them it is no proof
@@ -259,7 +272,7 @@
 	crashTracker.expire(now)
 	var guilty, others []Crash
 	for content, known := range crashTracker.suspects {
-		if known.isGuilty(now) {
+		if crashTracker.isGuilty(now, known) {
 			guilty = append(guilty, known.messages(now, content)...)
 			continue
 		}
@@ -279,7 +292,7 @@
 func (crashTracker *CrashTracker) QuarantinedParts(now time.Time) map[core.Fingerprint][]Crash {
 	parts := map[core.Fingerprint][]Crash{}
 	for content, known := range crashTracker.suspects {
-		if known.isGuilty(now) {
+		if crashTracker.isGuilty(now, known) {
 			parts[content] = known.messages(now, content)
 		}
 	}
