io/edge: resume a stream elsewhere when the target that should resume it is full, unreachable or fails

Cause: an attempt that failed before its first event was only retried while no response had begun, because a relay counted as resumable only after a read error inside its stream. So the second target of a resumable stream, after a disconnect or a takeover, ended the request when it rejected it, could not be reached or responded with an error, whatever the route's limits left.

Now every attempt of a resumable stream may be followed by another one, except after a gap in its events, a failed write to the caller, or part of an error response that was forwarded. The limits on rejections, dial failures, targets and the retry budget are as before.

--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -319,7 +319,7 @@
 	opening           chan opened     // result of an attempt that was opened by a takeover; nil otherwise
 	watchdog          *watchdog
 	firstEventLatency time.Duration // time from the start of the attempt to its first event
-	resumable         bool          // the stream may be resumed at another target
+	resumable         bool          // the stream may be resumed at another target after a failure of this attempt
 }
 
 func newRelay(daemon *Daemon, request *request, service core.ServiceSpec, attempt *attempt, writer http.ResponseWriter, inputs *inputs) *relay {
@@ -328,7 +328,7 @@
 
 // run opens the request at the target, unless a takeover has, and forwards the response.
 func (relay *relay) run(parent context.Context) error {
-	relay.parent = parent
+	relay.parent, relay.resumable = parent, relay.request.route.Stream && relay.request.route.Resumable
 	if relay.opening == nil {
 		relay.ctx, relay.attempt.cancel = context.WithCancel(parent)
 	}
@@ -466,6 +466,7 @@
 // forwardLong forwards a response as it arrives, after the beginning of its body that was already read.
 func (relay *relay) forwardLong(ctx context.Context, response *http.Response, begin []byte) error {
 	copyHeader(relay.writer.Header(), response.Header)
+	relay.resumable = false
 	relay.request.responseStarted, relay.request.status = true, response.StatusCode
 	relay.writer.WriteHeader(response.StatusCode)
 	_, _ = relay.writer.Write(begin)
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -40,7 +40,6 @@
 			return relay.endStream(response, count)
 		}
 		if err != nil {
-			relay.resumable = request.route.Resumable
 			return relay.disconnected(ctx, err)
 		}
 		relay.watchdog.receiveEvent()
@@ -51,12 +50,15 @@
 			if request.isDuplicate(id) {
 				continue
 			}
+			relay.resumable = false
 			return relay.disconnected(ctx, errGap)
 		}
 		if _, err := relay.writer.Write(event); err != nil {
+			relay.resumable = false
 			return relay.disconnected(ctx, err)
 		}
 		if err := flusher.Flush(); err != nil {
+			relay.resumable = false
 			return relay.disconnected(ctx, err)
 		}
 		if id != "" {
