io/edge: count failed takeovers towards the route's limit on targets after another target has taken over

Callers saw nothing; a request ran on more targets than its route allows: with 3 allowed, the first fell silent, the second failed while it was to take over, the third took over and fell silent, and a fourth took over as well.

Cause: the failed takeovers were counted in the watchdog of the attempt only, and the attempt that took over began with a new one.

Evidence: TestTakeoversWithinMaxTargets saw 4 targets and sees 3, with the stream complete.

Now the copy of the request that a takeover sends counts them as attempts, as does the request itself when its attempt ends without a takeover.

--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -73,6 +73,9 @@
 		if failed := current.watchdog.failed; failed > 0 {
 			executions += failed
 			request.mayHaveRun = true
+			if next == nil {
+				request.attempts += failed
+			}
 		}
 		if lastErr == nil {
 			return nil
--- a/io/edge/takeover.go
+++ b/io/edge/takeover.go
@@ -147,6 +147,7 @@
 	watchdog.takeover, watchdog.abandon = done, cancel
 	responses := watchdog.responses
 	request := relay.request.copy(watchdog.tried)
+	request.attempts += watchdog.failed
 	inputs := &inputs{daemon: relay.daemon, request: request, handles: relay.inputs.handles}
 	watchdog.mutex.Unlock()
 
