io/edge: do not give up a silent target for one whose connection is not open yet

Cause: another target counts as having accepted a request that it has not rejected within 250 ms, and this time began before the connection was opened, which may take 1 s.

Now the time begins when the connection is open and the request is about to be written. Both targets run the request no longer than before, since the other one has nothing to run until then.

--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -320,6 +320,7 @@
 	parent            context.Context // of all attempts of the request
 	ctx               context.Context // of this attempt
 	opening           chan opened     // result of an attempt that was opened by a takeover; nil otherwise
+	sending           chan struct{}   // closed when such an attempt begins to send its request
 	watchdog          *watchdog
 	firstEventLatency time.Duration // time from the start of the attempt to its first event
 	resumable         bool          // the stream may be resumed at another target after a failure of this attempt
@@ -408,6 +409,11 @@
 	response, err := daemon.targets.Do(ctx, xchg.Request{
 		Address: target.Address, Method: request.incoming.Method, URI: request.incoming.RequestURI, Host: request.incoming.Host,
 		Header: header, Body: request.body, HasBody: request.incoming.Method != http.MethodGet && request.incoming.Method != http.MethodHead,
+		Sending: func() {
+			if relay.sending != nil {
+				close(relay.sending)
+			}
+		},
 		Match: func(response *http.Response) bool {
 			attempt := daemon.dialect.TargetResponse(response.StatusCode, response.Header).Attempt
 			return attempt == "" || attempt == request.caller.Attempt
--- a/io/edge/takeover.go
+++ b/io/edge/takeover.go
@@ -187,7 +187,7 @@
 }
 
 // openElsewhere sends the request to other targets until one accepts it: it responds with success, or has not rejected the
-// request after maxOverlap. It also returns an attempt with an error if its target may have run the request.
+// request within maxOverlap. It also returns an attempt with an error if its target may have run the request.
 func (relay *relay) openElsewhere(ctx context.Context, request *request, inputs *inputs) (*relay, error) {
 	daemon := relay.daemon
 	for range maxRejections + 1 {
@@ -233,7 +233,7 @@
 
 // openAsync opens the request; the result is kept for run.
 func (relay *relay) openAsync(ctx context.Context) {
-	relay.ctx, relay.opening = ctx, make(chan opened, 1)
+	relay.ctx, relay.opening, relay.sending = ctx, make(chan opened, 1), make(chan struct{})
 	relay.daemon.spawn("takeover", func() {
 		result := opened{err: errors.New("panic")}
 		defer func() { relay.opening <- result }()
@@ -241,20 +241,26 @@
 	})
 }
 
-// awaitAcceptance waits until the target has accepted or failed the request, or maxOverlap has passed.
+// awaitAcceptance waits until the target has accepted or failed the request, or maxOverlap has passed since the request was sent
+// to it: before that it does not run the request, and its host may be unreachable.
 func (relay *relay) awaitAcceptance(ctx context.Context) (accepted bool, err error) {
-	select {
-	case result := <-relay.opening:
-		if result.err != nil {
+	sending := relay.sending
+	var overlap <-chan time.Time
+	for {
+		select {
+		case <-sending:
+			sending, overlap = nil, relay.daemon.clock.After(maxOverlap)
+		case result := <-relay.opening:
 			relay.opening <- result
-			return false, result.err
+			if result.err != nil {
+				return false, result.err
+			}
+			return result.response.StatusCode < http.StatusMultipleChoices, &sendError{run: core.HasRun, status: result.response.StatusCode, cause: errTargetFailed}
+		case <-overlap:
+			return true, nil
+		case <-ctx.Done():
+			return false, ctx.Err()
 		}
-		relay.opening <- result
-		return result.response.StatusCode < http.StatusMultipleChoices, &sendError{run: core.HasRun, status: result.response.StatusCode, cause: errTargetFailed}
-	case <-relay.daemon.clock.After(maxOverlap):
-		return true, nil
-	case <-ctx.Done():
-		return false, ctx.Err()
 	}
 }
 
--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -39,6 +39,8 @@
 	Header  http.Header
 	Body    []byte
 	HasBody bool // sends Content-Length even when the body is empty
+	// Sending is called when the connection is open and before the first byte is written; nil is skipped.
+	Sending func()
 	// Purpose separates connections: one is reused only for requests of the same purpose.
 	Purpose string
 	// Match reports whether the status and headers of a response belong to the attempt; nil accepts any response.
@@ -230,6 +232,9 @@
 
 func (exchange *exchange) run(request Request) (*http.Response, error) {
 	head := encodeHead(request)
+	if request.Sending != nil {
+		request.Sending()
+	}
 	if len(request.Body) <= maxInlineBody {
 		_, err := exchange.conn.net.Write(append(head, request.Body...))
 		exchange.written <- err
