io/edge: count as silence of a target only the time in which the daemon waits for it

A sound target was recorded as timed out, and its stream offered to another one at the cost of a retry, at the moment at which the daemon began to wait for it again: after a head that came later than the limit, and after a caller that read nothing for that long. Callers saw requests sent to other targets for the backoff of the sound one.

Cause: the silence was counted from the start of the attempt until its first event, and otherwise from the last event, so that the restarted timer had already expired. Responses that are not streams have no event, so that a late one was recorded twice.

Evidence: TestSilenceOfOthers failed after a late head and after a caller that read nothing, and passes with the race detector. TestPausedStream, TestSlowStream, TestStalledStream and the tests of takeovers passed with it (47 s).

Now the silence begins when the relay begins to wait, for a head, for an event or for a body.

--- a/io/edge/takeover.go
+++ b/io/edge/takeover.go
@@ -64,12 +64,12 @@
 	return func() { watchdog.endWait(true) }
 }
 
-// wait records that the relay waits for the target.
+// wait records that the relay waits for the target, whose silence begins now.
 func (watchdog *watchdog) wait() {
 	watchdog.mutex.Lock()
 	defer watchdog.mutex.Unlock()
-	watchdog.waiting = true
-	watchdog.timer.Reset(watchdog.limit - watchdog.relay.daemon.clock.Now().Sub(watchdog.silentSince))
+	watchdog.waiting, watchdog.silentSince = true, watchdog.relay.daemon.clock.Now()
+	watchdog.timer.Reset(watchdog.limit)
 }
 
 // endWait records that the wait for the target has ended and reports whether the request is still at that target. A takeover in
@@ -93,11 +93,10 @@
 	return watchdog.successor == nil
 }
 
-// receiveEvent restarts the limit on the silence.
+// receiveEvent sets the limit on the silence after an event.
 func (watchdog *watchdog) receiveEvent() {
 	watchdog.mutex.Lock()
 	defer watchdog.mutex.Unlock()
-	watchdog.silentSince = watchdog.relay.daemon.clock.Now()
 	watchdog.limit = max(watchdog.relay.request.route.GapObjective*gapFactor, maxSilence)
 }
 
