io/edge: keep the counts of the retry budget when the settings are reloaded

After a SIGHUP or a change of the settings file, a daemon repeated requests as if none had been repeated in the current window, up to twice the slack. In a large fleet, whose slack is below one retry for each daemon, it repeated none until it had seen new requests, so that callers of streams and idempotent requests whose target failed then were told so, or had their connection ended.

Cause: a reload replaced the windows that count requests and retries.

Evidence: TestReloadKeepsRetryCounts saw 8 further retries instead of 0 after a reload that changes another setting, and passes with the race detector and all tests of io/edge.

Now the ratio is set with the slack at each use, and a window is replaced only when its length changes.

--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -361,9 +361,6 @@
 		return
 	}
 	daemon.settings.Store(&settings)
-	daemon.loop.Post(func() {
-		daemon.control.retryWindows = map[string]*retry.Window{}
-		daemon.scheduleRebuild() // applies the bounds
-	})
+	daemon.loop.Post(daemon.scheduleRebuild) // applies the bounds
 	daemon.log.Info().Str(eventField, eventReload).Str("Cause", cause).Msg("settings reloaded")
 }
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -202,10 +202,11 @@
 func (daemon *Daemon) retryWindow(service string) *retry.Window {
 	known := daemon.control.retryWindows[service]
 	bounds := daemon.settings.Load().Bounds
-	if known == nil {
-		known = &retry.Window{Length: bounds.RetryWindow, Ratio: bounds.RetryRatio * retryBudgetShare}
+	if known == nil || known.Length != bounds.RetryWindow {
+		known = &retry.Window{Length: bounds.RetryWindow}
 		daemon.control.retryWindows[service] = known
 	}
+	known.Ratio = bounds.RetryRatio * retryBudgetShare
 	known.Slack = bounds.RetrySlack * retryBudgetShare / float64(max(daemon.control.chooser.Daemons, 1))
 	return known
 }
