io/edge: end the connection of a caller that counts as gone instead of completing its response

A caller that closes the sending half of its connection and goes on reading saw a whole response with status 200 and no body, or a stream that ended cleanly after some of its events.

Cause: the HTTP server ends the context of such a request, which is given up as if its caller had left, and its handler then returned as after a success, so that the server completed the response.

Evidence: TestHalfClosedCaller failed for a single response and for a stream, and passes.

Now the connection is ended, as for other incomplete responses.

--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -280,7 +280,7 @@
 		request.outcome = "CallerLeft"
 		daemon.metrics.countOutcome(request.outcome)
 		daemon.logRequest(request, 0, err)
-		return
+		panic(http.ErrAbortHandler) // a caller that still reads must not take what it has for a whole response
 	case errors.Is(err, errTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, errBodyTimeout):
