--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -50,6 +50,7 @@
 	var lastErr error
 	var next *relay // attempt that has taken over
 	var pause retryPause
+	var rejectedBy []string // targets that did not run the request after its response had started
 	for dialFailures := 0; dialFailures < maxDialFailures; {
 		current := next
 		if current == nil {
@@ -61,6 +62,8 @@
 			attempt, err := daemon.beginAttempt(ctx, request, service)
 			if err != nil {
 				if request.responseStarted && core.AsError(err).Kind != core.Poison && pause.sleep(ctx, daemon.clock) {
+					// The caller has a part of the stream, so the request waits until a target accepts it.
+					request.triedTargets = slices.DeleteFunc(request.triedTargets, func(id string) bool { return slices.Contains(rejectedBy, id) })
 					continue
 				}
 				if lastErr != nil && request.mayHaveRun {
@@ -79,11 +82,14 @@
 		if failed := current.watchdog.failed; failed > 0 {
 			executions += failed
 			request.mayHaveRun = true
+			if next == nil {
+				request.attempts += failed
+			}
 		}
 		if lastErr == nil {
 			return nil
 		}
-		if next == nil && (ctx.Err() != nil || request.responseStarted && !current.mayResume()) {
+		if next == nil && (ctx.Err() != nil || request.responseStarted && !current.resumable) {
 			return lastErr
 		}
 		var failure *sendError
@@ -103,9 +109,8 @@
 			if failure.status == http.StatusConflict {
 				inputs.free() // the target found that an input no longer exists
 			}
-			// The caller has a part of the stream, so the request waits for a target; this one may accept it later.
-			request.triedTargets = slices.DeleteFunc(request.triedTargets, func(id string) bool { return id == current.attempt.target.ID })
-			for allowed := false; !allowed; allowed = failure.unsent || daemon.allowRetry(service.Name) {
+			rejectedBy = append(rejectedBy, current.attempt.target.ID)
+			for !failure.unsent && !daemon.allowRetry(service.Name) {
 				if !pause.sleep(ctx, daemon.clock) {
 					return lastErr
 				}
@@ -231,10 +236,11 @@
 func (daemon *Daemon) retryWindow(service string) *retry.Window {
 	known := daemon.control.retryWindows[service]
 	bounds := daemon.settings.Load().Bounds
-	if known == nil {
-		known = &retry.Window{Length: bounds.RetryWindow, Ratio: bounds.RetryRatio * retryBudgetShare}
+	if known == nil || known.Length != bounds.RetryWindow {
+		known = &retry.Window{Length: bounds.RetryWindow}
 		daemon.control.retryWindows[service] = known
 	}
+	known.Ratio = bounds.RetryRatio * retryBudgetShare
 	known.Slack = bounds.RetrySlack * retryBudgetShare / float64(max(daemon.control.chooser.Daemons, 1))
 	return known
 }
@@ -342,22 +348,20 @@
 	parent            context.Context // of all attempts of the request
 	ctx               context.Context // of this attempt
 	opening           chan opened     // result of an attempt that was opened by a takeover; nil otherwise
+	sending           chan struct{}   // closed when such an attempt begins to send its request
 	watchdog          *watchdog
 	delimited         bool          // the end of the response can be told from the end of its connection
 	firstEventLatency time.Duration // time from the start of the attempt to its first event
-	unresumable       bool          // another target cannot resume the stream
+	resumable         bool          // the stream may be resumed at another target after a failure of this attempt
 }
 
-// mayResume reports whether another target may resume the stream that this attempt has begun or resumed.
-func (relay *relay) mayResume() bool { return relay.request.route.Resumable && !relay.unresumable }
-
 func newRelay(daemon *Daemon, request *request, service core.ServiceSpec, attempt *attempt, writer http.ResponseWriter, inputs *inputs) *relay {
 	return &relay{daemon: daemon, request: request, service: service, attempt: attempt, writer: writer, inputs: inputs}
 }
 
 // run opens the request at the target, unless a takeover has, and forwards the response.
 func (relay *relay) run(parent context.Context) error {
-	relay.parent = parent
+	relay.parent, relay.resumable = parent, relay.request.route.Stream && relay.request.route.Resumable
 	if relay.opening == nil {
 		relay.ctx, relay.attempt.cancel = context.WithCancel(parent)
 	}
@@ -435,6 +439,11 @@
 	response, err := daemon.targets.Do(ctx, xchg.Request{
 		Address: target.Address, Method: request.incoming.Method, URI: request.incoming.RequestURI, Host: request.incoming.Host,
 		Header: header, Body: request.body, HasBody: request.incoming.Method != http.MethodGet && request.incoming.Method != http.MethodHead,
+		Sending: func() {
+			if relay.sending != nil {
+				close(relay.sending)
+			}
+		},
 		Match: func(response *http.Response) bool {
 			attempt := daemon.dialect.TargetResponse(response.StatusCode, response.Header).Attempt
 			return attempt == "" || attempt == request.caller.Attempt
@@ -496,6 +505,7 @@
 // forwardLong forwards a response as it arrives, after the beginning of its body that was already read.
 func (relay *relay) forwardLong(ctx context.Context, response *http.Response, begin []byte) error {
 	copyHeader(relay.writer.Header(), response.Header)
+	relay.resumable = false
 	relay.request.responseStarted, relay.request.status = true, response.StatusCode
 	relay.writer.WriteHeader(response.StatusCode)
 	_, _ = relay.writer.Write(begin)
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -50,15 +50,15 @@
 			if request.isDuplicate(id) {
 				continue
 			}
-			relay.unresumable = true
+			relay.resumable = false
 			return relay.disconnected(ctx, errGap)
 		}
 		if _, err := relay.writer.Write(event); err != nil {
-			relay.unresumable = true
+			relay.resumable = false
 			return relay.disconnected(ctx, err)
 		}
 		if err := flusher.Flush(); err != nil {
-			relay.unresumable = true
+			relay.resumable = false
 			return relay.disconnected(ctx, err)
 		}
 		if id != "" {
