--- a/io/edge/log.go
+++ b/io/edge/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,7 +65,10 @@
 	}
 }
 
+// setTimeFormat sets the format of the times in log lines, which the logging library holds for the whole process.
+var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = time.RFC3339Nano })
+
 func (writer *logWriter) logger(name string) zerolog.Logger {
-	zerolog.TimeFieldFormat = time.RFC3339Nano
+	setTimeFormat()
 	return zerolog.New(writer).With().Timestamp().Str("Daemon", name).Logger()
 }
