io/edge: keep what quarantines requests in one file

The check of a request and the records in the store were in two files, one of them named after records in general.

--- a/io/edge/crash.go
+++ b/io/edge/crash.go
@@ -30,30 +30,6 @@
 	return core.Fingerprint(xxhash.Sum64String("part\x00" + id))
 }
 
-// checkQuarantine returns an error if the request or a part of its prompt has crashed too many targets; it must run on the loop.
-//
-// After the quarantine of a part, the daemon that places the prompts of the service sends one request with it.
-func (daemon *Daemon) checkQuarantine(now time.Time, request *request) error {
-	guilty, quarantined := daemon.control.crashTracker.Quarantined(now, request.suspects)
-	if !quarantined || request.probe {
-		return nil
-	}
-	if guilty == request.suspects.Content {
-		return core.Errorf(core.Poison, "the request has crashed targets before")
-	}
-	if daemon.senderOf(daemon.chooseService(request).Name) == nil && daemon.control.crashTracker.Probe(now, guilty) {
-		request.probe = true
-		return nil
-	}
-	id := ""
-	for _, part := range request.sharedParts() {
-		if partFingerprint(part) == guilty {
-			id = part
-		}
-	}
-	return core.Errorf(core.Poison, "part %s of the prompt has crashed targets before", id)
-}
-
 // recordCrash records that the target may have crashed while it ran the request.
 func (relay *relay) recordCrash() {
 	daemon, request, target := relay.daemon, relay.request, relay.attempt.target
--- a/io/edge/record.go
+++ b/io/edge/quarantine.go
@@ -16,6 +16,30 @@
 	recordTTL      = 10 * time.Minute // TTL of a record; the store allows no longer lease
 )
 
+// checkQuarantine returns an error if the request or a part of its prompt has crashed too many targets; it must run on the loop.
+//
+// After the quarantine of a part, the daemon that places the prompts of the service sends one request with it.
+func (daemon *Daemon) checkQuarantine(now time.Time, request *request) error {
+	guilty, quarantined := daemon.control.crashTracker.Quarantined(now, request.suspects)
+	if !quarantined || request.probe {
+		return nil
+	}
+	if guilty == request.suspects.Content {
+		return core.Errorf(core.Poison, "the request has crashed targets before")
+	}
+	if daemon.senderOf(daemon.chooseService(request).Name) == nil && daemon.control.crashTracker.Probe(now, guilty) {
+		request.probe = true
+		return nil
+	}
+	id := ""
+	for _, part := range request.sharedParts() {
+		if partFingerprint(part) == guilty {
+			id = part
+		}
+	}
+	return core.Errorf(core.Poison, "part %s of the prompt has crashed targets before", id)
+}
+
 // recordQuarantines keeps a record in the store for each quarantined part of a prompt until ctx ends, so that the quarantine
 // outlasts a loss of all daemons. One daemon of the fleet writes the records.
 func (daemon *Daemon) recordQuarantines(ctx context.Context) error {
