--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -184,6 +184,7 @@
 	daemon.addTask(&group, serving, "membership", daemon.maintainMembership)
 	daemon.addTask(&group, serving, "pings", daemon.pingPeers)
 	daemon.addTask(&group, serving, "housekeeping", daemon.housekeep)
+	daemon.addTask(&group, serving, "quarantine", daemon.recordQuarantines)
 	for _, service := range services {
 		group.Add(func() error {
 			err := service.server.Serve(service.listener)
@@ -362,9 +363,6 @@
 		return
 	}
 	daemon.settings.Store(&settings)
-	daemon.loop.Post(func() {
-		daemon.control.retryWindows = map[string]*retry.Window{}
-		daemon.scheduleRebuild() // applies the bounds
-	})
+	daemon.loop.Post(daemon.scheduleRebuild) // applies the bounds
 	daemon.log.Info().Str(eventField, eventReload).Str("Cause", cause).Msg("settings reloaded")
 }
--- a/io/edge/log.go
+++ b/io/edge/log.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// setTimeFormat sets the format of all loggers of the process, which other daemons in the process may already use.
+// setTimeFormat sets the format of the times in log lines, which the logging library holds for the whole process.
 var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = time.RFC3339Nano })
 
 func (writer *logWriter) logger(name string) zerolog.Logger {
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -7,11 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"catkincove/core"
-	"catkincove/core/blame"
 	"catkincove/core/place"
 	"catkincove/core/retry"
 	"catkincove/io/xchg"
@@ -22,6 +22,8 @@
 	maxRejections       = 2                      // rejections by targets after which another target is tried
 	retryBudgetShare    = 0.8                    // share of the retry budget that is used; the rest covers daemons that do not know each other yet
 	maxBufferedResponse = 1 << 20                // limit in bytes; a longer response is forwarded as it arrives
+	minRetryPause       = 100 * time.Millisecond // targets that are full accept a request some hundred milliseconds later
+	maxRetryPause       = 800 * time.Millisecond
 	fullRetryAfter      = 400 * time.Millisecond // Retry-After of a service whose targets are all full
 )
 
@@ -47,6 +49,8 @@
 	rejections, executions := 0, 0
 	var lastErr error
 	var next *relay // attempt that has taken over
+	var pause retryPause
+	var rejectedBy []string // targets that did not run the request after its response had started
 	for dialFailures := 0; dialFailures < maxDialFailures; {
 		current := next
 		if current == nil {
@@ -57,6 +61,11 @@
 			}
 			attempt, err := daemon.beginAttempt(ctx, request, service)
 			if err != nil {
+				if request.responseStarted && core.AsError(err).Kind != core.Poison && pause.sleep(ctx, daemon.clock) {
+					// The caller has a part of the stream, so the request waits until a target accepts it.
+					request.triedTargets = slices.DeleteFunc(request.triedTargets, func(id string) bool { return slices.Contains(rejectedBy, id) })
+					continue
+				}
 				if lastErr != nil && request.mayHaveRun {
 					return core.Errorf(core.TargetFailed, "%w", lastErr)
 				}
@@ -73,6 +82,9 @@
 		if failed := current.watchdog.failed; failed > 0 {
 			executions += failed
 			request.mayHaveRun = true
+			if next == nil {
+				request.attempts += failed
+			}
 		}
 		if lastErr == nil {
 			return nil
@@ -93,13 +105,24 @@
 			request, next.inputs = next.request, inputs
 			request.mayHaveRun = true
 			continue
+		case failure.run == core.NotRun && request.responseStarted:
+			if failure.status == http.StatusConflict {
+				inputs.free() // the target found that an input no longer exists
+			}
+			rejectedBy = append(rejectedBy, current.attempt.target.ID)
+			for !failure.unsent && !daemon.allowRetry(service.Name) {
+				if !pause.sleep(ctx, daemon.clock) {
+					return lastErr
+				}
+			}
+			continue
 		case failure.unsent:
 			dialFailures++
 			continue
 		case failure.run == core.NotRun:
 			rejections++
 			if failure.status == http.StatusConflict {
-				inputs.free() // the target found that an input no longer exists
+				inputs.free()
 			}
 			if rejections > maxRejections || !daemon.allowRetry(service.Name) {
 				return daemon.fullError(lastErr)
@@ -123,6 +146,16 @@
 	return core.Errorf(core.Unavailable, "no target can be reached: %w", lastErr).WithRetryAfter(fullRetryAfter)
 }
 
+// retryPause is the pause before a further attempt for a request whose response has started; each is twice as long as the one before,
+// up to maxRetryPause.
+type retryPause time.Duration
+
+// sleep returns false if ctx ends.
+func (pause *retryPause) sleep(ctx context.Context, clock core.Clock) bool {
+	*pause = retryPause(min(max(2*time.Duration(*pause), minRetryPause), maxRetryPause))
+	return core.Sleep(ctx, clock, time.Duration(*pause))
+}
+
 func (daemon *Daemon) fullError(cause error) error {
 	return core.Errorf(core.Unavailable, "targets are full: %w", cause).WithRetryAfter(fullRetryAfter)
 }
@@ -153,8 +186,12 @@
 
 // beginAttempt chooses a target and counts the attempt.
 func (daemon *Daemon) beginAttempt(ctx context.Context, request *request, service core.ServiceSpec) (*attempt, error) {
-	view := daemon.view.Load()
-	targets := view.targets[service.Name]
+	var quarantined error
+	daemon.do(func() { quarantined = daemon.checkQuarantine(daemon.clock.Now(), request) })
+	if quarantined != nil {
+		return nil, quarantined
+	}
+	targets := daemon.view.Load().targets[service.Name]
 	if service.Engine != nil {
 		if attempt := daemon.placeEngine(ctx, request, service, targets); attempt != nil {
 			return attempt, nil
@@ -199,10 +236,11 @@
 func (daemon *Daemon) retryWindow(service string) *retry.Window {
 	known := daemon.control.retryWindows[service]
 	bounds := daemon.settings.Load().Bounds
-	if known == nil {
-		known = &retry.Window{Length: bounds.RetryWindow, Ratio: bounds.RetryRatio * retryBudgetShare}
+	if known == nil || known.Length != bounds.RetryWindow {
+		known = &retry.Window{Length: bounds.RetryWindow}
 		daemon.control.retryWindows[service] = known
 	}
+	known.Ratio = bounds.RetryRatio * retryBudgetShare
 	known.Slack = bounds.RetrySlack * retryBudgetShare / float64(max(daemon.control.chooser.Daemons, 1))
 	return known
 }
@@ -237,13 +275,6 @@
 	})
 }
 
-// recordCrash records that the target may have crashed while it ran the request.
-func (daemon *Daemon) recordCrash(request *request, target string) {
-	daemon.loop.Post(func() {
-		daemon.control.crashTracker.Add(daemon.clock.Now(), blame.Crash{Content: request.fingerprint, Target: target})
-	})
-}
-
 // sendError is a failed attempt.
 type sendError struct {
 	unsent   bool // no byte was written
@@ -317,9 +348,11 @@
 	parent            context.Context // of all attempts of the request
 	ctx               context.Context // of this attempt
 	opening           chan opened     // result of an attempt that was opened by a takeover; nil otherwise
+	sending           chan struct{}   // closed when such an attempt begins to send its request
 	watchdog          *watchdog
+	delimited         bool          // the end of the response can be told from the end of its connection
 	firstEventLatency time.Duration // time from the start of the attempt to its first event
-	resumable         bool          // the stream may be resumed at another target
+	resumable         bool          // the stream may be resumed at another target after a failure of this attempt
 }
 
 func newRelay(daemon *Daemon, request *request, service core.ServiceSpec, attempt *attempt, writer http.ResponseWriter, inputs *inputs) *relay {
@@ -328,7 +361,7 @@
 
 // run opens the request at the target, unless a takeover has, and forwards the response.
 func (relay *relay) run(parent context.Context) error {
-	relay.parent = parent
+	relay.parent, relay.resumable = parent, relay.request.route.Stream && relay.request.route.Resumable
 	if relay.opening == nil {
 		relay.ctx, relay.attempt.cancel = context.WithCancel(parent)
 	}
@@ -347,6 +380,7 @@
 		}
 		return err
 	}
+	relay.delimited = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	switch {
 	case response.StatusCode >= http.StatusMultipleChoices:
 		return relay.errorResponse(ctx, response)
@@ -405,6 +439,11 @@
 	response, err := daemon.targets.Do(ctx, xchg.Request{
 		Address: target.Address, Method: request.incoming.Method, URI: request.incoming.RequestURI, Host: request.incoming.Host,
 		Header: header, Body: request.body, HasBody: request.incoming.Method != http.MethodGet && request.incoming.Method != http.MethodHead,
+		Sending: func() {
+			if relay.sending != nil {
+				close(relay.sending)
+			}
+		},
 		Match: func(response *http.Response) bool {
 			attempt := daemon.dialect.TargetResponse(response.StatusCode, response.Header).Attempt
 			return attempt == "" || attempt == request.caller.Attempt
@@ -426,7 +465,7 @@
 	if run == core.NotRun {
 		return nil, &sendError{unsent: true, run: run, cause: err}
 	}
-	daemon.recordCrash(request, target.ID)
+	relay.recordCrash()
 	return nil, &sendError{run: run, cause: err}
 }
 
@@ -466,6 +505,7 @@
 // forwardLong forwards a response as it arrives, after the beginning of its body that was already read.
 func (relay *relay) forwardLong(ctx context.Context, response *http.Response, begin []byte) error {
 	copyHeader(relay.writer.Header(), response.Header)
+	relay.resumable = false
 	relay.request.responseStarted, relay.request.status = true, response.StatusCode
 	relay.writer.WriteHeader(response.StatusCode)
 	_, _ = relay.writer.Write(begin)
@@ -499,14 +539,14 @@
 		relay.daemon.recordOutcome(relay.request, relay.attempt, place.Succeeded, duration)
 		relay.daemon.observeFirstEvent(relay.request.route.Name, duration)
 		relay.request.write(relay.writer, &bufferedResponse{status: response.StatusCode, header: response.Header, body: body.Bytes()})
-		relay.daemon.clearCrashes(relay.request)
+		relay.clearCrashes()
 		return nil
 	}
 	if err := relay.forwardLong(ctx, response, body.Bytes()); err != nil {
 		return err
 	}
 	relay.daemon.recordOutcome(relay.request, relay.attempt, place.Succeeded, relay.daemon.clock.Now().Sub(relay.attempt.startedAt))
-	relay.daemon.clearCrashes(relay.request)
+	relay.clearCrashes()
 	return nil
 }
 
@@ -523,11 +563,6 @@
 		return &sendError{run: core.Unknown, cause: ctx.Err()}
 	}
 	relay.daemon.recordOutcome(relay.request, relay.attempt, place.Disconnected, 0)
-	relay.daemon.recordCrash(relay.request, relay.attempt.target.ID)
+	relay.recordCrash()
 	return &sendError{run: core.Unknown, cause: err}
 }
-
-// clearCrashes exonerates the content of a request that has run to its end.
-func (daemon *Daemon) clearCrashes(request *request) {
-	daemon.loop.Post(func() { daemon.control.crashTracker.Exonerate(request.fingerprint) })
-}
--- a/io/edge/takeover.go
+++ b/io/edge/takeover.go
@@ -64,12 +64,12 @@
 	return func() { watchdog.endWait(true) }
 }
 
-// wait records that the relay waits for the target.
+// wait records that the relay waits for the target, whose silence begins now.
 func (watchdog *watchdog) wait() {
 	watchdog.mutex.Lock()
 	defer watchdog.mutex.Unlock()
-	watchdog.waiting = true
-	watchdog.timer.Reset(watchdog.limit - watchdog.relay.daemon.clock.Now().Sub(watchdog.silentSince))
+	watchdog.waiting, watchdog.silentSince = true, watchdog.relay.daemon.clock.Now()
+	watchdog.timer.Reset(watchdog.limit)
 }
 
 // endWait records that the wait for the target has ended and reports whether the request is still at that target. A takeover in
@@ -93,11 +93,10 @@
 	return watchdog.successor == nil
 }
 
-// receiveEvent restarts the limit on the silence.
+// receiveEvent sets the limit on the silence after an event.
 func (watchdog *watchdog) receiveEvent() {
 	watchdog.mutex.Lock()
 	defer watchdog.mutex.Unlock()
-	watchdog.silentSince = watchdog.relay.daemon.clock.Now()
 	watchdog.limit = max(watchdog.relay.request.route.GapObjective*gapFactor, maxSilence)
 }
 
@@ -147,6 +146,7 @@
 	watchdog.takeover, watchdog.abandon = done, cancel
 	responses := watchdog.responses
 	request := relay.request.copy(watchdog.tried)
+	request.attempts += watchdog.failed
 	inputs := &inputs{daemon: relay.daemon, request: request, handles: relay.inputs.handles}
 	watchdog.mutex.Unlock()
 
@@ -186,7 +186,7 @@
 }
 
 // openElsewhere sends the request to other targets until one accepts it: it responds with success, or has not rejected the
-// request after maxOverlap. It also returns an attempt with an error if its target may have run the request.
+// request within maxOverlap. It also returns an attempt with an error if its target may have run the request.
 func (relay *relay) openElsewhere(ctx context.Context, request *request, inputs *inputs) (*relay, error) {
 	daemon := relay.daemon
 	for range maxRejections + 1 {
@@ -232,7 +232,7 @@
 
 // openAsync opens the request; the result is kept for run.
 func (relay *relay) openAsync(ctx context.Context) {
-	relay.ctx, relay.opening = ctx, make(chan opened, 1)
+	relay.ctx, relay.opening, relay.sending = ctx, make(chan opened, 1), make(chan struct{})
 	relay.daemon.spawn("takeover", func() {
 		result := opened{err: errors.New("panic")}
 		defer func() { relay.opening <- result }()
@@ -240,20 +240,26 @@
 	})
 }
 
-// awaitAcceptance waits until the target has accepted or failed the request, or maxOverlap has passed.
+// awaitAcceptance waits until the target has accepted or failed the request, or maxOverlap has passed since the request was sent
+// to it: before that it does not run the request, and its host may be unreachable.
 func (relay *relay) awaitAcceptance(ctx context.Context) (accepted bool, err error) {
-	select {
-	case result := <-relay.opening:
-		if result.err != nil {
+	sending := relay.sending
+	var overlap <-chan time.Time
+	for {
+		select {
+		case <-sending:
+			sending, overlap = nil, relay.daemon.clock.After(maxOverlap)
+		case result := <-relay.opening:
 			relay.opening <- result
-			return false, result.err
+			if result.err != nil {
+				return false, result.err
+			}
+			return result.response.StatusCode < http.StatusMultipleChoices, &sendError{run: core.HasRun, status: result.response.StatusCode, cause: errTargetFailed}
+		case <-overlap:
+			return true, nil
+		case <-ctx.Done():
+			return false, ctx.Err()
 		}
-		relay.opening <- result
-		return result.response.StatusCode < http.StatusMultipleChoices, &sendError{run: core.HasRun, status: result.response.StatusCode, cause: errTargetFailed}
-	case <-relay.daemon.clock.After(maxOverlap):
-		return true, nil
-	case <-ctx.Done():
-		return false, ctx.Err()
 	}
 }
 
