core/flow: wait for a silent target until the deadline when no other attempt can follow

Callers of pipelines saw a request fail, and one with an at-most-once call end with an unknown outcome, when its target paused for over 2 s after the head of its response or between two tokens, although the target went on in time and the request could not be retried.

Cause: the limit on the first byte applied only while a retry was possible, the limit on the gap after it always.

Now flow states with each call whether an attempt can follow it, and the client limits the gap only then. A target that never goes on holds such a call until its deadline.

--- a/core/flow/attempt.go
+++ b/core/flow/attempt.go
@@ -94,8 +94,9 @@
 	}
 	timeLeft := call.Deadline.Sub(attempt.startedAt)
 	firstByte := time.Duration(float64(timeLeft) * maxFirstByteShare)
-	mayRetry := run.retries < run.view.Limits().RetriesPerRequest && run.runner.budget().CanWithdraw()
-	if stage.key == "" && mayRetry && timeLeft-firstByte > stage.service.LeastTime {
+	mayRetry := stage.key == "" && run.retries < run.view.Limits().RetriesPerRequest && run.runner.budget().CanWithdraw()
+	call.UntilDeadline = !mayRetry
+	if mayRetry && timeLeft-firstByte > stage.service.LeastTime {
 		call.FirstByte = firstByte
 	}
 	return call
--- a/core/flow/fakes_test.go
+++ b/core/flow/fakes_test.go
@@ -34,6 +34,12 @@
 	respondsLate                      // the target goes on after the deadline
 	repeatsToken                      // the target sends the same offset twice
 	outcomeCount
+	pauses // the target stops responding for pauseTime and goes on; only for calls without tokens
+)
+
+const (
+	pauseTime = 3 * time.Second
+	pauseGap  = 2 * time.Second // pause after which a call is given up unless it waits until its deadline
 )
 
 type configView struct {
@@ -209,6 +215,12 @@
 		case <-ctx.Done():
 		}
 		return core.Errorf(core.TargetFailed, "silent")
+	case pauses:
+		if !call.UntilDeadline {
+			time.Sleep(pauseGap)
+			return core.Errorf(core.TargetFailed, "silent")
+		}
+		time.Sleep(pauseTime)
 	case respondsLate:
 		time.Sleep(time.Until(call.Deadline) + time.Minute)
 	}
--- a/core/target.go
+++ b/core/target.go
@@ -38,7 +38,9 @@
 	Deadline time.Time
 	// FirstByte is the maximum wait for the first byte or token of the response; 0 means until the deadline.
 	FirstByte time.Duration
-	Priority  int
+	// UntilDeadline lets the call wait for a silent target until its deadline, because no other attempt can follow it.
+	UntilDeadline bool
+	Priority      int
 	// BeforeSend is called immediately before the first byte is written; an error stops the call unsent.
 	BeforeSend func() error
 }
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -33,7 +33,7 @@
 // Client implements core.Targets; the zero value is ready to use.
 type Client struct {
 	Clock          core.Clock
-	TokenGap       time.Duration // longest time between two tokens
+	TokenGap       time.Duration // longest time between two tokens of a call that another attempt can follow
 	ControlTimeout time.Duration // for load reports, cache events and orders without a timeout of their own
 	MaxBody        int64         // bytes of a response that is not a stream
 	HTTP2          bool          // HTTP/2 without TLS, with pings
--- a/io/target/client_test.go
+++ b/io/target/client_test.go
@@ -119,6 +119,37 @@
 	}
 }
 
+// TestSilenceBeforeDeadline guards against a response that is given up because its target paused, although no attempt at another
+// target could follow, such as that of an at-most-once call.
+func TestSilenceBeforeDeadline(t *testing.T) {
+	const gap = 100 * time.Millisecond
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		echoIdentity(w, r)
+		parts := []string{event(1, "a", "null"), event(2, "b", `"stop"`) + endEvent}
+		if r.URL.Path == "/book" {
+			parts = []string{"[", "1]"}
+		}
+		for _, part := range parts {
+			_, _ = io.WriteString(w, part)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(4 * gap)
+		}
+	})
+	client := &Client{TokenGap: gap}
+	defer client.Close()
+	call := callTo(address)
+	call.UntilDeadline = true
+	if response, info, err := client.Call(t.Context(), call, "/book", "K", []byte("{}")); string(response) != "[1]" || err != nil {
+		t.Errorf("call: %q %+v %v", response, info, err)
+	}
+	text := ""
+	info, err := client.Generate(t.Context(), call, core.GenerateInput{MaxTokens: 9}, func(token core.Token) error { text += token.Text; return nil })
+	if text != "ab" || err != nil {
+		t.Errorf("stream: %q %+v %v", text, info, err)
+	}
+}
+
 // TestResponseLimits guards against responses without end, and against a deadline that no longer applies after the first token.
 func TestResponseLimits(t *testing.T) {
 	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -183,9 +183,16 @@
 	}
 }
 
+// limitGap restarts the timeout for the next byte or token, unless the call waits until its deadline.
+func (exchange *exchange) limitGap() {
+	if !exchange.call.UntilDeadline {
+		exchange.setStallTimeout(exchange.client.TokenGap)
+	}
+}
+
 // read returns the whole body of a response that is not a stream.
 func (exchange *exchange) read() ([]byte, error) {
-	exchange.setStallTimeout(exchange.client.TokenGap)
+	exchange.limitGap()
 	limit := exchange.client.MaxBody
 	body, err := io.ReadAll(io.LimitReader(exchange.response.Body, limit+1))
 	if err != nil {
--- a/io/target/stream.go
+++ b/io/target/stream.go
@@ -184,7 +184,7 @@
 	if exchange.firstToken == 0 {
 		exchange.firstToken = exchange.client.Clock.Now().Sub(exchange.started)
 	}
-	exchange.setStallTimeout(exchange.client.TokenGap)
+	exchange.limitGap()
 }
 
 // drain reads the rest of a finished response, so that the connection can be reused.
