io/edge: serve a request to its end by the services of the routing that accepted it

Cause: the service of each stage was looked up in the routing in force when the stage began, at the daemon that sends its batches. The service of the final target was looked up as late, and lost its engines.

Now a request keeps the services of the routing by which it was accepted and states the specification with its pieces, which applies if the routing of the daemon that sends the batches has none.

--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -32,6 +32,7 @@
 type request struct {
 	caller       core.CallerRequest
 	route        core.Route
+	services     map[string]core.ServiceSpec // of the routing by which the request was accepted
 	team         core.TeamSpec
 	priority     int
 	incoming     *http.Request
@@ -117,7 +118,7 @@
 	if !found {
 		return request, core.Errorf(core.NotFound, "no route for host and path; routing version %d", view.routing.Version)
 	}
-	request.route, request.priority = route, route.Priority
+	request.route, request.services, request.priority = route, view.routing.Services, route.Priority
 	if view.routing.Authenticates() && !route.Public {
 		team, found := view.routing.Team(caller.Credential)
 		if !found {
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -162,7 +162,6 @@
 
 // chooseService returns the service of the route, chosen by weight and request content if the route is split.
 func (daemon *Daemon) chooseService(request *request) core.ServiceSpec {
-	view := daemon.view.Load()
 	total := 0
 	for _, share := range request.route.Services {
 		total += max(share.Weight, 0)
@@ -173,7 +172,7 @@
 	}
 	for _, share := range request.route.Services {
 		if point -= max(share.Weight, 0); point < 0 {
-			return withName(view.routing.Services[share.Service], share.Service)
+			return withName(request.services[share.Service], share.Service)
 		}
 	}
 	return core.ServiceSpec{}
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -29,6 +30,7 @@
 // piecesRequest asks a daemon to have the pieces of one stage produced.
 type piecesRequest struct {
 	Service  string
+	Spec     *core.BatchSpec // of the routing by which the request was accepted; applies if the sender's routing has none
 	Attempt  string
 	Stage    int
 	Pieces   int
@@ -208,7 +210,7 @@
 	stage := request.route.Stages[i]
 	now := run.daemon.clock.Now()
 	return piecesRequest{
-		Service: stage.Service, Attempt: request.caller.Attempt, Stage: i, Pieces: pieces, Key: request.caller.PieceKey,
+		Service: stage.Service, Spec: request.services[stage.Service].Batch, Attempt: request.caller.Attempt, Stage: i, Pieces: pieces, Key: request.caller.PieceKey,
 		Inputs: inputs, Bytes: stage.ResultBytes, Zone: run.dataCentre(i, inputs), Class: fmt.Sprintf("%s/%d", request.route.Name, i), Priority: request.priority,
 		Aim:  request.softDeadline.Sub(now) - run.plan.Remaining[i],
 		Left: request.deadline.Sub(now) - run.plan.Remaining[i]/2,
@@ -373,7 +375,7 @@
 
 // produceLocally has the pieces produced by this daemon's own sender.
 func (daemon *Daemon) produceLocally(ctx context.Context, message piecesRequest) (piecesReply, error) {
-	spec := daemon.view.Load().routing.Services[message.Service].Batch
+	spec := cmp.Or(daemon.view.Load().routing.Services[message.Service].Batch, message.Spec)
 	if spec == nil {
 		return piecesReply{}, &stageError{stage: message.Stage, fault: core.PieceFailed}
 	}
