io/xchg: send no request whose context has ended

A request whose caller had left, or that a takeover had offered to a target while the silent one responded, was still written to a kept connection, and its caller's end counted it as one that may have run.

Cause: only dialling looked at the context; on a kept connection the request was written while the end of the context closed it.

Evidence: TestEndedContext failed at its first request ("after sending: context canceled") and passes, as do the other tests of io/xchg and io/edge with the race detector.

Now the exchange fails as unsent before it takes a connection.

--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -111,6 +111,9 @@
 //
 // The response's body must be closed. When ctx ends, the connection is closed, also while the body is read.
 func (client *Client) Do(ctx context.Context, request Request) (*http.Response, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &Error{Cause: err} // a kept connection would carry the request before the end of ctx closes it
+	}
 	conn, err := client.connect(ctx, request.connKey())
 	if err != nil {
 		return nil, &Error{Cause: err}
--- a/io/xchg/client_test.go
+++ b/io/xchg/client_test.go
@@ -347,3 +347,38 @@
 		})
 	}
 }
+
+// TestEndedContext guards against a request that reaches its target on a kept connection although its caller had left, or another
+// target had responded, before it was sent.
+func TestEndedContext(t *testing.T) {
+	var late atomic.Int64
+	address := serveTCP(t, func(connection net.Conn, reader *bufio.Reader) {
+		for {
+			got, err := readRequest(reader)
+			if err != nil {
+				return
+			}
+			attempt, _, _ := strings.Cut(got, ":")
+			if attempt == "late" {
+				late.Add(1)
+			}
+			writeResponse(connection, attempt, "ok")
+		}
+	})
+	client := &Client{Clock: core.SystemClock{}}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 100 {
+		if _, err := exchangeWith(client, address, "a"); err != nil {
+			t.Fatal(err)
+		}
+		_, err := client.Do(ended, Request{Address: address, Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{"Attempt": {"late"}}})
+		if Sent(err) || !errors.Is(err, context.Canceled) {
+			t.Fatalf("error %v", err)
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	if count := late.Load(); count > 0 || client.Opened() > 1 {
+		t.Errorf("%d requests reached the target on %d connections", count, client.Opened())
+	}
+}
