io/edge: end an abandoned takeover before it offers its request to a further target

When the silent target responded while another one rejected the takeover, a further target was chosen, a retry charged, and the attempt counted as one that may have run although it was not sent.

Evidence: TestAbandonedTakeover saw one attempt for each takeover whose context had ended, and sees none with the fix and the race detector.

--- a/io/edge/takeover.go
+++ b/io/edge/takeover.go
@@ -190,6 +190,9 @@
 func (relay *relay) openElsewhere(ctx context.Context, request *request, inputs *inputs) (*relay, error) {
 	daemon := relay.daemon
 	for range maxRejections + 1 {
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
 		usable := false
 		daemon.do(func() { usable = daemon.reserveTakeover(relay.service.Name, request.triedTargets) })
 		if !usable {
--- a/io/edge/takeover_test.go
+++ b/io/edge/takeover_test.go
@@ -1,12 +1,17 @@
 package edge
 
 import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"catkincove/core"
 	"catkincove/core/fakes"
 	"catkincove/core/place"
+	"catkincove/io/inifmt"
 )
 
 // TestSilenceOfOthers guards against a sound target that is recorded as timed out, and whose stream another one is asked to take
@@ -39,3 +44,20 @@
 	relay.watchdog.wait()
 	usable("after a caller that read nothing")
 }
+
+// TestAbandonedTakeover guards against a takeover that offers its request to further targets, at the cost of retries, after the
+// silent target has responded.
+func TestAbandonedTakeover(t *testing.T) {
+	daemon := newFleetMember(t)
+	daemon.settings.Store(&inifmt.EdgeSettings{Bounds: inifmt.EdgeBounds{RetrySlack: 10_000, RetryWindow: 10 * time.Second}})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 20 {
+		request := &request{incoming: httptest.NewRequest(http.MethodGet, "/", nil), route: core.Route{Name: "r", Stream: true}, deadline: time.Now().Add(time.Second)}
+		inputs := &inputs{daemon: daemon, request: request}
+		relay := newRelay(daemon, request, core.ServiceSpec{Name: "model"}, &attempt{}, nil, inputs)
+		if next, err := relay.openElsewhere(ctx, request, inputs); next != nil || !errors.Is(err, context.Canceled) || request.attempts > 0 {
+			t.Errorf("%d attempts, error %v", request.attempts, err)
+		}
+	}
+}
