io/edge: produce the inputs of a request again when a takeover finds that they no longer exist

Callers got 504 at their time limit although another target was usable: their target hung before its first event, the results of the stages had expired, and every other target refused the takeover (409).

Cause: a takeover offered the results that the silent attempt holds to one target after the other, without producing new ones, and each refusal excluded a sound target from further takeovers and put it into backoff as if it were full.

Evidence: TestTakeoverWithExpiredInputs got 504 after 6 s, and passes. With it passed the other tests of takeovers and resumptions, TestPausedStream, TestInputsGone and TestRequestEndToEnd with the race detector (28 s), and the tests of io/edge.

Now a takeover drops results that no longer exist, without releasing those that the silent attempt still holds, and may offer the request to the same target with new ones. A takeover that fails no longer changes a request that its attempt may still be reading.

--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -101,7 +101,11 @@
 		switch {
 		case next != nil:
 			executions++
+			if !next.inputs.shared {
+				inputs.free()
+			}
 			*inputs = *next.inputs
+			inputs.shared = false
 			request, next.inputs = next.request, inputs
 			request.mayHaveRun = true
 			continue
@@ -415,7 +419,11 @@
 		// It may be a second copy of the response to another request, whatever it says about this one.
 		err = relay.lost(ctx, errUnidentified)
 	case facts.NotRun:
-		relay.daemon.recordOutcome(relay.request, relay.attempt, place.Rejected, 0)
+		outcome := place.Rejected
+		if response.StatusCode == http.StatusConflict {
+			outcome = place.Inconclusive // an input no longer exists, which says nothing about the target
+		}
+		relay.daemon.recordOutcome(relay.request, relay.attempt, outcome, 0)
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponse))
 		err = &sendError{run: core.NotRun, status: response.StatusCode, cause: fmt.Errorf("target responded with status %d and did not run the request", response.StatusCode)}
 	case response.StatusCode < http.StatusMultipleChoices && !facts.HasDigest:
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -264,6 +264,7 @@
 	daemon  *Daemon
 	request *request
 	handles [][]string // by stage; nil once they are freed
+	shared  bool       // another attempt holds them, too, and frees them
 }
 
 // produce runs the stages unless their results are still retained; it runs them again after free.
@@ -297,10 +298,18 @@
 	if inputs.handles == nil {
 		return
 	}
+	inputs.release()
+	inputs.handles, inputs.shared, inputs.request.inputHandles = nil, false, nil
+}
+
+// release is free for a request that an attempt may still be reading.
+func (inputs *inputs) release() {
+	if inputs.handles == nil || inputs.shared {
+		return
+	}
 	for _, i := range inputs.request.route.Leaves() {
 		inputs.daemon.releaseResults(inputs.request.route.Stages[i].Service, inputs.handles[i])
 	}
-	inputs.handles, inputs.request.inputHandles = nil, nil
 }
 
 // pieces returns how many pieces the request has in a stage: the number that the caller states, or 1 for each stage if
--- a/io/edge/takeover.go
+++ b/io/edge/takeover.go
@@ -147,10 +147,9 @@
 	responses := watchdog.responses
 	request := relay.request.copy(watchdog.tried)
 	request.attempts += watchdog.failed
-	inputs := &inputs{daemon: relay.daemon, request: request, handles: relay.inputs.handles}
+	inputs := &inputs{daemon: relay.daemon, request: request, handles: relay.inputs.handles, shared: relay.inputs.handles != nil}
 	watchdog.mutex.Unlock()
 
-	ownInputs := inputs.handles == nil
 	next, err := relay.openElsewhere(ctx, request, inputs)
 
 	watchdog.mutex.Lock()
@@ -169,9 +168,7 @@
 		watchdog.failed++
 		relay.daemon.spawn("takeover", next.discard)
 	}
-	if ownInputs {
-		inputs.free()
-	}
+	inputs.release()
 	if watchdog.waiting {
 		watchdog.timer.Reset(watchdog.limit)
 	}
@@ -213,9 +210,15 @@
 		if accepted {
 			return next, nil
 		}
-		if failure := (*sendError)(nil); !errors.As(err, &failure) || failure.run != core.NotRun {
+		failure := (*sendError)(nil)
+		if !errors.As(err, &failure) || failure.run != core.NotRun {
 			return next, err
 		}
+		if failure.status == http.StatusConflict {
+			// An input no longer exists; the target may take over with new ones.
+			inputs.free()
+			request.triedTargets = request.triedTargets[:len(request.triedTargets)-1]
+		}
 	}
 	return nil, errNoTakeover
 }
