io/edge: run the stages of a broken stream again until they succeed or its time ends

Callers saw a stream end after some of its events, seconds before its time limit, when its target disconnected and the stages that had to run again were late, full or failed at that moment.

Cause: a broken stream waits until a target accepts it, but the first failure of its stages ended it.

Evidence: TestBrokenStreamWaitsForTarget/the stages are late was cut after 0.6 s of its 6 s, and passes with the race detector, as do the other two cases.

Now it waits with the same pauses as for a target.

--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -57,6 +57,9 @@
 			// A stream that resumes at another target needs the inputs again, which were freed early for their result
 			// capacity.
 			if err := inputs.produce(ctx); err != nil {
+				if failed := (*stageError)(nil); request.responseStarted && errors.As(err, &failed) && pause.sleep(ctx, daemon.clock) {
+					continue // the caller has a part of the stream, so the request waits until the stages have run
+				}
 				return err
 			}
 			attempt, err := daemon.beginAttempt(ctx, request, service)
