--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -57,6 +57,9 @@
 			// A stream that resumes at another target needs the inputs again, which were freed early for their result
 			// capacity.
 			if err := inputs.produce(ctx); err != nil {
+				if failed := (*stageError)(nil); request.responseStarted && errors.As(err, &failed) && pause.sleep(ctx, daemon.clock) {
+					continue // the caller has a part of the stream, so the request waits until the stages have run
+				}
 				return err
 			}
 			attempt, err := daemon.beginAttempt(ctx, request, service)
@@ -101,7 +104,11 @@
 		switch {
 		case next != nil:
 			executions++
+			if !next.inputs.shared {
+				inputs.free()
+			}
 			*inputs = *next.inputs
+			inputs.shared = false
 			request, next.inputs = next.request, inputs
 			request.mayHaveRun = true
 			continue
@@ -162,7 +169,6 @@
 
 // chooseService returns the service of the route, chosen by weight and request content if the route is split.
 func (daemon *Daemon) chooseService(request *request) core.ServiceSpec {
-	view := daemon.view.Load()
 	total := 0
 	for _, share := range request.route.Services {
 		total += max(share.Weight, 0)
@@ -173,7 +179,7 @@
 	}
 	for _, share := range request.route.Services {
 		if point -= max(share.Weight, 0); point < 0 {
-			return withName(view.routing.Services[share.Service], share.Service)
+			return withName(request.services[share.Service], share.Service)
 		}
 	}
 	return core.ServiceSpec{}
@@ -416,7 +422,11 @@
 		// It may be a second copy of the response to another request, whatever it says about this one.
 		err = relay.lost(ctx, errUnidentified)
 	case facts.NotRun:
-		relay.daemon.recordOutcome(relay.request, relay.attempt, place.Rejected, 0)
+		outcome := place.Rejected
+		if response.StatusCode == http.StatusConflict {
+			outcome = place.Inconclusive // an input no longer exists, which says nothing about the target
+		}
+		relay.daemon.recordOutcome(relay.request, relay.attempt, outcome, 0)
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponse))
 		err = &sendError{run: core.NotRun, status: response.StatusCode, cause: fmt.Errorf("target responded with status %d and did not run the request", response.StatusCode)}
 	case response.StatusCode < http.StatusMultipleChoices && !facts.HasDigest:
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -29,6 +30,7 @@
 // piecesRequest asks a daemon to have the pieces of one stage produced.
 type piecesRequest struct {
 	Service  string
+	Spec     *core.BatchSpec // of the routing by which the request was accepted; applies if the sender's routing has none
 	Attempt  string
 	Stage    int
 	Pieces   int
@@ -208,7 +210,7 @@
 	stage := request.route.Stages[i]
 	now := run.daemon.clock.Now()
 	return piecesRequest{
-		Service: stage.Service, Attempt: request.caller.Attempt, Stage: i, Pieces: pieces, Key: request.caller.PieceKey,
+		Service: stage.Service, Spec: request.services[stage.Service].Batch, Attempt: request.caller.Attempt, Stage: i, Pieces: pieces, Key: request.caller.PieceKey,
 		Inputs: inputs, Bytes: stage.ResultBytes, Zone: run.dataCentre(i, inputs), Class: fmt.Sprintf("%s/%d", request.route.Name, i), Priority: request.priority,
 		Aim:  request.softDeadline.Sub(now) - run.plan.Remaining[i],
 		Left: request.deadline.Sub(now) - run.plan.Remaining[i]/2,
@@ -262,6 +264,7 @@
 	daemon  *Daemon
 	request *request
 	handles [][]string // by stage; nil once they are freed
+	shared  bool       // another attempt holds them, too, and frees them
 }
 
 // produce runs the stages unless their results are still retained; it runs them again after free.
@@ -295,10 +298,18 @@
 	if inputs.handles == nil {
 		return
 	}
+	inputs.release()
+	inputs.handles, inputs.shared, inputs.request.inputHandles = nil, false, nil
+}
+
+// release is free for a request that an attempt may still be reading.
+func (inputs *inputs) release() {
+	if inputs.handles == nil || inputs.shared {
+		return
+	}
 	for _, i := range inputs.request.route.Leaves() {
 		inputs.daemon.releaseResults(inputs.request.route.Stages[i].Service, inputs.handles[i])
 	}
-	inputs.handles, inputs.request.inputHandles = nil, nil
 }
 
 // pieces returns how many pieces the request has in a stage: the number that the caller states, or 1 for each stage if
@@ -373,7 +384,7 @@
 
 // produceLocally has the pieces produced by this daemon's own sender.
 func (daemon *Daemon) produceLocally(ctx context.Context, message piecesRequest) (piecesReply, error) {
-	spec := daemon.view.Load().routing.Services[message.Service].Batch
+	spec := cmp.Or(daemon.view.Load().routing.Services[message.Service].Batch, message.Spec)
 	if spec == nil {
 		return piecesReply{}, &stageError{stage: message.Stage, fault: core.PieceFailed}
 	}
