core/batch: let the job of a returning caller wait until its deadline

Cause: a job that was past its soft deadline for a second was rejected. A returning caller is past it from the start and retries no more, so the rejection was final with most of its time left.

Ruled out: rejecting no late job at all.

Jobs of returning callers now wait until they cannot meet their deadline. They still get only the slots that no job on time needs.

--- a/core/admit/replay_test.go
+++ b/core/admit/replay_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,8 +16,9 @@
 	"catkincove/core/batch"
 )
 
-// The replays drive admission and the pools of three stages with the load of a whole desk, in simulated time. They leave out
-// daemons, networks and engines: the response begins a fixed time after the last stage.
+// The replays drive admission and the pools of three stages with the load of a whole desk, in simulated time. Targets keep
+// results as they do in reality, up to their capacity and for their TTL. The replays leave out networks and engines: the
+// response begins a fixed time after the last stage.
 
 const (
 	replayStep      = 5 * time.Millisecond
@@ -31,6 +33,7 @@
 	smallBytes      = 8000
 	largeBytes      = 1_500_000
 	transferredKind = 60_000
+	crashReturn     = 300 * time.Millisecond // spread of the returns of callers whose connections broke
 )
 
 // desk is a deployment: its stages and its routes with their usual load.
@@ -38,6 +41,8 @@
 	services map[string]core.BatchSpec
 	targets  map[string]int // by service
 	routes   []deskRoute
+	crashAt  time.Duration // all daemons crash then; 0 means never
+	downFor  time.Duration // time until new daemons serve
 }
 
 type deskRoute struct {
@@ -115,6 +120,7 @@
 	respondedAt  time.Time
 	refusedAt    time.Time // of the last attempt
 	failed       bool
+	crashed      bool // in progress when the daemons crashed
 }
 
 type jobKey struct {
@@ -141,12 +147,27 @@
 	held      map[*visit][]string      // handles to free when the response begins
 	attempts  map[string]jobOwner      // by the attempt of the job
 	work      map[string]time.Duration // moving average of the work of a route's requests
+	targets   map[string]*replayTarget // by address
+	calls     int                      // keeps handles unique
+}
+
+// replayTarget is the state of a target that outlives its daemons.
+type replayTarget struct {
+	busyUntil time.Time
+	results   map[string]storedResult // by handle
+}
+
+type storedResult struct {
+	bytes   int64
+	expires time.Time
 }
 
 type runningBatch struct {
 	service string
 	call    batch.Call
 	ends    time.Time
+	results []core.PieceResult // once the target has begun the call
+	lost    bool               // its daemon has crashed
 }
 
 type timedForecast struct {
@@ -166,20 +187,80 @@
 	replay := &replay{
 		desk: desk, random: rand.New(rand.NewPCG(seed, 7)), now: replayStart, pools: map[string]*batch.Pool{}, jobs: map[jobKey]jobOwner{},
 		forecasts: map[string][]timedForecast{}, shares: map[string]float64{}, held: map[*visit][]string{}, attempts: map[string]jobOwner{}, work: map[string]time.Duration{},
+		targets: map[string]*replayTarget{},
 	}
-	for service, spec := range desk.services {
+	replay.startPools()
+	for replay.now.Before(replayStart.Add(replayLength + 21*time.Second)) {
+		replay.step(bursts)
+		if elapsed := replay.now.Sub(replayStart); desk.crashAt > 0 && elapsed >= desk.crashAt && elapsed < desk.crashAt+replayStep {
+			replay.crash()
+		}
+	}
+	return slices.DeleteFunc(replay.visits, func(visit *visit) bool { return visit.arrivedAt.Before(replayStart.Add(replayWarmUp)) })
+}
+
+// startPools creates the pools of new daemons.
+func (replay *replay) startPools() {
+	for service, spec := range replay.desk.services {
 		pool := batch.New(spec)
 		var targets []batch.Target
-		for i := range desk.targets[service] {
-			targets = append(targets, batch.Target{ID: fmt.Sprint(service, i), Address: fmt.Sprint(service, i)})
+		for i := range replay.desk.targets[service] {
+			target := batch.Target{ID: fmt.Sprint(service, i), Address: fmt.Sprint(service, i)}
+			targets = append(targets, target)
+			if replay.targets[target.Address] == nil {
+				replay.targets[target.Address] = &replayTarget{results: map[string]storedResult{}}
+			}
 		}
 		pool.SetTargets(targets)
 		replay.pools[service] = pool
 	}
-	for replay.now.Before(replayStart.Add(replayLength + 21*time.Second)) {
-		replay.step(bursts)
+}
+
+// crash ends all daemons and starts new ones: requests in progress are lost, targets finish their calls, and nobody frees
+// the results. Callers may resume a request of the most urgent route.
+func (replay *replay) crash() {
+	for _, visit := range replay.visits {
+		if visit.respondedAt.IsZero() && !visit.failed && visit.submitted != nil {
+			visit.submitted, visit.done, visit.failed, visit.crashed = nil, nil, true, true
+			if visit.route.Priority == 0 && visit.attempts < 2 {
+				visit.failed = false
+				replay.returns = append(replay.returns, returning{replay.now.Add(replay.desk.downFor + time.Duration(replay.random.Float64()*float64(crashReturn))), visit})
+			}
+		}
+	}
+	for i := range replay.running {
+		replay.running[i].lost = true
+	}
+	clear(replay.jobs)
+	clear(replay.held)
+	clear(replay.shares)
+	clear(replay.work)
+	clear(replay.forecasts)
+	replay.startPools()
+}
+
+// free frees results at their targets and in the pools.
+func (replay *replay) freeResults(handles []string) {
+	for _, pool := range replay.pools {
+		pool.Free(handles)
+	}
+	for _, handle := range handles {
+		address, _, _ := strings.Cut(handle, "/")
+		delete(replay.targets[address].results, handle)
 	}
-	return slices.DeleteFunc(replay.visits, func(visit *visit) bool { return visit.arrivedAt.Before(replayStart.Add(replayWarmUp)) })
+}
+
+// freeBytes returns the free result capacity of a target.
+func (replay *replay) freeBytes(service, address string) int64 {
+	free := replay.desk.services[service].MaxResultBytes
+	for handle, result := range replay.targets[address].results {
+		if result.expires.Before(replay.now) {
+			delete(replay.targets[address].results, handle)
+			continue
+		}
+		free -= result.bytes
+	}
+	return free
 }
 
 func (replay *replay) step(bursts []burst) {
@@ -215,9 +296,7 @@
 	}
 	for visit, handles := range replay.held {
 		if !visit.respondedAt.IsZero() && !visit.respondedAt.After(replay.now) {
-			for _, pool := range replay.pools {
-				pool.Free(handles)
-			}
+			replay.freeResults(handles)
 			delete(replay.held, visit)
 		}
 	}
@@ -246,6 +325,11 @@
 // attempt is one attempt of a caller: it is admitted, or its caller retries once.
 func (replay *replay) attempt(visit *visit) {
 	visit.attempts++
+	if elapsed := replay.now.Sub(replayStart); replay.desk.crashAt > 0 && elapsed >= replay.desk.crashAt && elapsed < replay.desk.crashAt+replay.desk.downFor {
+		wait := replay.desk.crashAt + replay.desk.downFor - elapsed + time.Duration(replay.random.Float64()*float64(crashReturn))
+		replay.returns = append(replay.returns, returning{replay.now.Add(wait), visit}) // no daemon accepts connections
+		return
+	}
 	timeLeft := visit.arrivedAt.Add(visit.limit).Sub(replay.now)
 	soft := visit.arrivedAt.Add(visit.route.LatencyObjective)
 	request := admit.Request{
@@ -305,7 +389,7 @@
 			attempt := fmt.Sprint(len(replay.attempts))
 			replay.attempts[attempt] = jobOwner{visit, i}
 			id := replay.pools[stage.Service].Submit(batch.Job{
-				Attempt: attempt, Stage: i, Pieces: visit.pieces[i], ResultBytes: stage.ResultBytes, Class: fmt.Sprint(visit.route.Name, i), Priority: visit.route.Priority,
+				Attempt: attempt, Stage: i, Pieces: visit.pieces[i], ResultBytes: stage.ResultBytes, Class: fmt.Sprint(visit.route.Name, i), Priority: visit.route.Priority, LastAttempt: visit.attempts > 1,
 				SoftDeadline: visit.softDeadline.Add(-visit.plan.Remaining[i]), Deadline: visit.deadline.Add(-visit.plan.Remaining[i] / 2),
 			})
 			replay.jobs[jobKey{stage.Service, id}] = jobOwner{visit, i}
@@ -322,20 +406,38 @@
 func (replay *replay) dispatch(service string) {
 	calls, ended, unused := replay.pools[service].Dispatch(replay.now)
 	replay.end(service, ended)
-	replay.pools[service].Free(unused)
+	replay.freeResults(unused)
 	spec := replay.desk.services[service]
 	for _, call := range calls {
+		target := replay.targets[call.Target.Address]
+		begins := replay.now
+		if target.busyUntil.After(begins) {
+			begins = target.busyUntil // behind the call of a daemon that has crashed
+		}
 		took := spec.CallOverhead
-		for _, piece := range call.Pieces {
+		free := replay.freeBytes(service, call.Target.Address)
+		replay.calls++
+		var results []core.PieceResult
+		for i, piece := range call.Pieces {
 			factor := 1.0
 			owner := replay.attempts[piece.Attempt]
-			if service == "stock" && owner.visit.route.Stages[owner.stage].ResultBytes == smallBytes {
+			bytes := owner.visit.route.Stages[owner.stage].ResultBytes
+			if free < bytes {
+				results = append(results, core.PieceResult{Fault: core.PieceNoRoom})
+				continue
+			}
+			free -= bytes
+			if service == "stock" && bytes == smallBytes {
 				factor = 0.3
 			}
 			took += time.Duration(float64(spec.PieceTime) * factor)
+			handle := fmt.Sprintf("%s/%d-%d", call.Target.Address, replay.calls, i)
+			results = append(results, core.PieceResult{Handle: handle})
+			target.results[handle] = storedResult{bytes, replay.now.Add(time.Hour)}
 		}
 		took = time.Duration(float64(took) * (1 + callTimeSpread*(2*replay.random.Float64()-1)))
-		replay.running = append(replay.running, runningBatch{service, call, replay.now.Add(took)})
+		target.busyUntil = begins.Add(took)
+		replay.running = append(replay.running, runningBatch{service: service, call: call, ends: target.busyUntil, results: results})
 	}
 }
 
@@ -347,12 +449,17 @@
 			replay.running = append(replay.running, flight)
 			continue
 		}
-		var results []core.PieceResult
-		for i := range flight.call.Pieces {
-			results = append(results, core.PieceResult{Handle: fmt.Sprintf("%s/%d-%d", flight.call.Target.Address, flight.call.ID, i)})
+		target := replay.targets[flight.call.Target.Address]
+		for _, result := range flight.results {
+			if stored, found := target.results[result.Handle]; found {
+				target.results[result.Handle] = storedResult{stored.bytes, replay.now.Add(replay.desk.services[flight.service].ResultTTL)}
+			}
 		}
-		ended, unused := replay.pools[flight.service].Finish(replay.now, flight.call.ID, batch.Responded, results)
-		replay.pools[flight.service].Free(unused)
+		if flight.lost {
+			continue
+		}
+		ended, unused := replay.pools[flight.service].Finish(replay.now, flight.call.ID, batch.Responded, flight.results)
+		replay.freeResults(unused)
 		replay.end(flight.service, ended)
 	}
 }
@@ -362,7 +469,7 @@
 		key := jobKey{service, result.Job}
 		owner, found := replay.jobs[key]
 		if !found {
-			replay.pools[service].Free(result.Handles) // the request was refused meanwhile
+			replay.freeResults(result.Handles) // the request was refused meanwhile
 			continue
 		}
 		delete(replay.jobs, key)
@@ -384,9 +491,7 @@
 	if len(visit.route.Stages[stage].After) == 0 {
 		return
 	}
-	for _, pool := range replay.pools {
-		pool.Free(replay.held[visit])
-	}
+	replay.freeResults(replay.held[visit])
 	delete(replay.held, visit)
 }
 
@@ -394,13 +499,11 @@
 func (replay *replay) drop(visit *visit) {
 	for key, owner := range replay.jobs {
 		if owner.visit == visit {
-			replay.pools[key.service].Free(replay.pools[key.service].Cancel(key.id))
+			replay.freeResults(replay.pools[key.service].Cancel(key.id))
 			delete(replay.jobs, key)
 		}
 	}
-	for _, pool := range replay.pools {
-		pool.Free(replay.held[visit])
-	}
+	replay.freeResults(replay.held[visit])
 	delete(replay.held, visit)
 	visit.submitted, visit.done = nil, nil
 }
--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -78,7 +78,7 @@
 }
 
 // rejectInfeasible ends the jobs that cannot meet their deadline even if they were sent now, and those that have waited
-// too long past their soft deadline.
+// too long past their soft deadline while their caller can still retry.
 func (pool *Pool) rejectInfeasible(now time.Time) (ended []Result, unused []string) {
 	if now.Sub(pool.infeasibleCheckedAt) < infeasibleCheckInterval {
 		return nil, nil
@@ -91,7 +91,7 @@
 		if waiting.runningCalls > 0 {
 			continue
 		}
-		lateTooLong := !waiting.job.lateSince.IsZero() && now.Sub(waiting.job.lateSince) > maxLateWait
+		lateTooLong := !waiting.job.LastAttempt && !waiting.job.lateSince.IsZero() && now.Sub(waiting.job.lateSince) > maxLateWait
 		if lateTooLong || now.Add(minCallTime).After(waiting.job.Deadline) {
 			rejected[waiting.job] = true
 		}
--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -25,6 +25,7 @@
 	Class         string    // pieces of one class take about the same time
 	Priority      int       // 0 is the most urgent
 	DataCentre    string    // where most of the inputs are, or where the results are needed; empty means any
+	LastAttempt   bool      // the caller has retried already, so that a rejection would be final
 	SoftDeadline  time.Time // the request meets its latency objective when the job is done by then
 	Deadline      time.Time // the request fails when the job is not done by then
 }
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -28,19 +28,20 @@
 
 // piecesRequest asks a daemon to have the pieces of one stage produced.
 type piecesRequest struct {
-	Service  string
-	Attempt  string
-	Stage    int
-	Pieces   int
-	Key      string
-	Inputs   []string
-	Release  bool  // nothing else needs the inputs, and their targets are short of room
-	Bytes    int64 // expected size of one result
-	Class    string
-	Priority int
-	Zone     string        // data centre in which the stage should run; empty means any
-	Aim      time.Duration // time left to the soft deadline of the stage
-	Left     time.Duration // time left to the deadline of the stage
+	Service   string
+	Attempt   string
+	Stage     int
+	Pieces    int
+	Key       string
+	Inputs    []string
+	Release   bool  // nothing else needs the inputs, and their targets are short of room
+	Bytes     int64 // expected size of one result
+	Class     string
+	Priority  int
+	Returning bool          // the caller was rejected before
+	Zone      string        // data centre in which the stage should run; empty means any
+	Aim       time.Duration // time left to the soft deadline of the stage
+	Left      time.Duration // time left to the deadline of the stage
 }
 
 type piecesReply struct {
@@ -209,7 +210,7 @@
 	now := run.daemon.clock.Now()
 	return piecesRequest{
 		Service: stage.Service, Attempt: request.caller.Attempt, Stage: i, Pieces: pieces, Key: request.caller.PieceKey,
-		Inputs: inputs, Bytes: stage.ResultBytes, Zone: run.dataCentre(i, inputs), Class: fmt.Sprintf("%s/%d", request.route.Name, i), Priority: request.priority,
+		Inputs: inputs, Bytes: stage.ResultBytes, Zone: run.dataCentre(i, inputs), Class: fmt.Sprintf("%s/%d", request.route.Name, i), Priority: request.priority, Returning: request.returning,
 		Aim:  request.softDeadline.Sub(now) - run.plan.Remaining[i],
 		Left: request.deadline.Sub(now) - run.plan.Remaining[i]/2,
 	}
@@ -385,7 +386,7 @@
 		owner = daemon.sender(message.Service, *spec)
 		id, result = daemon.submit(owner, batch.Job{
 			Attempt: message.Attempt, Stage: message.Stage, Pieces: message.Pieces, Key: message.Key, Inputs: message.Inputs,
-			ReleaseInputs: message.Release, ResultBytes: message.Bytes, Class: message.Class, Priority: message.Priority, DataCentre: message.Zone,
+			ReleaseInputs: message.Release, ResultBytes: message.Bytes, Class: message.Class, Priority: message.Priority, LastAttempt: message.Returning, DataCentre: message.Zone,
 			SoftDeadline: now.Add(message.Aim), Deadline: now.Add(message.Left),
 		})
 	})
