--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -78,7 +78,7 @@
 }
 
 // rejectInfeasible ends the jobs that cannot meet their deadline even if they were sent now, and those that have waited
-// too long past their soft deadline.
+// too long past their soft deadline while their caller can still retry.
 func (pool *Pool) rejectInfeasible(now time.Time) (ended []Result, unused []string) {
 	if now.Sub(pool.infeasibleCheckedAt) < infeasibleCheckInterval {
 		return nil, nil
@@ -91,7 +91,7 @@
 		if waiting.runningCalls > 0 {
 			continue
 		}
-		lateTooLong := !waiting.job.lateSince.IsZero() && now.Sub(waiting.job.lateSince) > maxLateWait
+		lateTooLong := !waiting.job.LastAttempt && !waiting.job.lateSince.IsZero() && now.Sub(waiting.job.lateSince) > maxLateWait
 		if lateTooLong || now.Add(minCallTime).After(waiting.job.Deadline) {
 			rejected[waiting.job] = true
 		}
@@ -104,7 +104,8 @@
 }
 
 // sortQueue puts the jobs that can still meet their soft deadline first, in order of their due time; late jobs fill the
-// rest of a call.
+// rest of a call, in order of their deadline, since by their soft deadline one with much time left would go before one
+// that is about to fail.
 func (pool *Pool) sortQueue(now time.Time) {
 	pool.markLate(now)
 	late := func(waiting *piece) int {
@@ -113,7 +114,12 @@
 		}
 		return 0
 	}
-	due := func(job *job) time.Time { return job.SoftDeadline.Add(time.Duration(job.Priority) * priorityOffset) }
+	due := func(job *job) time.Time {
+		if !job.lateSince.IsZero() {
+			return job.Deadline
+		}
+		return job.SoftDeadline.Add(time.Duration(job.Priority) * priorityOffset)
+	}
 	slices.SortStableFunc(pool.queue, func(a, b *piece) int {
 		return cmp.Or(cmp.Compare(late(a), late(b)), due(a.job).Compare(due(b.job)), cmp.Compare(a.job.id, b.job.id))
 	})
