io/edge: do not say that a request has not run whose target's error response arrived at the time limit

Cause: a failed attempt marked its request as one that may have run only after the check whether the time limit has passed, except where the connection had broken. An error response that was read just before the limit was thus followed by 'not started within the time limit'. Ruled out: the daemon sending it again, and an earlier rejection (one attempt in the record).

Now every failed attempt marks the request at once, and an error response that is there is delivered, also at the limit.

--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -92,12 +92,13 @@
 		if lastErr == nil {
 			return nil
 		}
-		if next == nil && (ctx.Err() != nil || request.responseStarted && !current.resumable) {
-			return lastErr
-		}
 		var failure *sendError
-		if !errors.As(lastErr, &failure) {
-			return lastErr
+		isAttempt := errors.As(lastErr, &failure)
+		if isAttempt && failure.run != core.NotRun {
+			request.mayHaveRun = true // also when the time limit has passed meanwhile
+		}
+		if next == nil && (ctx.Err() != nil || request.responseStarted && !current.resumable) || !isAttempt {
+			return request.deliver(writer, lastErr)
 		}
 		daemon.log.Warn().Str(eventField, eventAttemptFailed).Str("Request", request.caller.Attempt).Str("Target", current.attempt.target.ID).
 			Str("Run", failure.run.String()).Dur("Took", daemon.clock.Now().Sub(current.attempt.startedAt)).Err(failure.cause).Send()
@@ -136,15 +137,9 @@
 			}
 			continue
 		}
-		request.mayHaveRun = true
 		executions++
 		if request.route.Repeat != core.Idempotent || executions >= request.route.MaxTargets || !daemon.allowRetry(service.Name) {
-			if failure.response != nil {
-				request.outcome = outcomeTargetErred
-				request.write(writer, failure.response)
-				return nil
-			}
-			return core.Errorf(core.TargetFailed, "%w", lastErr)
+			return request.deliver(writer, core.Errorf(core.TargetFailed, "%w", lastErr))
 		}
 	}
 	if request.mayHaveRun {
@@ -303,6 +298,17 @@
 	body   []byte
 }
 
+// deliver sends the error response of the last target to the caller if there is one, and returns the error otherwise.
+func (request *request) deliver(writer http.ResponseWriter, err error) error {
+	var failure *sendError
+	if !errors.As(err, &failure) || failure.response == nil {
+		return err
+	}
+	request.outcome = outcomeTargetErred
+	request.write(writer, failure.response)
+	return nil
+}
+
 // write sends the response of a target to the caller.
 func (request *request) write(writer http.ResponseWriter, response *bufferedResponse) {
 	request.status = response.status
@@ -381,9 +387,6 @@
 		return relay.replaced()
 	}
 	if err != nil {
-		if failure := (*sendError)(nil); errors.As(err, &failure) && failure.run != core.NotRun {
-			relay.request.mayHaveRun = true
-		}
 		return err
 	}
 	relay.delimited = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
