io/edge: split the sending of a request into steps

send had grown to ninety lines with six results of an attempt in one loop. The state is a type now, with a step for choosing a target, for counting an attempt, for a takeover and for the decision on a retry.

--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -41,111 +41,153 @@
 	cancel          context.CancelFunc
 }
 
+// delivery is the state of sending one request to targets.
+type delivery struct {
+	daemon  *Daemon
+	writer  http.ResponseWriter
+	request *request // a copy of the received one after a takeover
+	inputs  *inputs
+	service core.ServiceSpec
+
+	dialFailures int
+	rejections   int
+	executions   int      // attempts at targets that may have run the request
+	rejectedBy   []string // targets that did not run the request after its response had started
+	pause        retryPause
+	lastErr      error
+}
+
 // send forwards the request to targets until one responds or no further attempt is allowed.
 func (daemon *Daemon) send(ctx context.Context, writer http.ResponseWriter, received *request, inputs *inputs) error {
-	request := received
-	defer func() { received.progress = request.progress }() // a takeover replaces the request by a copy
-	service := daemon.chooseService(request)
-	rejections, executions := 0, 0
-	var lastErr error
-	var next *relay // attempt that has taken over
-	var pause retryPause
-	var rejectedBy []string // targets that did not run the request after its response had started
-	for dialFailures := 0; dialFailures < maxDialFailures; {
-		current := next
+	delivery := &delivery{daemon: daemon, writer: writer, request: received, inputs: inputs, service: daemon.chooseService(received)}
+	defer func() { received.progress = delivery.request.progress }()
+	var current *relay
+	for delivery.dialFailures < maxDialFailures {
 		if current == nil {
-			// A stream that resumes at another target needs the inputs again, which were freed early for their result
-			// capacity.
-			if err := inputs.produce(ctx); err != nil {
-				if failed := (*stageError)(nil); request.responseStarted && errors.As(err, &failed) && pause.sleep(ctx, daemon.clock) {
-					continue // the caller has a part of the stream, so the request waits until the stages have run
-				}
+			var err error
+			if current, err = delivery.begin(ctx); err != nil {
 				return err
 			}
-			attempt, err := daemon.beginAttempt(ctx, request, service)
-			if err != nil {
-				if request.responseStarted && core.AsError(err).Kind != core.Poison && pause.sleep(ctx, daemon.clock) {
-					// The caller has a part of the stream, so the request waits until a target accepts it.
-					request.triedTargets = slices.DeleteFunc(request.triedTargets, func(id string) bool { return slices.Contains(rejectedBy, id) })
-					continue
-				}
-				if lastErr != nil && request.mayHaveRun {
-					return core.Errorf(core.TargetFailed, "%w", lastErr)
-				}
-				return err
+			if current == nil {
+				continue
 			}
-			request.triedTargets = append(request.triedTargets, attempt.target.ID)
-			request.targetID = attempt.target.ID
-			current = newRelay(daemon, request, service, attempt, writer, inputs)
 		}
-		lastErr = current.run(ctx)
+		err := current.run(ctx)
 		current.attempt.cancel()
-		next = current.watchdog.successor
-		request.triedTargets = current.watchdog.tried
-		if failed := current.watchdog.failed; failed > 0 {
-			executions += failed
-			request.mayHaveRun = true
-			if next == nil {
-				request.attempts += failed
-			}
-		}
-		if lastErr == nil {
+		delivery.count(ctx, current, err)
+		if err == nil {
 			return nil
 		}
-		var failure *sendError
-		isAttempt := errors.As(lastErr, &failure)
-		if isAttempt && failure.run != core.NotRun {
-			request.mayHaveRun = true // also when the time limit has passed meanwhile
+		next := current.watchdog.successor
+		if next != nil {
+			delivery.replace(next)
+		} else if again, err := delivery.retry(ctx, current, err); !again {
+			return err
 		}
-		if next == nil && (ctx.Err() != nil || request.responseStarted && !current.resumable) || !isAttempt {
-			return request.deliver(writer, lastErr)
+		current = next
+	}
+	if delivery.request.mayHaveRun {
+		return core.Errorf(core.TargetFailed, "%w", delivery.lastErr)
+	}
+	return core.Errorf(core.Unavailable, "no target can be reached: %w", delivery.lastErr).WithRetryAfter(fullRetryAfter)
+}
+
+// begin chooses the next target. It returns nil without an error after a pause, if the caller has a part of the stream and the
+// request must wait for its stages or for a target.
+func (delivery *delivery) begin(ctx context.Context) (*relay, error) {
+	daemon, request := delivery.daemon, delivery.request
+	// A stream that resumes at another target needs the inputs again, which were freed early for their result capacity.
+	if err := delivery.inputs.produce(ctx); err != nil {
+		if failed := (*stageError)(nil); request.responseStarted && errors.As(err, &failed) && delivery.pause.sleep(ctx, daemon.clock) {
+			return nil, nil
 		}
-		daemon.log.Warn().Str(eventField, eventAttemptFailed).Str("Request", request.caller.Attempt).Str("Target", current.attempt.target.ID).
-			Str("Run", failure.run.String()).Dur("Took", daemon.clock.Now().Sub(current.attempt.startedAt)).Err(failure.cause).Send()
-		switch {
-		case next != nil:
-			executions++
-			if !next.inputs.shared {
-				inputs.free()
-			}
-			*inputs = *next.inputs
-			inputs.shared = false
-			request, next.inputs = next.request, inputs
-			request.mayHaveRun = true
-			continue
-		case failure.run == core.NotRun && request.responseStarted:
-			if failure.status == http.StatusConflict {
-				inputs.free() // the target found that an input no longer exists
-			}
-			rejectedBy = append(rejectedBy, current.attempt.target.ID)
-			for !failure.unsent && !daemon.allowRetry(service.Name) {
-				if !pause.sleep(ctx, daemon.clock) {
-					return lastErr
-				}
-			}
-			continue
-		case failure.unsent:
-			dialFailures++
-			continue
-		case failure.run == core.NotRun:
-			rejections++
-			if failure.status == http.StatusConflict {
-				inputs.free()
-			}
-			if rejections > maxRejections || !daemon.allowRetry(service.Name) {
-				return daemon.fullError(lastErr)
-			}
-			continue
+		return nil, err
+	}
+	attempt, err := daemon.beginAttempt(ctx, request, delivery.service)
+	if err != nil {
+		if request.responseStarted && core.AsError(err).Kind != core.Poison && delivery.pause.sleep(ctx, daemon.clock) {
+			request.triedTargets = slices.DeleteFunc(request.triedTargets, func(id string) bool { return slices.Contains(delivery.rejectedBy, id) })
+			return nil, nil
 		}
-		executions++
-		if request.route.Repeat != core.Idempotent || executions >= request.route.MaxTargets || !daemon.allowRetry(service.Name) {
-			return request.deliver(writer, core.Errorf(core.TargetFailed, "%w", lastErr))
+		if delivery.lastErr != nil && request.mayHaveRun {
+			err = core.Errorf(core.TargetFailed, "%w", delivery.lastErr)
 		}
+		return nil, err
 	}
-	if request.mayHaveRun {
-		return core.Errorf(core.TargetFailed, "%w", lastErr)
+	request.triedTargets = append(request.triedTargets, attempt.target.ID)
+	request.targetID = attempt.target.ID
+	return newRelay(daemon, request, delivery.service, attempt, delivery.writer, delivery.inputs), nil
+}
+
+// count counts an attempt that has ended, and the takeovers that have failed during it.
+func (delivery *delivery) count(ctx context.Context, current *relay, err error) {
+	request, watchdog := delivery.request, current.watchdog
+	delivery.lastErr = err
+	request.triedTargets = watchdog.tried
+	if watchdog.failed > 0 {
+		delivery.executions += watchdog.failed
+		request.mayHaveRun = true
+		if watchdog.successor == nil {
+			request.attempts += watchdog.failed
+		}
+	}
+	var failure *sendError
+	if !errors.As(err, &failure) {
+		return
+	}
+	if failure.run != core.NotRun {
+		request.mayHaveRun = true // also when the time limit has passed meanwhile
+		delivery.executions++
+	}
+	if ctx.Err() != nil {
+		return // the target did not fail
+	}
+	delivery.daemon.log.Warn().Str(eventField, eventAttemptFailed).Str("Request", request.caller.Attempt).Str("Target", current.attempt.target.ID).
+		Str("Run", failure.run.String()).Dur("Took", delivery.daemon.clock.Now().Sub(current.attempt.startedAt)).Err(failure.cause).Send()
+}
+
+// replace goes on with the attempt that has taken over.
+func (delivery *delivery) replace(next *relay) {
+	if !next.inputs.shared {
+		delivery.inputs.free()
+	}
+	*delivery.inputs = *next.inputs
+	delivery.inputs.shared = false
+	next.inputs = delivery.inputs
+	delivery.request = next.request
+	delivery.request.mayHaveRun = true
+}
+
+// retry reports whether another attempt may follow one that has failed; otherwise it returns the error of the request, or nil if
+// the caller has received the target's error response.
+func (delivery *delivery) retry(ctx context.Context, current *relay, err error) (bool, error) {
+	daemon, request := delivery.daemon, delivery.request
+	var failure *sendError
+	if !errors.As(err, &failure) || ctx.Err() != nil || request.responseStarted && !current.resumable {
+		return false, request.deliver(delivery.writer, err)
+	}
+	if failure.status == http.StatusConflict && failure.run == core.NotRun {
+		delivery.inputs.free() // the target found that an input no longer exists
+	}
+	switch {
+	case failure.run == core.NotRun && request.responseStarted:
+		delivery.rejectedBy = append(delivery.rejectedBy, current.attempt.target.ID)
+		for !failure.unsent && !daemon.allowRetry(delivery.service.Name) {
+			if !delivery.pause.sleep(ctx, daemon.clock) {
+				return false, err
+			}
+		}
+	case failure.unsent:
+		delivery.dialFailures++
+	case failure.run == core.NotRun:
+		delivery.rejections++
+		if delivery.rejections > maxRejections || !daemon.allowRetry(delivery.service.Name) {
+			return false, daemon.fullError(err)
+		}
+	case request.route.Repeat != core.Idempotent || delivery.executions >= request.route.MaxTargets || !daemon.allowRetry(delivery.service.Name):
+		return false, request.deliver(delivery.writer, core.Errorf(core.TargetFailed, "%w", err))
 	}
-	return core.Errorf(core.Unavailable, "no target can be reached: %w", lastErr).WithRetryAfter(fullRetryAfter)
+	return true, nil
 }
 
 // retryPause is the pause before a further attempt for a request whose response has started; each is twice as long as the one before,
