Log the request rates that targets name

Targets may name in each response how many requests a second they take from all daemons together. Nothing acts on it yet.

--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -24,6 +24,7 @@
 	"catkincove/core"
 	"catkincove/core/batch"
 	"catkincove/core/blame"
+	"catkincove/core/limit"
 	"catkincove/core/loop"
 	"catkincove/core/mirror"
 	"catkincove/core/place"
@@ -97,6 +98,7 @@
 	registry        registry
 	chooser         place.Chooser
 	crashTracker    blame.CrashTracker
+	limits          limit.Table
 	retryWindows    map[string]*retry.Window  // by service
 	engines         map[string]*place.Engines // by service; for the services whose prompts this daemon places for the fleet
 	placementHints  map[string]string         // ID of the engine that last prefilled a prompt, by the ID of its longest shared part
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -195,6 +195,7 @@
 	daemon.dialect.ExpectTarget(header, call.Target.ID)
 	var results []core.PieceResult
 	var decodeErr error
+	sentAt := daemon.clock.Now()
 	response, err := daemon.targets.Do(ctx, xchg.Request{
 		Address: call.Target.Address, Method: http.MethodPost, URI: path, Host: call.Target.Address, Header: header, Body: body, Purpose: purposeBatch,
 		MaxBody: maxPiecesBody, MatchBody: func(response *http.Response, data []byte) bool {
@@ -212,10 +213,12 @@
 		cancel() // closes the connection: a second copy of a response without handles could not be told from the next response
 	}
 	_ = response.Body.Close()
+	facts := daemon.dialect.TargetResponse(response.StatusCode, response.Header)
+	daemon.observeLimit(limitEvidence{target: call.Target.ID, startedAt: call.Target.StartedAt, sentAt: sentAt, status: response.StatusCode, facts: facts})
 	switch {
 	case response.StatusCode != http.StatusOK:
 		err := fmt.Errorf("status %d", response.StatusCode)
-		if daemon.dialect.TargetResponse(response.StatusCode, response.Header).NotRun {
+		if facts.NotRun {
 			return nil, batch.Rejected, err
 		}
 		return nil, batch.Failed, err
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -462,8 +462,14 @@
 		return nil, err
 	}
 	facts := relay.daemon.dialect.TargetResponse(response.StatusCode, response.Header)
+	unidentified := facts.Attempt == "" && relay.request.caller.Attempt != ""
+	if !unidentified {
+		relay.daemon.observeLimit(limitEvidence{
+			target: relay.attempt.target.ID, startedAt: relay.attempt.target.StartedAt, sentAt: relay.attempt.startedAt, status: response.StatusCode, facts: facts,
+		})
+	}
 	switch {
-	case facts.Attempt == "" && relay.request.caller.Attempt != "":
+	case unidentified:
 		// It may be a second copy of the response to another request, whatever it says about this one.
 		err = relay.lost(ctx, errUnidentified)
 	case facts.NotRun:
