Keep to the request rates that targets name

Targets with a limit are now paced by one daemon for the whole fleet, the one that sends for their service: it reserves requests in their order, so that one which cannot be sent in time is rejected at once with the time at which it could be. Prompts are placed with the wait as part of their cost, other requests ask that daemon for a permit, and pools do not call a limited target early. Without its response nothing is sent there, because local shares of a limit of 1 a second add up to too much from five daemons on. Daemons tell each other of limits, and a permit request carries the limit, since the daemon that is asked may just have started. A limit holds until a request that was sent after the last response with a limit is answered without one, however long the target gets nothing.

--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -141,12 +141,12 @@
 	var idle []*worker
 	anyFast := false
 	for _, worker := range pool.workers {
-		if worker.usable(now) && worker.currentSlowdown(now) < unusableSlowdown {
+		if worker.usable(now) && worker.currentSlowdown(now) < unusableSlowdown && pool.paceWait(now, worker) == 0 {
 			anyFast = true
 		}
 	}
 	for _, worker := range pool.workers {
-		if !worker.usable(now) || worker.inFlight >= pool.spec.MaxCalls {
+		if !worker.usable(now) || worker.inFlight >= pool.spec.MaxCalls || pool.paceWait(now, worker) > 0 {
 			continue
 		}
 		if anyFast && worker.currentSlowdown(now) >= unusableSlowdown {
@@ -160,6 +160,14 @@
 	return idle
 }
 
+// paceWait returns how long a target that has named a limit must get no call.
+func (pool *Pool) paceWait(now time.Time, worker *worker) time.Duration {
+	if pool.Pacer == nil {
+		return 0
+	}
+	return pool.Pacer.Wait(now, worker.ID)
+}
+
 // dataCentre is the state of the targets of one data centre.
 type dataCentre struct {
 	targets int
@@ -179,6 +187,7 @@
 		if !worker.usable(now) {
 			continue
 		}
+		freeIn[worker] = max(freeIn[worker], pool.paceWait(now, worker))
 		if dataCentres[worker.DataCentre] == nil {
 			dataCentres[worker.DataCentre] = &dataCentre{freeIn: freeIn[worker]}
 		}
@@ -261,6 +270,9 @@
 	}
 	request.Timeout = time.Duration(float64(started.expected)*timeoutFactor*max(worker.currentSlowdown(now), 1)) + timeoutMargin
 	request.ResultBytes, request.RetainedBytes = started.resultBytes, worker.retainedBytes+worker.reservedBytes
+	if pool.Pacer != nil {
+		_, _ = pool.Pacer.Take(now, worker.ID, 0)
+	}
 	worker.inFlight++
 	worker.reservedBytes += started.resultBytes
 	pool.calls[started.id] = started
--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -80,6 +80,9 @@
 			if worker.fullUntil.After(now) {
 				wakeBy(worker.fullUntil)
 			}
+			if wait := pool.paceWait(now, worker); wait > 0 {
+				wakeBy(now.Add(wait))
+			}
 		}
 		for _, waiting := range pool.queue {
 			wakeBy(waiting.job.Deadline.Add(-pool.spec.CallOverhead))
@@ -104,6 +107,7 @@
 		// stalled, and that must not stop it from admitting work.
 		forecast.Capacity += 1 / max(slowdown/slowdowns[len(slowdowns)/2], 1)
 	}
+	forecast.Capacity = max(forecast.Capacity-pool.lostToLimits(now, forecast.Call), 0)
 	perPiece := pool.spec.CallOverhead / time.Duration(pool.spec.MaxPieces)
 	for _, waiting := range pool.queue {
 		if now.Add(pool.spec.CallOverhead).After(waiting.job.SoftDeadline) {
@@ -130,6 +134,20 @@
 	return forecast
 }
 
+// lostToLimits returns the capacity that targets do not offer because they have named a limit, in targets.
+func (pool *Pool) lostToLimits(now time.Time, callTime time.Duration) float64 {
+	lost := 0.0
+	if pool.Pacer == nil {
+		return lost
+	}
+	for _, worker := range pool.workers {
+		if rate, limited := pool.Pacer.Rate(worker.ID); limited && worker.usable(now) {
+			lost += max(1-rate*callTime.Seconds()/float64(pool.spec.MaxCalls), 0)
+		}
+	}
+	return lost
+}
+
 // slowdowns returns the slowdowns of the usable targets, fastest first.
 func (pool *Pool) slowdowns(now time.Time) []float64 {
 	var slowdowns []float64
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -30,6 +30,9 @@
 // It is made for a load of more pieces, from many daemons, than targets can process one by one, while some targets are
 // slow, full or removed.
 type Pool struct {
+	// Pacer limits the calls to targets that have named a limit; nil means that none has.
+	Pacer core.Pacer
+
 	spec                core.BatchSpec
 	workers             map[string]*worker
 	jobs                map[JobID]*job
--- /dev/null
+++ b/core/limit/pace.go
@@ -0,0 +1,49 @@
+package limit
+
+import "time"
+
+const (
+	// burstTime is the time whose requests may be sent at once, beside one: requests do not come evenly.
+	burstTime = 250 * time.Millisecond
+	// minRate is the least rate in requests per second: a target that gets none could not name another limit.
+	minRate = 0.25
+)
+
+// bucket is a token bucket; its tokens are below 0 while reserved requests wait. It starts empty, because another daemon may have
+// sent to the target just before this one does.
+type bucket struct {
+	tokens     float64
+	refilledAt time.Time
+}
+
+func (bucket *bucket) refill(now time.Time, rate float64) {
+	if !bucket.refilledAt.IsZero() {
+		burst := 1 + rate*burstTime.Seconds()
+		bucket.tokens = min(bucket.tokens+rate*max(now.Sub(bucket.refilledAt), 0).Seconds(), burst)
+	}
+	bucket.refilledAt = now
+}
+
+// Wait implements core.Pacer.
+func (table *Table) Wait(now time.Time, target string) time.Duration {
+	rate, limited := table.Rate(target)
+	if !limited {
+		return 0
+	}
+	rate = max(rate, minRate)
+	bucket := &table.states[target].bucket
+	bucket.refill(now, rate)
+	return max(time.Duration((1-bucket.tokens)/rate*float64(time.Second)), 0)
+}
+
+// Take implements core.Pacer.
+func (table *Table) Take(now time.Time, target string, maxWait time.Duration) (time.Duration, bool) {
+	wait := table.Wait(now, target)
+	if wait > maxWait {
+		return wait, false
+	}
+	if known := table.states[target]; known != nil {
+		known.bucket.tokens--
+	}
+	return wait, true
+}
--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -1,6 +1,13 @@
 package limit
 
-import "time"
+import (
+	"time"
+
+	"catkincove/core"
+)
+
+// evidenceTTL is how long evidence that a target names no limit is kept, and that of a target that is registered no longer.
+const evidenceTTL = time.Minute
 
 // Evidence is what a response of a target says about its limit.
 type Evidence struct {
@@ -19,12 +26,21 @@
 }
 
 type state struct {
-	evidence Evidence
+	evidence  Evidence
+	firstHand bool // this daemon got the response
+	bucket    bucket
 }
 
-// Observe merges evidence and reports whether it changes the limit of its target. Evidence of an earlier run and evidence that is
-// older than what is known are ignored.
-func (table *Table) Observe(evidence Evidence) bool {
+var _ core.Pacer = (*Table)(nil)
+
+// Observe merges evidence of a response that this daemon got and reports whether it changes the limit of its target. Evidence of an
+// earlier run and evidence older than what is known are ignored.
+func (table *Table) Observe(evidence Evidence) bool { return table.merge(evidence, true) }
+
+// Merge is Observe for evidence that another daemon reported.
+func (table *Table) Merge(evidence Evidence) bool { return table.merge(evidence, false) }
+
+func (table *Table) merge(evidence Evidence, firstHand bool) bool {
 	known := table.states[evidence.Target]
 	if known == nil {
 		if !evidence.Named {
@@ -33,7 +49,7 @@
 		if table.states == nil {
 			table.states = map[string]*state{}
 		}
-		table.states[evidence.Target] = &state{evidence: evidence}
+		table.states[evidence.Target] = &state{evidence: evidence, firstHand: firstHand}
 		return true
 	}
 	before := known.evidence
@@ -41,10 +57,40 @@
 	if !newRun && (evidence.StartedAt.Before(before.StartedAt) || !evidence.At.After(before.At)) {
 		return false
 	}
-	known.evidence = evidence
+	known.evidence, known.firstHand = evidence, firstHand
 	return before.Named != evidence.Named || evidence.Named && before.Rate != evidence.Rate
 }
 
+// Evidence returns what is known of up to most targets, in random order; of those whose responses this daemon got, or of all.
+func (table *Table) Evidence(all bool, most int) []Evidence {
+	var list []Evidence
+	for _, state := range table.states {
+		if len(list) < most && (all || state.firstHand) {
+			list = append(list, state.evidence)
+		}
+	}
+	return list
+}
+
+// Of returns the newest evidence of a target, and false if there is none.
+func (table *Table) Of(target string) (Evidence, bool) {
+	known := table.states[target]
+	if known == nil {
+		return Evidence{}, false
+	}
+	return known.evidence, true
+}
+
+// Sweep removes old evidence of targets that name no limit or are not registered. A limit of a registered target stays, however
+// long it gets no requests.
+func (table *Table) Sweep(now time.Time, registered func(target string) bool) {
+	for target, state := range table.states {
+		if now.Sub(state.evidence.At) > evidenceTTL && !(state.evidence.Named && registered(target)) {
+			delete(table.states, target)
+		}
+	}
+}
+
 // Rate returns the limit of a target, and false if it has none.
 func (table *Table) Rate(target string) (float64, bool) {
 	known := table.states[target]
--- a/core/place/bench_test.go
+++ b/core/place/bench_test.go
@@ -25,7 +25,8 @@
 		prompt := Prompt{Attempt: attempt, Parts: []core.PromptPart{
 			{ID: fmt.Sprint("s", shared%4), Tokens: 2500}, {ID: fmt.Sprint("p", shared), Tokens: 3800}, {ID: attempt, Tokens: 2900},
 		}}
-		chosen, fault := engines.Choose(now, targets, prompt)
+		placement := engines.Choose(now, targets, prompt)
+		chosen, fault := placement.Index, placement.Fault
 		if fault == Chosen && i > 100 {
 			engines.FinishPrefill(now.Add(200*time.Millisecond), targets[chosen].ID, attempt, Succeeded, 200*time.Millisecond)
 		}
--- a/core/place/engines.go
+++ b/core/place/engines.go
@@ -29,7 +29,8 @@
 	Zone       string // data centre of large inputs; empty means none
 	InputBytes int64  // size of those inputs
 	Exclude    []string
-	Hint       string // engine that last cached the longest shared part, as far as the sender knows
+	MaxWait    time.Duration // longest wait for a target that has named a limit
+	Hint       string        // engine that last cached the longest shared part, as far as the sender knows
 }
 
 // Engines places prompts on the engines of one service for all daemons; Chooser and MemoryTokens must be set. It is not
@@ -39,7 +40,8 @@
 // that is busy. A daemon that sees only its own requests would send short prompts behind the long ones of others.
 type Engines struct {
 	Chooser      *Chooser
-	MemoryTokens int // memory of one engine in tokens
+	MemoryTokens int        // memory of one engine in tokens
+	Pacer        core.Pacer // nil means that no engine names a limit
 
 	engines     map[string]*engine
 	prefillRate float64 // tokens a second
@@ -106,12 +108,20 @@
 	return max(tokens-now.Sub(oldest).Seconds()*rate, 0)
 }
 
-// Choose returns the index of the target for the prompt and counts the prompt there until FinishPrefill.
-func (engines *Engines) Choose(now time.Time, targets []Target, prompt Prompt) (int, Fault) {
+// Placement is the engine for a prompt, or the reason why there is none.
+type Placement struct {
+	Index int // of the target
+	Fault Fault
+	// Wait is how long the prompt must wait because the engine has named a limit, or because all that could take it have.
+	Wait time.Duration
+}
+
+// Choose returns the target for the prompt and counts the prompt there until FinishPrefill.
+func (engines *Engines) Choose(now time.Time, targets []Target, prompt Prompt) Placement {
 	chooser := engines.Chooser
-	candidates, fault := chooser.candidates(now, targets, Request{Exclude: prompt.Exclude})
+	candidates, fault := chooser.candidates(now, targets, Request{Exclude: prompt.Exclude, Patient: true})
 	if fault != Chosen {
-		return 0, fault
+		return Placement{Fault: fault}
 	}
 	engines.adoptHint(now, targets, prompt)
 	tolerance := costTolerance
@@ -119,8 +129,16 @@
 		tolerance = uncachedCostTolerance
 	}
 	best, bestCost := -1, 0.0
+	var leastWait time.Duration // of the engines that may not get the prompt within MaxWait
 	for _, i := range candidates {
-		cost := engines.cost(now, targets[i], prompt)
+		wait := engines.wait(now, targets[i])
+		if wait > prompt.MaxWait {
+			if leastWait == 0 || wait < leastWait {
+				leastWait = wait
+			}
+			continue
+		}
+		cost := engines.cost(now, targets[i], prompt) + wait.Seconds()
 		if best >= 0 && cost >= bestCost-tolerance.Seconds() && (cost > bestCost+tolerance.Seconds() || rendezvousScore(prompt.affinityKey(), targets[i].ID) < rendezvousScore(prompt.affinityKey(), targets[best].ID)) {
 			continue
 		}
@@ -130,10 +148,22 @@
 		best, bestCost = i, cost
 	}
 	if best < 0 {
-		return 0, AllFull
+		return Placement{Fault: AllFull, Wait: leastWait}
 	}
 	engines.startPrefill(now, targets[best], prompt)
-	return best, Chosen
+	placement := Placement{Index: best}
+	if engines.Pacer != nil {
+		placement.Wait, _ = engines.Pacer.Take(now, targets[best].ID, prompt.MaxWait)
+	}
+	return placement
+}
+
+// wait returns how long a prompt must wait because the engine has named a limit.
+func (engines *Engines) wait(now time.Time, target Target) time.Duration {
+	if engines.Pacer == nil {
+		return 0
+	}
+	return engines.Pacer.Wait(now, target.ID)
 }
 
 // isCached reports whether an engine is known to cache the longest shared part.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -45,6 +45,7 @@
 	DataCentre  string   // its targets are preferred to those that have cached the prompt; empty means none
 	Exclude     []string // targets that were tried before
 	Probe       bool     // the request is idempotent, so it may probe whether a target has recovered
+	Patient     bool     // the request may wait for a target that is held
 }
 
 // Fault says why no target was chosen.
@@ -89,6 +90,7 @@
 	backoffUntil        time.Time
 	probing             bool // one request in flight tests whether the target has recovered
 	cold                bucket
+	heldUntil           time.Time // the target has named a limit and may not get a request before this time
 	lastUsed            time.Time
 }
 
@@ -186,6 +188,8 @@
 		state := chooser.state(target.ID)
 		limit := int(float64(target.MaxConnections) * connectionShare / float64(max(chooser.Daemons, 1)))
 		switch {
+		case !request.Patient && now.Before(state.heldUntil):
+			full = true
 		case target.MaxConnections > 0 && state.inFlight >= max(limit, 2):
 			full = true
 		case now.Before(state.backoffUntil) || state.consecutiveFailures > 0 && state.probing && state.inFlight > 0:
@@ -343,6 +347,23 @@
 	state.probing = state.consecutiveFailures > 0
 }
 
+// Hold passes over a target that has named a limit for the time after which it may get a request.
+func (chooser *Chooser) Hold(now time.Time, id string, wait time.Duration) {
+	chooser.state(id).heldUntil = now.Add(wait)
+	chooser.state(id).lastUsed = now
+}
+
+// HeldFor returns the time until the first of the targets that are held may get a request; 0 if none is held.
+func (chooser *Chooser) HeldFor(now time.Time, targets []Target) time.Duration {
+	var least time.Duration
+	for _, target := range targets {
+		if wait := chooser.state(target.ID).heldUntil.Sub(now); wait > 0 && (least == 0 || wait < least) {
+			least = wait
+		}
+	}
+	return least
+}
+
 // Sweep removes the state of targets that have not been used for a minute.
 func (chooser *Chooser) Sweep(now time.Time) {
 	for id, state := range chooser.states {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"catkincove/core"
+	"catkincove/core/limit"
 )
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
@@ -28,10 +29,11 @@
 // second, while other engines are idle.
 func TestShortPromptsAvoidLongOnes(t *testing.T) {
 	engines, targets := engines(4)
-	long, _ := engines.Choose(start, targets, prompt("long", "catalogue", 6300, 39_600))
+	long := engines.Choose(start, targets, prompt("long", "catalogue", 6300, 39_600)).Index
 	now := start.Add(50 * time.Millisecond)
 	for i := range 7 { // during the prefill of the long prompt
-		chosen, fault := engines.Choose(now, targets, prompt(fmt.Sprint("short", i), "catalogue", 6300, 500))
+		placement := engines.Choose(now, targets, prompt(fmt.Sprint("short", i), "catalogue", 6300, 500))
+		chosen, fault := placement.Index, placement.Fault
 		if fault != Chosen || chosen == long {
 			t.Errorf("short prompt %d: engine %d, %v; the long prompt is at %d", i, chosen, fault, long)
 		}
@@ -49,7 +51,8 @@
 	for i := range 200 {
 		shared := fmt.Sprint("catalogue", i%20)
 		attempt := fmt.Sprint(i)
-		chosen, fault := engines.Choose(now, targets, prompt(attempt, shared, 6300, 800))
+		placement := engines.Choose(now, targets, prompt(attempt, shared, 6300, 800))
+		chosen, fault := placement.Index, placement.Fault
 		if fault != Chosen {
 			t.Fatal(fault)
 		}
@@ -68,7 +71,7 @@
 	for i := range 40 {
 		one := prompt(fmt.Sprint(i), fmt.Sprint("catalogue", i), 6300, 800)
 		one.Hint = targets[(i*7)%12].ID
-		chosen, _ := engines.Choose(start.Add(time.Duration(i)*time.Second), targets, one)
+		chosen := engines.Choose(start.Add(time.Duration(i)*time.Second), targets, one).Index
 		if targets[chosen].ID != one.Hint {
 			t.Errorf("prompt %d goes to %s, cached by %s", i, targets[chosen].ID, one.Hint)
 		}
@@ -79,7 +82,7 @@
 // TestRestartedEngineHasEmptyCache guards against prompts that go to an engine for a cache that it lost with a restart.
 func TestRestartedEngineHasEmptyCache(t *testing.T) {
 	engines, targets := engines(1)
-	_, _ = engines.Choose(start, targets, prompt("a", "catalogue", 6300, 100))
+	_ = engines.Choose(start, targets, prompt("a", "catalogue", 6300, 100))
 	if uncached := engines.engine(targets[0]).uncachedTokens(prompt("b", "catalogue", 6300, 100).Parts); uncached != 100 {
 		t.Errorf("%d tokens to prefill while the engine caches the shared part", uncached)
 	}
@@ -94,7 +97,7 @@
 	engines, targets := engines(1)
 	for i := range 100 {
 		attempt := fmt.Sprint(i)
-		_, _ = engines.Choose(start.Add(time.Duration(i)*time.Second), targets, prompt(attempt, fmt.Sprint("s", i), 6000, 1000))
+		_ = engines.Choose(start.Add(time.Duration(i)*time.Second), targets, prompt(attempt, fmt.Sprint("s", i), 6000, 1000))
 		engines.FinishPrefill(start.Add(time.Duration(i)*time.Second), targets[0].ID, attempt, Succeeded, time.Millisecond)
 	}
 	if cachedTokens := engines.engine(targets[0]).cachedTokens; cachedTokens > 210_000 {
@@ -108,7 +111,7 @@
 	for i := range 30 {
 		one := prompt(fmt.Sprint(i), fmt.Sprint("chat", i%5), 170, 500)
 		one.Zone, one.InputBytes = "b", 3_750_000
-		chosen, _ := engines.Choose(start.Add(time.Duration(i)*200*time.Millisecond), targets, one)
+		chosen := engines.Choose(start.Add(time.Duration(i)*200*time.Millisecond), targets, one).Index
 		if targets[chosen].DataCentre != "b" {
 			t.Errorf("request %d runs in %s", i, targets[chosen].DataCentre)
 		}
@@ -168,7 +171,7 @@
 	for i := range 1000 {
 		now := start.Add(time.Duration(i) * time.Millisecond)
 		one := prompt(fmt.Sprint(i), "s", 10, 10)
-		if _, fault := placer.Choose(now, targets, one); fault == Chosen {
+		if placer.Choose(now, targets, one).Fault == Chosen {
 			sent++
 			placer.FinishPrefill(now, "cold", one.Attempt, Succeeded, time.Millisecond)
 		}
@@ -192,3 +195,70 @@
 		t.Errorf("fault is %v", fault)
 	}
 }
+
+// TestLimitedEngines guards against a prompt for an engine that has named a limit and may not get it in time, and against an engine
+// with a limit that gets nothing although the others are busy.
+func TestLimitedEngines(t *testing.T) {
+	tests := []struct {
+		name    string
+		limited int // of two engines
+		maxWait time.Duration
+		busy    bool // the other engine prefills a long prompt
+		index   int
+		fault   Fault
+		wait    time.Duration
+	}{
+		{"the other engine", 1, time.Second, false, 1, Chosen, 0},
+		{"the other engine is busy for longer", 1, time.Second, true, 0, Chosen, 500 * time.Millisecond},
+		{"all have named limits", 2, time.Second, false, -1, Chosen, 500 * time.Millisecond},
+		{"all have named limits, too long", 2, 100 * time.Millisecond, false, -1, AllFull, 500 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			engines, targets := engines(2)
+			if test.busy {
+				engines.startPrefill(start, targets[1], prompt("long", "catalogue", 6300, 80_000))
+			}
+			var table limit.Table
+			for _, target := range targets[:test.limited] {
+				table.Observe(limit.Evidence{Target: target.ID, Named: true, Rate: 2, At: start})
+			}
+			engines.Pacer = &table
+			one := prompt("a", "b", 100, 100)
+			one.MaxWait = test.maxWait
+			got := engines.Choose(start, targets, one)
+			if test.index < 0 {
+				got.Index = -1
+			}
+			if want := (Placement{Index: test.index, Fault: test.fault, Wait: test.wait}); got != want {
+				t.Errorf("%+v, want %+v", got, want)
+			}
+		})
+	}
+}
+
+// TestHeldTargets guards against requests that go to a target without a permit while another one is usable, and against ones that
+// are rejected although they could wait for it.
+func TestHeldTargets(t *testing.T) {
+	chooser := &Chooser{Random: rand.New(rand.NewPCG(1, 2)), Daemons: 6}
+	targets := []Target{{ID: "a"}, {ID: "b"}}
+	chooser.Hold(start, "a", time.Second)
+	for range 10 {
+		if index, fault := chooser.Choose(start, targets, Request{}); index != 1 || fault != Chosen {
+			t.Errorf("target %d, %v", index, fault)
+		}
+	}
+	chooser.Hold(start, "b", 2*time.Second)
+	if _, fault := chooser.Choose(start, targets, Request{}); fault != AllFull {
+		t.Errorf("all held: %v", fault)
+	}
+	if _, fault := chooser.Choose(start, targets, Request{Patient: true}); fault != Chosen {
+		t.Errorf("a request that can wait: %v", fault)
+	}
+	if wait := chooser.HeldFor(start, targets); wait != time.Second {
+		t.Errorf("held for %v", wait)
+	}
+	if _, fault := chooser.Choose(start.Add(1100*time.Millisecond), targets, Request{}); fault != Chosen {
+		t.Errorf("after the wait: %v", fault)
+	}
+}
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -342,6 +342,7 @@
 		daemon.loop.Post(func() {
 			now := daemon.clock.Now()
 			daemon.control.chooser.Sweep(now)
+			daemon.control.limits.Sweep(now, daemon.control.registry.has)
 			daemon.removePeers(now)
 			if slices.ContainsFunc(daemon.copyList(), (*mirror.Copy).RetainsEntries) {
 				daemon.scheduleRebuild() // retained entries expire without an event
--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -24,8 +24,10 @@
 }
 
 type placeReply struct {
-	Target string
-	Fault  place.Fault
+	Target    string
+	Fault     place.Fault
+	Permitted bool          // the target has named a limit, which covers the prompt
+	Wait      time.Duration // time until the prompt may be sent, or until an engine could take it if all have named limits
 }
 
 // prefillMessage reports that an engine has prefilled a prompt, or that it will not.
@@ -39,10 +41,11 @@
 
 // placeEngine returns an attempt at the engine chosen by the daemon that places the prompts of the service for the
 // whole fleet; nil means that it chose none or did not respond, and that the caller must choose a target from local
-// state.
-func (daemon *Daemon) placeEngine(ctx context.Context, request *request, service core.ServiceSpec, targets []place.Target) *attempt {
+// state. It returns an error if no engine may get the prompt in time by the limits that they have named.
+func (daemon *Daemon) placeEngine(ctx context.Context, request *request, service core.ServiceSpec, targets []place.Target) (*attempt, error) {
 	message := placeRequest{Service: service.Name, Prompt: place.Prompt{
 		Attempt: request.caller.Attempt, Parts: request.caller.Prompt, Zone: request.inputDataCentre, InputBytes: request.inputBytes, Exclude: request.triedTargets,
+		MaxWait: request.maxPermitWait(daemon.clock.Now()),
 	}}
 	shared, _ := request.sharedPrompt()
 	var owner *peer
@@ -62,16 +65,26 @@
 		if err := daemon.callPeer(callCtx, address, pathPlace, message, &reply); err != nil {
 			daemon.metrics.placedAlone.Add(1)
 			daemon.log.Warn().Str(eventField, eventPlacedAlone).Str("Request", request.caller.Attempt).Str("Peer", address).Err(err).Msg("no response from the placing daemon; choosing an engine from local state")
-			return nil
+			return nil, nil
 		}
 	}
 	if reply.Fault != place.Chosen {
-		return nil
+		if reply.Wait > 0 {
+			return nil, daemon.limitError(service.Name, reply.Wait)
+		}
+		return nil, nil
 	}
 	for _, target := range targets {
 		if target.ID != reply.Target {
 			continue
 		}
+		if !reply.Permitted {
+			// The placing daemon may not have heard yet that the target has named a limit.
+			reply.Wait, reply.Permitted = daemon.permit(ctx, service.Name, target, message.Prompt.MaxWait)
+		}
+		if !reply.Permitted || !daemon.awaitPermit(ctx, service.Name, target, reply.Wait) {
+			return nil, ctx.Err()
+		}
 		daemon.do(func() {
 			now := daemon.clock.Now()
 			daemon.control.chooser.Begin(now, target.ID)
@@ -84,9 +97,9 @@
 			}
 		})
 		request.attempts++
-		return &attempt{target: target, startedAt: daemon.clock.Now(), placedBy: owner, engineService: service.Name}
+		return &attempt{target: target, startedAt: daemon.clock.Now(), placedBy: owner, engineService: service.Name}, nil
 	}
-	return nil // the engine is no usable target in this daemon's view, as when it is draining
+	return nil, nil // the engine is no usable target in this daemon's view, as when it is draining
 }
 
 func (daemon *Daemon) placeLocally(message placeRequest) placeReply {
@@ -94,10 +107,11 @@
 	var reply placeReply
 	daemon.do(func() {
 		daemon.control.lastPlacement[message.Service] = daemon.clock.Now()
-		var index int
-		index, reply.Fault = daemon.enginesOf(message.Service).Choose(daemon.clock.Now(), targets, message.Prompt)
+		placement := daemon.enginesOf(message.Service).Choose(daemon.clock.Now(), targets, message.Prompt)
+		reply.Fault, reply.Wait = placement.Fault, placement.Wait
 		if reply.Fault == place.Chosen {
-			reply.Target = targets[index].ID
+			reply.Target = targets[placement.Index].ID
+			_, reply.Permitted = daemon.control.limits.Rate(reply.Target)
 		}
 	})
 	return reply
@@ -107,7 +121,7 @@
 func (daemon *Daemon) enginesOf(service string) *place.Engines {
 	known := daemon.control.engines[service]
 	if known == nil {
-		known = &place.Engines{Chooser: &daemon.control.chooser}
+		known = &place.Engines{Chooser: &daemon.control.chooser, Pacer: &daemon.control.limits}
 		daemon.control.engines[service] = known
 	}
 	if spec := daemon.view.Load().routing.Services[service].Engine; spec != nil {
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -44,6 +44,7 @@
 	eventQuarantineRecorded  = "QuarantineRecorded"  // a part of prompts is quarantined, which the store records
 	eventQuarantineIgnored   = "QuarantineIgnored"   // the record of a quarantine cannot be decoded
 	eventLimitNamed          = "LimitNamed"          // a target names a request rate for all daemons together, or another one than before
+	eventPermitFailed        = "PermitFailed"        // the daemon that paces a limited target did not respond
 	eventLimitLifted         = "LimitLifted"         // a target no longer names a request rate
 	eventTakeover            = "Takeover"            // a silent target's request was offered to another one
 	eventRequestEnded        = "RequestEnded"        // a request has ended
--- a/io/edge/fuzz_test.go
+++ b/io/edge/fuzz_test.go
@@ -117,10 +117,11 @@
 // FuzzPeerMessages guards against a message of another daemon that makes a handler or the control loop panic, or for which a
 // handler keeps running after the other daemon has disconnected.
 func FuzzPeerMessages(f *testing.F) {
-	paths := []string{pathPing, pathCopies, pathPieces, pathPlace, pathRead, pathFree}
+	paths := []string{pathPing, pathCopies, pathPieces, pathPlace, pathRead, pathFree, pathPermit}
 	for i := range paths {
 		f.Add(uint8(i), []byte(`{}`))
 		f.Add(uint8(i), []byte(`{"Service":"model","Attempt":"a","Pieces":2,"Prompt":{"Attempt":"a","Parts":[{"ID":"x","Tokens":5}],"Hint":"i-0"},"Handles":["10.0.0.1:1/x"],"Target":"i-0","Outcome":1,"Since":[1,0,9],"Aim":1000000,"Left":1000000}`))
+		f.Add(uint8(i), []byte(`{"Service":"ledger","Limit":{"Target":"i-1","Named":true,"Rate":1e308,"Age":5},"MaxWait":-1}`))
 		f.Add(uint8(i), []byte(`{"Service":"stock","Attempt":"a","Stage":1,"Pieces":9,"Inputs":["10.9.0.2:80/x"],"Release":true,"Bytes":5,"Zone":"dc-1","Aim":1000000,"Left":1000000,"Handles":["10.9.0.2:80/x"]}`))
 		f.Add(uint8(i), []byte(`{"Record":{"ID":"d","Front":"10.0.0.2:1","Peer":"10.0.0.2:2","Cores":0.8},"Leaving":true,"Sends":["model"],"Forecasts":{"stock":{"Capacity":1,"Ahead":[1,2]}},"Losses":[{"Content":1,"Target":"t","Age":5}],"Heard":[{"Peer":"10.2.0.1:81","Age":3}]}`))
 	}
@@ -150,6 +151,7 @@
 // FuzzStatus guards against a status of another daemon that is merged and makes the decisions that depend on it panic, that
 // cannot be sent on, or that claims to be from the future.
 func FuzzStatus(f *testing.F) {
+	f.Add([]byte(`{"Record":{"ID":"d","Peer":"10.2.0.1:81"},"Limits":[{"Target":"i-0","Named":true,"Rate":0,"Age":9223372036854775807},{"Target":"i-2","Rate":-1,"Age":-1}]}`))
 	f.Add([]byte(`{"Record":{"ID":"d","Peer":"10.2.0.1:81"},"Heard":[{"Peer":"10.2.0.3:81","Age":1}]}`))
 	f.Add([]byte(`{"Record":{"ID":"d","Peer":"10.2.0.1:81","Cores":1e308},"Leaving":true,"Sends":["stock"],"Forecasts":{"stock":{"Capacity":-1,"Ahead":[0,9]}},"Losses":[{"Content":1,"Target":"t","Age":-5}],"Heard":[{"Peer":"10.2.0.3:81","Age":-9223372036854775808}]}`))
 	daemon, reset := fuzzFleet(f)
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -1,13 +1,46 @@
 package edge
 
 import (
+	"context"
+	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"catkincove/core"
 	"catkincove/core/limit"
+	"catkincove/core/place"
 )
 
+const (
+	permitTimeout   = 250 * time.Millisecond // limit on the wait for a permit; without one the target is passed over
+	permitRetry     = 300 * time.Millisecond // time for which a target is passed over when no permit can be had
+	maxPermitTries  = 3                      // targets whose permit is awaited before the request is rejected
+	maxLimitEntries = 64                     // limits in a status, about 8 KB
+)
+
+// limitEntry says what the newest response of a target, of this age, says about its limit.
+type limitEntry struct {
+	Target    string
+	StartedAt time.Time // start of the target's run
+	Named     bool
+	Rate      float64 // requests per second from all daemons
+	Age       time.Duration
+}
+
+// permitRequest asks the daemon that paces the targets of a service whether a request may be sent to a target.
+type permitRequest struct {
+	Service string
+	Limit   limitEntry // what the asking daemon knows: the other one may not have heard of the limit
+	MaxWait time.Duration
+}
+
+// permitReply says how long the request has to wait; it may not be sent if Granted is false.
+type permitReply struct {
+	Granted bool
+	Wait    time.Duration
+}
+
 // limitEvidence is a response of a target, by which it names a limit or none.
 type limitEvidence struct {
 	target    string
@@ -26,18 +59,175 @@
 	if evidence.Named {
 		evidence.At = daemon.clock.Now()
 	}
-	daemon.loop.Post(func() { daemon.mergeLimit(evidence, string(daemon.id)) })
+	daemon.loop.Post(func() {
+		if daemon.control.limits.Observe(evidence) {
+			daemon.logLimit(evidence, daemon.id)
+		}
+	})
 }
 
-// mergeLimit merges evidence that a daemon has seen; it must run on the loop.
-func (daemon *Daemon) mergeLimit(evidence limit.Evidence, seenBy string) {
-	if !daemon.control.limits.Observe(evidence) {
+// mergeLimit merges what another daemon knows about a limit; it must run on the loop.
+func (daemon *Daemon) mergeLimit(now time.Time, entry limitEntry, seenBy core.MemberID) {
+	if entry.Target == "" || entry.Age < 0 || entry.Rate < 0 || math.IsInf(entry.Rate, 0) {
 		return
 	}
-	event := daemon.log.Info().Str("Target", evidence.Target).Str("SeenBy", seenBy).Dur("Age", daemon.clock.Now().Sub(evidence.At))
+	evidence := limit.Evidence{Target: entry.Target, StartedAt: entry.StartedAt, Named: entry.Named, Rate: entry.Rate, At: now.Add(-entry.Age)}
+	if daemon.control.limits.Merge(evidence) {
+		daemon.logLimit(evidence, seenBy)
+	}
+}
+
+func (daemon *Daemon) logLimit(evidence limit.Evidence, seenBy core.MemberID) {
+	event := daemon.log.Info().Str("Target", evidence.Target).Str("SeenBy", string(seenBy)).Dur("Age", daemon.clock.Now().Sub(evidence.At))
 	if evidence.Named {
 		event.Str(eventField, eventLimitNamed).Float64("Rate", evidence.Rate).Msg("the target limits the requests of all daemons together")
 		return
 	}
 	event.Str(eventField, eventLimitLifted).Msg("the target no longer limits the requests")
 }
+
+// limitsToGossip returns what this daemon has seen of limits or, if relay is set, also what others have reported; it must run on
+// the loop. All daemons ping the ones that send for a service, which therefore relay.
+func (daemon *Daemon) limitsToGossip(now time.Time, relay bool) []limitEntry {
+	var entries []limitEntry
+	for _, evidence := range daemon.control.limits.Evidence(relay, maxLimitEntries) {
+		entries = append(entries, newLimitEntry(now, evidence))
+	}
+	return entries
+}
+
+func newLimitEntry(now time.Time, evidence limit.Evidence) limitEntry {
+	return limitEntry{Target: evidence.Target, StartedAt: evidence.StartedAt, Named: evidence.Named, Rate: evidence.Rate, Age: max(now.Sub(evidence.At), 0)}
+}
+
+// permit asks for leave to send a request to a target and returns how long the request has to wait. A target without a limit needs
+// none. The daemon that sends for the service paces its limited targets for the whole fleet; without its response there is no permit,
+// since shares of the daemons would add up to more than a low limit in a large fleet.
+func (daemon *Daemon) permit(ctx context.Context, service string, target place.Target, maxWait time.Duration) (time.Duration, bool) {
+	reply := permitReply{Granted: true}
+	message := permitRequest{Service: service, MaxWait: maxWait}
+	address := ""
+	daemon.do(func() {
+		if _, limited := daemon.control.limits.Rate(target.ID); !limited {
+			return
+		}
+		now := daemon.clock.Now()
+		evidence, _ := daemon.control.limits.Of(target.ID)
+		message.Limit = newLimitEntry(now, evidence)
+		if owner := daemon.senderOf(service); owner != nil {
+			address = owner.Peer
+			return
+		}
+		reply = daemon.grantPermit(message)
+	})
+	if address != "" {
+		ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+		defer cancel()
+		if err := daemon.callPeer(ctx, address, pathPermit, message, &reply); err != nil {
+			daemon.log.Warn().Str(eventField, eventPermitFailed).Str("Target", target.ID).Str("Peer", address).Err(err).Msg("no response from the daemon that paces the target; passing the target over")
+			reply = permitReply{Wait: permitRetry}
+		}
+	}
+	if !reply.Granted {
+		daemon.metrics.permitsDenied.Add(1)
+		daemon.do(func() { daemon.control.chooser.Hold(daemon.clock.Now(), target.ID, reply.Wait) })
+	}
+	return reply.Wait, reply.Granted
+}
+
+// grantPermit reserves a request to a limited target for a daemon; it must run on the loop.
+func (daemon *Daemon) grantPermit(message permitRequest) permitReply {
+	now := daemon.clock.Now()
+	daemon.control.lastPlacement[message.Service] = now
+	wait, granted := daemon.control.limits.Take(now, message.Limit.Target, message.MaxWait)
+	return permitReply{Granted: granted, Wait: wait}
+}
+
+func (daemon *Daemon) servePermit(writer http.ResponseWriter, request *http.Request) {
+	var message permitRequest
+	if !readJSON(writer, request, &message) {
+		return
+	}
+	if _, known := daemon.view.Load().routing.Services[message.Service]; !known {
+		http.Error(writer, "service", http.StatusBadRequest)
+		return
+	}
+	var reply permitReply
+	daemon.do(func() {
+		daemon.mergeLimit(daemon.clock.Now(), message.Limit, "")
+		reply = daemon.grantPermit(message)
+	})
+	writeJSON(writer, reply)
+}
+
+// awaitPermit waits until a permitted request may be sent, and reports whether the target is usable then.
+func (daemon *Daemon) awaitPermit(ctx context.Context, service string, target place.Target, wait time.Duration) bool {
+	if wait <= 0 {
+		return true
+	}
+	return core.Sleep(ctx, daemon.clock, wait) && slices.ContainsFunc(daemon.view.Load().targets[service], func(current place.Target) bool {
+		return current.ID == target.ID && current.Address == target.Address && current.StartedAt.Equal(target.StartedAt)
+	})
+}
+
+// maxPermitWait returns the longest wait for a limited target: until the soft deadline, or for half of the time left after it.
+func (request *request) maxPermitWait(now time.Time) time.Duration {
+	wait := request.deadline.Sub(now) / 2
+	if soft := request.softDeadline.Sub(now); soft > 0 {
+		wait = min(wait, soft)
+	}
+	return max(wait, 0)
+}
+
+// choosePermitted chooses a target from local state. A limited target that may get no request now is passed over for others; only
+// if there is none, the request waits for a permit.
+func (daemon *Daemon) choosePermitted(ctx context.Context, request *request, service string, placement place.Request) (place.Target, error) {
+	var maxWait time.Duration
+	tries := 0
+	for {
+		targets := daemon.view.Load().targets[service]
+		var index int
+		var fault place.Fault
+		var heldFor time.Duration
+		daemon.do(func() {
+			now := daemon.clock.Now()
+			index, fault = daemon.control.chooser.Choose(now, targets, placement)
+			heldFor = daemon.control.chooser.HeldFor(now, targets)
+		})
+		switch {
+		case fault != place.Chosen && !placement.Patient && (heldFor > 0 || tries > 0):
+			placement.Patient, maxWait = true, request.maxPermitWait(daemon.clock.Now())
+			if heldFor > maxWait {
+				return place.Target{}, daemon.limitError(service, heldFor)
+			}
+			placement.Exclude, tries = request.triedTargets, 0
+			continue
+		case fault != place.Chosen && placement.Patient:
+			return place.Target{}, daemon.limitError(service, heldFor)
+		case fault != place.Chosen:
+			return place.Target{}, core.Errorf(core.Unavailable, "%s for service %s of %d targets", fault, service, len(targets)).WithRetryAfter(fullRetryAfter)
+		}
+		target := targets[index]
+		wait, granted := daemon.permit(ctx, service, target, maxWait)
+		if granted && daemon.awaitPermit(ctx, service, target, wait) {
+			return target, nil
+		}
+		daemon.do(func() { daemon.control.chooser.Finish(daemon.clock.Now(), target.ID, place.Inconclusive, 0) })
+		if ctx.Err() != nil {
+			return place.Target{}, ctx.Err()
+		}
+		if tries++; placement.Patient && tries >= maxPermitTries {
+			return place.Target{}, daemon.limitError(service, wait)
+		}
+		placement.Exclude = append(slices.Clone(placement.Exclude), target.ID)
+	}
+}
+
+// limitError is the rejection of a request because all usable targets have named limits. Callers are told to come back when a target
+// may get a request, spread over half as much time again.
+func (daemon *Daemon) limitError(service string, wait time.Duration) error {
+	var spread float64
+	daemon.do(func() { spread = daemon.control.random.Float64() / 2 })
+	retryAfter := max(time.Duration(float64(wait)*(1+spread)), fullRetryAfter)
+	return core.Errorf(core.Unavailable, "the targets of service %s have named limits, which are used up for %v", service, wait.Round(time.Millisecond)).WithRetryAfter(retryAfter)
+}
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -31,6 +31,7 @@
 	panics           atomic.Int64
 	stagesRepeated   atomic.Int64
 	responsesAborted atomic.Int64
+	permitsDenied    atomic.Int64
 
 	mutex     sync.Mutex
 	outcomes  map[string]int64
@@ -82,6 +83,7 @@
 	set("Panics", metrics.panics.Load())
 	set("StagesRepeated", metrics.stagesRepeated.Load())
 	set("ResponsesAborted", metrics.responsesAborted.Load())
+	set("PermitsDenied", metrics.permitsDenied.Load())
 	set("ConnectionsOpened", daemon.targets.Opened())
 	set("LogLinesDropped", daemon.logWriter.dropped.Load())
 	metrics.mutex.Lock()
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -33,6 +33,7 @@
 	pathPlace  = "/peer/place"
 	pathRead   = "/peer/read"
 	pathFree   = "/peer/free"
+	pathPermit = "/peer/permit"
 )
 
 // forecastAt is a forecast with the time at which it was received.
@@ -50,6 +51,7 @@
 	Losses    []blame.Crash             // crashes of targets that are being gossiped
 	Sound     []core.Fingerprint        // parts of prompts that were suspected of crashes and are sound
 	Heard     []gossipEntry             // gossip about other daemons, in a large fleet
+	Limits    []limitEntry              // limits that targets have named or name no longer
 }
 
 // gossipEntry says how long ago the daemon at an address was last seen by any daemon, and whether it was leaving then.
@@ -67,6 +69,7 @@
 	mux.HandleFunc("POST "+pathFree, daemon.serveFree)
 	mux.HandleFunc("POST "+pathPlace, daemon.servePlace)
 	mux.HandleFunc("POST "+pathRead, daemon.servePrefill)
+	mux.HandleFunc("POST "+pathPermit, daemon.servePermit)
 	return mux
 }
 
@@ -96,6 +99,7 @@
 			status.Sends = append(status.Sends, service)
 		}
 	}
+	status.Limits = daemon.limitsToGossip(now, len(status.Sends) > 0)
 	for service, sender := range daemon.control.senders {
 		if sender.inUse(now) {
 			status.Forecasts[service] = sender.forecast(now)
@@ -151,6 +155,9 @@
 	for _, part := range status.Sound {
 		daemon.control.crashTracker.AddSound(now, part)
 	}
+	for _, entry := range status.Limits {
+		daemon.mergeLimit(now, entry, status.Record.ID)
+	}
 	for _, entry := range status.Heard {
 		if other := daemon.control.peers[entry.Peer]; other != nil && entry.Age >= 0 && now.Add(-entry.Age).After(other.lastSeen) {
 			other.lastSeen, other.leaving = now.Add(-entry.Age), entry.Leaving
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -56,6 +56,7 @@
 		known = &sender{
 			service: service, pool: batch.New(spec), results: map[batch.JobID]chan batch.Result{}, pendingFrees: map[string][]string{},
 		}
+		known.pool.Pacer = &daemon.control.limits
 		daemon.control.senders[service] = known
 		known.pool.SetTargets(batchTargets(daemon.view.Load().targets[service]))
 		daemon.log.Info().Str(eventField, eventSenderStarts).Str("Service", service).Msg("this daemon now sends the batches of the service")
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -236,8 +236,8 @@
 	}
 	targets := daemon.view.Load().targets[service.Name]
 	if service.Engine != nil {
-		if attempt := daemon.placeEngine(ctx, request, service, targets); attempt != nil {
-			return attempt, nil
+		if attempt, err := daemon.placeEngine(ctx, request, service, targets); attempt != nil || err != nil {
+			return attempt, err
 		}
 	}
 	prompt, tokens := request.sharedPrompt()
@@ -245,20 +245,15 @@
 	if tokens < affinityTokens {
 		placement.DataCentre = request.inputDataCentre
 	}
-	var index int
-	var fault place.Fault
-	daemon.do(func() {
-		now := daemon.clock.Now()
-		index, fault = daemon.control.chooser.Choose(now, targets, placement)
-		if fault == place.Chosen && request.attempts == 0 {
-			daemon.retryWindow(service.Name).AddRequest(now)
-		}
-	})
-	if fault != place.Chosen {
-		return nil, core.Errorf(core.Unavailable, "%s for service %s of %d targets", fault, service.Name, len(targets)).WithRetryAfter(fullRetryAfter)
+	target, err := daemon.choosePermitted(ctx, request, service.Name, placement)
+	if err != nil {
+		return nil, err
+	}
+	if request.attempts == 0 {
+		daemon.do(func() { daemon.retryWindow(service.Name).AddRequest(daemon.clock.Now()) })
 	}
 	request.attempts++
-	return &attempt{target: targets[index], startedAt: daemon.clock.Now()}, nil
+	return &attempt{target: target, startedAt: daemon.clock.Now()}, nil
 }
 
 // sharedPrompt returns the ID of the longest prompt prefix that other requests share, with its number of tokens; the
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -56,6 +56,12 @@
 	return known, true
 }
 
+// has reports whether a target is registered.
+func (registry *registry) has(id string) bool {
+	_, found := registry.runs[id]
+	return found
+}
+
 // removeAbsent removes targets that are not in present.
 func (registry *registry) removeAbsent(present map[string]bool) {
 	for id := range registry.runs {
