--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -19,12 +19,14 @@
 	eventStoreLost           = "StoreLost"           // the store is unavailable and the copies of its keys are not updated
 	eventStoreReturned       = "StoreReturned"       // the store is available again
 	eventHistoryLost         = "HistoryLost"         // the store has compacted the history; all keys are listed again
+	eventListingIgnored      = "ListingIgnored"      // a listing of all keys is older than the copies, which stay
 	eventLeaseLapsed         = "LeaseLapsed"         // the lease has expired; the daemon's record is written again
 	eventLeaseNotRevoked     = "LeaseNotRevoked"     // the lease was not revoked; the daemon's record expires with it
 	eventRelayFollowed       = "RelayFollowed"       // the daemon copies from a relay instead of the store
 	eventRelayPassedOver     = "RelayPassedOver"     // a relay failed; the store is followed directly for a while
 	eventRoutingChanged      = "RoutingChanged"      // a newer routing is in force
 	eventRoutingRejected     = "RoutingRejected"     // a routing cannot be decoded
+	eventRoutingIgnored      = "RoutingIgnored"      // a routing is no newer than the one in force, by its version or its revision
 	eventRegistrationIgnored = "RegistrationIgnored" // a target's registration cannot be decoded
 	eventMemberIgnored       = "MemberIgnored"       // a daemon's record cannot be decoded
 	eventPeerMet             = "PeerMet"             // another daemon was added
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -91,7 +91,9 @@
 	daemon.markStoreAvailable()
 	for i, prefix := range daemon.prefixes() {
 		part := core.Snapshot{Revision: snapshot.Revision, Entries: withPrefix(prefix, snapshot.Entries)}
-		daemon.copies()[i].Replace(daemon.clock.Now(), part)
+		if copy := daemon.copies()[i]; !copy.Replace(daemon.clock.Now(), part) {
+			daemon.log.Warn().Str(eventField, eventListingIgnored).Str("Prefix", prefix).Int64("Revision", int64(snapshot.Revision)).Int64("CopyRevision", int64(copy.Revision())).Msg("the listing is older than the copy; the copy stays")
+		}
 	}
 	daemon.adoptQuarantines(daemon.clock.Now(), snapshot)
 	daemon.scheduleRebuild()
@@ -304,6 +306,9 @@
 			continue
 		}
 		if entry.ModRevision <= daemon.control.routingRevision {
+			if entry.ModRevision != daemon.control.routingRevision {
+				daemon.log.Warn().Str(eventField, eventRoutingIgnored).Int64("Revision", int64(entry.ModRevision)).Int64("RevisionInForce", int64(daemon.control.routingRevision)).Msg("the routing was written before the one in force; ignoring it")
+			}
 			continue
 		}
 		routing, is, err := daemon.dialect.DecodeRouting(entry.Key, entry.Value)
