Follow a store that was restored from a backup

Its revisions go back and are given out again. Copies refused all listings as older, so that each daemon listed all keys every 18 ms; once the numbers had caught up, the watch went on from one that was of another change by then, and missed the new version. A routing written at a number that was known would have been skipped next.

Revisions now carry the epoch of the store above their number, so that what is written after a restore is newer than all before, also in what daemons copy from each other. For four seconds after a restore, what was known before counts beside what the store holds: an evacuation that is missing stays in force, and one that had ended does not come back, until the operator writes again. A target that was gone is not used for what a backup holds of it. The version of a configuration goes on to decide which one is newer. A daemon whose listing did not help waits before the next one.

--- a/core/ids.go
+++ b/core/ids.go
@@ -27,8 +27,25 @@
 func (fingerprint Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(fingerprint)) }
 
 // Revision is a modification revision of the configuration store; 0 means none.
+//
+// A store that is restored from a backup gives out its numbers again. Its adapter puts the epoch, which counts the restores, above
+// the number, so that what is written after a restore is newer than all that was written before.
 type Revision int64
 
+// revisionNumberBits is the size of the number; 1,000 changes a second use it up in 34 years.
+const revisionNumberBits = 40
+
+// NewRevision returns the revision with a number of an epoch; numbers beyond 40 bits count as the largest one.
+func NewRevision(epoch, number int64) Revision {
+	return Revision(epoch<<revisionNumberBits | min(max(number, 0), 1<<revisionNumberBits-1))
+}
+
+// Epoch returns how often the store had been restored, as far as it tells.
+func (revision Revision) Epoch() int64 { return int64(revision) >> revisionNumberBits }
+
+// Number returns the revision as the store numbers it.
+func (revision Revision) Number() int64 { return int64(revision) & (1<<revisionNumberBits - 1) }
+
 // FencingToken orders the owners of a pool; it is the create revision of the owner key.
 type FencingToken int64
 
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -10,6 +10,10 @@
 // live targets register again within two seconds.
 const ReregistrationGrace = 2200 * time.Millisecond
 
+// RestoreGrace is how long a copy from before a restore of the store counts beside what the store holds, for keys that nobody has
+// written since: operators and live targets write again what was lost, and the entries of dead targets expire.
+const RestoreGrace = 4 * time.Second
+
 // Copy is the state of the keys under one prefix as of a revision of the store; the zero value is empty.
 //
 // It is not safe for concurrent use.
@@ -25,9 +29,12 @@
 	removedAt    map[string]core.Revision // revision at which each key was removed, complete from historyStart on
 	historyStart core.Revision
 	entries      map[string]core.Entry
-	expired      map[string]core.Entry // deleted entries that are retained until retainUntil
+	expired      map[string]core.Entry // missing entries that are retained until retainUntil
 	unavailable  bool
 	retainUntil  time.Time
+
+	reappeared map[string]bool // keys that had been removed, or were not known, before the store was restored
+	hideUntil  time.Time       // they are hidden until then
 }
 
 // Revision returns the store revision that the copy has reached.
@@ -55,36 +62,58 @@
 	if copy.entries != nil && snapshot.Revision < copy.revision {
 		return false
 	}
+	restored := copy.entries != nil && snapshot.Revision.Epoch() > copy.revision.Epoch()
+	if copy.entries == nil || restored {
+		copy.historyStart = snapshot.Revision
+	}
 	entries := make(map[string]core.Entry, len(snapshot.Entries))
+	reappeared := map[string]bool{}
 	for _, entry := range snapshot.Entries {
-		entries[entry.Key] = entry
+		previous, found := copy.entries[entry.Key]
+		if _, retained := copy.expired[entry.Key]; !found && !retained {
+			reappeared[entry.Key] = true
+		}
+		if !found || previous.ModRevision != entry.ModRevision {
+			copy.recordChange(previous, entry, found)
+		}
 		delete(copy.expired, entry.Key)
-	}
-	if copy.entries == nil {
-		copy.historyStart = snapshot.Revision
+		entries[entry.Key] = entry
 	}
 	for key, entry := range copy.entries {
 		if _, found := entries[key]; !found {
 			copy.recordRemoval(key, snapshot.Revision)
-			copy.retain(now, entry)
-		}
-	}
-	for key, entry := range entries {
-		if previous, found := copy.entries[key]; !found || previous.ModRevision != entry.ModRevision {
-			copy.recordChange(previous, entry, found)
+			if restored || copy.mayHaveExpired(now) {
+				copy.retain(entry)
+			}
 		}
 	}
 	copy.entries, copy.revision = entries, snapshot.Revision
+	if restored {
+		copy.beginGrace(now, reappeared)
+	}
 	return true
 }
 
+// beginGrace begins the time in which the copy from before a restore counts: what it had is retained, and what had been removed
+// from it stays hidden.
+func (copy *Copy) beginGrace(now time.Time, reappeared map[string]bool) {
+	grace := RestoreGrace
+	if copy.RetainExpired {
+		grace = ReregistrationGrace // what is not registered again by then is gone
+	}
+	copy.retainUntil = now.Add(grace)
+	copy.reappeared, copy.hideUntil = reappeared, now.Add(RestoreGrace)
+}
+
 // recordChange records the revision of a changed entry unless the change is equivalent, and reports whether it is not.
 func (copy *Copy) recordChange(before, after core.Entry, known bool) bool {
 	if copy.changedAt == nil {
 		copy.changedAt = map[string]core.Revision{}
 	}
 	delete(copy.removedAt, after.Key)
-	if known && copy.Equivalent != nil && copy.Equivalent(before, after) {
+	_, hidden := copy.reappeared[after.Key]
+	delete(copy.reappeared, after.Key) // it has been written again
+	if known && !hidden && copy.Equivalent != nil && copy.Equivalent(before, after) {
 		return false
 	}
 	copy.changedAt[after.Key] = after.ModRevision
@@ -145,7 +174,9 @@
 		if entry, found := copy.entries[key]; found {
 			delete(copy.entries, key)
 			copy.recordRemoval(key, event.Revision)
-			copy.retain(now, entry)
+			if copy.mayHaveExpired(now) {
+				copy.retain(entry)
+			}
 			changed = true
 		}
 	}
@@ -153,30 +184,35 @@
 	return changed
 }
 
-// RetainsEntries reports whether there are retained entries, which expire without an event.
-func (copy *Copy) RetainsEntries() bool { return len(copy.expired) > 0 }
+// RetainsEntries reports whether there are retained or hidden entries, which expire or appear without an event.
+func (copy *Copy) RetainsEntries() bool { return len(copy.expired)+len(copy.reappeared) > 0 }
 
-// retain keeps an entry that was deleted in or right after an outage if RetainExpired is set.
-func (copy *Copy) retain(now time.Time, entry core.Entry) {
-	if !copy.unavailable && now.After(copy.retainUntil) {
-		return
-	}
+// mayHaveExpired reports whether a key may be missing because its lease could not be renewed in an outage.
+func (copy *Copy) mayHaveExpired(now time.Time) bool {
+	return copy.RetainExpired && (copy.unavailable || !now.After(copy.retainUntil))
+}
+
+func (copy *Copy) retain(entry core.Entry) {
 	if copy.expired == nil {
 		copy.expired = map[string]core.Entry{}
 	}
-	if copy.RetainExpired {
-		copy.expired[entry.Key] = entry
-	}
+	copy.expired[entry.Key] = entry
 }
 
-// Entries returns the entries at now, including those that are retained because their leases may have expired in an outage.
+// Entries returns the entries at now, including those that are retained because their leases may have expired in an outage, or
+// because the store was restored, and without those that have reappeared by that.
 func (copy *Copy) Entries(now time.Time) []core.Entry {
 	if !copy.unavailable && now.After(copy.retainUntil) {
 		clear(copy.expired)
 	}
+	if now.After(copy.hideUntil) {
+		clear(copy.reappeared)
+	}
 	entries := make([]core.Entry, 0, len(copy.entries)+len(copy.expired))
-	for _, entry := range copy.entries {
-		entries = append(entries, entry)
+	for key, entry := range copy.entries {
+		if _, hidden := copy.reappeared[key]; !hidden {
+			entries = append(entries, entry)
+		}
 	}
 	for _, entry := range copy.expired {
 		entries = append(entries, entry)
--- a/core/store.go
+++ b/core/store.go
@@ -12,7 +12,7 @@
 // ErrLeaseNotFound reports that a lease has expired or was revoked.
 var ErrLeaseNotFound = errors.New("lease not found")
 
-// ErrCompacted reports that the store no longer holds the history that a watch asked for.
+// ErrCompacted reports that the store no longer holds the history that a watch asked for, or has been restored since.
 var ErrCompacted = errors.New("watch revision is compacted")
 
 // LeaseID identifies a lease in the store; 0 means none.
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -173,3 +173,32 @@
 		}
 	}
 }
+
+// TestRegistrationFromBackup guards against requests to a target that was gone before the store was restored from a backup which
+// still holds its registration.
+func TestRegistrationFromBackup(t *testing.T) {
+	entry := func(startedAt, sequence int64) core.TargetEntry {
+		return core.TargetEntry{ID: "i", StartedAt: time.UnixMilli(startedAt), Sequence: sequence}
+	}
+	tests := []struct {
+		name  string
+		after time.Duration
+		entry core.TargetEntry
+		known bool
+	}{
+		{"from the backup", time.Second, entry(5, 7), false},
+		{"the last one", time.Second, entry(5, 9), false},
+		{"registered again", time.Second, entry(5, 10), true},
+		{"next run", time.Second, entry(6, 1), true},
+		{"long after", 2 * time.Minute, entry(5, 7), true},
+	}
+	for _, test := range tests {
+		var registry registry
+		registry.merge(start, entry(5, 9))
+		registry.removeAbsent(start, map[string]bool{})
+		registry.removeAbsent(start.Add(test.after), map[string]bool{})
+		if _, known := registry.merge(start.Add(test.after), test.entry); known != test.known || registry.has("i") != test.known {
+			t.Errorf("%s: used %v", test.name, known)
+		}
+	}
+}
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -19,6 +19,7 @@
 	eventStoreLost           = "StoreLost"           // the store is unavailable and the copies of its keys are not updated
 	eventStoreReturned       = "StoreReturned"       // the store is available again
 	eventHistoryLost         = "HistoryLost"         // the store has compacted the history; all keys are listed again
+	eventStoreRestored       = "StoreRestored"       // the store was restored from a backup
 	eventListingIgnored      = "ListingIgnored"      // a listing of all keys is older than the copies, which stay
 	eventLeaseLapsed         = "LeaseLapsed"         // the lease has expired; the daemon's record is written again
 	eventLeaseNotRevoked     = "LeaseNotRevoked"     // the lease was not revoked; the daemon's record expires with it
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"catkincove/core"
 	"catkincove/core/mirror"
 	"catkincove/core/place"
@@ -36,6 +38,7 @@
 // some.
 func (daemon *Daemon) follow(ctx context.Context) {
 	listed := false
+	var listedAt time.Time
 	relays := relays{daemon: daemon}
 	for ctx.Err() == nil {
 		if listed && relays.follow(ctx) {
@@ -45,7 +48,7 @@
 			if !daemon.list(ctx) {
 				continue
 			}
-			listed = true
+			listed, listedAt = true, daemon.clock.Now()
 			relays.await(ctx)
 			continue
 		}
@@ -55,6 +58,9 @@
 		case errors.Is(err, core.ErrCompacted):
 			listed = false
 			daemon.log.Warn().Str(eventField, eventHistoryLost).Err(err).Msg("history compacted by the store; listing all keys again")
+			if daemon.clock.Now().Sub(listedAt) < storeRetryDelay {
+				core.Sleep(ctx, daemon.clock, relays.retryDelay()) // the listing before did not help
+			}
 		default:
 			daemon.markStoreUnavailable(err)
 			core.Sleep(ctx, daemon.clock, relays.retryDelay())
@@ -89,16 +95,38 @@
 func (daemon *Daemon) replaceCopies(snapshot core.Snapshot) {
 	daemon.control.storeReadAt = daemon.clock.Now()
 	daemon.markStoreAvailable()
+	before := daemon.control.routes.Revision()
 	for i, prefix := range daemon.prefixes() {
 		part := core.Snapshot{Revision: snapshot.Revision, Entries: withPrefix(prefix, snapshot.Entries)}
-		if copy := daemon.copies()[i]; !copy.Replace(daemon.clock.Now(), part) {
-			daemon.log.Warn().Str(eventField, eventListingIgnored).Str("Prefix", prefix).Int64("Revision", int64(snapshot.Revision)).Int64("CopyRevision", int64(copy.Revision())).Msg("the listing is older than the copy; the copy stays")
+		if copy := daemon.copies()[i]; !daemon.replaceCopy(copy, part) {
+			daemon.logRevision(daemon.log.Warn(), snapshot.Revision).Str(eventField, eventListingIgnored).Str("Prefix", prefix).
+				Int64("CopyRevision", copy.Revision().Number()).Int64("CopyEpoch", copy.Revision().Epoch()).Msg("the listing is older than the copy; the copy stays")
 		}
 	}
-	daemon.adoptQuarantines(daemon.clock.Now(), snapshot)
+	if before == 0 || before.Epoch() == snapshot.Revision.Epoch() { // a backup may hold records of quarantines that have ended
+		daemon.adoptQuarantines(daemon.clock.Now(), snapshot)
+	}
 	daemon.scheduleRebuild()
 }
 
+// replaceCopy replaces a copy by a listing and reports whether it did; it must run on the loop.
+func (daemon *Daemon) replaceCopy(copy *mirror.Copy, snapshot core.Snapshot) bool {
+	before := copy.Revision()
+	if !copy.Replace(daemon.clock.Now(), snapshot) {
+		return false
+	}
+	if copy == &daemon.control.routes && before != 0 && before.Epoch() != snapshot.Revision.Epoch() {
+		daemon.logRevision(daemon.log.Warn(), snapshot.Revision).Str(eventField, eventStoreRestored).Int64("CopyRevision", before.Number()).Int64("CopyEpoch", before.Epoch()).
+			Msg("the store has been restored from a backup; what was known before counts until it is written again")
+	}
+	return true
+}
+
+// logRevision adds a revision of the store to a log line.
+func (daemon *Daemon) logRevision(event *zerolog.Event, revision core.Revision) *zerolog.Event {
+	return event.Int64("Revision", revision.Number()).Int64("Epoch", revision.Epoch())
+}
+
 // withPrefix returns the entries whose keys have the prefix.
 func withPrefix(prefix string, entries []core.Entry) []core.Entry {
 	return slices.DeleteFunc(slices.Clone(entries), func(entry core.Entry) bool { return !strings.HasPrefix(entry.Key, prefix) })
@@ -213,7 +241,7 @@
 	switch {
 	case part.Revision <= copy.Revision():
 	case part.Whole:
-		if copy.Replace(now, core.Snapshot{Revision: part.Revision, Entries: part.Puts}) {
+		if daemon.replaceCopy(copy, core.Snapshot{Revision: part.Revision, Entries: part.Puts}) {
 			daemon.scheduleRebuild()
 		}
 	default:
@@ -227,7 +255,7 @@
 	daemon.do(func() {
 		if !daemon.control.routes.Unavailable() {
 			daemon.metrics.storeOutages.Add(1)
-			daemon.log.Warn().Str(eventField, eventStoreLost).Int64("Revision", int64(daemon.control.routes.Revision())).Err(err).Msg("store unavailable; the copies are not updated")
+			daemon.logRevision(daemon.log.Warn(), daemon.control.routes.Revision()).Str(eventField, eventStoreLost).Err(err).Msg("store unavailable; the copies are not updated")
 		}
 		for _, copy := range daemon.copies() {
 			copy.MarkUnavailable()
@@ -239,7 +267,7 @@
 // markStoreAvailable marks all copies as kept up to date; it must run on the loop.
 func (daemon *Daemon) markStoreAvailable() {
 	if daemon.control.routes.Unavailable() {
-		daemon.log.Info().Str(eventField, eventStoreReturned).Int64("Revision", int64(daemon.control.routes.Revision())).Msg("store available again; the copies are updated")
+		daemon.logRevision(daemon.log.Info(), daemon.control.routes.Revision()).Str(eventField, eventStoreReturned).Msg("store available again; the copies are updated")
 	}
 	for _, copy := range daemon.copies() {
 		copy.MarkAvailable(daemon.clock.Now())
@@ -306,20 +334,22 @@
 			continue
 		}
 		if entry.ModRevision <= daemon.control.routingRevision {
-			if entry.ModRevision != daemon.control.routingRevision {
-				daemon.log.Warn().Str(eventField, eventRoutingIgnored).Int64("Revision", int64(entry.ModRevision)).Int64("RevisionInForce", int64(daemon.control.routingRevision)).Msg("the routing was written before the one in force; ignoring it")
-			}
 			continue
 		}
 		routing, is, err := daemon.dialect.DecodeRouting(entry.Key, entry.Value)
 		switch {
 		case !is:
 		case err != nil:
-			daemon.log.Error().Str(eventField, eventRoutingRejected).Int64("Revision", int64(entry.ModRevision)).Err(err).Msg("cannot decode the routing; the one in force stays")
+			daemon.logRevision(daemon.log.Error(), entry.ModRevision).Str(eventField, eventRoutingRejected).Err(err).Msg("cannot decode the routing; the one in force stays")
 		case routing.Version > previous.routing.Version || !previous.routing.Known():
 			daemon.control.routingRevision = entry.ModRevision
 			next.routing = routing
-			daemon.log.Info().Str(eventField, eventRoutingChanged).Int64("Version", routing.Version).Int64("Revision", int64(entry.ModRevision)).Msg("new routing in force")
+			daemon.logRevision(daemon.log.Info(), entry.ModRevision).Str(eventField, eventRoutingChanged).Int64("Version", routing.Version).Msg("new routing in force")
+		default:
+			// A store that is restored from a backup holds an older version until the operator writes again.
+			daemon.control.routingRevision = entry.ModRevision
+			daemon.logRevision(daemon.log.Info(), entry.ModRevision).Str(eventField, eventRoutingIgnored).Int64("Version", routing.Version).Int64("VersionInForce", previous.routing.Version).
+				Msg("the routing is no newer than the one in force, which stays")
 		}
 	}
 	daemon.rebuildTargets(now, next, evacuated)
@@ -354,7 +384,7 @@
 			ColdUntil: run.coldUntil, ColdRate: service.ColdRate, MaxConnections: service.MaxConnections,
 		})
 	}
-	daemon.control.registry.removeAbsent(present)
+	daemon.control.registry.removeAbsent(now, present)
 }
 
 // equivalentTarget reports whether two registrations of a target differ at most in their sequence.
@@ -372,7 +402,7 @@
 	}
 	target, err := daemon.dialect.DecodeTarget(entry.Key, entry.Value)
 	if err != nil {
-		daemon.log.Warn().Str(eventField, eventRegistrationIgnored).Str("Key", entry.Key).Int64("Revision", int64(entry.ModRevision)).Err(err).Msg("cannot decode a target's registration; ignoring it")
+		daemon.logRevision(daemon.log.Warn(), entry.ModRevision).Str(eventField, eventRegistrationIgnored).Str("Key", entry.Key).Err(err).Msg("cannot decode a target's registration; ignoring it")
 	}
 	if daemon.control.decoded == nil || len(daemon.control.decoded) > 4*len(daemon.view.Load().services)+1000 {
 		daemon.control.decoded = map[string]decodedTarget{}
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -28,10 +28,15 @@
 	draining  bool
 	coldUntil time.Time
 	address   string
+	goneSince time.Time // zero while the target is registered
 }
 
+// goneTTL is how long a target that is registered no longer is remembered: a store that is restored from a backup holds
+// registrations from before again, until the platform notices that nobody renews them.
+const goneTTL = time.Minute
+
 // merge merges a registration into the state of its target and returns that state; it returns false if the registration
-// belongs to an earlier run. Draining is not undone within one run: an entry written before the drain may arrive late.
+// belongs to an earlier run, or is one from before the target was gone. Draining is not undone within one run: an entry written before the drain may arrive late.
 func (registry *registry) merge(now time.Time, entry core.TargetEntry) (targetRun, bool) {
 	if registry.runs == nil {
 		registry.runs = map[string]targetRun{}
@@ -40,9 +45,10 @@
 	switch {
 	case !found || entry.StartedAt.After(known.startedAt):
 		known = targetRun{startedAt: entry.StartedAt, sequence: -1}
-	case entry.StartedAt.Before(known.startedAt):
+	case entry.StartedAt.Before(known.startedAt), !known.goneSince.IsZero() && entry.Sequence <= known.sequence:
 		return known, false
 	}
+	known.goneSince = time.Time{}
 	if entry.Sequence > known.sequence || entry.ColdTimeLeft > 0 && entry.Sequence == known.sequence && known.coldUntil.IsZero() {
 		known.coldUntil = time.Time{}
 		if entry.ColdTimeLeft > 0 {
@@ -58,14 +64,19 @@
 
 // has reports whether a target is registered.
 func (registry *registry) has(id string) bool {
-	_, found := registry.runs[id]
-	return found
+	known, found := registry.runs[id]
+	return found && known.goneSince.IsZero()
 }
 
-// removeAbsent removes targets that are not in present.
-func (registry *registry) removeAbsent(present map[string]bool) {
-	for id := range registry.runs {
-		if !present[id] {
+// removeAbsent records which targets are registered no longer, and forgets them after goneTTL.
+func (registry *registry) removeAbsent(now time.Time, present map[string]bool) {
+	for id, known := range registry.runs {
+		switch {
+		case present[id]:
+		case known.goneSince.IsZero():
+			known.goneSince = now
+			registry.runs[id] = known
+		case now.Sub(known.goneSince) > goneTTL:
 			delete(registry.runs, id)
 		}
 	}
