io/edge: write records again after a restore of the store

What the daemons wrote after the backup is gone. A daemon noticed only that its lease was missing: not that its record alone was lost, nor that the lease's ID may belong to another daemon since. Records of quarantines, which the store keeps for a loss of all daemons, were never written again. Both are now written again once the epoch of the store rises, and a leaving daemon does not revoke a lease from before.

--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -81,12 +81,12 @@
 	if err != nil {
 		return err
 	}
-	var lease core.LeaseID
+	var registered registration
 	retryDelay := minRenewRetry
 	for ctx.Err() == nil {
 		if daemon.leaving.Load() {
-			if lease != 0 {
-				if err := daemon.store.RevokeLease(ctx, lease); err != nil {
+			if registered.lease != 0 && registered.epoch == daemon.storeEpoch() {
+				if err := daemon.store.RevokeLease(ctx, registered.lease); err != nil {
 					daemon.log.Warn().Str(eventField, eventLeaseNotRevoked).Err(err).Msg("lease not revoked; the record expires with it")
 				}
 			}
@@ -94,7 +94,7 @@
 			return ctx.Err()
 		}
 		interval := renewInterval
-		if lease, err = daemon.renew(ctx, lease, memberTTL, value); err != nil {
+		if registered, err = daemon.renew(ctx, registered, value); err != nil {
 			interval, retryDelay = retryDelay, min(2*retryDelay, maxRenewRetry)
 			daemon.metrics.storeErrors.Add(1)
 		} else {
@@ -109,23 +109,43 @@
 	return ctx.Err()
 }
 
-func (daemon *Daemon) renew(ctx context.Context, lease core.LeaseID, ttl time.Duration, value []byte) (core.LeaseID, error) {
-	if lease != 0 {
-		_, err := daemon.store.KeepAlive(ctx, lease)
+// registration is this daemon's record in the store.
+type registration struct {
+	lease core.LeaseID // 0 if there is none
+	epoch int64        // of the store when the record was written
+}
+
+// renew renews the lease of the record, or writes the record again if its lease has expired or the store has been restored since.
+func (daemon *Daemon) renew(ctx context.Context, registered registration, value []byte) (registration, error) {
+	switch {
+	case registered.lease == 0:
+	case daemon.storeEpoch() > registered.epoch:
+		// The store may have lost the record alone, or have given the lease's ID to another daemon.
+		daemon.log.Info().Str(eventField, eventLeaseLapsed).Int64("Lease", int64(registered.lease)).Msg("store restored; writing the record again")
+	default:
+		_, err := daemon.store.KeepAlive(ctx, registered.lease)
 		if !errors.Is(err, core.ErrLeaseNotFound) {
-			return lease, err
+			return registered, err
 		}
-		daemon.log.Warn().Str(eventField, eventLeaseLapsed).Int64("Lease", int64(lease)).Msg("lease expired; writing the record again")
+		daemon.log.Warn().Str(eventField, eventLeaseLapsed).Int64("Lease", int64(registered.lease)).Msg("lease expired; writing the record again")
 	}
-	granted, err := daemon.store.GrantLease(ctx, ttl)
+	granted, err := daemon.store.GrantLease(ctx, memberTTL)
 	if err != nil {
-		return 0, err
+		return registration{}, err
 	}
 	put := core.Put{Key: core.MemberPrefix + string(daemon.id), Value: value, Lease: granted}
-	if _, err := daemon.store.Commit(ctx, core.Txn{Puts: []core.Put{put}}); err != nil {
-		return 0, err
+	result, err := daemon.store.Commit(ctx, core.Txn{Puts: []core.Put{put}})
+	if err != nil {
+		return registration{}, err
 	}
-	return granted, nil
+	return registration{lease: granted, epoch: result.Revision.Epoch()}, nil
+}
+
+// storeEpoch returns the epoch of the store as of the copies.
+func (daemon *Daemon) storeEpoch() int64 {
+	var epoch int64
+	daemon.do(func() { epoch = daemon.control.routes.Revision().Epoch() })
+	return epoch
 }
 
 // rebuildMembers merges the store's list of daemons into the peers; it must run on the loop.
--- a/io/edge/quarantine.go
+++ b/io/edge/quarantine.go
@@ -44,7 +44,12 @@
 // outlasts a loss of all daemons. One daemon of the fleet writes the records.
 func (daemon *Daemon) recordQuarantines(ctx context.Context) error {
 	leases := map[core.Fingerprint]core.LeaseID{} // of the records of this daemon
+	var epoch int64
 	for core.Sleep(ctx, daemon.clock, recordInterval) {
+		if current := daemon.storeEpoch(); current != epoch {
+			clear(leases) // a store that was restored has lost the records
+			epoch = current
+		}
 		var parts map[core.Fingerprint][]blame.Crash
 		daemon.do(func() {
 			if daemon.senderOf(core.CrashPrefix) == nil {
