--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -56,6 +56,7 @@
 			address = owner.Peer
 		}
 	})
+	askedAt := daemon.clock.Now()
 	var reply placeReply
 	if owner == nil {
 		reply = daemon.placeLocally(message)
@@ -78,11 +79,12 @@
 		if target.ID != reply.Target {
 			continue
 		}
+		granted := permitted{askedAt: askedAt, wait: reply.Wait}
 		if !reply.Permitted {
 			// The placing daemon may not have heard yet that the target has named a limit.
-			reply.Wait, reply.Permitted = daemon.permit(ctx, service.Name, target, message.Prompt.MaxWait)
+			granted, reply.Permitted = daemon.permit(ctx, service.Name, target, message.Prompt.MaxWait)
 		}
-		if !reply.Permitted || !daemon.awaitPermit(ctx, service.Name, target, reply.Wait) {
+		if !reply.Permitted || !daemon.awaitPermit(ctx, service.Name, target, granted) {
 			return nil, ctx.Err()
 		}
 		daemon.do(func() {
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -14,6 +14,7 @@
 
 const (
 	permitTimeout   = 250 * time.Millisecond // limit on the wait for a permit; without one the target is passed over
+	permitTTL       = 500 * time.Millisecond // time after its turn until which a request may use its permit
 	permitRetry     = 300 * time.Millisecond // time for which a target is passed over when no permit can be had
 	maxPermitTries  = 3                      // targets whose permit is awaited before the request is rejected
 	maxLimitEntries = 64                     // limits in a status, about 8 KB
@@ -41,6 +42,12 @@
 	Wait    time.Duration
 }
 
+// permitted is leave to send a request to a target at one time, or at any time if the target has no limit and it is zero.
+type permitted struct {
+	askedAt time.Time
+	wait    time.Duration // from then on
+}
+
 // limitEvidence is a response of a target, by which it names a limit or none.
 type limitEvidence struct {
 	target    string
@@ -100,15 +107,17 @@
 	return limitEntry{Target: evidence.Target, StartedAt: evidence.StartedAt, Named: evidence.Named, Rate: evidence.Rate, Age: max(now.Sub(evidence.At), 0)}
 }
 
-// permit asks for leave to send a request to a target and returns how long the request has to wait. A target without a limit needs
-// none. The daemon that sends for the service paces its limited targets for the whole fleet; without its response there is no permit,
+// permit asks for leave to send a request to a target, and reports false if there is none within maxWait. A target without a limit
+// needs none. The daemon that sends for the service paces its limited targets for the whole fleet; without its response there is no permit,
 // since shares of the daemons would add up to more than a low limit in a large fleet.
-func (daemon *Daemon) permit(ctx context.Context, service string, target place.Target, maxWait time.Duration) (time.Duration, bool) {
-	reply := permitReply{Granted: true}
+func (daemon *Daemon) permit(ctx context.Context, service string, target place.Target, maxWait time.Duration) (permitted, bool) {
+	askedAt := daemon.clock.Now()
+	var reply permitReply
+	limited := false
 	message := permitRequest{Service: service, MaxWait: maxWait}
 	address := ""
 	daemon.do(func() {
-		if _, limited := daemon.control.limits.Rate(target.ID); !limited {
+		if _, limited = daemon.control.limits.Rate(target.ID); !limited {
 			return
 		}
 		now := daemon.clock.Now()
@@ -120,6 +129,9 @@
 		}
 		reply = daemon.grantPermit(message)
 	})
+	if !limited {
+		return permitted{}, true
+	}
 	if address != "" {
 		ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 		defer cancel()
@@ -132,7 +144,7 @@
 		daemon.metrics.permitsDenied.Add(1)
 		daemon.do(func() { daemon.control.chooser.Hold(daemon.clock.Now(), target.ID, reply.Wait) })
 	}
-	return reply.Wait, reply.Granted
+	return permitted{askedAt: askedAt, wait: reply.Wait}, reply.Granted
 }
 
 // grantPermit reserves a request to a limited target for a daemon; it must run on the loop.
@@ -154,18 +166,28 @@
 	}
 	var reply permitReply
 	daemon.do(func() {
+		if request.Context().Err() != nil {
+			return // the asking daemon waits no longer
+		}
 		daemon.mergeLimit(daemon.clock.Now(), message.Limit, "")
 		reply = daemon.grantPermit(message)
 	})
 	writeJSON(writer, reply)
 }
 
-// awaitPermit waits until a permitted request may be sent, and reports whether the target is usable then.
-func (daemon *Daemon) awaitPermit(ctx context.Context, service string, target place.Target, wait time.Duration) bool {
-	if wait <= 0 {
+// awaitPermit waits until a permitted request may be sent, and reports whether the permit has not run out meanwhile and the target is
+// still usable. A process that was paused holds permits for the time of the pause, which must not be used together.
+func (daemon *Daemon) awaitPermit(ctx context.Context, service string, target place.Target, granted permitted) bool {
+	if granted.askedAt.IsZero() {
 		return true
 	}
-	return core.Sleep(ctx, daemon.clock, wait) && slices.ContainsFunc(daemon.view.Load().targets[service], func(current place.Target) bool {
+	if granted.wait > 0 && !core.Sleep(ctx, daemon.clock, granted.wait) {
+		return false
+	}
+	if core.Elapsed(granted.askedAt, daemon.clock.Now()) > granted.wait+permitTTL {
+		return false
+	}
+	return granted.wait == 0 || slices.ContainsFunc(daemon.view.Load().targets[service], func(current place.Target) bool {
 		return current.ID == target.ID && current.Address == target.Address && current.StartedAt.Equal(target.StartedAt)
 	})
 }
@@ -208,8 +230,8 @@
 			return place.Target{}, core.Errorf(core.Unavailable, "%s for service %s of %d targets", fault, service, len(targets)).WithRetryAfter(fullRetryAfter)
 		}
 		target := targets[index]
-		wait, granted := daemon.permit(ctx, service, target, maxWait)
-		if granted && daemon.awaitPermit(ctx, service, target, wait) {
+		granted, ok := daemon.permit(ctx, service, target, maxWait)
+		if ok && daemon.awaitPermit(ctx, service, target, granted) {
 			return target, nil
 		}
 		daemon.do(func() { daemon.control.chooser.Finish(daemon.clock.Now(), target.ID, place.Inconclusive, 0) })
@@ -217,7 +239,7 @@
 			return place.Target{}, ctx.Err()
 		}
 		if tries++; placement.Patient && tries >= maxPermitTries {
-			return place.Target{}, daemon.limitError(service, wait)
+			return place.Target{}, daemon.limitError(service, granted.wait)
 		}
 		placement.Exclude = append(slices.Clone(placement.Exclude), target.ID)
 	}
--- /dev/null
+++ b/io/edge/limits_test.go
@@ -0,0 +1,80 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"catkincove/core"
+	"catkincove/core/fakes"
+	"catkincove/core/limit"
+	"catkincove/core/place"
+)
+
+// limitedFleetMember returns a daemon of a fleet that knows that the first target of a service, which it also returns, has named a limit.
+func limitedFleetMember(t *testing.T, service string, rate float64) (*Daemon, place.Target, *fakes.Clock) {
+	daemon := newFleetMember(t)
+	clock := &fakes.Clock{}
+	daemon.clock = clock
+	target := daemon.view.Load().targets[service][0]
+	daemon.do(func() {
+		daemon.control.limits.Observe(limit.Evidence{Target: target.ID, StartedAt: target.StartedAt, Named: true, Rate: rate, At: clock.Now()})
+	})
+	return daemon, target, clock
+}
+
+// TestPermitRunsOut guards against a process that was paused while it waited for its turn at a limited target, and then sends at
+// once what it had been permitted for the time of the pause.
+func TestPermitRunsOut(t *testing.T) {
+	tests := []struct {
+		name   string
+		wait   time.Duration
+		paused time.Duration
+		usable bool
+	}{
+		{"no wait", 0, 400 * time.Millisecond, true},
+		{"no wait, paused since the permit was asked for", 0, 3 * time.Second, false},
+		{"wait", 30 * time.Millisecond, 0, true},
+		{"wait, paused meanwhile", 30 * time.Millisecond, 3 * time.Second, false},
+		{"wall clock set back", 30 * time.Millisecond, -3 * time.Second, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			daemon, target, clock := limitedFleetMember(t, "ledger", 1)
+			granted := permitted{askedAt: clock.Now(), wait: test.wait}
+			clock.Advance(test.paused)
+			if usable := daemon.awaitPermit(t.Context(), "ledger", target, granted); usable != test.usable {
+				t.Errorf("usable: %v", usable)
+			}
+		})
+	}
+}
+
+// TestNoPermitWithoutResponse guards against requests to a limited target that no daemon has permitted, because the one that paces it
+// does not respond, and against rejections that do not say when to come back.
+func TestNoPermitWithoutResponse(t *testing.T) {
+	daemon, target, _ := limitedFleetMember(t, "ledger", 1)
+	if _, ok := daemon.permit(t.Context(), "ledger", target, time.Second); ok {
+		t.Error("permitted without a response")
+	}
+	other := daemon.view.Load().targets["ledger"][1]
+	if granted, ok := daemon.permit(t.Context(), "ledger", other, 0); !ok || granted != (permitted{}) {
+		t.Errorf("target without a limit: %+v, %v", granted, ok)
+	}
+	daemon.do(func() {
+		for _, target := range daemon.view.Load().targets["ledger"] {
+			daemon.control.limits.Observe(limit.Evidence{Target: target.ID, StartedAt: target.StartedAt, Named: true, Rate: 1, At: daemon.clock.Now()})
+		}
+	})
+	now := daemon.clock.Now()
+	_, err := daemon.choosePermitted(t.Context(), &request{softDeadline: now.Add(100 * time.Millisecond), deadline: now.Add(time.Second)}, "ledger", place.Request{})
+	if rejection := core.AsError(err); err == nil || rejection.Kind != core.Unavailable || rejection.RetryAfter <= 0 {
+		t.Errorf("all targets are limited: %v", err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := daemon.choosePermitted(ctx, &request{softDeadline: now.Add(time.Minute), deadline: now.Add(time.Hour)}, "ledger", place.Request{}); !errors.Is(err, context.Canceled) && core.AsError(err).Kind != core.Unavailable {
+		t.Errorf("the caller has left: %v", err)
+	}
+}
