core/mirror: keep what a first restore brought back hidden after a second one

A key that had been removed, such as an evacuation that had ended, was hidden after a restore of the store, and seen again once the store was restored a second time within the four seconds, because the copy had held it meanwhile. Found by reading; the new case of TestRestoredStore with two restores failed before and passes.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -70,8 +70,8 @@
 	reappeared := map[string]bool{}
 	for _, entry := range snapshot.Entries {
 		previous, found := copy.entries[entry.Key]
-		if _, retained := copy.expired[entry.Key]; !found && !retained {
-			reappeared[entry.Key] = true
+		if _, retained := copy.expired[entry.Key]; !found && !retained || copy.reappeared[entry.Key] {
+			reappeared[entry.Key] = true // also if it was hidden after an earlier restore
 		}
 		if !found || previous.ModRevision != entry.ModRevision {
 			copy.recordChange(previous, entry, found)
--- a/core/mirror/restore_test.go
+++ b/core/mirror/restore_test.go
@@ -25,25 +25,30 @@
 		retainExpired bool
 		before        []core.WatchEvent // after the listing of "config" and "target" at revision 9
 		restored      core.Snapshot
+		again         core.Snapshot     // of a second restore, half a second after the first; without entries if there is none
 		after         []core.WatchEvent // one second after the restore
 		soon, later   string            // keys two and five seconds after the restore
 	}{
-		{"written again at once", false, []core.WatchEvent{put(1, 10, "evacuation")}, listing(2, 9, "config", "target", "evacuation"), nil,
+		{"written again at once", false, []core.WatchEvent{put(1, 10, "evacuation")}, listing(2, 9, "config", "target", "evacuation"), core.Snapshot{}, nil,
 			"config evacuation target", "config evacuation target"},
-		{"written again later", false, []core.WatchEvent{put(1, 10, "evacuation")}, listing(2, 8, "config", "target"), []core.WatchEvent{put(2, 9, "evacuation")},
+		{"written again later", false, []core.WatchEvent{put(1, 10, "evacuation")}, listing(2, 8, "config", "target"), core.Snapshot{}, []core.WatchEvent{put(2, 9, "evacuation")},
 			"config evacuation target", "config evacuation target"},
-		{"never written again", false, []core.WatchEvent{put(1, 10, "evacuation")}, listing(2, 8, "config", "target"), nil,
+		{"never written again", false, []core.WatchEvent{put(1, 10, "evacuation")}, listing(2, 8, "config", "target"), core.Snapshot{}, nil,
 			"config evacuation target", "config target"},
-		{"removed before the restore", false, []core.WatchEvent{put(1, 10, "evacuation"), remove(1, 11, "evacuation")}, listing(2, 10, "config", "target", "evacuation"), nil,
+		{"removed before the restore", false, []core.WatchEvent{put(1, 10, "evacuation"), remove(1, 11, "evacuation")}, listing(2, 10, "config", "target", "evacuation"), core.Snapshot{}, nil,
 			"config target", "config evacuation target"},
 		{"removed again", false, []core.WatchEvent{put(1, 10, "evacuation"), remove(1, 11, "evacuation")}, listing(2, 10, "config", "target", "evacuation"),
-			[]core.WatchEvent{remove(2, 11, "evacuation")}, "config target", "config target"},
-		{"reappears and is written again", true, []core.WatchEvent{remove(1, 10, "target")}, listing(2, 9, "config", "target"), []core.WatchEvent{put(2, 10, "target")},
+			core.Snapshot{}, []core.WatchEvent{remove(2, 11, "evacuation")}, "config target", "config target"},
+		{"removed before two restores", false, []core.WatchEvent{put(1, 10, "evacuation"), remove(1, 11, "evacuation")}, listing(2, 10, "config", "target", "evacuation"),
+			listing(3, 10, "config", "target", "evacuation"), nil, "config target", "config evacuation target"},
+		{"missing after two restores", false, []core.WatchEvent{put(1, 10, "evacuation")}, listing(2, 8, "config", "target"), listing(3, 8, "config", "target"), nil,
+			"config evacuation target", "config target"},
+		{"reappears and is written again", true, []core.WatchEvent{remove(1, 10, "target")}, listing(2, 9, "config", "target"), core.Snapshot{}, []core.WatchEvent{put(2, 10, "target")},
 			"config target", "config target"},
-		{"target registers again", true, nil, listing(2, 8, "config"), []core.WatchEvent{put(2, 9, "target")}, "config target", "config target"},
-		{"target does not register again", true, nil, listing(2, 8, "config"), nil, "config target", "config"},
-		{"revisions beyond the last known one", false, nil, listing(2, 40, "config"), nil, "config target", "config"},
-		{"an older response", false, nil, listing(0, 40, "other"), nil, "config target", "config target"},
+		{"target registers again", true, nil, listing(2, 8, "config"), core.Snapshot{}, []core.WatchEvent{put(2, 9, "target")}, "config target", "config target"},
+		{"target does not register again", true, nil, listing(2, 8, "config"), core.Snapshot{}, nil, "config target", "config"},
+		{"revisions beyond the last known one", false, nil, listing(2, 40, "config"), core.Snapshot{}, nil, "config target", "config"},
+		{"an older response", false, nil, listing(0, 40, "other"), core.Snapshot{}, nil, "config target", "config target"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -54,6 +59,9 @@
 			}
 			restoredAt := start.Add(10 * time.Second)
 			state.Replace(restoredAt, test.restored)
+			if len(test.again.Entries) > 0 {
+				state.Replace(restoredAt.Add(500*time.Millisecond), test.again)
+			}
 			for _, event := range test.after {
 				state.Apply(restoredAt.Add(time.Second), event)
 			}
