core/batch: forecast the capacity of limited targets one by one

A limit of 0 on all targets of a stage gave a capacity of 0, so that admission rejected every request of the stage; without a request no response could lift the limits, and the stage would have stayed out of use. A target that was slow as well counted below nothing and took capacity from others. Limits below a quarter of a request a second now count as that, which a target gets in any case.

--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -101,13 +101,7 @@
 // Forecast returns an estimate of how long new jobs would wait.
 func (pool *Pool) Forecast(now time.Time) Forecast {
 	forecast := Forecast{Call: pool.typicalCallTime(), ShortOfRoom: pool.isShortOfRoom(now), Ahead: make([]time.Duration, forecastSteps)}
-	slowdowns := pool.slowdowns(now)
-	for _, slowdown := range slowdowns {
-		// Each slowdown counts relative to the median: when all targets look slow at once, this process may as well have
-		// stalled, and that must not stop it from admitting work.
-		forecast.Capacity += 1 / max(slowdown/slowdowns[len(slowdowns)/2], 1)
-	}
-	forecast.Capacity = max(forecast.Capacity-pool.lostToLimits(now, forecast.Call), 0)
+	forecast.Capacity = pool.capacity(now, forecast.Call)
 	perPiece := pool.spec.CallOverhead / time.Duration(pool.spec.MaxPieces)
 	for _, waiting := range pool.queue {
 		if now.Add(pool.spec.CallOverhead).After(waiting.job.SoftDeadline) {
@@ -134,18 +128,25 @@
 	return forecast
 }
 
-// lostToLimits returns the capacity that targets do not offer because they have named a limit, in targets.
-func (pool *Pool) lostToLimits(now time.Time, callTime time.Duration) float64 {
-	lost := 0.0
-	if pool.Pacer == nil {
-		return lost
-	}
+// capacity returns how many targets of usual speed the usable ones are worth for calls of the time.
+func (pool *Pool) capacity(now time.Time, callTime time.Duration) float64 {
+	slowdowns := pool.slowdowns(now)
+	capacity := 0.0
 	for _, worker := range pool.workers {
-		if rate, limited := pool.Pacer.Rate(worker.ID); limited && worker.usable(now) {
-			lost += max(1-rate*callTime.Seconds()/float64(pool.spec.MaxCalls), 0)
+		if !worker.usable(now) {
+			continue
+		}
+		// Each slowdown counts relative to the median: when all targets look slow at once, this process may as well have
+		// stalled, and that must not stop it from admitting work.
+		share := 1 / max(max(worker.currentSlowdown(now), 1)/slowdowns[len(slowdowns)/2], 1)
+		if pool.Pacer != nil {
+			if rate, limited := pool.Pacer.Rate(worker.ID); limited {
+				share = min(share, rate*callTime.Seconds()/float64(pool.spec.MaxCalls))
+			}
 		}
+		capacity += share
 	}
-	return lost
+	return capacity
 }
 
 // slowdowns returns the slowdowns of the usable targets, fastest first.
--- a/core/limit/pace.go
+++ b/core/limit/pace.go
@@ -30,7 +30,6 @@
 	if !limited {
 		return 0
 	}
-	rate = max(rate, minRate)
 	bucket := &table.states[target].bucket
 	bucket.refill(now, rate)
 	return max(time.Duration((1-bucket.tokens)/rate*float64(time.Second)), 0)
--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -91,11 +91,11 @@
 	}
 }
 
-// Rate returns the limit of a target, and false if it has none.
+// Rate implements core.Pacer; a lower limit than minRate counts as minRate.
 func (table *Table) Rate(target string) (float64, bool) {
 	known := table.states[target]
 	if known == nil || !known.evidence.Named {
 		return 0, false
 	}
-	return known.evidence.Rate, true
+	return max(known.evidence.Rate, minRate), true
 }
