--- a/core/place/engines.go
+++ b/core/place/engines.go
@@ -119,7 +119,7 @@
 // Choose returns the target for the prompt and counts the prompt there until FinishPrefill.
 func (engines *Engines) Choose(now time.Time, targets []Target, prompt Prompt) Placement {
 	chooser := engines.Chooser
-	candidates, fault := chooser.candidates(now, targets, Request{Exclude: prompt.Exclude, Patient: true})
+	candidates, fault := chooser.candidates(now, targets, Request{Exclude: prompt.Exclude, MayWait: true})
 	if fault != Chosen {
 		return Placement{Fault: fault}
 	}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -45,7 +45,7 @@
 	DataCentre  string   // its targets are preferred to those that have cached the prompt; empty means none
 	Exclude     []string // targets that were tried before
 	Probe       bool     // the request is idempotent, so it may probe whether a target has recovered
-	Patient     bool     // the request may wait for a target that is held
+	MayWait     bool     // the request may wait for a target that is held
 }
 
 // Fault says why no target was chosen.
@@ -189,7 +189,7 @@
 		state := chooser.state(target.ID)
 		limit := int(float64(target.MaxConnections) * connectionShare / float64(max(chooser.Daemons, 1)))
 		switch {
-		case !request.Patient && now.Before(state.heldUntil):
+		case !request.MayWait && now.Before(state.heldUntil):
 			full = true
 		case target.MaxConnections > 0 && state.inFlight >= max(limit, 2):
 			full = true
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -257,7 +257,7 @@
 	if _, fault := chooser.Choose(start, targets, Request{}); fault != AllFull {
 		t.Errorf("all held: %v", fault)
 	}
-	if _, fault := chooser.Choose(start, targets, Request{Patient: true}); fault != Chosen {
+	if _, fault := chooser.Choose(start, targets, Request{MayWait: true}); fault != Chosen {
 		t.Errorf("a request that can wait: %v", fault)
 	}
 	if wait := chooser.HeldFor(start, targets); wait != time.Second {
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -217,14 +217,14 @@
 			heldFor = daemon.control.chooser.HeldFor(now, targets)
 		})
 		switch {
-		case fault != place.Chosen && !placement.Patient && (heldFor > 0 || tries > 0):
-			placement.Patient, maxWait = true, request.maxPermitWait(daemon.clock.Now())
+		case fault != place.Chosen && !placement.MayWait && (heldFor > 0 || tries > 0):
+			placement.MayWait, maxWait = true, request.maxPermitWait(daemon.clock.Now())
 			if heldFor > maxWait {
 				return place.Target{}, daemon.limitError(service, heldFor)
 			}
 			placement.Exclude, tries = request.triedTargets, 0
 			continue
-		case fault != place.Chosen && placement.Patient:
+		case fault != place.Chosen && placement.MayWait:
 			return place.Target{}, daemon.limitError(service, heldFor)
 		case fault != place.Chosen:
 			return place.Target{}, core.Errorf(core.Unavailable, "%s for service %s of %d targets", fault, service, len(targets)).WithRetryAfter(fullRetryAfter)
@@ -238,7 +238,7 @@
 		if ctx.Err() != nil {
 			return place.Target{}, ctx.Err()
 		}
-		if tries++; placement.Patient && tries >= maxPermitTries {
+		if tries++; placement.MayWait && tries >= maxPermitTries {
 			return place.Target{}, daemon.limitError(service, granted.wait)
 		}
 		placement.Exclude = append(slices.Clone(placement.Exclude), target.ID)
