--- a/core/ids.go
+++ b/core/ids.go
@@ -32,10 +32,14 @@
 // the number, so that what is written after a restore is newer than all that was written before.
 type Revision int64
 
+// EpochBits is the size of the epoch of a revision, beside its sign and its number.
+const EpochBits = 63 - revisionNumberBits
+
 // revisionNumberBits is the size of the number; 1,000 changes a second use it up in 34 years.
 const revisionNumberBits = 40
 
-// NewRevision returns the revision with a number of an epoch; numbers beyond 40 bits count as the largest one.
+// NewRevision returns the revision with a number of an epoch, which must fit into EpochBits; numbers beyond 40 bits count as the
+// largest one.
 func NewRevision(epoch, number int64) Revision {
 	return Revision(epoch<<revisionNumberBits | min(max(number, 0), 1<<revisionNumberBits-1))
 }
