--- a/core/limit/fleet_test.go
+++ b/core/limit/fleet_test.go
@@ -83,16 +83,6 @@
 				}
 			}
 		}
-		for i, from := range sent {
-			within := 0
-			for _, at := range sent[i:] {
-				if at.Sub(from) <= 4*time.Second {
-					within++
-				}
-			}
-			if float64(within) > 1.5*rate*4+5 {
-				t.Fatalf("%d requests in 4 s with a limit of %v", within, rate)
-			}
-		}
+		checkRate(t, sent, rate)
 	})
 }
--- a/core/limit/pace_test.go
+++ b/core/limit/pace_test.go
@@ -26,23 +26,28 @@
 				sent = append(sent, now.Add(wait))
 			}
 		}
-		for i, from := range sent {
-			count := 0
-			for _, at := range sent[i:] {
-				if at.Sub(from) <= 4*time.Second {
-					count++
-				}
-			}
-			if float64(count) > 1.5*rate*4+5 {
-				t.Fatalf("%d requests in 4 s with a limit of %v", count, rate)
-			}
-		}
+		checkRate(t, sent, rate)
 		if len(sent) == 0 {
 			t.Fatalf("no request in 12 s with a limit of %v", rate)
 		}
 	})
 }
 
+// checkRate fails if more requests were sent in any 4 s than one and a half times the limit and 5.
+func checkRate(t *rapid.T, sent []time.Time, rate float64) {
+	for i, from := range sent {
+		count := 0
+		for _, at := range sent[i:] {
+			if at.Sub(from) <= 4*time.Second {
+				count++
+			}
+		}
+		if float64(count) > 1.5*rate*4+5 {
+			t.Fatalf("%d requests in 4 s with a limit of %v", count, rate)
+		}
+	}
+}
+
 // TestReservations guards against requests that wait although they cannot be sent in time, against two that are promised the same
 // time, and against a refused one that delays others.
 func TestReservations(t *testing.T) {
