stand/wire: release the port of a listener although a child process holds a copy of it

A child process that is being started has copies of all descriptors until it runs its program, and a copy of a closed listener goes on listening; 24 daemons start at once in this test. Ruled out: outgoing connections (their source address is 127.0.0.1), another listener on the port, another test process with the same address.

--- a/io/xchg/client_test.go
+++ b/io/xchg/client_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"catkincove/core"
+	"catkincove/stand/wire"
 )
 
 // serveTCP starts a TCP server that runs the script for each connection and then closes the connection.
@@ -126,7 +127,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
+	defer wire.CloseListener(listener)
 	return listener.Addr().String()
 }
 
--- a/stand/wire/gate.go
+++ b/stand/wire/gate.go
@@ -88,11 +88,23 @@
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
 	if gate.listener != nil {
-		_ = gate.listener.Close()
+		CloseListener(gate.listener)
 		gate.listener = nil
 	}
 }
 
+// CloseListener closes a TCP listener and releases its port at once, so that it can be listened on again.
+//
+// A child process that is being started has copies of all descriptors until it runs its program, and a copy would go on listening.
+func CloseListener(listener net.Listener) {
+	if conn, isSyscall := listener.(syscall.Conn); isSyscall {
+		if raw, err := conn.SyscallConn(); err == nil {
+			_ = raw.Control(func(descriptor uintptr) { _ = syscall.Shutdown(int(descriptor), syscall.SHUT_RDWR) })
+		}
+	}
+	_ = listener.Close()
+}
+
 // Reset closes the open connections with a TCP reset.
 func (gate *Gate) Reset() {
 	gate.mutex.Lock()
