core/limit: take the report of a response in once

Daemons tell each other how old the newest response with a limit is; each message takes some time and its status is up to 50 ms old, so that the response looked younger each time that it came back, and in the end younger than one that named no limit. Responses have an ID now, and a report of the known one changes nothing. TestEvidenceAgesOnce failed before and passes.

--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -11,6 +11,7 @@
 
 // Evidence is what a response of a target says about its limit.
 type Evidence struct {
+	ID        uint64 // identifies the response over all daemons; 0 means unknown
 	Target    string
 	StartedAt time.Time // start of the target's run
 	Named     bool      // the response names a limit
@@ -53,6 +54,9 @@
 		return true
 	}
 	before := known.evidence
+	if evidence.ID != 0 && evidence.ID == before.ID {
+		return false // it looks younger each time that it comes back
+	}
 	newRun := evidence.StartedAt.After(before.StartedAt)
 	if !newRun && (evidence.StartedAt.Before(before.StartedAt) || !evidence.At.After(before.At)) {
 		return false
--- a/core/limit/table_test.go
+++ b/core/limit/table_test.go
@@ -46,3 +46,28 @@
 		})
 	}
 }
+
+// TestEvidenceAgesOnce guards against a limit that is lifted late or never, because two daemons tell each other of the response that named
+// it again and again, each time a little younger.
+func TestEvidenceAgesOnce(t *testing.T) {
+	const delay = 50 * time.Millisecond // of a status that is cached and sent
+	var one, other Table
+	one.Observe(Evidence{ID: 1, Target: "a", Named: true, Rate: 1, At: at(0)})
+	for range 100 {
+		for _, exchange := range [][2]*Table{{&one, &other}, {&other, &one}} {
+			for _, evidence := range exchange[0].Evidence(true, 9) {
+				evidence.At = evidence.At.Add(delay)
+				exchange[1].Merge(evidence)
+			}
+		}
+	}
+	one.Observe(Evidence{ID: 2, Target: "a", At: at(0.9)}) // sent after the response that named the limit
+	for _, evidence := range one.Evidence(true, 9) {
+		other.Merge(evidence)
+	}
+	for name, table := range map[string]*Table{"one": &one, "other": &other} {
+		if _, limited := table.Rate("a"); limited {
+			t.Errorf("%s still knows the limit", name)
+		}
+	}
+}
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -22,6 +22,7 @@
 
 // limitEntry says what the newest response of a target, of this age, says about its limit.
 type limitEntry struct {
+	ID        uint64 // of the response
 	Target    string
 	StartedAt time.Time // start of the target's run
 	Named     bool
@@ -67,6 +68,7 @@
 		evidence.At = daemon.clock.Now()
 	}
 	daemon.loop.Post(func() {
+		evidence.ID = daemon.control.random.Uint64()
 		if daemon.control.limits.Observe(evidence) {
 			daemon.logLimit(evidence, daemon.id)
 		}
@@ -78,7 +80,7 @@
 	if entry.Target == "" || entry.Age < 0 || entry.Rate < 0 || math.IsInf(entry.Rate, 0) {
 		return
 	}
-	evidence := limit.Evidence{Target: entry.Target, StartedAt: entry.StartedAt, Named: entry.Named, Rate: entry.Rate, At: now.Add(-entry.Age)}
+	evidence := limit.Evidence{ID: entry.ID, Target: entry.Target, StartedAt: entry.StartedAt, Named: entry.Named, Rate: entry.Rate, At: now.Add(-entry.Age)}
 	if daemon.control.limits.Merge(evidence) {
 		daemon.logLimit(evidence, seenBy)
 	}
@@ -104,7 +106,7 @@
 }
 
 func newLimitEntry(now time.Time, evidence limit.Evidence) limitEntry {
-	return limitEntry{Target: evidence.Target, StartedAt: evidence.StartedAt, Named: evidence.Named, Rate: evidence.Rate, Age: max(now.Sub(evidence.At), 0)}
+	return limitEntry{ID: evidence.ID, Target: evidence.Target, StartedAt: evidence.StartedAt, Named: evidence.Named, Rate: evidence.Rate, Age: max(now.Sub(evidence.At), 0)}
 }
 
 // permit asks for leave to send a request to a target, and reports false if there is none within maxWait. A target without a limit
