Log the software versions of the targets of a request and what it resumes

`RequestEnded` names the versions of the targets of all attempts, the attempt that a caller resumes and the last event that it has. Only logging changes; registrations and the callers' header are decoded for it.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -33,6 +33,7 @@
 	ID             string
 	Address        string
 	DataCentre     string
+	Version        string    // version of its software
 	StartedAt      time.Time // start of this run; prompts cached by earlier runs are gone
 	ColdUntil      time.Time
 	ColdRate       float64 // requests per second that it tolerates while cold, from all daemons; 0 means no limit
--- a/core/routing.go
+++ b/core/routing.go
@@ -180,6 +180,7 @@
 	Service      string
 	Address      string // IP:port
 	DataCentre   string
+	Version      string // version of its software; what targets of two versions generate does not fit together
 	Slots        int
 	Draining     bool
 	ColdTimeLeft time.Duration // remaining time for which the target is cold when the entry is written
@@ -199,6 +200,7 @@
 	Credential string
 	TimeLeft   time.Duration // how long the caller waits; 0 means unknown
 	LastEvent  string        // last event that the caller received of a disconnected stream
+	Resumes    string        // attempt of the caller that brought the first event of that stream
 	Prompt     []PromptPart
 	Pieces     []int // pieces of each stage; 0 leaves the stage out
 	PieceKey   string
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -380,7 +380,7 @@
 		}
 		service := next.routing.Services[target.Service]
 		next.targets[target.Service] = append(next.targets[target.Service], place.Target{
-			ID: target.ID, Address: target.Address, DataCentre: target.DataCentre, StartedAt: run.startedAt,
+			ID: target.ID, Address: target.Address, DataCentre: target.DataCentre, Version: target.Version, StartedAt: run.startedAt,
 			ColdUntil: run.coldUntil, ColdRate: service.ColdRate, MaxConnections: service.MaxConnections,
 		})
 	}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -58,6 +58,7 @@
 	resumeAfter     string   // ID of the last event that the caller has received
 	attempts        int      // attempts at targets so far
 	triedTargets    []string // IDs of the targets of those attempts
+	versions        []string // software versions of those targets
 	mayHaveRun      bool     // a target may have run the request
 	responseStarted bool     // the response to the caller has started
 	outcome         string   // outcome in log and metrics
@@ -324,7 +325,8 @@
 	now := daemon.clock.Now()
 	daemon.log.Info().Str(eventField, eventRequestEnded).Str("Request", request.caller.Attempt).Str("Route", request.route.Name).
 		Str("Team", string(request.team.Name)).Int("Priority", request.priority).Int64("RoutingVersion", daemon.view.Load().routing.Version).
-		Str("Outcome", request.outcome).Int("Status", status).Bool("Aborted", request.aborted).Str("Target", request.targetID).Int("Tries", request.attempts).
+		Str("Outcome", request.outcome).Int("Status", status).Bool("Aborted", request.aborted).Str("Target", request.targetID).Int("Tries", request.attempts).Strs("Versions", request.versions).
+		Str("Resumes", request.caller.Resumes).Str("ResumesAfter", request.caller.LastEvent).
 		Dur("Stages", request.stagesDuration).Durs("StageTimes", request.stageDurations).Dur("First", request.firstEventAfter).Dur("Took", now.Sub(request.startedAt)).
 		Dur("Left", request.caller.TimeLeft).Dur("Limit", max(request.deadline.Sub(request.startedAt), 0)).Dur("SoftLeft", request.softDeadline.Sub(request.startedAt)).Dur("Forecast", request.plan.TimeToResponse).AnErr("Cause", err).Send()
 }
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -116,6 +116,7 @@
 	}
 	request.triedTargets = append(request.triedTargets, attempt.target.ID)
 	request.targetID = attempt.target.ID
+	request.versions = append(request.versions, attempt.target.Version)
 	return newRelay(daemon, request, delivery.service, attempt, delivery.writer, delivery.inputs), nil
 }
 
--- a/io/edge/takeover.go
+++ b/io/edge/takeover.go
@@ -179,6 +179,7 @@
 func (request *request) copy(tried []string) *request {
 	copied := *request
 	copied.triedTargets = slices.Clone(tried)
+	copied.versions = slices.Clone(request.versions)
 	return &copied
 }
 
@@ -204,6 +205,7 @@
 		}
 		request.triedTargets = append(request.triedTargets, attempt.target.ID)
 		request.targetID = attempt.target.ID
+		request.versions = append(request.versions, attempt.target.Version)
 		next := newRelay(daemon, request, relay.service, attempt, relay.writer, inputs)
 		next.openAsync(ctx)
 		accepted, err := next.awaitAcceptance(ctx)
