io/edge: continue a stream only at the software version that began it

Cause: DecodeTarget dropped the version of a registration, so a retry within a response, a takeover and a caller's own resume took any target. Class: a fact that decides where work may go on is not kept with the work.

The origin of a stream, the service and the version of the target that sends its first event, is fixed before that event is forwarded, and all ways of going on choose among its targets only, also at the daemon that places prompts. A caller names the attempt that it resumes; its origin comes from this daemon, or from a record in the store, which outlasts a loss of all daemons. The record is written while the prompt is prefilled, so no first event waits in general. core/origin keeps a baseline for each service, the version whose streams have no record; before another version takes its place, all streams are recorded until those without a record have ended. While records cannot be written, streams begin at the baseline if it has a usable target. If nothing tells the version, or no target of it is left while others serve, the stream ends at once: 503 for a resume, a closed connection within a response.

--- a/core/place/engines.go
+++ b/core/place/engines.go
@@ -29,6 +29,7 @@
 	Zone       string // data centre of large inputs; empty means none
 	InputBytes int64  // size of those inputs
 	Exclude    []string
+	Version    string        // only engines of this software version; empty means all
 	MaxWait    time.Duration // longest wait for a target that has named a limit
 	Hint       string        // engine that last cached the longest shared part, as far as the sender knows
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -40,6 +40,20 @@
 	MaxConnections int     // limit for all daemons together; 0 means no limit
 }
 
+// OfVersion returns the targets with a software version, or all of them if it is empty.
+func OfVersion(targets []Target, version string) []Target {
+	if version == "" {
+		return targets
+	}
+	var matching []Target
+	for _, target := range targets {
+		if target.Version == version {
+			matching = append(matching, target)
+		}
+	}
+	return matching
+}
+
 // Request holds the criteria for choosing a target.
 type Request struct {
 	AffinityKey string   // identifies a shared part of the prompt; targets that have cached it are preferred; empty means none
--- a/core/routing.go
+++ b/core/routing.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -165,6 +166,34 @@
 	return Route{}, false
 }
 
+// LongestResumable returns the longest time limit of a route whose streams may be resumed; 0 if there is none.
+func (routing Routing) LongestResumable() time.Duration {
+	longest := time.Duration(0)
+	for _, routes := range routing.routes {
+		for _, route := range routes {
+			if route.Stream && route.Resumable {
+				longest = max(longest, route.Timeout)
+			}
+		}
+	}
+	return longest
+}
+
+// ResumableServices returns the services that generate streams which may be resumed, in order.
+func (routing Routing) ResumableServices() []string {
+	services := map[string]bool{}
+	for _, routes := range routing.routes {
+		for _, route := range routes {
+			for _, share := range route.Services {
+				if route.Stream && route.Resumable {
+					services[share.Service] = true
+				}
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(services))
+}
+
 // Authenticates reports whether requests need a credential.
 func (routing Routing) Authenticates() bool { return routing.teams != nil }
 
--- a/core/store.go
+++ b/core/store.go
@@ -102,8 +102,10 @@
 	MemberPrefix    = WatchPrefix + "member/"
 	OwnerPrefix     = WatchPrefix + "owner/"
 	CrashPrefix     = WatchPrefix + "crash/"
+	BaselinePrefix  = WatchPrefix + "baseline/"
 	TicketPrefix    = KeyPrefix + "ticket/"
 	OncePrefix      = KeyPrefix + "once/"
+	OriginPrefix    = KeyPrefix + "origin/"
 	MaxStoreValue   = 1 << 20 // bytes
 	MaxTxnOps       = 128
 	DefaultStoreRTT = time.Second
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -94,11 +94,12 @@
 type control struct {
 	routes          mirror.Copy
 	registrations   mirror.Copy
-	members         mirror.Copy
+	live            mirror.Copy // keys of the daemons: their records, quarantines and baselines
 	registry        registry
 	chooser         place.Chooser
 	crashTracker    blame.CrashTracker
 	limits          limit.Table
+	origins         origins
 	retryWindows    map[string]*retry.Window  // by service
 	engines         map[string]*place.Engines // by service; for the services whose prompts this daemon places for the fleet
 	placementHints  map[string]string         // ID of the engine that last prefilled a prompt, by the ID of its longest shared part
@@ -148,7 +149,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	daemon.id = newMemberID(options.Settings.Name, random)
 	daemon.control = control{
-		registrations: mirror.Copy{RetainExpired: true}, members: mirror.Copy{RetainExpired: true},
+		registrations: mirror.Copy{RetainExpired: true}, live: mirror.Copy{RetainExpired: true}, origins: newOrigins(),
 		retryWindows: map[string]*retry.Window{}, senders: map[string]*sender{}, engines: map[string]*place.Engines{}, placementHints: map[string]string{}, lastPlacement: map[string]time.Time{}, peers: map[string]*peer{},
 		firstEventTimes: map[string]time.Duration{}, admittedOffset: map[string]float64{}, usualWork: map[string]time.Duration{}, random: random, copiesChanged: make(chan struct{}),
 	}
@@ -187,6 +188,8 @@
 	daemon.addTask(&group, serving, "pings", daemon.pingPeers)
 	daemon.addTask(&group, serving, "housekeeping", daemon.housekeep)
 	daemon.addTask(&group, serving, "quarantine", daemon.recordQuarantines)
+	daemon.addTask(&group, serving, "origins", daemon.recordOrigins)
+	daemon.addTask(&group, serving, "baselines", daemon.maintainBaselines)
 	for _, service := range services {
 		group.Add(func() error {
 			err := service.server.Serve(service.listener)
@@ -343,6 +346,7 @@
 			now := daemon.clock.Now()
 			daemon.control.chooser.Sweep(now)
 			daemon.control.limits.Sweep(now, daemon.control.registry.has)
+			daemon.control.origins.table.Sweep(now)
 			daemon.removePeers(now)
 			if slices.ContainsFunc(daemon.copyList(), (*mirror.Copy).RetainsEntries) {
 				daemon.scheduleRebuild() // retained entries expire without an event
--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -42,10 +42,11 @@
 // placeEngine returns an attempt at the engine chosen by the daemon that places the prompts of the service for the
 // whole fleet; nil means that it chose none or did not respond, and that the caller must choose a target from local
 // state. It returns an error if no engine may get the prompt in time by the limits that they have named.
-func (daemon *Daemon) placeEngine(ctx context.Context, request *request, service core.ServiceSpec, targets []place.Target) (*attempt, error) {
+func (daemon *Daemon) placeEngine(ctx context.Context, request *request, service core.ServiceSpec, version string) (*attempt, error) {
+	targets := place.OfVersion(daemon.view.Load().targets[service.Name], version)
 	message := placeRequest{Service: service.Name, Prompt: place.Prompt{
 		Attempt: request.caller.Attempt, Parts: request.caller.Prompt, Zone: request.inputDataCentre, InputBytes: request.inputBytes, Exclude: request.triedTargets,
-		MaxWait: request.maxPermitWait(daemon.clock.Now()),
+		MaxWait: request.maxPermitWait(daemon.clock.Now()), Version: version,
 	}}
 	shared, _ := request.sharedPrompt()
 	var owner *peer
@@ -101,11 +102,11 @@
 		request.attempts++
 		return &attempt{target: target, startedAt: daemon.clock.Now(), placedBy: owner, engineService: service.Name}, nil
 	}
-	return nil, nil // the engine is no usable target in this daemon's view, as when it is draining
+	return nil, nil // the engine is no usable target in this daemon's view, as when it is draining or has another version
 }
 
 func (daemon *Daemon) placeLocally(message placeRequest) placeReply {
-	targets := daemon.view.Load().targets[message.Service]
+	targets := place.OfVersion(daemon.view.Load().targets[message.Service], message.Prompt.Version)
 	var reply placeReply
 	daemon.do(func() {
 		daemon.control.lastPlacement[message.Service] = daemon.clock.Now()
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -49,6 +49,9 @@
 	eventLimitNamed          = "LimitNamed"          // a target names a request rate for all daemons together, or another one than before
 	eventPermitFailed        = "PermitFailed"        // the daemon that paces a limited target did not respond
 	eventLimitLifted         = "LimitLifted"         // a target no longer names a request rate
+	eventBaseline            = "Baseline"            // streams at another software version need no record from now on
+	eventOriginUnrecorded    = "OriginUnrecorded"    // a stream begins before the record of its software version is written
+	eventOriginUnknown       = "OriginUnknown"       // the software version that began a stream cannot be read
 	eventTakeover            = "Takeover"            // a silent target's request was offered to another one
 	eventRequestEnded        = "RequestEnded"        // a request has ended
 )
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -62,7 +62,7 @@
 			members = append(members, core.Entry{Key: core.MemberPrefix + string(fleetRecord(i).ID), Value: value, ModRevision: 1, CreateRevision: 1})
 		}
 		daemon.control.registrations.Replace(now, core.Snapshot{Revision: 1, Entries: registrations})
-		daemon.control.members.Replace(now, core.Snapshot{Revision: 1, Entries: members})
+		daemon.control.live.Replace(now, core.Snapshot{Revision: 1, Entries: members})
 		daemon.rebuildView()
 		for _, known := range daemon.control.peers {
 			known.lastSeen = now
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -88,7 +88,7 @@
 
 // prefixes returns the key prefixes of the copies, in the order of copies.
 func (daemon *Daemon) prefixes() [3]string {
-	return [3]string{daemon.dialect.RoutingPrefix(), daemon.dialect.TargetPrefix(), core.MemberPrefix}
+	return [3]string{daemon.dialect.RoutingPrefix(), daemon.dialect.TargetPrefix(), core.WatchPrefix}
 }
 
 // replaceCopies replaces the copies by a listing of all keys; it must run on the loop.
@@ -106,6 +106,7 @@
 	if before == 0 || before.Epoch() == snapshot.Revision.Epoch() { // a backup may hold records of quarantines that have ended
 		daemon.adoptQuarantines(daemon.clock.Now(), snapshot)
 	}
+	daemon.adoptOrigins(daemon.clock.Now(), snapshot.Entries)
 	daemon.scheduleRebuild()
 }
 
@@ -136,6 +137,7 @@
 func (daemon *Daemon) apply(event core.WatchEvent) {
 	daemon.control.storeReadAt = daemon.clock.Now()
 	daemon.markStoreAvailable()
+	daemon.adoptOrigins(daemon.clock.Now(), event.Puts)
 	changed := false
 	for i, prefix := range daemon.prefixes() {
 		part := core.WatchEvent{Revision: event.Revision, Puts: withPrefix(prefix, event.Puts)}
@@ -189,6 +191,9 @@
 	}
 	pace := core.WatchPace{}
 	daemon.do(func() {
+		if daemon.writesOrigins(daemon.clock.Now()) {
+			pace.Interval = recordsWatchPause
+		}
 		if len(daemon.control.peers) < largeFleet {
 			return
 		}
@@ -303,7 +308,7 @@
 
 // copies returns the copies in the order in which peers exchange them; it must run on the loop.
 func (daemon *Daemon) copies() [3]*mirror.Copy {
-	return [3]*mirror.Copy{&daemon.control.routes, &daemon.control.registrations, &daemon.control.members}
+	return [3]*mirror.Copy{&daemon.control.routes, &daemon.control.registrations, &daemon.control.live}
 }
 
 // scheduleRebuild queues one rebuild of the view for any number of changes, and wakes the requests of other daemons
@@ -360,6 +365,8 @@
 
 func (daemon *Daemon) rebuildTargets(now time.Time, next *view, evacuated map[string]bool) {
 	present := map[string]bool{}
+	daemon.adoptBaselines(now)
+	var registered []core.TargetEntry
 	entries := daemon.control.registrations.Entries(now)
 	slices.SortFunc(entries, func(a, b core.Entry) int { return strings.Compare(a.Key, b.Key) })
 	for _, entry := range entries {
@@ -372,6 +379,7 @@
 		if !current {
 			continue
 		}
+		registered = append(registered, target)
 		next.services[target.Address] = target.Service
 		next.addresses[target.Address] = true
 		next.dataCentres[target.Address] = target.DataCentre
@@ -385,6 +393,7 @@
 		})
 	}
 	daemon.control.registry.removeAbsent(now, present)
+	daemon.noteVersions(now, registered)
 }
 
 // equivalentTarget reports whether two registrations of a target differ at most in their sequence.
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -13,6 +13,7 @@
 	"catkincove/core"
 	"catkincove/core/admit"
 	"catkincove/core/blame"
+	"catkincove/core/origin"
 )
 
 const (
@@ -52,18 +53,19 @@
 
 // progress is the part of a request that its attempts change.
 type progress struct {
-	inputHandles    []string // handles of the results for the final target; nil once they are freed
-	inputDataCentre string   // data centre that holds the large inputs; empty if there are none
-	inputBytes      int64    // size of the inputs in that data centre
-	resumeAfter     string   // ID of the last event that the caller has received
-	attempts        int      // attempts at targets so far
-	triedTargets    []string // IDs of the targets of those attempts
-	versions        []string // software versions of those targets
-	mayHaveRun      bool     // a target may have run the request
-	responseStarted bool     // the response to the caller has started
-	outcome         string   // outcome in log and metrics
-	status          int      // status of the response to the caller; 0 before it has begun
-	aborted         bool     // the caller's connection was closed before the end of its response
+	inputHandles    []string      // handles of the results for the final target; nil once they are freed
+	inputDataCentre string        // data centre that holds the large inputs; empty if there are none
+	inputBytes      int64         // size of the inputs in that data centre
+	resumeAfter     string        // ID of the last event that the caller has received
+	attempts        int           // attempts at targets so far
+	triedTargets    []string      // IDs of the targets of those attempts
+	versions        []string      // software versions of those targets
+	origin          origin.Origin // what began the stream; unknown before its first event
+	mayHaveRun      bool          // a target may have run the request
+	responseStarted bool          // the response to the caller has started
+	outcome         string        // outcome in log and metrics
+	status          int           // status of the response to the caller; 0 before it has begun
+	aborted         bool          // the caller's connection was closed before the end of its response
 	targetID        string
 	firstEventAfter time.Duration   // time from the start of the request to the first event or the whole response
 	stagesDuration  time.Duration   // time from the start of the request to the end of its stages
@@ -165,6 +167,9 @@
 
 // serve admits a request, runs its stages and forwards it to a target.
 func (daemon *Daemon) serve(ctx context.Context, writer http.ResponseWriter, request *request) error {
+	if err := daemon.resolveOrigin(ctx, request); err != nil {
+		return err
+	}
 	if err := daemon.admit(request); err != nil {
 		return err
 	}
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -203,13 +203,13 @@
 	return max(wait, 0)
 }
 
-// choosePermitted chooses a target from local state. A limited target that may get no request now is passed over for others; only
+// choosePermitted chooses a target from local state, of the given version unless it is empty. A limited target that may get no request now is passed over for others; only
 // if there is none, the request waits for a permit.
-func (daemon *Daemon) choosePermitted(ctx context.Context, request *request, service string, placement place.Request) (place.Target, error) {
+func (daemon *Daemon) choosePermitted(ctx context.Context, request *request, service, version string, placement place.Request) (place.Target, error) {
 	var maxWait time.Duration
 	tries := 0
 	for {
-		targets := daemon.view.Load().targets[service]
+		targets := place.OfVersion(daemon.view.Load().targets[service], version)
 		var index int
 		var fault place.Fault
 		var heldFor time.Duration
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -153,7 +153,10 @@
 	for _, known := range daemon.control.peers {
 		known.listed = false
 	}
-	for _, entry := range daemon.control.members.Entries(now) {
+	for _, entry := range daemon.control.live.Entries(now) {
+		if !strings.HasPrefix(entry.Key, core.MemberPrefix) {
+			continue
+		}
 		listed, ok := daemon.decodeMember(entry)
 		if !ok || listed.Peer == daemon.options.Settings.AdvertisePeer {
 			continue
@@ -219,7 +222,7 @@
 func (daemon *Daemon) removePeers(now time.Time) {
 	for address, known := range daemon.control.peers {
 		unseen := known.unseenFor(now)
-		if !known.listed && !daemon.control.members.Unavailable() && unseen > daemon.directoryTimeout() || unseen > removeAfter {
+		if !known.listed && !daemon.control.live.Unavailable() && unseen > daemon.directoryTimeout() || unseen > removeAfter {
 			known.cancelCalls()
 			delete(daemon.control.peers, address)
 			daemon.control.peersBySize = nil
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -33,6 +33,8 @@
 	responsesAborted atomic.Int64
 	permitsDenied    atomic.Int64
 
+	originsUnrecorded atomic.Int64 // streams that began before the record of their software version was written
+
 	mutex     sync.Mutex
 	outcomes  map[string]int64
 	latencies map[string]*hdrhistogram.Histogram
@@ -84,6 +86,7 @@
 	set("StagesRepeated", metrics.stagesRepeated.Load())
 	set("ResponsesAborted", metrics.responsesAborted.Load())
 	set("PermitsDenied", metrics.permitsDenied.Load())
+	set("OriginsUnrecorded", metrics.originsUnrecorded.Load())
 	set("ConnectionsOpened", daemon.targets.Opened())
 	set("LogLinesDropped", daemon.logWriter.dropped.Load())
 	metrics.mutex.Lock()
--- /dev/null
+++ b/io/edge/origin.go
@@ -0,0 +1,514 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"catkincove/core"
+	"catkincove/core/origin"
+	"catkincove/core/place"
+)
+
+const (
+	originBatch         = 32                     // records in a transaction; the store accepts no more
+	originRecordTimeout = 500 * time.Millisecond // longest wait for a record before the first event is forwarded without it
+	originLookupTimeout = 400 * time.Millisecond // limit on reading a record
+	originRetryDelay    = 250 * time.Millisecond // delay after a transaction that failed
+	originFailureMemory = 2 * time.Second        // time after a failure in which records are not expected to be written
+	originSlack         = 5 * time.Second        // time beyond the longest time limit for which an origin is remembered
+	originRetryAfter    = 500 * time.Millisecond // Retry-After of a resumed stream whose version is unknown or has no target
+	baselineInterval    = time.Second            // period in which the baselines are compared with the targets
+	recordsWatchPause   = 250 * time.Millisecond // interval of watches while records are written, each of which ends a watch
+	maxPendingOrigins   = 2000                   // records that wait to be written
+)
+
+// origins is what this daemon knows about the software versions that began streams; it is used on the loop only.
+type origins struct {
+	table       origin.Table
+	baselines   map[string]knownBaseline // by service
+	mixedAt     map[string]time.Time     // time at which a target of another version than the baseline was last registered, by service
+	pending     map[string]*originRecord // records to be written, by attempt
+	order       []string                 // their attempts, oldest first
+	lastFailure time.Time                // of a write
+	wake        chan struct{}            // has an element if records are pending
+}
+
+// knownBaseline is a baseline with the time since which this daemon has known it.
+type knownBaseline struct {
+	origin.Baseline
+	since    time.Time
+	revision core.Revision // of its key in the store; 0 if the store does not hold it
+}
+
+// originRecord is a record that is to be written.
+type originRecord struct {
+	origin  origin.Origin
+	written chan struct{} // closed when the store has it
+}
+
+func newOrigins() origins {
+	return origins{baselines: map[string]knownBaseline{}, mixedAt: map[string]time.Time{}, pending: map[string]*originRecord{}, wake: make(chan struct{}, 1)}
+}
+
+// isResumable reports whether the request is for a stream that may go on at another target.
+func (request *request) isResumable() bool { return request.route.Stream && request.route.Resumable }
+
+// originLifetime returns the time for which the origin of a stream is needed: the longest time limit, and some more.
+func (daemon *Daemon) originLifetime() time.Duration {
+	return max(daemon.view.Load().routing.LongestResumable(), defaultTimeout) + originSlack
+}
+
+// queueOrigin remembers the origin of the stream that an attempt begins, and queues a record of it unless the baseline covers it; the
+// returned channel is closed when the record is written, and nil if none is needed. It must run on the loop.
+func (daemon *Daemon) queueOrigin(now time.Time, attempt string, began origin.Origin) <-chan struct{} {
+	origins := &daemon.control.origins
+	before, found := origins.table.Find(now, attempt)
+	origins.table.Add(attempt, began, now.Add(daemon.originLifetime()), true)
+	replaces := found && before != began // the record for a target that was tried before must not stay
+	if !replaces && daemon.coversOrigin(now, began) {
+		return nil
+	}
+	if record := origins.pending[attempt]; record != nil && record.origin == began {
+		return record.written
+	}
+	return daemon.addPendingOrigin(attempt, began)
+}
+
+// addPendingOrigin queues a record; it must run on the loop.
+func (daemon *Daemon) addPendingOrigin(attempt string, began origin.Origin) <-chan struct{} {
+	origins := &daemon.control.origins
+	if origins.pending[attempt] == nil {
+		if len(origins.order) >= maxPendingOrigins {
+			delete(origins.pending, origins.order[0])
+			origins.order = origins.order[1:]
+		}
+		origins.order = append(origins.order, attempt)
+	}
+	record := &originRecord{origin: began, written: make(chan struct{})}
+	origins.pending[attempt] = record
+	select {
+	case origins.wake <- struct{}{}:
+	default:
+	}
+	return record.written
+}
+
+// coversOrigin reports whether a stream needs no record of its origin; it must run on the loop.
+func (daemon *Daemon) coversOrigin(now time.Time, began origin.Origin) bool {
+	known := daemon.control.origins.baselines[began.Service]
+	return known.Covers(began.Version, now.Sub(known.since))
+}
+
+// origin returns the origin of a stream that begins at the target of the relay, by the newest registration.
+func (relay *relay) origin() origin.Origin {
+	target := relay.attempt.target
+	for _, current := range relay.daemon.view.Load().targets[relay.service.Name] {
+		if current.ID == target.ID {
+			target = current
+		}
+	}
+	return origin.Origin{Service: relay.service.Name, Version: target.Version}
+}
+
+// recordOrigin begins to record the origin of a stream before its request is sent, so that its first event need not wait.
+func (relay *relay) recordOrigin() {
+	request, daemon := relay.request, relay.daemon
+	if !request.isResumable() || request.origin.Known() || request.caller.Attempt == "" {
+		return
+	}
+	began := relay.origin()
+	daemon.do(func() { daemon.queueOrigin(daemon.clock.Now(), request.caller.Attempt, began) })
+}
+
+// fixOrigin fixes the origin of the stream, whose first event is about to be forwarded, and waits for its record.
+func (relay *relay) fixOrigin(ctx context.Context) {
+	request, daemon := relay.request, relay.daemon
+	if !request.isResumable() || request.origin.Known() {
+		return
+	}
+	request.origin = relay.origin()
+	if request.caller.Attempt == "" {
+		return
+	}
+	var written <-chan struct{}
+	failing := false
+	daemon.do(func() {
+		now := daemon.clock.Now()
+		if known, found := daemon.control.origins.table.Find(now, request.caller.Attempt); !found || known != request.origin {
+			written = daemon.queueOrigin(now, request.caller.Attempt, request.origin)
+		} else if record := daemon.control.origins.pending[request.caller.Attempt]; record != nil {
+			written = record.written
+		}
+		failing = daemon.originsFail(now)
+	})
+	if written == nil {
+		return
+	}
+	if !failing {
+		select {
+		case <-written:
+			return
+		case <-ctx.Done():
+			return
+		case <-daemon.clock.After(originRecordTimeout):
+		}
+	}
+	daemon.metrics.originsUnrecorded.Add(1)
+	daemon.log.Warn().Str(eventField, eventOriginUnrecorded).Str("Request", request.caller.Attempt).Str("Version", request.origin.Version).Msg("the stream begins before the record of its software version is written")
+}
+
+// originsFail reports whether records are not expected to be written now; it must run on the loop.
+func (daemon *Daemon) originsFail(now time.Time) bool {
+	last := daemon.control.origins.lastFailure
+	return daemon.control.routes.Unavailable() || !last.IsZero() && now.Sub(last) < originFailureMemory
+}
+
+// versionFor returns the version that a target must have to get the request; empty means any. While records cannot be written, streams
+// begin at the version that needs none, as long as a target of it is usable.
+func (daemon *Daemon) versionFor(request *request, service string) string {
+	version := request.origin.Version
+	if request.origin.Known() || !request.isResumable() {
+		return version
+	}
+	daemon.do(func() {
+		now := daemon.clock.Now()
+		known := daemon.control.origins.baselines[service]
+		if known.Version == "" || !daemon.originsFail(now) {
+			return
+		}
+		if daemon.control.chooser.HasUsable(now, place.OfVersion(daemon.view.Load().targets[service], known.Version), request.triedTargets) {
+			version = known.Version
+		}
+	})
+	return version
+}
+
+// versionHasLeft reports whether targets of other versions serve, but none that the stream may still go on at; a service of one version
+// may have a target again soon.
+func (daemon *Daemon) versionHasLeft(request *request, service string, rejectedBy []string) bool {
+	if !request.origin.Known() {
+		return false
+	}
+	others := false
+	for _, target := range daemon.view.Load().targets[service] {
+		if target.Version != request.origin.Version {
+			others = true
+		} else if !slices.Contains(request.triedTargets, target.ID) || slices.Contains(rejectedBy, target.ID) {
+			return false
+		}
+	}
+	return others
+}
+
+// resolveOrigin finds out which version began the stream that the caller resumes. It returns an error if nothing tells, because a stream
+// joined from two versions looks sound to its caller, and if no target of that version serves.
+func (daemon *Daemon) resolveOrigin(ctx context.Context, request *request) error {
+	if !request.isResumable() || request.caller.LastEvent == "" {
+		return nil
+	}
+	service := daemon.chooseService(request).Name
+	began, found := origin.Origin{}, false
+	daemon.do(func() {
+		now := daemon.clock.Now()
+		if began, found = daemon.control.origins.table.Find(now, request.caller.Resumes); found {
+			return
+		}
+		if daemon.hasOneVersion(now, service) {
+			began, found = origin.Origin{Service: service, Version: daemon.control.origins.baselines[service].Version}, true
+		}
+	})
+	if !found && request.caller.Resumes != "" {
+		began, found = daemon.lookUpOrigin(ctx, service, request.caller.Resumes)
+	}
+	if !found {
+		return core.Errorf(core.Unavailable, "the software version that began the stream is not known").WithRetryAfter(originRetryAfter)
+	}
+	request.origin = began
+	daemon.do(func() {
+		daemon.control.origins.table.Add(request.caller.Resumes, began, daemon.clock.Now().Add(daemon.originLifetime()), false)
+		// A caller may name this attempt when it resumes once more.
+		daemon.control.origins.table.Add(request.caller.Attempt, began, daemon.clock.Now().Add(daemon.originLifetime()), false)
+	})
+	if !slices.ContainsFunc(request.route.Services, func(share core.ServiceShare) bool { return share.Service == began.Service }) ||
+		daemon.versionHasLeft(request, began.Service, nil) {
+		return core.Errorf(core.Unavailable, "no target of service %s has version %s, which began the stream", began.Service, began.Version).WithRetryAfter(originRetryAfter)
+	}
+	return nil
+}
+
+// hasOneVersion reports whether all streams that may be resumed began at the baseline of the service; it must run on the loop.
+func (daemon *Daemon) hasOneVersion(now time.Time, service string) bool {
+	known := daemon.control.origins.baselines[service]
+	lifetime := daemon.originLifetime()
+	return known.Version != "" && known.Next == "" && now.Sub(known.since) > lifetime && now.Sub(daemon.control.origins.mixedAt[service]) > lifetime
+}
+
+// lookUpOrigin reads the record of an attempt; without one, the stream began at the baseline of the service.
+func (daemon *Daemon) lookUpOrigin(ctx context.Context, service, attempt string) (origin.Origin, bool) {
+	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
+	defer cancel()
+	snapshot, err := daemon.store.Get(ctx, core.OriginPrefix+attempt)
+	if err != nil {
+		daemon.metrics.storeErrors.Add(1)
+		daemon.log.Warn().Str(eventField, eventOriginUnknown).Str("Resumes", attempt).Err(err).Msg("cannot read which software version began a stream")
+		return origin.Origin{}, false
+	}
+	if len(snapshot.Entries) > 0 {
+		began, err := decodeOrigin(snapshot.Entries[0].Value)
+		return began, err == nil
+	}
+	began := origin.Origin{Service: service}
+	daemon.do(func() {
+		if !daemon.copiesAreStale(daemon.clock.Now()) {
+			began.Version = daemon.control.origins.baselines[service].Version
+		}
+	})
+	return began, began.Version != ""
+}
+
+// copiesAreStale reports whether a change of a baseline may not be known here; it must run on the loop.
+func (daemon *Daemon) copiesAreStale(now time.Time) bool {
+	return now.Sub(daemon.control.storeReadAt) > originSlack
+}
+
+func decodeOrigin(value []byte) (origin.Origin, error) {
+	var began origin.Origin
+	err := json.Unmarshal(value, &began)
+	if err == nil && !began.Known() {
+		err = errors.New("empty")
+	}
+	return began, err
+}
+
+// adoptOrigins remembers the records among the entries of a listing or a watch; it must run on the loop.
+func (daemon *Daemon) adoptOrigins(now time.Time, entries []core.Entry) {
+	for _, entry := range entries {
+		attempt, is := strings.CutPrefix(entry.Key, core.OriginPrefix)
+		if !is {
+			continue
+		}
+		began, err := decodeOrigin(entry.Value)
+		if err != nil {
+			daemon.log.Warn().Str(eventField, eventOriginUnknown).Str("Resumes", attempt).Err(err).Msg("cannot decode which software version began a stream")
+			continue
+		}
+		daemon.control.origins.table.Add(attempt, began, now.Add(daemon.originLifetime()), false)
+	}
+}
+
+// recordOrigins writes the records of origins until ctx ends, all that are pending in one transaction.
+func (daemon *Daemon) recordOrigins(ctx context.Context) error {
+	var lease core.LeaseID
+	var grantedAt time.Time
+	var epoch int64
+	for ctx.Err() == nil {
+		select {
+		case <-daemon.control.origins.wake:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if current := daemon.storeEpoch(); current != epoch {
+			lease, epoch = 0, current // a store that was restored may not know the lease
+		}
+		for ctx.Err() == nil {
+			batch := daemon.pendingOrigins()
+			if len(batch) == 0 {
+				break
+			}
+			lifetime := daemon.originLifetime()
+			err := error(nil)
+			if lease == 0 || daemon.clock.Now().Sub(grantedAt) > lifetime {
+				// The records of one lease end together, each after the time for which it is needed.
+				grantedAt = daemon.clock.Now()
+				lease, err = daemon.store.GrantLease(ctx, 2*lifetime)
+			}
+			if err == nil {
+				err = daemon.writeOrigins(ctx, lease, batch)
+			}
+			if err != nil {
+				lease = 0
+				daemon.metrics.storeErrors.Add(1)
+				daemon.do(func() { daemon.control.origins.lastFailure = daemon.clock.Now() })
+				core.Sleep(ctx, daemon.clock, originRetryDelay)
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+// pendingOrigins returns the oldest pending records; those whose streams can no longer be resumed are dropped.
+func (daemon *Daemon) pendingOrigins() map[string]*originRecord {
+	batch := map[string]*originRecord{}
+	daemon.do(func() {
+		now, origins := daemon.clock.Now(), &daemon.control.origins
+		origins.order = slices.DeleteFunc(origins.order, func(attempt string) bool {
+			if _, needed := origins.table.Find(now, attempt); needed && origins.pending[attempt] != nil {
+				return false
+			}
+			delete(origins.pending, attempt)
+			return true
+		})
+		for _, attempt := range origins.order[:min(len(origins.order), originBatch)] {
+			batch[attempt] = origins.pending[attempt]
+		}
+	})
+	return batch
+}
+
+func (daemon *Daemon) writeOrigins(ctx context.Context, lease core.LeaseID, batch map[string]*originRecord) error {
+	var txn core.Txn
+	for _, attempt := range slices.Sorted(maps.Keys(batch)) {
+		value, err := json.Marshal(batch[attempt].origin)
+		if err != nil {
+			return err
+		}
+		txn.Puts = append(txn.Puts, core.Put{Key: core.OriginPrefix + attempt, Value: value, Lease: lease})
+	}
+	if _, err := daemon.store.Commit(ctx, txn); err != nil {
+		return err
+	}
+	daemon.do(func() {
+		origins := &daemon.control.origins
+		origins.lastFailure = time.Time{}
+		for attempt, record := range batch {
+			close(record.written)
+			if origins.pending[attempt] == record { // it was not replaced meanwhile
+				delete(origins.pending, attempt)
+			}
+		}
+		origins.order = slices.DeleteFunc(origins.order, func(attempt string) bool { return origins.pending[attempt] == nil })
+	})
+	return nil
+}
+
+// adoptBaselines adopts the baselines of the store, and notes which services have targets of other versions; it must run on the loop.
+// A baseline of an earlier generation comes from a store that was restored.
+func (daemon *Daemon) adoptBaselines(now time.Time) {
+	origins := &daemon.control.origins
+	for _, entry := range daemon.control.live.Entries(now) {
+		service, is := strings.CutPrefix(entry.Key, core.BaselinePrefix)
+		if !is {
+			continue
+		}
+		var baseline origin.Baseline
+		if err := json.Unmarshal(entry.Value, &baseline); err != nil {
+			daemon.log.Warn().Str(eventField, eventOriginUnknown).Str("Key", entry.Key).Err(err).Msg("cannot decode a baseline; ignoring it")
+			continue
+		}
+		known := origins.baselines[service]
+		switch {
+		case baseline.Generation > known.Generation:
+			daemon.log.Info().Str(eventField, eventBaseline).Str("Service", service).Str("Version", baseline.Version).Str("Next", baseline.Next).Msg("streams at this software version need no record")
+			origins.baselines[service] = knownBaseline{Baseline: baseline, since: now, revision: entry.ModRevision}
+			origins.mixedAt[service] = now
+		case baseline == known.Baseline:
+			known.revision = entry.ModRevision
+			origins.baselines[service] = known
+		}
+	}
+}
+
+// noteVersions notes the services with targets of other versions than their baseline; it must run on the loop.
+func (daemon *Daemon) noteVersions(now time.Time, targets []core.TargetEntry) {
+	for _, target := range targets {
+		if target.Version != daemon.control.origins.baselines[target.Service].Version {
+			daemon.control.origins.mixedAt[target.Service] = now
+		}
+	}
+}
+
+// writesOrigins reports whether this daemon or others write records of origins; it must run on the loop.
+func (daemon *Daemon) writesOrigins(now time.Time) bool {
+	for service, spec := range daemon.view.Load().routing.Services {
+		if known, found := daemon.control.origins.baselines[service]; found && spec.Batch == nil {
+			if known.Next != "" || now.Sub(daemon.control.origins.mixedAt[service]) < originSlack {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// maintainBaselines keeps the baselines of the services in the store until ctx ends, and writes the records of this daemon again after a
+// restore. The daemon that sends for a service writes its baseline.
+func (daemon *Daemon) maintainBaselines(ctx context.Context) error {
+	epoch := daemon.storeEpoch()
+	for core.Sleep(ctx, daemon.clock, baselineInterval) {
+		if current := daemon.storeEpoch(); current != epoch {
+			if epoch != 0 {
+				daemon.do(daemon.requeueOrigins)
+			}
+			epoch = current
+		}
+		for service, change := range daemon.baselineChanges() {
+			value, err := json.Marshal(change.Baseline)
+			if err != nil {
+				return err
+			}
+			put := core.Put{Key: core.BaselinePrefix + service, Value: value}
+			if _, err := daemon.store.Commit(ctx, core.Txn{
+				Compares: []core.Compare{{Key: put.Key, ModRevision: &change.revision}}, Puts: []core.Put{put},
+			}); err != nil {
+				daemon.metrics.storeErrors.Add(1) // tried again in the next period
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+// requeueOrigins queues the records of this daemon again; it must run on the loop.
+func (daemon *Daemon) requeueOrigins() {
+	now := daemon.clock.Now()
+	for attempt, began := range daemon.control.origins.table.Own(now) {
+		if !daemon.coversOrigin(now, began) && daemon.control.origins.pending[attempt] == nil {
+			daemon.addPendingOrigin(attempt, began)
+		}
+	}
+}
+
+// baselineChanges returns the baselines to write, by service.
+func (daemon *Daemon) baselineChanges() map[string]knownBaseline {
+	changes := map[string]knownBaseline{}
+	daemon.do(func() {
+		now, view := daemon.clock.Now(), daemon.view.Load()
+		if daemon.control.routes.Unavailable() || daemon.copiesAreStale(now) || daemon.leaving.Load() {
+			return
+		}
+		for _, service := range view.routing.ResumableServices() {
+			if daemon.senderOf(service) != nil {
+				continue
+			}
+			versions := map[string]int{}
+			for _, target := range view.targets[service] {
+				versions[target.Version]++
+			}
+			known := daemon.control.origins.baselines[service]
+			next := known.Baseline.Advance(versions, now.Sub(known.since), daemon.originLifetime())
+			stored := daemon.storedBaseline(now, service)
+			if stored.Generation > known.Generation {
+				continue // it is about to be adopted
+			}
+			if next != known.Baseline || stored.Baseline != known.Baseline {
+				changes[service] = knownBaseline{Baseline: next, revision: stored.revision}
+			}
+		}
+	})
+	return changes
+}
+
+// storedBaseline returns the baseline that the store holds; it must run on the loop.
+func (daemon *Daemon) storedBaseline(now time.Time, service string) knownBaseline {
+	var stored knownBaseline
+	for _, entry := range daemon.control.live.Entries(now) {
+		if entry.Key == core.BaselinePrefix+service {
+			_ = json.Unmarshal(entry.Value, &stored.Baseline) // one that cannot be decoded is replaced
+			stored.revision = entry.ModRevision
+		}
+	}
+	return stored
+}
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -105,6 +105,9 @@
 	}
 	attempt, err := daemon.beginAttempt(ctx, request, delivery.service)
 	if err != nil {
+		if daemon.versionHasLeft(request, delivery.service.Name, delivery.rejectedBy) {
+			return nil, core.Errorf(core.Unavailable, "no further target has version %s, which began the stream", request.origin.Version).WithRetryAfter(originRetryAfter)
+		}
 		if request.responseStarted && core.AsError(err).Kind != core.Poison && delivery.pause.sleep(ctx, daemon.clock) {
 			request.triedTargets = slices.DeleteFunc(request.triedTargets, func(id string) bool { return slices.Contains(delivery.rejectedBy, id) })
 			return nil, nil
@@ -205,8 +208,12 @@
 	return core.Errorf(core.Unavailable, "targets are full: %w", cause).WithRetryAfter(fullRetryAfter)
 }
 
-// chooseService returns the service of the route, chosen by weight and request content if the route is split.
+// chooseService returns the service of the route, chosen by weight and request content if the route is split; a stream that goes on
+// stays at its service.
 func (daemon *Daemon) chooseService(request *request) core.ServiceSpec {
+	if request.origin.Known() {
+		return withName(request.services[request.origin.Service], request.origin.Service)
+	}
 	total := 0
 	for _, share := range request.route.Services {
 		total += max(share.Weight, 0)
@@ -235,9 +242,9 @@
 	if quarantined != nil {
 		return nil, quarantined
 	}
-	targets := daemon.view.Load().targets[service.Name]
+	version := daemon.versionFor(request, service.Name)
 	if service.Engine != nil {
-		if attempt, err := daemon.placeEngine(ctx, request, service, targets); attempt != nil || err != nil {
+		if attempt, err := daemon.placeEngine(ctx, request, service, version); attempt != nil || err != nil {
 			return attempt, err
 		}
 	}
@@ -246,7 +253,7 @@
 	if tokens < affinityTokens {
 		placement.DataCentre = request.inputDataCentre
 	}
-	target, err := daemon.choosePermitted(ctx, request, service.Name, placement)
+	target, err := daemon.choosePermitted(ctx, request, service.Name, version, placement)
 	if err != nil {
 		return nil, err
 	}
@@ -453,6 +460,7 @@
 
 // open sends the request and returns the response of a target that runs or has run it; it does not change the request.
 func (relay *relay) open(ctx context.Context) (*http.Response, error) {
+	relay.recordOrigin()
 	response, err := relay.exchange(ctx)
 	if err != nil {
 		return nil, err
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -44,6 +44,7 @@
 		}
 		relay.watchdog.receiveEvent()
 		if count == 0 {
+			relay.fixOrigin(ctx)
 			relay.beginResponse(response)
 		}
 		if !request.isNext(id) {
--- a/io/edge/takeover.go
+++ b/io/edge/takeover.go
@@ -192,7 +192,7 @@
 			return nil, ctx.Err()
 		}
 		usable := false
-		daemon.do(func() { usable = daemon.reserveTakeover(relay.service.Name, request.triedTargets) })
+		daemon.do(func() { usable = daemon.reserveTakeover(relay.service.Name, request) })
 		if !usable {
 			return nil, errNoTakeover
 		}
@@ -227,9 +227,10 @@
 
 // reserveTakeover charges the retry budget for an attempt at another target, and reports false if there is no other target or
 // the budget is spent; it must run on the loop.
-func (daemon *Daemon) reserveTakeover(service string, tried []string) bool {
+func (daemon *Daemon) reserveTakeover(service string, request *request) bool {
 	now := daemon.clock.Now()
-	return daemon.control.chooser.HasUsable(now, daemon.view.Load().targets[service], tried) && daemon.retryWindow(service).Allow(now)
+	targets := place.OfVersion(daemon.view.Load().targets[service], request.origin.Version)
+	return daemon.control.chooser.HasUsable(now, targets, request.triedTargets) && daemon.retryWindow(service).Allow(now)
 }
 
 // opened is the result of opening a request at a target.
