--- a/stand/fault/fault_test.go
+++ b/stand/fault/fault_test.go
@@ -65,6 +65,7 @@
 		{Rule{Mode: SilentAll}, "silent", "silent"},
 		{Rule{Mode: Delay, Delay: 10 * time.Millisecond}, "works", "works"},
 		{Rule{Mode: Refuse}, "works", "broken"},
+		{Rule{Mode: Partition}, "silent", "broken"},
 	}
 	for _, test := range tests {
 		proxy, err := Listen("127.0.0.1:0", listener.Addr().String())
@@ -78,7 +79,7 @@
 		if err := proxy.Set(test.rule); err != nil {
 			t.Fatal(err)
 		}
-		after, _ := net.Dial("tcp", proxy.Address())
+		after, _ := net.DialTimeout("tcp", proxy.Address(), time.Second)
 		if open, opened := behaviour(before), behaviour(after); open != test.open || opened != test.opened {
 			t.Errorf("%+v: open %s, opened %s", test.rule, open, opened)
 		}
--- a/stand/fault/proxy.go
+++ b/stand/fault/proxy.go
@@ -19,6 +19,7 @@
 	SilentAll Mode = "SilentAll" // discards the data of the open and the new connections
 	Delay     Mode = "Delay"     // delays each chunk of data by the delay of the rule
 	Refuse    Mode = "Refuse"    // refuses new connections; the open ones work
+	Partition Mode = "Partition" // discards the data of the open connections; new ones hang before they are established
 )
 
 // Direction selects one direction of data through the proxy, or both.
@@ -56,6 +57,7 @@
 	counts Counts
 	links  map[*link]struct{}
 	closed bool
+	hang   *wire.SilentPort // takes the place of the gate in mode Partition
 }
 
 // link is one connection through the proxy.
@@ -99,16 +101,26 @@
 	proxy.rule = rule
 	for link := range proxy.links {
 		switch rule.Mode {
-		case Silent, SilentAll:
+		case Silent, SilentAll, Partition:
 			link.silence(rule.Direction)
 		case Cut:
 			link.abort()
 		}
 	}
-	proxy.mutex.Unlock()
-	if rule.Mode == Cut || rule.Mode == Refuse {
+	defer proxy.mutex.Unlock()
+	if proxy.hang != nil {
+		proxy.hang.Close()
+		proxy.hang = nil
+	}
+	switch rule.Mode {
+	case Cut, Refuse:
 		proxy.gate.StopListening()
 		return nil
+	case Partition:
+		proxy.gate.StopListening()
+		var err error
+		proxy.hang, err = wire.ListenSilently(proxy.Address())
+		return err
 	}
 	return proxy.gate.StartListening()
 }
@@ -118,6 +130,10 @@
 	_ = proxy.gate.Close()
 	proxy.mutex.Lock()
 	proxy.closed = true
+	if proxy.hang != nil {
+		proxy.hang.Close()
+		proxy.hang = nil
+	}
 	for link := range proxy.links {
 		link.abort()
 	}
