io/edge: serve callers through another daemon while the paths to the targets are lost

Cause: a connection that fails counts as a failure of its target. A cut daemon rejected what another one could serve, kept the roles of sender and placer, because its peers reached it, and reported all targets as crashed. Class: what belongs to a pair of nodes is kept as a state of one of them.

Meanwhile the daemon passes its callers' requests on to a daemon with paths, one hop only, with the time elapsed, the event after which a stream goes on and its software version; a status of the other daemon keeps its promise. Open streams go on the same way. The daemon tells the others in its status: none lets it send batches, place prompts or pace, none names it to callers, and its jobs are handed over. Failures count against targets, and as crashes, only if the paths are not lost within 0.4 s after them.

Not chosen: to leave the directory only, since callers keep addresses for seconds and a whole data centre may be cut.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -360,6 +360,13 @@
 	state.failureRate += (failure - state.failureRate) * failureRateSmoothing
 }
 
+// ForgetFailures forgets that targets failed, because the path to them did.
+func (chooser *Chooser) ForgetFailures() {
+	for _, state := range chooser.states {
+		state.failureRate, state.consecutiveFailures, state.backoffUntil, state.probing = 0, 0, time.Time{}, false
+	}
+}
+
 // Begin counts a request at a target that was chosen elsewhere, until Finish.
 func (chooser *Chooser) Begin(now time.Time, id string) {
 	state := chooser.state(id)
--- a/io/edge/crash.go
+++ b/io/edge/crash.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"catkincove/core"
+	"catkincove/core/blame"
 )
 
 const (
@@ -38,11 +39,20 @@
 	if relay.firstEventLatency > 0 && now.Sub(relay.attempt.startedAt.Add(relay.firstEventLatency)) > crashWindow {
 		suspects.Parts = nil // the target had begun the response long before
 	}
-	daemon.log.Info().Str(eventField, eventCrashRecorded).Str("Request", request.caller.Attempt).Str("Target", target.ID).
+	run := fmt.Sprintf("%s/%s", target.ID, strconv.FormatInt(target.StartedAt.UnixMilli(), 36))
+	daemon.whenPathsAreClear("crash", func(clear bool) {
+		if clear {
+			daemon.loop.Post(func() { daemon.control.crashTracker.Record(now, suspects, run) })
+			relay.logCrash(suspects)
+		}
+	})
+}
+
+func (relay *relay) logCrash(suspects blame.Request) {
+	request, target := relay.request, relay.attempt.target
+	relay.daemon.log.Info().Str(eventField, eventCrashRecorded).Str("Request", request.caller.Attempt).Str("Target", target.ID).
 		Str("Content", suspects.Content.String()).Strs("Parts", request.sharedParts()).Bool("PartsSuspected", suspects.Parts != nil).
 		Msg("the target disconnected and may have crashed under the request")
-	run := fmt.Sprintf("%s/%s", target.ID, strconv.FormatInt(target.StartedAt.UnixMilli(), 36))
-	daemon.loop.Post(func() { daemon.control.crashTracker.Record(now, suspects, run) })
 }
 
 // clearCrashes exonerates the content and the prompt of a request that has run to its end.
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -85,6 +85,7 @@
 	lastRequestEnd atomic.Int64  // Unix time in nanoseconds
 	bodyBytes      atomic.Int64  // size of the request bodies in memory
 
+	paths        pathMonitor
 	pauses       wake.Detector
 	repeatsMutex sync.Mutex
 	repeats      batch.Repeats // responses to batch calls, which are read outside the control loop
@@ -104,6 +105,8 @@
 	engines         map[string]*place.Engines // by service; for the services whose prompts this daemon places for the fleet
 	placementHints  map[string]string         // ID of the engine that last prefilled a prompt, by the ID of its longest shared part
 	lastPlacement   map[string]time.Time      // time at which this daemon last placed a prompt for the fleet, by service
+	batchContext    context.Context           // of the batch calls in progress
+	cancelBatches   context.CancelFunc        // cancels batchContext
 	senders         map[string]*sender        // by service; for the services whose batches this daemon has been asked to send
 	peers           map[string]*peer          // by peer address
 	peersBySize     []*peer                   // the same, largest VM first; nil after a change
@@ -153,6 +156,8 @@
 		retryWindows: map[string]*retry.Window{}, senders: map[string]*sender{}, engines: map[string]*place.Engines{}, placementHints: map[string]string{}, lastPlacement: map[string]time.Time{}, peers: map[string]*peer{},
 		firstEventTimes: map[string]time.Duration{}, admittedOffset: map[string]float64{}, usualWork: map[string]time.Duration{}, random: random, copiesChanged: make(chan struct{}),
 	}
+	daemon.control.batchContext, daemon.control.cancelBatches = context.WithCancel(context.Background())
+	daemon.paths.daemon = daemon
 	daemon.control.registrations.Equivalent = daemon.equivalentTarget
 	daemon.control.chooser = place.Chooser{Random: random, Daemons: 1}
 	return daemon
@@ -186,6 +191,7 @@
 	daemon.addTask(&group, serving, "follow", daemon.followAll)
 	daemon.addTask(&group, serving, "membership", daemon.maintainMembership)
 	daemon.addTask(&group, serving, "pings", daemon.pingPeers)
+	daemon.addTask(&group, serving, "paths", daemon.paths.run)
 	daemon.addTask(&group, serving, "housekeeping", daemon.housekeep)
 	daemon.addTask(&group, serving, "quarantine", daemon.recordQuarantines)
 	daemon.addTask(&group, serving, "origins", daemon.recordOrigins)
--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -148,14 +148,25 @@
 		return
 	}
 	address := attempt.placedBy.Peer
-	daemon.spawn("prefill", func() {
-		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
-		defer cancel()
-		var reply struct{}
-		if err := daemon.callPeer(ctx, address, pathRead, message, &reply); err != nil {
-			daemon.metrics.peerErrors.Add(1) // the other daemon counts the prompt as prefilled after a timeout
-		}
-	})
+	if outcome == place.Disconnected {
+		daemon.whenPathsAreClear("prefill", func(clear bool) {
+			if !clear {
+				message.Outcome = place.Inconclusive
+			}
+			daemon.sendPrefill(address, message)
+		})
+		return
+	}
+	daemon.spawn("prefill", func() { daemon.sendPrefill(address, message) })
+}
+
+func (daemon *Daemon) sendPrefill(address string, message prefillMessage) {
+	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
+	defer cancel()
+	var reply struct{}
+	if err := daemon.callPeer(ctx, address, pathRead, message, &reply); err != nil {
+		daemon.metrics.peerErrors.Add(1) // the other daemon counts the prompt as prefilled after a timeout
+	}
 }
 
 // recordPrefill applies the report of a prefill; it must run on the loop.
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -49,6 +49,8 @@
 	eventLimitNamed          = "LimitNamed"          // a target names a request rate for all daemons together, or another one than before
 	eventPermitFailed        = "PermitFailed"        // the daemon that paces a limited target did not respond
 	eventLimitLifted         = "LimitLifted"         // a target no longer names a request rate
+	eventPathsLost           = "PathsLost"           // this daemon reaches most targets no longer
+	eventPathsReturned       = "PathsReturned"       // this daemon reaches the targets again
 	eventBaseline            = "Baseline"            // streams at another software version need no record from now on
 	eventOriginUnrecorded    = "OriginUnrecorded"    // a stream begins before the record of its software version is written
 	eventOriginUnknown       = "OriginUnknown"       // the software version that began a stream cannot be read
--- /dev/null
+++ b/io/edge/forward.go
@@ -0,0 +1,158 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"catkincove/core"
+	"catkincove/core/origin"
+	"catkincove/core/place"
+	"catkincove/io/xchg"
+)
+
+// pathForward is the prefix of the URI of a caller's request that a daemon without paths to the targets passes on to another daemon.
+const pathForward = "/peer/forward"
+
+// Headers between the two daemons; none of them reaches a target or a caller.
+const (
+	headerElapsed   = "Catkincove-Elapsed"    // milliseconds since the first daemon received the request
+	headerContinues = "Catkincove-Continues"  // last event that the caller has of a stream that goes on within its response
+	headerOrigin    = "Catkincove-Origin"     // service and version of the target that began the stream
+	headerPathsLost = "Catkincove-Paths-Lost" // in a response: the daemon has lost its paths as well and has not run the request
+)
+
+var forwardHeaders = []string{headerElapsed, headerContinues, headerOrigin, headerPathsLost}
+
+// forwardedRequest is what the first daemon says about a request that it passes on.
+type forwardedRequest struct {
+	elapsed   time.Duration
+	continues string
+	origin    origin.Origin
+}
+
+func encodeOrigin(began origin.Origin) string {
+	return url.Values{"Service": {began.Service}, "Version": {began.Version}}.Encode()
+}
+
+func parseOrigin(text string) origin.Origin {
+	values, err := url.ParseQuery(text)
+	if err != nil {
+		return origin.Origin{}
+	}
+	return origin.Origin{Service: values.Get("Service"), Version: values.Get("Version")}
+}
+
+// forwardExchange sends the request to the daemon that forwards it and returns its response with the body unread.
+func (relay *relay) forwardExchange(ctx context.Context) (*http.Response, error) {
+	request, daemon, through := relay.request, relay.daemon, relay.attempt.through
+	header := request.incoming.Header.Clone()
+	for _, name := range forwardHeaders {
+		header.Del(name)
+	}
+	header.Set(headerElapsed, strconv.FormatInt(daemon.clock.Now().Sub(request.startedAt).Milliseconds(), 10))
+	if request.origin.Known() {
+		header.Set(headerOrigin, encodeOrigin(request.origin))
+	}
+	if request.responseStarted {
+		header.Set(headerContinues, request.resumeAfter)
+	}
+	for name := range connectionHeaders {
+		header.Del(name)
+	}
+	response, err := daemon.targets.Do(ctx, xchg.Request{
+		Address: relay.attempt.target.Address, Method: request.incoming.Method, URI: pathForward + request.incoming.RequestURI, Host: request.incoming.Host,
+		Header: header, Body: request.body, HasBody: request.incoming.Method != http.MethodGet && request.incoming.Method != http.MethodHead,
+		Sending: relay.signalSending, Match: relay.matches,
+	})
+	if err == nil {
+		return response, nil
+	}
+	daemon.targets.CloseIdle(relay.attempt.target.Address)
+	failure := &sendError{run: core.Unknown, cause: err}
+	if !xchg.Sent(err) {
+		failure.unsent, failure.run = true, core.NotRun
+	}
+	if ctx.Err() == nil {
+		daemon.do(func() { daemon.markFailed(through, err) })
+	}
+	return nil, failure
+}
+
+// openForwarded is open for an attempt through another daemon, whose own errors keep their promises.
+func (relay *relay) openForwarded(ctx context.Context) (*http.Response, error) {
+	response, err := relay.forwardExchange(ctx)
+	if err != nil {
+		return nil, err
+	}
+	facts := relay.daemon.dialect.TargetResponse(response.StatusCode, response.Header)
+	relay.toldOrigin = parseOrigin(response.Header.Get(headerOrigin))
+	response.Header.Del(headerOrigin)
+	if facts.HasDigest {
+		return response, nil
+	}
+	_ = response.Body.Close()
+	cause := fmt.Errorf("daemon %s responded with status %d", relay.attempt.through.ID, response.StatusCode)
+	seconds, _ := strconv.ParseFloat(response.Header.Get(retryAfterHeader), 64)
+	retryAfter := max(time.Duration(seconds*float64(time.Second)), minRetryPause)
+	switch {
+	case response.Header.Get(headerPathsLost) != "":
+		return nil, &sendError{unsent: true, run: core.NotRun, cause: cause}
+	case relay.request.responseStarted && impliesNotRun(response.StatusCode):
+		return nil, &sendError{run: core.NotRun, status: response.StatusCode, cause: cause}
+	case impliesNotRun(response.StatusCode):
+		return nil, core.Errorf(core.Unavailable, "%w", cause).WithRetryAfter(retryAfter)
+	case response.StatusCode == core.Poison.Answer().Status:
+		return nil, core.Errorf(core.Poison, "%w", cause)
+	case response.StatusCode < http.StatusInternalServerError && response.StatusCode >= http.StatusBadRequest:
+		return nil, core.Errorf(core.Unavailable, "%w", cause).WithRetryAfter(defaultRetryAfter) // its configuration differs from this daemon's
+	}
+	return nil, core.Errorf(core.OutcomeUnknown, "%w", cause)
+}
+
+// forwardsTo returns an attempt through the daemon.
+func (daemon *Daemon) forwardsTo(request *request, through *peer) *attempt {
+	request.triedPeers = append(request.triedPeers, through.Peer)
+	request.attempts++
+	return &attempt{target: place.Target{ID: "daemon " + string(through.ID), Address: through.Peer, Version: request.origin.Version}, startedAt: daemon.clock.Now(), through: through, recorded: true, prefillReported: true}
+}
+
+// serveForward serves a request of a caller that another daemon passes on. It is never passed on again.
+func (daemon *Daemon) serveForward(writer http.ResponseWriter, incoming *http.Request) {
+	if daemon.paths.lost() || daemon.leaving.Load() {
+		writer.Header().Set(headerPathsLost, "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	received, err := parseForwarded(incoming)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	daemon.serveRequest(writer, incoming, received)
+}
+
+// parseForwarded restores the caller's request and returns what the first daemon says about it.
+func parseForwarded(incoming *http.Request) (*forwardedRequest, error) {
+	elapsed, err := strconv.ParseInt(incoming.Header.Get(headerElapsed), 10, 64)
+	if err != nil || elapsed < 0 || elapsed > int64(time.Hour/time.Millisecond) {
+		return nil, errors.New("elapsed time")
+	}
+	received := &forwardedRequest{
+		elapsed: time.Duration(elapsed) * time.Millisecond, continues: incoming.Header.Get(headerContinues), origin: parseOrigin(incoming.Header.Get(headerOrigin)),
+	}
+	for _, name := range forwardHeaders {
+		incoming.Header.Del(name)
+	}
+	incoming.Header.Del(headerCallID)
+	incoming.RequestURI = strings.TrimPrefix(incoming.RequestURI, pathForward)
+	if incoming.URL, err = url.ParseRequestURI(incoming.RequestURI); err != nil {
+		return nil, err
+	}
+	return received, nil
+}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -46,6 +46,7 @@
 	softDeadline time.Time
 	deadline     time.Time
 	returning    bool // the caller was rejected before
+	forwarded    bool // by a daemon that has lost its paths to the targets
 	plan         admit.Plan
 
 	progress
@@ -58,6 +59,7 @@
 	inputBytes      int64         // size of the inputs in that data centre
 	resumeAfter     string        // ID of the last event that the caller has received
 	attempts        int           // attempts at targets so far
+	triedPeers      []string      // addresses of the daemons that were asked to forward the request
 	triedTargets    []string      // IDs of the targets of those attempts
 	versions        []string      // software versions of those targets
 	origin          origin.Origin // what began the stream; unknown before its first event
@@ -74,6 +76,11 @@
 
 // serveFront serves one request of a caller.
 func (daemon *Daemon) serveFront(writer http.ResponseWriter, incoming *http.Request) {
+	daemon.serveRequest(writer, incoming, nil)
+}
+
+// serveRequest serves one request of a caller, which another daemon has forwarded unless forwarded is nil.
+func (daemon *Daemon) serveRequest(writer http.ResponseWriter, incoming *http.Request, forwarded *forwardedRequest) {
 	daemon.activeRequests.Add(1)
 	defer func() {
 		daemon.lastRequestEnd.Store(daemon.clock.Now().UnixNano())
@@ -83,7 +90,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	daemon.awaitCheck(incoming.Context())
-	request, err := daemon.accept(writer, incoming)
+	request, err := daemon.accept(writer, incoming, forwarded)
 	if err != nil {
 		daemon.reject(writer, request, err)
 		return
@@ -99,9 +106,14 @@
 }
 
 // accept reads, authenticates and validates a request; it also returns the request with an error.
-func (daemon *Daemon) accept(writer http.ResponseWriter, incoming *http.Request) (*request, error) {
+func (daemon *Daemon) accept(writer http.ResponseWriter, incoming *http.Request, forwarded *forwardedRequest) (*request, error) {
 	now := daemon.clock.Now()
-	request := &request{incoming: incoming, startedAt: now}
+	request := &request{incoming: incoming}
+	if forwarded != nil {
+		now = now.Add(-forwarded.elapsed)
+		request.forwarded, request.origin, request.resumeAfter = true, forwarded.origin, forwarded.continues
+	}
+	request.startedAt = now
 	view := daemon.view.Load()
 	if !view.routing.Known() {
 		return request, core.Errorf(core.Unavailable, "no routing is known yet").WithRetryAfter(defaultRetryAfter)
@@ -170,11 +182,14 @@
 	if err := daemon.resolveOrigin(ctx, request); err != nil {
 		return err
 	}
+	inputs := &inputs{daemon: daemon, request: request}
+	defer inputs.free()
+	if daemon.forwardingPeer(request) != nil {
+		return daemon.send(ctx, writer, request, inputs) // the other daemon admits the request and runs its stages
+	}
 	if err := daemon.admit(request); err != nil {
 		return err
 	}
-	inputs := &inputs{daemon: daemon, request: request}
-	defer inputs.free()
 	if err := inputs.produce(ctx); err != nil {
 		return err
 	}
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -55,6 +55,7 @@
 	revision        core.Revision // revision of the record in the store
 	listed          bool          // the store lists the daemon
 	leaving         bool
+	pathsLost       bool // it reaches most targets no longer
 	addedAt         time.Time
 	lastSeen        time.Time // time of the newest ping that it responded to or sent, or of gossip about it; zero means never
 	unansweredSince time.Time // time of the first unanswered ping; zero if there is none
@@ -277,14 +278,14 @@
 func (daemon *Daemon) largePeers(now time.Time, dataCentre string) []*peer {
 	var large []*peer
 	largest := 0.0
-	if self := daemon.self(); !daemon.leaving.Load() && (dataCentre == "" || dataCentre == self.DataCentre) {
+	if self := daemon.self(); !daemon.leaving.Load() && !daemon.othersReachTargets(now) && (dataCentre == "" || dataCentre == self.DataCentre) {
 		large, largest = append(large, &peer{record: self}), self.Cores
 	}
 	for _, known := range daemon.sortedPeers() {
 		if known.Cores < largest*largeVMShare {
 			break
 		}
-		if known.leaving || dataCentre != "" && known.DataCentre != dataCentre || daemon.isSuspect(now, known) {
+		if known.leaving || known.pathsLost || dataCentre != "" && known.DataCentre != dataCentre || daemon.isSuspect(now, known) {
 			continue
 		}
 		large, largest = append(large, known), max(largest, known.Cores)
@@ -295,6 +296,13 @@
 	return large
 }
 
+// othersReachTargets reports whether this daemon has lost its paths to the targets while another one has not; it must run on the loop.
+func (daemon *Daemon) othersReachTargets(now time.Time) bool {
+	return daemon.paths.lost() && slices.ContainsFunc(daemon.sortedPeers(), func(known *peer) bool {
+		return !known.pathsLost && !known.leaving && !daemon.isSuspect(now, known)
+	})
+}
+
 // isSelf reports whether the daemon is this one, which is none of its own peers.
 func (known *peer) isSelf() bool { return known.callContext == nil }
 
@@ -386,11 +394,13 @@
 func (daemon *Daemon) frontAddresses(caller string) []string {
 	now := daemon.clock.Now()
 	var live []member.WeightedDaemon
-	if self := daemon.self(); !daemon.leaving.Load() {
+	// Daemons that have lost their paths to the targets are named only if all have.
+	reaches := !daemon.paths.lost() || daemon.othersReachTargets(now)
+	if self := daemon.self(); !daemon.leaving.Load() && !daemon.othersReachTargets(now) {
 		live = append(live, member.WeightedDaemon{Address: self.Front, Weight: self.Cores})
 	}
 	for _, known := range daemon.control.peers {
-		if !known.leaving && !known.lastSeen.IsZero() && now.Sub(known.lastSeen) <= daemon.directoryTimeout() && !known.callFailed {
+		if !known.leaving && !(known.pathsLost && reaches) && !known.lastSeen.IsZero() && now.Sub(known.lastSeen) <= daemon.directoryTimeout() && !known.callFailed {
 			live = append(live, member.WeightedDaemon{Address: known.Front, Weight: known.Cores})
 		}
 	}
--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -128,6 +128,14 @@
 // fixOrigin fixes the origin of the stream, whose first event is about to be forwarded, and waits for its record.
 func (relay *relay) fixOrigin(ctx context.Context) {
 	request, daemon := relay.request, relay.daemon
+	if relay.attempt.through != nil && !request.origin.Known() {
+		request.origin = relay.toldOrigin
+	}
+	defer func() {
+		if request.forwarded {
+			relay.writer.Header().Set(headerOrigin, encodeOrigin(request.origin))
+		}
+	}()
 	if !request.isResumable() || request.origin.Known() {
 		return
 	}
@@ -208,7 +216,7 @@
 // resolveOrigin finds out which version began the stream that the caller resumes. It returns an error if nothing tells, because a stream
 // joined from two versions looks sound to its caller, and if no target of that version serves.
 func (daemon *Daemon) resolveOrigin(ctx context.Context, request *request) error {
-	if !request.isResumable() || request.caller.LastEvent == "" {
+	if !request.isResumable() || request.caller.LastEvent == "" || request.origin.Known() {
 		return nil
 	}
 	service := daemon.chooseService(request).Name
--- /dev/null
+++ b/io/edge/paths.go
@@ -0,0 +1,261 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"catkincove/core"
+	"catkincove/core/place"
+	"catkincove/core/reach"
+)
+
+const (
+	pathCheckInterval  = 100 * time.Millisecond // interval of the checks whether the paths to the targets are suspect
+	pathProbeInterval  = 400 * time.Millisecond // interval of the rounds of probes while the paths are lost or suspect
+	pathProbeTimeout   = 350 * time.Millisecond // limit on one probe, which opens a connection
+	pathProbes         = 5                      // targets probed in a round
+	pathSilence        = 600 * time.Millisecond // silence of all targets with a request in flight after which the paths are suspect
+	minSilentTargets   = 2                      // targets with such requests
+	pathDoubt          = 400 * time.Millisecond // time after a failure at a target in which the paths may turn out to be lost
+	pathFailureMemory  = 2 * time.Second        // time after the paths have returned in which failures are still put down to them
+	maxPathNotices     = 32                     // daemons that are told at once of a change
+	maxPeersForRequest = 3                      // daemons that are asked to forward one request
+)
+
+// pathMonitor notices when this daemon has lost its paths to the targets. Reachability belongs to a pair of daemon and target: what fails
+// here says nothing about a target while the paths are lost.
+type pathMonitor struct {
+	daemon *Daemon
+
+	mutex    sync.Mutex
+	paths    reach.Paths
+	waiting  map[string][]time.Time // times at which the requests in flight without a response were sent, by address
+	heardAt  time.Time              // newest byte of any target
+	probedAt time.Time
+	round    chan struct{} // closed at the end of the round of probes in progress; nil if there is none
+}
+
+// begin records that a request is sent to an address; the returned function ends its wait.
+func (monitor *pathMonitor) begin(address string) (ended func()) {
+	sentAt := monitor.daemon.clock.Now()
+	monitor.mutex.Lock()
+	defer monitor.mutex.Unlock()
+	if monitor.waiting == nil {
+		monitor.waiting = map[string][]time.Time{}
+	}
+	monitor.waiting[address] = append(monitor.waiting[address], sentAt)
+	return sync.OnceFunc(func() {
+		monitor.mutex.Lock()
+		defer monitor.mutex.Unlock()
+		times := monitor.waiting[address]
+		if i := slices.Index(times, sentAt); i >= 0 {
+			times = slices.Delete(times, i, i+1)
+		}
+		if monitor.waiting[address] = times; len(times) == 0 {
+			delete(monitor.waiting, address)
+		}
+	})
+}
+
+// reached records that a target sent something.
+func (monitor *pathMonitor) reached(address string) { monitor.observe(address, true) }
+
+// failed records that a connection to a target failed.
+func (monitor *pathMonitor) failed(address string) { monitor.observe(address, false) }
+
+func (monitor *pathMonitor) observe(address string, reached bool) {
+	now := monitor.daemon.clock.Now()
+	monitor.mutex.Lock()
+	defer monitor.mutex.Unlock()
+	if reached {
+		monitor.heardAt = now
+	}
+	monitor.paths.Observe(now, address, reached)
+}
+
+// lost reports whether the paths are lost.
+func (monitor *pathMonitor) lost() bool {
+	monitor.mutex.Lock()
+	defer monitor.mutex.Unlock()
+	return monitor.paths.Lost()
+}
+
+// lostLately reports whether the paths are lost or were a moment ago.
+func (monitor *pathMonitor) lostLately() bool {
+	since := monitor.daemon.clock.Now().Add(-pathFailureMemory)
+	monitor.mutex.Lock()
+	defer monitor.mutex.Unlock()
+	return monitor.paths.LostSince(since)
+}
+
+// suspect reports whether probes should find out if the paths are lost.
+func (monitor *pathMonitor) suspect(now time.Time) bool {
+	monitor.mutex.Lock()
+	defer monitor.mutex.Unlock()
+	if monitor.paths.Lost() || monitor.paths.Suspect(now) {
+		return true
+	}
+	silent := 0
+	for _, times := range monitor.waiting {
+		if now.Sub(slices.MinFunc(times, time.Time.Compare)) > pathSilence {
+			silent++
+		}
+	}
+	return silent >= minSilentTargets && now.Sub(monitor.heardAt) > pathSilence
+}
+
+// run probes the paths while they are suspect or lost, until ctx ends.
+func (monitor *pathMonitor) run(ctx context.Context) error {
+	for core.Sleep(ctx, monitor.daemon.clock, pathCheckInterval) {
+		now := monitor.daemon.clock.Now()
+		monitor.mutex.Lock()
+		due := now.Sub(monitor.probedAt) >= pathProbeInterval
+		monitor.mutex.Unlock()
+		if due && monitor.suspect(now) {
+			monitor.probe()
+		}
+	}
+	return ctx.Err()
+}
+
+// confirm finds out whether the paths are lost if they are suspect after a failure.
+func (monitor *pathMonitor) confirm(ctx context.Context) bool {
+	if monitor.lost() || !monitor.suspect(monitor.daemon.clock.Now()) {
+		return monitor.lost()
+	}
+	done := make(chan struct{})
+	monitor.daemon.spawn("paths", func() { defer close(done); monitor.probe() })
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	return monitor.lost()
+}
+
+// probe opens connections to some random targets and judges the paths by that; a round in progress is awaited instead.
+func (monitor *pathMonitor) probe() {
+	monitor.mutex.Lock()
+	if round := monitor.round; round != nil {
+		monitor.mutex.Unlock()
+		<-round
+		return
+	}
+	round := make(chan struct{})
+	monitor.round, monitor.probedAt = round, monitor.daemon.clock.Now()
+	monitor.mutex.Unlock()
+	var addresses []string
+	for address := range monitor.daemon.view.Load().addresses {
+		addresses = append(addresses, address)
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(len(addresses), pathProbes)]
+	results := make([]bool, len(addresses))
+	var group sync.WaitGroup
+	for i, address := range addresses {
+		group.Go(func() {
+			defer monitor.daemon.recoverPanic("paths")
+			results[i] = canConnect(address)
+		})
+	}
+	group.Wait()
+	reached := 0
+	for _, result := range results {
+		if result {
+			reached++
+		}
+	}
+	monitor.mutex.Lock()
+	changed, lost := monitor.paths.Judge(monitor.daemon.clock.Now(), reached, len(results)), monitor.paths.Lost()
+	monitor.round = nil
+	monitor.mutex.Unlock()
+	close(round)
+	if changed {
+		monitor.daemon.handlePathChange(lost, reached, len(results))
+	}
+}
+
+func canConnect(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, pathProbeTimeout)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// handlePathChange hands over what this daemon does for others when its paths are lost, forgets failures that were theirs when they are
+// back, and tells the other daemons.
+func (daemon *Daemon) handlePathChange(lost bool, reached, probed int) {
+	event := daemon.log.Warn().Str(eventField, eventPathsLost)
+	if !lost {
+		event = daemon.log.Info().Str(eventField, eventPathsReturned)
+	}
+	event.Int("Reached", reached).Int("Probed", probed).Msg("paths to the targets")
+	var addresses []string
+	daemon.do(func() {
+		daemon.control.chooser.ForgetFailures()
+		daemon.control.statusAt = time.Time{}
+		if lost {
+			daemon.control.cancelBatches()
+			daemon.control.batchContext, daemon.control.cancelBatches = context.WithCancel(context.Background())
+			daemon.handOverJobs()
+		}
+		for _, known := range daemon.sortedPeers() {
+			addresses = append(addresses, known.Peer)
+		}
+	})
+	for _, address := range addresses[:min(len(addresses), maxPathNotices)] {
+		daemon.spawn("ping", func() { daemon.ping(address) })
+	}
+}
+
+// whenPathsAreClear runs a function after the time in which the paths may turn out to be lost, unless they do: a failure then says nothing
+// about its target.
+func (daemon *Daemon) whenPathsAreClear(part string, function func(clear bool)) {
+	daemon.spawn(part, func() {
+		core.Sleep(daemon.loopContext, daemon.clock, pathDoubt)
+		function(!daemon.paths.lostLately())
+	})
+}
+
+// failureOutcome is the outcome of an attempt whose connection failed: inconclusive while the failure may be one of this daemon's paths.
+func (daemon *Daemon) failureOutcome() place.Outcome {
+	if daemon.paths.lostLately() {
+		return place.Inconclusive
+	}
+	return place.Disconnected
+}
+
+// forwardingPeer returns a daemon with paths to the targets, if this one has lost its own; nil if there is none or the request comes from
+// another daemon.
+func (daemon *Daemon) forwardingPeer(request *request) *peer {
+	if request.forwarded || !daemon.paths.lost() || len(request.triedPeers) >= maxPeersForRequest {
+		return nil
+	}
+	var chosen *peer
+	daemon.do(func() {
+		now := daemon.clock.Now()
+		usable := slices.DeleteFunc(slices.Clone(daemon.sortedPeers()), func(known *peer) bool {
+			return known.leaving || known.pathsLost || daemon.isSuspect(now, known) || slices.Contains(request.triedPeers, known.Peer)
+		})
+		total := 0.0
+		for _, known := range usable {
+			total += max(known.Cores, minPeerWeight)
+		}
+		point := daemon.control.random.Float64() * total
+		for _, known := range usable {
+			chosen = known
+			if point -= max(known.Cores, minPeerWeight); point < 0 {
+				break
+			}
+		}
+	})
+	return chosen
+}
+
+// minPeerWeight is the weight of a daemon that reports no processor cores.
+const minPeerWeight = 0.1
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"time"
 
 	"catkincove/core"
@@ -51,6 +52,7 @@
 	Losses    []blame.Crash             // crashes of targets that are being gossiped
 	Sound     []core.Fingerprint        // parts of prompts that were suspected of crashes and are sound
 	Heard     []gossipEntry             // gossip about other daemons, in a large fleet
+	PathsLost bool                      // it reaches most targets no longer
 	Limits    []limitEntry              // limits that targets have named or name no longer
 }
 
@@ -70,7 +72,13 @@
 	mux.HandleFunc("POST "+pathPlace, daemon.servePlace)
 	mux.HandleFunc("POST "+pathRead, daemon.servePrefill)
 	mux.HandleFunc("POST "+pathPermit, daemon.servePermit)
-	return mux
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if strings.HasPrefix(request.RequestURI, pathForward+"/") {
+			daemon.serveForward(writer, request) // the mux would clean the caller's path
+			return
+		}
+		mux.ServeHTTP(writer, request)
+	})
 }
 
 // status returns the status of this daemon, rebuilt at most every statusTTL and when the daemon starts to leave.
@@ -90,7 +98,7 @@
 // newStatus builds the status of this daemon; it must run on the loop.
 func (daemon *Daemon) newStatus(now time.Time) peerStatus {
 	status := peerStatus{
-		Record: daemon.self(), Leaving: daemon.leaving.Load(), Losses: daemon.control.crashTracker.CrashesToGossip(now),
+		Record: daemon.self(), Leaving: daemon.leaving.Load(), PathsLost: daemon.paths.lost(), Losses: daemon.control.crashTracker.CrashesToGossip(now),
 		Sound:     daemon.control.crashTracker.SoundToGossip(now),
 		Forecasts: map[string]batch.Forecast{},
 	}
@@ -139,6 +147,7 @@
 		daemon.control.peersBySize = nil
 	}
 	known.lastSeen, known.unansweredSince, known.callFailed, known.leaving = now, time.Time{}, false, status.Leaving
+	known.pathsLost = status.PathsLost
 	daemon.control.peerLastSeen = now
 	if known.unresponsive {
 		known.unresponsive = false
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -97,7 +97,8 @@
 	daemon.deliver(sender, ended, unused)
 	daemon.releaseFetched(sender.pool.FetchedInputs(now))
 	for _, call := range calls {
-		daemon.spawn("batch", func() { daemon.runCall(sender, call) })
+		ctx := daemon.control.batchContext
+		daemon.spawn("batch", func() { daemon.runCall(ctx, sender, call) })
 	}
 	daemon.scheduleWakeup(sender, now)
 }
@@ -161,9 +162,9 @@
 }
 
 // runCall sends one batch to a target and records its outcome.
-func (daemon *Daemon) runCall(sender *sender, call batch.Call) {
+func (daemon *Daemon) runCall(ctx context.Context, sender *sender, call batch.Call) {
 	began := daemon.clock.Now()
-	results, outcome, err := daemon.sendBatch(call)
+	results, outcome, err := daemon.sendBatch(ctx, call)
 	daemon.metrics.batchCalls.Add(1)
 	daemon.metrics.batchPieces.Add(int64(len(call.Pieces)))
 	if err != nil {
@@ -184,13 +185,17 @@
 	daemon.loop.Post(func() {
 		ended, unused := sender.pool.Finish(daemon.clock.Now(), call.ID, outcome, results)
 		daemon.deliver(sender, ended, unused)
+		if outcome == batch.Failed && daemon.paths.lost() {
+			daemon.handOverJobs() // another daemon may reach the targets
+		}
 		daemon.dispatch(sender)
 	})
 }
 
-func (daemon *Daemon) sendBatch(call batch.Call) ([]core.PieceResult, batch.Outcome, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
+func (daemon *Daemon) sendBatch(ctx context.Context, call batch.Call) ([]core.PieceResult, batch.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
+	defer daemon.paths.begin(call.Target.Address)()
 	path, body := daemon.dialect.PiecesCall(call.Pieces)
 	header := http.Header{"Content-Type": {"application/json"}}
 	daemon.dialect.ExpectTarget(header, call.Target.ID)
@@ -208,8 +213,12 @@
 		},
 	})
 	if err != nil {
+		if ctx.Err() == nil {
+			daemon.paths.failed(call.Target.Address)
+		}
 		return nil, batch.Failed, err
 	}
+	daemon.paths.reached(call.Target.Address)
 	if !anyResult(results) {
 		cancel() // closes the connection: a second copy of a response without handles could not be told from the next response
 	}
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"catkincove/core"
+	"catkincove/core/origin"
 	"catkincove/core/place"
 	"catkincove/core/retry"
 	"catkincove/io/xchg"
@@ -38,6 +39,7 @@
 	engineService   string // service of the engine, if the prompt was placed for the whole fleet; empty otherwise
 	prefillReported bool   // the end of the prefill was reported to the placing daemon
 	recorded        bool   // the outcome was recorded
+	through         *peer  // daemon that forwards the request, because this one has lost its paths to the targets; nil if none does
 	cancel          context.CancelFunc
 }
 
@@ -96,6 +98,11 @@
 // request must wait for its stages or for a target.
 func (delivery *delivery) begin(ctx context.Context) (*relay, error) {
 	daemon, request := delivery.daemon, delivery.request
+	if through := daemon.forwardingPeer(request); through != nil {
+		attempt := daemon.forwardsTo(request, through)
+		request.targetID = attempt.target.ID
+		return newRelay(daemon, request, delivery.service, attempt, delivery.writer, delivery.inputs), nil
+	}
 	// A stream that resumes at another target needs the inputs again, which were freed early for their result capacity.
 	if err := delivery.inputs.produce(ctx); err != nil {
 		if failed := (*stageError)(nil); request.responseStarted && errors.As(err, &failed) && delivery.pause.sleep(ctx, daemon.clock) {
@@ -146,6 +153,9 @@
 	if ctx.Err() != nil {
 		return // the target did not fail
 	}
+	if current.attempt.through == nil {
+		delivery.daemon.paths.confirm(ctx)
+	}
 	delivery.daemon.log.Warn().Str(eventField, eventAttemptFailed).Str("Request", request.caller.Attempt).Str("Target", current.attempt.target.ID).
 		Str("Run", failure.run.String()).Dur("Took", delivery.daemon.clock.Now().Sub(current.attempt.startedAt)).Err(failure.cause).Send()
 }
@@ -181,6 +191,8 @@
 				return false, err
 			}
 		}
+	case current.attempt.through != nil && failure.run != core.NotRun && !request.responseStarted:
+		return false, core.Errorf(core.TargetFailed, "%w", err) // the other daemon may have used up the attempts
 	case failure.unsent:
 		delivery.dialFailures++
 	case failure.run == core.NotRun:
@@ -406,6 +418,7 @@
 	ctx               context.Context // of this attempt
 	opening           chan opened     // result of an attempt that was opened by a takeover; nil otherwise
 	sending           chan struct{}   // closed when such an attempt begins to send its request
+	toldOrigin        origin.Origin   // what began the stream, by the daemon that forwards the request, which records it
 	watchdog          *watchdog
 	delimited         bool          // the end of the response can be told from the end of its connection
 	firstEventLatency time.Duration // time from the start of the attempt to its first event
@@ -460,6 +473,9 @@
 
 // open sends the request and returns the response of a target that runs or has run it; it does not change the request.
 func (relay *relay) open(ctx context.Context) (*http.Response, error) {
+	if relay.attempt.through != nil {
+		return relay.openForwarded(ctx)
+	}
 	relay.recordOrigin()
 	response, err := relay.exchange(ctx)
 	if err != nil {
@@ -494,9 +510,23 @@
 	return nil, err
 }
 
+// signalSending tells a takeover that the request is about to be sent.
+func (relay *relay) signalSending() {
+	if relay.sending != nil {
+		close(relay.sending)
+	}
+}
+
+// matches reports whether a response may belong to the attempt.
+func (relay *relay) matches(response *http.Response) bool {
+	attempt := relay.daemon.dialect.TargetResponse(response.StatusCode, response.Header).Attempt
+	return attempt == "" || attempt == relay.request.caller.Attempt
+}
+
 // exchange sends the request and returns the response with its body unread.
 func (relay *relay) exchange(ctx context.Context) (*http.Response, error) {
 	request, daemon, target := relay.request, relay.daemon, relay.attempt.target
+	defer daemon.paths.begin(target.Address)()
 	header := daemon.dialect.ForwardHeader(request.incoming.Header, core.Forward{
 		Target: target.ID, TimeLeft: request.deadline.Sub(daemon.clock.Now()), Team: request.team.Name,
 		Priority: request.priority, Inputs: request.inputHandles, LastEvent: request.resumeAfter,
@@ -504,17 +534,10 @@
 	response, err := daemon.targets.Do(ctx, xchg.Request{
 		Address: target.Address, Method: request.incoming.Method, URI: request.incoming.RequestURI, Host: request.incoming.Host,
 		Header: header, Body: request.body, HasBody: request.incoming.Method != http.MethodGet && request.incoming.Method != http.MethodHead,
-		Sending: func() {
-			if relay.sending != nil {
-				close(relay.sending)
-			}
-		},
-		Match: func(response *http.Response) bool {
-			attempt := daemon.dialect.TargetResponse(response.StatusCode, response.Header).Attempt
-			return attempt == "" || attempt == request.caller.Attempt
-		},
+		Sending: relay.signalSending, Match: relay.matches,
 	})
 	if err == nil {
+		daemon.paths.reached(target.Address)
 		return response, nil
 	}
 	run := core.Unknown
@@ -525,7 +548,8 @@
 		daemon.recordOutcome(request, relay.attempt, place.Inconclusive, 0)
 		return nil, &sendError{run: run, cause: ctx.Err()}
 	}
-	daemon.recordOutcome(request, relay.attempt, place.Disconnected, 0)
+	daemon.paths.failed(target.Address)
+	daemon.recordOutcome(request, relay.attempt, daemon.failureOutcome(), 0)
 	daemon.targets.CloseIdle(target.Address)
 	if run == core.NotRun {
 		return nil, &sendError{unsent: true, run: run, cause: err}
@@ -627,7 +651,11 @@
 		relay.daemon.recordOutcome(relay.request, relay.attempt, place.Inconclusive, 0)
 		return &sendError{run: core.Unknown, cause: ctx.Err()}
 	}
-	relay.daemon.recordOutcome(relay.request, relay.attempt, place.Disconnected, 0)
+	if relay.attempt.through != nil {
+		return &sendError{run: core.Unknown, cause: err}
+	}
+	relay.daemon.paths.failed(relay.attempt.target.Address)
+	relay.daemon.recordOutcome(relay.request, relay.attempt, relay.daemon.failureOutcome(), 0)
 	relay.recordCrash()
 	return &sendError{run: core.Unknown, cause: err}
 }
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -424,7 +424,9 @@
 		http.Error(writer, "number of pieces", http.StatusBadRequest)
 		return
 	}
-	if daemon.leaving.Load() {
+	moved := daemon.leaving.Load()
+	daemon.do(func() { moved = moved || daemon.othersReachTargets(daemon.clock.Now()) })
+	if moved {
 		writeJSON(writer, piecesReply{Fault: core.PieceMoved})
 		return
 	}
--- a/io/edge/takeover.go
+++ b/io/edge/takeover.go
@@ -179,6 +179,7 @@
 func (request *request) copy(tried []string) *request {
 	copied := *request
 	copied.triedTargets = slices.Clone(tried)
+	copied.triedPeers = slices.Clone(request.triedPeers)
 	copied.versions = slices.Clone(request.versions)
 	return &copied
 }
@@ -196,12 +197,17 @@
 		if !usable {
 			return nil, errNoTakeover
 		}
-		if err := inputs.produce(ctx); err != nil {
-			return nil, err
-		}
-		attempt, err := daemon.beginAttempt(ctx, request, relay.service)
-		if err != nil {
-			return nil, err
+		var attempt *attempt
+		if through := daemon.forwardingPeer(request); through != nil {
+			attempt = daemon.forwardsTo(request, through)
+		} else {
+			if err := inputs.produce(ctx); err != nil {
+				return nil, err
+			}
+			var err error
+			if attempt, err = daemon.beginAttempt(ctx, request, relay.service); err != nil {
+				return nil, err
+			}
 		}
 		request.triedTargets = append(request.triedTargets, attempt.target.ID)
 		request.targetID = attempt.target.ID
@@ -230,7 +236,7 @@
 func (daemon *Daemon) reserveTakeover(service string, request *request) bool {
 	now := daemon.clock.Now()
 	targets := place.OfVersion(daemon.view.Load().targets[service], request.origin.Version)
-	return daemon.control.chooser.HasUsable(now, targets, request.triedTargets) && daemon.retryWindow(service).Allow(now)
+	return (daemon.othersReachTargets(now) || daemon.control.chooser.HasUsable(now, targets, request.triedTargets)) && daemon.retryWindow(service).Allow(now)
 }
 
 // opened is the result of opening a request at a target.
