io/edge: plan a request that another daemon is to forward

A request that was passed on had no plan; when the paths returned before another attempt, its stages panicked (index out of range), which the soak found: the request failed, the process went on.

--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -185,7 +185,9 @@
 	inputs := &inputs{daemon: daemon, request: request}
 	defer inputs.free()
 	if daemon.forwardingPeer(request) != nil {
-		return daemon.send(ctx, writer, request, inputs) // the other daemon admits the request and runs its stages
+		// The other daemon admits the request and runs its stages, unless the paths of this one return before.
+		daemon.do(func() { request.plan = admit.Forecast(daemon.admissionRequest(request, daemon.clock.Now())) })
+		return daemon.send(ctx, writer, request, inputs)
 	}
 	if err := daemon.admit(request); err != nil {
 		return err
