--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -5,7 +5,7 @@
 const (
 	window        = 2 * time.Second // age up to which a result counts
 	minFailed     = 2               // targets that must have failed for a suspicion; a single one may have crashed
-	minProbed     = 3               // targets that must be probed to conclude that the paths are lost
+	minProbed     = 3               // targets that somebody must reach for a judgement
 	lostShare     = 0.6             // share of the probes that must fail for that
 	returnedShare = 0.6             // share that must succeed for the paths to be back
 	returnRounds  = 2               // consecutive rounds in which they must, so that a path that comes and goes is not used
@@ -55,9 +55,11 @@
 	return failed >= minFailed && failed >= reached
 }
 
-// Judge applies a round of probes of random targets, of which some were reached, and reports whether the judgement has changed.
-func (paths *Paths) Judge(now time.Time, reached, probed int) bool {
+// Judge applies a round of probes of random targets, of which this daemon reached some and only others reached some more, and reports
+// whether the judgement has changed. A target that nobody reaches says nothing about the paths.
+func (paths *Paths) Judge(now time.Time, reached, onlyOthers int) bool {
 	before := paths.lost
+	probed := reached + onlyOthers
 	share := float64(reached) / float64(max(probed, 1))
 	switch {
 	case probed < minProbed:
--- a/core/reach/paths_test.go
+++ b/core/reach/paths_test.go
@@ -43,16 +43,18 @@
 	now := time.Unix(1000, 0)
 	for _, test := range []struct {
 		name   string
-		rounds [][2]int // reached, probed
+		rounds [][2]int // reached, reached by others only
 		lost   bool
 	}{
 		{"few probes", [][2]int{{0, 2}}, false},
-		{"all fail", [][2]int{{0, 5}}, true},
-		{"one of five is reached", [][2]int{{1, 5}}, true},
-		{"half are reached", [][2]int{{3, 6}}, false},
-		{"one good round", [][2]int{{0, 5}, {5, 5}}, true},
-		{"two good rounds", [][2]int{{0, 5}, {5, 5}, {4, 5}}, false},
-		{"good and bad rounds", [][2]int{{0, 5}, {5, 5}, {1, 5}, {5, 5}}, true},
+		{"nobody reaches the targets", [][2]int{{0, 0}}, false},
+		{"only others reach them", [][2]int{{0, 5}}, true},
+		{"one of five is reached", [][2]int{{1, 4}}, true},
+		{"half are reached", [][2]int{{3, 3}}, false},
+		{"one good round", [][2]int{{0, 5}, {5, 0}}, true},
+		{"two good rounds", [][2]int{{0, 5}, {5, 0}, {4, 1}}, false},
+		{"good and bad rounds", [][2]int{{0, 5}, {5, 0}, {1, 4}, {5, 0}}, true},
+		{"the paths return while most targets are down", [][2]int{{0, 5}, {3, 0}, {3, 0}}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var paths Paths
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -330,7 +330,7 @@
 	now := daemon.clock.Now()
 	previous := daemon.view.Load()
 	next := &view{
-		routing: previous.routing, targets: map[string][]place.Target{}, addresses: map[string]bool{}, services: map[string]string{}, dataCentres: map[string]string{},
+		routing: previous.routing, targets: map[string][]place.Target{}, addresses: map[string]bool{}, byID: map[string]string{}, services: map[string]string{}, dataCentres: map[string]string{},
 	}
 	evacuated := map[string]bool{}
 	for _, entry := range daemon.control.routes.Entries(now) {
@@ -382,6 +382,7 @@
 		registered = append(registered, target)
 		next.services[target.Address] = target.Service
 		next.addresses[target.Address] = true
+		next.byID[target.ID] = target.Address
 		next.dataCentres[target.Address] = target.DataCentre
 		if run.draining || evacuated[target.DataCentre] {
 			continue
--- a/io/edge/paths.go
+++ b/io/edge/paths.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -18,6 +20,8 @@
 	pathProbeInterval  = 400 * time.Millisecond // interval of the rounds of probes while the paths are lost or suspect
 	pathProbeTimeout   = 350 * time.Millisecond // limit on one probe, which opens a connection
 	pathProbes         = 5                      // targets probed in a round
+	pathWitnesses      = 3                      // other daemons that are asked about targets that this one cannot connect to
+	pathWitnessTimeout = 600 * time.Millisecond // limit on their answer, which takes pathProbeTimeout
 	pathSilence        = 600 * time.Millisecond // silence of all targets with a request in flight after which the paths are suspect
 	minSilentTargets   = 2                      // targets with such requests
 	pathDoubt          = 400 * time.Millisecond // time after a failure at a target in which the paths may turn out to be lost
@@ -136,7 +140,7 @@
 	return monitor.lost()
 }
 
-// probe opens connections to some random targets and judges the paths by that; a round in progress is awaited instead.
+// probe opens connections to some random targets and judges the paths by that and by what other daemons reach; a round in progress is awaited instead.
 func (monitor *pathMonitor) probe() {
 	monitor.mutex.Lock()
 	if round := monitor.round; round != nil {
@@ -147,35 +151,106 @@
 	round := make(chan struct{})
 	monitor.round, monitor.probedAt = round, monitor.daemon.clock.Now()
 	monitor.mutex.Unlock()
-	var addresses []string
-	for address := range monitor.daemon.view.Load().addresses {
-		addresses = append(addresses, address)
+	targets := slices.Collect(maps.Keys(monitor.daemon.view.Load().byID))
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	targets = targets[:min(len(targets), pathProbes)]
+	reached := monitor.daemon.connectAll(targets)
+	failed := slices.DeleteFunc(targets, func(id string) bool { return slices.Contains(reached, id) })
+	onlyOthers := monitor.daemon.reachedByOthers(failed)
+	monitor.mutex.Lock()
+	changed, lost := monitor.paths.Judge(monitor.daemon.clock.Now(), len(reached), onlyOthers), monitor.paths.Lost()
+	monitor.round = nil
+	monitor.mutex.Unlock()
+	close(round)
+	if changed {
+		monitor.daemon.handlePathChange(lost, len(reached), onlyOthers)
+	}
+}
+
+// reachRequest asks a daemon which of some targets it can connect to.
+type reachRequest struct{ Targets []string }
+
+type reachReply struct{ Reached []string }
+
+// reachedByOthers returns the number of targets that some of the other daemons, in several data centres if there are, can connect to.
+func (daemon *Daemon) reachedByOthers(targets []string) int {
+	if len(targets) == 0 {
+		return 0
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	addresses = addresses[:min(len(addresses), pathProbes)]
-	results := make([]bool, len(addresses))
+	var asked []string
+	daemon.do(func() {
+		now := daemon.clock.Now()
+		seen := map[string]bool{}
+		var rest []string
+		peers := slices.Clone(daemon.sortedPeers())
+		daemon.control.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		for _, known := range peers {
+			switch {
+			case known.leaving || known.pathsLost || daemon.isSuspect(now, known):
+			case seen[known.DataCentre]:
+				rest = append(rest, known.Peer)
+			default:
+				seen[known.DataCentre] = true
+				asked = append(asked, known.Peer)
+			}
+		}
+		asked = append(asked, rest...)
+		asked = asked[:min(len(asked), pathWitnesses)]
+	})
+	ctx, cancel := context.WithTimeout(daemon.loopContext, pathWitnessTimeout)
+	defer cancel()
+	var mutex sync.Mutex
+	reached := map[string]bool{}
 	var group sync.WaitGroup
-	for i, address := range addresses {
+	for _, address := range asked {
 		group.Go(func() {
-			defer monitor.daemon.recoverPanic("paths")
-			results[i] = canConnect(address)
+			defer daemon.recoverPanic("paths")
+			var reply reachReply
+			if err := daemon.callPeer(ctx, address, pathReach, reachRequest{Targets: targets}, &reply); err != nil {
+				daemon.metrics.peerErrors.Add(1)
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			for _, target := range reply.Reached {
+				reached[target] = true
+			}
 		})
 	}
 	group.Wait()
-	reached := 0
-	for _, result := range results {
-		if result {
-			reached++
+	return len(reached)
+}
+
+// serveReach answers which of some registered targets this daemon can connect to.
+func (daemon *Daemon) serveReach(writer http.ResponseWriter, request *http.Request) {
+	var message reachRequest
+	if !readJSON(writer, request, &message) {
+		return
+	}
+	writeJSON(writer, reachReply{Reached: daemon.connectAll(message.Targets[:min(len(message.Targets), pathProbes)])})
+}
+
+// connectAll returns those of the targets that are registered and to which a connection can be opened.
+func (daemon *Daemon) connectAll(targets []string) []string {
+	view := daemon.view.Load()
+	results := make([]bool, len(targets))
+	var group sync.WaitGroup
+	for i, id := range targets {
+		if address, registered := view.byID[id]; registered {
+			group.Go(func() {
+				defer daemon.recoverPanic("paths")
+				results[i] = canConnect(address)
+			})
 		}
 	}
-	monitor.mutex.Lock()
-	changed, lost := monitor.paths.Judge(monitor.daemon.clock.Now(), reached, len(results)), monitor.paths.Lost()
-	monitor.round = nil
-	monitor.mutex.Unlock()
-	close(round)
-	if changed {
-		monitor.daemon.handlePathChange(lost, reached, len(results))
+	group.Wait()
+	var reached []string
+	for i, id := range targets {
+		if results[i] {
+			reached = append(reached, id)
+		}
 	}
+	return reached
 }
 
 func canConnect(address string) bool {
@@ -189,12 +264,12 @@
 
 // handlePathChange hands over what this daemon does for others when its paths are lost, forgets failures that were theirs when they are
 // back, and tells the other daemons.
-func (daemon *Daemon) handlePathChange(lost bool, reached, probed int) {
+func (daemon *Daemon) handlePathChange(lost bool, reached, onlyOthers int) {
 	event := daemon.log.Warn().Str(eventField, eventPathsLost)
 	if !lost {
 		event = daemon.log.Info().Str(eventField, eventPathsReturned)
 	}
-	event.Int("Reached", reached).Int("Probed", probed).Msg("paths to the targets")
+	event.Int("Reached", reached).Int("OnlyOthers", onlyOthers).Msg("paths to the targets")
 	var addresses []string
 	daemon.do(func() {
 		daemon.control.chooser.ForgetFailures()
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -35,6 +35,7 @@
 	pathRead   = "/peer/read"
 	pathFree   = "/peer/free"
 	pathPermit = "/peer/permit"
+	pathReach  = "/peer/reach"
 )
 
 // forecastAt is a forecast with the time at which it was received.
@@ -72,6 +73,7 @@
 	mux.HandleFunc("POST "+pathPlace, daemon.servePlace)
 	mux.HandleFunc("POST "+pathRead, daemon.servePrefill)
 	mux.HandleFunc("POST "+pathPermit, daemon.servePermit)
+	mux.HandleFunc("POST "+pathReach, daemon.serveReach)
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if strings.HasPrefix(request.RequestURI, pathForward+"/") {
 			daemon.serveForward(writer, request) // the mux would clean the caller's path
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -12,6 +12,7 @@
 	routing     core.Routing
 	targets     map[string][]place.Target // by service; without draining targets and those in an evacuated data centre
 	addresses   map[string]bool           // addresses of all registered targets
+	byID        map[string]string         // address of each registered target
 	services    map[string]string         // service by target address
 	dataCentres map[string]string         // data centre by target address
 }
