io/xchg: let keep-alive probes end silent connections within 3 s

A connection to a target that is silent behind a partition lived on for 10 s: TCP_USER_TIMEOUT, which is set to 10 s there, also decides when keep-alive probes give up, whatever their count, so the early probes of detectSilence changed nothing. The limit now follows the probes while a target works on a request, and returns to 10 s before the connection carries another one, since a request must not be ended without a reset. TestProbesEndSilentConnections failed (10 s) and passes.

--- a/io/xchg/acks.go
+++ b/io/xchg/acks.go
@@ -77,14 +77,14 @@
 // has the whole request.
 func (conn *conn) detectSilence() {
 	if !conn.detectsSilence.Swap(true) {
-		_ = conn.net.SetKeepAliveConfig(keepAlive(keepAliveIdle))
+		setTimeouts(conn.net, keepAliveIdle, silenceTimeout)
 	}
 }
 
 // tolerateSilence undoes detectSilence before the connection carries another request.
 func (conn *conn) tolerateSilence() {
 	if conn.detectsSilence.Swap(false) {
-		_ = conn.net.SetKeepAliveConfig(keepAlive(targetKeepAliveIdle))
+		setTimeouts(conn.net, targetKeepAliveIdle, targetUnackedTimeout)
 	}
 }
 
--- a/io/xchg/acks_test.go
+++ b/io/xchg/acks_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"catkincove/core"
 )
 
@@ -60,3 +62,48 @@
 		})
 	}
 }
+
+// TestProbesEndSilentConnections guards against the limit on unacknowledged bytes keeping a connection to a silent host open for 10 s: once it
+// is set, it also decides when keep-alive probes give up, whatever their count.
+func TestProbesEndSilentConnections(t *testing.T) {
+	const (
+		noticedWithin = 3 * time.Second // while a target works on a request
+		tolerated     = 5 * time.Second // min limit while a request is on its way, which must not be ended without a reset
+	)
+	userTimeout := func(conn *net.TCPConn) time.Duration {
+		raw, err := conn.SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		milliseconds := 0
+		if err := raw.Control(func(fd uintptr) {
+			milliseconds, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		}); err != nil {
+			t.Fatal(err)
+		}
+		return time.Duration(milliseconds) * time.Millisecond
+	}
+	release := make(chan struct{})
+	address := serveTCP(t, func(connection net.Conn, reader *bufio.Reader) {
+		_, _ = readRequest(reader)
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n")
+		<-release
+		_, _ = io.WriteString(connection, "0\r\n\r\n")
+		_, _ = reader.ReadByte()
+	})
+	client := &Client{Clock: core.SystemClock{}}
+	response, err := client.Do(t.Context(), Request{Address: address, Method: "GET", URI: "/", Host: "h"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := response.Body.(*body).exchange.conn
+	if limit := userTimeout(conn.net); limit > noticedWithin {
+		t.Errorf("a silent host is noticed after %v in a stream", limit)
+	}
+	close(release)
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	if limit := userTimeout(conn.net); limit < tolerated {
+		t.Errorf("the kernel ends a kept connection after %v", limit)
+	}
+}
--- a/io/xchg/dial.go
+++ b/io/xchg/dial.go
@@ -19,6 +19,10 @@
 	// that the kernel ends may still deliver its request later.
 	targetKeepAliveIdle  = 10 * time.Second
 	targetUnackedTimeout = 10 * time.Second
+
+	// silenceTimeout takes the place of targetUnackedTimeout while a target works on a request: TCP_USER_TIMEOUT also decides when
+	// keep-alive probes give up, whatever their count.
+	silenceTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
 )
 
 // Dialer returns a dialer whose connections fail within 3 s when the other side stops responding.
@@ -41,16 +45,26 @@
 	return &net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: keepAlive(idle),
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var optionErr error
-			err := raw.Control(func(fd uintptr) {
-				optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return optionErr
-		},
+		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, unacked) },
+	}
+}
+
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
+
+// setTimeouts replaces the limits of the kernel on an open connection; one that has ended keeps its own.
+func setTimeouts(conn *net.TCPConn, idle, unacked time.Duration) {
+	_ = conn.SetKeepAliveConfig(keepAlive(idle))
+	if raw, err := conn.SyscallConn(); err == nil {
+		_ = setUserTimeout(raw, unacked)
 	}
 }
 
