core/limit: bound what brittle targets have to reject

Targets of a service may say that they fall over when they have to reject more than N requests in a second for want of room. Daemons took a rejection as a reason to wait 0.1 s each, so targets whose room shrank fell over 6 to 12 times in 6 s. Cause and class are those of LIMIT: a bound that holds for all daemons together. So the same mechanism holds it: a brittle target counts as limited, the daemon that sends for the service paces it for the fleet, and permits are needed. Its rate follows what it accepts: beyond that it grows by a share of N only, and falls below it when a third of N was rejected within a second. Daemons report results with their requests for permits, or 0.1 s after. A turn more than 0.25 s ahead is not given, since the rate may be lower by then.

TestBrittlePace replays a shrinking room in simulated time: at most 4 rejections in a second with N = 8, half or more of the room used.

--- /dev/null
+++ b/core/limit/brittle.go
@@ -0,0 +1,102 @@
+package limit
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	paceWindow   = 250 * time.Millisecond // time after which the rate of a brittle target follows what it has accepted
+	rejectWindow = time.Second            // time in which a target counts its rejections
+	freeRate     = 1000.0                 // rate in requests per second before anything is known
+	growth       = 1.2                    // growth of the rate in a window without rejections
+	growthShare  = 0.3                    // the rate grows by this share of the bound as well
+	maxLead      = 2.0                    // multiple of what is accepted that the rate may reach, beside the bound
+	probeShare   = 0.15                   // share of the bound by which the rate exceeds what is accepted after a rejection
+	calmShare    = 0.35                   // share of the bound that may be rejected in a second before the rate falls below what is accepted
+	calmFactor   = 0.8                    // the rate then, relative to what is accepted
+)
+
+// pace adapts the rate of requests to a brittle target, which falls over when it has to reject more requests in a second than its bound.
+//
+// The rate exceeds what the target accepts by a share of the bound only, so that the rejections stay below it while its room is used.
+type pace struct {
+	rate       float64 // 0 before the first window
+	windowAt   time.Time
+	accepted   int         // in the window
+	rejectedAt []time.Time // within rejectWindow
+	rejected   bool        // in the window
+	denied     bool        // in the window: more requests could have been sent
+}
+
+// report adds results of requests to the target.
+func (pace *pace) report(now time.Time, bound float64, results Results) {
+	if pace.rate == 0 {
+		pace.rate, pace.windowAt = freeRate, now
+	}
+	pace.accepted += results.Accepted
+	pace.rejectedAt = slices.DeleteFunc(pace.rejectedAt, func(at time.Time) bool { return now.Sub(at) > rejectWindow })
+	for range min(results.Rejected, maxRejections-len(pace.rejectedAt)) {
+		pace.rejectedAt = append(pace.rejectedAt, now)
+	}
+	pace.rejected = pace.rejected || results.Rejected > 0
+	elapsed := now.Sub(pace.windowAt)
+	if elapsed < paceWindow && (results.Rejected == 0 || elapsed < paceWindow/5) {
+		return
+	}
+	accepted := float64(pace.accepted) / elapsed.Seconds()
+	switch {
+	case float64(len(pace.rejectedAt)) >= bound*calmShare:
+		pace.rate = accepted * calmFactor
+	case pace.rejected:
+		pace.rate = accepted + probeShare*bound
+	case pace.denied:
+		pace.rate = min(pace.rate*growth+growthShare*bound, accepted*maxLead+bound)
+	default:
+		pace.rate = accepted*growth + growthShare*bound
+	}
+	pace.windowAt, pace.accepted, pace.rejected, pace.denied = now, 0, false, false
+}
+
+// maxRejections bounds the rejections that are remembered of a target.
+const maxRejections = 1000
+
+// Results counts requests to a brittle target.
+type Results struct{ Accepted, Rejected int }
+
+// Add returns the sum of two counts.
+func (results Results) Add(other Results) Results {
+	return Results{Accepted: results.Accepted + other.Accepted, Rejected: results.Rejected + other.Rejected}
+}
+
+// Count remembers the result of a request of this daemon to a brittle target until it is paced or taken, and reports whether it is the
+// first since then.
+func (table *Table) Count(target string, results Results) bool {
+	known := table.states[target]
+	if known == nil || results == (Results{}) {
+		return false
+	}
+	first := known.results == Results{}
+	known.results = known.results.Add(results)
+	return first
+}
+
+// Pace applies what was counted to the rate of a brittle target.
+func (table *Table) Pace(now time.Time, target string) {
+	known := table.states[target]
+	if known != nil && known.evidence.Named && known.evidence.Brittle {
+		known.pace.report(now, known.evidence.Rate, known.results)
+		known.results = Results{}
+	}
+}
+
+// TakeResults returns what was counted and forgets it.
+func (table *Table) TakeResults(target string) Results {
+	known := table.states[target]
+	if known == nil {
+		return Results{}
+	}
+	results := known.results
+	known.results = Results{}
+	return results
+}
--- a/core/limit/pace.go
+++ b/core/limit/pace.go
@@ -26,19 +26,30 @@
 
 // Wait implements core.Pacer.
 func (table *Table) Wait(now time.Time, target string) time.Duration {
+	table.Pace(now, target)
+	known := table.states[target]
 	rate, limited := table.Rate(target)
 	if !limited {
 		return 0
 	}
-	bucket := &table.states[target].bucket
+	bucket := &known.bucket
 	bucket.refill(now, rate)
+	if known.evidence.Brittle {
+		bucket.tokens = min(bucket.tokens, 1) // a target may have no room for several at once
+	}
 	return max(time.Duration((1-bucket.tokens)/rate*float64(time.Second)), 0)
 }
 
 // Take implements core.Pacer.
 func (table *Table) Take(now time.Time, target string, maxWait time.Duration) (time.Duration, bool) {
 	wait := table.Wait(now, target)
+	if known := table.states[target]; known != nil && known.evidence.Brittle {
+		maxWait = min(maxWait, paceWindow) // its rate may be lower by the time of a later turn
+	}
 	if wait > maxWait {
+		if known := table.states[target]; known != nil {
+			known.pace.denied = true
+		}
 		return wait, false
 	}
 	if known := table.states[target]; known != nil {
--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -15,7 +15,8 @@
 	Target    string
 	StartedAt time.Time // start of the target's run
 	Named     bool      // the response names a limit
-	Rate      float64   // requests per second from all daemons, if one is named
+	Rate      float64   // requests per second from all daemons, if one is named; of a brittle target, the rejections that it bears
+	Brittle   bool      // the limit is one on rejections
 	// At is the time at which a response that names a limit arrived, or at which the request of one that names none was sent: a
 	// response that was begun before the target named its limit does not lift it.
 	At time.Time
@@ -30,6 +31,8 @@
 	evidence  Evidence
 	firstHand bool // this daemon got the response
 	bucket    bucket
+	pace      pace    // of a brittle target
+	results   Results // of requests of this daemon that the pace does not know
 }
 
 var _ core.Pacer = (*Table)(nil)
@@ -101,5 +104,9 @@
 	if known == nil || !known.evidence.Named {
 		return 0, false
 	}
-	return max(known.evidence.Rate, minRate), true
+	rate := known.evidence.Rate
+	if known.evidence.Brittle {
+		rate = known.pace.rate
+	}
+	return max(rate, minRate), true
 }
--- a/core/place/engines.go
+++ b/core/place/engines.go
@@ -151,11 +151,15 @@
 	if best < 0 {
 		return Placement{Fault: AllFull, Wait: leastWait}
 	}
-	engines.startPrefill(now, targets[best], prompt)
 	placement := Placement{Index: best}
 	if engines.Pacer != nil {
-		placement.Wait, _ = engines.Pacer.Take(now, targets[best].ID, prompt.MaxWait)
+		wait, granted := engines.Pacer.Take(now, targets[best].ID, prompt.MaxWait)
+		if !granted {
+			return Placement{Fault: AllFull, Wait: wait}
+		}
+		placement.Wait = wait
 	}
+	engines.startPrefill(now, targets[best], prompt)
 	return placement
 }
 
--- a/core/routing.go
+++ b/core/routing.go
@@ -247,11 +247,13 @@
 
 // TargetResponse is what the status and headers of a target's response say about the execution.
 type TargetResponse struct {
-	Attempt   string  // attempt that the response belongs to; empty if unknown
-	NotRun    bool    // the target states that the request has not run and will not
-	HasDigest bool    // the response carries the target's digest
-	Limited   bool    // the target names RateLimit
-	RateLimit float64 // requests per second that the target takes from all daemons together, for as long as it names them
+	Attempt       string  // attempt that the response belongs to; empty if unknown
+	NotRun        bool    // the target states that the request has not run and will not
+	HasDigest     bool    // the response carries the target's digest
+	Limited       bool    // the target names RateLimit
+	Brittle       bool    // the target falls over when it has to reject more than MaxRejections for want of room
+	MaxRejections float64 // in a second, from all daemons together
+	RateLimit     float64 // requests per second that the target takes from all daemons together, for as long as it names them
 }
 
 // Piece is one unit of work of a stage.
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -16,6 +16,8 @@
 	permitTimeout   = 250 * time.Millisecond // limit on the wait for a permit; without one the target is passed over
 	permitTTL       = 500 * time.Millisecond // time after its turn until which a request may use its permit
 	permitRetry     = 300 * time.Millisecond // time for which a target is passed over when no permit can be had
+	resultsDelay    = 100 * time.Millisecond // time after a request to a brittle target until its result is sent to the pacing daemon
+	noPermit        = -time.Second           // longest wait of a message that asks for no permit
 	maxPermitTries  = 3                      // targets whose permit is awaited before the request is rejected
 	maxLimitEntries = 64                     // limits in a status, about 8 KB
 )
@@ -26,7 +28,8 @@
 	Target    string
 	StartedAt time.Time // start of the target's run
 	Named     bool
-	Rate      float64 // requests per second from all daemons
+	Rate      float64 // requests per second from all daemons, or rejections that a brittle target bears
+	Brittle   bool
 	Age       time.Duration
 }
 
@@ -35,6 +38,7 @@
 	Service string
 	Limit   limitEntry // what the asking daemon knows: the other one may not have heard of the limit
 	MaxWait time.Duration
+	Results limit.Results // of the asking daemon's requests to a brittle target since the one before
 }
 
 // permitReply says how long the request has to wait; it may not be sent if Granted is false.
@@ -51,6 +55,7 @@
 
 // limitEvidence is a response of a target, by which it names a limit or none.
 type limitEvidence struct {
+	service   string
 	target    string
 	startedAt time.Time // start of the target's run
 	sentAt    time.Time // time before the request was sent
@@ -64,15 +69,58 @@
 		return // another target at the address has responded
 	}
 	evidence := limit.Evidence{Target: response.target, StartedAt: response.startedAt, Named: response.facts.Limited, Rate: response.facts.RateLimit, At: response.sentAt}
-	if evidence.Named {
+	var results limit.Results
+	switch {
+	case evidence.Named:
 		evidence.At = daemon.clock.Now()
+	case response.facts.Brittle:
+		evidence.Named, evidence.Brittle, evidence.Rate, evidence.At = true, true, response.facts.MaxRejections, daemon.clock.Now()
+		results.Accepted = 1
+		if rejectsForRoom(response) {
+			results = limit.Results{Rejected: 1}
+		}
 	}
 	daemon.loop.Post(func() {
 		evidence.ID = daemon.control.random.Uint64()
 		if daemon.control.limits.Observe(evidence) {
 			daemon.logLimit(evidence, daemon.id)
 		}
+		if daemon.control.limits.Count(response.target, results) {
+			time.AfterFunc(resultsDelay, func() { daemon.sendResults(response.service, response.target) })
+		}
+	})
+}
+
+// sendResults tells the daemon that paces a brittle target what this one's requests came to; with the next request for a permit it might
+// come seconds late.
+func (daemon *Daemon) sendResults(service, target string) {
+	message := permitRequest{Service: service, MaxWait: noPermit}
+	address := ""
+	daemon.do(func() {
+		if owner := daemon.senderOf(service); owner != nil {
+			address, message.Results = owner.Peer, daemon.control.limits.TakeResults(target)
+		} else {
+			daemon.control.limits.Pace(daemon.clock.Now(), target)
+		}
+		evidence, _ := daemon.control.limits.Of(target)
+		message.Limit = newLimitEntry(daemon.clock.Now(), evidence)
 	})
+	if address == "" || message.Results == (limit.Results{}) {
+		return
+	}
+	daemon.spawn("results", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
+		defer cancel()
+		var reply permitReply
+		if err := daemon.callPeer(ctx, address, pathPermit, message, &reply); err != nil {
+			daemon.metrics.peerErrors.Add(1) // the pace follows what it hears
+		}
+	})
+}
+
+// rejectsForRoom reports whether a target has rejected a request for want of room.
+func rejectsForRoom(response limitEvidence) bool {
+	return response.facts.NotRun && (response.status == http.StatusServiceUnavailable || response.status == http.StatusTooManyRequests)
 }
 
 // mergeLimit merges what another daemon knows about a limit; it must run on the loop.
@@ -80,7 +128,7 @@
 	if entry.Target == "" || entry.Age < 0 || entry.Rate < 0 || math.IsInf(entry.Rate, 0) {
 		return
 	}
-	evidence := limit.Evidence{ID: entry.ID, Target: entry.Target, StartedAt: entry.StartedAt, Named: entry.Named, Rate: entry.Rate, At: now.Add(-entry.Age)}
+	evidence := limit.Evidence{ID: entry.ID, Target: entry.Target, StartedAt: entry.StartedAt, Named: entry.Named, Rate: entry.Rate, Brittle: entry.Brittle, At: now.Add(-entry.Age)}
 	if daemon.control.limits.Merge(evidence) {
 		daemon.logLimit(evidence, seenBy)
 	}
@@ -89,7 +137,7 @@
 func (daemon *Daemon) logLimit(evidence limit.Evidence, seenBy core.MemberID) {
 	event := daemon.log.Info().Str("Target", evidence.Target).Str("SeenBy", string(seenBy)).Dur("Age", daemon.clock.Now().Sub(evidence.At))
 	if evidence.Named {
-		event.Str(eventField, eventLimitNamed).Float64("Rate", evidence.Rate).Msg("the target limits the requests of all daemons together")
+		event.Str(eventField, eventLimitNamed).Float64("Rate", evidence.Rate).Bool("Brittle", evidence.Brittle).Msg("the target limits the requests of all daemons together")
 		return
 	}
 	event.Str(eventField, eventLimitLifted).Msg("the target no longer limits the requests")
@@ -106,7 +154,7 @@
 }
 
 func newLimitEntry(now time.Time, evidence limit.Evidence) limitEntry {
-	return limitEntry{ID: evidence.ID, Target: evidence.Target, StartedAt: evidence.StartedAt, Named: evidence.Named, Rate: evidence.Rate, Age: max(now.Sub(evidence.At), 0)}
+	return limitEntry{ID: evidence.ID, Target: evidence.Target, StartedAt: evidence.StartedAt, Named: evidence.Named, Rate: evidence.Rate, Brittle: evidence.Brittle, Age: max(now.Sub(evidence.At), 0)}
 }
 
 // permit asks for leave to send a request to a target, and reports false if there is none within maxWait. A target without a limit
@@ -126,7 +174,7 @@
 		evidence, _ := daemon.control.limits.Of(target.ID)
 		message.Limit = newLimitEntry(now, evidence)
 		if owner := daemon.senderOf(service); owner != nil {
-			address = owner.Peer
+			address, message.Results = owner.Peer, daemon.control.limits.TakeResults(target.ID)
 			return
 		}
 		reply = daemon.grantPermit(message)
@@ -153,6 +201,7 @@
 func (daemon *Daemon) grantPermit(message permitRequest) permitReply {
 	now := daemon.clock.Now()
 	daemon.control.lastPlacement[message.Service] = now
+	daemon.control.limits.Count(message.Limit.Target, message.Results)
 	wait, granted := daemon.control.limits.Take(now, message.Limit.Target, message.MaxWait)
 	return permitReply{Granted: granted, Wait: wait}
 }
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -164,7 +164,7 @@
 // runCall sends one batch to a target and records its outcome.
 func (daemon *Daemon) runCall(ctx context.Context, sender *sender, call batch.Call) {
 	began := daemon.clock.Now()
-	results, outcome, err := daemon.sendBatch(ctx, call)
+	results, outcome, err := daemon.sendBatch(ctx, sender, call)
 	daemon.metrics.batchCalls.Add(1)
 	daemon.metrics.batchPieces.Add(int64(len(call.Pieces)))
 	if err != nil {
@@ -192,7 +192,7 @@
 	})
 }
 
-func (daemon *Daemon) sendBatch(ctx context.Context, call batch.Call) ([]core.PieceResult, batch.Outcome, error) {
+func (daemon *Daemon) sendBatch(ctx context.Context, sender *sender, call batch.Call) ([]core.PieceResult, batch.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
 	defer daemon.paths.begin(call.Target.Address)()
@@ -224,7 +224,7 @@
 	}
 	_ = response.Body.Close()
 	facts := daemon.dialect.TargetResponse(response.StatusCode, response.Header)
-	daemon.observeLimit(limitEvidence{target: call.Target.ID, startedAt: call.Target.StartedAt, sentAt: sentAt, status: response.StatusCode, facts: facts})
+	daemon.observeLimit(limitEvidence{service: sender.service, target: call.Target.ID, startedAt: call.Target.StartedAt, sentAt: sentAt, status: response.StatusCode, facts: facts})
 	switch {
 	case response.StatusCode != http.StatusOK:
 		err := fmt.Errorf("status %d", response.StatusCode)
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -485,7 +485,7 @@
 	unidentified := facts.Attempt == "" && relay.request.caller.Attempt != ""
 	if !unidentified {
 		relay.daemon.observeLimit(limitEvidence{
-			target: relay.attempt.target.ID, startedAt: relay.attempt.target.StartedAt, sentAt: relay.attempt.startedAt, status: response.StatusCode, facts: facts,
+			service: relay.service.Name, target: relay.attempt.target.ID, startedAt: relay.attempt.target.StartedAt, sentAt: relay.attempt.startedAt, status: response.StatusCode, facts: facts,
 		})
 	}
 	switch {
