io/edge: write records of origins beside one that the store refuses

The key of a record holds the attempt's ID, which the caller chooses: a long one made the store refuse the transaction, and all records that were written with it, again and again, so that no stream of the daemon had one. Long and unprintable IDs are hashed, and after a failure records are written one by one, each failed one behind the others. TestRefusedOrigin and TestOriginKey; the first fails without the change of the batch.

--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -6,9 +6,12 @@
 	"errors"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"catkincove/core"
 	"catkincove/core/origin"
 	"catkincove/core/place"
@@ -24,6 +27,7 @@
 	originRetryAfter    = 500 * time.Millisecond // Retry-After of a resumed stream whose version is unknown or has no target
 	baselineInterval    = time.Second            // period in which the baselines are compared with the targets
 	recordsWatchPause   = 250 * time.Millisecond // interval of watches while records are written, each of which ends a watch
+	maxAttemptInKey     = 64                     // bytes of an attempt's ID that a key may hold; stores limit the length of keys
 	maxPendingOrigins   = 2000                   // records that wait to be written
 )
 
@@ -260,7 +264,7 @@
 func (daemon *Daemon) lookUpOrigin(ctx context.Context, service, attempt string) (origin.Origin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
-	snapshot, err := daemon.store.Get(ctx, core.OriginPrefix+attempt)
+	snapshot, err := daemon.store.Get(ctx, originKey(attempt))
 	if err != nil {
 		daemon.metrics.storeErrors.Add(1)
 		daemon.log.Warn().Str(eventField, eventOriginUnknown).Str("Resumes", attempt).Err(err).Msg("cannot read which software version began a stream")
@@ -284,6 +288,15 @@
 	return now.Sub(daemon.control.storeReadAt) > originSlack
 }
 
+// originKey returns the key of the record of an attempt, whose ID the caller chooses.
+func originKey(attempt string) string {
+	printable := func(char rune) bool { return char > ' ' && char <= '~' }
+	if len(attempt) <= maxAttemptInKey && strings.IndexFunc(attempt, func(char rune) bool { return !printable(char) }) < 0 {
+		return core.OriginPrefix + attempt
+	}
+	return core.OriginPrefix + "hash/" + strconv.FormatUint(xxhash.Sum64String(attempt), 16)
+}
+
 func decodeOrigin(value []byte) (origin.Origin, error) {
 	var began origin.Origin
 	err := json.Unmarshal(value, &began)
@@ -361,7 +374,13 @@
 			delete(origins.pending, attempt)
 			return true
 		})
-		for _, attempt := range origins.order[:min(len(origins.order), originBatch)] {
+		count := min(len(origins.order), originBatch)
+		if !origins.lastFailure.IsZero() {
+			count = min(count, 1) // one record that the store refuses must not keep the others from being written
+		}
+		next := origins.order[:count]
+		origins.order = append(origins.order[count:len(origins.order):len(origins.order)], next...)
+		for _, attempt := range next {
 			batch[attempt] = origins.pending[attempt]
 		}
 	})
@@ -375,7 +394,7 @@
 		if err != nil {
 			return err
 		}
-		txn.Puts = append(txn.Puts, core.Put{Key: core.OriginPrefix + attempt, Value: value, Lease: lease})
+		txn.Puts = append(txn.Puts, core.Put{Key: originKey(attempt), Value: value, Lease: lease})
 	}
 	if _, err := daemon.store.Commit(ctx, txn); err != nil {
 		return err
