io/edge: write records of origins again as soon as a restore of the store is seen

Three of 16 streams were joined from two versions in one run of TestStreamKeepsVersion (the store is restored from before the streams, and all daemons are killed 2 s later): the records were written again up to a second after the daemons had noticed the restore. They are now queued when the listing is adopted.

--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -119,6 +119,7 @@
 	if copy == &daemon.control.routes && before != 0 && before.Epoch() != snapshot.Revision.Epoch() {
 		daemon.logRevision(daemon.log.Warn(), snapshot.Revision).Str(eventField, eventStoreRestored).Int64("CopyRevision", before.Number()).Int64("CopyEpoch", before.Epoch()).
 			Msg("the store has been restored from a backup; what was known before counts until it is written again")
+		daemon.requeueOrigins()
 	}
 	return true
 }
--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -461,17 +461,9 @@
 	return false
 }
 
-// maintainBaselines keeps the baselines of the services in the store until ctx ends, and writes the records of this daemon again after a
-// restore. The daemon that sends for a service writes its baseline.
+// maintainBaselines keeps the baselines of the services in the store until ctx ends. The daemon that sends for a service writes its baseline.
 func (daemon *Daemon) maintainBaselines(ctx context.Context) error {
-	epoch := daemon.storeEpoch()
 	for core.Sleep(ctx, daemon.clock, baselineInterval) {
-		if current := daemon.storeEpoch(); current != epoch {
-			if epoch != 0 {
-				daemon.do(daemon.requeueOrigins)
-			}
-			epoch = current
-		}
 		for service, change := range daemon.baselineChanges() {
 			value, err := json.Marshal(change.Baseline)
 			if err != nil {
@@ -488,7 +480,7 @@
 	return ctx.Err()
 }
 
-// requeueOrigins queues the records of this daemon again; it must run on the loop.
+// requeueOrigins queues the records of this daemon again, which a restore of the store may have taken; it must run on the loop.
 func (daemon *Daemon) requeueOrigins() {
 	now := daemon.clock.Now()
 	for attempt, began := range daemon.control.origins.table.Own(now) {
