io/edge: keep long IDs of attempts as hashes

An attempt's ID is the caller's choice and up to 16 KB long; 20,000 of them in the table of origins would take more than the daemon's memory.

--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -27,7 +27,7 @@
 	originRetryAfter    = 500 * time.Millisecond // Retry-After of a resumed stream whose version is unknown or has no target
 	baselineInterval    = time.Second            // period in which the baselines are compared with the targets
 	recordsWatchPause   = 250 * time.Millisecond // interval of watches while records are written, each of which ends a watch
-	maxAttemptInKey     = 64                     // bytes of an attempt's ID that a key may hold; stores limit the length of keys
+	maxOriginID         = 64                     // bytes of an attempt's ID that is kept as it is; stores limit the length of keys
 	maxPendingOrigins   = 2000                   // records that wait to be written
 )
 
@@ -126,7 +126,7 @@
 		return
 	}
 	began := relay.origin()
-	daemon.do(func() { daemon.queueOrigin(daemon.clock.Now(), request.caller.Attempt, began) })
+	daemon.do(func() { daemon.queueOrigin(daemon.clock.Now(), originID(request.caller.Attempt), began) })
 }
 
 // fixOrigin fixes the origin of the stream, whose first event is about to be forwarded, and waits for its record.
@@ -147,13 +147,14 @@
 	if request.caller.Attempt == "" {
 		return
 	}
+	attempt := originID(request.caller.Attempt)
 	var written <-chan struct{}
 	failing := false
 	daemon.do(func() {
 		now := daemon.clock.Now()
-		if known, found := daemon.control.origins.table.Find(now, request.caller.Attempt); !found || known != request.origin {
-			written = daemon.queueOrigin(now, request.caller.Attempt, request.origin)
-		} else if record := daemon.control.origins.pending[request.caller.Attempt]; record != nil {
+		if known, found := daemon.control.origins.table.Find(now, attempt); !found || known != request.origin {
+			written = daemon.queueOrigin(now, attempt, request.origin)
+		} else if record := daemon.control.origins.pending[attempt]; record != nil {
 			written = record.written
 		}
 		failing = daemon.originsFail(now)
@@ -224,10 +225,11 @@
 		return nil
 	}
 	service := daemon.chooseService(request).Name
+	resumed := originID(request.caller.Resumes)
 	began, found := origin.Origin{}, false
 	daemon.do(func() {
 		now := daemon.clock.Now()
-		if began, found = daemon.control.origins.table.Find(now, request.caller.Resumes); found {
+		if began, found = daemon.control.origins.table.Find(now, resumed); found {
 			return
 		}
 		if daemon.hasOneVersion(now, service) {
@@ -235,16 +237,17 @@
 		}
 	})
 	if !found && request.caller.Resumes != "" {
-		began, found = daemon.lookUpOrigin(ctx, service, request.caller.Resumes)
+		began, found = daemon.lookUpOrigin(ctx, service, resumed)
 	}
 	if !found {
 		return core.Errorf(core.Unavailable, "the software version that began the stream is not known").WithRetryAfter(originRetryAfter)
 	}
 	request.origin = began
 	daemon.do(func() {
-		daemon.control.origins.table.Add(request.caller.Resumes, began, daemon.clock.Now().Add(daemon.originLifetime()), false)
+		expires := daemon.clock.Now().Add(daemon.originLifetime())
+		daemon.control.origins.table.Add(resumed, began, expires, false)
 		// A caller may name this attempt when it resumes once more.
-		daemon.control.origins.table.Add(request.caller.Attempt, began, daemon.clock.Now().Add(daemon.originLifetime()), false)
+		daemon.control.origins.table.Add(originID(request.caller.Attempt), began, expires, false)
 	})
 	if !slices.ContainsFunc(request.route.Services, func(share core.ServiceShare) bool { return share.Service == began.Service }) ||
 		daemon.versionHasLeft(request, began.Service, nil) {
@@ -264,7 +267,7 @@
 func (daemon *Daemon) lookUpOrigin(ctx context.Context, service, attempt string) (origin.Origin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
-	snapshot, err := daemon.store.Get(ctx, originKey(attempt))
+	snapshot, err := daemon.store.Get(ctx, core.OriginPrefix+attempt)
 	if err != nil {
 		daemon.metrics.storeErrors.Add(1)
 		daemon.log.Warn().Str(eventField, eventOriginUnknown).Str("Resumes", attempt).Err(err).Msg("cannot read which software version began a stream")
@@ -288,13 +291,13 @@
 	return now.Sub(daemon.control.storeReadAt) > originSlack
 }
 
-// originKey returns the key of the record of an attempt, whose ID the caller chooses.
-func originKey(attempt string) string {
-	printable := func(char rune) bool { return char > ' ' && char <= '~' }
-	if len(attempt) <= maxAttemptInKey && strings.IndexFunc(attempt, func(char rune) bool { return !printable(char) }) < 0 {
-		return core.OriginPrefix + attempt
+// originID returns the attempt's ID, which the caller chooses, or a hash of one that is long or not printable.
+func originID(attempt string) string {
+	unprintable := func(char rune) bool { return char <= ' ' || char > '~' }
+	if len(attempt) <= maxOriginID && !strings.ContainsFunc(attempt, unprintable) {
+		return attempt
 	}
-	return core.OriginPrefix + "hash/" + strconv.FormatUint(xxhash.Sum64String(attempt), 16)
+	return "hash/" + strconv.FormatUint(xxhash.Sum64String(attempt), 16)
 }
 
 func decodeOrigin(value []byte) (origin.Origin, error) {
@@ -394,7 +397,7 @@
 		if err != nil {
 			return err
 		}
-		txn.Puts = append(txn.Puts, core.Put{Key: originKey(attempt), Value: value, Lease: lease})
+		txn.Puts = append(txn.Puts, core.Put{Key: core.OriginPrefix + attempt, Value: value, Lease: lease})
 	}
 	if _, err := daemon.store.Commit(ctx, txn); err != nil {
 		return err
