core/reach: judge the silence of each target, although others are reached

Cause: the paths were suspect for silence only while nothing arrived from any target, so the few that were still reached hid the others until their connections timed out; and open streams did not count as requests in flight. Class: one value for all that belongs to each pair of daemon and target, as before.

core/reach now keeps the waits and the newest byte of each target; a body counts until it is closed. Several silent or failed targets, at least as many as were heard within the same 0.6 s, make the daemon probe. A round in which neither this daemon nor the asked ones reach targets is repeated after 0.4 s; after one that reached most targets the next is not before 0.8 s.

TestPartialSilence replays the pattern; with the silence of all targets as the condition its case with open streams fails.

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -1,58 +1,102 @@
 package reach
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
-	window        = 2 * time.Second // age up to which a result counts
-	minFailed     = 2               // targets that must have failed for a suspicion; a single one may have crashed
-	minProbed     = 3               // targets that somebody must reach for a judgement
-	lostShare     = 0.6             // share of the probes that must fail for that
-	returnedShare = 0.6             // share that must succeed for the paths to be back
-	returnRounds  = 2               // consecutive rounds in which they must, so that a path that comes and goes is not used
+	window        = 2 * time.Second        // age up to which a failure counts
+	silence       = 600 * time.Millisecond // time without a byte after which a target that works on a request is silent
+	minUnreached  = 2                      // targets that must be silent or have failed for a suspicion; a single one may have crashed
+	minProbed     = 3                      // targets that somebody must reach for a judgement
+	lostShare     = 0.6                    // share of the probes that must fail for that
+	returnedShare = 0.6                    // share that must succeed for the paths to be back
+	returnRounds  = 2                      // consecutive rounds in which they must, so that a path that comes and goes is not used
 )
 
 // Paths judges the paths of one daemon to the targets; the zero value has not lost them. It is not safe for concurrent use.
 //
 // It is made for a partition between a daemon and most targets, of which only some requests tell at first.
 type Paths struct {
-	results    map[string]result // newest one by target
+	targets    map[string]*contact
 	lost       bool
 	goodRounds int
 	changedAt  time.Time
 }
 
-type result struct {
-	at      time.Time
-	reached bool
+// contact is what a daemon has seen of a target.
+type contact struct {
+	waits    []*Wait // oldest first
+	heardAt  time.Time
+	failedAt time.Time
+}
+
+// Wait is a request that a target works on.
+type Wait struct {
+	target string
+	since  time.Time
+}
+
+// Begin records that a target gets a request; End ends the wait for it.
+func (paths *Paths) Begin(now time.Time, target string) *Wait {
+	wait := &Wait{target: target, since: now}
+	contact := paths.contact(target)
+	contact.waits = append(contact.waits, wait)
+	return wait
+}
+
+// End ends the wait for a target.
+func (paths *Paths) End(wait *Wait) {
+	contact := paths.contact(wait.target)
+	contact.waits = slices.DeleteFunc(contact.waits, func(other *Wait) bool { return other == wait })
 }
 
 // Observe records that a target was reached, or that it was not.
 func (paths *Paths) Observe(now time.Time, target string, reached bool) {
-	if paths.results == nil {
-		paths.results = map[string]result{}
+	contact := paths.contact(target)
+	if reached {
+		contact.heardAt = now
+	} else {
+		contact.failedAt = now
 	}
-	for known, old := range paths.results {
-		if now.Sub(old.at) > window {
-			delete(paths.results, known)
-		}
+}
+
+func (paths *Paths) contact(target string) *contact {
+	if paths.targets == nil {
+		paths.targets = map[string]*contact{}
+	}
+	known := paths.targets[target]
+	if known == nil {
+		known = &contact{}
+		paths.targets[target] = known
 	}
-	paths.results[target] = result{at: now, reached: reached}
+	return known
 }
 
-// Suspect reports whether probes should find out if the paths are lost: the newest results of several targets are failures, and they are
-// at least as many as those that were reached.
+// Suspect reports whether probes should find out if the paths are lost: several targets are silent or have failed, and they are at least
+// as many as those that were heard lately.
 func (paths *Paths) Suspect(now time.Time) bool {
-	failed, reached := 0, 0
-	for _, result := range paths.results {
+	unreached, reached := 0, 0
+	for target, contact := range paths.targets {
 		switch {
-		case now.Sub(result.at) > window:
-		case result.reached:
+		case contact.isSilent(now) || contact.hasFailed(now):
+			unreached++
+		case now.Sub(contact.heardAt) <= silence:
 			reached++
-		default:
-			failed++
+		case len(contact.waits) == 0 && now.Sub(contact.heardAt) > window:
+			delete(paths.targets, target)
 		}
 	}
-	return failed >= minFailed && failed >= reached
+	return unreached >= minUnreached && unreached >= reached
+}
+
+func (contact *contact) isSilent(now time.Time) bool {
+	return len(contact.waits) > 0 && now.Sub(contact.waits[0].since) > silence && now.Sub(contact.heardAt) > silence
+}
+
+func (contact *contact) hasFailed(now time.Time) bool {
+	return contact.failedAt.After(contact.heardAt) && now.Sub(contact.failedAt) <= window
 }
 
 // Judge applies a round of probes of random targets, of which this daemon reached some and only others reached some more, and reports
@@ -67,7 +111,8 @@
 		paths.lost, paths.goodRounds = 1-share >= lostShare, 0
 	case share >= returnedShare:
 		if paths.goodRounds++; paths.goodRounds >= returnRounds {
-			paths.lost, paths.results = false, nil
+			paths.lost = false
+			paths.forgetFailures()
 		}
 	default:
 		paths.goodRounds = 0
@@ -78,6 +123,12 @@
 	return paths.lost != before
 }
 
+func (paths *Paths) forgetFailures() {
+	for _, contact := range paths.targets {
+		contact.failedAt = time.Time{}
+	}
+}
+
 // Lost reports whether the paths are lost.
 func (paths *Paths) Lost() bool { return paths.lost }
 
--- a/core/reach/paths_test.go
+++ b/core/reach/paths_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -37,6 +38,75 @@
 	}
 }
 
+// TestPartialSilence guards against a partition that is noticed only when its connections time out, because some targets are still
+// reached: the third cut of the day "cut" on gw-wien was noticed after 3.9 s.
+func TestPartialSilence(t *testing.T) {
+	const (
+		targets = 36
+		contact = 3 * time.Second        // time after the beginning of a cut from which callers must be served
+		round   = time.Second            // longest round of probes
+		gap     = 100 * time.Millisecond // between requests
+		latency = 60 * time.Millisecond
+	)
+	for _, test := range []struct {
+		name        string
+		reachable   int
+		streaming   bool // open streams with an event each 30 ms at all targets when the cut begins
+		wantSuspect bool
+	}{
+		{"no path is cut", targets, false, false},
+		{"no path is cut, open streams", targets, true, false},
+		{"one silent target", targets - 1, false, false},
+		{"five of 36 are reached", 5, false, true},
+		{"five of 36 are reached, open streams", 5, true, true},
+		{"none is reached", 0, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			var paths Paths
+			start := time.Unix(1000, 0)
+			replies := map[time.Time][]func(now time.Time){}
+			suspectAt := time.Duration(-1)
+			for since := -2 * time.Second; since < contact-round; since += 10 * time.Millisecond {
+				now := start.Add(since)
+				for _, reply := range replies[now] {
+					reply(now)
+				}
+				delete(replies, now)
+				name := func(i int) string { return fmt.Sprint("target", i) }
+				if test.streaming {
+					for i := range targets {
+						if since == -2*time.Second {
+							paths.Begin(now, name(i))
+						}
+						if (since < 0 || i < test.reachable) && since%(30*time.Millisecond) == 0 {
+							paths.Observe(now, name(i), true)
+						}
+					}
+				}
+				if since%gap == 0 {
+					target := random.IntN(targets)
+					wait := paths.Begin(now, name(target))
+					if since < 0 || target < test.reachable {
+						at := now.Add(latency)
+						replies[at] = append(replies[at], func(now time.Time) {
+							paths.End(wait)
+							paths.Observe(now, name(target), true)
+						})
+					}
+				}
+				if suspectAt < 0 && paths.Suspect(now) {
+					suspectAt = since
+				}
+			}
+			if suspect := suspectAt >= 0; suspect != test.wantSuspect {
+				t.Errorf("suspect %v", suspect)
+			}
+			t.Logf("suspect after %v", suspectAt)
+		})
+	}
+}
+
 // TestJudge guards against paths that count as lost after few probes or while most targets are reached, and against a judgement that
 // changes back and forth while a path comes and goes.
 func TestJudge(t *testing.T) {
--- a/io/edge/paths.go
+++ b/io/edge/paths.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -18,12 +19,11 @@
 const (
 	pathCheckInterval  = 100 * time.Millisecond // interval of the checks whether the paths to the targets are suspect
 	pathProbeInterval  = 400 * time.Millisecond // interval of the rounds of probes while the paths are lost or suspect
+	pathCalmInterval   = 800 * time.Millisecond // interval while they are suspect, after a round that reached most targets
 	pathProbeTimeout   = 350 * time.Millisecond // limit on one probe, which opens a connection
 	pathProbes         = 5                      // targets probed in a round
 	pathWitnesses      = 3                      // other daemons that are asked about targets that this one cannot connect to
 	pathWitnessTimeout = 600 * time.Millisecond // limit on their answer, which takes pathProbeTimeout
-	pathSilence        = 600 * time.Millisecond // silence of all targets with a request in flight after which the paths are suspect
-	minSilentTargets   = 2                      // targets with such requests
 	pathDoubt          = 400 * time.Millisecond // time after a failure at a target in which the paths may turn out to be lost
 	pathFailureMemory  = 2 * time.Second        // time after the paths have returned in which failures are still put down to them
 	maxPathNotices     = 32                     // daemons that are told at once of a change
@@ -37,32 +37,50 @@
 
 	mutex    sync.Mutex
 	paths    reach.Paths
-	waiting  map[string][]time.Time // times at which the requests in flight without a response were sent, by address
-	heardAt  time.Time              // newest byte of any target
 	probedAt time.Time
+	calm     bool          // the last round reached most targets
 	round    chan struct{} // closed at the end of the round of probes in progress; nil if there is none
 }
 
-// begin records that a request is sent to an address; the returned function ends its wait.
+// begin records that a request is sent to an address; the returned function ends the wait for its response.
 func (monitor *pathMonitor) begin(address string) (ended func()) {
-	sentAt := monitor.daemon.clock.Now()
 	monitor.mutex.Lock()
 	defer monitor.mutex.Unlock()
-	if monitor.waiting == nil {
-		monitor.waiting = map[string][]time.Time{}
-	}
-	monitor.waiting[address] = append(monitor.waiting[address], sentAt)
-	return sync.OnceFunc(func() {
+	wait := monitor.paths.Begin(monitor.daemon.clock.Now(), address)
+	return func() {
 		monitor.mutex.Lock()
 		defer monitor.mutex.Unlock()
-		times := monitor.waiting[address]
-		if i := slices.Index(times, sentAt); i >= 0 {
-			times = slices.Delete(times, i, i+1)
-		}
-		if monitor.waiting[address] = times; len(times) == 0 {
-			delete(monitor.waiting, address)
-		}
-	})
+		monitor.paths.End(wait)
+	}
+}
+
+// watch returns a response whose body tells the monitor when the target sends something, and ends the wait when it is closed.
+func (monitor *pathMonitor) watch(response *http.Response, address string, ended func()) *http.Response {
+	monitor.reached(address)
+	response.Body = &watchedBody{ReadCloser: response.Body, read: func() { monitor.reached(address) }, closed: sync.OnceFunc(ended)}
+	return response
+}
+
+// watchedBody is the body of a response that reports each read that returns bytes, and that it is closed.
+type watchedBody struct {
+	io.ReadCloser
+	read   func()
+	closed func()
+}
+
+// Read reads from the body.
+func (body *watchedBody) Read(buffer []byte) (int, error) {
+	count, err := body.ReadCloser.Read(buffer)
+	if count > 0 {
+		body.read()
+	}
+	return count, err
+}
+
+// Close closes the body.
+func (body *watchedBody) Close() error {
+	body.closed()
+	return body.ReadCloser.Close()
 }
 
 // reached records that a target sent something.
@@ -72,13 +90,9 @@
 func (monitor *pathMonitor) failed(address string) { monitor.observe(address, false) }
 
 func (monitor *pathMonitor) observe(address string, reached bool) {
-	now := monitor.daemon.clock.Now()
 	monitor.mutex.Lock()
 	defer monitor.mutex.Unlock()
-	if reached {
-		monitor.heardAt = now
-	}
-	monitor.paths.Observe(now, address, reached)
+	monitor.paths.Observe(monitor.daemon.clock.Now(), address, reached)
 }
 
 // lost reports whether the paths are lost.
@@ -100,16 +114,7 @@
 func (monitor *pathMonitor) suspect(now time.Time) bool {
 	monitor.mutex.Lock()
 	defer monitor.mutex.Unlock()
-	if monitor.paths.Lost() || monitor.paths.Suspect(now) {
-		return true
-	}
-	silent := 0
-	for _, times := range monitor.waiting {
-		if now.Sub(slices.MinFunc(times, time.Time.Compare)) > pathSilence {
-			silent++
-		}
-	}
-	return silent >= minSilentTargets && now.Sub(monitor.heardAt) > pathSilence
+	return monitor.paths.Lost() || monitor.paths.Suspect(now)
 }
 
 // run probes the paths while they are suspect or lost, until ctx ends.
@@ -117,7 +122,11 @@
 	for core.Sleep(ctx, monitor.daemon.clock, pathCheckInterval) {
 		now := monitor.daemon.clock.Now()
 		monitor.mutex.Lock()
-		due := now.Sub(monitor.probedAt) >= pathProbeInterval
+		interval := pathProbeInterval
+		if monitor.calm && !monitor.paths.Lost() {
+			interval = pathCalmInterval
+		}
+		due := now.Sub(monitor.probedAt) >= interval
 		monitor.mutex.Unlock()
 		if due && monitor.suspect(now) {
 			monitor.probe()
@@ -159,7 +168,7 @@
 	onlyOthers := monitor.daemon.reachedByOthers(failed)
 	monitor.mutex.Lock()
 	changed, lost := monitor.paths.Judge(monitor.daemon.clock.Now(), len(reached), onlyOthers), monitor.paths.Lost()
-	monitor.round = nil
+	monitor.round, monitor.calm = nil, len(reached) > len(failed)
 	monitor.mutex.Unlock()
 	close(round)
 	if changed {
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -526,7 +526,7 @@
 // exchange sends the request and returns the response with its body unread.
 func (relay *relay) exchange(ctx context.Context) (*http.Response, error) {
 	request, daemon, target := relay.request, relay.daemon, relay.attempt.target
-	defer daemon.paths.begin(target.Address)()
+	ended := daemon.paths.begin(target.Address)
 	header := daemon.dialect.ForwardHeader(request.incoming.Header, core.Forward{
 		Target: target.ID, TimeLeft: request.deadline.Sub(daemon.clock.Now()), Team: request.team.Name,
 		Priority: request.priority, Inputs: request.inputHandles, LastEvent: request.resumeAfter,
@@ -537,9 +537,9 @@
 		Sending: relay.signalSending, Match: relay.matches,
 	})
 	if err == nil {
-		daemon.paths.reached(target.Address)
-		return response, nil
+		return daemon.paths.watch(response, target.Address, ended), nil
 	}
+	ended()
 	run := core.Unknown
 	if !xchg.Sent(err) {
 		run = core.NotRun
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -43,7 +43,6 @@
 			return relay.disconnected(ctx, err)
 		}
 		relay.watchdog.receiveEvent()
-		relay.daemon.paths.reached(relay.attempt.target.Address)
 		if count == 0 {
 			relay.fixOrigin(ctx)
 			relay.beginResponse(response)
