io/edge: probe the paths when another daemon has lost its own

Most of a data centre is often cut off together, so a status that says that the paths are lost now makes each daemon that receives it probe its own once.

TestLostPathsOfIdleDaemon fails on the code before (a request that must not be repeated ends without a response at a daemon that was idle for 3 s after the cut) and passes, 3 of 3.

--- a/io/edge/paths.go
+++ b/io/edge/paths.go
@@ -39,6 +39,7 @@
 	paths    reach.Paths
 	probedAt time.Time
 	calm     bool          // the last round reached most targets
+	warned   bool          // another daemon has lost its paths since the last round
 	round    chan struct{} // closed at the end of the round of probes in progress; nil if there is none
 }
 
@@ -114,7 +115,15 @@
 func (monitor *pathMonitor) suspect(now time.Time) bool {
 	monitor.mutex.Lock()
 	defer monitor.mutex.Unlock()
-	return monitor.paths.Lost() || monitor.paths.Suspect(now)
+	return monitor.paths.Lost() || monitor.warned || monitor.paths.Suspect(now)
+}
+
+// warn has the paths probed once, because another daemon has lost its own: most of a data centre is often cut off together, and a daemon
+// with few requests in flight would notice late.
+func (monitor *pathMonitor) warn() {
+	monitor.mutex.Lock()
+	defer monitor.mutex.Unlock()
+	monitor.warned = true
 }
 
 // run probes the paths while they are suspect or lost, until ctx ends.
@@ -158,7 +167,7 @@
 		return
 	}
 	round := make(chan struct{})
-	monitor.round, monitor.probedAt = round, monitor.daemon.clock.Now()
+	monitor.round, monitor.probedAt, monitor.warned = round, monitor.daemon.clock.Now(), false
 	monitor.mutex.Unlock()
 	targets := slices.Collect(maps.Keys(monitor.daemon.view.Load().byID))
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -149,6 +149,9 @@
 		daemon.control.peersBySize = nil
 	}
 	known.lastSeen, known.unansweredSince, known.callFailed, known.leaving = now, time.Time{}, false, status.Leaving
+	if status.PathsLost && !known.pathsLost {
+		daemon.paths.warn()
+	}
 	known.pathsLost = status.PathsLost
 	daemon.control.peerLastSeen = now
 	if known.unresponsive {
