proof: log the stalls of the test's process when a test fails

The process of the test holds the stores and the targets of all fleets; a pause of 2.7 s of it (SIGSTOP, trial) makes just the case fail that was red, with the same message, if it comes 3.5 s after the start, and others with it at other times; the daemons do not stall and lose their leases. That the red runs had such a pause is not shown: the tests log it from now on.

Ruled out as the cause: that the cut daemon owned the pools which all requests need. In two trials with the owner of encode@north cut off, calls went on at the full rate throughout.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -108,6 +108,7 @@
 func (fleet *fleet) begin(daemons int, options world.Options) *fleet {
 	t := fleet.t
 	t.Helper()
+	reportStalls(t)
 	fleet.reserve(daemons)
 	ctx, cancel := context.WithCancel(context.Background())
 	platform, err := world.Start(ctx, options)
