io/edge: leave relays to which the store is unavailable before their copies are old

The store rejected 25 of 71 daemons with 429, all relays among them. Cause: the others left a relay only when its copies were older than 2 s, and then a part of them asks the store in each second and tells the rest, which takes about another second. A relay knows from its first failed call that its copies only get older, but did not say so. Class: the age of information is waited for although its source knows that it has stopped.

Relays now say in each reply whether the store is unavailable to them; such a relay is left when its copies are older than 0.8 s, more than a watch takes, so a single failed call changes nothing.

--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -212,7 +212,7 @@
 // copyFrom merges the changes since the local copies from another daemon and returns the age of the result. If there
 // are no changes, the other daemon waits up to wait before it responds; firstByteTimeout limits the time to its first
 // byte.
-func (daemon *Daemon) copyFrom(ctx context.Context, address string, wait, firstByteTimeout time.Duration) (age time.Duration, err error) {
+func (daemon *Daemon) copyFrom(ctx context.Context, address string, wait, firstByteTimeout time.Duration) (copied, error) {
 	request := copiesRequest{Wait: wait}
 	daemon.do(func() {
 		for i, copy := range daemon.copies() {
@@ -224,11 +224,12 @@
 	sentAt := daemon.clock.Now()
 	var reply copiesReply
 	if err := daemon.callPeerWithin(ctx, firstByteTimeout, address, pathCopies, request, &reply); err != nil {
-		return 0, err
+		return copied{}, err
 	}
+	result := copied{age: reply.Age, failing: reply.Failing}
 	daemon.do(func() {
 		now := daemon.clock.Now()
-		if wait > 0 && reply.Age <= maxRelayAge {
+		if wait > 0 && !result.areStale() {
 			daemon.markStoreAvailable()
 		}
 		if at := now.Add(-reply.Age); at.After(daemon.control.storeReadAt) {
@@ -238,8 +239,19 @@
 			daemon.mergePart(now, copy, reply.Parts[i])
 		}
 	})
-	transit := max(daemon.clock.Now().Sub(sentAt)-wait, 0) // lower bound, since the other daemon may have waited less
-	return reply.Age + transit, nil
+	result.age += max(daemon.clock.Now().Sub(sentAt)-wait, 0) // the transit at least, since the other daemon may have waited less
+	return result, nil
+}
+
+// copied is what the copies of another daemon were like.
+type copied struct {
+	age     time.Duration
+	failing bool // the store is unavailable to the other daemon
+}
+
+// areStale reports whether another daemon is to be copied from: copies that only get older would be noticed too late by their age alone.
+func (copied copied) areStale() bool {
+	return copied.age > maxRelayAge || copied.failing && copied.age > maxFailingRelayAge
 }
 
 // mergePart merges a part of another daemon's copies into a local copy; it must run on the loop.
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -328,8 +328,9 @@
 
 // copiesReply holds the changes, in the order of copies.
 type copiesReply struct {
-	Age   time.Duration // time since the last successful store read
-	Parts [3]copyPart
+	Age     time.Duration // time since the last successful store read
+	Failing bool          // the store is unavailable to the daemon, so its copies only get older
+	Parts   [3]copyPart
 }
 
 type copyPart struct {
@@ -351,7 +352,7 @@
 		anyChange := false
 		daemon.do(func() {
 			changed = daemon.control.copiesChanged
-			reply.Age = daemon.clock.Now().Sub(daemon.control.storeReadAt)
+			reply.Age, reply.Failing = daemon.clock.Now().Sub(daemon.control.storeReadAt), daemon.control.routes.Unavailable()
 			for i, copy := range daemon.copies() {
 				event, whole := copy.Since(message.Since[i])
 				anyChange = anyChange || len(event.Puts)+len(event.Deletes) > 0
--- a/io/edge/relay.go
+++ b/io/edge/relay.go
@@ -20,6 +20,7 @@
 	relayResponseTimeout = 800 * time.Millisecond // limit on the time to a relay's first byte; an unresponsive relay takes this much of the time until a new configuration must be in force
 	relayProbeTimeout    = 300 * time.Millisecond // the same for the first request to a relay, which does not wait for changes
 	maxRelayAge          = 2 * time.Second        // maximum age of a relay's copies before it is passed over: a watch, a poll, and the time until a relay has found that its own relays fail
+	maxFailingRelayAge   = 800 * time.Millisecond // the same for a relay to which the store is unavailable; more than a watch takes
 	maxRelayFailures     = 2                      // consecutive relays that fail before the store is followed: further ones may depend on the same daemons
 	relayBackoff         = 3 * time.Second        // time for which a relay that failed is passed over, and for which the store is followed then
 	directWatchInterval  = 700 * time.Millisecond // time between store watches that return changes, for a daemon without a usable relay
@@ -205,7 +206,7 @@
 			wait = 0
 		}
 		question := daemon.ask(ctx)
-		age, err := daemon.copyFrom(question.ctx, relay.Peer, wait, timeout)
+		copied, err := daemon.copyFrom(question.ctx, relay.Peer, wait, timeout)
 		question.cancel()
 		switch {
 		case question.outdated():
@@ -213,8 +214,8 @@
 		case err != nil:
 			daemon.do(func() { daemon.markFailed(relay, err) })
 			return err
-		case age > maxRelayAge:
-			return fmt.Errorf("%w: %v", errStaleCopies, age.Round(time.Millisecond))
+		case copied.areStale():
+			return fmt.Errorf("%w: %v", errStaleCopies, copied.age.Round(time.Millisecond))
 		}
 		relays.failures = 0
 		question.answered()
