core/mirror: retain a removed target as it was last, not as it was last seen

The sending daemon had followed the store again for 1.5 s. Cause: it had no news from 29.1 to 32.3 s; a target said at 29.6 s that it leaves, and its key was removed before 32.3 s. A watch response, and a reply of a relay, hold only the last event of a key. The copy takes a key that is removed in or right after an outage for an expired lease, and retains what it knew: a ready target, for another 2.2 s. Class: a merge of changes drops the one that decides.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -26,7 +26,7 @@
 
 	revision     core.Revision
 	changedAt    map[string]core.Revision // revision of the last change of each entry that was not equivalent
-	removedAt    map[string]core.Revision // revision at which each key was removed, complete from historyStart on
+	removed      map[string]removal       // removed keys, complete from historyStart on
 	historyStart core.Revision
 	entries      map[string]core.Entry
 	expired      map[string]core.Entry // missing entries that are retained until retainUntil
@@ -37,6 +37,14 @@
 	hideUntil  time.Time       // they are hidden until then
 }
 
+// removal is the removal of a key. Its last entry is kept for peers that have not seen it: a target that left is not to be retained as it was
+// before it said so.
+type removal struct {
+	at        core.Revision
+	last      core.Entry
+	changedAt core.Revision // revision of the last entry that was not equivalent
+}
+
 // Revision returns the store revision that the copy has reached.
 func (copy *Copy) Revision() core.Revision { return copy.revision }
 
@@ -81,7 +89,7 @@
 	}
 	for key, entry := range copy.entries {
 		if _, found := entries[key]; !found {
-			copy.recordRemoval(key, snapshot.Revision)
+			copy.recordRemoval(entry, snapshot.Revision)
 			if restored || copy.mayHaveExpired(now) {
 				copy.retain(entry)
 			}
@@ -110,7 +118,7 @@
 	if copy.changedAt == nil {
 		copy.changedAt = map[string]core.Revision{}
 	}
-	delete(copy.removedAt, after.Key)
+	delete(copy.removed, after.Key)
 	_, hidden := copy.reappeared[after.Key]
 	delete(copy.reappeared, after.Key) // it has been written again
 	if known && !hidden && copy.Equivalent != nil && copy.Equivalent(before, after) {
@@ -123,21 +131,21 @@
 // maxRemoved limits the number of removed keys that are remembered; peers that lag further behind get the full state.
 const maxRemoved = 4096
 
-// recordRemoval records the revision at which a key was removed; it discards the history when that is full.
-func (copy *Copy) recordRemoval(key string, revision core.Revision) {
-	delete(copy.changedAt, key)
-	if copy.removedAt == nil {
-		copy.removedAt = map[string]core.Revision{}
+// recordRemoval records the revision at which an entry was removed; it discards the history when that is full.
+func (copy *Copy) recordRemoval(last core.Entry, revision core.Revision) {
+	if copy.removed == nil {
+		copy.removed = map[string]removal{}
 	}
-	if len(copy.removedAt) >= maxRemoved {
-		clear(copy.removedAt)
+	if len(copy.removed) >= maxRemoved {
+		clear(copy.removed)
 		copy.historyStart = revision
 	}
-	copy.removedAt[key] = revision
+	copy.removed[last.Key] = removal{at: revision, last: last, changedAt: copy.changedAt[last.Key]}
+	delete(copy.changedAt, last.Key)
 }
 
 // Since returns the changes after the revision, for a peer that has copied up to it; full means that the event is the full
-// state, because the history does not reach back that far.
+// state, because the history does not reach back that far. A key that was changed and then removed is both put and deleted.
 func (copy *Copy) Since(revision core.Revision) (event core.WatchEvent, full bool) {
 	event.Revision = copy.revision
 	full = revision < copy.historyStart || revision == 0
@@ -149,15 +157,19 @@
 	if full {
 		return event, true
 	}
-	for key, at := range copy.removedAt {
-		if at > revision {
-			event.Deletes = append(event.Deletes, key)
+	for key, removal := range copy.removed {
+		if removal.at <= revision {
+			continue
+		}
+		if removal.changedAt > revision {
+			event.Puts = append(event.Puts, removal.last)
 		}
+		event.Deletes = append(event.Deletes, key)
 	}
 	return event, false
 }
 
-// Apply applies a watch event; it ignores entries that are older than the copy, and all of them before the first listing. It
+// Apply applies a watch event, its puts before its deletes; it ignores entries that are older than the copy, and all of them before the first listing. It
 // reports whether the event changes more than equivalent entries.
 func (copy *Copy) Apply(now time.Time, event core.WatchEvent) (changed bool) {
 	if copy.entries == nil {
@@ -173,7 +185,7 @@
 	for _, key := range event.Deletes {
 		if entry, found := copy.entries[key]; found {
 			delete(copy.entries, key)
-			copy.recordRemoval(key, event.Revision)
+			copy.recordRemoval(entry, event.Revision)
 			if copy.mayHaveExpired(now) {
 				copy.retain(entry)
 			}
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -102,6 +102,47 @@
 	}
 }
 
+// TestLeavingTargetIsNotRetainedAsReady guards against a target that gets requests seconds after it has said that it leaves, because a copy that could
+// not be updated meanwhile retains what it knew before: DRAIN on gw-wien-grown.
+func TestLeavingTargetIsNotRetainedAsReady(t *testing.T) {
+	put := func(revision core.Revision, value string) core.Entry {
+		return core.Entry{Key: "target", Value: []byte(value), ModRevision: revision}
+	}
+	direct := core.WatchEvent{Revision: 14, Puts: []core.Entry{put(12, "leaving")}, Deletes: []string{"target"}}
+	relay := Copy{RetainExpired: true}
+	relay.Replace(start, core.Snapshot{Revision: 10, Entries: []core.Entry{put(9, "ready")}})
+	relay.Apply(start, core.WatchEvent{Revision: 12, Puts: []core.Entry{put(12, "leaving")}})
+	relay.Apply(start, core.WatchEvent{Revision: 14, Deletes: []string{"target"}})
+	relayed, _ := relay.Since(10)
+	knownAlready, _ := relay.Since(12)
+	for _, test := range []struct {
+		name  string
+		known core.Entry
+		event core.WatchEvent
+		puts  int
+	}{
+		{"from the store", put(9, "ready"), direct, 1},
+		{"from a relay", put(9, "ready"), relayed, 1},
+		{"from a relay, known to leave", put(12, "leaving"), knownAlready, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			state := Copy{RetainExpired: true}
+			state.Replace(start, core.Snapshot{Revision: test.known.ModRevision + 1, Entries: []core.Entry{test.known}})
+			state.MarkUnavailable()
+			state.MarkAvailable(start.Add(time.Second))
+			state.Apply(start.Add(time.Second), test.event)
+			for _, entry := range state.Entries(start.Add(time.Second)) {
+				if string(entry.Value) != "leaving" {
+					t.Errorf("the target is %s", entry.Value)
+				}
+			}
+			if len(test.event.Puts) != test.puts {
+				t.Errorf("%d puts", len(test.event.Puts))
+			}
+		})
+	}
+}
+
 // TestChangesBeforeTheListing guards against a copy that was never listed but counts as complete because it has received a
 // change: peers that copy from it would miss all other keys, and removals from before its listing.
 func TestChangesBeforeTheListing(t *testing.T) {
--- a/core/store.go
+++ b/core/store.go
@@ -63,7 +63,8 @@
 	Entries   []Entry // entries read by OnFailure
 }
 
-// WatchEvent is a batch of changes, or a progress notification when it has neither puts nor deletes.
+// WatchEvent is a batch of changes, or a progress notification when it has neither puts nor deletes. A key that was put and then deleted may
+// be in both.
 type WatchEvent struct {
 	Revision Revision
 	Puts     []Entry
