--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -49,6 +49,7 @@
 	eventLimitNamed          = "LimitNamed"          // a target names a request rate for all daemons together, or another one than before
 	eventPermitFailed        = "PermitFailed"        // the daemon that paces a limited target did not respond
 	eventLimitLifted         = "LimitLifted"         // a target no longer names a request rate
+	eventTargetLeaves        = "TargetLeaves"        // a target has registered that it leaves
 	eventPathsLost           = "PathsLost"           // this daemon reaches most targets no longer
 	eventPathsReturned       = "PathsReturned"       // this daemon reaches the targets again
 	eventBaseline            = "Baseline"            // streams at another software version need no record from now on
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -388,10 +388,15 @@
 			continue
 		}
 		present[target.ID] = true
+		wasDraining := daemon.control.registry.runs[target.ID].draining
 		run, current := daemon.control.registry.merge(now, target)
 		if !current {
 			continue
 		}
+		if run.draining && !wasDraining {
+			daemon.logRevision(daemon.log.Info(), entry.ModRevision).Str(eventField, eventTargetLeaves).Str("Target", target.ID).Str("Service", target.Service).
+				Dur("CopyAge", now.Sub(daemon.control.storeReadAt)).Msg("the target leaves and gets no new requests")
+		}
 		registered = append(registered, target)
 		next.services[target.Address] = target.Service
 		next.addresses[target.Address] = true
