core/mirror, io/edge: use removed targets only while most of a service is missing

No daemon logged TargetLeaves for them: their keys were removed at once. Daemons that had no news of the store for a moment took the removals for expired leases and retained the targets for 2.2 s, and each further return of the store began that time anew (11 RelayPassedOver and 3 StoreReturned at one daemon in 6 s). Class: a guess that is made for a rare event, the loss of all leases, holds for each single removal too.

The time of a retained entry now ends 2.2 s after its removal was seen, and a service uses retained targets only while more of its targets are missing than are registered: leases that lapse with the store take most targets at once, and a few that left are replaced by the others.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"maps"
 	"time"
 
 	"catkincove/core"
@@ -29,14 +30,20 @@
 	removed      map[string]removal       // removed keys, complete from historyStart on
 	historyStart core.Revision
 	entries      map[string]core.Entry
-	expired      map[string]core.Entry // missing entries that are retained until retainUntil
+	expired      map[string]retained // missing entries that are retained
 	unavailable  bool
-	retainUntil  time.Time
+	retainUntil  time.Time // entries that are missed until then are retained
 
 	reappeared map[string]bool // keys that had been removed, or were not known, before the store was restored
 	hideUntil  time.Time       // they are hidden until then
 }
 
+// retained is a missing entry. Its time ends although the store becomes unavailable again, and passes at the next return of the store.
+type retained struct {
+	entry core.Entry
+	until time.Time
+}
+
 // removal is the removal of a key. Its last entry is kept for peers that have not seen it: a target that left is not to be retained as it was
 // before it said so.
 type removal struct {
@@ -90,8 +97,11 @@
 	for key, entry := range copy.entries {
 		if _, found := entries[key]; !found {
 			copy.recordRemoval(entry, snapshot.Revision)
-			if restored || copy.mayHaveExpired(now) {
-				copy.retain(entry)
+			switch {
+			case restored:
+				copy.retain(entry, now.Add(copy.restoreGrace()))
+			case copy.mayHaveExpired(now):
+				copy.retain(entry, copy.expiredUntil(now))
 			}
 		}
 	}
@@ -105,12 +115,15 @@
 // beginGrace begins the time in which the copy from before a restore counts: what it had is retained, and what had been removed
 // from it stays hidden.
 func (copy *Copy) beginGrace(now time.Time, reappeared map[string]bool) {
-	grace := RestoreGrace
+	copy.retainUntil = now.Add(copy.restoreGrace())
+	copy.reappeared, copy.hideUntil = reappeared, now.Add(RestoreGrace)
+}
+
+func (copy *Copy) restoreGrace() time.Duration {
 	if copy.RetainExpired {
-		grace = ReregistrationGrace // what is not registered again by then is gone
+		return ReregistrationGrace // what is not registered again by then is gone
 	}
-	copy.retainUntil = now.Add(grace)
-	copy.reappeared, copy.hideUntil = reappeared, now.Add(RestoreGrace)
+	return RestoreGrace
 }
 
 // recordChange records the revision of a changed entry unless the change is equivalent, and reports whether it is not.
@@ -187,7 +200,7 @@
 			delete(copy.entries, key)
 			copy.recordRemoval(entry, event.Revision)
 			if copy.mayHaveExpired(now) {
-				copy.retain(entry)
+				copy.retain(entry, copy.expiredUntil(now))
 			}
 			changed = true
 		}
@@ -204,18 +217,33 @@
 	return copy.RetainExpired && (copy.unavailable || !now.After(copy.retainUntil))
 }
 
-func (copy *Copy) retain(entry core.Entry) {
+// expiredUntil returns the time until which an entry is retained that is found missing now. The store was read after its removal, so a live target
+// registers again within ReregistrationGrace.
+func (copy *Copy) expiredUntil(now time.Time) time.Time {
+	if copy.unavailable || copy.retainUntil.IsZero() {
+		return now.Add(ReregistrationGrace)
+	}
+	return copy.retainUntil
+}
+
+func (copy *Copy) retain(entry core.Entry, until time.Time) {
 	if copy.expired == nil {
-		copy.expired = map[string]core.Entry{}
+		copy.expired = map[string]retained{}
 	}
-	copy.expired[entry.Key] = entry
+	copy.expired[entry.Key] = retained{entry: entry, until: until}
+}
+
+// Retains reports whether an entry that Entries returned is missing in the store and only retained.
+func (copy *Copy) Retains(key string) bool {
+	_, is := copy.expired[key]
+	return is
 }
 
 // Entries returns the entries at now, including those that are retained because their leases may have expired in an outage, or
 // because the store was restored, and without those that have reappeared by that.
 func (copy *Copy) Entries(now time.Time) []core.Entry {
-	if !copy.unavailable && now.After(copy.retainUntil) {
-		clear(copy.expired)
+	if !copy.unavailable {
+		maps.DeleteFunc(copy.expired, func(_ string, retained retained) bool { return now.After(retained.until) })
 	}
 	if now.After(copy.hideUntil) {
 		clear(copy.reappeared)
@@ -226,8 +254,8 @@
 			entries = append(entries, entry)
 		}
 	}
-	for _, entry := range copy.expired {
-		entries = append(entries, entry)
+	for _, retained := range copy.expired {
+		entries = append(entries, retained.entry)
 	}
 	return entries
 }
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -56,6 +56,26 @@
 	}
 }
 
+// TestRetentionEndsWhileStoreIsUnstable guards against removed targets that are retained for as long as the store comes and goes.
+func TestRetentionEndsWhileStoreIsUnstable(t *testing.T) {
+	state := Copy{RetainExpired: true}
+	state.Replace(start, snapshot(5, "target"))
+	now := start
+	for range 4 {
+		state.MarkUnavailable()
+		now = now.Add(600 * time.Millisecond)
+		state.MarkAvailable(now)
+		state.Apply(now, core.WatchEvent{Revision: state.Revision() + 1, Deletes: []string{"target"}})
+		now = now.Add(400 * time.Millisecond)
+	}
+	if took := now.Sub(start.Add(600 * time.Millisecond)); len(state.Entries(now)) != 0 && took > ReregistrationGrace {
+		t.Errorf("the target is retained %v after its removal was seen", took)
+	}
+	if now.Sub(start) < ReregistrationGrace {
+		t.Fatal("the test ends too early")
+	}
+}
+
 // TestPeersCatchUp guards against a peer that misses a change, keeps a deleted key or receives every heartbeat of a target.
 func TestPeersCatchUp(t *testing.T) {
 	relay := Copy{RetainExpired: true, Equivalent: func(before, after core.Entry) bool { return string(before.Value) == string(after.Value) }}
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -380,6 +380,7 @@
 	present := map[string]bool{}
 	daemon.adoptBaselines(now)
 	var registered []core.TargetEntry
+	missing := map[string][]place.Target{} // usable targets by service that are no longer registered, perhaps because their leases lapsed
 	entries := daemon.control.registrations.Entries(now)
 	slices.SortFunc(entries, func(a, b core.Entry) int { return strings.Compare(a.Key, b.Key) })
 	for _, entry := range entries {
@@ -406,10 +407,21 @@
 			continue
 		}
 		service := next.routing.Services[target.Service]
-		next.targets[target.Service] = append(next.targets[target.Service], place.Target{
+		usable := place.Target{
 			ID: target.ID, Address: target.Address, DataCentre: target.DataCentre, Version: target.Version, StartedAt: run.startedAt,
 			ColdUntil: run.coldUntil, ColdRate: service.ColdRate, MaxConnections: service.MaxConnections,
-		})
+		}
+		if daemon.control.registrations.Retains(entry.Key) {
+			missing[target.Service] = append(missing[target.Service], usable)
+		} else {
+			next.targets[target.Service] = append(next.targets[target.Service], usable)
+		}
+	}
+	for service, targets := range missing {
+		// Leases that lapse take most targets of a service at once. A few that are missing have rather left, and the others can serve.
+		if len(targets) > len(next.targets[service]) {
+			next.targets[service] = append(next.targets[service], targets...)
+		}
 	}
 	daemon.control.registry.removeAbsent(now, present)
 	daemon.noteVersions(now, registered)
