--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -38,14 +38,14 @@
 	hideUntil  time.Time       // they are hidden until then
 }
 
-// retained is a missing entry. Its time ends although the store becomes unavailable again, and passes at the next return of the store.
+// retained is an entry that the store no longer holds.
 type retained struct {
 	entry core.Entry
-	until time.Time
+	until time.Time // it is dropped after that, as soon as the store is available
 }
 
-// removal is the removal of a key. Its last entry is kept for peers that have not seen it: a target that left is not to be retained as it was
-// before it said so.
+// removal is the removal of a key. Peers that have not seen its last entry get that too, or they would retain an older one: a target that has left
+// as one that is ready.
 type removal struct {
 	at        core.Revision
 	last      core.Entry
@@ -217,7 +217,7 @@
 	return copy.RetainExpired && (copy.unavailable || !now.After(copy.retainUntil))
 }
 
-// expiredUntil returns the time until which an entry is retained that is found missing now. The store was read after its removal, so a live target
+// expiredUntil returns the time until which an entry that is missed now is retained. The store was available after its removal, so a live target
 // registers again within ReregistrationGrace.
 func (copy *Copy) expiredUntil(now time.Time) time.Time {
 	if copy.unavailable || copy.retainUntil.IsZero() {
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -243,13 +243,14 @@
 	return result, nil
 }
 
-// copied is what the copies of another daemon were like.
+// copied describes the copies of another daemon.
 type copied struct {
 	age     time.Duration
 	failing bool // the store is unavailable to the other daemon
 }
 
-// areStale reports whether another daemon is to be copied from: copies that only get older would be noticed too late by their age alone.
+// areStale reports whether the copies are too old to rely on. The limit is lower for those that only get older, or a daemon that cannot
+// reach the store would be left too late.
 func (copied copied) areStale() bool {
 	return copied.age > maxRelayAge || copied.failing && copied.age > maxFailingRelayAge
 }
@@ -418,7 +419,7 @@
 		}
 	}
 	for service, targets := range missing {
-		// Leases that lapse take most targets of a service at once. A few that are missing have rather left, and the others can serve.
+		// Leases that lapse with the store take most targets of a service. If fewer are missing, they may have left, and the others can serve.
 		if len(targets) > len(next.targets[service]) {
 			next.targets[service] = append(next.targets[service], targets...)
 		}
