--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -122,6 +122,7 @@
 	decodedMembers  map[string]decodedMember // decoded records of daemons, by key
 
 	routingRevision core.Revision // revision of the routing in force
+	changesFrom     source        // of the newest changes of the copies
 	storeReadAt     time.Time     // last successful store read, by this daemon or by the one that the copies come from
 	copiesChanged   chan struct{} // closed and replaced when the copies change
 	peerLastSeen    time.Time     // time at which any other daemon was last seen
@@ -169,7 +170,7 @@
 	settings := daemon.options.Settings
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryLimitShare * (1 << 20)))
 	began := daemon.clock.Now()
-	daemon.log.Info().Str(eventField, eventStart).Str("ID", string(daemon.id)).Str("Front", settings.Front).Msg("daemon starts")
+	daemon.log.Info().Str(eventField, eventStart).Str("ID", string(daemon.id)).Int("Generation", messageGeneration).Str("Front", settings.Front).Msg("daemon starts")
 
 	logDone := make(chan struct{})
 	stopLog := make(chan struct{})
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -93,7 +93,7 @@
 
 // replaceCopies replaces the copies by a listing of all keys; it must run on the loop.
 func (daemon *Daemon) replaceCopies(snapshot core.Snapshot) {
-	daemon.control.storeReadAt = daemon.clock.Now()
+	daemon.control.storeReadAt, daemon.control.changesFrom = daemon.clock.Now(), fromStore
 	daemon.markStoreAvailable()
 	before := daemon.control.routes.Revision()
 	for i, prefix := range daemon.prefixes() {
@@ -136,7 +136,7 @@
 
 // apply merges the changes of a watch of all keys into the copies; it must run on the loop.
 func (daemon *Daemon) apply(event core.WatchEvent) {
-	daemon.control.storeReadAt = daemon.clock.Now()
+	daemon.control.storeReadAt, daemon.control.changesFrom = daemon.clock.Now(), fromStore
 	daemon.markStoreAvailable()
 	daemon.adoptOrigins(daemon.clock.Now(), event.Puts)
 	changed := false
@@ -235,6 +235,7 @@
 		if at := now.Add(-reply.Age); at.After(daemon.control.storeReadAt) {
 			daemon.control.storeReadAt = at
 		}
+		daemon.control.changesFrom = source{daemon: address, generation: reply.Generation}
 		for i, copy := range daemon.copies() {
 			daemon.mergePart(now, copy, reply.Parts[i])
 		}
@@ -344,7 +345,7 @@
 	now := daemon.clock.Now()
 	previous := daemon.view.Load()
 	next := &view{
-		routing: previous.routing, targets: map[string][]place.Target{}, addresses: map[string]bool{}, byID: map[string]string{}, services: map[string]string{}, dataCentres: map[string]string{},
+		routing: previous.routing, routingFrom: previous.routingFrom, targets: map[string][]place.Target{}, addresses: map[string]bool{}, byID: map[string]string{}, services: map[string]string{}, dataCentres: map[string]string{},
 	}
 	evacuated := map[string]bool{}
 	for _, entry := range daemon.control.routes.Entries(now) {
@@ -362,8 +363,9 @@
 			daemon.logRevision(daemon.log.Error(), entry.ModRevision).Str(eventField, eventRoutingRejected).Err(err).Msg("cannot decode the routing; the one in force stays")
 		case routing.Version > previous.routing.Version || !previous.routing.Known():
 			daemon.control.routingRevision = entry.ModRevision
-			next.routing = routing
-			daemon.logRevision(daemon.log.Info(), entry.ModRevision).Str(eventField, eventRoutingChanged).Int64("Version", routing.Version).Msg("new routing in force")
+			next.routing, next.routingFrom = routing, daemon.control.changesFrom
+			next.routingFrom.log(daemon.logRevision(daemon.log.Info(), entry.ModRevision)).Str(eventField, eventRoutingChanged).Int64("Version", routing.Version).
+				Dur("CopyAge", now.Sub(daemon.control.storeReadAt)).Msg("new routing in force")
 		default:
 			// A store that is restored from a backup holds an older version until the operator writes again.
 			daemon.control.routingRevision = entry.ModRevision
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"catkincove/core"
 	"catkincove/core/admit"
 	"catkincove/core/blame"
@@ -333,6 +335,16 @@
 	_, _ = fmt.Fprintln(writer, e.Kind)
 }
 
+// logBelief adds to the line of a request that the routing does not allow where the routing came from, the age of the copies, and whether the daemon
+// knows that they are not updated.
+func (daemon *Daemon) logBelief(line *zerolog.Event) *zerolog.Event {
+	line = daemon.view.Load().routingFrom.log(line)
+	daemon.do(func() {
+		line = line.Dur("CopyAge", daemon.clock.Now().Sub(daemon.control.storeReadAt)).Bool("StoreUnavailable", daemon.control.routes.Unavailable())
+	})
+	return line
+}
+
 func (daemon *Daemon) finish(request *request) {
 	if request.outcome == "" {
 		request.outcome = "Served"
@@ -345,7 +357,11 @@
 // logRequest writes the log line that ends a request.
 func (daemon *Daemon) logRequest(request *request, status int, err error) {
 	now := daemon.clock.Now()
-	daemon.log.Info().Str(eventField, eventRequestEnded).Str("Request", request.caller.Attempt).Str("Route", request.route.Name).
+	line := daemon.log.Info()
+	if kind := core.AsError(err).Kind; err != nil && (kind == core.NotFound || kind == core.Unauthorized) {
+		line = daemon.logBelief(line)
+	}
+	line.Str(eventField, eventRequestEnded).Str("Request", request.caller.Attempt).Str("Route", request.route.Name).
 		Str("Team", string(request.team.Name)).Int("Priority", request.priority).Int64("RoutingVersion", daemon.view.Load().routing.Version).
 		Str("Outcome", request.outcome).Int("Status", status).Bool("Aborted", request.aborted).Str("Target", request.targetID).Int("Tries", request.attempts).Strs("Versions", request.versions).
 		Str("Resumes", request.caller.Resumes).Str("ResumesAfter", request.caller.LastEvent).
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -26,6 +26,10 @@
 	maxPeerBody            = 16 << 20               // limit in bytes; a copy holds the whole configuration
 )
 
+// messageGeneration is the generation of the messages between daemons. It rises when a daemon has to treat those of older builds differently; builds
+// before the first one state none.
+const messageGeneration = 1
+
 // Paths between daemons.
 const (
 	pathPing   = "/peer/ping"
@@ -55,6 +59,8 @@
 	Heard     []gossipEntry             // gossip about other daemons, in a large fleet
 	PathsLost bool                      // it reaches most targets no longer
 	Limits    []limitEntry              // limits that targets have named or name no longer
+
+	Generation int // of its messages
 }
 
 // gossipEntry says how long ago the daemon at an address was last seen by any daemon, and whether it was leaving then.
@@ -101,7 +107,7 @@
 func (daemon *Daemon) newStatus(now time.Time) peerStatus {
 	status := peerStatus{
 		Record: daemon.self(), Leaving: daemon.leaving.Load(), PathsLost: daemon.paths.lost(), Losses: daemon.control.crashTracker.CrashesToGossip(now),
-		Sound:     daemon.control.crashTracker.SoundToGossip(now),
+		Sound: daemon.control.crashTracker.SoundToGossip(now), Generation: messageGeneration,
 		Forecasts: map[string]batch.Forecast{},
 	}
 	for service := range daemon.view.Load().routing.Services {
@@ -328,6 +334,8 @@
 
 // copiesReply holds the changes, in the order of copies.
 type copiesReply struct {
+	Generation int // of the daemon's messages
+
 	Age     time.Duration // time since the last successful store read
 	Failing bool          // the store is unavailable to the daemon, so its copies only get older
 	Parts   [3]copyPart
@@ -352,6 +360,7 @@
 		anyChange := false
 		daemon.do(func() {
 			changed = daemon.control.copiesChanged
+			reply.Generation = messageGeneration
 			reply.Age, reply.Failing = daemon.clock.Now().Sub(daemon.control.storeReadAt), daemon.control.routes.Unavailable()
 			for i, copy := range daemon.copies() {
 				event, whole := copy.Since(message.Since[i])
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"catkincove/core"
 	"catkincove/core/place"
 )
@@ -10,6 +12,7 @@
 // view is an immutable summary of the routing and the targets, replaced when either changes.
 type view struct {
 	routing     core.Routing
+	routingFrom source
 	targets     map[string][]place.Target // by service; without draining targets and those in an evacuated data centre
 	addresses   map[string]bool           // addresses of all registered targets
 	byID        map[string]string         // address of each registered target
@@ -17,6 +20,21 @@
 	dataCentres map[string]string         // data centre by target address
 }
 
+// source is where a daemon has a change of its copies from: the store, or another daemon.
+type source struct {
+	daemon     string // peer address; empty for the store
+	generation int    // of the messages of that daemon
+}
+
+var fromStore = source{}
+
+func (source source) log(event *zerolog.Event) *zerolog.Event {
+	if source == fromStore {
+		return event.Str("From", "Store")
+	}
+	return event.Str("From", source.daemon).Int("FromGeneration", source.generation)
+}
+
 // registry holds the newest state of each target, which older registrations must not override.
 type registry struct {
 	runs map[string]targetRun
