--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -358,8 +358,10 @@
 func (daemon *Daemon) logRequest(request *request, status int, err error) {
 	now := daemon.clock.Now()
 	line := daemon.log.Info()
-	if kind := core.AsError(err).Kind; err != nil && (kind == core.NotFound || kind == core.Unauthorized) {
-		line = daemon.logBelief(line)
+	if err != nil {
+		if kind := core.AsError(err).Kind; kind == core.NotFound || kind == core.Unauthorized {
+			line = daemon.logBelief(line)
+		}
 	}
 	line.Str(eventField, eventRequestEnded).Str("Request", request.caller.Attempt).Str("Route", request.route.Name).
 		Str("Team", string(request.team.Name)).Int("Priority", request.priority).Int64("RoutingVersion", daemon.view.Load().routing.Version).
