io/edge: send copies without epochs to daemons of builds that do not know them

During an upgrade, callers got 404 for routes that had been added and 200 with keys that had been revoked, from daemons of an older build, until they were restarted: once the store had rejected such a daemon, it copied from one of this build, took the epoch of the revision for a part of its number, and from then on ignored all listings and listed without end (3,100 HistoryLost in 9 s). Revisions carry an epoch from the first restore of the store on. Class: a message means something else to the build that reads it.

A request for copies states its generation. One that states none, and whose revisions carry no epoch, is answered with revisions as the store numbers them.

TestOlderBuildCopies fails before (revision for a store at 14) and passes.

--- a/core/ids.go
+++ b/core/ids.go
@@ -44,6 +44,14 @@
 	return Revision(epoch<<revisionNumberBits | min(max(number, 0), 1<<revisionNumberBits-1))
 }
 
+// InEpoch returns the revision with the same number in another epoch; no revision stays none.
+func (revision Revision) InEpoch(epoch int64) Revision {
+	if revision == 0 {
+		return 0
+	}
+	return NewRevision(epoch, revision.Number())
+}
+
 // Epoch returns how often the store had been restored, as far as it tells.
 func (revision Revision) Epoch() int64 { return int64(revision) >> revisionNumberBits }
 
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -213,7 +213,7 @@
 // are no changes, the other daemon waits up to wait before it responds; firstByteTimeout limits the time to its first
 // byte.
 func (daemon *Daemon) copyFrom(ctx context.Context, address string, wait, firstByteTimeout time.Duration) (copied, error) {
-	request := copiesRequest{Wait: wait}
+	request := copiesRequest{Generation: messageGeneration, Wait: wait}
 	daemon.do(func() {
 		for i, copy := range daemon.copies() {
 			request.Since[i] = copy.Revision()
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strings"
 	"time"
 
@@ -328,10 +329,18 @@
 
 // copiesRequest asks for the changes in a daemon's copies.
 type copiesRequest struct {
+	Generation int // of the requesting daemon's messages
+
 	Since [3]core.Revision // revisions of the requesting daemon's copies
 	Wait  time.Duration    // longest wait for a change
 }
 
+// knowsEpochs reports whether the revisions of the requesting daemon may carry epochs. Older builds take an epoch for a part of the number, believe their
+// copies to be newer than all that the store holds from then on, and follow it no longer.
+func (request copiesRequest) knowsEpochs() bool {
+	return request.Generation > 0 || slices.ContainsFunc(request.Since[:], func(since core.Revision) bool { return since.Epoch() > 0 })
+}
+
 // copiesReply holds the changes, in the order of copies.
 type copiesReply struct {
 	Generation int // of the daemon's messages
@@ -348,6 +357,16 @@
 	Deletes  []string
 }
 
+// withoutEpochs returns the part with revisions as the store numbers them.
+func (part copyPart) withoutEpochs() copyPart {
+	part.Revision = part.Revision.InEpoch(0)
+	part.Puts = slices.Clone(part.Puts)
+	for i, entry := range part.Puts {
+		part.Puts[i].ModRevision, part.Puts[i].CreateRevision = entry.ModRevision.InEpoch(0), entry.CreateRevision.InEpoch(0)
+	}
+	return part
+}
+
 func (daemon *Daemon) serveCopies(writer http.ResponseWriter, request *http.Request) {
 	var message copiesRequest
 	if !readJSON(writer, request, &message) {
@@ -363,9 +382,16 @@
 			reply.Generation = messageGeneration
 			reply.Age, reply.Failing = daemon.clock.Now().Sub(daemon.control.storeReadAt), daemon.control.routes.Unavailable()
 			for i, copy := range daemon.copies() {
-				event, whole := copy.Since(message.Since[i])
+				since := message.Since[i]
+				if !message.knowsEpochs() {
+					since = since.InEpoch(copy.Revision().Epoch())
+				}
+				event, whole := copy.Since(since)
 				anyChange = anyChange || len(event.Puts)+len(event.Deletes) > 0
 				reply.Parts[i] = copyPart{Revision: event.Revision, Whole: whole, Puts: event.Puts, Deletes: event.Deletes}
+				if !message.knowsEpochs() {
+					reply.Parts[i] = reply.Parts[i].withoutEpochs()
+				}
 			}
 		})
 		if anyChange || message.Wait <= 0 {
