io/edge: copy the routing from a daemon that has had a newer one for a while

Callers got 404 for routes that had been added at a daemon in touch, while all others served them: its watch heard nothing, or it had started after a restore of the store and served the backup. Cause: what a daemon knew of the age of its copies was its own last call, and the store's answer to that can itself be old. Class: silence counts as proof that nothing has changed.

A status states the version of the routing in force. Versions order routings whatever the store, its revisions or the build. Weighed: shorter watches, which cost calls and do not help against a store that is behind.

--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -121,6 +121,9 @@
 	decoded         map[string]decodedTarget // decoded registrations, by key
 	decodedMembers  map[string]decodedMember // decoded records of daemons, by key
 
+	offered         offeredRouting
+	behindSince     time.Time     // time since which another daemon has had a newer routing; zero if none has
+	routingEntry    core.Entry    // the routing in force, as the operator wrote it
 	routingRevision core.Revision // revision of the routing in force
 	changesFrom     source        // of the newest changes of the copies
 	storeReadAt     time.Time     // last successful store read, by this daemon or by the one that the copies come from
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -294,10 +294,11 @@
 	}
 }
 
-// copyFromPeers copies from other daemons while the store is unavailable to this one: the store may reject single VMs
+// copyFromPeers copies the routing from a daemon that has had a newer one for a while, and all keys from other daemons while the store is unavailable to this one: the store may reject single VMs
 // while operators go on changing its keys.
 func (daemon *Daemon) copyFromPeers(ctx context.Context) {
 	for core.Sleep(ctx, daemon.clock, peerCopyInterval) {
+		daemon.catchUp(ctx)
 		var unavailable bool
 		var addresses []string
 		daemon.do(func() {
@@ -363,7 +364,7 @@
 			daemon.logRevision(daemon.log.Error(), entry.ModRevision).Str(eventField, eventRoutingRejected).Err(err).Msg("cannot decode the routing; the one in force stays")
 		case routing.Version > previous.routing.Version || !previous.routing.Known():
 			daemon.control.routingRevision = entry.ModRevision
-			next.routing, next.routingFrom = routing, daemon.control.changesFrom
+			next.routing, next.routingFrom, daemon.control.routingEntry = routing, daemon.control.changesFrom, entry
 			next.routingFrom.log(daemon.logRevision(daemon.log.Info(), entry.ModRevision)).Str(eventField, eventRoutingChanged).Int64("Version", routing.Version).
 				Dur("CopyAge", now.Sub(daemon.control.storeReadAt)).Msg("new routing in force")
 		default:
@@ -373,6 +374,11 @@
 				Msg("the routing is no newer than the one in force, which stays")
 		}
 	}
+	if offered := daemon.control.offered; offered.routing.Version > next.routing.Version {
+		next.routing, next.routingFrom, daemon.control.routingEntry = offered.routing, offered.from, offered.entry
+		next.routingFrom.log(daemon.log.Warn()).Str(eventField, eventRoutingChanged).Int64("Version", offered.routing.Version).
+			Dur("CopyAge", now.Sub(daemon.control.storeReadAt)).Msg("another daemon has a newer routing than the copies of this one; it is in force")
+	}
 	daemon.rebuildTargets(now, next, evacuated)
 	daemon.view.Store(next)
 	daemon.rebuildMembers(now)
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -55,7 +55,8 @@
 	revision        core.Revision // revision of the record in the store
 	listed          bool          // the store lists the daemon
 	leaving         bool
-	pathsLost       bool // it reaches most targets no longer
+	pathsLost       bool  // it reaches most targets no longer
+	routingVersion  int64 // version of the routing in force there; 0 if it states none
 	addedAt         time.Time
 	lastSeen        time.Time // time of the newest ping that it responded to or sent, or of gossip about it; zero means never
 	unansweredSince time.Time // time of the first unanswered ping; zero if there is none
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -41,6 +41,8 @@
 	pathFree   = "/peer/free"
 	pathPermit = "/peer/permit"
 	pathReach  = "/peer/reach"
+
+	pathRouting = "/peer/routing" // not known to builds of generation 0
 )
 
 // forecastAt is a forecast with the time at which it was received.
@@ -61,7 +63,8 @@
 	PathsLost bool                      // it reaches most targets no longer
 	Limits    []limitEntry              // limits that targets have named or name no longer
 
-	Generation int // of its messages
+	Generation     int   // of its messages
+	RoutingVersion int64 // version of the routing in force; 0 means none
 }
 
 // gossipEntry says how long ago the daemon at an address was last seen by any daemon, and whether it was leaving then.
@@ -81,6 +84,7 @@
 	mux.HandleFunc("POST "+pathRead, daemon.servePrefill)
 	mux.HandleFunc("POST "+pathPermit, daemon.servePermit)
 	mux.HandleFunc("POST "+pathReach, daemon.serveReach)
+	mux.HandleFunc("POST "+pathRouting, daemon.serveRouting)
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if strings.HasPrefix(request.RequestURI, pathForward+"/") {
 			daemon.serveForward(writer, request) // the mux would clean the caller's path
@@ -108,7 +112,7 @@
 func (daemon *Daemon) newStatus(now time.Time) peerStatus {
 	status := peerStatus{
 		Record: daemon.self(), Leaving: daemon.leaving.Load(), PathsLost: daemon.paths.lost(), Losses: daemon.control.crashTracker.CrashesToGossip(now),
-		Sound: daemon.control.crashTracker.SoundToGossip(now), Generation: messageGeneration,
+		Sound: daemon.control.crashTracker.SoundToGossip(now), Generation: messageGeneration, RoutingVersion: daemon.view.Load().routing.Version,
 		Forecasts: map[string]batch.Forecast{},
 	}
 	for service := range daemon.view.Load().routing.Services {
@@ -159,7 +163,7 @@
 	if status.PathsLost && !known.pathsLost {
 		daemon.paths.warn()
 	}
-	known.pathsLost = status.PathsLost
+	known.pathsLost, known.routingVersion = status.PathsLost, status.RoutingVersion
 	daemon.control.peerLastSeen = now
 	if known.unresponsive {
 		known.unresponsive = false
