io/edge: take the routing from the copies of a daemon whose revisions have no epoch

In a large fleet the copies of such a relay looked current for ever.

Such copies are recognized and left out, since a number without an epoch may be from before a restore. The routing in them is taken by its version. A relay with such copies is passed over; no test plays that. Evacuations and leaving targets have no version and are not taken, so they stay unknown until the store or a newer daemon answers.

--- a/io/edge/catchup.go
+++ b/io/edge/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -77,6 +78,24 @@
 	})
 }
 
+// copyRoutingInCopies copies the routing from the copies of a daemon of an older build, the revisions of which cannot be compared with those of this
+// daemon. The version of the routing can; of the other keys nothing is taken.
+func (daemon *Daemon) copyRoutingInCopies(ctx context.Context, address string) {
+	request := copiesRequest{Since: [3]core.Revision{0, math.MaxInt64, math.MaxInt64}} // all keys of the operator, and nothing else
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	var reply copiesReply
+	if err := daemon.callPeerWithin(ctx, relayResponseTimeout, address, pathCopies, request, &reply); err != nil {
+		daemon.metrics.peerErrors.Add(1)
+		return
+	}
+	daemon.do(func() {
+		for _, entry := range reply.Parts[0].Puts {
+			daemon.offerRouting(entry, source{daemon: address, generation: reply.Generation})
+		}
+	})
+}
+
 // offerRouting puts a routing of another daemon in force if it is newer than the one in force; it must run on the loop.
 func (daemon *Daemon) offerRouting(entry core.Entry, from source) {
 	routing, is, err := daemon.dialect.DecodeRouting(entry.Key, entry.Value)
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -229,6 +229,9 @@
 	result := copied{age: reply.Age, failing: reply.Failing}
 	daemon.do(func() {
 		now := daemon.clock.Now()
+		if result.unordered = reply.isUnordered(daemon.control.routes.Revision()); result.unordered {
+			return
+		}
 		if wait > 0 && !result.areStale() {
 			daemon.markStoreAvailable()
 		}
@@ -240,6 +243,9 @@
 			daemon.mergePart(now, copy, reply.Parts[i])
 		}
 	})
+	if result.unordered {
+		return result, nil
+	}
 	result.age += max(daemon.clock.Now().Sub(sentAt)-wait, 0) // the transit at least, since the other daemon may have waited less
 	return result, nil
 }
@@ -248,6 +254,8 @@
 type copied struct {
 	age     time.Duration
 	failing bool // the store is unavailable to the other daemon
+
+	unordered bool // they are from before a restore of the store, or of a build that does not know epochs, and were left out
 }
 
 // areStale reports whether the copies are too old to rely on. The limit is lower for those that only get older, or a daemon that cannot
@@ -310,8 +318,12 @@
 		if !unavailable || len(addresses) == 0 {
 			continue
 		}
-		if _, err := daemon.copyFrom(ctx, addresses[0], 0, relayResponseTimeout); err != nil {
+		copied, err := daemon.copyFrom(ctx, addresses[0], 0, relayResponseTimeout)
+		switch {
+		case err != nil:
 			daemon.metrics.peerErrors.Add(1)
+		case copied.unordered:
+			daemon.copyRoutingInCopies(ctx, addresses[0])
 		}
 	}
 }
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -361,6 +361,11 @@
 	Deletes  []string
 }
 
+// isUnordered reports whether the revisions lack the epoch that the revision of the reader's copies has.
+func (reply copiesReply) isUnordered(own core.Revision) bool {
+	return reply.Generation == 0 && reply.Parts[0].Revision.Epoch() == 0 && own.Epoch() > 0
+}
+
 // withoutEpochs returns the part with revisions as the store numbers them.
 func (part copyPart) withoutEpochs() copyPart {
 	part.Revision = part.Revision.InEpoch(0)
--- a/io/edge/relay.go
+++ b/io/edge/relay.go
@@ -33,6 +33,9 @@
 // errStaleCopies reports that the copies of a relay are old: the store is unavailable to it.
 var errStaleCopies = errors.New("copies are old")
 
+// errUnorderedCopies reports that the copies of a relay cannot be compared with this daemon's.
+var errUnorderedCopies = errors.New("copies are from before a restore of the store, or of a build that does not know epochs")
+
 // relays chooses the daemon that this one copies from instead of following the store, as all do in a small fleet: with 71
 // daemons their watches were the largest cost of a day, and each read all heartbeats of 200 targets.
 //
@@ -214,6 +217,8 @@
 		case err != nil:
 			daemon.do(func() { daemon.markFailed(relay, err) })
 			return err
+		case copied.unordered:
+			return errUnorderedCopies
 		case copied.areStale():
 			return fmt.Errorf("%w: %v", errStaleCopies, copied.age.Round(time.Millisecond))
 		}
