io/edge: resume no stream by what a daemon knew before it was out of step

It can happen here: a service that had one version for 35 s counted as one of that version for ever at a daemon that no longer heard of changes, so its resumes went to the only version that it knew. Class: 'not known here' was answered as 'the baseline'.

The record of the attempt that a caller names is now always read from the store. If the store does not answer, the service counts as one of a single version only at a daemon that has compared its copies with another daemon's within a second, and since its last pause; otherwise the resume gets 503 and may go to another daemon. A resume that is not known at the daemon costs a read of the store, which a service of one version did not before.

--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -127,6 +127,7 @@
 	routingRevision core.Revision // revision of the routing in force
 	changesFrom     source        // of the newest changes of the copies
 	storeReadAt     time.Time     // last successful store read, by this daemon or by the one that the copies come from
+	comparedAt      time.Time     // last comparison of the copies with another daemon's since the process was last paused
 	copiesChanged   chan struct{} // closed and replaced when the copies change
 	peerLastSeen    time.Time     // time at which any other daemon was last seen
 }
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -232,6 +232,7 @@
 		if result.unordered = reply.isUnordered(daemon.control.routes.Revision()); result.unordered {
 			return
 		}
+		daemon.control.comparedAt = now
 		if wait > 0 && !result.areStale() {
 			daemon.markStoreAvailable()
 		}
--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -27,6 +27,7 @@
 	originRetryAfter    = 500 * time.Millisecond // Retry-After of a resumed stream whose version is unknown or has no target
 	baselineInterval    = time.Second            // period in which the baselines are compared with the targets
 	recordsWatchPause   = 250 * time.Millisecond // interval of watches while records are written, each of which ends a watch
+	maxComparisonAge    = time.Second            // time since copies were compared with another daemon's after which a daemon without the store is out of step; it asks three times in that
 	maxOriginID         = 64                     // bytes of an attempt's ID that is kept as it is; stores limit the length of keys
 	maxPendingOrigins   = 2000                   // records that wait to be written
 )
@@ -229,14 +230,9 @@
 	began, found := origin.Origin{}, false
 	daemon.do(func() {
 		now := daemon.clock.Now()
-		if began, found = daemon.control.origins.table.Find(now, resumed); found {
-			return
-		}
-		if daemon.hasOneVersion(now, service) {
-			began, found = origin.Origin{Service: service, Version: daemon.control.origins.baselines[service].Version}, true
-		}
+		began, found = daemon.control.origins.table.Find(now, resumed)
 	})
-	if !found && request.caller.Resumes != "" {
+	if !found {
 		began, found = daemon.lookUpOrigin(ctx, service, resumed)
 	}
 	if !found {
@@ -256,15 +252,41 @@
 	return nil
 }
 
-// hasOneVersion reports whether all streams that may be resumed began at the baseline of the service; it must run on the loop.
+// hasOneVersion reports whether all streams that may be resumed began at the baseline of the service; it must run on the loop. A daemon that is out of
+// step does not know: targets of another version may have joined and begun streams meanwhile.
 func (daemon *Daemon) hasOneVersion(now time.Time, service string) bool {
 	known := daemon.control.origins.baselines[service]
 	lifetime := daemon.originLifetime()
-	return known.Version != "" && known.Next == "" && now.Sub(known.since) > lifetime && now.Sub(daemon.control.origins.mixedAt[service]) > lifetime
+	return daemon.inStep(now) && known.Version != "" && known.Next == "" && now.Sub(known.since) > lifetime && now.Sub(daemon.control.origins.mixedAt[service]) > lifetime
+}
+
+// inStep reports whether the copies are followed, or were compared with another daemon's a moment ago; it must run on the loop.
+func (daemon *Daemon) inStep(now time.Time) bool {
+	if daemon.pauses.Unchecked() != nil {
+		return false
+	}
+	return !daemon.control.routes.Unavailable() || now.Sub(daemon.control.comparedAt) < maxComparisonAge
 }
 
-// lookUpOrigin reads the record of an attempt; without one, the stream began at the baseline of the service.
-func (daemon *Daemon) lookUpOrigin(ctx context.Context, service, attempt string) (origin.Origin, bool) {
+// lookUpOrigin finds out at which version the stream of an attempt began that is not known here; false means that nothing tells.
+func (daemon *Daemon) lookUpOrigin(ctx context.Context, service, attempt string) (began origin.Origin, found bool) {
+	if attempt != "" {
+		read := false
+		if began, read = daemon.readOrigin(ctx, service, attempt); read {
+			return began, began.Known()
+		}
+	}
+	daemon.do(func() {
+		if daemon.hasOneVersion(daemon.clock.Now(), service) {
+			began, found = origin.Origin{Service: service, Version: daemon.control.origins.baselines[service].Version}, true
+		}
+	})
+	return began, found
+}
+
+// readOrigin reads the record of an attempt; without one, the stream began at the baseline of the service, if that is known. It returns false if the store
+// does not answer.
+func (daemon *Daemon) readOrigin(ctx context.Context, service, attempt string) (origin.Origin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
 	snapshot, err := daemon.store.Get(ctx, core.OriginPrefix+attempt)
@@ -274,16 +296,17 @@
 		return origin.Origin{}, false
 	}
 	if len(snapshot.Entries) > 0 {
-		began, err := decodeOrigin(snapshot.Entries[0].Value)
-		return began, err == nil
+		began, _ := decodeOrigin(snapshot.Entries[0].Value)
+		return began, true
 	}
-	began := origin.Origin{Service: service}
+	var began origin.Origin
 	daemon.do(func() {
-		if !daemon.copiesAreStale(daemon.clock.Now()) {
-			began.Version = daemon.control.origins.baselines[service].Version
+		baseline := daemon.control.origins.baselines[service].Version
+		if baseline != "" && daemon.pauses.Unchecked() == nil && !daemon.copiesAreStale(daemon.clock.Now()) {
+			began = origin.Origin{Service: service, Version: baseline}
 		}
 	})
-	return began, began.Version != ""
+	return began, true
 }
 
 // copiesAreStale reports whether a change of a baseline may not be known here; it must run on the loop.
