platform, io/edge: an odd entry of another writer costs that entry only

Other operators saw machines that ended again and again, or stopped following a list, because of one entry that was very deeply nested, had a number too large, or a port out of range. A baseline that cannot be decoded was logged with each change, one with the largest generation could never be replaced, and one with 1e300 cores made all other VMs count as small. Class: a conversion without a range.

--- a/io/edge/fuzz_test.go
+++ b/io/edge/fuzz_test.go
@@ -8,9 +8,11 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"catkincove/core"
 	"catkincove/core/blame"
 	"catkincove/core/place"
 )
@@ -117,7 +119,7 @@
 // FuzzPeerMessages guards against a message of another daemon that makes a handler or the control loop panic, or for which a
 // handler keeps running after the other daemon has disconnected.
 func FuzzPeerMessages(f *testing.F) {
-	paths := []string{pathPing, pathCopies, pathPieces, pathPlace, pathRead, pathFree, pathPermit}
+	paths := []string{pathPing, pathCopies, pathPieces, pathPlace, pathRead, pathFree, pathPermit, pathReach, pathRouting}
 	for i := range paths {
 		f.Add(uint8(i), []byte(`{}`))
 		f.Add(uint8(i), []byte(`{"Service":"model","Attempt":"a","Pieces":2,"Prompt":{"Attempt":"a","Parts":[{"ID":"x","Tokens":5}],"Hint":"i-0"},"Handles":["10.0.0.1:1/x"],"Target":"i-0","Outcome":1,"Since":[1,0,9],"Aim":1000000,"Left":1000000}`))
@@ -181,3 +183,40 @@
 		}
 	})
 }
+
+// FuzzRecords guards against a record of another writer in the store that makes the daemons which list it panic or send messages that cannot be encoded.
+func FuzzRecords(f *testing.F) {
+	prefixes := []string{core.MemberPrefix, core.BaselinePrefix, core.CrashPrefix, core.OriginPrefix}
+	deep := strings.Repeat(`{"Service":[`, 20_000)
+	for i := range prefixes {
+		for _, seed := range []string{
+			deep, `{"ID":"d","Peer":"10.2.0.1:70000","Cores":1}`, `{"ID":"d","Peer":"10.2.0.1:81","Front":"x","Cores":1e308}`, `{"Generation":9223372036854775807,"Version":"v"}`,
+			`{"Generation":-1,"Version":"v","Next":"w"}`, `[{"Content":1,"Target":"t","Age":9223372036854775807,"With":[1,2]}]`, `[{"Age":-9223372036854775808}]`, `{"Service":"model","Version":""}`, `1e400`,
+		} {
+			f.Add(uint8(i), "model", []byte(seed))
+		}
+	}
+	daemon, reset := fuzzFleet(f)
+	revision := core.NewRevision(1, 1)
+	f.Fuzz(func(t *testing.T, kind uint8, name string, value []byte) {
+		reset()
+		revision++
+		entry := core.Entry{Key: prefixes[int(kind)%len(prefixes)] + name, Value: value, ModRevision: revision, CreateRevision: revision}
+		before := daemon.metrics.panics.Load()
+		var sent peerStatus
+		daemon.do(func() {
+			daemon.replaceCopies(core.Snapshot{Revision: revision, Entries: []core.Entry{entry}})
+			daemon.rebuildView()
+			daemon.peersToPing(1)
+			daemon.relayCandidates()
+			sent = daemon.newStatus(daemon.clock.Now())
+		})
+		_ = daemon.baselineChanges()
+		if _, err := json.Marshal(sent); err != nil {
+			t.Error(err)
+		}
+		if daemon.metrics.panics.Load() != before {
+			t.Errorf("panic after %q: %q", entry.Key, value)
+		}
+	})
+}
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -49,6 +50,16 @@
 	Cores      float64 // CPU cores of its VM
 }
 
+// maxCores is the largest number of cores of a VM that a record may state.
+const maxCores = 1024
+
+// isValid reports whether the record may be that of a daemon; another writer may have written it.
+func (record record) isValid() bool {
+	host, port, err := net.SplitHostPort(record.Peer)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	return err == nil && portErr == nil && host != "" && number > 0 && record.Cores >= 0 && record.Cores <= maxCores
+}
+
 // peer is what this daemon knows about the daemon at one address.
 type peer struct {
 	record
@@ -183,7 +194,7 @@
 	}
 	decoded := decodedMember{revision: entry.ModRevision}
 	err := json.Unmarshal(entry.Value, &decoded.record)
-	decoded.valid = err == nil && decoded.record.Peer != ""
+	decoded.valid = err == nil && decoded.record.isValid()
 	if !decoded.valid {
 		daemon.log.Warn().Str(eventField, eventMemberIgnored).Str("Key", entry.Key).AnErr("Cause", err).Msg("cannot decode a daemon's record; ignoring it")
 	}
--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -36,6 +36,7 @@
 type origins struct {
 	table       origin.Table
 	baselines   map[string]knownBaseline // by service
+	invalid     map[string]core.Revision // revisions of the baselines that cannot be decoded, by key
 	mixedAt     map[string]time.Time     // time at which a target of another version than the baseline was last registered, by service
 	pending     map[string]*originRecord // records to be written, by attempt
 	order       []string                 // their attempts, oldest first
@@ -57,7 +58,7 @@
 }
 
 func newOrigins() origins {
-	return origins{baselines: map[string]knownBaseline{}, mixedAt: map[string]time.Time{}, pending: map[string]*originRecord{}, wake: make(chan struct{}, 1)}
+	return origins{baselines: map[string]knownBaseline{}, invalid: map[string]core.Revision{}, mixedAt: map[string]time.Time{}, pending: map[string]*originRecord{}, wake: make(chan struct{}, 1)}
 }
 
 // isResumable reports whether the request is for a stream that may go on at another target.
@@ -448,9 +449,8 @@
 		if !is {
 			continue
 		}
-		var baseline origin.Baseline
-		if err := json.Unmarshal(entry.Value, &baseline); err != nil {
-			daemon.log.Warn().Str(eventField, eventOriginUnknown).Str("Key", entry.Key).Err(err).Msg("cannot decode a baseline; ignoring it")
+		baseline, valid := daemon.decodeBaseline(entry)
+		if !valid {
 			continue
 		}
 		known := origins.baselines[service]
@@ -466,6 +466,27 @@
 	}
 }
 
+// maxBaselineGeneration is far above the number of changes of a baseline; a larger one is of another writer, and could not be counted up.
+const maxBaselineGeneration = 1 << 40
+
+// decodeBaseline decodes a baseline and reports whether it is valid; it logs an invalid one once for each of its revisions. It must run on the loop.
+func (daemon *Daemon) decodeBaseline(entry core.Entry) (origin.Baseline, bool) {
+	var baseline origin.Baseline
+	err := json.Unmarshal(entry.Value, &baseline)
+	if err == nil && (baseline.Generation < 0 || baseline.Generation > maxBaselineGeneration) {
+		err = errors.New("generation out of range")
+	}
+	if err == nil {
+		return baseline, true
+	}
+	origins := &daemon.control.origins
+	if origins.invalid[entry.Key] != entry.ModRevision {
+		origins.invalid[entry.Key] = entry.ModRevision
+		daemon.log.Warn().Str(eventField, eventOriginUnknown).Str("Key", entry.Key).Err(err).Msg("cannot decode a baseline; ignoring it")
+	}
+	return origin.Baseline{}, false
+}
+
 // noteVersions notes the services with targets of other versions than their baseline; it must run on the loop.
 func (daemon *Daemon) noteVersions(now time.Time, targets []core.TargetEntry) {
 	for _, target := range targets {
@@ -551,7 +572,7 @@
 	var stored knownBaseline
 	for _, entry := range daemon.control.live.Entries(now) {
 		if entry.Key == core.BaselinePrefix+service {
-			_ = json.Unmarshal(entry.Value, &stored.Baseline) // one that cannot be decoded is replaced
+			stored.Baseline, _ = daemon.decodeBaseline(entry) // an invalid one is replaced
 			stored.revision = entry.ModRevision
 		}
 	}
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -147,7 +147,7 @@
 
 // mergeStatus merges the status that another daemon reported into the peers; it must run on the loop.
 func (daemon *Daemon) mergeStatus(status peerStatus) {
-	if status.Record.ID == daemon.id || status.Record.ID == "" {
+	if status.Record.ID == daemon.id || status.Record.ID == "" || !status.Record.isValid() {
 		return
 	}
 	now := daemon.clock.Now()
