--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -43,6 +43,9 @@
 	HasBody bool // sends Content-Length even when the body is empty
 	// Sending is called when the connection is open and before the first byte is written; nil is skipped.
 	Sending func()
+	// Fresh sends the request on a new connection: on a kept one, a second copy of the response to an earlier try of the same attempt could not be told from
+	// the response to this one.
+	Fresh bool
 	// Purpose separates connections: one is reused only for requests of the same purpose.
 	Purpose string
 	// Match reports whether the status and headers of a response belong to the attempt; nil accepts any response.
@@ -116,7 +119,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Cause: err} // a kept connection would carry the request before the end of ctx closes it
 	}
-	conn, err := client.connect(ctx, request.connKey())
+	conn, err := client.connect(ctx, request.connKey(), request.Fresh)
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
@@ -138,9 +141,11 @@
 	return response, nil
 }
 
-func (client *Client) connect(ctx context.Context, key connKey) (*conn, error) {
-	if idle := client.takeIdle(key); idle != nil {
-		return idle, nil
+func (client *Client) connect(ctx context.Context, key connKey, fresh bool) (*conn, error) {
+	if !fresh {
+		if idle := client.takeIdle(key); idle != nil {
+			return idle, nil
+		}
 	}
 	dial := client.Dial
 	if dial == nil {
