io/edge, platform: send nothing to a target whose response says that it leaves

A target that leaves says so in all its answers (Server-Leaving). Nothing read that: 30, 29 and 25 requests reached plain targets, engines and stage targets in the second after the 2 s that are allowed (TestLeavingTarget), as long as the store did not say it as well.

The mark belongs to the run of the target, so it ends when the target starts again under its ID, and an address that is used again has another ID. It is one of the states of a target that the registration sets as well, so all places that choose targets respect it at once. A daemon that forwards a request names the target to the one that it forwards for. Weighed: telling all daemons; each learns it from its own first response or from the store, and the rule binds each for itself.

--- a/core/routing.go
+++ b/core/routing.go
@@ -254,6 +254,7 @@
 	Brittle       bool    // the target falls over when it has to reject more than MaxRejections for want of room
 	MaxRejections float64 // in a second, from all daemons together
 	RateLimit     float64 // requests per second that the target takes from all daemons together, for as long as it names them
+	Leaving       bool    // the target leaves and wants no further requests
 }
 
 // Piece is one unit of work of a stage.
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -449,6 +449,15 @@
 	daemon.noteVersions(now, registered)
 }
 
+// markLeaving records that a target leaves, as its response says; it must run on the loop. The other daemons learn it from the store, or from the target.
+func (daemon *Daemon) markLeaving(id string, startedAt time.Time) {
+	if !daemon.control.registry.leave(id, startedAt) {
+		return
+	}
+	daemon.log.Info().Str(eventField, eventTargetLeaves).Str("Target", id).Str("From", "Response").Msg("the target leaves and gets no new requests")
+	daemon.rebuildView()
+}
+
 // equivalentTarget reports whether two registrations of a target differ at most in their sequence.
 func (daemon *Daemon) equivalentTarget(before, after core.Entry) bool {
 	known, errBefore := daemon.decodeTarget(before)
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -21,13 +21,14 @@
 
 // Headers between the two daemons; none of them reaches a target or a caller.
 const (
-	headerElapsed   = "Catkincove-Elapsed"    // milliseconds since the first daemon received the request
-	headerContinues = "Catkincove-Continues"  // last event that the caller has of a stream that goes on within its response
-	headerOrigin    = "Catkincove-Origin"     // service and version of the target that began the stream
-	headerPathsLost = "Catkincove-Paths-Lost" // in a response: the daemon has lost its paths as well and has not run the request
+	headerElapsed      = "Catkincove-Elapsed"       // milliseconds since the first daemon received the request
+	headerContinues    = "Catkincove-Continues"     // last event that the caller has of a stream that goes on within its response
+	headerOrigin       = "Catkincove-Origin"        // service and version of the target that began the stream
+	headerTargetLeaves = "Catkincove-Target-Leaves" // in a response: target that has said that it leaves
+	headerPathsLost    = "Catkincove-Paths-Lost"    // in a response: the daemon has lost its paths as well and has not run the request
 )
 
-var forwardHeaders = []string{headerElapsed, headerContinues, headerOrigin, headerPathsLost}
+var forwardHeaders = []string{headerElapsed, headerContinues, headerOrigin, headerTargetLeaves, headerPathsLost}
 
 // forwardedRequest is what the first daemon says about a request that it passes on.
 type forwardedRequest struct {
@@ -93,6 +94,10 @@
 	facts := relay.daemon.dialect.TargetResponse(response.StatusCode, response.Header)
 	relay.toldOrigin = parseOrigin(response.Header.Get(headerOrigin))
 	response.Header.Del(headerOrigin)
+	if leaving := response.Header.Get(headerTargetLeaves); leaving != "" {
+		relay.daemon.do(func() { relay.daemon.markLeaving(leaving, relay.daemon.control.registry.runs[leaving].startedAt) })
+		response.Header.Del(headerTargetLeaves)
+	}
 	if facts.HasDigest {
 		return response, nil
 	}
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -53,21 +53,29 @@
 	wait    time.Duration // from then on
 }
 
-// limitEvidence is a response of a target, by which it names a limit or none.
-type limitEvidence struct {
+// targetAnswer is a response of a target, by which it names a limit or none and says whether it leaves.
+type targetAnswer struct {
 	service   string
 	target    string
 	startedAt time.Time // start of the target's run
 	sentAt    time.Time // time before the request was sent
 	status    int
 	facts     core.TargetResponse
+
+	unidentified bool // it may be the response to another request, sent a second time
 }
 
-// observeLimit records whether a response of a target names a limit.
-func (daemon *Daemon) observeLimit(response limitEvidence) {
+// observeAnswer records whether a response of a target names a limit, and whether it says that the target leaves.
+func (daemon *Daemon) observeAnswer(response targetAnswer) {
 	if response.status == http.StatusMisdirectedRequest {
 		return // another target at the address has responded
 	}
+	if response.facts.Leaving {
+		daemon.do(func() { daemon.markLeaving(response.target, response.startedAt) })
+	}
+	if response.unidentified {
+		return
+	}
 	evidence := limit.Evidence{Target: response.target, StartedAt: response.startedAt, Named: response.facts.Limited, Rate: response.facts.RateLimit, At: response.sentAt}
 	var results limit.Results
 	switch {
@@ -119,7 +127,7 @@
 }
 
 // rejectsForRoom reports whether a target has rejected a request for want of room.
-func rejectsForRoom(response limitEvidence) bool {
+func rejectsForRoom(response targetAnswer) bool {
 	return response.facts.NotRun && (response.status == http.StatusServiceUnavailable || response.status == http.StatusTooManyRequests)
 }
 
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -448,6 +448,9 @@
 		return err
 	}
 	relay.delimited = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	if relay.request.forwarded && relay.daemon.dialect.TargetResponse(response.StatusCode, response.Header).Leaving {
+		relay.writer.Header().Set(headerTargetLeaves, relay.attempt.target.ID)
+	}
 	switch {
 	case response.StatusCode >= http.StatusMultipleChoices:
 		return relay.errorResponse(ctx, response)
@@ -483,11 +486,10 @@
 	}
 	facts := relay.daemon.dialect.TargetResponse(response.StatusCode, response.Header)
 	unidentified := facts.Attempt == "" && relay.request.caller.Attempt != ""
-	if !unidentified {
-		relay.daemon.observeLimit(limitEvidence{
-			service: relay.service.Name, target: relay.attempt.target.ID, startedAt: relay.attempt.target.StartedAt, sentAt: relay.attempt.startedAt, status: response.StatusCode, facts: facts,
-		})
-	}
+	relay.daemon.observeAnswer(targetAnswer{
+		service: relay.service.Name, target: relay.attempt.target.ID, startedAt: relay.attempt.target.StartedAt, sentAt: relay.attempt.startedAt, status: response.StatusCode, facts: facts,
+		unidentified: unidentified,
+	})
 	switch {
 	case unidentified:
 		// It may be a second copy of the response to another request, whatever it says about this one.
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -81,6 +81,17 @@
 	return known, true
 }
 
+// leave records that a target leaves, until it starts again; it returns false if that is known, or another run of the target is.
+func (registry *registry) leave(id string, startedAt time.Time) bool {
+	known, found := registry.runs[id]
+	if !found || known.draining || !known.startedAt.Equal(startedAt) {
+		return false
+	}
+	known.draining = true
+	registry.runs[id] = known
+	return true
+}
+
 // has reports whether a target is registered.
 func (registry *registry) has(id string) bool {
 	known, found := registry.runs[id]
