core/limit, io/edge: send nothing to a target for the time that its rejection states

A target that is full may add Retry-After to its 503; it then wants nothing from that daemon for so long. Only serve read it: between half a second after the rejection and the end of the pause, 22 to 67 requests reached the target (TestTargetsPause, allowed: 2), and callers waited or were told to come back after 0.4 s while all targets paused for 4 s.

A pause stands in the table of limits, which all places that send ask already, and binds this daemon alone: the daemon that places prompts for others gets its paused engines as excluded ones, the sender of batches asks with its own pauses, and results of a paused target are freed later. If all targets of a service pause, a request is rejected at once, for stages by the forecast, and its caller comes back when the first pause ends. The longest of several values counts, a later answer cuts none short, a new run of the target ends it; what is neither a positive number nor a date states none, and an hour is the most.

TestTargetsPause (16 cases), TestAllTargetsPause (3) and TestPause pass, the first two in 3 of 3 runs.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -127,6 +127,10 @@
 // that one more rejection would be final.
 func Decide(request Request, random *rand.Rand) Decision {
 	for _, stage := range request.Stages {
+		if stage.Pieces > 0 && stage.ForecastFresh && stage.Forecast.PausedFor > 0 {
+			spread := time.Duration(float64(stage.Forecast.PausedFor) * random.Float64() / 2)
+			return Decision{Reason: "StageTargetsPause", RetryAfter: max(stage.Forecast.PausedFor+spread, minRetryAfter)}
+		}
 		if stage.Pieces > 0 && stage.ForecastFresh && stage.Forecast.Capacity <= 0 {
 			return Decision{Reason: "StageHasNoTargets", RetryAfter: jittered(noTargetsRetryAfter, random)}
 		}
--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -85,7 +85,7 @@
 	}
 	pool.infeasibleCheckedAt = now
 	pool.markLate(now)
-	minCallTime := pool.spec.CallOverhead
+	minCallTime := pool.pausedFor(now) + pool.spec.CallOverhead
 	rejected := map[*job]bool{}
 	for _, waiting := range pool.queue {
 		if waiting.runningCalls > 0 {
--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -101,7 +101,7 @@
 // Forecast returns an estimate of how long new jobs would wait.
 func (pool *Pool) Forecast(now time.Time) Forecast {
 	forecast := Forecast{Call: pool.typicalCallTime(), ShortOfRoom: pool.isShortOfRoom(now), Ahead: make([]time.Duration, forecastSteps)}
-	forecast.Capacity = pool.capacity(now, forecast.Call)
+	forecast.Capacity, forecast.PausedFor = pool.capacity(now, forecast.Call), pool.pausedFor(now)
 	perPiece := pool.spec.CallOverhead / time.Duration(pool.spec.MaxPieces)
 	for _, waiting := range pool.queue {
 		if now.Add(pool.spec.CallOverhead).After(waiting.job.SoftDeadline) {
@@ -140,6 +140,9 @@
 		// stalled, and that must not stop it from admitting work.
 		share := 1 / max(max(worker.currentSlowdown(now), 1)/slowdowns[len(slowdowns)/2], 1)
 		if pool.Pacer != nil {
+			if pool.Pacer.PausedFor(now, worker.ID) > 0 {
+				continue
+			}
 			if rate, limited := pool.Pacer.Rate(worker.ID); limited {
 				share = min(share, rate*callTime.Seconds()/float64(pool.spec.MaxCalls))
 			}
@@ -149,6 +152,27 @@
 	return capacity
 }
 
+// pausedFor returns how long all targets want nothing; 0 means that one may get a call, or that there is none.
+func (pool *Pool) pausedFor(now time.Time) time.Duration {
+	if pool.Pacer == nil {
+		return 0
+	}
+	var least time.Duration
+	for _, worker := range pool.workers {
+		if worker.removed {
+			continue
+		}
+		wait := pool.Pacer.PausedFor(now, worker.ID)
+		if wait == 0 {
+			return 0
+		}
+		if least == 0 || wait < least {
+			least = wait
+		}
+	}
+	return least
+}
+
 // slowdowns returns the slowdowns of the usable targets, fastest first.
 func (pool *Pool) slowdowns(now time.Time) []float64 {
 	var slowdowns []float64
--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -70,6 +70,7 @@
 // Forecast tells other daemons how long new work would wait; the zero value means no capacity.
 type Forecast struct {
 	Capacity    float64         // usable targets; slow ones count in part
+	PausedFor   time.Duration   // time until a target may get a call, if all have stated that they want none; 0 otherwise
 	ShortOfRoom bool            // the targets have little free capacity for results
 	Call        time.Duration   // typical time of a call at the present batch size
 	Ahead       []time.Duration // work of all targets before a job; the index is the time left to its soft deadline, in ForecastStep
--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -25,6 +25,7 @@
 // Table holds the newest evidence of each target. The zero value is ready to use; it is not safe for concurrent use.
 type Table struct {
 	states map[string]*state
+	pauses map[string]pause // by target
 }
 
 type state struct {
@@ -91,6 +92,7 @@
 // Sweep removes old evidence of targets that name no limit or are not registered. A limit of a registered target stays, however
 // long it gets no requests.
 func (table *Table) Sweep(now time.Time, registered func(target string) bool) {
+	table.sweepPauses(now)
 	for target, state := range table.states {
 		if now.Sub(state.evidence.At) > evidenceTTL && !(state.evidence.Named && registered(target)) {
 			delete(table.states, target)
--- a/core/routing.go
+++ b/core/routing.go
@@ -255,6 +255,8 @@
 	MaxRejections float64 // in a second, from all daemons together
 	RateLimit     float64 // requests per second that the target takes from all daemons together, for as long as it names them
 	Leaving       bool    // the target leaves and wants no further requests
+
+	Pause time.Duration // time for which the target, which is full, wants nothing from this daemon; 0 means that it states none
 }
 
 // Piece is one unit of work of a stage.
--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -43,9 +43,14 @@
 // whole fleet; nil means that it chose none or did not respond, and that the caller must choose a target from local
 // state. It returns an error if no engine may get the prompt in time by the limits that they have named.
 func (daemon *Daemon) placeEngine(ctx context.Context, request *request, service core.ServiceSpec, version string) (*attempt, error) {
-	targets := place.OfVersion(daemon.view.Load().targets[service.Name], version)
+	var targets []place.Target
+	var pausedFor time.Duration
+	daemon.do(func() { targets, pausedFor = daemon.unpausedTargets(daemon.clock.Now(), service.Name, version) })
+	if len(targets) == 0 && pausedFor > 0 {
+		return nil, daemon.pauseError(service.Name, pausedFor)
+	}
 	message := placeRequest{Service: service.Name, Prompt: place.Prompt{
-		Attempt: request.caller.Attempt, Parts: request.caller.Prompt, Zone: request.inputDataCentre, InputBytes: request.inputBytes, Exclude: request.triedTargets,
+		Attempt: request.caller.Attempt, Parts: request.caller.Prompt, Zone: request.inputDataCentre, InputBytes: request.inputBytes, Exclude: daemon.excludedEngines(request, service.Name, targets),
 		MaxWait: request.maxPermitWait(daemon.clock.Now()), Version: version,
 	}}
 	shared, _ := request.sharedPrompt()
@@ -105,6 +110,22 @@
 	return nil, nil // the engine is no usable target in this daemon's view, as when it is draining or has another version
 }
 
+// excludedEngines returns the engines that must not get the request: those that were tried, and those that want nothing from this daemon, which the placing
+// daemon does not know.
+func (daemon *Daemon) excludedEngines(request *request, service string, unpaused []place.Target) []string {
+	all := daemon.view.Load().targets[service]
+	if len(unpaused) == len(all) {
+		return request.triedTargets
+	}
+	excluded := slices.Clone(request.triedTargets)
+	for _, target := range all {
+		if !slices.ContainsFunc(unpaused, func(other place.Target) bool { return other.ID == target.ID }) {
+			excluded = append(excluded, target.ID)
+		}
+	}
+	return excluded
+}
+
 func (daemon *Daemon) placeLocally(message placeRequest) placeReply {
 	targets := place.OfVersion(daemon.view.Load().targets[message.Service], message.Prompt.Version)
 	var reply placeReply
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -416,6 +416,7 @@
 		if !current {
 			continue
 		}
+		daemon.control.limits.StartRun(target.ID, run.startedAt)
 		if run.draining && !wasDraining {
 			daemon.logRevision(daemon.log.Info(), entry.ModRevision).Str(eventField, eventTargetLeaves).Str("Target", target.ID).Str("Service", target.Service).
 				Dur("CopyAge", now.Sub(daemon.control.storeReadAt)).Msg("the target leaves and gets no new requests")
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -73,6 +73,9 @@
 	if response.facts.Leaving {
 		daemon.do(func() { daemon.markLeaving(response.target, response.startedAt) })
 	}
+	if response.facts.Pause > 0 {
+		daemon.pauseTarget(response)
+	}
 	if response.unidentified {
 		return
 	}
@@ -243,6 +246,11 @@
 	if granted.wait > 0 && !core.Sleep(ctx, daemon.clock, granted.wait) {
 		return false
 	}
+	paused := false
+	daemon.do(func() { paused = daemon.control.limits.PausedFor(daemon.clock.Now(), target.ID) > 0 })
+	if paused {
+		return false
+	}
 	if core.Elapsed(granted.askedAt, daemon.clock.Now()) > granted.wait+permitTTL {
 		return false
 	}
@@ -266,16 +274,19 @@
 	var maxWait time.Duration
 	tries := 0
 	for {
-		targets := place.OfVersion(daemon.view.Load().targets[service], version)
+		var targets []place.Target
 		var index int
 		var fault place.Fault
-		var heldFor time.Duration
+		var heldFor, pausedFor time.Duration
 		daemon.do(func() {
 			now := daemon.clock.Now()
+			targets, pausedFor = daemon.unpausedTargets(now, service, version)
 			index, fault = daemon.control.chooser.Choose(now, targets, placement)
 			heldFor = daemon.control.chooser.HeldFor(now, targets)
 		})
 		switch {
+		case fault != place.Chosen && heldFor == 0 && pausedFor > 0:
+			return place.Target{}, daemon.pauseError(service, pausedFor)
 		case fault != place.Chosen && !placement.MayWait && (heldFor > 0 || tries > 0):
 			placement.MayWait, maxWait = true, request.maxPermitWait(daemon.clock.Now())
 			if heldFor > maxWait {
@@ -307,8 +318,12 @@
 // limitError is the rejection of a request because all usable targets have named limits. Callers are told to come back when a target
 // may get a request, spread over half as much time again.
 func (daemon *Daemon) limitError(service string, wait time.Duration) error {
+	return core.Errorf(core.Unavailable, "the targets of service %s have named limits, which are used up for %v", service, wait.Round(time.Millisecond)).WithRetryAfter(daemon.spreadRetryAfter(wait))
+}
+
+// spreadRetryAfter returns a random time from the wait to half as much again, so that callers do not come back together.
+func (daemon *Daemon) spreadRetryAfter(wait time.Duration) time.Duration {
 	var spread float64
 	daemon.do(func() { spread = daemon.control.random.Float64() / 2 })
-	retryAfter := max(time.Duration(float64(wait)*(1+spread)), fullRetryAfter)
-	return core.Errorf(core.Unavailable, "the targets of service %s have named limits, which are used up for %v", service, wait.Round(time.Millisecond)).WithRetryAfter(retryAfter)
+	return max(time.Duration(float64(wait)*(1+spread)), fullRetryAfter)
 }
--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -14,7 +14,6 @@
 
 	"catkincove/core"
 	"catkincove/core/origin"
-	"catkincove/core/place"
 )
 
 const (
@@ -196,7 +195,7 @@
 		if known.Version == "" || !daemon.originsFail(now) {
 			return
 		}
-		if daemon.control.chooser.HasUsable(now, place.OfVersion(daemon.view.Load().targets[service], known.Version), request.triedTargets) {
+		if targets, _ := daemon.unpausedTargets(now, service, known.Version); daemon.control.chooser.HasUsable(now, targets, request.triedTargets) {
 			version = known.Version
 		}
 	})
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -10,6 +10,7 @@
 
 	"catkincove/core"
 	"catkincove/core/batch"
+	"catkincove/core/limit"
 	"catkincove/core/place"
 	"catkincove/io/xchg"
 )
@@ -56,7 +57,7 @@
 		known = &sender{
 			service: service, pool: batch.New(spec), results: map[batch.JobID]chan batch.Result{}, pendingFrees: map[string][]string{},
 		}
-		known.pool.Pacer = &daemon.control.limits
+		known.pool.Pacer = limit.Sender{Table: &daemon.control.limits}
 		daemon.control.senders[service] = known
 		known.pool.SetTargets(batchTargets(daemon.view.Load().targets[service]))
 		daemon.log.Info().Str(eventField, eventSenderStarts).Str("Service", service).Msg("this daemon now sends the batches of the service")
@@ -265,7 +266,14 @@
 
 func (daemon *Daemon) sendFrees(sender *sender) {
 	for address, handles := range sender.pendingFrees {
+		delay := daemon.freeDelayOf(daemon.clock.Now(), address)
+		if delay > maxFreeDelay {
+			continue // they expire on their own
+		}
 		daemon.spawn("free", func() {
+			if delay > 0 && !core.Sleep(daemon.loopContext, daemon.clock, delay) {
+				return
+			}
 			daemon.sendFree(address, handles)
 			// The result capacity is free only now: a batch sent earlier would find the target full.
 			daemon.loop.Post(func() {
