io/edge: forward requests to daemons of builds that know that only

A status of such a build does not state PathsLost.

TestLostPathsBesideOlderBuild fails before (6 of 34 first tries served, 34 of 34 at the other daemon) and passes (34 of 34, twice).

--- a/io/edge/paths.go
+++ b/io/edge/paths.go
@@ -204,7 +204,7 @@
 		daemon.control.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 		for _, known := range peers {
 			switch {
-			case known.leaving || known.pathsLost || daemon.isSuspect(now, known):
+			case known.leaving || known.pathsLost || !known.forwards || daemon.isSuspect(now, known):
 			case seen[known.DataCentre]:
 				rest = append(rest, known.Peer)
 			default:
@@ -333,7 +333,7 @@
 	daemon.do(func() {
 		now := daemon.clock.Now()
 		usable := slices.DeleteFunc(slices.Clone(daemon.sortedPeers()), func(known *peer) bool {
-			return known.leaving || known.pathsLost || daemon.isSuspect(now, known) || slices.Contains(request.triedPeers, known.Peer)
+			return known.leaving || known.pathsLost || !known.forwards || daemon.isSuspect(now, known) || slices.Contains(request.triedPeers, known.Peer)
 		})
 		total := 0.0
 		for _, known := range usable {
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -60,7 +60,7 @@
 	Losses    []blame.Crash             // crashes of targets that are being gossiped
 	Sound     []core.Fingerprint        // parts of prompts that were suspected of crashes and are sound
 	Heard     []gossipEntry             // gossip about other daemons, in a large fleet
-	PathsLost bool                      // it reaches most targets no longer
+	PathsLost *bool                     // it reaches most targets no longer; nil from builds that do not forward requests of others
 	Limits    []limitEntry              // limits that targets have named or name no longer
 
 	Generation     int   // of its messages
@@ -111,7 +111,7 @@
 // newStatus builds the status of this daemon; it must run on the loop.
 func (daemon *Daemon) newStatus(now time.Time) peerStatus {
 	status := peerStatus{
-		Record: daemon.self(), Leaving: daemon.leaving.Load(), PathsLost: daemon.paths.lost(), Losses: daemon.control.crashTracker.CrashesToGossip(now),
+		Record: daemon.self(), Leaving: daemon.leaving.Load(), PathsLost: new(daemon.paths.lost()), Losses: daemon.control.crashTracker.CrashesToGossip(now),
 		Sound: daemon.control.crashTracker.SoundToGossip(now), Generation: messageGeneration, RoutingVersion: daemon.view.Load().routing.Version,
 		Forecasts: map[string]batch.Forecast{},
 	}
@@ -160,10 +160,11 @@
 		daemon.control.peersBySize = nil
 	}
 	known.lastSeen, known.unansweredSince, known.callFailed, known.leaving = now, time.Time{}, false, status.Leaving
-	if status.PathsLost && !known.pathsLost {
+	pathsLost := status.PathsLost != nil && *status.PathsLost
+	if pathsLost && !known.pathsLost {
 		daemon.paths.warn()
 	}
-	known.pathsLost, known.routingVersion = status.PathsLost, status.RoutingVersion
+	known.pathsLost, known.forwards, known.routingVersion = pathsLost, status.PathsLost != nil, status.RoutingVersion
 	daemon.control.peerLastSeen = now
 	if known.unresponsive {
 		known.unresponsive = false
