io/edge: take no stream for one of the baseline beside builds that write no records

For the time that a stream can last after a daemon of such a build was heard, a stream without a record has an unknown version, and this build records all of its own. What a daemon of the old build itself joins cannot be prevented.

TestResumeBesideOlderBuild fails before (16 of 16 streams went on at a version that nobody knows) and passes.

--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -40,7 +40,9 @@
 	pending     map[string]*originRecord // records to be written, by attempt
 	order       []string                 // their attempts, oldest first
 	lastFailure time.Time                // of a write
-	wake        chan struct{}            // has an element if records are pending
+
+	unrecordedUntil time.Time     // streams may go on until then that daemons of builds that write no records have begun
+	wake            chan struct{} // has an element if records are pending
 }
 
 // knownBaseline is a baseline with the time since which this daemon has known it.
@@ -105,6 +107,9 @@
 
 // coversOrigin reports whether a stream needs no record of its origin; it must run on the loop.
 func (daemon *Daemon) coversOrigin(now time.Time, began origin.Origin) bool {
+	if now.Before(daemon.control.origins.unrecordedUntil) {
+		return false // a missing record names no version then
+	}
 	known := daemon.control.origins.baselines[began.Service]
 	return known.Covers(began.Version, now.Sub(known.since))
 }
@@ -301,8 +306,12 @@
 	}
 	var began origin.Origin
 	daemon.do(func() {
+		now := daemon.clock.Now()
 		baseline := daemon.control.origins.baselines[service].Version
-		if baseline != "" && daemon.pauses.Unchecked() == nil && !daemon.copiesAreStale(daemon.clock.Now()) {
+		if now.Before(daemon.control.origins.unrecordedUntil) && !daemon.hasOneVersion(now, service) {
+			return
+		}
+		if baseline != "" && daemon.pauses.Unchecked() == nil && !daemon.copiesAreStale(now) {
 			began = origin.Origin{Service: service, Version: baseline}
 		}
 	})
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -166,6 +166,9 @@
 	}
 	known.pathsLost, known.forwards, known.routingVersion = pathsLost, status.PathsLost != nil, status.RoutingVersion
 	daemon.control.peerLastSeen = now
+	if !known.forwards { // builds that forward also record origins
+		daemon.control.origins.unrecordedUntil = now.Add(daemon.originLifetime())
+	}
 	if known.unresponsive {
 		known.unresponsive = false
 		daemon.log.Info().Str(eventField, eventPeerReturned).Str("Peer", string(known.ID)).Msg("daemon responds again")
