io/edge: let a daemon of an older build not lift the limit of a brittle target

Such reports no longer count against a brittle target. TestOlderBuildDoesNotLiftBrittleLimit fails before and passes.

--- a/io/edge/limits_test.go
+++ b/io/edge/limits_test.go
@@ -78,3 +78,28 @@
 		t.Errorf("the caller has left: %v", err)
 	}
 }
+
+// TestOlderBuildDoesNotLiftBrittleLimit guards against targets that are taken for sound ones because a daemon of a build that does not know brittle targets
+// reports that they name no limit.
+func TestOlderBuildDoesNotLiftBrittleLimit(t *testing.T) {
+	for _, older := range []bool{true, false} {
+		daemon := newFleetMember(t)
+		clock := &fakes.Clock{}
+		daemon.clock = clock
+		target := daemon.view.Load().targets["ledger"][0]
+		limited := false
+		daemon.do(func() {
+			daemon.control.limits.Observe(limit.Evidence{ID: 1, Target: target.ID, StartedAt: target.StartedAt, Named: true, Brittle: true, Rate: 4, At: clock.Now()})
+			clock.Advance(time.Second)
+			status := peerStatus{Record: record{ID: "reporter", Peer: "10.2.0.9:81"}, Limits: []limitEntry{{ID: 2, Target: target.ID, StartedAt: target.StartedAt}}}
+			if !older {
+				status.PathsLost = new(bool)
+			}
+			daemon.mergeStatus(status)
+			_, limited = daemon.control.limits.Rate(target.ID)
+		})
+		if limited != older {
+			t.Errorf("reported by an older build: %v, the target counts as limited: %v", older, limited)
+		}
+	}
+}
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -185,6 +185,9 @@
 		daemon.control.crashTracker.AddSound(now, part)
 	}
 	for _, entry := range status.Limits {
+		if evidence, _ := daemon.control.limits.Of(entry.Target); evidence.Brittle && !entry.Named && !known.forwards {
+			continue // the build does not know brittle targets either
+		}
 		daemon.mergeLimit(now, entry, status.Record.ID)
 	}
 	for _, entry := range status.Heard {
