--- a/review/platform/daemon.go
+++ b/review/platform/daemon.go
@@ -21,6 +21,7 @@
 	fleet                               *fleet
 	name, zone                          string
 	front, ready, directory, peer, file string
+	store                               string // address at which it reaches the store
 
 	mutex    sync.Mutex
 	command  *exec.Cmd
@@ -58,7 +59,7 @@
 	ip := machine()
 	number := len(fleet.daemons) + 1
 	added := &daemon{
-		fleet: fleet, name: fmt.Sprintf("edge-%s-%d", zone, number), zone: zone, front: free(ip), ready: free(ip), directory: free(ip), peer: free(ip), restarts: true,
+		fleet: fleet, name: fmt.Sprintf("edge-%s-%d", zone, number), zone: zone, front: free(ip), ready: free(ip), directory: free(ip), peer: free(ip), store: fleet.store.address, restarts: true,
 	}
 	added.file = filepath.Join(fleet.folder, added.name+".ini")
 	fleet.daemons = append(fleet.daemons, added)
@@ -96,7 +97,7 @@
 ColdOver = 1.5
 ColdSlack = 5
 DirectoryKeep = 5s
-`, daemon.name, daemon.zone, daemon.front, daemon.ready, daemon.directory, daemon.peer, seeds, daemon.fleet.store.address)
+`, daemon.name, daemon.zone, daemon.front, daemon.ready, daemon.directory, daemon.peer, seeds, daemon.store)
 }
 
 // start starts the process with the command of the deploy file.
--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -14,6 +14,7 @@
 	"brittle": playBrittle,
 	"denied":  playDenied,
 	"part":    playPart,
+	"step":    playStep,
 }
 
 func main() {
--- a/review/platform/order.go
+++ b/review/platform/order.go
@@ -28,7 +28,7 @@
 	var group sync.WaitGroup
 	var mutex sync.Mutex
 	streams, joined, whole := 0, 0, 0
-	fleet.flow(&group, 12, began.Add(17*time.Second), 3, func(number int) question {
+	fleet.flow(&group, 24, began.Add(17*time.Second), 3, func(number int) question {
 		return question{method: "POST", path: "/chat/2f", body: []byte(fmt.Sprintf("question %d", number)), limit: 20 * time.Second, prompt: prompt(number%40, number), tokens: "9190,280"}
 	}, func(_ question, answers []answer) {
 		versions := map[string]bool{}
