--- a/review/platform/fleet.go
+++ b/review/platform/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"sync"
@@ -100,10 +101,7 @@
 // lookUp asks the directory at up to three daemons, one after the other.
 func (fleet *fleet) lookUp() {
 	order := slices.Clone(fleet.daemons)
-	for i := range order {
-		j := int(time.Now().UnixNano()>>4) % len(order)
-		order[i], order[j] = order[j], order[i]
-	}
+	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 	for _, daemon := range order[:min(3, len(order))] {
 		if addresses := daemon.look(); len(addresses) > 0 {
 			fleet.mutex.Lock()
--- a/review/platform/part.go
+++ b/review/platform/part.go
@@ -18,6 +18,7 @@
 	for i := range count {
 		replica := fleet.addReplica(fmt.Sprintf("i-7f3a91c%d", i), "kuwentuhan", fleet.daemons[i%3].zone, "v1")
 		replica.events, replica.gap, replica.work = 13, 40*time.Millisecond, 150*time.Millisecond
+		replica.coldFor = 3 * time.Second
 		replica.unframed, replica.crashesOn = os.Getenv("FRAMED") == "", bad
 	}
 	route := map[string]any{
--- a/review/platform/replica.go
+++ b/review/platform/replica.go
@@ -14,7 +14,6 @@
 
 const (
 	heartbeat       = 1200 * time.Millisecond
-	heartbeatsGone  = 3 // intervals of silence after which an entry is removed
 	failedWritePace = 200 * time.Millisecond
 )
 
@@ -38,7 +37,7 @@
 	sequence  int
 	lives     int
 	down      bool
-	coldFor   time.Duration // after a start
+	coldFor   time.Duration // after a start during traffic
 	coldUntil time.Time
 	arrivals  []arrival
 	running   int
@@ -53,7 +52,6 @@
 	events       int // of a stream; 0 means a single body
 	gap          time.Duration
 	lose         func(*replica, *http.Request) bool // the request runs and its channel is reset
-	admitted     func(*replica) bool                // false ends the channel as in a crash
 	unframed     bool                               // streams have neither a length nor chunks and end with their channel
 	crashesOn    string                             // part of a prompt, other than the last, under which the replica crashes when it begins its answer
 	crashes      []time.Time
@@ -165,15 +163,10 @@
 	if replica.brittle > 0 {
 		writer.Header().Set("Server-Brittle", strconv.Itoa(replica.brittle))
 	}
-	admitted := replica.admitted
 	replica.mutex.Unlock()
-	if admitted != nil && !admitted(replica) {
-		replica.crash()
-		panic(http.ErrAbortHandler)
-	}
 	if !replica.enter(request) {
 		replica.fleet.record.add("replica %s turns away %s", replica.id, attempt)
-		if replica.rejectsTooMany(attempt) {
+		if replica.rejectsTooMany() {
 			panic(http.ErrAbortHandler)
 		}
 		writer.Header().Set("X-Not-Executed", "1")
@@ -327,7 +320,7 @@
 const fallTime = 2500 * time.Millisecond // until a replica that has fallen over is back
 
 // rejectsTooMany counts a request that was turned away, and reports whether the replica falls over by it.
-func (replica *replica) rejectsTooMany(attempt string) bool {
+func (replica *replica) rejectsTooMany() bool {
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	now := time.Now()
