--- a/review/platform/step.go
+++ b/review/platform/step.go
@@ -21,11 +21,13 @@
 	}
 	add := func(number int, version string) *replica {
 		replica := fleet.addReplica(fmt.Sprintf("i-7f3a91c%d", number), "kuwentuhan", fleet.daemons[number%3].zone, version)
-		replica.events, replica.gap, replica.work = 70, 60*time.Millisecond, 50*time.Millisecond
+		replica.events, replica.gap, replica.work = 40, 60*time.Millisecond, 50*time.Millisecond
 		return replica
 	}
-	add(0, "v1")
-	add(1, "v1")
+	const serving, joining = 7, 3 // a release of a share of 0.43, whose new replicas start first
+	for number := range serving {
+		add(number, "v1")
+	}
 	route := map[string]any{
 		"name": "parts-chat", "hostname": host, "path-prefix": "/chat/", "kind": "streaming", "timeout-ms": 20000, "target-latency-ms": 3100, "priority": 2, "service": "kuwentuhan",
 		"max-attempts": 2, "public": false, "sticky": true, "resumable": true, "gap-aim-ms": 500,
@@ -41,7 +43,7 @@
 	next := func(int) question {
 		number := asked.Add(1)
 		return question{method: "POST", path: "/chat/2f", body: []byte(fmt.Sprintf("question %d", number)), limit: 20 * time.Second,
-			prompt: fmt.Sprintf("%08x:400,%016x:300", number, number), tokens: "700,280"}
+			prompt: fmt.Sprintf("%08x:400,%016x:300", number, number), tokens: "700,160"}
 	}
 	done := func(_ question, answers []answer) {
 		versions := map[string]bool{}
@@ -55,7 +57,7 @@
 		mutex.Lock()
 		defer mutex.Unlock()
 		streams++
-		if events == 70 {
+		if events == 40 {
 			whole++
 		}
 		if len(versions) > 1 {
@@ -86,12 +88,12 @@
 			fleet.record.add("the partition has ended")
 		})
 	}
-	for number := 2; number < 5; number++ { // planned work: a release begins
-		joining := add(number, "v2")
-		joining.listen()
-		go joining.beat()
+	for number := serving; number < serving+joining; number++ { // planned work: a release begins
+		replica := add(number, "v2")
+		replica.listen()
+		go replica.beat()
 	}
-	fleet.flow(&group, 60, time.Now().Add(5*time.Second), 3, next, done)
+	fleet.flow(&group, 200, time.Now().Add(5*time.Second), 3, next, done)
 	if fleet.trouble {
 		time.Sleep(1100 * time.Millisecond)
 		for _, daemon := range killed {
