io/edge: log what tells the software version of a resumed stream

The log named streams that began without a record (OriginUnrecorded), but not what a daemon concluded when a caller resumed one, nor when the first write failed, so a missing record, a lost record and a shortcut for services of one version could not be told apart.

OriginResolved says what told the version (Record, Baseline, OneVersion) and whether anything did; OriginNotWritten names each transaction that failed. No decision changes.

--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -56,6 +56,8 @@
 	eventBaseline            = "Baseline"            // streams at another software version need no record from now on
 	eventOriginUnrecorded    = "OriginUnrecorded"    // a stream begins before the record of its software version is written
 	eventOriginUnknown       = "OriginUnknown"       // the software version that began a stream cannot be read
+	eventOriginResolved      = "OriginResolved"      // what tells the software version that began a resumed stream
+	eventOriginNotWritten    = "OriginNotWritten"    // records of software versions were not written to the store
 	eventTakeover            = "Takeover"            // a silent target's request was offered to another one
 	eventRequestEnded        = "RequestEnded"        // a request has ended
 )
--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -275,9 +275,13 @@
 
 // lookUpOrigin finds out at which version the stream of an attempt began that is not known here; false means that nothing tells.
 func (daemon *Daemon) lookUpOrigin(ctx context.Context, service, attempt string) (began origin.Origin, found bool) {
+	from := originFromOneVersion
+	defer func() {
+		daemon.log.Info().Str(eventField, eventOriginResolved).Str("Resumes", attempt).Bool("Found", found).Str("Version", began.Version).Str("From", from).Msg("looked up which software version began a stream")
+	}()
 	if attempt != "" {
 		read := false
-		if began, read = daemon.readOrigin(ctx, service, attempt); read {
+		if began, from, read = daemon.readOrigin(ctx, service, attempt); read {
 			return began, began.Known()
 		}
 	}
@@ -289,22 +293,28 @@
 	return began, found
 }
 
+// What tells the software version that began a stream, for the log.
+const (
+	originFromRecord     = "Record"     // the record in the store
+	originFromBaseline   = "Baseline"   // the store holds no record, so the stream began at the baseline
+	originFromOneVersion = "OneVersion" // the store does not answer, and the service has had one version only
+)
+
 // readOrigin reads the record of an attempt; without one, the stream began at the baseline of the service, if that is known. It returns false if the store
 // does not answer.
-func (daemon *Daemon) readOrigin(ctx context.Context, service, attempt string) (origin.Origin, bool) {
+func (daemon *Daemon) readOrigin(ctx context.Context, service, attempt string) (began origin.Origin, from string, read bool) {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
 	snapshot, err := daemon.store.Get(ctx, core.OriginPrefix+attempt)
 	if err != nil {
 		daemon.metrics.storeErrors.Add(1)
 		daemon.log.Warn().Str(eventField, eventOriginUnknown).Str("Resumes", attempt).Err(err).Msg("cannot read which software version began a stream")
-		return origin.Origin{}, false
+		return origin.Origin{}, originFromOneVersion, false
 	}
 	if len(snapshot.Entries) > 0 {
 		began, _ := decodeOrigin(snapshot.Entries[0].Value)
-		return began, true
+		return began, originFromRecord, true
 	}
-	var began origin.Origin
 	daemon.do(func() {
 		now := daemon.clock.Now()
 		baseline := daemon.control.origins.baselines[service].Version
@@ -315,7 +325,7 @@
 			began = origin.Origin{Service: service, Version: baseline}
 		}
 	})
-	return began, true
+	return began, originFromBaseline, true
 }
 
 // copiesAreStale reports whether a change of a baseline may not be known here; it must run on the loop.
@@ -389,6 +399,7 @@
 			if err != nil {
 				lease = 0
 				daemon.metrics.storeErrors.Add(1)
+				daemon.log.Warn().Str(eventField, eventOriginNotWritten).Int("Records", len(batch)).Err(err).Msg("cannot write which software versions began streams")
 				daemon.do(func() { daemon.control.origins.lastFailure = daemon.clock.Now() })
 				core.Sleep(ctx, daemon.clock, originRetryDelay)
 			}
