io/edge: begin no stream at a version that nobody could tell later

Cause: a missing record means "began at the baseline" to the daemon that resumes a stream, but the one that began it forwarded the first event after 500 ms whether the store had the record or not; until the first write failed (1.4 s) it did not even prefer the baseline. The record was in its memory and went with it. The reader's other shortcut, for a service of one version, trusted its own view of a store that it had just failed to read, which is wrong for 2 to 3 s after a partition.

Fix: the first event of a stream at another version than the baseline is held until the store has the record. After 500 ms, or at once while writes fail, the stream begins again at a target of the baseline; without one there it begins once another daemon keeps a copy of the record, and not at all if nobody does. After an outage or a restore a missing record is no proof while a keeper that should answer does not.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -20,14 +20,38 @@
 type entry struct {
 	origin  Origin
 	expires time.Time
-	own     bool // recorded by this daemon
+	source  source
+
+	sequence int64 // orders what a daemon has told
 }
 
+// source orders what tells an origin; a later entry replaces one of the same source or a lower one.
+type source int
+
+const (
+	fromRecord source = iota // a record of the store, which may be an earlier one
+	fromWriter               // the daemon that began the stream has told it
+	fromSelf                 // this daemon began the stream
+)
+
 // maxEntries bounds a table; a daemon of the design size begins far fewer streams within the longest time limit.
 const maxEntries = 20_000
 
 // Add remembers the origin of the stream that an attempt has begun until expires; own marks what this daemon recorded itself.
 func (table *Table) Add(attempt string, origin Origin, expires time.Time, own bool) {
+	if own {
+		table.add(attempt, entry{origin: origin, expires: expires, source: fromSelf})
+	} else {
+		table.add(attempt, entry{origin: origin, expires: expires, source: fromRecord})
+	}
+}
+
+// AddTold is Add for what the daemon that began the stream has told; sequence orders what it tells. A record of the store does not replace it.
+func (table *Table) AddTold(attempt string, origin Origin, expires time.Time, sequence int64) {
+	table.add(attempt, entry{origin: origin, expires: expires, source: fromWriter, sequence: sequence})
+}
+
+func (table *Table) add(attempt string, added entry) {
 	if table.entries == nil {
 		table.entries = map[string]entry{}
 	}
@@ -35,10 +59,10 @@
 	if !found && len(table.entries) >= maxEntries {
 		table.evictSoonest()
 	}
-	if found && known.own && !own {
-		return // a record of this daemon that comes back, perhaps an earlier one
+	if found && (known.source > added.source || known.source == added.source && known.sequence > added.sequence) {
+		return // it comes back, or late, perhaps from before a change
 	}
-	table.entries[attempt] = entry{origin: origin, expires: expires, own: own}
+	table.entries[attempt] = added
 }
 
 // evictSoonest removes one of some entries, the one that expires first.
@@ -65,11 +89,17 @@
 	return known.origin, true
 }
 
+// Told reports whether the origin of the stream comes from the daemon that began it, and not from a record, and the sequence of what was told.
+func (table *Table) Told(attempt string) (sequence int64, told bool) {
+	known := table.entries[attempt]
+	return known.sequence, known.source >= fromWriter
+}
+
 // Own returns the origins that this daemon recorded itself, by attempt.
 func (table *Table) Own(now time.Time) map[string]Origin {
 	own := map[string]Origin{}
 	for attempt, known := range table.entries {
-		if known.own && !now.After(known.expires) {
+		if known.source == fromSelf && !now.After(known.expires) {
 			own[attempt] = known.origin
 		}
 	}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -28,6 +28,15 @@
 	if got := table.Own(now); len(got) != 1 || got["a"] != second {
 		t.Errorf("own origins %v", got)
 	}
+	table.AddTold("b", second, now.Add(time.Second), 2)
+	table.AddTold("b", first, now.Add(time.Second), 1)
+	table.Add("b", first, now.Add(time.Second), false)
+	if got, _ := table.Find(now, "b"); got != second {
+		t.Errorf("origin %v after an earlier message and an earlier record of a stream that another daemon has told of", got)
+	}
+	if _, told := table.Told("c"); told {
+		t.Error("an unknown stream was told")
+	}
 	later := now.Add(2 * time.Second)
 	if _, found := table.Find(later, "a"); found {
 		t.Error("an origin is found after it has expired")
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -119,6 +119,7 @@
 	if copy == &daemon.control.routes && before != 0 && before.Epoch() != snapshot.Revision.Epoch() {
 		daemon.logRevision(daemon.log.Warn(), snapshot.Revision).Str(eventField, eventStoreRestored).Int64("CopyRevision", before.Number()).Int64("CopyEpoch", before.Epoch()).
 			Msg("the store has been restored from a backup; what was known before counts until it is written again")
+		daemon.doubtRecords(daemon.clock.Now())
 		daemon.requeueOrigins()
 	}
 	return true
@@ -297,6 +298,7 @@
 func (daemon *Daemon) markStoreAvailable() {
 	if daemon.control.routes.Unavailable() {
 		daemon.logRevision(daemon.log.Info(), daemon.control.routes.Revision()).Str(eventField, eventStoreReturned).Msg("store available again; the copies are updated")
+		daemon.doubtRecords(daemon.clock.Now())
 	}
 	for _, copy := range daemon.copies() {
 		copy.MarkAvailable(daemon.clock.Now())
--- a/io/edge/member.go
+++ b/io/edge/member.go
@@ -68,6 +68,7 @@
 	leaving         bool
 	pathsLost       bool  // it reaches most targets no longer
 	forwards        bool  // its build knows requests that another daemon passes on, and questions about its paths
+	lacksOrigins    bool  // its build keeps no copies of the records of origins
 	routingVersion  int64 // version of the routing in force there; 0 if it states none
 	addedAt         time.Time
 	lastSeen        time.Time // time of the newest ping that it responded to or sent, or of gossip about it; zero means never
--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -8,12 +8,14 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"catkincove/core"
 	"catkincove/core/origin"
+	"catkincove/core/place"
 )
 
 const (
@@ -41,8 +43,13 @@
 	order       []string                 // their attempts, oldest first
 	lastFailure time.Time                // of a write
 
-	unrecordedUntil time.Time     // streams may go on until then that daemons of builds that write no records have begun
-	wake            chan struct{} // has an element if records are pending
+	lateAt          time.Time       // time at which a stream last had to wait too long for its record
+	unrecordedUntil time.Time       // streams may go on until then that daemons of builds that write no records have begun
+	doubtUntil      time.Time       // streams may go on until then the records of which the store has not accepted, or has lost in a restore
+	wake            chan struct{}   // has an element if records are pending
+	untold          []*originRecord // records that the keepers are not told yet
+	tellWake        chan struct{}   // has an element if there are any
+	sequence        int64           // number of records that keepers were told
 }
 
 // knownBaseline is a baseline with the time since which this daemon has known it.
@@ -54,12 +61,18 @@
 
 // originRecord is a record that is to be written.
 type originRecord struct {
+	attempt string
 	origin  origin.Origin
+	sent    bool          // the store may have it
 	written chan struct{} // closed when the store has it
+	told    chan struct{} // closed when its keepers have answered, or are not waited for any longer
+	copies  int           // keepers that have it
+
+	replacesSent bool // the store may have the record of another version, at which the stream did not begin
 }
 
 func newOrigins() origins {
-	return origins{baselines: map[string]knownBaseline{}, invalid: map[string]core.Revision{}, mixedAt: map[string]time.Time{}, pending: map[string]*originRecord{}, wake: make(chan struct{}, 1)}
+	return origins{baselines: map[string]knownBaseline{}, invalid: map[string]core.Revision{}, mixedAt: map[string]time.Time{}, pending: map[string]*originRecord{}, wake: make(chan struct{}, 1), tellWake: make(chan struct{}, 1)}
 }
 
 // isResumable reports whether the request is for a stream that may go on at another target.
@@ -70,9 +83,9 @@
 	return max(daemon.view.Load().routing.LongestResumable(), defaultTimeout) + originSlack
 }
 
-// queueOrigin remembers the origin of the stream that an attempt begins, and queues a record of it unless the baseline covers it; the
-// returned channel is closed when the record is written, and nil if none is needed. It must run on the loop.
-func (daemon *Daemon) queueOrigin(now time.Time, attempt string, began origin.Origin) <-chan struct{} {
+// queueOrigin remembers the origin of the stream that an attempt begins, and queues a record of it unless the baseline covers it, in which case it
+// returns nil. It must run on the loop.
+func (daemon *Daemon) queueOrigin(now time.Time, attempt string, began origin.Origin) *originRecord {
 	origins := &daemon.control.origins
 	before, found := origins.table.Find(now, attempt)
 	origins.table.Add(attempt, began, now.Add(daemon.originLifetime()), true)
@@ -81,28 +94,35 @@
 		return nil
 	}
 	if record := origins.pending[attempt]; record != nil && record.origin == began {
-		return record.written
+		return record
 	}
-	return daemon.addPendingOrigin(attempt, began)
+	return daemon.addPendingOrigin(attempt, began, replaces)
 }
 
-// addPendingOrigin queues a record; it must run on the loop.
-func (daemon *Daemon) addPendingOrigin(attempt string, began origin.Origin) <-chan struct{} {
+// addPendingOrigin queues a record for the store and for its keepers; it must run on the loop.
+func (daemon *Daemon) addPendingOrigin(attempt string, began origin.Origin, replaces bool) *originRecord {
 	origins := &daemon.control.origins
-	if origins.pending[attempt] == nil {
+	before := origins.pending[attempt]
+	if before == nil {
 		if len(origins.order) >= maxPendingOrigins {
 			delete(origins.pending, origins.order[0])
 			origins.order = origins.order[1:]
 		}
 		origins.order = append(origins.order, attempt)
 	}
-	record := &originRecord{origin: began, written: make(chan struct{})}
+	record := &originRecord{
+		attempt: attempt, origin: began, written: make(chan struct{}), told: make(chan struct{}),
+		replacesSent: replaces && (before == nil || before.sent || before.replacesSent),
+	}
 	origins.pending[attempt] = record
-	select {
-	case origins.wake <- struct{}{}:
-	default:
+	origins.untold = append(origins.untold, record)
+	for _, wake := range []chan struct{}{origins.wake, origins.tellWake} {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
 	}
-	return record.written
+	return record
 }
 
 // coversOrigin reports whether a stream needs no record of its origin; it must run on the loop.
@@ -135,9 +155,15 @@
 	daemon.do(func() { daemon.queueOrigin(daemon.clock.Now(), originID(request.caller.Attempt), began) })
 }
 
-// fixOrigin fixes the origin of the stream, whose first event is about to be forwarded, and waits for its record.
-func (relay *relay) fixOrigin(ctx context.Context) {
-	request, daemon := relay.request, relay.daemon
+var (
+	errOriginUnrecorded = errors.New("the software version of the target cannot be recorded")
+	errBeginsAtBaseline = errors.New("the software version of the target cannot be recorded; the stream begins at the baseline")
+)
+
+// fixOrigin fixes the origin of the stream, whose first event is about to be forwarded, once its record outlives this daemon. It returns an error if the
+// stream must not begin at this target.
+func (relay *relay) fixOrigin(ctx context.Context) error {
+	request := relay.request
 	if relay.attempt.through != nil && !request.origin.Known() {
 		request.origin = relay.toldOrigin
 	}
@@ -147,44 +173,118 @@
 		}
 	}()
 	if !request.isResumable() || request.origin.Known() {
-		return
+		return nil
 	}
-	request.origin = relay.origin()
-	if request.caller.Attempt == "" {
-		return
+	began := relay.origin()
+	if request.caller.Attempt != "" {
+		if err := relay.awaitRecord(ctx, began); err != nil {
+			return err
+		}
 	}
+	request.origin = began
+	return nil
+}
+
+// awaitRecord waits until the record of a stream's origin lies in the store. If the store does not answer in time, the stream begins at the version that
+// a missing record stands for, at another target if need be, and otherwise once other daemons keep a copy of the record.
+func (relay *relay) awaitRecord(ctx context.Context, began origin.Origin) error {
+	request, daemon := relay.request, relay.daemon
 	attempt := originID(request.caller.Attempt)
-	var written <-chan struct{}
+	var record *originRecord
 	failing := false
 	daemon.do(func() {
 		now := daemon.clock.Now()
-		if known, found := daemon.control.origins.table.Find(now, attempt); !found || known != request.origin {
-			written = daemon.queueOrigin(now, attempt, request.origin)
-		} else if record := daemon.control.origins.pending[attempt]; record != nil {
-			written = record.written
+		if known, found := daemon.control.origins.table.Find(now, attempt); !found || known != began {
+			record = daemon.queueOrigin(now, attempt, began)
+		} else {
+			record = daemon.control.origins.pending[attempt]
 		}
 		failing = daemon.originsFail(now)
 	})
-	if written == nil {
-		return
+	if record == nil {
+		return nil
 	}
 	if !failing {
 		select {
-		case <-written:
-			return
+		case <-record.written:
+			return nil
 		case <-ctx.Done():
-			return
+			return nil
 		case <-daemon.clock.After(originRecordTimeout):
 		}
 	}
+	var decision unrecorded
+	copies := 0
+	daemon.do(func() {
+		now := daemon.clock.Now()
+		if !failing {
+			daemon.control.origins.lateAt = now
+		}
+		decision = daemon.decideUnrecorded(now, request, record)
+	})
+	if decision == awaitCopies {
+		select {
+		case <-record.told:
+		case <-record.written:
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+		daemon.do(func() { copies = record.copies })
+		if copies > 0 {
+			decision = beginKept
+		}
+	}
 	daemon.metrics.originsUnrecorded.Add(1)
-	daemon.log.Warn().Str(eventField, eventOriginUnrecorded).Str("Request", request.caller.Attempt).Str("Version", request.origin.Version).Msg("the stream begins before the record of its software version is written")
+	daemon.log.Warn().Str(eventField, eventOriginUnrecorded).Str("Request", request.caller.Attempt).Str("Version", began.Version).Str("Decision", string(decision)).Int("Copies", copies).
+		Msg("the store has not accepted the record of a stream's software version in time")
+	switch decision {
+	case beginElsewhere:
+		return errBeginsAtBaseline
+	case awaitCopies:
+		return errOriginUnrecorded
+	}
+	return nil
+}
+
+// unrecorded is what to do with a stream whose record the store has not accepted in time.
+type unrecorded string
+
+const (
+	beginAnyway    unrecorded = "Begin"      // a missing record stands for this version, or for one without targets
+	beginElsewhere unrecorded = "Elsewhere"  // a target of the version that a missing record stands for takes its place
+	awaitCopies    unrecorded = "Refused"    // only copies of the record at other daemons let it begin; without one it ends
+	beginKept      unrecorded = "KeptByPeer" // other daemons keep a copy of the record
+)
+
+// decideUnrecorded decides about a stream at its first event; it must run on the loop.
+func (daemon *Daemon) decideUnrecorded(now time.Time, request *request, record *originRecord) unrecorded {
+	service := record.origin.Service
+	baseline := daemon.control.origins.baselines[service].Version
+	switch {
+	case record.replacesSent:
+		return awaitCopies // the store may name the other version
+	case record.origin.Version == baseline:
+		return beginAnyway
+	case baseline == "":
+		return awaitCopies
+	}
+	targets, _ := daemon.unpausedTargets(now, service, baseline)
+	if request.route.Repeat == core.Idempotent && request.attempts < request.route.MaxTargets && daemon.control.chooser.HasUsable(now, targets, request.triedTargets) &&
+		daemon.retryWindow(service).Allow(now) {
+		return beginElsewhere
+	}
+	if !slices.ContainsFunc(daemon.view.Load().targets[service], func(target place.Target) bool { return target.Version == baseline }) {
+		return beginAnyway
+	}
+	return awaitCopies
 }
 
 // originsFail reports whether records are not expected to be written now; it must run on the loop.
 func (daemon *Daemon) originsFail(now time.Time) bool {
-	last := daemon.control.origins.lastFailure
-	return daemon.control.routes.Unavailable() || !last.IsZero() && now.Sub(last) < originFailureMemory
+	origins := &daemon.control.origins
+	recent := func(at time.Time) bool { return !at.IsZero() && now.Sub(at) < originFailureMemory }
+	return daemon.control.routes.Unavailable() || recent(origins.lastFailure) || recent(origins.lateAt)
 }
 
 // versionFor returns the version that a target must have to get the request; empty means any. While records cannot be written, streams
@@ -273,59 +373,89 @@
 	return !daemon.control.routes.Unavailable() || now.Sub(daemon.control.comparedAt) < maxComparisonAge
 }
 
+// hasSeveralVersions reports whether targets of several versions serve, or the baseline changes; it must run on the loop.
+func (daemon *Daemon) hasSeveralVersions(service string) bool {
+	known := daemon.control.origins.baselines[service]
+	return known.Next != "" || slices.ContainsFunc(daemon.view.Load().targets[service], func(target place.Target) bool { return target.Version != known.Version })
+}
+
 // lookUpOrigin finds out at which version the stream of an attempt began that is not known here; false means that nothing tells.
+//
+// The daemon that began the stream has told its keepers last, so what they have from it goes before a record. A missing record stands for the baseline,
+// unless the store may have lost it and a keeper has not answered. If the store does not answer, only a service of one version needs no record, and other
+// daemons must say so too: this one may be cut off, which it notices late.
 func (daemon *Daemon) lookUpOrigin(ctx context.Context, service, attempt string) (began origin.Origin, found bool) {
-	from := originFromOneVersion
+	from := originFromNothing
 	defer func() {
 		daemon.log.Info().Str(eventField, eventOriginResolved).Str("Resumes", attempt).Bool("Found", found).Str("Version", began.Version).Str("From", from).Msg("looked up which software version began a stream")
 	}()
+	var record origin.Origin
+	read, recorded := false, false
+	var kept kept
+	var group sync.WaitGroup
+	group.Go(func() { kept = daemon.askKeepers(ctx, service, attempt) })
 	if attempt != "" {
-		read := false
-		if began, from, read = daemon.readOrigin(ctx, service, attempt); read {
-			return began, began.Known()
-		}
+		record, recorded, read = daemon.readOrigin(ctx, attempt)
+	}
+	group.Wait()
+	if kept.told || kept.began.Known() && !recorded {
+		from = originFromKeeper
+		return kept.began, true
+	}
+	if recorded {
+		from = originFromRecord
+		return record, record.Known()
 	}
 	daemon.do(func() {
-		if daemon.hasOneVersion(daemon.clock.Now(), service) {
-			began, found = origin.Origin{Service: service, Version: daemon.control.origins.baselines[service].Version}, true
+		now := daemon.clock.Now()
+		switch {
+		case read && kept.silent && daemon.originsMayBeLost(now):
+		case read:
+			from, began = originFromBaseline, daemon.originWithoutRecord(now, service)
+		case daemon.hasOneVersion(now, service) && !kept.several && (kept.asked == 0 || kept.oneVersion > 0):
+			from, began = originFromOneVersion, origin.Origin{Service: service, Version: daemon.control.origins.baselines[service].Version}
 		}
 	})
-	return began, found
+	return began, began.Known()
 }
 
 // What tells the software version that began a stream, for the log.
 const (
 	originFromRecord     = "Record"     // the record in the store
-	originFromBaseline   = "Baseline"   // the store holds no record, so the stream began at the baseline
+	originFromKeeper     = "Keeper"     // another daemon that keeps a copy of the record
+	originFromBaseline   = "Baseline"   // there is no record, so the stream began at the baseline
 	originFromOneVersion = "OneVersion" // the store does not answer, and the service has had one version only
+	originFromNothing    = "Nothing"
 )
 
-// readOrigin reads the record of an attempt; without one, the stream began at the baseline of the service, if that is known. It returns false if the store
-// does not answer.
-func (daemon *Daemon) readOrigin(ctx context.Context, service, attempt string) (began origin.Origin, from string, read bool) {
+// readOrigin reads the record of an attempt. It returns false for read if the store does not answer, and a zero origin if the record cannot be decoded.
+func (daemon *Daemon) readOrigin(ctx context.Context, attempt string) (record origin.Origin, recorded, read bool) {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
 	snapshot, err := daemon.store.Get(ctx, core.OriginPrefix+attempt)
 	if err != nil {
 		daemon.metrics.storeErrors.Add(1)
 		daemon.log.Warn().Str(eventField, eventOriginUnknown).Str("Resumes", attempt).Err(err).Msg("cannot read which software version began a stream")
-		return origin.Origin{}, originFromOneVersion, false
+		return origin.Origin{}, false, false
 	}
-	if len(snapshot.Entries) > 0 {
-		began, _ := decodeOrigin(snapshot.Entries[0].Value)
-		return began, originFromRecord, true
+	if len(snapshot.Entries) == 0 {
+		return origin.Origin{}, false, true
 	}
-	daemon.do(func() {
-		now := daemon.clock.Now()
-		baseline := daemon.control.origins.baselines[service].Version
-		if now.Before(daemon.control.origins.unrecordedUntil) && !daemon.hasOneVersion(now, service) {
-			return
-		}
-		if baseline != "" && daemon.pauses.Unchecked() == nil && !daemon.copiesAreStale(now) {
-			began = origin.Origin{Service: service, Version: baseline}
-		}
-	})
-	return began, originFromBaseline, true
+	record, _ = decodeOrigin(snapshot.Entries[0].Value)
+	return record, true, true
+}
+
+// originWithoutRecord returns the origin of a stream without a record, its service's baseline, or the zero value if that is not known; it must run on the
+// loop.
+func (daemon *Daemon) originWithoutRecord(now time.Time, service string) origin.Origin {
+	baseline := daemon.control.origins.baselines[service].Version
+	if now.Before(daemon.control.origins.unrecordedUntil) && !daemon.hasOneVersion(now, service) {
+		return origin.Origin{}
+	}
+	if baseline == "" || daemon.pauses.Unchecked() != nil || daemon.copiesAreStale(now) {
+		return origin.Origin{}
+	}
+	return origin.Origin{Service: service, Version: baseline}
 }
 
 // copiesAreStale reports whether a change of a baseline may not be known here; it must run on the loop.
@@ -428,6 +558,7 @@
 		origins.order = append(origins.order[count:len(origins.order):len(origins.order)], next...)
 		for _, attempt := range next {
 			batch[attempt] = origins.pending[attempt]
+			batch[attempt].sent = true
 		}
 	})
 	return batch
@@ -447,7 +578,7 @@
 	}
 	daemon.do(func() {
 		origins := &daemon.control.origins
-		origins.lastFailure = time.Time{}
+		origins.lastFailure, origins.lateAt = time.Time{}, time.Time{}
 		for attempt, record := range batch {
 			close(record.written)
 			if origins.pending[attempt] == record { // it was not replaced meanwhile
@@ -551,7 +682,7 @@
 	now := daemon.clock.Now()
 	for attempt, began := range daemon.control.origins.table.Own(now) {
 		if !daemon.coversOrigin(now, began) && daemon.control.origins.pending[attempt] == nil {
-			daemon.addPendingOrigin(attempt, began)
+			daemon.addPendingOrigin(attempt, began, false)
 		}
 	}
 }
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -29,7 +29,10 @@
 
 // messageGeneration is the generation of the messages between daemons. It rises when a daemon has to treat those of older builds differently; builds
 // before the first one state none.
-const messageGeneration = 1
+const messageGeneration = 2
+
+// originsGeneration is the first generation whose daemons keep copies of the records of origins.
+const originsGeneration = 2
 
 // Paths between daemons.
 const (
@@ -43,6 +46,8 @@
 	pathReach  = "/peer/reach"
 
 	pathRouting = "/peer/routing" // not known to builds of generation 0
+	pathOrigins = "/peer/origins" // not known to builds before originsGeneration
+	pathOrigin  = "/peer/origin"  // the same
 )
 
 // forecastAt is a forecast with the time at which it was received.
@@ -85,6 +90,8 @@
 	mux.HandleFunc("POST "+pathPermit, daemon.servePermit)
 	mux.HandleFunc("POST "+pathReach, daemon.serveReach)
 	mux.HandleFunc("POST "+pathRouting, daemon.serveRouting)
+	mux.HandleFunc("POST "+pathOrigins, daemon.serveOrigins)
+	mux.HandleFunc("POST "+pathOrigin, daemon.serveOrigin)
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if strings.HasPrefix(request.RequestURI, pathForward+"/") {
 			daemon.serveForward(writer, request) // the mux would clean the caller's path
@@ -165,6 +172,7 @@
 		daemon.paths.warn()
 	}
 	known.pathsLost, known.forwards, known.routingVersion = pathsLost, status.PathsLost != nil, status.RoutingVersion
+	known.lacksOrigins = status.Generation < originsGeneration
 	daemon.control.peerLastSeen = now
 	if !known.forwards { // builds that forward also record origins
 		daemon.control.origins.unrecordedUntil = now.Add(daemon.originLifetime())
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -184,6 +184,7 @@
 		delivery.inputs.free() // the target found that an input no longer exists
 	}
 	switch {
+	case errors.Is(failure.cause, errBeginsAtBaseline): // its retry is charged
 	case failure.run == core.NotRun && request.responseStarted:
 		delivery.rejectedBy = append(delivery.rejectedBy, current.attempt.target.ID)
 		for !failure.unsent && !daemon.allowRetry(delivery.service.Name) {
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"catkincove/core"
 	"catkincove/core/place"
 )
 
@@ -44,7 +45,10 @@
 		}
 		relay.watchdog.receiveEvent()
 		if count == 0 {
-			relay.fixOrigin(ctx)
+			if err := relay.fixOrigin(ctx); err != nil {
+				relay.daemon.recordOutcome(request, relay.attempt, place.Inconclusive, 0)
+				return &sendError{run: core.HasRun, cause: err}
+			}
 			relay.beginResponse(response)
 		}
 		if !request.isNext(id) {
