io/edge: answer all requests before the grace period ends

Cause: requests in progress at the cut-off were left to the end of the process. Nothing told those that still waited that their daemon was about to exit, and a target could get a stream at any time until then.

Fix: 1.5 s before the end of the grace period no target gets a request any longer that could outlast it; what waits for stages, a turn or a target ends with 503, which is true, and Retry-After. 0.4 s before the end the contexts of all requests end: one without a response that may have run gets 504, one that has not run 503, and a stream that has begun ends as before. wouldBeCut still refuses at once what comes too late.

Ruled out: requests that come late and may not be repeated were refused before as well, by their time limit (the case passed on the code before).

Evidence: TestNoRequestIsCutByDrain failed in 3 of 4 cases on the code before (EOF, once after a run) and passes; TestDrain, TestNewStreamDuringDrain and TestDrainInLargeFleet pass.

--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -10,12 +10,10 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -35,16 +33,11 @@
 )
 
 const (
-	memoryLimitShare     = 0.6                     // share of MemoryMB that is set as the memory limit of the Go runtime
-	housekeepingInterval = time.Second             // period of the sweeps and of the check of the settings file
-	headerTimeout        = 10 * time.Second        // limit on reading a request's header; callers may open connections ahead of use
-	idleTimeout          = 75 * time.Second        // longer than callers keep idle connections, so that the callers close them
-	maxHeaderBytes       = 64 << 10                // limit on a request's header
-	shutdownReserve      = 1500 * time.Millisecond // time before the end of the grace period when new requests are no longer accepted and the last ones end
-	cutoffReserve        = 400 * time.Millisecond  // time before the end of the grace period when requests still running are cut off
-	idleBeforeExit       = time.Second             // time without requests that allows an exit before the end of the grace period
-	streamAcceptPeriod   = 3 * time.Second         // time after SIGTERM in which streams are still accepted: most end within the rest of the grace period
-	minDrain             = 3500 * time.Millisecond // minimum drain, since callers may still use the address: the directory's TTL is 2 s, and a look-up takes up to 1 s
+	memoryLimitShare     = 0.6              // share of MemoryMB that is set as the memory limit of the Go runtime
+	housekeepingInterval = time.Second      // period of the sweeps and of the check of the settings file
+	headerTimeout        = 10 * time.Second // limit on reading a request's header; callers may open connections ahead of use
+	idleTimeout          = 75 * time.Second // longer than callers keep idle connections, so that the callers close them
+	maxHeaderBytes       = 64 << 10         // limit on a request's header
 )
 
 // Options configures a Daemon; Settings.Metrics and SettingsFile may be empty.
@@ -81,9 +74,10 @@
 	leavingSince   atomic.Pointer[time.Time] // time at which the daemon started to leave; nil before
 	leaveOnce      sync.Once
 	leaveStarted   chan struct{} // closed when the daemon starts to leave
-	activeRequests atomic.Int64  // requests of callers in progress
-	lastRequestEnd atomic.Int64  // Unix time in nanoseconds
-	bodyBytes      atomic.Int64  // size of the request bodies in memory
+	drain          drain
+	activeRequests atomic.Int64 // requests of callers in progress
+	lastRequestEnd atomic.Int64 // Unix time in nanoseconds
+	bodyBytes      atomic.Int64 // size of the request bodies in memory
 
 	paths        pathMonitor
 	pauses       wake.Detector
@@ -139,7 +133,7 @@
 	settings.AdvertisePeer = cmp.Or(settings.AdvertisePeer, settings.Peer)
 	daemon := &Daemon{
 		options: options, dialect: options.Dialect, store: options.Store, clock: options.Clock,
-		logWriter: newLogWriter(options.Clock), leaveStarted: make(chan struct{}), metrics: newMetrics(),
+		logWriter: newLogWriter(options.Clock), leaveStarted: make(chan struct{}), drain: newDrain(), metrics: newMetrics(),
 		targets: &xchg.Client{Clock: options.Clock},
 	}
 	daemon.loop.OnPanic = func(value any, stack []byte) { daemon.reportPanic("loop", value, stack) }
@@ -211,8 +205,7 @@
 			return err
 		}, func(error) { stopServing(); _ = service.server.Close() })
 	}
-	front := services[0].server
-	daemon.addTask(&group, serving, "drain", func(ctx context.Context) error { return daemon.drainOnSignal(ctx, front) })
+	daemon.addTask(&group, serving, "drain", func(ctx context.Context) error { return daemon.drainOnSignal(ctx, services) })
 	err = group.Run()
 	daemon.log.Info().Str(eventField, eventStop).Dur("UpFor", daemon.clock.Now().Sub(began)).AnErr("Cause", err).Msg("daemon stops")
 	if errors.Is(err, errDrained) || ctx.Err() != nil {
@@ -272,73 +265,6 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
 }
 
-// wouldBeCut reports whether the request may still be running when a leaving daemon cuts off requests. Callers with a
-// cached address connect until shortly before the end: a rejected caller goes to another daemon, while one that is cut
-// off loses what it has received.
-func (daemon *Daemon) wouldBeCut(request *request) bool {
-	began := daemon.leavingSince.Load()
-	if began == nil {
-		return false
-	}
-	grace := daemon.settings.Load().Grace
-	if request.route.Stream {
-		return daemon.clock.Now().Sub(*began) > min(streamAcceptPeriod, grace/2)
-	}
-	return request.deadline.After(began.Add(grace - cutoffReserve))
-}
-
-type drained struct{}
-
-func (drained) Error() string { return "drained" }
-
-var errDrained error = drained{}
-
-// drainOnSignal waits for SIGTERM or an interrupt, leaves the directory, goes on serving callers that still use the
-// address, and returns errDrained when no request has come for a while or the grace period is nearly over.
-func (daemon *Daemon) drainOnSignal(ctx context.Context, front *http.Server) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case received := <-signals:
-			if received == syscall.SIGHUP {
-				daemon.reload("SIGHUP")
-				continue
-			}
-		}
-		break
-	}
-	began := daemon.clock.Now()
-	grace := daemon.settings.Load().Grace
-	daemon.leaveOnce.Do(func() {
-		daemon.leavingSince.Store(&began)
-		daemon.leaving.Store(true)
-		close(daemon.leaveStarted)
-	})
-	daemon.loop.Post(daemon.handOverJobs)
-	daemon.log.Info().Str(eventField, eventDrain).Dur("Grace", grace).Int64("Active", daemon.activeRequests.Load()).Msg("draining before exit")
-	for {
-		if !core.Sleep(ctx, daemon.clock, 100*time.Millisecond) {
-			return ctx.Err()
-		}
-		elapsed := daemon.clock.Now().Sub(began)
-		idle := daemon.activeRequests.Load() == 0 && daemon.clock.Now().UnixNano()-daemon.lastRequestEnd.Load() > int64(idleBeforeExit)
-		if elapsed > grace-shutdownReserve || elapsed > minDrain && idle {
-			break
-		}
-	}
-	// Shutdown closes idle connections and waits for the requests in progress.
-	stopCtx, cancel := context.WithTimeout(ctx, max(grace-cutoffReserve-daemon.clock.Now().Sub(began), 0))
-	defer cancel()
-	if err := front.Shutdown(stopCtx); err != nil {
-		daemon.log.Warn().Str(eventField, eventDrainCut).Int64("Active", daemon.activeRequests.Load()).Err(err).Msg("grace period ended with requests in progress")
-	}
-	return errDrained
-}
-
 // housekeep periodically removes expired state and reloads the settings file when it has changed, which may happen
 // without SIGHUP.
 func (daemon *Daemon) housekeep(ctx context.Context) error {
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -100,6 +100,8 @@
 	defer request.bodyMemory.release()
 	ctx, cancel := context.WithDeadline(incoming.Context(), request.deadline)
 	defer cancel()
+	ctx, stop := daemon.untilCut(ctx)
+	defer stop()
 	if err := daemon.serve(ctx, writer, request); err != nil {
 		daemon.reject(writer, request, daemon.classify(ctx, request, err))
 		return
@@ -186,19 +188,21 @@
 	}
 	inputs := &inputs{daemon: daemon, request: request}
 	defer inputs.free()
+	startable, stop := daemon.whileStartable(ctx, request)
+	defer stop()
 	if daemon.forwardingPeer(request) != nil {
 		// The other daemon admits the request and runs its stages, unless the paths of this one return before.
 		daemon.do(func() { request.plan = admit.Forecast(daemon.admissionRequest(request, daemon.clock.Now())) })
-		return daemon.send(ctx, writer, request, inputs)
+		return daemon.send(ctx, startable, writer, request, inputs)
 	}
 	if err := daemon.admit(request); err != nil {
 		return err
 	}
-	if err := inputs.produce(ctx); err != nil {
+	if err := inputs.produce(startable); err != nil {
 		return err
 	}
 	request.stagesDuration = daemon.clock.Now().Sub(request.startedAt)
-	return daemon.send(ctx, writer, request, inputs)
+	return daemon.send(ctx, startable, writer, request, inputs)
 }
 
 // admit rejects a request that has crashed targets before, and one that is expected to be late.
@@ -269,6 +273,11 @@
 	switch {
 	case request.incoming.Context().Err() != nil:
 		return errCallerDisconnected
+	case daemon.endedByDrain(request) && isCancelled(err):
+		if request.mayHaveRun {
+			return core.Errorf(core.OutcomeUnknown, "this daemon has left before the response")
+		}
+		return core.Errorf(core.Unavailable, "this daemon is leaving").WithRetryAfter(leavingRetryAfter)
 	case errors.As(err, &failedStage):
 		return core.Errorf(core.Unavailable, "%w", err).WithRetryAfter(daemon.stagesRetryAfter(request))
 	case ctx.Err() != nil && request.mayHaveRun:
@@ -281,6 +290,12 @@
 	return err
 }
 
+// isCancelled reports whether a request has ended with its context, or without the results of a stage.
+func isCancelled(err error) bool {
+	var failedStage *stageError
+	return errors.Is(err, context.Canceled) || errors.As(err, &failedStage)
+}
+
 // stagesRetryAfter estimates when the stages will have caught up: the excess of the forecast over half the latency
 // objective, and at least defaultRetryAfter.
 func (daemon *Daemon) stagesRetryAfter(request *request) time.Duration {
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -45,11 +45,12 @@
 
 // delivery is the state of sending one request to targets.
 type delivery struct {
-	daemon  *Daemon
-	writer  http.ResponseWriter
-	request *request // a copy of the received one after a takeover
-	inputs  *inputs
-	service core.ServiceSpec
+	daemon    *Daemon
+	writer    http.ResponseWriter
+	request   *request // a copy of the received one after a takeover
+	inputs    *inputs
+	service   core.ServiceSpec
+	startable context.Context // ends when no target may get the request any longer
 
 	dialFailures int
 	rejections   int
@@ -59,9 +60,10 @@
 	lastErr      error
 }
 
-// send forwards the request to targets until one responds or no further attempt is allowed.
-func (daemon *Daemon) send(ctx context.Context, writer http.ResponseWriter, received *request, inputs *inputs) error {
-	delivery := &delivery{daemon: daemon, writer: writer, request: received, inputs: inputs, service: daemon.chooseService(received)}
+// send forwards the request to targets until one responds or no further attempt is allowed; startable ends when no target may get it any longer, unless
+// the response has started.
+func (daemon *Daemon) send(ctx, startable context.Context, writer http.ResponseWriter, received *request, inputs *inputs) error {
+	delivery := &delivery{daemon: daemon, writer: writer, request: received, inputs: inputs, service: daemon.chooseService(received), startable: startable}
 	defer func() { received.progress = delivery.request.progress }()
 	var current *relay
 	for delivery.dialFailures < maxDialFailures {
@@ -98,6 +100,15 @@
 // request must wait for its stages or for a target.
 func (delivery *delivery) begin(ctx context.Context) (*relay, error) {
 	daemon, request := delivery.daemon, delivery.request
+	if !request.responseStarted {
+		ctx = delivery.startable
+	}
+	if ctx.Err() != nil && request.mayHaveRun && delivery.lastErr != nil {
+		return nil, core.Errorf(core.TargetFailed, "%w", delivery.lastErr)
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	if through := daemon.forwardingPeer(request); through != nil {
 		attempt := daemon.forwardsTo(request, through)
 		request.targetID = attempt.target.ID
