io/edge: stay until requests that other daemons have passed on have ended

What callers saw: 502 for a request that its target answered in time, when the daemon that it was passed on to was stopped.

Cause: a leaving daemon waits for its front server 1.5 s before the end of the grace period. Requests that other daemons have passed on arrive at the peer server, so the front had none and the process ended, 1.1 s before the cut-off.

Fix: wait for the requests in progress, which are counted at both, with the same limit.

--- a/io/edge/drain.go
+++ b/io/edge/drain.go
@@ -139,9 +139,19 @@
 	return errDrained
 }
 
-// shutDown stops accepting requests of callers, closes idle connections, and waits until the deadline for the requests in progress.
+// shutDown stops accepting requests of callers, closes idle connections, and waits until the deadline for the requests in progress, also for those that
+// other daemons have passed on.
 func (daemon *Daemon) shutDown(ctx context.Context, services []service, deadline time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, max(deadline.Sub(daemon.clock.Now()), 0))
 	defer cancel()
-	return services[frontService].server.Shutdown(ctx)
+	if err := services[frontService].server.Shutdown(ctx); err != nil {
+		return err
+	}
+	for daemon.activeRequests.Load() > 0 {
+		if !core.Sleep(ctx, daemon.clock, exitPollInterval) {
+			return ctx.Err()
+		}
+	}
+	core.Sleep(ctx, daemon.clock, exitPollInterval) // the last response to another daemon is written after its request has ended
+	return nil
 }
