--- a/io/edge/drain.go
+++ b/io/edge/drain.go
@@ -67,6 +67,9 @@
 
 // endedByDrain reports whether a leaving daemon has ended the request.
 func (daemon *Daemon) endedByDrain(request *request) bool {
+	if daemon.leavingSince.Load() == nil {
+		return false
+	}
 	return daemon.drain.requestsEnded.Err() != nil || daemon.drain.startsEnded.Err() != nil && !request.mayHaveRun && !request.responseStarted && daemon.wouldOutlast(request)
 }
 
