io/edge: limit the memory of responses that are not forwarded yet

What callers would see: a daemon that ends for want of memory, and with it the requests of all its callers, because one target in trouble sends bytes without end (a report of other operators).

Cause: each request keeps up to 1 MB of a body or of an event before it is forwarded, and the beginning of a longer body until the end of its response; nothing limits their sum, while a target gets 96 and more requests at once. Heads (64 KB), batch calls (1 MB, few at a time), the store (8 MB, one or two calls) and request bodies have limits.

Fix: what is read of responses reserves memory, 0.15 of the settings' for all requests together. Beyond it a body is forwarded as it arrives, as a long one is, and an event over 4 KB ends its attempt without blame for the target. The beginning of a long body is freed once it is forwarded.

--- a/io/edge/body.go
+++ b/io/edge/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,14 +15,15 @@
 )
 
 const (
-	bodyMemoryShare = 0.25    // share of MemoryMB for request bodies
-	defaultMaxBody  = 4 << 20 // bytes; limit on a body while the routing states none
+	bodyMemoryShare     = 0.25    // share of MemoryMB for request bodies
+	responseMemoryShare = 0.15    // share of MemoryMB for what is read of responses before it is forwarded
+	defaultMaxBody      = 4 << 20 // bytes; limit on a body while the routing states none
 )
 
 var (
 	errTooLarge    = errors.New("body is too large")
 	errBodyTimeout = errors.New("body is incomplete at the time limit of the request")
-	errBodyMemory  = errors.New("request bodies exceed their memory limit")
+	errBodyMemory  = errors.New("bodies exceed their memory limit")
 )
 
 // readBody reads the whole body, so that it can be sent again; it returns an error if the body, or the memory of all
@@ -35,7 +37,7 @@
 	if incoming.ContentLength > limit {
 		return bodyError(errTooLarge)
 	}
-	memory := &bodyMemory{daemon: daemon}
+	memory := daemon.newBodyMemory(&daemon.bodyBytes, bodyMemoryShare)
 	if err := memory.reserve(incoming.ContentLength); err != nil {
 		return bodyError(err)
 	}
@@ -74,22 +76,26 @@
 	return core.Errorf(kind, "body: %w", cause).WithRetryAfter(retryAfter)
 }
 
-// bodyMemory is the part of the memory for bodies that one request has reserved.
+// bodyMemory is the part of the memory for bodies that one request has reserved; release frees it.
 type bodyMemory struct {
-	daemon   *Daemon
+	used     *atomic.Int64 // bytes reserved by all
+	budget   int64
 	reserved int64 // bytes
 }
 
+// newBodyMemory returns the memory for a request body, or that for a response, of which nothing is reserved yet.
+func (daemon *Daemon) newBodyMemory(used *atomic.Int64, share float64) *bodyMemory {
+	return &bodyMemory{used: used, budget: int64(float64(daemon.options.Settings.MemoryMB) * share * (1 << 20))}
+}
+
 // reserve reserves the memory of the first bytes of a body; it returns errBodyMemory if there is too little.
 func (memory *bodyMemory) reserve(bytes int64) error {
 	further := bytes - memory.reserved
 	if further <= 0 {
 		return nil
 	}
-	budget := int64(float64(memory.daemon.options.Settings.MemoryMB) * bodyMemoryShare * (1 << 20))
-	if memory.daemon.bodyBytes.Add(further) > budget {
-		memory.daemon.bodyBytes.Add(-further)
-		memory.release()
+	if memory.used.Add(further) > memory.budget {
+		memory.used.Add(-further)
 		return errBodyMemory
 	}
 	memory.reserved += further
@@ -111,7 +117,7 @@
 }
 
 func (memory *bodyMemory) release() {
-	memory.daemon.bodyBytes.Add(-memory.reserved)
+	memory.used.Add(-memory.reserved)
 	memory.reserved = 0
 }
 
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -78,6 +78,7 @@
 	activeRequests atomic.Int64 // requests of callers in progress
 	lastRequestEnd atomic.Int64 // Unix time in nanoseconds
 	bodyBytes      atomic.Int64 // size of the request bodies in memory
+	responseBytes  atomic.Int64 // size of what was read of responses and not forwarded yet
 
 	paths        pathMonitor
 	pauses       wake.Detector
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,7 +80,7 @@
 			var ids []string
 			var size int
 			for {
-				event, id, err := readEvent(reader)
+				event, id, err := readEvent(reader, &bodyMemory{used: new(atomic.Int64), budget: 4 * maxEventBytes})
 				if err != nil {
 					if !errors.Is(err, test.err) {
 						t.Errorf("stream ends with %v", err)
--- a/io/edge/fuzz_test.go
+++ b/io/edge/fuzz_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,7 +34,7 @@
 		var whole []byte
 		var end error
 		for end == nil {
-			event, id, err := readEvent(reader)
+			event, id, err := readEvent(reader, &bodyMemory{used: new(atomic.Int64), budget: 4 * maxEventBytes})
 			if end = err; err != nil {
 				break
 			}
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -575,8 +575,10 @@
 
 // errorResponse forwards an error response of the target, or returns it as an error if another attempt may succeed.
 func (relay *relay) errorResponse(ctx context.Context, response *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponse))
-	if err != nil {
+	memory := relay.daemon.newBodyMemory(&relay.daemon.responseBytes, responseMemoryShare)
+	defer memory.release()
+	body, err := memory.readResponse(response)
+	if err != nil && !errors.Is(err, errBodyMemory) {
 		return relay.disconnected(ctx, err)
 	}
 	outcome := place.Succeeded
@@ -593,9 +595,9 @@
 	if relay.request.responseStarted {
 		return &sendError{run: core.HasRun, cause: cause}
 	}
-	if len(body) == maxBufferedResponse {
+	if err != nil || len(body) == maxBufferedResponse {
 		relay.request.outcome = outcomeTargetErred
-		return relay.forwardLong(ctx, response, body)
+		return relay.forwardLong(ctx, response, body, memory)
 	}
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -606,13 +608,22 @@
 	return nil
 }
 
-// forwardLong forwards a response as it arrives, after the beginning of its body that was already read.
-func (relay *relay) forwardLong(ctx context.Context, response *http.Response, begin []byte) error {
+// readResponse reads the body of a response, or the first maxBufferedResponse bytes of a longer one. With errBodyMemory it returns what the memory for
+// responses has room for: a target in trouble may send bytes without end to all its requests.
+func (memory *bodyMemory) readResponse(response *http.Response) ([]byte, error) {
+	var body bytes.Buffer
+	_, err := io.Copy(&body, &meteredReader{source: io.LimitReader(response.Body, maxBufferedResponse), memory: memory})
+	return body.Bytes(), err
+}
+
+// forwardLong forwards a response as it arrives, after the beginning of its body that was already read, whose memory it frees.
+func (relay *relay) forwardLong(ctx context.Context, response *http.Response, begin []byte, memory *bodyMemory) error {
 	copyHeader(relay.writer.Header(), response.Header)
 	relay.resumable = false
 	relay.request.responseStarted, relay.request.status = true, response.StatusCode
 	relay.writer.WriteHeader(response.StatusCode)
 	_, _ = relay.writer.Write(begin)
+	memory.release()
 	if _, err := io.Copy(relay.writer, response.Body); err != nil {
 		return relay.disconnected(ctx, err)
 	}
@@ -631,22 +642,23 @@
 // can be retried if the target disconnects.
 func (relay *relay) forwardBuffered(ctx context.Context, response *http.Response) error {
 	relay.watchdog.wait()
-	var body bytes.Buffer
-	_, err := io.Copy(&body, io.LimitReader(response.Body, maxBufferedResponse))
+	memory := relay.daemon.newBodyMemory(&relay.daemon.responseBytes, responseMemoryShare)
+	defer memory.release()
+	body, err := memory.readResponse(response)
 	relay.request.firstEventAfter = relay.daemon.clock.Now().Sub(relay.request.startedAt)
-	if err != nil {
+	if err != nil && !errors.Is(err, errBodyMemory) {
 		return relay.disconnected(ctx, err)
 	}
 	relay.inputs.free()
-	if body.Len() < maxBufferedResponse {
+	if err == nil && len(body) < maxBufferedResponse {
 		duration := relay.daemon.clock.Now().Sub(relay.attempt.startedAt)
 		relay.daemon.recordOutcome(relay.request, relay.attempt, place.Succeeded, duration)
 		relay.daemon.observeFirstEvent(relay.request.route.Name, duration)
-		relay.request.write(relay.writer, &bufferedResponse{status: response.StatusCode, header: response.Header, body: body.Bytes()})
+		relay.request.write(relay.writer, &bufferedResponse{status: response.StatusCode, header: response.Header, body: body})
 		relay.clearCrashes()
 		return nil
 	}
-	if err := relay.forwardLong(ctx, response, body.Bytes()); err != nil {
+	if err := relay.forwardLong(ctx, response, body, memory); err != nil {
 		return err
 	}
 	relay.daemon.recordOutcome(relay.request, relay.attempt, place.Succeeded, relay.daemon.clock.Now().Sub(relay.attempt.startedAt))
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -31,15 +31,22 @@
 	reader := bufio.NewReaderSize(response.Body, eventBufferBytes)
 	request := relay.request
 	flusher := http.NewResponseController(relay.writer)
+	memory := relay.daemon.newBodyMemory(&relay.daemon.responseBytes, responseMemoryShare)
+	defer memory.release()
 	for count := 0; ; count++ {
 		relay.watchdog.wait()
-		event, id, err := readEvent(reader)
+		event, id, err := readEvent(reader, memory)
 		if !relay.watchdog.endWait(err == nil || err == io.EOF) {
 			return relay.replaced()
 		}
 		if err == io.EOF {
 			return relay.endStream(response, count)
 		}
+		if errors.Is(err, errBodyMemory) { // other responses use the memory, which is no fault of this target
+			request.mayHaveRun = true
+			relay.daemon.recordOutcome(request, relay.attempt, place.Inconclusive, 0)
+			return &sendError{run: core.Unknown, cause: err}
+		}
 		if err != nil {
 			return relay.disconnected(ctx, err)
 		}
@@ -66,6 +73,7 @@
 			relay.resumable = false
 			return relay.disconnected(ctx, err)
 		}
+		memory.release()
 		if id != "" {
 			request.resumeAfter = id
 		}
@@ -139,11 +147,16 @@
 
 // readEvent returns one whole event with its ID, and with the empty lines and comments before it, which are no sign that the
 // target works; those at the end of the stream are returned alone. io.EOF means that the stream ended between events,
-// errTruncated inside one.
-func readEvent(reader *bufio.Reader) (event []byte, id string, err error) {
+// errTruncated inside one, and errBodyMemory that it is longer than the memory for responses has room for. The memory is reserved until its release.
+func readEvent(reader *bufio.Reader, memory *bodyMemory) (event []byte, id string, err error) {
 	hasContent := false
 	for lineStart := 0; ; {
 		part, err := reader.ReadSlice('\n')
+		if len(event)+len(part) > eventBufferBytes {
+			if err := memory.reserve(2 * int64(len(event)+len(part))); err != nil { // append doubles the buffer
+				return nil, "", err
+			}
+		}
 		event = append(event, part...)
 		switch {
 		case len(event) > maxEventBytes:
