io/edge: take no other response for the rest of a stream

Cause: when a stream goes on at another target, a status below 300 was all that was asked of its response. A body of another type was read as events; an event without an ID passed as the next one of a numbered stream; an empty body, 204, or a connection without length or chunks that closed at once was the end of the stream. Error statuses were handled: nothing of them was forwarded.

Fix: the response must have the status and the type of the one that the caller has, its first event must be numbered if the stream is, and an end without an event counts only if a length or chunks show it. Otherwise the attempt has failed, and the next target is asked within the budget, as after an error.

--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -69,6 +69,7 @@
 	responseStarted bool          // the response to the caller has started
 	outcome         string        // outcome in log and metrics
 	status          int           // status of the response to the caller; 0 before it has begun
+	mediaType       string        // type of the body of that response
 	aborted         bool          // the caller's connection was closed before the end of its response
 	targetID        string
 	firstEventAfter time.Duration   // time from the start of the request to the first event or the whole response
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"catkincove/core"
@@ -24,6 +25,7 @@
 	errGap          = errors.New("events are missing in the stream")
 	errTruncated    = errors.New("the stream ended inside an event")
 	errEventTooLong = errors.New("an event is too long")
+	errNotResumed   = errors.New("the target does not go on with the stream")
 )
 
 // stream forwards events as they arrive, whole ones only, so that another target can resume after the last one.
@@ -33,12 +35,19 @@
 	flusher := http.NewResponseController(relay.writer)
 	memory := relay.daemon.newBodyMemory(&relay.daemon.responseBytes, responseMemoryShare)
 	defer memory.release()
+	resumed := request.responseStarted
+	if resumed && (response.StatusCode != request.status || mediaType(response) != request.mediaType) {
+		return relay.notResumed()
+	}
 	for count := 0; ; count++ {
 		relay.watchdog.wait()
 		event, id, err := readEvent(reader, memory)
 		if !relay.watchdog.endWait(err == nil || err == io.EOF) {
 			return relay.replaced()
 		}
+		if err == io.EOF && resumed && count == 0 && !relay.delimited {
+			return relay.notResumed() // its connection may have broken
+		}
 		if err == io.EOF {
 			return relay.endStream(response, count)
 		}
@@ -50,6 +59,9 @@
 		if err != nil {
 			return relay.disconnected(ctx, err)
 		}
+		if resumed && count == 0 && id == "" && request.isNumbered() && !isComment(event) {
+			return relay.notResumed()
+		}
 		relay.watchdog.receiveEvent()
 		if count == 0 {
 			if err := relay.fixOrigin(ctx); err != nil {
@@ -87,7 +99,7 @@
 	firstEventTime := daemon.clock.Now().Sub(relay.attempt.startedAt)
 	relay.inputs.free()
 	if !request.responseStarted {
-		request.responseStarted, request.status = true, response.StatusCode
+		request.responseStarted, request.status, request.mediaType = true, response.StatusCode, mediaType(response)
 		request.firstEventAfter = daemon.clock.Now().Sub(request.startedAt)
 		copyHeader(relay.writer.Header(), response.Header)
 		relay.writer.WriteHeader(response.StatusCode)
@@ -97,6 +109,35 @@
 	daemon.reportPrefill(request, relay.attempt, place.Succeeded, firstEventTime)
 }
 
+// mediaType returns the type of a response's body without its parameters.
+func mediaType(response *http.Response) string {
+	name, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
+// notResumed ends an attempt whose target has responded with success, but not with the rest of the stream: what it sends may be the text of an error, and its
+// end is not that of the stream.
+func (relay *relay) notResumed() error {
+	relay.daemon.recordOutcome(relay.request, relay.attempt, place.ErrorResponse, 0)
+	return &sendError{run: core.HasRun, cause: errNotResumed}
+}
+
+// isComment reports whether an event holds only comments and empty lines.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// isNumbered reports whether the last event that the caller has received has a number.
+func (request *request) isNumbered() bool {
+	_, err := strconv.ParseInt(request.resumeAfter, 10, 64)
+	return err == nil
+}
+
 func (relay *relay) endStream(response *http.Response, count int) error {
 	if count == 0 {
 		// A stream that the target ends cleanly is complete, even without an event of this attempt.
