core/blame: exonerate prompts at targets whose responses end with their connection

Cause: a response with neither a length nor chunks ends with its connection, as it does when the target crashes, so none was counted as completed. At a service that responds so, no part was ever sound, and the part that all requests share was quarantined.

Fix: such a response counts as completed once the same run of the target has responded to a request that it got after the response had ended, within a second, since a target that has crashed is back later.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -21,6 +21,8 @@
 	maxDoublings       = 4                      // the longest quarantine of a part is 16 minutes
 	probeInterval      = 10 * time.Second       // time between two requests that probe a part after its quarantine
 	soundTTL           = 60 * time.Second       // time after a completed request in which its parts cannot be suspects
+	minRestart         = time.Second            // a target that has crashed responds again later than this
+	maxEndings         = 1024                   // endings of responses that are remembered, those of a second
 	maxSoundParts      = 8192                   // sound parts that are remembered, about 0.5 MB
 	maxContents        = 4096                   // contents and parts that are tracked, about 1 MB
 	gossipPeriod       = 4 * time.Second        // time for which a crash is gossiped: the other daemons ask once a second
@@ -52,6 +54,14 @@
 	suspects map[core.Fingerprint]*suspect
 	sound    map[core.Fingerprint]time.Time // time of the newest completed request, by part
 	cleared  map[core.Fingerprint]time.Time // time at which a suspected part was found to be sound; to be gossiped
+	unproven []ending                       // oldest first
+}
+
+// ending is the end of a response that a crash of its target may have brought about.
+type ending struct {
+	request Request
+	target  string
+	at      time.Time
 }
 
 type suspect struct {
@@ -144,6 +154,33 @@
 	}
 }
 
+// AddEnding records that the response to a request has ended with its connection, which a crash of the target does as well. The request has completed if the
+// same run of the target responds to a request that it got after that.
+func (crashTracker *CrashTracker) AddEnding(now time.Time, request Request, target string) {
+	crashTracker.expireEndings(now)
+	if len(crashTracker.unproven) < maxEndings {
+		crashTracker.unproven = append(crashTracker.unproven, ending{request: request, target: target, at: now})
+	}
+}
+
+// AddResponse records that a run of a target has responded to a request that was sent at a time.
+func (crashTracker *CrashTracker) AddResponse(now, sentAt time.Time, target string) {
+	crashTracker.expireEndings(now)
+	crashTracker.unproven = slices.DeleteFunc(crashTracker.unproven, func(ending ending) bool {
+		proven := ending.target == target && sentAt.After(ending.at)
+		if proven {
+			crashTracker.Exonerate(now, ending.request)
+		}
+		return proven
+	})
+}
+
+// expireEndings removes the endings after which a target that has crashed may have restarted.
+func (crashTracker *CrashTracker) expireEndings(now time.Time) {
+	expired, _ := slices.BinarySearchFunc(crashTracker.unproven, now.Add(-minRestart), func(ending ending, at time.Time) int { return ending.at.Compare(at) })
+	crashTracker.unproven = slices.Delete(crashTracker.unproven, 0, expired)
+}
+
 // AddSound records that a request with a part of a prompt has completed.
 func (crashTracker *CrashTracker) AddSound(now time.Time, part core.Fingerprint) {
 	if crashTracker.sound == nil {
--- a/io/edge/crash.go
+++ b/io/edge/crash.go
@@ -39,7 +39,7 @@
 	if relay.firstEventLatency > 0 && now.Sub(relay.attempt.startedAt.Add(relay.firstEventLatency)) > crashWindow {
 		suspects.Parts = nil // the target had begun the response long before
 	}
-	run := fmt.Sprintf("%s/%s", target.ID, strconv.FormatInt(target.StartedAt.UnixMilli(), 36))
+	run := runOf(target.ID, target.StartedAt)
 	daemon.whenPathsAreClear("crash", func(clear bool) {
 		if clear {
 			daemon.loop.Post(func() { daemon.control.crashTracker.Record(now, suspects, run) })
@@ -48,6 +48,11 @@
 	})
 }
 
+// runOf identifies one run of a target.
+func runOf(id string, startedAt time.Time) string {
+	return fmt.Sprintf("%s/%s", id, strconv.FormatInt(startedAt.UnixMilli(), 36))
+}
+
 func (relay *relay) logCrash(suspects blame.Request) {
 	request, target := relay.request, relay.attempt.target
 	relay.daemon.log.Info().Str(eventField, eventCrashRecorded).Str("Request", request.caller.Attempt).Str("Target", target.ID).
@@ -55,11 +60,17 @@
 		Msg("the target disconnected and may have crashed under the request")
 }
 
-// clearCrashes exonerates the content and the prompt of a request that has run to its end.
+// clearCrashes exonerates the content and the prompt of a request that has run to its end. A target that crashes also ends a response without a length or
+// chunks, so that one counts once the target has responded to a later request.
 func (relay *relay) clearCrashes() {
-	if !relay.delimited {
-		return // a target that crashes ends such a response, too
-	}
-	daemon, suspects := relay.daemon, relay.request.suspects
-	daemon.loop.Post(func() { daemon.control.crashTracker.Exonerate(daemon.clock.Now(), suspects) })
+	daemon, suspects, target := relay.daemon, relay.request.suspects, relay.attempt.target
+	daemon.loop.Post(func() {
+		now := daemon.clock.Now()
+		switch {
+		case relay.delimited:
+			daemon.control.crashTracker.Exonerate(now, suspects)
+		case relay.attempt.through == nil:
+			daemon.control.crashTracker.AddEnding(now, suspects, runOf(target.ID, target.StartedAt))
+		}
+	})
 }
