core/blame: count all requests that a crash breaks off as one

Cause: a part is refused only together with the parts that all crashed requests with it have in common. A crash also breaks off sound requests at the same target, and each of them was taken for a crash of its own, so that nothing was left in common, and the part that all requests share was refused alone. Then no request could show that it was sound.

Fix: of each crash the parts of all requests that it broke off count together; what the crashes have in common is the part that is to blame.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -40,7 +40,7 @@
 type Crash struct {
 	Content core.Fingerprint // of the request or, with Part, of a part of its prompt
 	Part    bool
-	With    []core.Fingerprint // other parts of the prompt; all crashed requests with the part have them in common
+	With    []core.Fingerprint // other parts of the prompt or, from another daemon, of all prompts with the part that the crash broke off
 	Target  string             // identifies one run of a target
 	Age     time.Duration
 }
@@ -66,14 +66,14 @@
 
 type suspect struct {
 	part     bool
-	with     []core.Fingerprint // as in Crash, without those that are sound
 	crashes  map[string]record  // by run of a target
 	probedAt time.Time
 }
 
 type record struct {
 	seenAt time.Time
-	local  bool // observed by this daemon, not received by gossip
+	local  bool               // observed by this daemon, not received by gossip
+	with   []core.Fingerprint // other parts of the prompts that were broken off by the crash and have the suspected one, without those that are sound
 }
 
 // Record records a target that crashed under a request as observed by this daemon. Parts that cannot be the cause are left out
@@ -102,23 +102,46 @@
 		if len(crashTracker.suspects) >= maxContents && !crashTracker.evict(now) {
 			return
 		}
-		known = &suspect{part: crash.Part, with: crash.With, crashes: map[string]record{}}
+		known = &suspect{part: crash.Part, crashes: map[string]record{}}
 		if crashTracker.suspects == nil {
 			crashTracker.suspects = map[core.Fingerprint]*suspect{}
 		}
 		crashTracker.suspects[crash.Content] = known
 	}
-	known.with = intersect(known.with, crash.With)
-	if at := now.Add(-crash.Age); at.After(known.crashes[crash.Target].seenAt) {
-		known.crashes[crash.Target] = record{seenAt: at, local: crash.Age == 0}
+	recorded := known.crashes[crash.Target]
+	if at := now.Add(-crash.Age); at.After(recorded.seenAt) {
+		recorded.seenAt, recorded.local = at, crash.Age == 0
 	}
+	recorded.with = union(recorded.with, crash.With)
+	known.crashes[crash.Target] = recorded
 	if known.part && len(known.crashes) > maxPartCrashes {
 		known.removeOldest()
 	}
 }
 
-func intersect(a, b []core.Fingerprint) []core.Fingerprint {
-	return slices.DeleteFunc(slices.Clone(a), func(part core.Fingerprint) bool { return !slices.Contains(b, part) })
+func union(a, b []core.Fingerprint) []core.Fingerprint {
+	all := slices.Clone(a)
+	for _, part := range b {
+		if !slices.Contains(all, part) {
+			all = append(all, part)
+		}
+	}
+	return all
+}
+
+// common returns the parts that every crash has in common with the suspected one. A crash also breaks off sound requests at the same target, which lack the
+// part that is to blame; so of each crash all requests count together.
+func (suspect *suspect) common() []core.Fingerprint {
+	var common []core.Fingerprint
+	first := true
+	for _, crash := range suspect.crashes {
+		if first {
+			common, first = slices.Clone(crash.with), false
+			continue
+		}
+		common = slices.DeleteFunc(common, func(part core.Fingerprint) bool { return !slices.Contains(crash.with, part) })
+	}
+	return common
 }
 
 // removeOldest removes the oldest crash but for the first one, which shows how long the crashes have been going on.
@@ -195,7 +218,10 @@
 	}
 	delete(crashTracker.suspects, part)
 	for _, known := range crashTracker.suspects {
-		known.with = slices.DeleteFunc(slices.Clone(known.with), func(other core.Fingerprint) bool { return other == part })
+		for target, crash := range known.crashes {
+			crash.with = slices.DeleteFunc(slices.Clone(crash.with), func(other core.Fingerprint) bool { return other == part })
+			known.crashes[target] = crash
+		}
 	}
 	crashTracker.clear(now, part)
 }
@@ -299,7 +325,7 @@
 // sharesWith reports whether a request has all parts that the crashed requests have in common. Without one of them it is no proof
 // of the same kind, and may show which of the parts is sound.
 func (suspect *suspect) sharesWith(parts []core.Fingerprint) bool {
-	return !slices.ContainsFunc(suspect.with, func(part core.Fingerprint) bool { return !slices.Contains(parts, part) })
+	return !slices.ContainsFunc(suspect.common(), func(part core.Fingerprint) bool { return !slices.Contains(parts, part) })
 }
 
 // CrashesToGossip returns the crashes that the other daemons need: those of quarantined parts first, then those that this daemon
@@ -341,7 +367,7 @@
 	var crashes []Crash
 	for target, crash := range suspect.crashes {
 		age := max(now.Sub(crash.seenAt), time.Nanosecond)
-		crashes = append(crashes, Crash{Content: content, Part: suspect.part, With: suspect.with, Target: target, Age: age})
+		crashes = append(crashes, Crash{Content: content, Part: suspect.part, With: crash.with, Target: target, Age: age})
 	}
 	return crashes
 }
