io/edge: limit messages of other daemons to 1 MB

What callers would see: a daemon that ends for want of memory, because a process that answers at the address of a daemon that has left sends bytes without end to each call; pieces of stages have many calls in progress.

Cause: all messages had the limit of a copy of the configuration, 16 MB, and a longer one was cut and decoded instead of refused.

Fix: 1 MB but for copies of the configuration; longer messages fail.

Evidence: the case 'body' of TestPeerBytesWithoutEnd failed before (17.0 MB accepted) and passes; go test ./io/edge passes.

--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -24,9 +25,12 @@
 	statusTTL              = 50 * time.Millisecond  // lifetime of the cached status; forecasts change within a call of 200 ms and more
 	copyTimeout            = 3 * time.Second        // limit on copying a whole configuration from a peer: 1 MB takes a second at 10 Mbit/s
 	maxGossip              = 24                     // gossip entries in a status, about 1 KB
-	maxPeerBody            = 16 << 20               // limit in bytes; a copy holds the whole configuration
+	maxPeerMessage         = 1 << 20                // limit in bytes on a message; the largest lists the handles of 4,096 pieces
+	maxPeerCopy            = 16 << 20               // the same for a response that holds the whole configuration
 )
 
+var errPeerMessageTooLong = errors.New("a message of another daemon is too long")
+
 // messageGeneration is the generation of the messages between daemons. It rises when a daemon has to treat those of older builds differently; builds
 // before the first one state none.
 const messageGeneration = 2
@@ -336,10 +340,18 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxPeerBody))
+	// Another process may answer at the address of a daemon that has left.
+	limit := int64(maxPeerMessage)
+	if path := request.URL.Path; path == pathCopies || path == pathRouting {
+		limit = maxPeerCopy
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
 		return err
 	}
+	if int64(len(data)) > limit {
+		return errPeerMessageTooLong
+	}
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("%s: status %d", request.URL.Path, response.StatusCode)
 	}
@@ -433,7 +445,10 @@
 }
 
 func readJSON(writer http.ResponseWriter, request *http.Request, message any) bool {
-	data, err := io.ReadAll(io.LimitReader(request.Body, maxPeerBody))
+	data, err := io.ReadAll(io.LimitReader(request.Body, maxPeerMessage+1))
+	if err == nil && len(data) > maxPeerMessage {
+		err = errPeerMessageTooLong
+	}
 	if err == nil {
 		err = json.Unmarshal(data, message)
 	}
--- a/io/edge/peer_test.go
+++ b/io/edge/peer_test.go
@@ -98,14 +98,18 @@
 	}
 }
 
-// TestPeerBytesWithoutEnd guards against a daemon that reads, and keeps in memory, the head of another daemon's response whatever
+// TestPeerBytesWithoutEnd guards against a daemon that reads, and keeps in memory, the head or the body of another daemon's response whatever
 // its length.
 func TestPeerBytesWithoutEnd(t *testing.T) {
 	// 64 KB of a head, 6 MB in this daemon's socket buffer and 64 KB in that of the other.
-	const maxAccepted = 64<<10 + 6<<20 + 64<<10
-	for _, test := range []struct{ name, begin, then string }{
-		{"no response", "", "\x00\x01\xfe no answer "},
-		{"header lines", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+	const maxHead = 64<<10 + 6<<20 + 64<<10
+	for _, test := range []struct {
+		name, begin, then string
+		maxAccepted       int
+	}{
+		{"no response", "", "\x00\x01\xfe no answer ", maxHead},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "X: y\r\n", maxHead},
+		{"body", "HTTP/1.1 200 OK\r\n\r\n", "bytes", maxHead + maxPeerMessage},
 	} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -123,7 +127,7 @@
 			_, _ = conn.Write([]byte(test.begin))
 			chunk := bytes.Repeat([]byte(test.then), 1000)
 			sum := 0
-			for sum < 16*maxAccepted {
+			for sum < 16*test.maxAccepted {
 				count, err := conn.Write(chunk)
 				if sum += count; err != nil {
 					break
@@ -138,7 +142,7 @@
 			t.Errorf("%s: %v", test.name, err)
 		}
 		cancel()
-		if sum := <-accepted; sum > maxAccepted {
+		if sum := <-accepted; sum > test.maxAccepted {
 			t.Errorf("%s: %d bytes were accepted", test.name, sum)
 		}
 	}
