--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -66,7 +66,7 @@
 
 type suspect struct {
 	part     bool
-	crashes  map[string]record  // by run of a target
+	crashes  map[string]record // by run of a target
 	probedAt time.Time
 }
 
