core/limit: keep the rate of a brittle target near what it last bore

Cause: the rate forgot where the target had rejected requests. It fell to what a window of 50 to 250 ms had accepted, and grew by a fifth and more in each window of 250 ms, while results are 100 ms and more late: each ascent ended far above what the target can run, several times in a second.

Fix: what is accepted is measured over a second, and the rate at the last rejection is a ceiling that grows by 3% in a window.

Ruled out: sending at once (turns are spaced already); a slower growth without a ceiling leaves room unused after each fall (worked out).

The soak's (room for one request) fails before and after.

--- a/core/limit/brittle.go
+++ b/core/limit/brittle.go
@@ -15,26 +15,39 @@
 	probeShare   = 0.15                   // share of the bound by which the rate exceeds what is accepted after a rejection
 	calmShare    = 0.35                   // share of the bound that may be rejected in a second before the rate falls below what is accepted
 	calmFactor   = 0.8                    // the rate then, relative to what is accepted
+	ceilingGrow  = 0.03                   // growth in a window of the rate at which the target last rejected requests
 )
 
 // pace adapts the rate of requests to a brittle target, which falls over when it has to reject more requests in a second than its bound.
 //
-// The rate exceeds what the target accepts by a share of the bound only, so that the rejections stay below it while its room is used.
+// The rate exceeds what the target accepts by a share of the bound only, so that the rejections stay below it while its room is used. It comes back to the rate
+// at which the target last rejected requests, but grows beyond that slowly: results are some 100 ms late, and a rate that grows by a fifth in each
+// window oscillates between too low and far too high.
 type pace struct {
 	rate       float64 // 0 before the first window
+	ceiling    float64 // rate that the target accepted when it last rejected requests; 0 if it has not
+	startedAt  time.Time
 	windowAt   time.Time
-	accepted   int         // in the window
-	rejectedAt []time.Time // within rejectWindow
-	rejected   bool        // in the window
-	denied     bool        // in the window: more requests could have been sent
+	accepted   []acceptances // within rejectWindow
+	rejectedAt []time.Time   // within rejectWindow
+	rejected   bool          // in the window
+	denied     bool          // in the window: more requests could have been sent
+}
+
+type acceptances struct {
+	at    time.Time
+	count int
 }
 
 // report adds results of requests to the target.
 func (pace *pace) report(now time.Time, bound float64, results Results) {
 	if pace.rate == 0 {
-		pace.rate, pace.windowAt = freeRate, now
+		pace.rate, pace.windowAt, pace.startedAt = freeRate, now, now
+	}
+	pace.accepted = slices.DeleteFunc(pace.accepted, func(accepted acceptances) bool { return now.Sub(accepted.at) > rejectWindow })
+	if results.Accepted > 0 {
+		pace.accepted = append(pace.accepted, acceptances{now, results.Accepted})
 	}
-	pace.accepted += results.Accepted
 	pace.rejectedAt = slices.DeleteFunc(pace.rejectedAt, func(at time.Time) bool { return now.Sub(at) > rejectWindow })
 	for range min(results.Rejected, maxRejections-len(pace.rejectedAt)) {
 		pace.rejectedAt = append(pace.rejectedAt, now)
@@ -44,18 +57,32 @@
 	if elapsed < paceWindow && (results.Rejected == 0 || elapsed < paceWindow/5) {
 		return
 	}
-	accepted := float64(pace.accepted) / elapsed.Seconds()
+	accepted := pace.acceptedRate(now)
 	switch {
 	case float64(len(pace.rejectedAt)) >= bound*calmShare:
-		pace.rate = accepted * calmFactor
+		pace.rate, pace.ceiling = accepted*calmFactor, accepted
 	case pace.rejected:
-		pace.rate = accepted + probeShare*bound
+		pace.rate, pace.ceiling = accepted, accepted
 	case pace.denied:
 		pace.rate = min(pace.rate*growth+growthShare*bound, accepted*maxLead+bound)
 	default:
 		pace.rate = accepted*growth + growthShare*bound
 	}
-	pace.windowAt, pace.accepted, pace.rejected, pace.denied = now, 0, false, false
+	if pace.ceiling > 0 && !pace.rejected {
+		pace.rate = min(pace.rate, max(pace.ceiling, probeShare*bound))
+		pace.ceiling += pace.ceiling*ceilingGrow + probeShare*bound*ceilingGrow
+	}
+	pace.windowAt, pace.rejected, pace.denied = now, false, false
+}
+
+// acceptedRate returns the requests per second that the target has accepted within rejectWindow.
+func (pace *pace) acceptedRate(now time.Time) float64 {
+	count := 0
+	for _, accepted := range pace.accepted {
+		count += accepted.count
+	}
+	span := min(max(now.Sub(pace.startedAt), paceWindow/5), rejectWindow)
+	return float64(count) / span.Seconds()
 }
 
 // maxRejections bounds the rejections that are remembered of a target.
--- a/core/limit/brittle_test.go
+++ b/core/limit/brittle_test.go
@@ -28,6 +28,8 @@
 		{"room shrinks", 8, 12, 3, 100 * time.Millisecond, 75},
 		{"low bound", 4, 12, 3, 100 * time.Millisecond, 75},
 		{"long requests", 8, 64, 16, time.Second, 40},
+		{"more load than it can run", 4, 28, 5, 100 * time.Millisecond, 68}, // review/5
+		{"much more load than it can run", 4, 28, 5, 100 * time.Millisecond, 120},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(1, 2))
