io/edge: hold a stream whose record was dropped from a full queue

Fix: the attempt keeps its record and waits for that. A daemon's own knowledge of a stream that it began also goes before what it has told others, which may be older.

Evidence: TestStreamOfDroppedRecordIsRefused failed before (the stream began) and passes. Found while reading the change.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -1,6 +1,9 @@
 package origin
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Origin is what a target must share with the one that sent the first event of a stream to continue it; the zero value means unknown.
 type Origin struct {
@@ -89,10 +92,14 @@
 	return known.origin, true
 }
 
-// Told reports whether the origin of the stream comes from the daemon that began it, and not from a record, and the sequence of what was told.
+// Told reports whether the origin of the stream comes from the daemon that began it, and not from a record, and the sequence of what was told; what this
+// daemon began itself is newer than all that it has told.
 func (table *Table) Told(attempt string) (sequence int64, told bool) {
 	known := table.entries[attempt]
-	return known.sequence, known.source >= fromWriter
+	if known.source == fromSelf {
+		return math.MaxInt64, true
+	}
+	return known.sequence, known.source == fromWriter
 }
 
 // Own returns the origins that this daemon recorded itself, by attempt.
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -34,6 +34,9 @@
 	if got, _ := table.Find(now, "b"); got != second {
 		t.Errorf("origin %v after an earlier message and an earlier record of a stream that another daemon has told of", got)
 	}
+	if own, _ := table.Told("a"); own <= 2 {
+		t.Errorf("sequence %d of a stream that this daemon began", own)
+	}
 	if _, told := table.Told("c"); told {
 		t.Error("an unknown stream was told")
 	}
--- a/io/edge/drain.go
+++ b/io/edge/drain.go
@@ -81,11 +81,10 @@
 	if began == nil {
 		return false
 	}
-	grace := daemon.settings.Load().Grace
 	if request.route.Stream {
-		return daemon.clock.Now().Sub(*began) > min(streamAcceptPeriod, grace/2)
+		return daemon.clock.Now().Sub(*began) > min(streamAcceptPeriod, daemon.settings.Load().Grace/2)
 	}
-	return request.deadline.After(began.Add(grace - cutoffReserve))
+	return daemon.wouldOutlast(request)
 }
 
 type drained struct{}
--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -152,7 +152,7 @@
 		return
 	}
 	began := relay.origin()
-	daemon.do(func() { daemon.queueOrigin(daemon.clock.Now(), originID(request.caller.Attempt), began) })
+	daemon.do(func() { relay.record = daemon.queueOrigin(daemon.clock.Now(), originID(request.caller.Attempt), began) })
 }
 
 var (
@@ -190,18 +190,16 @@
 func (relay *relay) awaitRecord(ctx context.Context, began origin.Origin) error {
 	request, daemon := relay.request, relay.daemon
 	attempt := originID(request.caller.Attempt)
-	var record *originRecord
+	record := relay.record // also if it was dropped from a full queue
 	failing := false
 	daemon.do(func() {
 		now := daemon.clock.Now()
-		if known, found := daemon.control.origins.table.Find(now, attempt); !found || known != began {
+		if known, found := daemon.control.origins.table.Find(now, attempt); !found || known != began || record != nil && record.origin != began {
 			record = daemon.queueOrigin(now, attempt, began)
-		} else {
-			record = daemon.control.origins.pending[attempt]
 		}
 		failing = daemon.originsFail(now)
 	})
-	if record == nil {
+	if record == nil || isClosed(record.written) {
 		return nil
 	}
 	if !failing {
@@ -247,6 +245,15 @@
 	return nil
 }
 
+func isClosed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
 // unrecorded is what to do with a stream whose record the store has not accepted in time.
 type unrecorded string
 
--- a/io/edge/origin_test.go
+++ b/io/edge/origin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 	"catkincove/core"
 	"catkincove/core/fakes"
 	"catkincove/core/origin"
+	"catkincove/core/place"
 )
 
 // pickyStore refuses transactions that write a key with the text, as a store does with keys that it does not accept.
@@ -62,6 +64,29 @@
 	}
 }
 
+// TestStreamOfDroppedRecordIsRefused guards against a stream that begins at another version than the baseline although its record was dropped from a full queue
+// and no other daemon keeps it.
+func TestStreamOfDroppedRecordIsRefused(t *testing.T) {
+	daemon := New(Options{Dialect: plainDialect{}, Store: &fakes.Store{}, Clock: core.SystemClock{}})
+	go func() { _ = daemon.loop.Run(daemon.loopContext) }()
+	t.Cleanup(daemon.stopLoop)
+	go func() { _ = daemon.tellOrigins(t.Context()) }()
+	daemon.view.Store(&view{targets: map[string][]place.Target{"s": {{ID: "a", Version: "v1"}, {ID: "b", Version: "v2"}}}})
+	began := origin.Origin{Service: "s", Version: "v2"}
+	incoming := &request{route: core.Route{Stream: true, Resumable: true, MaxTargets: 1}, caller: core.CallerRequest{Attempt: "first"}}
+	relay := &relay{daemon: daemon, request: incoming, service: core.ServiceSpec{Name: "s"}, attempt: &attempt{target: place.Target{ID: "b", Version: "v2"}}}
+	relay.recordOrigin()
+	daemon.do(func() {
+		daemon.control.origins.baselines["s"] = knownBaseline{Baseline: origin.Baseline{Version: "v1"}}
+		for i := range maxPendingOrigins {
+			daemon.queueOrigin(daemon.clock.Now(), fmt.Sprint("other", i), began)
+		}
+	})
+	if err := relay.awaitRecord(t.Context(), began); !errors.Is(err, errOriginUnrecorded) {
+		t.Errorf("error %v", err)
+	}
+}
+
 // TestOriginID guards against IDs of attempts that make a key too long for the store, or one that it does not accept, and against thousands
 // of long ones in memory.
 func TestOriginID(t *testing.T) {
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -430,6 +430,7 @@
 	ctx               context.Context // of this attempt
 	opening           chan opened     // result of an attempt that was opened by a takeover; nil otherwise
 	sending           chan struct{}   // closed when such an attempt begins to send its request
+	record            *originRecord   // of the stream that the target would begin; nil if it needs none or was not queued by this attempt
 	toldOrigin        origin.Origin   // what began the stream, by the daemon that forwards the request, which records it
 	watchdog          *watchdog
 	delimited         bool          // the end of the response can be told from the end of its connection
