--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -195,7 +195,7 @@
 	daemon.addTask(&group, serving, "housekeeping", daemon.housekeep)
 	daemon.addTask(&group, serving, "quarantine", daemon.recordQuarantines)
 	daemon.addTask(&group, serving, "origins", daemon.recordOrigins)
-	daemon.addTask(&group, serving, "keepers", daemon.tellOrigins)
+	daemon.addTask(&group, serving, "origins to holders", daemon.tellOrigins)
 	daemon.addTask(&group, serving, "baselines", daemon.maintainBaselines)
 	for _, service := range services {
 		group.Add(func() error {
--- a/io/edge/keepers.go
+++ b/io/edge/holders.go
@@ -13,9 +13,9 @@
 // Other daemons keep copies of the records of origins: the store may be silent when a stream begins, or come back from a backup, and the daemon that
 // began the stream may be killed in the same moment.
 const (
-	maxKeepers          = 7                      // daemons that keep a copy of a record; half of all daemons may be killed at once, and 7 of them in one case of 128
-	keeperTimeout       = 300 * time.Millisecond // limit on a call to a keeper, which responds from memory
-	originTellInterval  = 20 * time.Millisecond  // interval of messages to keepers; records that are queued meanwhile share one
+	maxHolders          = 7                      // daemons that keep a copy of a record; half of all daemons may be killed at once, and 7 of them in one case of 128
+	holderTimeout       = 300 * time.Millisecond // limit on a call to a holder, which responds from memory
+	originTellInterval  = 20 * time.Millisecond  // interval of messages to holders; records that are queued meanwhile share one
 	maxOriginsInMessage = 500                    // records in one message
 )
 
@@ -25,12 +25,12 @@
 	Sequence int64 // orders what one daemon tells of an attempt
 }
 
-// originsMessage tells a keeper which versions began streams, by attempt.
+// originsMessage tells a holder which versions began streams, by attempt.
 type originsMessage struct {
 	Origins map[string]toldOrigin
 }
 
-// originQuestion asks a keeper which version began the stream of an attempt.
+// originQuestion asks a holder which version began the stream of an attempt.
 type originQuestion struct {
 	Service string
 	Attempt string
@@ -81,26 +81,26 @@
 	writeJSON(writer, answer)
 }
 
-// keepersOf returns the addresses of the daemons that keep the record of an attempt, by rendezvous hashing, so that those that live are among the first of
+// holdersOf returns the addresses of the daemons that keep the record of an attempt, by rendezvous hashing, so that those that live are among the first of
 // all that live. A reader also counts daemons that it has not heard yet. It must run on the loop.
-func (daemon *Daemon) keepersOf(now time.Time, attempt string, reading bool) []string {
-	var keepers []*peer
+func (daemon *Daemon) holdersOf(now time.Time, attempt string, reading bool) []string {
+	var holders []*peer
 	for _, known := range daemon.sortedPeers() {
 		if !known.lacksOrigins && (!daemon.isSuspect(now, known) || reading && known.lastSeen.IsZero() && !known.callFailed) {
-			keepers = append(keepers, known)
+			holders = append(holders, known)
 		}
 	}
-	if len(keepers) > maxKeepers {
-		keepers = byPreference("origin "+attempt, keepers)[:maxKeepers]
+	if len(holders) > maxHolders {
+		holders = byPreference("origin "+attempt, holders)[:maxHolders]
 	}
 	var addresses []string
-	for _, keeper := range keepers {
-		addresses = append(addresses, keeper.Peer)
+	for _, holder := range holders {
+		addresses = append(addresses, holder.Peer)
 	}
 	return addresses
 }
 
-// tellOrigins tells keepers the records that were queued, until ctx ends.
+// tellOrigins tells holders the records that were queued, until ctx ends.
 func (daemon *Daemon) tellOrigins(ctx context.Context) error {
 	for {
 		select {
@@ -113,7 +113,7 @@
 	}
 }
 
-// tellOldest begins to tell keepers the oldest records that they are not told yet; it returns false if there is none.
+// tellOldest begins to tell holders the oldest records that they are not told yet; it returns false if there is none.
 func (daemon *Daemon) tellOldest(ctx context.Context) bool {
 	var records []*originRecord
 	messages := map[string]originsMessage{}
@@ -124,7 +124,7 @@
 		records, origins.untold = origins.untold[:count:count], origins.untold[count:]
 		for _, record := range records {
 			origins.sequence++
-			for _, address := range daemon.keepersOf(now, record.attempt, false) {
+			for _, address := range daemon.holdersOf(now, record.attempt, false) {
 				if messages[address].Origins == nil {
 					messages[address] = originsMessage{Origins: map[string]toldOrigin{}}
 				}
@@ -141,15 +141,15 @@
 		}()
 		var group sync.WaitGroup
 		for address, message := range messages {
-			group.Go(func() { daemon.tellKeeper(ctx, address, message, recipients[address]) })
+			group.Go(func() { daemon.tellHolder(ctx, address, message, recipients[address]) })
 		}
 		group.Wait()
 	})
 	return len(records) > 0
 }
 
-func (daemon *Daemon) tellKeeper(ctx context.Context, address string, message originsMessage, records []*originRecord) {
-	ctx, cancel := context.WithTimeout(ctx, keeperTimeout)
+func (daemon *Daemon) tellHolder(ctx context.Context, address string, message originsMessage, records []*originRecord) {
+	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
 	defer cancel()
 	if err := daemon.callPeer(ctx, address, pathOrigins, message, &struct{}{}); err != nil {
 		daemon.metrics.peerErrors.Add(1)
@@ -162,23 +162,23 @@
 	})
 }
 
-// kept is what the keepers of a record know.
+// kept is what the holders of a record know.
 type kept struct {
 	began      origin.Origin // zero if none knows it
 	told       bool          // by the daemon that began the stream
 	sequence   int64
 	asked      int
-	oneVersion int  // keepers that know the service to have had one version
-	several    bool // a keeper knows several versions of the service
-	silent     bool // a keeper has not answered that is not suspect; a connection that fails has lost nothing, since the process has ended
+	oneVersion int  // holders that know the service to have had one version
+	several    bool // a holder knows several versions of the service
+	silent     bool // a holder has not answered that is not suspect; a connection that fails has lost nothing, since the process has ended
 }
 
-// askKeepers asks the keepers of an attempt which version began its stream.
-func (daemon *Daemon) askKeepers(ctx context.Context, service, attempt string) kept {
-	ctx, cancel := context.WithTimeout(ctx, keeperTimeout)
+// askHolders asks the holders of an attempt which version began its stream.
+func (daemon *Daemon) askHolders(ctx context.Context, service, attempt string) kept {
+	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
 	defer cancel()
 	var addresses []string
-	daemon.do(func() { addresses = daemon.keepersOf(daemon.clock.Now(), attempt, true) })
+	daemon.do(func() { addresses = daemon.holdersOf(daemon.clock.Now(), attempt, true) })
 	kept := kept{asked: len(addresses)}
 	var mutex sync.Mutex
 	var group sync.WaitGroup
@@ -199,7 +199,7 @@
 	return kept
 }
 
-// add adds the answer of a keeper. What the daemon that began the stream has told last goes before all else.
+// add adds the answer of a holder. What the daemon that began the stream has told last goes before all else.
 func (kept *kept) add(answer originAnswer) {
 	kept.several = kept.several || answer.SeveralVersions
 	if answer.OneVersion {
--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -47,9 +47,9 @@
 	unrecordedUntil time.Time       // streams may go on until then that daemons of builds that write no records have begun
 	doubtUntil      time.Time       // streams may go on until then the records of which the store has not accepted, or has lost in a restore
 	wake            chan struct{}   // has an element if records are pending
-	untold          []*originRecord // records that the keepers are not told yet
+	untold          []*originRecord // records that the holders are not told yet
 	tellWake        chan struct{}   // has an element if there are any
-	sequence        int64           // number of records that keepers were told
+	sequence        int64           // number of records that holders were told
 }
 
 // knownBaseline is a baseline with the time since which this daemon has known it.
@@ -65,8 +65,8 @@
 	origin  origin.Origin
 	sent    bool          // the store may have it
 	written chan struct{} // closed when the store has it
-	told    chan struct{} // closed when its keepers have answered, or are not waited for any longer
-	copies  int           // keepers that have it
+	told    chan struct{} // closed when its holders have answered, or are not waited for any longer
+	copies  int           // holders that have it
 
 	replacesSent bool // the store may have the record of another version, at which the stream did not begin
 }
@@ -99,7 +99,7 @@
 	return daemon.addPendingOrigin(attempt, began, replaces)
 }
 
-// addPendingOrigin queues a record for the store and for its keepers; it must run on the loop.
+// addPendingOrigin queues a record for the store and for its holders; it must run on the loop.
 func (daemon *Daemon) addPendingOrigin(attempt string, began origin.Origin, replaces bool) *originRecord {
 	origins := &daemon.control.origins
 	before := origins.pending[attempt]
@@ -388,8 +388,8 @@
 
 // lookUpOrigin finds out at which version the stream of an attempt began that is not known here; false means that nothing tells.
 //
-// The daemon that began the stream has told its keepers last, so what they have from it goes before a record. A missing record stands for the baseline,
-// unless the store may have lost it and a keeper has not answered. If the store does not answer, only a service of one version needs no record, and other
+// The daemon that began the stream has told its holders last, so what they have from it goes before a record. A missing record stands for the baseline,
+// unless the store may have lost it and a holder has not answered. If the store does not answer, only a service of one version needs no record, and other
 // daemons must say so too: this one may be cut off, which it notices late.
 func (daemon *Daemon) lookUpOrigin(ctx context.Context, service, attempt string) (began origin.Origin, found bool) {
 	from := originFromNothing
@@ -400,13 +400,13 @@
 	read, recorded := false, false
 	var kept kept
 	var group sync.WaitGroup
-	group.Go(func() { kept = daemon.askKeepers(ctx, service, attempt) })
+	group.Go(func() { kept = daemon.askHolders(ctx, service, attempt) })
 	if attempt != "" {
 		record, recorded, read = daemon.readOrigin(ctx, attempt)
 	}
 	group.Wait()
 	if kept.told || kept.began.Known() && !recorded {
-		from = originFromKeeper
+		from = originFromHolder
 		return kept.began, true
 	}
 	if recorded {
@@ -429,7 +429,7 @@
 // What tells the software version that began a stream, for the log.
 const (
 	originFromRecord     = "Record"     // the record in the store
-	originFromKeeper     = "Keeper"     // another daemon that keeps a copy of the record
+	originFromHolder     = "Holder"     // another daemon that keeps a copy of the record
 	originFromBaseline   = "Baseline"   // there is no record, so the stream began at the baseline
 	originFromOneVersion = "OneVersion" // the store does not answer, and the service has had one version only
 	originFromNothing    = "Nothing"
