io/edge, io/xchg: log the address and the connection of a failed attempt

AttemptFailed has Address, Connection, Earlier and Skipped; the counter ResponsesSkipped is new. No logic has changed.

--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -88,6 +88,7 @@
 	set("PermitsDenied", metrics.permitsDenied.Load())
 	set("OriginsUnrecorded", metrics.originsUnrecorded.Load())
 	set("ConnectionsOpened", daemon.targets.Opened())
+	set("ResponsesSkipped", daemon.targets.Skipped())
 	set("LogLinesDropped", daemon.logWriter.dropped.Load())
 	metrics.mutex.Lock()
 	for name, count := range metrics.outcomes {
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -41,6 +41,7 @@
 	recorded        bool   // the outcome was recorded
 	through         *peer  // daemon that forwards the request, because this one has lost its paths to the targets; nil if none does
 	cancel          context.CancelFunc
+	trace           xchg.Trace // where the request was sent
 }
 
 // delivery is the state of sending one request to targets.
@@ -167,7 +168,9 @@
 	if current.attempt.through == nil {
 		delivery.daemon.paths.confirm(ctx)
 	}
+	trace := current.attempt.trace
 	delivery.daemon.log.Warn().Str(eventField, eventAttemptFailed).Str("Request", request.caller.Attempt).Str("Target", current.attempt.target.ID).
+		Str("Address", current.attempt.target.Address).Int64("Connection", trace.Connection).Int("Earlier", trace.Earlier).Int("Skipped", trace.Skipped).
 		Str("Run", failure.run.String()).Dur("Took", delivery.daemon.clock.Now().Sub(current.attempt.startedAt)).Err(failure.cause).Send()
 }
 
@@ -549,7 +552,7 @@
 	response, err := daemon.targets.Do(ctx, xchg.Request{
 		Address: target.Address, Method: request.incoming.Method, URI: request.incoming.RequestURI, Host: request.incoming.Host,
 		Header: header, Body: request.body, HasBody: request.incoming.Method != http.MethodGet && request.incoming.Method != http.MethodHead,
-		Sending: relay.signalSending, Match: relay.matches,
+		Sending: relay.signalSending, Match: relay.matches, Trace: &relay.attempt.trace,
 		Fresh: request.responseStarted, // only then may a target that has rejected the attempt be asked again
 	})
 	if err == nil {
--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -53,6 +53,15 @@
 	// MatchBody is Match for responses that only their body identifies: the body is read first, up to MaxBody bytes.
 	MatchBody func(response *http.Response, body []byte) bool
 	MaxBody   int64
+	// Trace is filled in when the exchange returns; nil is skipped.
+	Trace *Trace
+}
+
+// Trace says over which connection a request was sent and what came there before its response.
+type Trace struct {
+	Connection int64 // number of the connection in the order in which the client opened them; 0 if none was open
+	Earlier    int   // requests that the connection had carried before
+	Skipped    int   // responses that belong to other requests
 }
 
 // connKey identifies the connections that a request may use.
@@ -92,9 +101,10 @@
 	// Dial opens a connection to an address; nil stands for one with the limits of this package.
 	Dial func(ctx context.Context, address string) (*net.TCPConn, error)
 
-	mutex  sync.Mutex
-	idle   map[connKey][]*conn
-	opened atomic.Int64
+	mutex   sync.Mutex
+	idle    map[connKey][]*conn
+	opened  atomic.Int64
+	skipped atomic.Int64
 
 	readSendQueue func(conn *net.TCPConn) sendQueue // replaced by tests; nil stands for the system's
 }
@@ -105,6 +115,8 @@
 	reader   *bufio.Reader // reads from input
 	closesAt time.Time     // the time when the target may close it
 	unusable atomic.Bool   // must not be reused
+	number   int64         // of the connections that the client has opened
+	carried  int           // requests sent so far
 
 	detectsSilence atomic.Bool // the kernel's probes begin early
 }
@@ -112,6 +124,9 @@
 // Opened returns how many connections have been opened.
 func (client *Client) Opened() int64 { return client.opened.Load() }
 
+// Skipped returns how many responses were not returned because they belong to other requests.
+func (client *Client) Skipped() int64 { return client.skipped.Load() }
+
 // Do sends the request and returns when the status and headers of its response have arrived; errors are of type *Error.
 //
 // The response's body must be closed. When ctx ends, the connection is closed, also while the body is read.
@@ -123,6 +138,11 @@
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
+	if request.Trace == nil {
+		request.Trace = &Trace{}
+	}
+	*request.Trace = Trace{Connection: conn.number, Earlier: conn.carried}
+	conn.carried++
 	exchange := &exchange{client: client, key: request.connKey(), conn: conn, written: make(chan error, 1)}
 	exchange.stopAbort = context.AfterFunc(ctx, exchange.abort)
 	response, err := exchange.run(request)
@@ -155,9 +175,8 @@
 	if err != nil {
 		return nil, err
 	}
-	client.opened.Add(1)
 	input := &boundedReader{source: opened}
-	return &conn{net: opened, input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}, nil
+	return &conn{net: opened, input: input, reader: bufio.NewReaderSize(input, readBufferBytes), number: client.opened.Add(1)}, nil
 }
 
 func (client *Client) takeIdle(key connKey) *conn {
@@ -292,6 +311,8 @@
 			}
 		}
 		// A stale response to an earlier request on this connection; the next response may belong to this request.
+		request.Trace.Skipped++
+		exchange.client.skipped.Add(1)
 		exchange.conn.unusable.Store(true)
 		input.limit(maxStaleBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
