io/xchg: send no attempt again over a connection that brought a refusal of it

Callers were told that unsafe requests had not run that a target ran (REFUSED), and others ran at two targets (TWICE).

Cause: a target that starts again at its address has two IDs until its former registration lapses. The daemon excludes the targets that it has asked by their IDs, so the process that had refused an attempt under the former ID got the same attempt under the new one, over the connection that had just become idle. A second copy of the 421 there names the attempt, and nothing else was checked. Class: two names of one thing are taken for two things, and an ID that stands for several sendings for proof of one.

Ruled out: a promise of another daemon (no case names one), and bytes that count as unsent (all such errors are refused connections).

Now a connection remembers the attempts that got no success on it, and a request of one of them goes over another connection. A response with the attempt's ID can then only be the response to this sending, whatever made the daemon send it again. A connection remembers 64 attempts and is closed after more. Weighed: to close each connection after a refusal (a new connection for each rejection under overload), and to exclude by address (the only sound target of a service would be left out).

--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +31,7 @@
 	maxStaleBytes      = 1 << 20                // limit on the body of a response to an earlier request
 	maxInlineBody      = 8 << 10                // bytes; longer bodies are written while the response is read
 	maxIdleConns       = 16                     // per target
+	maxFailedAttempts  = 64                     // attempts without success that a connection remembers; one with more is closed
 )
 
 // Request is one exchange with a target.
@@ -43,8 +45,10 @@
 	HasBody bool // sends Content-Length even when the body is empty
 	// Sending is called when the connection is open and before the first byte is written; nil is skipped.
 	Sending func()
-	// Fresh sends the request on a new connection: on a kept one, a second copy of the response to an earlier try of the same attempt could not be told from
-	// the response to this one.
+	// Attempt identifies the request to Match and may be empty. A request is not sent over a connection on which a request of the same attempt got no
+	// success: a second copy of that response could not be told from the response to this one.
+	Attempt string
+	// Fresh sends the request on a new connection, on which nothing else can be taken for its response.
 	Fresh bool
 	// Purpose separates connections: one is reused only for requests of the same purpose.
 	Purpose string
@@ -117,10 +121,20 @@
 	unusable atomic.Bool   // must not be reused
 	number   int64         // of the connections that the client has opened
 	carried  int           // requests sent so far
+	failed   []string      // attempts that got no success on it and may be sent again
 
 	detectsSilence atomic.Bool // the kernel's probes begin early
 }
 
+// remember records an attempt that got no success.
+func (conn *conn) remember(attempt string) {
+	if len(conn.failed) == maxFailedAttempts {
+		conn.unusable.Store(true)
+		return
+	}
+	conn.failed = append(conn.failed, attempt)
+}
+
 // Opened returns how many connections have been opened.
 func (client *Client) Opened() int64 { return client.opened.Load() }
 
@@ -134,7 +148,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Cause: err} // a kept connection would carry the request before the end of ctx closes it
 	}
-	conn, err := client.connect(ctx, request.connKey(), request.Fresh)
+	conn, err := client.connect(ctx, request)
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
@@ -161,9 +175,9 @@
 	return response, nil
 }
 
-func (client *Client) connect(ctx context.Context, key connKey, fresh bool) (*conn, error) {
-	if !fresh {
-		if idle := client.takeIdle(key); idle != nil {
+func (client *Client) connect(ctx context.Context, request Request) (*conn, error) {
+	if !request.Fresh {
+		if idle := client.takeIdle(request.connKey(), request.Attempt); idle != nil {
 			return idle, nil
 		}
 	}
@@ -171,7 +185,7 @@
 	if dial == nil {
 		dial = dialTarget
 	}
-	opened, err := dial(ctx, key.address)
+	opened, err := dial(ctx, request.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -179,22 +193,23 @@
 	return &conn{net: opened, input: input, reader: bufio.NewReaderSize(input, readBufferBytes), number: client.opened.Add(1)}, nil
 }
 
-func (client *Client) takeIdle(key connKey) *conn {
+// takeIdle returns the connection that became idle last, of those that may carry the attempt; nil if there is none.
+func (client *Client) takeIdle(key connKey, attempt string) *conn {
 	now := client.Clock.Now()
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
-	for {
-		idle := client.idle[key]
-		if len(idle) == 0 {
-			return nil
+	for i := len(client.idle[key]) - 1; i >= 0; i-- {
+		candidate := client.idle[key][i]
+		if attempt != "" && slices.Contains(candidate.failed, attempt) {
+			continue
 		}
-		last := idle[len(idle)-1]
-		client.idle[key] = idle[:len(idle)-1]
-		if now.Before(last.closesAt) && !hasPendingInput(last.net) {
-			return last
+		client.idle[key] = slices.Delete(client.idle[key], i, i+1)
+		if now.Before(candidate.closesAt) && !hasPendingInput(candidate.net) {
+			return candidate
 		}
-		_ = last.net.Close()
+		_ = candidate.net.Close()
 	}
+	return nil
 }
 
 func (client *Client) putIdle(key connKey, freed *conn) {
@@ -294,6 +309,9 @@
 		matches := request.Match == nil || request.Match(response)
 		if matches {
 			input.unlimit()
+			if request.Attempt != "" && response.StatusCode >= http.StatusMultipleChoices {
+				exchange.conn.remember(request.Attempt)
+			}
 			if response.ContentLength < 0 {
 				exchange.conn.detectSilence() // a stream may last
 			}
--- a/io/xchg/client_test.go
+++ b/io/xchg/client_test.go
@@ -156,6 +156,54 @@
 	}
 }
 
+// TestRefusedAttemptChangesConnection guards against the second copy of a refusal that counts as the response to the same attempt, sent again over the
+// connection that brought the refusal, and against a new connection for each refusal.
+func TestRefusedAttemptChangesConnection(t *testing.T) {
+	address := serveTCP(t, func(connection net.Conn, reader *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Status"))
+		}
+	})
+	var many []string
+	for i := range maxFailedAttempts + 2 {
+		many = append(many, fmt.Sprintf("m%d 503", i))
+	}
+	for _, test := range []struct {
+		name     string
+		requests []string // attempt and status of its response
+		opened   int64
+	}{
+		{"another attempt", []string{"a 503", "b 200"}, 1},
+		{"the same attempt", []string{"a 503", "a 200"}, 2},
+		{"the same attempt after others", []string{"a 421", "b 503", "c 200", "a 200"}, 2},
+		{"the same attempt twice", []string{"a 421", "a 503", "b 200", "a 200"}, 3},
+		{"after a success", []string{"a 200", "a 200"}, 1},
+		{"no attempt", []string{" 503", " 200"}, 1},
+		{"more attempts than a connection remembers", many, 2},
+	} {
+		client := &Client{Clock: core.SystemClock{}}
+		for _, request := range test.requests {
+			attempt, status, _ := strings.Cut(request, " ")
+			response, err := client.Do(t.Context(), Request{
+				Address: address, Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{"Status": {status}}, Attempt: attempt, HasBody: true,
+			})
+			if err != nil {
+				t.Fatalf("%s: %v", test.name, err)
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+		if client.Opened() != test.opened {
+			t.Errorf("%s: %d connections opened, want %d", test.name, client.Opened(), test.opened)
+		}
+	}
+}
+
 // TestResponseBeforeBodyIsRead guards against losing the response when the target responds before it has read a long body;
 // on a reused connection the target would read the rest of the body as the next request.
 func TestResponseBeforeBodyIsRead(t *testing.T) {
