io/edge: test of a repeated refusal between daemons

It can't happen here: a response that is not the target's is closed unread, and its connection with it. A comment says so at the place.

--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -101,7 +101,7 @@
 	if facts.HasDigest {
 		return response, nil
 	}
-	_ = response.Body.Close()
+	_ = response.Body.Close() // unread, which closes the connection: a second copy of this response, which names no attempt, could not be told from the next one
 	cause := fmt.Errorf("daemon %s responded with status %d", relay.attempt.through.ID, response.StatusCode)
 	seconds, _ := strconv.ParseFloat(response.Header.Get(retryAfterHeader), 64)
 	retryAfter := max(time.Duration(seconds*float64(time.Second)), minRetryPause)
--- a/io/edge/peer_test.go
+++ b/io/edge/peer_test.go
@@ -5,9 +5,12 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -98,6 +101,47 @@
 	}
 }
 
+// TestRepeatedRefusalOfForwardingDaemon guards against a request that counts as not run although another daemon forwards it: that daemon has rejected an
+// earlier request of this one, and the rejection, which names no attempt, arrives a second time on the connection in use again.
+func TestRepeatedRefusalOfForwardingDaemon(t *testing.T) {
+	const requests = 20
+	var ran sync.Map
+	address := repeatingServer(t, echoCallID(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		attempt := request.Header.Get("X-Attempt-Id")
+		if strings.HasPrefix(attempt, "rejected") {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		ran.Store(attempt, true)
+		writer.Header().Set("X-Attempt-Id", attempt)
+		writer.Header().Set("X-Response-Seal", "seal")
+		_, _ = io.WriteString(writer, "answer")
+	})))
+	daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self"}, Dialect: plainDialect{}, Clock: core.SystemClock{}})
+	served := 0
+	for i := range requests {
+		attempt := fmt.Sprint([]string{"rejected", "served"}[i%2], i)
+		incoming := httptest.NewRequest(http.MethodPost, "/book/1", nil)
+		incoming.Header.Set("X-Attempt-Id", attempt)
+		received := &request{caller: core.CallerRequest{Attempt: attempt}, incoming: incoming, startedAt: daemon.clock.Now()}
+		relay := &relay{daemon: daemon, request: received, attempt: daemon.forwardsTo(received, &peer{record: record{Peer: address}})}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		response, err := relay.openForwarded(ctx)
+		if err == nil {
+			served++
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+		cancel()
+		if _, is := ran.Load(attempt); is && err != nil && core.AsError(err).Kind == core.Unavailable {
+			t.Errorf("%s was forwarded and counts as not run: %v", attempt, err)
+		}
+	}
+	if served < requests/2-2 {
+		t.Errorf("%d of %d requests were served", served, requests/2)
+	}
+}
+
 // TestPeerBytesWithoutEnd guards against a daemon that reads, and keeps in memory, the head or the body of another daemon's response whatever
 // its length.
 func TestPeerBytesWithoutEnd(t *testing.T) {
