io/edge: free results over connections of their own

Callers of a service that also produces pieces got 502 for unsafe requests that ran and were answered, and a crash of the target was recorded under their content.

A second copy of one, where the response to a request is due, counts as a response of unknown origin, and the target's own is thrown away. Found by going through all senders that read from a connection that has carried something before.

No connection more: targets of the users' deployments that produce pieces serve no plain requests.

--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -22,9 +22,12 @@
 	maxPiecesBody     = 1 << 20              // limit in bytes on the response to a batch call
 )
 
-// purposeBatch separates the connections of batch calls from others: a second copy of another call's response on them
-// would be read as the response to a batch call.
-const purposeBatch = "batch"
+// Purposes that separate the connections of calls whose responses name no attempt: a second copy of one would be read as the response to a request, or
+// that of a request's response as the response to such a call.
+const (
+	purposeBatch = "batch"
+	purposeFree  = "free"
+)
 
 // sender sends the batches of one service.
 type sender struct {
@@ -291,7 +294,7 @@
 	path, body := daemon.dialect.FreeCall(handles)
 	response, err := daemon.targets.Do(ctx, xchg.Request{
 		Address: address, Method: http.MethodPost, URI: path, Host: address,
-		Header: http.Header{"Content-Type": {"application/json"}}, Body: body,
+		Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Purpose: purposeFree,
 	})
 	if err == nil && response.StatusCode != http.StatusOK {
 		err = fmt.Errorf("status %d", response.StatusCode)
