--- a/stand/fault/proxy.go
+++ b/stand/fault/proxy.go
@@ -83,6 +83,13 @@
 // Address returns the listening address.
 func (proxy *Proxy) Address() string { return proxy.gate.Addr().String() }
 
+// SetTarget forwards new connections to another target.
+func (proxy *Proxy) SetTarget(target string) {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.target = target
+}
+
 // Counts returns the counts so far.
 func (proxy *Proxy) Counts() Counts {
 	proxy.mutex.Lock()
@@ -152,7 +159,10 @@
 }
 
 func (proxy *Proxy) connect(down net.Conn) {
-	up, err := net.DialTimeout("tcp", proxy.target, time.Second)
+	proxy.mutex.Lock()
+	target := proxy.target
+	proxy.mutex.Unlock()
+	up, err := net.DialTimeout("tcp", target, time.Second)
 	if err != nil {
 		reset(down)
 		return
