io/xchg: take no response whose head begins with a part of another one

Callers were told that requests had not run that ran (503), unsafe requests ran twice, and a target's failure reached its caller as 200.

Cause, of the same class: a faulty target may send bytes after a complete response, which belong to no request. If they are the beginning of a response and end inside its reason phrase or a header value, they join with the head of the next response into one that parses: 'HTTP/1.1 421 Misd' and 'HTTP/1.1 200 OK' are a refusal with the ID of the attempt under way. The memory of failed attempts doesn't help, since any attempt's response does it. It may be what the users saw for requests that were sent once; their record can't tell.

A real response has no status line inside its status line or a header value, so such a head is malformed and the outcome unknown. A part that ends between two lines, or after the head, did not parse before either.

--- /dev/null
+++ b/io/edge/refused_test.go
@@ -0,0 +1,165 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"catkincove/core"
+	"catkincove/core/place"
+	"catkincove/io/inifmt"
+)
+
+// scriptedServer starts a server that answers each request with the bytes that respond returns; number counts the requests of a connection from 0.
+func scriptedServer(t *testing.T, respond func(number int, request *http.Request) string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for number := 0; ; number++ {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			if _, err := io.WriteString(conn, respond(number, request)); err != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// newRunningDaemon returns a daemon whose control loop runs until the end of the test.
+func newRunningDaemon(t *testing.T) *Daemon {
+	daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self"}, Dialect: plainDialect{}, Clock: core.SystemClock{}})
+	go func() { _ = daemon.loop.Run(daemon.loopContext) }()
+	t.Cleanup(daemon.stopLoop)
+	return daemon
+}
+
+// openAt sends one attempt to a target, reads a response to its end and returns it, or the error of the attempt.
+func openAt(t *testing.T, daemon *Daemon, target place.Target, attemptID, method string, timeout time.Duration) (*http.Response, string, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	incoming := httptest.NewRequest(method, "/book/1", nil)
+	incoming.Header.Set("X-Attempt-Id", attemptID)
+	received := &request{caller: core.CallerRequest{Attempt: attemptID}, incoming: incoming, startedAt: daemon.clock.Now(), deadline: daemon.clock.Now().Add(timeout), body: []byte("body")}
+	relay := newRelay(daemon, received, core.ServiceSpec{Name: "s"}, &attempt{target: target, startedAt: daemon.clock.Now()}, nil, nil)
+	response, err := relay.open(ctx)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	return response, string(body), err
+}
+
+// isNotRun reports whether a target has stated that it did not run the request.
+func isNotRun(err error) bool {
+	failure := (*sendError)(nil)
+	return errors.As(err, &failure) && failure.run == core.NotRun && !failure.unsent
+}
+
+const okTemplate = "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal\r\nContent-Length: 2\r\n\r\nok"
+
+// TestBytesBeforeResponse guards against a request that counts as not run although its target runs it and says so: bytes that belong to no request, such as a
+// part of the copy of an earlier response, stand on the connection before its response.
+func TestBytesBeforeResponse(t *testing.T) {
+	extras := map[string]string{
+		"421 of another attempt":                     "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: other\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"503 of another attempt":                     "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: other\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"503 that names the attempt last":            "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\nX-Attempt-Id: other\r\n\r\n",
+		"503 with Date and Retry-After":              "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nRetry-After: 0.5\r\nDate: Sat, 05 Dec 2026 22:09:00 GMT\r\nX-Attempt-Id: other\r\nContent-Length: 3\r\n\r\nbad",
+		"503 without an ID":                          "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"503 with an empty ID":                       "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id:\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"503 with the IDs of another attempt, twice": "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: other\r\nX-Attempt-Id: more\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"503 in chunks":                              "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: other\r\nX-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
+		"503 without a length":                       "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: other\r\nX-Not-Executed: 1\r\n\r\nbad",
+		"503 with a body longer than announced":      "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: other\r\nX-Not-Executed: 1\r\nContent-Length: 1\r\n\r\nbad",
+		"204 with a body":                            "HTTP/1.1 204 No Content\r\nX-Attempt-Id: other\r\n\r\nbad",
+		"304 with a body":                            "HTTP/1.1 304 Not Modified\r\nX-Attempt-Id: other\r\nContent-Length: 3\r\n\r\nbad",
+		"interim response that says not run":         "HTTP/1.1 103 Early Hints\r\nX-Attempt-Id: second\r\nX-Not-Executed: 1\r\n\r\n",
+		"several copies":                             strings.Repeat("HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: other\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", 4),
+	}
+	for name, extra := range extras {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			daemon := newRunningDaemon(t)
+			var notRun, altered []int // cuts
+			unknown, served := 0, 0
+			for cut := 1; cut <= len(extra); cut++ {
+				address := scriptedServer(t, func(number int, request *http.Request) string {
+					own := fmt.Sprintf(okTemplate, request.Header.Get("X-Attempt-Id"))
+					if number == 0 {
+						return own
+					}
+					return extra[:cut] + own
+				})
+				target := place.Target{ID: "i-1", Address: address}
+				if _, _, err := openAt(t, daemon, target, "first", http.MethodPost, time.Second); err != nil {
+					t.Fatalf("first request: %v", err)
+				}
+				response, body, err := openAt(t, daemon, target, "second", http.MethodPost, 150*time.Millisecond)
+				switch {
+				case isNotRun(err):
+					notRun = append(notRun, cut)
+				case err != nil:
+					unknown++
+				case response.StatusCode == http.StatusOK && body == "ok":
+					served++
+				default:
+					altered = append(altered, cut)
+				}
+			}
+			t.Logf("of %d cuts: outcome unknown %d, served %d", len(extra), unknown, served)
+			if len(notRun) > 0 || len(altered) > 0 {
+				t.Errorf("of %d cuts the request counts as not run after %v bytes, and its response is altered after %v", len(extra), notRun, altered)
+			}
+		})
+	}
+}
+
+// TestPartOfSuccessBeforeError guards against an error response of a target that reaches the caller as a success, because a part of the copy of an earlier success
+// stands before it.
+func TestPartOfSuccessBeforeError(t *testing.T) {
+	daemon := newRunningDaemon(t)
+	extra := "HTTP/1.1 200 OK\r\nX-Response-Seal: seal-other\r\nX-Attempt-Id: other\r\nContent-Length: 2\r\n\r\nok"
+	for _, seal := range []string{"", "X-Response-Seal: seal\r\n"} {
+		for cut := 1; cut < len(extra); cut++ {
+			address := scriptedServer(t, func(number int, request *http.Request) string {
+				if number == 0 {
+					return fmt.Sprintf(okTemplate, request.Header.Get("X-Attempt-Id"))
+				}
+				return extra[:cut] + "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: " + request.Header.Get("X-Attempt-Id") + "\r\n" + seal + "Content-Length: 6\r\n\r\nfailed"
+			})
+			target := place.Target{ID: "i-1", Address: address}
+			_, _, _ = openAt(t, daemon, target, "first", http.MethodPost, time.Second)
+			response, body, err := openAt(t, daemon, target, "second", http.MethodPost, 150*time.Millisecond)
+			if err == nil && response.StatusCode == http.StatusOK {
+				t.Errorf("seal %q, after %q: the failure of the target counts as status %d, seal %q, body %q", seal, extra[:cut], response.StatusCode, response.Header.Get("X-Response-Seal"), body)
+			}
+		}
+	}
+}
--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -347,6 +347,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if HeadIsJoined(response) {
+			return nil, ErrJoinedHeads
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
