io/edge: tell a target's error from a daemon's own by the attempt's ID

Callers of a daemon without paths got 503, 'not run', for requests that a target had run and answered with an error.

Cause: the daemon that passes a request on takes each response without a digest for the other daemon's own, and its statuses from 400 to 499 for rejections. The other daemon passes on the errors of targets too, and these may have no digest. Now a response that names the attempt is the target's: a daemon's own rejection names none. A caller that names no attempt gets 502 where neither tells them apart.

TestForwardedErrorOfTarget fails before in 4 of 8 cases and passes.

--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -98,7 +98,8 @@
 		relay.daemon.do(func() { relay.daemon.markLeaving(leaving, relay.daemon.control.registry.runs[leaving].startedAt) })
 		response.Header.Del(headerTargetLeaves)
 	}
-	if facts.HasDigest {
+	ofTarget := facts.HasDigest || facts.Attempt != "" && response.StatusCode >= http.StatusMultipleChoices // a daemon's own rejection names no attempt
+	if ofTarget {
 		return response, nil
 	}
 	_ = response.Body.Close() // unread, which closes the connection: a second copy of this response, which names no attempt, could not be told from the next one
@@ -112,6 +113,8 @@
 		return nil, &sendError{run: core.NotRun, status: response.StatusCode, cause: cause}
 	case impliesNotRun(response.StatusCode):
 		return nil, core.Errorf(core.Unavailable, "%w", cause).WithRetryAfter(retryAfter)
+	case relay.request.caller.Attempt == "":
+		// A target names no attempt either, and may have run the request.
 	case response.StatusCode == core.Poison.Answer().Status:
 		return nil, core.Errorf(core.Poison, "%w", cause)
 	case response.StatusCode < http.StatusInternalServerError && response.StatusCode >= http.StatusBadRequest:
--- a/io/edge/refused_test.go
+++ b/io/edge/refused_test.go
@@ -163,3 +163,39 @@
 		}
 	}
 }
+
+// TestForwardedErrorOfTarget guards against a request that counts as not run although a target has run it: another daemon forwards it, and passes on an error
+// response of the target that has no digest.
+func TestForwardedErrorOfTarget(t *testing.T) {
+	for _, test := range []struct {
+		status, attempt string
+		named           bool // the response names the attempt
+		notRun          bool // the response is one of the other daemon, which keeps its promises
+	}{
+		{"400 Bad Request", "x", true, false},
+		{"404 Not Found", "x", true, false},
+		{"409 Conflict", "x", true, false},
+		{"422 Unprocessable Entity", "x", true, false},
+		{"503 Service Unavailable", "x", false, true},
+		{"404 Not Found", "x", false, true},
+		{"409 Conflict", "", false, false},
+		{"503 Service Unavailable", "", false, true},
+	} {
+		daemon := newRunningDaemon(t)
+		address := scriptedServer(t, func(_ int, request *http.Request) string {
+			name := ""
+			if test.named {
+				name = "X-Attempt-Id: " + request.Header.Get("X-Attempt-Id") + "\r\n"
+			}
+			return "HTTP/1.1 " + test.status + "\r\n" + name + "Content-Length: 6\r\n\r\nfailed"
+		})
+		incoming := httptest.NewRequest(http.MethodPost, "/book/1", nil)
+		incoming.Header.Set("X-Attempt-Id", test.attempt)
+		received := &request{caller: core.CallerRequest{Attempt: test.attempt}, incoming: incoming, startedAt: daemon.clock.Now()}
+		relay := &relay{daemon: daemon, request: received, attempt: daemon.forwardsTo(received, &peer{record: record{Peer: address}})}
+		_, err := relay.openForwarded(t.Context())
+		if notRun := err != nil && impliesNotRun(core.AsError(err).Kind.Answer().Status); notRun != test.notRun {
+			t.Errorf("%s, attempt %q, named %v: the request counts as not run: %v (%v)", test.status, test.attempt, test.named, notRun, err)
+		}
+	}
+}
