io/edge: close the connection of a success that is not used

A stream could hold events of another software version than the one recorded as its origin (ORDER).

Cause, of the same class: a daemon drops the success of a target whose stream must begin at the baseline, after it has read it to its end, and keeps the connection. If the process still is registered under a former ID, with the baseline's version, the attempt goes there, over that connection, and a second copy of the success counts as that target's response. It needs a short stream, a store that takes no records, and two registrations at one address.

A connection remembers attempts without success only; a success whose attempt has failed closes its connection now.

--- a/io/edge/refused_test.go
+++ b/io/edge/refused_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"catkincove/core"
+	"catkincove/core/fakes"
+	"catkincove/core/origin"
 	"catkincove/core/place"
 	"catkincove/io/inifmt"
 )
@@ -199,3 +201,59 @@
 		}
 	}
 }
+
+// TestRepeatedUnusedSuccess guards against a stream that holds events of another version than the one recorded as its origin. The daemon does not use a success of
+// the new version because the stream begins at the baseline, and sends the attempt again over the connection that brought it, to the same process under the ID
+// of its former start, which still is registered with the former version. The second copy of the success counts as the response of that.
+func TestRepeatedUnusedSuccess(t *testing.T) {
+	const events = "id: 1\ndata: v2\n\n"
+	const refusal = "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: x\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	head := "HTTP/1.1 200 OK\r\nX-Attempt-Id: x\r\nX-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+	for name, stream := range map[string]string{
+		"with a length": head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(events), events),
+		"in chunks":     head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(events), events),
+	} {
+		t.Run(name, func(t *testing.T) {
+			daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self", Bounds: inifmt.EdgeBounds{RetrySlack: 1000, RetryWindow: 10 * time.Second}}, Dialect: plainDialect{}, Store: &fakes.Store{}, Clock: core.SystemClock{}})
+			go func() { _ = daemon.loop.Run(daemon.loopContext) }()
+			t.Cleanup(daemon.stopLoop)
+			address := scriptedServer(t, func(number int, request *http.Request) string {
+				switch {
+				case request.Header.Get("X-Expect-Replica") == "i-new":
+					return stream
+				case number == 0:
+					return refusal
+				}
+				return stream + refusal // late copy, then the response that is due
+			})
+			former, renewed := place.Target{ID: "i-former", Address: address, Version: "v1"}, place.Target{ID: "i-new", Address: address, Version: "v2"}
+			daemon.view.Store(&view{targets: map[string][]place.Target{"s": {former, renewed}}, byID: map[string]string{former.ID: address, renewed.ID: address}})
+			daemon.do(func() {
+				daemon.control.origins.baselines["s"] = knownBaseline{Baseline: origin.Baseline{Version: "v1"}}
+			})
+			incoming := httptest.NewRequest(http.MethodPost, "/long/1", nil)
+			incoming.Header.Set("X-Attempt-Id", "x")
+			received := &request{
+				route: core.Route{Name: "long", Stream: true, Resumable: true, MaxTargets: 2, Repeat: core.Idempotent}, caller: core.CallerRequest{Attempt: "x"},
+				incoming: incoming, startedAt: daemon.clock.Now(), deadline: daemon.clock.Now().Add(5 * time.Second),
+			}
+			recorder := httptest.NewRecorder()
+			send := func(target place.Target) error {
+				received.attempts++
+				received.triedTargets = append(received.triedTargets, target.ID)
+				relay := newRelay(daemon, received, core.ServiceSpec{Name: "s"}, &attempt{target: target, startedAt: daemon.clock.Now()}, recorder, &inputs{daemon: daemon, request: received})
+				err := relay.run(t.Context())
+				relay.attempt.cancel()
+				return err
+			}
+			if err := send(renewed); !errors.Is(err, errBeginsAtBaseline) {
+				t.Fatalf("first attempt: %v", err)
+			}
+			err := send(former)
+			t.Logf("second attempt: %v; %d connections", err, daemon.targets.Opened())
+			if recorder.Body.Len() > 0 {
+				t.Errorf("the caller gets %q and the origin is version %s; i-former has refused the request", recorder.Body.String(), received.origin.Version)
+			}
+		})
+	}
+}
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -446,7 +446,7 @@
 }
 
 // run opens the request at the target, unless a takeover has, and forwards the response.
-func (relay *relay) run(parent context.Context) error {
+func (relay *relay) run(parent context.Context) (err error) {
 	relay.parent, relay.resumable = parent, relay.request.route.Stream && relay.request.route.Resumable
 	if relay.opening == nil {
 		relay.ctx, relay.attempt.cancel = context.WithCancel(parent)
@@ -455,7 +455,12 @@
 	defer relay.startWatchdog()()
 	response, err := relay.opened()
 	if err == nil {
-		defer func() { _ = response.Body.Close() }()
+		defer func() {
+			if err != nil && response.StatusCode < http.StatusMultipleChoices {
+				relay.attempt.cancel() // closes the connection: a second copy of this response could not be told from the one to another sending of the attempt
+			}
+			_ = response.Body.Close()
+		}()
 	}
 	if !relay.watchdog.endWait(err == nil) {
 		return relay.replaced()
