io/edge: believe no 'not run' under a status of success

A request could count as not run although its target ran it.

Cause: 'not executed' in a header was believed under any status, but connections remember only attempts that got no success, so a second copy of such a response was taken for the response to the next sending. It contradicts itself and proves nothing; the outcome is unknown.

TestSuccessThatSaysNotRun fails before in 2 of 3 cases (200 and 204) and passes.

--- a/io/edge/refused_test.go
+++ b/io/edge/refused_test.go
@@ -257,3 +257,29 @@
 		})
 	}
 }
+
+// TestSuccessThatSaysNotRun guards against a request that counts as not run although its target runs it: the target has stated so in a response with a status of
+// success, and sends that response again when it gets the request under its other ID.
+func TestSuccessThatSaysNotRun(t *testing.T) {
+	for _, test := range []struct {
+		status string
+		notRun bool
+	}{{"200 OK", false}, {"204 No Content", false}, {"421 Misdirected Request", true}} {
+		daemon := newRunningDaemon(t)
+		refusal := "HTTP/1.1 " + test.status + "\r\nX-Attempt-Id: x\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		address := scriptedServer(t, func(number int, request *http.Request) string {
+			switch {
+			case request.Header.Get("X-Expect-Replica") == "i-former":
+				return refusal
+			case number == 0:
+				return fmt.Sprintf(okTemplate, "x")
+			}
+			return refusal + fmt.Sprintf(okTemplate, "x")
+		})
+		_, _, first := openAt(t, daemon, place.Target{ID: "i-former", Address: address}, "x", http.MethodPost, time.Second)
+		_, _, second := openAt(t, daemon, place.Target{ID: "i-new", Address: address}, "x", http.MethodPost, time.Second)
+		if first == nil || isNotRun(first) != test.notRun || second != nil {
+			t.Errorf("status %s: first %v, second %v", test.status, first, second)
+		}
+	}
+}
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -515,7 +515,7 @@
 	case unidentified:
 		// It may be a second copy of the response to another request, whatever it says about this one.
 		err = relay.lost(ctx, errUnidentified)
-	case facts.NotRun:
+	case facts.NotRun && response.StatusCode >= http.StatusMultipleChoices:
 		outcome := place.Rejected
 		if response.StatusCode == http.StatusConflict {
 			outcome = place.Inconclusive // an input no longer exists, which says nothing about the target
@@ -523,9 +523,9 @@
 		relay.daemon.recordOutcome(relay.request, relay.attempt, outcome, 0)
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponse))
 		err = &sendError{run: core.NotRun, status: response.StatusCode, cause: fmt.Errorf("target responded with status %d and did not run the request", response.StatusCode)}
-	case response.StatusCode < http.StatusMultipleChoices && !facts.HasDigest:
+	case response.StatusCode < http.StatusMultipleChoices && (facts.NotRun || !facts.HasDigest):
 		relay.daemon.recordOutcome(relay.request, relay.attempt, place.Disconnected, 0)
-		err = &sendError{run: core.Unknown, cause: errors.New("successful response without the target's digest")}
+		err = &sendError{run: core.Unknown, cause: errors.New("successful response that says 'not run' or has no digest")}
 	default:
 		return response, nil
 	}
