io/edge: give each request without an attempt's ID a connection of its own

Callers got 502 for requests that ran and were answered.

Cause: such a request went over a new connection, which was kept for others afterwards. A second copy of its response names no attempt and took the place of the response to the next request. Requests without an ID that are passed on to another daemon used kept connections in both directions.

--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -69,7 +69,7 @@
 	response, err := daemon.targets.Do(ctx, xchg.Request{
 		Address: relay.attempt.target.Address, Method: request.incoming.Method, URI: pathForward + request.incoming.RequestURI, Host: request.incoming.Host,
 		Header: header, Body: request.body, HasBody: request.incoming.Method != http.MethodGet && request.incoming.Method != http.MethodHead,
-		Sending: relay.signalSending, Match: relay.matches, Trace: &relay.attempt.trace,
+		Sending: relay.signalSending, Match: relay.matches, Trace: &relay.attempt.trace, Single: request.caller.Attempt == "",
 	})
 	if err == nil {
 		return response, nil
--- a/io/edge/refused_test.go
+++ b/io/edge/refused_test.go
@@ -283,3 +283,29 @@
 		}
 	}
 }
+
+// TestForwardedRequestWithoutAttempt guards against a request without an attempt's ID that gets the response to another one: it is forwarded by another daemon over a
+// connection that has carried such a request before.
+func TestForwardedRequestWithoutAttempt(t *testing.T) {
+	address := repeatingServer(t, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		writer.Header().Set("X-Response-Seal", "seal")
+		_, _ = writer.Write(body)
+	}))
+	daemon := newRunningDaemon(t)
+	for i := range 4 {
+		incoming := httptest.NewRequest(http.MethodPost, "/book/1", nil)
+		received := &request{incoming: incoming, startedAt: daemon.clock.Now(), body: fmt.Append(nil, "body ", i)}
+		relay := &relay{daemon: daemon, request: received, attempt: daemon.forwardsTo(received, &peer{record: record{Peer: address}})}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		response, err := relay.openForwarded(ctx)
+		if err == nil {
+			body, _ := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			if string(body) != fmt.Sprint("body ", i) {
+				t.Errorf("request %d gets %q", i, body)
+			}
+		}
+		cancel()
+	}
+}
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -558,7 +558,7 @@
 		Address: target.Address, Method: request.incoming.Method, URI: request.incoming.RequestURI, Host: request.incoming.Host,
 		Header: header, Body: request.body, HasBody: request.incoming.Method != http.MethodGet && request.incoming.Method != http.MethodHead,
 		Sending: relay.signalSending, Match: relay.matches, Trace: &relay.attempt.trace,
-		Attempt: request.caller.Attempt, Fresh: request.responseStarted || request.caller.Attempt == "",
+		Attempt: request.caller.Attempt, Fresh: request.responseStarted, Single: request.caller.Attempt == "",
 	})
 	if err == nil {
 		return daemon.paths.watch(response, target.Address, ended), nil
--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -50,6 +50,8 @@
 	Attempt string
 	// Fresh sends the request on a new connection, on which nothing else can be taken for its response.
 	Fresh bool
+	// Single sends the request on a new connection that carries no other, for requests whose responses nothing identifies.
+	Single bool
 	// Purpose separates connections: one is reused only for requests of the same purpose.
 	Purpose string
 	// Match reports whether the status and headers of a response belong to the attempt; nil accepts any response.
@@ -157,6 +159,9 @@
 	}
 	*request.Trace = Trace{Connection: conn.number, Earlier: conn.carried}
 	conn.carried++
+	if request.Single {
+		conn.unusable.Store(true)
+	}
 	exchange := &exchange{client: client, key: request.connKey(), conn: conn, written: make(chan error, 1)}
 	exchange.stopAbort = context.AfterFunc(ctx, exchange.abort)
 	response, err := exchange.run(request)
@@ -176,7 +181,7 @@
 }
 
 func (client *Client) connect(ctx context.Context, request Request) (*conn, error) {
-	if !request.Fresh {
+	if !request.Fresh && !request.Single {
 		if idle := client.takeIdle(request.connKey(), request.Attempt); idle != nil {
 			return idle, nil
 		}
