io/edge: record no crash when a target sends what belongs to other requests

Sound requests were recorded as crashing their targets; three such records of one content or part of prompts quarantine it, and its callers get 422.

Cause: each error after a request was sent counted as a disconnected target. Copies of earlier responses, or a part of one before the response, say nothing about the request, and the path to the target works.

--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -572,14 +572,13 @@
 		daemon.recordOutcome(request, relay.attempt, place.Inconclusive, 0)
 		return nil, &sendError{run: run, cause: ctx.Err()}
 	}
-	daemon.paths.failed(target.Address)
-	daemon.recordOutcome(request, relay.attempt, daemon.failureOutcome(), 0)
 	daemon.targets.CloseIdle(target.Address)
 	if run == core.NotRun {
+		daemon.paths.failed(target.Address)
+		daemon.recordOutcome(request, relay.attempt, daemon.failureOutcome(), 0)
 		return nil, &sendError{unsent: true, run: run, cause: err}
 	}
-	relay.recordCrash()
-	return nil, &sendError{run: run, cause: err}
+	return nil, relay.lost(ctx, err)
 }
 
 // errorResponse forwards an error response of the target, or returns it as an error if another attempt may succeed.
@@ -690,6 +689,11 @@
 	if relay.attempt.through != nil {
 		return &sendError{run: core.Unknown, cause: err}
 	}
+	if xchg.IsForeign(err) || errors.Is(err, errUnidentified) {
+		// The target works, and sends what belongs to other requests.
+		relay.daemon.recordOutcome(relay.request, relay.attempt, place.Disconnected, 0)
+		return &sendError{run: core.Unknown, cause: err}
+	}
 	relay.daemon.paths.failed(relay.attempt.target.Address)
 	relay.daemon.recordOutcome(relay.request, relay.attempt, relay.daemon.failureOutcome(), 0)
 	relay.recordCrash()
--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -98,8 +98,13 @@
 	return !errors.As(err, &e) || e.Sent
 }
 
-// ErrMismatchedResponse reports that the target sent only responses to other requests.
-var ErrMismatchedResponse = errors.New("target sent no response to this request")
+// errMismatchedResponse reports that the target sent only responses to other requests.
+var errMismatchedResponse = errors.New("target sent no response to this request")
+
+// IsForeign reports whether an exchange failed because of responses that do not belong to it, which say nothing about the target's health.
+func IsForeign(err error) bool {
+	return errors.Is(err, errMismatchedResponse) || errors.Is(err, errJoinedHeads)
+}
 
 // Client is an HTTP/1.1 client with a pool of connections per target; Clock must be set.
 type Client struct {
@@ -343,7 +348,7 @@
 		}
 		input.limit(MaxHeadBytes)
 	}
-	return nil, ErrMismatchedResponse
+	return nil, errMismatchedResponse
 }
 
 func (exchange *exchange) readResponse(request Request) (*http.Response, error) {
@@ -353,7 +358,7 @@
 			return nil, err
 		}
 		if HeadIsJoined(response) {
-			return nil, ErrJoinedHeads
+			return nil, errJoinedHeads
 		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
--- a/io/xchg/joined.go
+++ b/io/xchg/joined.go
@@ -7,8 +7,8 @@
 	"strings"
 )
 
-// ErrJoinedHeads reports that the head of a response begins with a part of another one.
-var ErrJoinedHeads = errors.New("the head of the response begins with a part of another one")
+// errJoinedHeads reports that the head of a response begins with a part of another one.
+var errJoinedHeads = errors.New("the head of the response begins with a part of another one")
 
 var statusLine = regexp.MustCompile(`HTTP/\d\.\d \d{3}`)
 
