io/xchg: remember attempts by a hash

Callers choose the IDs of attempts, up to the limit of a header, 64 KB. 16 idle connections to one target held 64 MB of them. A hash takes 8 bytes; two attempts with the same one cost a connection.

TestLongAttemptIDs fails before (64 MB held) and passes. TestRefusedAttemptChangesConnection covers errors and redirections, too.

--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"catkincove/core"
 )
 
@@ -31,7 +33,7 @@
 	maxStaleBytes      = 1 << 20                // limit on the body of a response to an earlier request
 	maxInlineBody      = 8 << 10                // bytes; longer bodies are written while the response is read
 	maxIdleConns       = 16                     // per target
-	maxFailedAttempts  = 64                     // attempts without success that a connection remembers; one with more is closed
+	maxFailedAttempts  = 64                     // attempts without success that a connection remembers; after more it is closed
 )
 
 // Request is one exchange with a target.
@@ -59,7 +61,7 @@
 	// MatchBody is Match for responses that only their body identifies: the body is read first, up to MaxBody bytes.
 	MatchBody func(response *http.Response, body []byte) bool
 	MaxBody   int64
-	// Trace is filled in when the exchange returns; nil is skipped.
+	// Trace receives what is known of the exchange and may be read once Do has returned; nil is skipped.
 	Trace *Trace
 }
 
@@ -128,18 +130,23 @@
 	unusable atomic.Bool   // must not be reused
 	number   int64         // of the connections that the client has opened
 	carried  int           // requests sent so far
-	failed   []string      // attempts that got no success on it and may be sent again
+	failed   []uint64      // hashes of the attempts whose responses on it were no success
 
 	detectsSilence atomic.Bool // the kernel's probes begin early
 }
 
-// remember records an attempt that got no success.
-func (conn *conn) remember(attempt string) {
+// rememberFailed records an attempt whose response was no success. Callers choose the IDs, which may be long.
+func (conn *conn) rememberFailed(attempt string) {
 	if len(conn.failed) == maxFailedAttempts {
 		conn.unusable.Store(true)
 		return
 	}
-	conn.failed = append(conn.failed, attempt)
+	conn.failed = append(conn.failed, xxhash.Sum64String(attempt))
+}
+
+// mayCarry reports whether no response on the connection could be taken for the one to the attempt.
+func (conn *conn) mayCarry(attempt string) bool {
+	return attempt == "" || len(conn.failed) == 0 || !slices.Contains(conn.failed, xxhash.Sum64String(attempt))
 }
 
 // Opened returns how many connections have been opened.
@@ -210,7 +217,7 @@
 	defer client.mutex.Unlock()
 	for i := len(client.idle[key]) - 1; i >= 0; i-- {
 		candidate := client.idle[key][i]
-		if attempt != "" && slices.Contains(candidate.failed, attempt) {
+		if !candidate.mayCarry(attempt) {
 			continue
 		}
 		client.idle[key] = slices.Delete(client.idle[key], i, i+1)
@@ -320,7 +327,7 @@
 		if matches {
 			input.unlimit()
 			if request.Attempt != "" && response.StatusCode >= http.StatusMultipleChoices {
-				exchange.conn.remember(request.Attempt)
+				exchange.conn.rememberFailed(request.Attempt)
 			}
 			if response.ContentLength < 0 {
 				exchange.conn.detectSilence() // a stream may last
--- a/io/xchg/client_test.go
+++ b/io/xchg/client_test.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -180,6 +182,8 @@
 	}{
 		{"another attempt", []string{"a 503", "b 200"}, 1},
 		{"the same attempt", []string{"a 503", "a 200"}, 2},
+		{"the same attempt after an error", []string{"a 500", "a 200"}, 2},
+		{"the same attempt after a redirection", []string{"a 302", "a 200"}, 2},
 		{"the same attempt after others", []string{"a 421", "b 503", "c 200", "a 200"}, 2},
 		{"the same attempt twice", []string{"a 421", "a 503", "b 200", "a 200"}, 3},
 		{"after a success", []string{"a 200", "a 200"}, 1},
@@ -204,6 +208,53 @@
 	}
 }
 
+// TestLongAttemptIDs guards against connections that keep megabytes of attempts' IDs in memory: callers choose the IDs, of up to 64 KB.
+func TestLongAttemptIDs(t *testing.T) {
+	const idBytes, conns, maxHeld = 60_000, maxIdleConns, 4 << 20
+	address := serveTCP(t, func(connection net.Conn, reader *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(connection, "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	client := &Client{Clock: core.SystemClock{}}
+	heap := func() uint64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	before := heap()
+	for round := range maxFailedAttempts {
+		var opened, group sync.WaitGroup
+		opened.Add(conns)
+		for i := range conns {
+			group.Go(func() {
+				response, err := client.Do(t.Context(), Request{
+					Address: address, Method: http.MethodPost, URI: "/", Host: "h", Attempt: fmt.Sprint(round, "-", i, strings.Repeat("x", idBytes)), HasBody: true,
+				})
+				opened.Done()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				opened.Wait() // all connections are in use at the same time
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			})
+		}
+		group.Wait()
+	}
+	if held := int64(heap()) - int64(before); held > maxHeld {
+		t.Errorf("%d idle connections to one target hold %d MB", conns, held>>20)
+	}
+	client.CloseIdle(address)
+}
+
 // TestResponseBeforeBodyIsRead guards against losing the response when the target responds before it has read a long body;
 // on a reused connection the target would read the rest of the body as the next request.
 func TestResponseBeforeBodyIsRead(t *testing.T) {
