--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -22,8 +22,8 @@
 	maxPiecesBody     = 1 << 20              // limit in bytes on the response to a batch call
 )
 
-// Purposes that separate the connections of calls whose responses name no attempt: a second copy of one would be read as the response to a request, or
-// that of a request's response as the response to such a call.
+// Purposes that separate the connections of calls whose responses name no attempt. A second copy of one would be read as the response to a request; in the other
+// direction, the copy of a request's response would be read as the response to the call.
 const (
 	purposeBatch = "batch"
 	purposeFree  = "free"
