io/target: take no response whose head begins with a part of another one

A call of serve could count as rejected although its target ran it, and go to another target; one that runs at most once would run twice. The same cause as in edge: the part of an earlier rejection joins with the head of the response on a kept connection into a rejection that names the call.

TestPartOfRefusalBeforeResponse (a rejection cut at every byte) fails before at 24 of 121 cuts and passes.

--- a/io/target/fault.go
+++ b/io/target/fault.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"catkincove/core"
+	"catkincove/io/xchg"
 )
 
 // defaultRetryAfter applies to rejections whose Retry-After is missing or not a number of seconds.
@@ -18,7 +19,7 @@
 
 // checkResponse rejects a response that belongs to another attempt and turns statuses into errors.
 func (exchange *exchange) checkResponse() error {
-	if !exchange.matches() {
+	if xchg.HeadIsJoined(exchange.response) || !exchange.matches() {
 		exchange.client.mismatched.Add(1)
 		return exchange.responseError("response belongs to another attempt")
 	}
