io/etcd: call the store over a connection for each call

A second copy of an earlier response of the store, sent when its connection was in use again, was read as the response to the call. Callers of at-most-once calls would have seen two runs: a record whose creation failed, because another daemon holds it, counted as created. Two daemons could own a pool, leases that had ended counted as renewed, and a head read from before a change as proof that the configuration is current. A renewal that read the copy of another response counted as "lease not found".

The gateway returns header.revision, member_id and raft_term. They tie the success of a write, whose revision is given out once, but not a failed condition, a renewal or a read: an equal revision is no proof that the response was made after the call was sent, which is what a head read is for.

Ways weighed: revisions (above); kept connections for reads alone (a copy of a head read breaks the judgement of freshness); a nonce as a second operation of each transaction (turns reads into writes, and renewals have none); HTTP/2, where a response belongs to its stream (the gateway has it only over TLS); a connection dialled ahead (saves the round trip, holds a connection open; can follow if the round trip matters). Chosen: a connection for each call, as the platform's store client does.

Costs: one more round trip a call and, worked out, 888 new connections a second at the design size for the whole store.

--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -28,7 +28,7 @@
 	Endpoints    []string          // base URLs such as "http://10.0.0.1:2379"
 	Timeout      time.Duration     // of one call including failover; 0 means core.DefaultStoreRTT
 	StallTimeout time.Duration     // longest time between messages of a watch before it fails; 0 means 1.5 s
-	Transport    http.RoundTripper // nil means one transport shared by all clients
+	Transport    http.RoundTripper // carries one call over each connection; nil means one transport shared by all clients
 
 	preferred atomic.Int64 // modulo the number of endpoints, the index of the endpoint to call
 	mutex     sync.Mutex
@@ -38,9 +38,8 @@
 var _ core.Store = (*Client)(nil)
 
 var sharedTransport = &http.Transport{
-	DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-	MaxIdleConnsPerHost: 16,
-	IdleConnTimeout:     30 * time.Second,
+	DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	IdleConnTimeout: dialTimeout, // of connections that were opened too late for their call
 }
 
 // errNotConnected marks an attempt that failed before any byte reached the store.
@@ -80,9 +79,6 @@
 			return response, err
 		}
 		client.count(func(counters *Counters) { counters.Failures[path]++ })
-		if !errors.Is(err, errNotConnected) {
-			client.closeIdle()
-		}
 		client.preferred.Add(1)
 		retry := idempotent || errors.Is(err, errNotConnected)
 		if endpointsLeft <= 1 || !retry || ctx.Err() != nil {
@@ -91,14 +87,6 @@
 	}
 }
 
-// closeIdle closes the idle connections, as a stalled connection is rarely the only one and the renewal of a lease has
-// time for only one failed call.
-func (client *Client) closeIdle() {
-	if transport, canCloseIdle := client.transport().(interface{ CloseIdleConnections() }); canCloseIdle {
-		transport.CloseIdleConnections()
-	}
-}
-
 // attempt calls one endpoint with an equal share of the time left.
 func (client *Client) attempt(ctx context.Context, path string, body []byte, endpointsLeft int) (fields, error) {
 	deadline, _ := ctx.Deadline()
@@ -124,7 +112,10 @@
 	return object, nil
 }
 
-// post counts the call and sends it to the preferred endpoint.
+// post counts the call and sends it to the preferred endpoint, over a connection of its own.
+//
+// Responses do not say to which call they belong. A second copy of one, sent when its connection is in use again, would be read as the response to the
+// next call: a write whose condition is not met as done, or a lease that has expired as renewed.
 func (client *Client) post(ctx context.Context, path string, body []byte) (*http.Response, error) {
 	index := int(client.preferred.Load() % int64(len(client.Endpoints)))
 	address := strings.TrimSuffix(client.Endpoints[index], "/") + path
@@ -132,6 +123,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	request.Close = true
 	request.Header.Set("Content-Type", "application/json")
 	client.count(func(counters *Counters) {
 		counters.Calls[path]++
