io/callid, io/edge: believe a response without a call ID only on a new connection

Weighed: to refuse them; to ask for the generation of messages first (a call that needs the same proof). Chosen: the first response on a connection can be nothing but the response to its call, so it needs no ID; calls to a host whose response had none use a new connection each until one has it.

The check moves to io/callid, so that other clients can use it.

--- /dev/null
+++ b/io/callid/callid_test.go
@@ -0,0 +1,63 @@
+package callid
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"catkincove/stand/fault"
+)
+
+// TestServerWithoutIDs guards against a second copy of a response of a server that echoes no IDs, which is read as the response to another call, against a
+// server that is not used because it echoes none, and against a connection for each call once it does.
+func TestServerWithoutIDs(t *testing.T) {
+	var echoes atomic.Bool
+	answer := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.WriteString(writer, request.URL.Path)
+	})
+	server, err := fault.ListenRepeating(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if echoes.Load() {
+			Echo(answer).ServeHTTP(writer, request)
+			return
+		}
+		answer.ServeHTTP(writer, request)
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	transport := &Transport{Kept: &http.Transport{}}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	get := func(path string) (string, error) {
+		response, err := client.Get("http://" + server.Address() + path)
+		if err != nil {
+			return "", err
+		}
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		return string(body), err
+	}
+	paths := []string{"/a", "/b", "/c", "/d", "/e", "/f", "/g", "/h"}
+	for _, path := range paths {
+		if body, err := get(path); err != nil || body != path {
+			t.Errorf("without IDs: %s got %q, %v", path, body, err)
+		}
+	}
+	echoes.Store(true)
+	before, served := server.Connections(), 0
+	for _, path := range append(paths, paths...) {
+		body, err := get(path)
+		if err == nil && body != path {
+			t.Errorf("with IDs: %s got %q", path, body)
+		}
+		if err == nil {
+			served++
+		}
+	}
+	opened := int(server.Connections() - before)
+	if served < len(paths) || opened >= 2*len(paths) {
+		t.Errorf("with IDs: %d of %d calls served over %d new connections", served, 2*len(paths), opened)
+	}
+}
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -28,6 +28,7 @@
 	"catkincove/core/place"
 	"catkincove/core/retry"
 	"catkincove/core/wake"
+	"catkincove/io/callid"
 	"catkincove/io/inifmt"
 	"catkincove/io/xchg"
 )
@@ -142,7 +143,7 @@
 	daemon.log = daemon.logWriter.logger(options.Settings.Name)
 	daemon.settings.Store(&options.Settings)
 	daemon.view.Store(&view{})
-	daemon.peers = &http.Client{Transport: identified{&http.Transport{
+	daemon.peers = &http.Client{Transport: &callid.Transport{Kept: &http.Transport{
 		DialContext:            xchg.Dialer(peerDialTimeout).DialContext,
 		MaxIdleConnsPerHost:    maxIdlePeerConnections,
 		IdleConnTimeout:        peerIdleTimeout,
@@ -235,7 +236,7 @@
 		{settings.Front, "front", http.HandlerFunc(daemon.serveFront), false},
 		{settings.Ready, "ready", http.HandlerFunc(daemon.serveReady), false},
 		{settings.Directory, "directory", http.HandlerFunc(daemon.serveDirectory), false},
-		{settings.Peer, "peer", echoCallID(daemon.peerHandler()), false},
+		{settings.Peer, "peer", callid.Echo(daemon.peerHandler()), false},
 		{settings.Metrics, "metrics", http.HandlerFunc(daemon.serveMetrics), true},
 	} {
 		if address.optional && address.address == "" {
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -13,6 +13,7 @@
 	"catkincove/core"
 	"catkincove/core/origin"
 	"catkincove/core/place"
+	"catkincove/io/callid"
 	"catkincove/io/xchg"
 )
 
@@ -154,7 +155,7 @@
 	for _, name := range forwardHeaders {
 		incoming.Header.Del(name)
 	}
-	incoming.Header.Del(headerCallID)
+	incoming.Header.Del(callid.Header)
 	incoming.RequestURI = strings.TrimPrefix(incoming.RequestURI, pathForward)
 	if incoming.URL, err = url.ParseRequestURI(incoming.RequestURI); err != nil {
 		return nil, err
--- a/io/edge/peer_test.go
+++ b/io/edge/peer_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"catkincove/core"
+	"catkincove/io/callid"
 	"catkincove/io/inifmt"
 )
 
@@ -76,8 +77,9 @@
 		name, address string
 		minServed     int
 	}{
-		{"repeated responses", repeatingServer(t, echoCallID(handler)), 10}, // each copy costs one call
+		{"repeated responses", repeatingServer(t, callid.Echo(handler)), 10}, // each copy costs one call
 		{"older daemon", older.Listener.Addr().String(), 20},
+		{"repeated responses of an older daemon", repeatingServer(t, handler), 20},
 	} {
 		daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self"}, Dialect: plainDialect{}, Clock: core.SystemClock{}})
 		served := 0
@@ -106,7 +108,7 @@
 func TestRepeatedRefusalOfForwardingDaemon(t *testing.T) {
 	const requests = 20
 	var ran sync.Map
-	address := repeatingServer(t, echoCallID(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	address := repeatingServer(t, callid.Echo(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		attempt := request.Header.Get("X-Attempt-Id")
 		if strings.HasPrefix(attempt, "rejected") {
 			writer.WriteHeader(http.StatusServiceUnavailable)
