--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -13,6 +13,7 @@
 
 	"catkincove/core"
 	"catkincove/io/answer"
+	"catkincove/io/callid"
 	"catkincove/io/entry"
 )
 
@@ -33,8 +34,10 @@
 	MaxAttempts int    // maximum number of attempts per request, including the first
 	SeedsOnly   bool   // sends requests to the seeds only and never queries for addresses
 	Clock       core.Clock
-	HTTP        *http.Client
+	HTTP        *http.Client // its transport, if it is an *http.Transport, gets the IDs of package callid
 
+	once        sync.Once
+	identified  *http.Client // HTTP with IDs of calls
 	mutex       sync.Mutex
 	addresses   []string
 	refreshedAt time.Time
@@ -193,11 +196,22 @@
 	return core.SystemClock{}
 }
 
+// http returns the HTTP client, which returns no response to another call: the list of addresses would count as the acceptance of a ticket.
 func (client *Client) http() *http.Client {
-	if client.HTTP != nil {
-		return client.HTTP
-	}
-	return http.DefaultClient
+	client.once.Do(func() {
+		identified := *http.DefaultClient
+		if client.HTTP != nil {
+			identified = *client.HTTP
+		}
+		if identified.Transport == nil {
+			identified.Transport = http.DefaultTransport
+		}
+		if kept, isTransport := identified.Transport.(*http.Transport); isTransport {
+			identified.Transport = &callid.Transport{Kept: kept}
+		}
+		client.identified = &identified
+	})
+	return client.identified
 }
 
 // Get sends a GET request for an operator command to the preferred daemon and returns the response body.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"catkincove/core/retry"
 	"catkincove/core/route"
 	"catkincove/core/ticket"
+	"catkincove/io/callid"
 	"catkincove/io/codec"
 	"catkincove/io/entry"
 	"catkincove/io/etcd"
@@ -212,7 +213,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           mux,
+		Handler:           callid.Echo(mux),
 		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 		ReadHeaderTimeout: readHeaderTimeout,
