io/target, io/callid: tie load reports and cache events to their calls

The pool's owner took an older load report of a target for one that was made after it had asked: a second copy of the report before, sent when the connection is in use again. Worked out, not played: a target that has unloaded its model gets requests, since a later report is the proof that it holds it; the last copy of a model in use is unloaded; work that may still run at the target no longer counts; a limit starts from work that has ended. Older cache events are skipped by their numbers and only spoil the choice of targets after a start.

The test could not see it, since its target always reported the same.

docs/targets.md says that responses repeat X-Request-Id on every call; load reports and cache events now carry one, and io/callid checks it. A GET whose response belongs to another call is sent once more over a new connection, since a report that fails counts against the target. A target that repeats none is asked over a new connection each time: two a second from its owner, four if it has a prompt cache. Weighed: a new connection for all. Both kinds share connections again, so that other targets hold one less. HTTP/2 is left as it is.

--- a/io/callid/callid.go
+++ b/io/callid/callid.go
@@ -17,7 +17,8 @@
 
 // Transport sends each call with an ID and returns no response that belongs to another call; Kept must be set.
 //
-// A response without an ID is accepted only as the first one on its connection. Further calls to such a server use a new connection each.
+// A response without an ID is accepted only as the first one on its connection. Further calls to such a server use a new connection each. A GET whose
+// response belongs to another call is sent once more, over a new connection.
 type Transport struct {
 	Kept   *http.Transport // connections that may carry several calls
 	Header string          // name of the ID's header; empty means Header
@@ -33,6 +34,19 @@
 		transport.single = transport.Kept.Clone()
 		transport.single.DisableKeepAlives = true
 	})
+	sender := transport.Kept
+	if _, without := transport.without.Load(request.URL.Host); without {
+		sender = transport.single
+	}
+	response, err := transport.send(sender, request)
+	if errors.Is(err, ErrOtherCall) && request.Method == http.MethodGet {
+		return transport.send(transport.single, request)
+	}
+	return response, err
+}
+
+// send sends the request over a connection of the sender.
+func (transport *Transport) send(sender *http.Transport, request *http.Request) (*http.Response, error) {
 	header := transport.Header
 	if header == "" {
 		header = Header
@@ -42,10 +56,6 @@
 	request = request.Clone(httptrace.WithClientTrace(request.Context(), trace))
 	id := strconv.FormatUint(rand.Uint64(), 36)
 	request.Header.Set(header, id)
-	sender := transport.Kept
-	if _, without := transport.without.Load(request.URL.Host); without {
-		sender = transport.single
-	}
 	response, err := sender.RoundTrip(request)
 	if err != nil {
 		return nil, err
--- a/io/callid/callid_test.go
+++ b/io/callid/callid_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestServerWithoutIDs guards against a second copy of a response of a server that echoes no IDs, which is read as the response to another call, against a
-// server that is not used because it echoes none, and against a connection for each call once it does.
+// server that is not used because it echoes none, against a connection for each call once it does, and against a GET that fails although it may be sent again.
 func TestServerWithoutIDs(t *testing.T) {
 	var echoes atomic.Bool
 	answer := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
@@ -30,8 +30,12 @@
 	transport := &Transport{Kept: &http.Transport{}}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
-	get := func(path string) (string, error) {
-		response, err := client.Get("http://" + server.Address() + path)
+	call := func(method, path string) (string, error) {
+		request, err := http.NewRequestWithContext(t.Context(), method, "http://"+server.Address()+path, nil)
+		if err != nil {
+			return "", err
+		}
+		response, err := client.Do(request)
 		if err != nil {
 			return "", err
 		}
@@ -41,14 +45,14 @@
 	}
 	paths := []string{"/a", "/b", "/c", "/d", "/e", "/f", "/g", "/h"}
 	for _, path := range paths {
-		if body, err := get(path); err != nil || body != path {
+		if body, err := call(http.MethodPost, path); err != nil || body != path {
 			t.Errorf("without IDs: %s got %q, %v", path, body, err)
 		}
 	}
 	echoes.Store(true)
 	before, served := server.Connections(), 0
 	for _, path := range append(paths, paths...) {
-		body, err := get(path)
+		body, err := call(http.MethodPost, path)
 		if err == nil && body != path {
 			t.Errorf("with IDs: %s got %q", path, body)
 		}
@@ -60,4 +64,9 @@
 	if served < len(paths) || opened >= 2*len(paths) {
 		t.Errorf("with IDs: %d of %d calls served over %d new connections", served, 2*len(paths), opened)
 	}
+	for _, path := range paths {
+		if body, err := call(http.MethodGet, path); err != nil || body != path {
+			t.Errorf("GET of %s got %q, %v", path, body, err)
+		}
+	}
 }
--- a/io/target/client.go
+++ b/io/target/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"catkincove/core"
+	"catkincove/io/callid"
 )
 
 // Defaults of the Client's settings.
@@ -42,9 +43,9 @@
 
 	once       sync.Once
 	calls      *http.Transport
-	loads      *http.Transport // load reports
-	cache      *http.Transport // cache events
+	reports    http.RoundTripper // load reports and cache events
 	orders     *http.Transport
+	kept       []*http.Transport // transports that keep connections
 	mutex      sync.Mutex
 	conns      map[string]map[*conn]struct{} // open connections by address
 	mismatched atomic.Int64
@@ -60,7 +61,7 @@
 // Close closes all idle connections.
 func (client *Client) Close() {
 	client.init()
-	for _, transport := range []*http.Transport{client.calls, client.loads, client.cache, client.orders} {
+	for _, transport := range client.kept {
 		transport.CloseIdleConnections()
 	}
 }
@@ -78,11 +79,16 @@
 	setDefault(&client.PingTimeout, DefaultPingTimeout)
 	client.conns = make(map[string]map[*conn]struct{})
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	// Only the responses to calls identify themselves. A second copy of a response, which a target sends when its connection is
-	// in use again, must be read neither as a load report or cache events nor as the acceptance of an order.
-	client.calls, client.loads, client.cache = client.newTransport(dialer), client.newTransport(dialer), client.newTransport(dialer)
-	client.orders = client.newTransport(dialer)
+	// A second copy of a response, which a target sends when its connection is in use again, must be read neither as a load report or cache events nor
+	// as the acceptance of an order.
+	client.calls, client.orders = client.newTransport(dialer), client.newTransport(dialer)
 	client.orders.DisableKeepAlives = true
+	reports := client.newTransport(dialer)
+	client.kept = []*http.Transport{client.calls, reports}
+	client.reports = &callid.Transport{Kept: reports, Header: headerRequest}
+	if client.HTTP2 {
+		client.reports = reports // a response belongs to its stream
+	}
 }
 
 func setDefault[T comparable](setting *T, value T) {
--- a/io/target/control.go
+++ b/io/target/control.go
@@ -23,7 +23,7 @@
 // Load returns the target's load report.
 func (client *Client) Load(ctx context.Context, address string) (core.LoadReport, error) {
 	client.init()
-	data, err := client.control(ctx, client.loads, client.ControlTimeout, http.MethodGet, "http://"+address+"/load", nil)
+	data, err := client.control(ctx, client.reports, client.ControlTimeout, http.MethodGet, "http://"+address+"/load", nil)
 	if err != nil {
 		return core.LoadReport{}, err
 	}
@@ -55,7 +55,7 @@
 func (client *Client) CacheEvents(ctx context.Context, address string, after int64) ([]core.CacheEvent, error) {
 	client.init()
 	url := "http://" + address + "/cache/events?after=" + strconv.FormatInt(after, 10)
-	data, err := client.control(ctx, client.cache, client.ControlTimeout, http.MethodGet, url, nil)
+	data, err := client.control(ctx, client.reports, client.ControlTimeout, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -98,7 +98,7 @@
 	return err
 }
 
-func (client *Client) control(ctx context.Context, transport *http.Transport, timeout time.Duration, method, url string, body []byte) ([]byte, error) {
+func (client *Client) control(ctx context.Context, transport http.RoundTripper, timeout time.Duration, method, url string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
--- a/io/target/trouble_test.go
+++ b/io/target/trouble_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,20 +15,24 @@
 )
 
 // repeatingTarget starts a server that sends each response a second time when the next request on its connection has been read.
-// It rejects every third attempt and all orders.
-func repeatingTarget(t *testing.T) string {
+// It rejects every third attempt and all orders, and repeats the IDs of load reports and cache events if it echoes.
+func repeatingTarget(t *testing.T, echoes bool) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
+	var loads atomic.Int64
 	respond := func(request *http.Request) string {
 		status, body := "200 OK", fmt.Sprintf(`{"attempt": %q}`, request.Header.Get(headerAttempt))
+		if request.Method == http.MethodGet && !echoes {
+			request.Header.Del(headerRequest)
+		}
 		switch {
 		case request.URL.Path == "/load":
-			body = `{"start": "s1", "running": 3, "age_ms": 1}`
+			body = fmt.Sprintf(`{"start": "s1", "running": %d, "age_ms": 1}`, loads.Add(1))
 		case request.URL.Path == "/cache/events":
-			body = `{"events": [{"sequence": 4, "block": "00000000000000ff", "stored": true}]}`
+			body = fmt.Sprintf(`{"events": [{"sequence": 1%s, "block": "00000000000000ff", "stored": true}]}`, request.URL.Query().Get("after"))
 		case request.URL.Path == "/orders":
 			status, body = "409 Conflict", "{}"
 		case len(request.Header.Get(headerAttempt))%3 == 0:
@@ -67,13 +72,30 @@
 
 // TestRepeatedResponses guards against a response that is taken for the response to another call, load report or order,
 // because the target sends it a second time when its connection is in use again: an order that was rejected would count
-// as accepted, and a call that ran as rejected.
+// as accepted, a call that ran as rejected, and an older load report as made now, which shows a model that the target no longer holds.
 func TestRepeatedResponses(t *testing.T) {
-	address := repeatingTarget(t)
+	for _, echoes := range []bool{true, false} {
+		t.Run(fmt.Sprintf("IDs of reports %v", echoes), func(t *testing.T) { testRepeatedResponses(t, echoes) })
+	}
+}
+
+func testRepeatedResponses(t *testing.T, echoes bool) {
+	address := repeatingTarget(t, echoes)
 	client := &Client{}
 	defer client.Close()
 	ctx := t.Context()
-	served, reports := 0, 0
+	served, asked, reports, events := 0, 0, 0, 0
+	load := func(i int) {
+		asked++
+		report, err := client.Load(ctx, address)
+		if err == nil && (report.StartID != "s1" || report.Running < asked) {
+			t.Errorf("round %d: load report %d is %+v", i, asked, report)
+		}
+		if err == nil {
+			reports++
+		}
+		asked = max(asked, report.Running) // a report may be asked for a second time
+	}
 	for i := range 60 {
 		call := callTo(address)
 		call.Attempt = []int{7, 42, 333}[i%3] // the last one is rejected
@@ -88,28 +110,26 @@
 		}
 		switch i % 4 {
 		case 0:
-			report, err := client.Load(ctx, address)
-			if err == nil && (report.StartID != "s1" || report.Running != 3) {
-				t.Errorf("round %d: load report %+v", i, report)
+			load(i)
+		case 1:
+			got, err := client.CacheEvents(ctx, address, int64(100+i))
+			if err == nil && fmt.Sprint(got) != fmt.Sprintf("[{%d 255 true}]", 1100+i) {
+				t.Errorf("round %d: cache events %v", i, got)
 			}
 			if err == nil {
-				reports++
-			}
-		case 1:
-			if events, err := client.CacheEvents(ctx, address, 3); err == nil && fmt.Sprint(events) != "[{4 255 true}]" {
-				t.Errorf("round %d: cache events %v", i, events)
+				events++
 			}
 		case 2, 3:
 			if i%4 == 3 {
-				_, _ = client.Load(ctx, address) // its copy has status 200
+				load(i) // its copy has status 200
 			}
 			if err := client.Order(ctx, address, core.Order{}); err == nil || core.AsError(err).Kind != core.Conflict {
 				t.Errorf("round %d: order: %v, want that it was rejected", i, err)
 			}
 		}
 	}
-	if served < 10 || reports < 10 {
-		t.Errorf("%d calls were served and %d load reports received", served, reports)
+	if served < 10 || reports < 30 || events < 15 {
+		t.Errorf("%d calls were served, %d of 30 load reports and %d of 15 cache events received", served, reports, events)
 	}
 }
 
--- a/stand/engine/http.go
+++ b/stand/engine/http.go
@@ -83,6 +83,11 @@
 	writer.Header().Set("X-Start-Id", engine.StartID())
 }
 
+// EchoRequest repeats the request's ID in the response.
+func EchoRequest(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
+}
+
 // BlockIfFrozen blocks a request to a frozen target until the caller disconnects or the target crashes, and then aborts it.
 func (engine *Engine) BlockIfFrozen(request *http.Request) {
 	engine.mutex.Lock()
@@ -113,6 +118,7 @@
 	switch request.Method + " " + request.URL.Path {
 	case "GET /load":
 		engine.BlockIfFrozen(request)
+		EchoRequest(writer, request)
 		engine.reportLoad(writer, models)
 	case "GET /control/journal":
 		wire.Reply(writer, http.StatusOK, engine.Journal())
--- a/stand/model/target.go
+++ b/stand/model/target.go
@@ -104,6 +104,7 @@
 	switch {
 	case path == "/cache/events":
 		target.BlockIfFrozen(request)
+		engine.EchoRequest(writer, request)
 		after, _ := strconv.ParseInt(request.URL.Query().Get("after"), 10, 64)
 		wire.Reply(writer, http.StatusOK, wire.Object{"events": target.cache.eventsAfter(after)})
 	case path == "/orders" && request.Method == http.MethodPost:
