io/caller: say that a request has not run only if no attempt may have run it

The caller of an at-most-once call was told Overloaded, NotRun, exit code 75, "try again later", although an earlier attempt of the same request had lost its connection after it was sent. Whoever then sends it with a new key runs it twice.

Do sends a request up to four times and returned the error of the last attempt as it was; a rejection before the record of the key is looked at (no room, configuration not confirmed, no address) says nothing about the attempts before. core/flow does not have the fault: it states NotRun only if no byte of any attempt was sent.

Now the error's Run covers all attempts, and with a key the kind is OutcomeUnknown, which says to ask again with the same key.

TestEarlierAttempt fails before in 3 of 4 cases (connection lost, with and without a key; rejected at a later stage) and passes.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -62,14 +62,15 @@
 
 // Do sends the request and retries it on other daemons where that is safe.
 //
-// It returns a *core.Error, or the error of ctx.
+// It returns a *core.Error, whose Run covers all attempts, or the error of ctx.
 func (client *Client) Do(ctx context.Context, request Request, emit func(Event)) (entry.AnswerBody, error) {
 	var last error
-	emitted := false
+	emitted, run := false, core.NotRun
 	for attempt := range client.attempts() {
 		address, err := client.address(ctx)
 		if err != nil {
-			return entry.AnswerBody{}, err
+			last = err
+			break
 		}
 		if emitted {
 			emit(Event{Restart: true})
@@ -91,8 +92,30 @@
 		if !client.sleep(ctx, wait) {
 			break
 		}
+		run = runOfAll(run, core.AsError(err).Run)
+	}
+	return entry.AnswerBody{}, withEarlier(last, run, request)
+}
+
+// runOfAll returns whether any of several attempts has run.
+func runOfAll(earlier, next core.Run) core.Run {
+	if earlier == core.HasRun || next == core.NotRun {
+		return earlier
+	}
+	return next
+}
+
+// withEarlier returns the error of the last attempt. If an earlier one may have run, a rejection of the last one does not mean that the request has not,
+// and a caller with an at-most-once call must not send it again with a new key.
+func withEarlier(last error, earlier core.Run, request Request) error {
+	var rejection *core.Error
+	if earlier == core.NotRun || !errors.As(last, &rejection) || rejection.Run != core.NotRun {
+		return last
+	}
+	if request.Key != "" && earlier == core.Unknown {
+		return core.Errorf(core.OutcomeUnknown, "an earlier attempt may have run: %w", last)
 	}
-	return entry.AnswerBody{}, last
+	return rejection.WithRun(earlier)
 }
 
 // sleep reports false when ctx ends first: a further attempt would fail with the error of ctx and hide the daemon's.
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -46,3 +46,39 @@
 		t.Errorf("error is %v (%v), expected Overloaded and not run", err, e.Run)
 	}
 }
+
+// TestEarlierAttempt guards against a request that counts as not run because its last attempt was rejected, although an earlier one may have run: the
+// caller of an at-most-once call would be told to try again later, with a new key.
+func TestEarlierAttempt(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		first func(http.ResponseWriter)
+		key   string
+		kind  core.Kind
+		run   core.Run
+	}{
+		{"rejected", func(writer http.ResponseWriter) { answer.WriteError(writer, core.Errorf(core.Unavailable, "no owner")) }, "key", core.Overloaded, core.NotRun},
+		{"connection lost", func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, "key", core.OutcomeUnknown, core.Unknown},
+		{"connection lost, no key", func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, "", core.Overloaded, core.Unknown},
+		{"rejected at a later stage", func(writer http.ResponseWriter) {
+			answer.WriteError(writer, core.Errorf(core.Overloaded, "queue of the second stage is full").WithRun(core.HasRun))
+		}, "key", core.Overloaded, core.HasRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			requests := 0
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				if requests++; requests == 1 {
+					test.first(writer)
+					return
+				}
+				answer.WriteError(writer, core.Errorf(core.Overloaded, "queue is full"))
+			}))
+			defer server.Close()
+			client := &Client{Seeds: []string{strings.TrimPrefix(server.URL, "http://")}, SeedsOnly: true, MaxAttempts: 2, HTTP: &http.Client{Transport: &http.Transport{}}}
+			_, err := client.Do(t.Context(), Request{Pipeline: "any", Key: test.key}, func(Event) {})
+			if e := core.AsError(err); e.Kind != test.kind || e.Run != test.run || requests != 2 {
+				t.Errorf("after %d attempts: %v (%v), want %v (%v)", requests, err, e.Run, test.kind, test.run)
+			}
+		})
+	}
+}
