core/pool, core/flow, io/target: conclude nothing about a call from the response to another

A second copy of an earlier response of a target, or any other that names another attempt, counted as the end of the call that was under way ("the target responded with an error"). So a cold target, which bears one request, got a second one while it still worked on the first; content that had crashed one target and ran alone on the next was cleared as sound; the start that the response named was taken for that of the target; and callers read Run although nothing showed that the target had run the request.

Found by following what each outcome proves in core/pool.

OutcomeMismatched is new: the call fails, it counts at the target until the next load report, as after a time-out, and toward the ejection of the target, as before. Weighed: OutcomeTimedOut (a target that always names others would not be ejected).

Ruled out: two sendings with one identity. Each sending has a number of its own, also after rejections, expired permits and refused connections, and each HTTP request of a caller an ID of its own, whatever its idempotency key and daemon. TestRandomOutcomes now checks that; trial with the number of retries in the place of the attempt's: fails at the first sequence. What 429, 503 and 400 prove: serve says NotRun only if no byte of any attempt was sent, and never sends an at-most-once call again after one was, so a copy of a refusal has no promise to break.

TestMismatchedResponse fails in 2 of 3 cases with OutcomeFailed in its place, the new case of TestScriptedOutcomes "responses to others" too (Run).

--- a/core/flow/fakes_test.go
+++ b/core/flow/fakes_test.go
@@ -33,6 +33,7 @@
 	timesOut                          // the target stops responding
 	respondsLate                      // the target goes on after the deadline
 	repeatsToken                      // the target sends the same offset twice
+	mismatches                        // the target responds to another attempt
 	outcomeCount
 	pauses // the target stops responding for pauseTime and goes on; only for calls without tokens
 )
@@ -68,6 +69,7 @@
 	released       map[core.GrantID][]core.Outcome
 	acquired       map[core.RequestID]int
 	sentCalls      map[core.RequestID]int // calls that sent a byte
+	identities     map[string]bool        // request, stage and attempt of each call
 	bookings       map[string]int         // number of at-most-once calls by idempotency key
 	records        map[string]core.OnceRecord
 	finishes       int
@@ -85,6 +87,7 @@
 		released:    make(map[core.GrantID][]core.Outcome),
 		acquired:    make(map[core.RequestID]int),
 		sentCalls:   make(map[core.RequestID]int),
+		identities:  make(map[string]bool),
 		bookings:    make(map[string]int),
 		records:     make(map[string]core.OnceRecord),
 		succeeded:   make(map[core.RequestID]bool),
@@ -168,6 +171,11 @@
 func (environment *environment) startCall(ctx context.Context, call core.TargetCall) (scriptedOutcome, core.TargetInfo, error) {
 	environment.mutex.Lock()
 	outcome := environment.outcomes[core.GrantID(call.Address)]
+	identity := fmt.Sprint(call.Request, " ", call.Stage, " ", call.Attempt)
+	if environment.identities[identity] {
+		environment.violations = append(environment.violations, "two calls are "+identity)
+	}
+	environment.identities[identity] = true
 	environment.mutex.Unlock()
 	info := core.TargetInfo{}
 	time.Sleep(time.Millisecond)
@@ -190,6 +198,9 @@
 		return outcome, info, core.Errorf(core.Overloaded, "rejected")
 	case fails:
 		return outcome, info, core.Errorf(core.TargetFailed, "status 500")
+	case mismatches:
+		info.Outcome = core.OutcomeMismatched
+		return outcome, info, core.Errorf(core.TargetFailed, "response belongs to another attempt")
 	}
 	return outcome, info, nil
 }
--- a/core/flow/run_test.go
+++ b/core/flow/run_test.go
@@ -51,7 +51,7 @@
 
 // TestRandomOutcomes guards, for random outcomes of the attempts, against results that are lost, duplicated or of
 // another request, errors that say NotRun although a target was called, at-most-once calls that run twice, an unbounded
-// number of attempts, and grants that are released twice or never.
+// number of attempts, grants that are released twice or never, and two calls with one identity, so that the response to one passes for that to the other.
 func TestRandomOutcomes(t *testing.T) {
 	rapid.Check(t, func(drawn *rapid.T) { checkRandomOutcomes(t, drawn) })
 }
@@ -85,6 +85,9 @@
 func runTwice(t *rapid.T, environment *environment) {
 	runner := environment.runner()
 	for range 2 { // the second round uses the same idempotency keys
+		environment.mutex.Lock()
+		clear(environment.identities) // a daemon gives each request an ID of its own
+		environment.mutex.Unlock()
 		var runs sync.WaitGroup
 		for _, id := range requestIDs {
 			runs.Go(func() { checkRun(t, runner, environment, id) })
@@ -195,6 +198,8 @@
 		{name: "connection refused twice", outcomes: []scriptedOutcome{refusesConnection, refusesConnection}, attempts: 8},
 		{name: "two retries", outcomes: []scriptedOutcome{fails, disconnects}, attempts: 8},
 		{name: "third failure", outcomes: []scriptedOutcome{fails, fails, fails}, kind: core.TargetFailed, run: core.HasRun, attempts: 3},
+		{name: "responses to others", outcomes: []scriptedOutcome{mismatches, mismatches, mismatches}, kind: core.TargetFailed, run: core.Unknown, attempts: 3},
+		{name: "booking, response to another", outcomes: []scriptedOutcome{works, works, works, works, mismatches}, kind: core.OutcomeUnknown, run: core.Unknown, attempts: 5},
 		{name: "silent", outcomes: []scriptedOutcome{timesOut}, attempts: 7},
 		{name: "late", outcomes: []scriptedOutcome{respondsLate}, kind: core.DeadlineExceeded, run: core.Unknown, attempts: 1},
 		{name: "pause", outcomes: []scriptedOutcome{pauses}, attempts: 7},
--- a/core/peer.go
+++ b/core/peer.go
@@ -113,6 +113,7 @@
 	OutcomeDisconnected // the connection was refused, reset or ended early
 	OutcomeTimedOut     // no response in time
 	OutcomeCancelled    // abandoned by the sender or its caller
+	OutcomeMismatched   // the target responded to another attempt, and may still run this one
 )
 
 // Release returns a grant to the owner.
--- a/core/pool/events.go
+++ b/core/pool/events.go
@@ -34,12 +34,12 @@
 	case core.OutcomeDone:
 		entry.target.consecutiveFailures = 0
 		dispatcher.recordCompletion(now, entry, release)
-	case core.OutcomeFailed:
+	case core.OutcomeFailed, core.OutcomeMismatched:
 		dispatcher.recordFailure(now, entry.target)
 	}
 	dispatcher.returnGrant(now, entry)
-	if release.Outcome == core.OutcomeCancelled || release.Outcome == core.OutcomeTimedOut {
-		// The target may still work on the request; it counts until the next load report.
+	if mayStillRun(release.Outcome) {
+		// It counts until the next load report.
 		entry.target.unconfirmedEnds = append(entry.target.unconfirmedEnds, now)
 		dispatcher.updateSums(entry.target)
 	}
@@ -51,6 +51,11 @@
 	return outcome == core.OutcomeDone || outcome == core.OutcomeFailed || outcome == core.OutcomeRejected
 }
 
+// mayStillRun reports whether the target may still work on the request.
+func mayStillRun(outcome core.Outcome) bool {
+	return outcome == core.OutcomeCancelled || outcome == core.OutcomeTimedOut || outcome == core.OutcomeMismatched
+}
+
 func (dispatcher *Dispatcher) returnGrant(now time.Time, entry *entry) {
 	target := entry.target
 	delete(dispatcher.entries, entry.id)
--- a/core/pool/model_test.go
+++ b/core/pool/model_test.go
@@ -110,7 +110,7 @@
 	}
 	grant := rapid.SampledFrom(grants).Draw(model.t, "grant")
 	outcomes := []core.Outcome{core.OutcomeDone, core.OutcomeDone, core.OutcomeDisconnected, core.OutcomeTimedOut,
-		core.OutcomeUnsent}
+		core.OutcomeMismatched, core.OutcomeUnsent}
 	outcome := rapid.SampledFrom(outcomes).Draw(model.t, "outcome")
 	duration := time.Duration(rapid.IntRange(1, 100).Draw(model.t, "took")) * time.Millisecond
 	delete(model.granted, grant)
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -81,7 +81,6 @@
 		return exchange, exchange.transportError(err)
 	}
 	exchange.response = response
-	exchange.startID = response.Header.Get(headerStart)
 	return exchange, exchange.checkResponse()
 }
 
--- a/io/target/fault.go
+++ b/io/target/fault.go
@@ -20,8 +20,11 @@
 func (exchange *exchange) checkResponse() error {
 	if !exchange.matches() {
 		exchange.client.mismatched.Add(1)
-		return exchange.responseError("response belongs to another attempt")
+		err := exchange.responseError("response belongs to another attempt")
+		exchange.outcome = core.OutcomeMismatched
+		return err
 	}
+	exchange.startID = exchange.response.Header.Get(headerStart)
 	status := exchange.response.StatusCode
 	switch status {
 	case http.StatusOK:
