io/etcd: read no absence from a response that says nothing about the call

A daemon would give up its lease, and with it all its pools, when a renewal was answered with status 200 and an object without a result: an error in the stream that the gateway makes of a renewal ("no leader"), or a body of something else in the store's place. A read answered so meant that a key does not exist, a transaction that its condition is not met, a revocation that it was done; and a renewal of lease 77 that named lease 78 counted.

Found beside copies of responses: that of a grant, read by a renewal, was "lease not found".

Now a renewal names its lease (a lease that has expired does, without TTL), an error in its stream is read as one, and the other calls need the revision, which is at least 1 in each response of the store; anything else is an unavailable store. Not seen on a store; by the protocol and the stand-in.

TestCalls has seven such responses; six were misread before, none after.

--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -87,6 +87,19 @@
 	}
 }
 
+// callAtRevision is call for responses that state the revision of the store; one that states none is not from the store, and shows neither that a key is
+// absent nor that a condition is not met.
+func (client *Client) callAtRevision(ctx context.Context, path string, body message, idempotent bool) (fields, error) {
+	response, err := client.call(ctx, path, body, idempotent)
+	if err != nil {
+		return nil, err
+	}
+	if revision, err := response.revision(); err != nil || revision <= 0 {
+		return nil, fmt.Errorf("%s: response without a revision: %w", path, errors.Join(core.ErrStoreUnavailable, err))
+	}
+	return response, nil
+}
+
 // attempt calls one endpoint with an equal share of the time left.
 func (client *Client) attempt(ctx context.Context, path string, body []byte, endpointsLeft int) (fields, error) {
 	deadline, _ := ctx.Deadline()
--- a/io/etcd/etcd_test.go
+++ b/io/etcd/etcd_test.go
@@ -30,7 +30,8 @@
 	return &Client{Endpoints: []string{server.URL}}, &body
 }
 
-// TestCalls guards against requests and responses that differ from the etcd gateway protocol. In base64 "k" is "aw==" and
+// TestCalls guards against requests and responses that differ from the etcd gateway protocol, and against a conclusion from a response that says nothing
+// about the call: a lease would count as expired, a key as absent, a condition as not met. In base64 "k" is "aw==" and
 // "v" is "dg==".
 func TestCalls(t *testing.T) {
 	zero, seven := core.Revision(0), core.Revision(7)
@@ -85,6 +86,27 @@
 		{"keep alive expired", 200, `{"result":{"header":{},"ID":"77"}}`,
 			func(ctx context.Context, client *Client) (any, error) { return client.KeepAlive(ctx, 77) },
 			`/v3/lease/keepalive {"ID":"77"}`, nil, core.ErrLeaseNotFound},
+		{"keep alive, error in the stream", 200, `{"error":{"code":14,"message":"etcdserver: no leader"}}`,
+			func(ctx context.Context, client *Client) (any, error) { return client.KeepAlive(ctx, 77) },
+			`/v3/lease/keepalive {"ID":"77"}`, nil, core.ErrStoreUnavailable},
+		{"keep alive, no lease in the stream", 200, `{"error":{"code":5,"message":"etcdserver: requested lease not found"}}`,
+			func(ctx context.Context, client *Client) (any, error) { return client.KeepAlive(ctx, 77) },
+			`/v3/lease/keepalive {"ID":"77"}`, nil, core.ErrLeaseNotFound},
+		{"keep alive, another lease", 200, `{"result":{"header":{},"ID":"78","TTL":"3"}}`,
+			func(ctx context.Context, client *Client) (any, error) { return client.KeepAlive(ctx, 77) },
+			`/v3/lease/keepalive {"ID":"77"}`, nil, core.ErrStoreUnavailable},
+		{"keep alive, empty object", 200, `{}`,
+			func(ctx context.Context, client *Client) (any, error) { return client.KeepAlive(ctx, 77) },
+			`/v3/lease/keepalive {"ID":"77"}`, nil, core.ErrStoreUnavailable},
+		{"get, empty object", 200, `{}`,
+			func(ctx context.Context, client *Client) (any, error) { return client.Get(ctx, "k") },
+			`/v3/kv/range {"key":"aw=="}`, nil, core.ErrStoreUnavailable},
+		{"commit, empty object", 200, `{}`,
+			func(ctx context.Context, client *Client) (any, error) { return client.Commit(ctx, txn) },
+			`/v3/kv/txn ` + txnBody, nil, core.ErrStoreUnavailable},
+		{"revoke, empty object", 200, `{}`,
+			func(ctx context.Context, client *Client) (any, error) { return nil, client.RevokeLease(ctx, 77) },
+			`/v3/lease/revoke {"ID":"77"}`, nil, core.ErrStoreUnavailable},
 		{"revoke", 404, `{"code":5,"message":"etcdserver: requested lease not found"}`,
 			func(ctx context.Context, client *Client) (any, error) { return nil, client.RevokeLease(ctx, 77) },
 			`/v3/lease/revoke {"ID":"77"}`, nil, core.ErrLeaseNotFound},
--- a/io/etcd/kv.go
+++ b/io/etcd/kv.go
@@ -33,7 +33,7 @@
 }
 
 func (client *Client) page(ctx context.Context, request message) (core.Snapshot, bool, error) {
-	response, err := client.call(ctx, "/v3/kv/range", request, true)
+	response, err := client.callAtRevision(ctx, "/v3/kv/range", request, true)
 	if err != nil {
 		return core.Snapshot{}, false, err
 	}
@@ -53,7 +53,7 @@
 
 // Commit runs one transaction.
 func (client *Client) Commit(ctx context.Context, txn core.Txn) (core.TxnResult, error) {
-	response, err := client.call(ctx, "/v3/kv/txn", encodeTxn(txn), false)
+	response, err := client.callAtRevision(ctx, "/v3/kv/txn", encodeTxn(txn), false)
 	if err != nil {
 		return core.TxnResult{}, err
 	}
@@ -69,7 +69,7 @@
 	for _, txn := range txns {
 		nested = append(nested, message{"request_txn": encodeTxn(txn)})
 	}
-	response, err := client.call(ctx, "/v3/kv/txn", message{"success": nested}, false)
+	response, err := client.callAtRevision(ctx, "/v3/kv/txn", message{"success": nested}, false)
 	if err != nil {
 		return nil, err
 	}
--- a/io/etcd/lease.go
+++ b/io/etcd/lease.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"catkincove/core"
@@ -28,10 +30,16 @@
 	if err != nil {
 		return 0, err
 	}
+	if content, found := response["error"]; found {
+		return 0, statusError("/v3/lease/keepalive", http.StatusInternalServerError, content)
+	}
 	result, err := response.object("result")
 	if err != nil {
 		return 0, err
 	}
+	if renewed, err := result.number("ID"); err != nil || renewed != int64(lease) {
+		return 0, fmt.Errorf("lease %d: response names lease %d: %w", lease, renewed, errors.Join(core.ErrStoreUnavailable, err))
+	}
 	seconds, err := result.number("TTL")
 	if err != nil {
 		return 0, err
@@ -44,6 +52,6 @@
 
 // RevokeLease ends a lease and deletes its keys.
 func (client *Client) RevokeLease(ctx context.Context, lease core.LeaseID) error {
-	_, err := client.call(ctx, "/v3/lease/revoke", message{"ID": encodeInt(int64(lease))}, true)
+	_, err := client.callAtRevision(ctx, "/v3/lease/revoke", message{"ID": encodeInt(int64(lease))}, true)
 	return err
 }
