core/order, io/daemon: charge the result of an order to that order and its address

A target that is moved to another address while it loads a model would get no model at the new address for up to 30 s (the longest duration of an order, worked out): the order of the former process was pending for the name, and its result, an error too, counted for the new one. The result of an order that had timed out counted as that of the next order with the same content: an error of the first dropped the second, whose own result was then ignored.

Each command has a number, and the planner forgets a target whose address has changed, as the dispatcher and the polls of load reports do already. Looked at and found sound: grants (the fencing token makes their IDs unique across owners), releases after a move (by grant), load reports (their poll ends with the address), start IDs (no older one replaces a newer), heartbeats (the response must be of the member that was asked), stages (names are unique in a pipeline) and targets that share an address (rejected by the configuration).

--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -192,3 +192,40 @@
 		t.Fatal(err)
 	}
 }
+
+// TestResultOfEarlierOrder guards against the result of an order that counts as that of a later one with the same content, to the same target after the
+// first has timed out, or to another process under the same name.
+func TestResultOfEarlierOrder(t *testing.T) {
+	failed := core.Errorf(core.TargetFailed, "no response")
+	for _, test := range []struct {
+		name  string
+		later float64 // seconds after the first order
+		move  bool    // the target has moved
+	}{
+		{"timed out", maxDuration.Seconds(), false},
+		{"moved", 1, true},
+	} {
+		planner := newPlanner(true)
+		planner.Configure(Settings{ChecksFencing: true, MaxDuration: maxDuration, BytesPerSecond: 1000, BurstBytes: 1000})
+		planner.StartOwnership(start, 7)
+		planner.SetDesired("t", []Model{{Name: "m", Bytes: 100}})
+		planner.HandleReport(at(1), "t", core.LoadReport{})
+		first := planner.Plan(at(1), at(100))
+		now := 1 + test.later
+		if test.move {
+			planner.Remove("t")
+			planner.SetDesired("t", []Model{{Name: "m", Bytes: 100}})
+		}
+		planner.HandleReport(at(now), "t", core.LoadReport{})
+		second := planner.Plan(at(now), at(100))
+		if len(first) != 1 || len(second) != 1 {
+			t.Fatalf("%s: planned %v, then %v", test.name, first, second)
+		}
+		planner.HandleResult(at(now), first[0], failed)
+		planner.HandleResult(at(now+1), second[0], nil)
+		planner.HandleReport(at(now+2), "t", core.LoadReport{Models: nil})
+		if third := planner.Plan(at(now+2), at(100)); len(third) != 1 {
+			t.Errorf("%s: planned %v for a target that has lost its model, want one order", test.name, third)
+		}
+	}
+}
--- a/core/order/plan.go
+++ b/core/order/plan.go
@@ -29,7 +29,8 @@
 		if !found {
 			continue
 		}
-		command := Command{Target: name, Order: order}
+		planner.commands++
+		command := Command{Target: name, Order: order, number: planner.commands}
 		target.pending = &command
 		target.blockedUntil = now.Add(order.Timeout)
 		commands = append(commands, command)
--- a/core/order/planner.go
+++ b/core/order/planner.go
@@ -60,6 +60,8 @@
 type Command struct {
 	Target core.TargetName
 	Order  core.Order
+
+	number int64 // of the planner's commands, since a target may get the same order again
 }
 
 // Planner plans the orders of one pool; the zero value is ready to use.
@@ -71,6 +73,7 @@
 	bucket     bucket
 	targets    map[core.TargetName]*target
 	inUse      map[string]bool
+	commands   int64 // planned so far
 }
 
 // target is the planner's state of one target.
--- a/io/daemon/orders.go
+++ b/io/daemon/orders.go
@@ -24,16 +24,18 @@
 	desired := order.Model{Name: service.Model, Version: service.Version, Bytes: service.WeightBytes}
 	owned.model = desired.Label()
 	owned.planner.SetInUse([]string{owned.model})
-	declared := map[core.TargetName]bool{}
+	declared := map[core.TargetName]string{}
 	for _, target := range control.config.PoolTargets(owned.id) {
-		declared[target.Name] = true
-		owned.planner.SetDesired(target.Name, desiredModels(service, desired))
+		declared[target.Name] = target.Address
 	}
-	for name := range owned.plannedTargets {
-		if !declared[name] {
+	for name, address := range owned.plannedTargets {
+		if declared[name] != address { // another process holds other models
 			owned.planner.Remove(name)
 		}
 	}
+	for name := range declared {
+		owned.planner.SetDesired(name, desiredModels(service, desired))
+	}
 	owned.plannedTargets = declared
 }
 
--- a/io/daemon/pools.go
+++ b/io/daemon/pools.go
@@ -18,8 +18,8 @@
 	token          core.FencingToken
 	dispatcher     *pool.Dispatcher
 	planner        order.Planner
-	model          string // label of the model that the targets should hold; empty for plain services
-	plannedTargets map[core.TargetName]bool
+	model          string                     // label of the model that the targets should hold; empty for plain services
+	plannedTargets map[core.TargetName]string // addresses of the targets that the planner knows
 	saved          savedLimits
 	waiting        map[core.GrantID]chan core.GrantReply // reply channels of queued grant requests
 }
