io/edge, io/xchg: guard requests that are passed on as those to targets

A caller got the response to another request, while its daemon had lost its paths: on a connection to another daemon, a second copy of a response that names no attempt was taken for that to the next request, whether this one named an attempt or not. A request whose attempt the target had rejected, sent through the same daemon once more, was read as rejected again although it ran.

Beside it: a connection that has carried a request without an attempt stayed open for others, for which a copy is a response of unknown origin (502 for what may not be repeated); it is closed now.

A connection more only for requests without an attempt, which had a new one before.

--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -71,6 +71,7 @@
 		Address: relay.attempt.target.Address, Method: request.incoming.Method, URI: pathForward + request.incoming.RequestURI, Host: request.incoming.Host,
 		Header: header, Body: request.body, HasBody: request.incoming.Method != http.MethodGet && request.incoming.Method != http.MethodHead,
 		Sending: relay.signalSending, Match: relay.matches, Trace: &relay.attempt.trace,
+		Attempt: request.caller.Attempt, Fresh: request.responseStarted || request.caller.Attempt == "",
 	})
 	if err == nil {
 		return response, nil
@@ -99,10 +100,13 @@
 		relay.daemon.do(func() { relay.daemon.markLeaving(leaving, relay.daemon.control.registry.runs[leaving].startedAt) })
 		response.Header.Del(headerTargetLeaves)
 	}
-	if facts.HasDigest {
+	if facts.HasDigest && facts.Attempt == relay.request.caller.Attempt {
 		return response, nil
 	}
 	_ = response.Body.Close() // unread, which closes the connection: a second copy of this response, which names no attempt, could not be told from the next one
+	if facts.HasDigest {
+		return nil, &sendError{run: core.Unknown, cause: errUnidentified}
+	}
 	cause := fmt.Errorf("daemon %s responded with status %d", relay.attempt.through.ID, response.StatusCode)
 	seconds, _ := strconv.ParseFloat(response.Header.Get(retryAfterHeader), 64)
 	retryAfter := max(time.Duration(seconds*float64(time.Second)), minRetryPause)
--- a/io/edge/peer_test.go
+++ b/io/edge/peer_test.go
@@ -144,6 +144,58 @@
 	}
 }
 
+// TestRepeatedResponseOfForwardingDaemon guards against a second copy of a target's response that another daemon has passed on and that is read as the response
+// to another request, where its attempt proves nothing: both requests name none, or both name the same one, whose first sending the target has rejected.
+func TestRepeatedResponseOfForwardingDaemon(t *testing.T) {
+	const requests = 20
+	var received sync.Map // number of requests by attempt
+	address := repeatingServer(t, callid.Echo(http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+		writer.Header().Set("X-Response-Seal", "seal")
+		attempt := incoming.Header.Get("X-Attempt-Id")
+		if attempt != "" && !strings.HasSuffix(incoming.URL.Path, "/unnamed") {
+			writer.Header().Set("X-Attempt-Id", attempt)
+		}
+		if _, again := received.LoadOrStore(attempt, true); attempt != "" && !again {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+		_, _ = io.WriteString(writer, strings.TrimPrefix(incoming.URL.Path, pathForward))
+	})))
+	daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self"}, Dialect: plainDialect{}, Clock: core.SystemClock{}})
+	send := func(attempt, path string) (int, string) {
+		incoming := httptest.NewRequest(http.MethodPost, path, nil)
+		incoming.Header.Set("X-Attempt-Id", attempt)
+		received := &request{caller: core.CallerRequest{Attempt: attempt}, incoming: incoming, startedAt: daemon.clock.Now()}
+		relay := &relay{daemon: daemon, request: received, attempt: daemon.forwardsTo(received, &peer{record: record{Peer: address}})}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		response, err := relay.openForwarded(ctx)
+		if err != nil {
+			return 0, err.Error()
+		}
+		defer func() { _ = response.Body.Close() }()
+		body, _ := io.ReadAll(response.Body)
+		return response.StatusCode, string(body)
+	}
+	for i := range requests {
+		path := fmt.Sprint("/book/", i)
+		if status, body := send("", path); status != http.StatusOK || body != path {
+			t.Errorf("%s without an attempt: status %d, %s", path, status, body)
+		}
+	}
+	if status, text := send("b", "/unnamed"); status != 0 {
+		t.Errorf("response that names no attempt, to one that does: status %d, %s", status, text)
+	}
+	for i := range requests {
+		attempt, path := fmt.Sprint("a", i), fmt.Sprint("/cancel/", i)
+		if status, _ := send(attempt, path); status != http.StatusServiceUnavailable {
+			t.Errorf("%s at first: status %d", attempt, status)
+		}
+		if status, _ := send(attempt, path); status != http.StatusOK {
+			t.Errorf("%s was run and has status %d", attempt, status)
+		}
+	}
+}
+
 // TestPeerBytesWithoutEnd guards against a daemon that reads, and keeps in memory, the head or the body of another daemon's response whatever
 // its length.
 func TestPeerBytesWithoutEnd(t *testing.T) {
--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -48,7 +48,8 @@
 	// Attempt identifies the request to Match and may be empty. A request is not sent over a connection on which a request of the same attempt got no
 	// success: a second copy of that response could not be told from the response to this one.
 	Attempt string
-	// Fresh sends the request on a new connection, on which nothing else can be taken for its response.
+	// Fresh sends the request on a new connection, on which nothing else can be taken for its response. Without an attempt the connection carries no further
+	// request: a second copy of the response would be taken for one to that.
 	Fresh bool
 	// Purpose separates connections: one is reused only for requests of the same purpose.
 	Purpose string
@@ -157,6 +158,9 @@
 	}
 	*request.Trace = Trace{Connection: conn.number, Earlier: conn.carried}
 	conn.carried++
+	if request.Fresh && request.Attempt == "" {
+		conn.unusable.Store(true)
+	}
 	exchange := &exchange{client: client, key: request.connKey(), conn: conn, written: make(chan error, 1)}
 	exchange.stopAbort = context.AfterFunc(ctx, exchange.abort)
 	response, err := exchange.run(request)
