--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -13,6 +13,7 @@
 
 	"catkincove/core"
 	"catkincove/io/answer"
+	"catkincove/io/callid"
 	"catkincove/io/entry"
 )
 
@@ -33,8 +34,10 @@
 	MaxAttempts int    // maximum number of attempts per request, including the first
 	SeedsOnly   bool   // sends requests to the seeds only and never queries for addresses
 	Clock       core.Clock
-	HTTP        *http.Client
+	HTTP        *http.Client // its transport, if it is an *http.Transport, gets the IDs of package callid
 
+	once        sync.Once
+	identified  *http.Client // HTTP with IDs of calls
 	mutex       sync.Mutex
 	addresses   []string
 	refreshedAt time.Time
@@ -59,14 +62,15 @@
 
 // Do sends the request and retries it on other daemons where that is safe.
 //
-// It returns a *core.Error, or the error of ctx.
+// It returns a *core.Error, whose Run covers all attempts, or the error of ctx.
 func (client *Client) Do(ctx context.Context, request Request, emit func(Event)) (entry.AnswerBody, error) {
 	var last error
-	emitted := false
+	emitted, run := false, core.NotRun
 	for attempt := range client.attempts() {
 		address, err := client.address(ctx)
 		if err != nil {
-			return entry.AnswerBody{}, err
+			last = err
+			break
 		}
 		if emitted {
 			emit(Event{Restart: true})
@@ -88,8 +92,30 @@
 		if !client.sleep(ctx, wait) {
 			break
 		}
+		run = runOfAll(run, core.AsError(err).Run)
+	}
+	return entry.AnswerBody{}, withEarlier(last, run, request)
+}
+
+// runOfAll returns whether any of several attempts has run.
+func runOfAll(earlier, next core.Run) core.Run {
+	if earlier == core.HasRun || next == core.NotRun {
+		return earlier
 	}
-	return entry.AnswerBody{}, last
+	return next
+}
+
+// withEarlier returns the error of the last attempt. If an earlier one may have run, a rejection of the last one does not mean that the request has not,
+// and a caller with an at-most-once call must not send it again with a new key.
+func withEarlier(last error, earlier core.Run, request Request) error {
+	var rejection *core.Error
+	if earlier == core.NotRun || !errors.As(last, &rejection) || rejection.Run != core.NotRun {
+		return last
+	}
+	if request.Key != "" && earlier == core.Unknown {
+		return core.Errorf(core.OutcomeUnknown, "an earlier attempt may have run: %w", last)
+	}
+	return rejection.WithRun(earlier)
 }
 
 // sleep reports false when ctx ends first: a further attempt would fail with the error of ctx and hide the daemon's.
@@ -193,11 +219,22 @@
 	return core.SystemClock{}
 }
 
+// http returns the HTTP client, which returns no response to another call: the list of addresses would count as the acceptance of a ticket.
 func (client *Client) http() *http.Client {
-	if client.HTTP != nil {
-		return client.HTTP
-	}
-	return http.DefaultClient
+	client.once.Do(func() {
+		identified := *http.DefaultClient
+		if client.HTTP != nil {
+			identified = *client.HTTP
+		}
+		if identified.Transport == nil {
+			identified.Transport = http.DefaultTransport
+		}
+		if kept, isTransport := identified.Transport.(*http.Transport); isTransport {
+			identified.Transport = &callid.Transport{Kept: kept}
+		}
+		client.identified = &identified
+	})
+	return client.identified
 }
 
 // Get sends a GET request for an operator command to the preferred daemon and returns the response body.
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -13,6 +13,7 @@
 	"catkincove/core"
 	"catkincove/core/origin"
 	"catkincove/core/place"
+	"catkincove/io/callid"
 	"catkincove/io/xchg"
 )
 
@@ -69,7 +70,8 @@
 	response, err := daemon.targets.Do(ctx, xchg.Request{
 		Address: relay.attempt.target.Address, Method: request.incoming.Method, URI: pathForward + request.incoming.RequestURI, Host: request.incoming.Host,
 		Header: header, Body: request.body, HasBody: request.incoming.Method != http.MethodGet && request.incoming.Method != http.MethodHead,
-		Sending: relay.signalSending, Match: relay.matches, Trace: &relay.attempt.trace, Single: request.caller.Attempt == "",
+		Sending: relay.signalSending, Match: relay.matches, Trace: &relay.attempt.trace,
+		Attempt: request.caller.Attempt, Fresh: request.responseStarted, Single: request.caller.Attempt == "",
 	})
 	if err == nil {
 		return response, nil
@@ -98,11 +100,15 @@
 		relay.daemon.do(func() { relay.daemon.markLeaving(leaving, relay.daemon.control.registry.runs[leaving].startedAt) })
 		response.Header.Del(headerTargetLeaves)
 	}
-	ofTarget := facts.HasDigest || facts.Attempt != "" && response.StatusCode >= http.StatusMultipleChoices // a daemon's own rejection names no attempt
-	if ofTarget {
+	named := facts.Attempt == relay.request.caller.Attempt
+	errorOfTarget := facts.Attempt != "" && response.StatusCode >= http.StatusMultipleChoices // a daemon's own rejection names no attempt
+	if facts.HasDigest && named || errorOfTarget {
 		return response, nil
 	}
 	_ = response.Body.Close() // unread, which closes the connection: a second copy of this response, which names no attempt, could not be told from the next one
+	if facts.HasDigest {
+		return nil, &sendError{run: core.Unknown, cause: errUnidentified}
+	}
 	cause := fmt.Errorf("daemon %s responded with status %d", relay.attempt.through.ID, response.StatusCode)
 	seconds, _ := strconv.ParseFloat(response.Header.Get(retryAfterHeader), 64)
 	retryAfter := max(time.Duration(seconds*float64(time.Second)), minRetryPause)
@@ -157,7 +163,7 @@
 	for _, name := range forwardHeaders {
 		incoming.Header.Del(name)
 	}
-	incoming.Header.Del(headerCallID)
+	incoming.Header.Del(callid.Header)
 	incoming.RequestURI = strings.TrimPrefix(incoming.RequestURI, pathForward)
 	if incoming.URL, err = url.ParseRequestURI(incoming.RequestURI); err != nil {
 		return nil, err
