--- a/io/xchg/client_test.go
+++ b/io/xchg/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -317,6 +318,90 @@
 	}
 }
 
+// TestCutHead guards against a response whose head ends early, with its connection, and that counts as one without a body: a caller would get an empty body as
+// complete, or that of a refusal as a promise that its request has not run.
+func TestCutHead(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nAttempt: own\r\n"
+	for _, test := range []struct{ name, before, head string }{
+		{"length", "", ok + "Content-Length: 10\r\n\r\n"},
+		{"length of zero", "", ok + "Content-Length: 0\r\n\r\n"},
+		{"chunks", "", ok + "Transfer-Encoding: chunked\r\n\r\n"},
+		{"neither", "", ok + "\r\n"},
+		{"neither, Connection: close", "", ok + "Connection: close\r\n\r\n"},
+		{"HTTP/1.0", "", "HTTP/1.0 200 OK\r\nAttempt: own\r\n\r\n"},
+		{"bare line feeds", "", "HTTP/1.1 200 OK\nAttempt: own\nContent-Length: 10\n\n"},
+		{"header line that goes on", "", ok + "X: a\r\n b\r\nContent-Length: 10\r\n\r\n"},
+		{"no content", "", "HTTP/1.1 204 No Content\r\nAttempt: own\r\n\r\n"},
+		{"refusal", "", "HTTP/1.1 503 Full\r\nAttempt: own\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+		{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nAttempt: own\r\nContent-Length: 0\r\n\r\n" + ok + "Content-Length: 10\r\n\r\n"},
+		{"stale response", "HTTP/1.1 200 OK\r\nAttempt: other\r\nContent-Length: 5\r\n\r\nstale", ok + "Content-Length: 10\r\n\r\n"},
+	} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset=%v", test.name, reset), func(t *testing.T) {
+				t.Parallel()
+				address := serveTCP(t, func(connection net.Conn, reader *bufio.Reader) {
+					for {
+						request, err := http.ReadRequest(reader)
+						if err != nil {
+							return
+						}
+						_, _ = io.Copy(io.Discard, request.Body)
+						cut, err := strconv.Atoi(request.Header.Get("Cut"))
+						if err != nil {
+							writeResponse(connection, "first", "first answer")
+							continue
+						}
+						_, _ = io.WriteString(connection, test.before+test.head[:cut])
+						if reset {
+							time.Sleep(2 * time.Millisecond) // a reset discards what has not been read
+							_ = connection.(*net.TCPConn).SetLinger(0)
+						}
+						return
+					}
+				})
+				body := []byte("b")
+				if reset {
+					body = make([]byte, 2*maxInlineBody) // is written while the response is read
+				}
+				for cut := 1; cut <= len(test.head); cut++ {
+					for _, kept := range []bool{false, true} {
+						client := &Client{Clock: core.SystemClock{}}
+						if kept {
+							if _, err := exchangeWith(client, address, "first"); err != nil {
+								t.Fatal(err)
+							}
+						}
+						var trace Trace
+						response, err := client.Do(t.Context(), Request{
+							Address: address, Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{"Cut": {strconv.Itoa(cut)}}, Body: body, Trace: &trace,
+							Match: func(response *http.Response) bool { return response.Header.Get("Attempt") != "other" },
+						})
+						switch {
+						case cut == len(test.head):
+							if err != nil && !reset {
+								t.Errorf("whole head, kept=%v: %v", kept, err)
+							}
+							if err == nil {
+								_ = response.Body.Close()
+							}
+						case err == nil:
+							body, bodyErr := io.ReadAll(response.Body)
+							t.Errorf("%q, kept=%v: status %d with %q, %v", test.head[:cut], kept, response.StatusCode, body, bodyErr)
+							_ = response.Body.Close()
+						case !Sent(err):
+							t.Errorf("%q, kept=%v: %v, which says that nothing was sent", test.head[:cut], kept, err)
+						case kept && trace.Earlier != 1:
+							t.Errorf("%q: the connection had carried %d requests", test.head[:cut], trace.Earlier)
+						case len(client.idle[connKey{address: address}]) > 0:
+							t.Errorf("%q, kept=%v: the connection is kept", test.head[:cut], kept)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestBytesWithoutEnd guards against a daemon that reads, and keeps in memory, whatever a target in trouble sends: bytes
 // that are no response may come until the daemon closes the connection.
 func TestBytesWithoutEnd(t *testing.T) {
