--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"catkincove/core"
 	"catkincove/io/meter"
+	"catkincove/stand/wire"
 )
 
 // TestAgesNeverShrink guards against rounding to milliseconds that makes an age smaller, or a grant valid for longer,
@@ -39,7 +42,8 @@
 
 type recorder struct {
 	Service
-	request core.GrantRequest
+	request  core.GrantRequest
+	released atomic.Int64
 }
 
 func (recorder *recorder) Grant(_ context.Context, request core.GrantRequest) (core.GrantReply, error) {
@@ -85,3 +89,94 @@
 		t.Errorf("counted %d bytes written and %d read", counter.BytesWritten(), counter.BytesRead())
 	}
 }
+
+func (recorder *recorder) Heartbeat(context.Context, core.Heartbeat) (core.Heartbeat, error) {
+	return core.Heartbeat{Members: 7}, nil
+}
+
+func (recorder *recorder) Config(context.Context, core.ConfigRequest) (core.ConfigReply, error) {
+	return core.ConfigReply{Revision: 9}, nil
+}
+
+func (recorder *recorder) Release(context.Context, core.Release) error {
+	recorder.released.Add(1)
+	return nil
+}
+
+// TestCutFrames guards against a response that ends early and counts as one without a body: a rejection that is missing, or an empty configuration. The
+// connection ends after each byte, also of the second call.
+func TestCutFrames(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		call func(ctx context.Context, client *Client, service *recorder, address string) error
+	}{
+		{"heartbeat", func(ctx context.Context, client *Client, _ *recorder, address string) error {
+			reply, err := client.Heartbeat(ctx, address, core.Heartbeat{})
+			if err == nil && reply.Members != 7 {
+				t.Errorf("%+v", reply)
+			}
+			return err
+		}},
+		{"config", func(ctx context.Context, client *Client, _ *recorder, address string) error {
+			reply, err := client.Config(ctx, address, core.ConfigRequest{})
+			if err == nil && reply.Revision != 9 {
+				t.Errorf("%+v", reply)
+			}
+			return err
+		}},
+		{"grant", func(ctx context.Context, client *Client, _ *recorder, address string) error {
+			reply, err := client.Grant(ctx, address, core.GrantRequest{})
+			if err == nil && reply.Rejection == nil {
+				t.Errorf("%+v", reply)
+			}
+			return err
+		}},
+		{"release", func(ctx context.Context, client *Client, service *recorder, address string) error {
+			before := service.released.Load()
+			err := client.Release(ctx, address, core.Release{})
+			if err == nil && service.released.Load() == before {
+				t.Error("the release did not arrive")
+			}
+			return err
+		}},
+	} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset=%v", test.name, reset), func(t *testing.T) {
+				t.Parallel()
+				mux := http.NewServeMux()
+				service := new(recorder)
+				Register(mux, service, new(meter.Counter))
+				server := httptest.NewUnstartedServer(mux)
+				server.Config.Protocols = new(http.Protocols)
+				server.Config.Protocols.SetUnencryptedHTTP2(true)
+				listener := &wire.CutListener{Listener: server.Listener}
+				listener.Reset.Store(reset)
+				server.Listener = listener
+				server.Start()
+				defer server.Close()
+				// exchange makes two calls and returns how many have succeeded.
+				exchange := func() (succeeded int) {
+					client := NewClient(new(meter.Counter))
+					defer client.Close()
+					for range 2 {
+						if test.call(t.Context(), client, service, server.Listener.Addr().String()) == nil {
+							succeeded++
+						}
+					}
+					return succeeded
+				}
+				if exchange() != 2 {
+					t.Fatal("calls fail without a cut")
+				}
+				cut := [3]int{} // by calls that have succeeded
+				for limit := range listener.Written.Load() {
+					listener.Limit.Store(limit + 1)
+					cut[exchange()]++
+				}
+				if cut[0] < 20 || cut[1] < 10 {
+					t.Errorf("calls that succeeded before the connection was cut: %v", cut)
+				}
+			})
+		}
+	}
+}
--- a/io/target/ends_test.go
+++ b/io/target/ends_test.go
@@ -2,16 +2,19 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"catkincove/core"
+	"catkincove/stand/wire"
 )
 
 // scriptedTarget starts a TCP server that responds to one request on each connection, if kept is set, and runs the script
@@ -151,3 +154,147 @@
 		}
 	}
 }
+
+// controlCalls are the calls of a client that name no attempt.
+var controlCalls = map[string]func(context.Context, *Client, string) error{
+	"load report": func(ctx context.Context, client *Client, address string) error {
+		_, err := client.Load(ctx, address)
+		return err
+	},
+	"cache events": func(ctx context.Context, client *Client, address string) error {
+		_, err := client.CacheEvents(ctx, address, 0)
+		return err
+	},
+	"order": func(ctx context.Context, client *Client, address string) error {
+		return client.Order(ctx, address, core.Order{})
+	},
+}
+
+// TestCutHead guards against a response whose head ends early and that counts as one without a body, as a rejection, or as the acceptance of an order.
+func TestCutHead(t *testing.T) {
+	const framed = "Content-Length: 2\r\n"
+	for _, test := range []struct{ name, head string }{
+		{"length", "HTTP/1.1 200 OK\r\n" + identity + framed + "\r\n"},
+		{"chunks", "HTTP/1.1 200 OK\r\n" + identity + "Transfer-Encoding: chunked\r\n\r\n"},
+		{"neither", "HTTP/1.1 200 OK\r\n" + identity + "\r\n"},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n" + identity + "\r\n"},
+		{"bare line feeds", strings.ReplaceAll("HTTP/1.1 200 OK\r\n"+identity+framed+"\r\n", "\r", "")},
+		{"interim responses", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n" + identity + "\r\nHTTP/1.1 200 OK\r\n" + identity + framed + "\r\n"},
+		{"error 400", "HTTP/1.1 400 Wrong\r\n" + identity + framed + "\r\n"},
+		{"error 409", "HTTP/1.1 409 Conflict\r\n" + identity + framed + "\r\n"},
+		{"error 500", "HTTP/1.1 500 Failed\r\n" + identity + framed + "\r\n"},
+		{"error 503", "HTTP/1.1 503 Full\r\n" + identity + "Retry-After: 1\r\n" + framed + "\r\n"},
+	} {
+		for _, kept := range []bool{false, true} {
+			for _, reset := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, kept=%v, reset=%v", test.name, kept, reset), func(t *testing.T) {
+					t.Parallel()
+					var cut atomic.Int64
+					address := scriptedTarget(t, kept, func(conn net.Conn, _ *bufio.Reader) {
+						_, _ = io.WriteString(conn, test.head[:cut.Load()])
+						if reset {
+							time.Sleep(2 * time.Millisecond) // a reset discards what has not been read
+							_ = conn.(*net.TCPConn).SetLinger(0)
+						}
+					})
+					client := &Client{}
+					defer client.Close()
+					useOnce := func(use func() error) {
+						if kept {
+							if err := use(); err != nil {
+								t.Fatal(err)
+							}
+						}
+					}
+					for i := 1; i < len(test.head); i++ {
+						cut.Store(int64(i))
+						call := callTo(address)
+						post := func() error { _, _, err := client.Call(t.Context(), call, "/x", "", []byte("{}")); return err }
+						useOnce(post)
+						_, info, err := client.Call(t.Context(), call, "/x", "", []byte("{}"))
+						if err == nil || core.AsError(err).Kind != core.TargetFailed || info.Outcome != core.OutcomeDisconnected {
+							t.Errorf("call, %q: %v, %+v", test.head[:i], err, info)
+						}
+						useOnce(post)
+						info, err = client.Generate(t.Context(), call, core.GenerateInput{MaxTokens: 50}, func(core.Token) error { return nil })
+						if err == nil || core.AsError(err).Kind != core.TargetFailed || info.Outcome != core.OutcomeDisconnected {
+							t.Errorf("stream, %q: %v, %+v", test.head[:i], err, info)
+						}
+						for name, use := range controlCalls {
+							if name == "order" && kept {
+								continue // each has a connection of its own
+							}
+							useOnce(func() error { return use(t.Context(), client, address) })
+							if err := use(t.Context(), client, address); err == nil || core.AsError(err).Kind != core.TargetFailed {
+								t.Errorf("%s, %q: %v", name, test.head[:i], err)
+							}
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestCutFrames guards against the same where target and client speak HTTP/2: the connection ends after each byte.
+func TestCutFrames(t *testing.T) {
+	const object = `{"vector": [1, 2]}`
+	stream := event(1, "ab", "null") + event(2, "c", `"stop"`) + endEvent
+	for _, reset := range []bool{false, true} {
+		for _, streams := range []bool{false, true} {
+			t.Run(fmt.Sprintf("stream=%v, reset=%v", streams, reset), func(t *testing.T) {
+				t.Parallel()
+				server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					w.WriteHeader(http.StatusEarlyHints)
+					echoIdentity(w, r)
+					_, _ = io.WriteString(w, map[bool]string{true: stream, false: object}[streams])
+				}))
+				server.Config.Protocols = new(http.Protocols)
+				server.Config.Protocols.SetUnencryptedHTTP2(true)
+				listener := &wire.CutListener{Listener: server.Listener}
+				listener.Reset.Store(reset)
+				server.Listener = listener
+				server.Start()
+				defer server.Close()
+				// exchange makes two calls and returns how many have succeeded.
+				exchange := func() (succeeded int) {
+					client := &Client{HTTP2: true}
+					defer client.Close()
+					call := callTo(server.Listener.Addr().String())
+					for range 2 {
+						var text strings.Builder
+						var err error
+						var info core.TargetInfo
+						want := object
+						if streams {
+							want = "abc"
+							info, err = client.Generate(t.Context(), call, core.GenerateInput{MaxTokens: 50}, func(token core.Token) error { text.WriteString(token.Text); return nil })
+						} else {
+							var body []byte
+							body, info, err = client.Call(t.Context(), call, "/x", "", []byte("{}"))
+							text.Write(body)
+						}
+						if err == nil {
+							succeeded++
+						}
+						if err == nil && text.String() != want || err != nil && info.Outcome == core.OutcomeRejected {
+							t.Errorf("after %d bytes: %q, %v, %+v", listener.Limit.Load(), text.String(), err, info)
+						}
+					}
+					return succeeded
+				}
+				if exchange() != 2 {
+					t.Fatal("calls fail without a cut")
+				}
+				cut := [3]int{} // by calls that have succeeded
+				for limit := range listener.Written.Load() {
+					listener.Limit.Store(limit + 1)
+					cut[exchange()]++
+				}
+				if cut[0] < 50 || cut[1] < 50 {
+					t.Errorf("calls that succeeded before the connection was cut: %v", cut)
+				}
+			})
+		}
+	}
+}
