--- a/io/edge/peer_test.go
+++ b/io/edge/peer_test.go
@@ -109,22 +109,22 @@
 	const requests = 20
 	var ran sync.Map
 	address := repeatingServer(t, callid.Echo(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		attempt := request.Header.Get("X-Attempt-Id")
+		attempt := request.Header.Get("Attempt")
 		if strings.HasPrefix(attempt, "rejected") {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		ran.Store(attempt, true)
-		writer.Header().Set("X-Attempt-Id", attempt)
-		writer.Header().Set("X-Response-Seal", "seal")
+		writer.Header().Set("Attempt", attempt)
+		writer.Header().Set("Digest", "seal")
 		_, _ = io.WriteString(writer, "answer")
 	})))
-	daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self"}, Dialect: plainDialect{}, Clock: core.SystemClock{}})
+	daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self"}, Dialect: headDialect{}, Clock: core.SystemClock{}})
 	served := 0
 	for i := range requests {
 		attempt := fmt.Sprint([]string{"rejected", "served"}[i%2], i)
 		incoming := httptest.NewRequest(http.MethodPost, "/book/1", nil)
-		incoming.Header.Set("X-Attempt-Id", attempt)
+		incoming.Header.Set("Attempt", attempt)
 		received := &request{caller: core.CallerRequest{Attempt: attempt}, incoming: incoming, startedAt: daemon.clock.Now()}
 		relay := &relay{daemon: daemon, request: received, attempt: daemon.forwardsTo(received, &peer{record: record{Peer: address}})}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -150,20 +150,20 @@
 	const requests = 20
 	var received sync.Map // number of requests by attempt
 	address := repeatingServer(t, callid.Echo(http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
-		writer.Header().Set("X-Response-Seal", "seal")
-		attempt := incoming.Header.Get("X-Attempt-Id")
+		writer.Header().Set("Digest", "seal")
+		attempt := incoming.Header.Get("Attempt")
 		if attempt != "" && !strings.HasSuffix(incoming.URL.Path, "/unnamed") {
-			writer.Header().Set("X-Attempt-Id", attempt)
+			writer.Header().Set("Attempt", attempt)
 		}
 		if _, again := received.LoadOrStore(attempt, true); attempt != "" && !again {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}
 		_, _ = io.WriteString(writer, strings.TrimPrefix(incoming.URL.Path, pathForward))
 	})))
-	daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self"}, Dialect: plainDialect{}, Clock: core.SystemClock{}})
+	daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self"}, Dialect: headDialect{}, Clock: core.SystemClock{}})
 	send := func(attempt, path string) (int, string) {
 		incoming := httptest.NewRequest(http.MethodPost, path, nil)
-		incoming.Header.Set("X-Attempt-Id", attempt)
+		incoming.Header.Set("Attempt", attempt)
 		received := &request{caller: core.CallerRequest{Attempt: attempt}, incoming: incoming, startedAt: daemon.clock.Now()}
 		relay := &relay{daemon: daemon, request: received, attempt: daemon.forwardsTo(received, &peer{record: record{Peer: address}})}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
--- a/io/edge/refused_test.go
+++ b/io/edge/refused_test.go
@@ -55,7 +55,7 @@
 
 // newRunningDaemon returns a daemon whose control loop runs until the end of the test.
 func newRunningDaemon(t *testing.T) *Daemon {
-	daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self"}, Dialect: plainDialect{}, Clock: core.SystemClock{}})
+	daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self"}, Dialect: headDialect{}, Clock: core.SystemClock{}})
 	go func() { _ = daemon.loop.Run(daemon.loopContext) }()
 	t.Cleanup(daemon.stopLoop)
 	return daemon
@@ -66,7 +66,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
 	incoming := httptest.NewRequest(method, "/book/1", nil)
-	incoming.Header.Set("X-Attempt-Id", attemptID)
+	incoming.Header.Set("Attempt", attemptID)
 	received := &request{caller: core.CallerRequest{Attempt: attemptID}, incoming: incoming, startedAt: daemon.clock.Now(), deadline: daemon.clock.Now().Add(timeout), body: []byte("body")}
 	relay := newRelay(daemon, received, core.ServiceSpec{Name: "s"}, &attempt{target: target, startedAt: daemon.clock.Now()}, nil, nil)
 	response, err := relay.open(ctx)
@@ -84,26 +84,26 @@
 	return errors.As(err, &failure) && failure.run == core.NotRun && !failure.unsent
 }
 
-const okTemplate = "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal\r\nContent-Length: 2\r\n\r\nok"
+const okTemplate = "HTTP/1.1 200 OK\r\nAttempt: %s\r\nDigest: seal\r\nContent-Length: 2\r\n\r\nok"
 
 // TestBytesBeforeResponse guards against a request that counts as not run although its target runs it and says so: bytes that belong to no request, such as a
 // part of the copy of an earlier response, stand on the connection before its response.
 func TestBytesBeforeResponse(t *testing.T) {
 	extras := map[string]string{
-		"421 of another attempt":                     "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: other\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-		"503 of another attempt":                     "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: other\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-		"503 that names the attempt last":            "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\nX-Attempt-Id: other\r\n\r\n",
-		"503 with Date and Retry-After":              "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nRetry-After: 0.5\r\nDate: Sat, 05 Dec 2026 22:09:00 GMT\r\nX-Attempt-Id: other\r\nContent-Length: 3\r\n\r\nbad",
-		"503 without an ID":                          "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-		"503 with an empty ID":                       "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id:\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-		"503 with the IDs of another attempt, twice": "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: other\r\nX-Attempt-Id: more\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-		"503 in chunks":                              "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: other\r\nX-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
-		"503 without a length":                       "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: other\r\nX-Not-Executed: 1\r\n\r\nbad",
-		"503 with a body longer than announced":      "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: other\r\nX-Not-Executed: 1\r\nContent-Length: 1\r\n\r\nbad",
-		"204 with a body":                            "HTTP/1.1 204 No Content\r\nX-Attempt-Id: other\r\n\r\nbad",
-		"304 with a body":                            "HTTP/1.1 304 Not Modified\r\nX-Attempt-Id: other\r\nContent-Length: 3\r\n\r\nbad",
-		"interim response that says not run":         "HTTP/1.1 103 Early Hints\r\nX-Attempt-Id: second\r\nX-Not-Executed: 1\r\n\r\n",
-		"several copies":                             strings.Repeat("HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: other\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", 4),
+		"421 of another attempt":                     "HTTP/1.1 421 Misdirected Request\r\nAttempt: other\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"503 of another attempt":                     "HTTP/1.1 503 Service Unavailable\r\nAttempt: other\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"503 that names the attempt last":            "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\nAttempt: other\r\n\r\n",
+		"503 with Date and Retry-After":              "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nRetry-After: 0.5\r\nDate: Sat, 05 Dec 2026 22:09:00 GMT\r\nAttempt: other\r\nContent-Length: 3\r\n\r\nbad",
+		"503 without an ID":                          "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"503 with an empty ID":                       "HTTP/1.1 503 Service Unavailable\r\nAttempt:\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"503 with the IDs of another attempt, twice": "HTTP/1.1 503 Service Unavailable\r\nAttempt: other\r\nAttempt: more\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"503 in chunks":                              "HTTP/1.1 503 Service Unavailable\r\nAttempt: other\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
+		"503 without a length":                       "HTTP/1.1 503 Service Unavailable\r\nAttempt: other\r\nNot-Run: 1\r\n\r\nbad",
+		"503 with a body longer than announced":      "HTTP/1.1 503 Service Unavailable\r\nAttempt: other\r\nNot-Run: 1\r\nContent-Length: 1\r\n\r\nbad",
+		"204 with a body":                            "HTTP/1.1 204 No Content\r\nAttempt: other\r\n\r\nbad",
+		"304 with a body":                            "HTTP/1.1 304 Not Modified\r\nAttempt: other\r\nContent-Length: 3\r\n\r\nbad",
+		"interim response that says not run":         "HTTP/1.1 103 Early Hints\r\nAttempt: second\r\nNot-Run: 1\r\n\r\n",
+		"several copies":                             strings.Repeat("HTTP/1.1 503 Service Unavailable\r\nAttempt: other\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", 4),
 	}
 	for name, extra := range extras {
 		t.Run(name, func(t *testing.T) {
@@ -113,7 +113,7 @@
 			unknown, served := 0, 0
 			for cut := 1; cut <= len(extra); cut++ {
 				address := scriptedServer(t, func(number int, request *http.Request) string {
-					own := fmt.Sprintf(okTemplate, request.Header.Get("X-Attempt-Id"))
+					own := fmt.Sprintf(okTemplate, request.Header.Get("Attempt"))
 					if number == 0 {
 						return own
 					}
@@ -147,20 +147,20 @@
 // stands before it.
 func TestPartOfSuccessBeforeError(t *testing.T) {
 	daemon := newRunningDaemon(t)
-	extra := "HTTP/1.1 200 OK\r\nX-Response-Seal: seal-other\r\nX-Attempt-Id: other\r\nContent-Length: 2\r\n\r\nok"
-	for _, seal := range []string{"", "X-Response-Seal: seal\r\n"} {
+	extra := "HTTP/1.1 200 OK\r\nDigest: seal-other\r\nAttempt: other\r\nContent-Length: 2\r\n\r\nok"
+	for _, seal := range []string{"", "Digest: seal\r\n"} {
 		for cut := 1; cut < len(extra); cut++ {
 			address := scriptedServer(t, func(number int, request *http.Request) string {
 				if number == 0 {
-					return fmt.Sprintf(okTemplate, request.Header.Get("X-Attempt-Id"))
+					return fmt.Sprintf(okTemplate, request.Header.Get("Attempt"))
 				}
-				return extra[:cut] + "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: " + request.Header.Get("X-Attempt-Id") + "\r\n" + seal + "Content-Length: 6\r\n\r\nfailed"
+				return extra[:cut] + "HTTP/1.1 500 Internal Server Error\r\nAttempt: " + request.Header.Get("Attempt") + "\r\n" + seal + "Content-Length: 6\r\n\r\nfailed"
 			})
 			target := place.Target{ID: "i-1", Address: address}
 			_, _, _ = openAt(t, daemon, target, "first", http.MethodPost, time.Second)
 			response, body, err := openAt(t, daemon, target, "second", http.MethodPost, 150*time.Millisecond)
 			if err == nil && response.StatusCode == http.StatusOK {
-				t.Errorf("seal %q, after %q: the failure of the target counts as status %d, seal %q, body %q", seal, extra[:cut], response.StatusCode, response.Header.Get("X-Response-Seal"), body)
+				t.Errorf("seal %q, after %q: the failure of the target counts as status %d, seal %q, body %q", seal, extra[:cut], response.StatusCode, response.Header.Get("Digest"), body)
 			}
 		}
 	}
@@ -187,12 +187,12 @@
 		address := scriptedServer(t, func(_ int, request *http.Request) string {
 			name := ""
 			if test.named {
-				name = "X-Attempt-Id: " + request.Header.Get("X-Attempt-Id") + "\r\n"
+				name = "Attempt: " + request.Header.Get("Attempt") + "\r\n"
 			}
 			return "HTTP/1.1 " + test.status + "\r\n" + name + "Content-Length: 6\r\n\r\nfailed"
 		})
 		incoming := httptest.NewRequest(http.MethodPost, "/book/1", nil)
-		incoming.Header.Set("X-Attempt-Id", test.attempt)
+		incoming.Header.Set("Attempt", test.attempt)
 		received := &request{caller: core.CallerRequest{Attempt: test.attempt}, incoming: incoming, startedAt: daemon.clock.Now()}
 		relay := &relay{daemon: daemon, request: received, attempt: daemon.forwardsTo(received, &peer{record: record{Peer: address}})}
 		_, err := relay.openForwarded(t.Context())
@@ -207,19 +207,19 @@
 // of its former start, which still is registered with the former version. The second copy of the success counts as the response of that.
 func TestRepeatedUnusedSuccess(t *testing.T) {
 	const events = "id: 1\ndata: v2\n\n"
-	const refusal = "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: x\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-	head := "HTTP/1.1 200 OK\r\nX-Attempt-Id: x\r\nX-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+	const refusal = "HTTP/1.1 421 Misdirected Request\r\nAttempt: x\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	head := "HTTP/1.1 200 OK\r\nAttempt: x\r\nDigest: seal\r\nContent-Type: text/event-stream\r\n"
 	for name, stream := range map[string]string{
 		"with a length": head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(events), events),
 		"in chunks":     head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(events), events),
 	} {
 		t.Run(name, func(t *testing.T) {
-			daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self", Bounds: inifmt.EdgeBounds{RetrySlack: 1000, RetryWindow: 10 * time.Second}}, Dialect: plainDialect{}, Store: &fakes.Store{}, Clock: core.SystemClock{}})
+			daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self", Bounds: inifmt.EdgeBounds{RetrySlack: 1000, RetryWindow: 10 * time.Second}}, Dialect: headDialect{}, Store: &fakes.Store{}, Clock: core.SystemClock{}})
 			go func() { _ = daemon.loop.Run(daemon.loopContext) }()
 			t.Cleanup(daemon.stopLoop)
 			address := scriptedServer(t, func(number int, request *http.Request) string {
 				switch {
-				case request.Header.Get("X-Expect-Replica") == "i-new":
+				case request.Header.Get("Target") == "i-new":
 					return stream
 				case number == 0:
 					return refusal
@@ -232,7 +232,7 @@
 				daemon.control.origins.baselines["s"] = knownBaseline{Baseline: origin.Baseline{Version: "v1"}}
 			})
 			incoming := httptest.NewRequest(http.MethodPost, "/long/1", nil)
-			incoming.Header.Set("X-Attempt-Id", "x")
+			incoming.Header.Set("Attempt", "x")
 			received := &request{
 				route: core.Route{Name: "long", Stream: true, Resumable: true, MaxTargets: 2, Repeat: core.Idempotent}, caller: core.CallerRequest{Attempt: "x"},
 				incoming: incoming, startedAt: daemon.clock.Now(), deadline: daemon.clock.Now().Add(5 * time.Second),
@@ -266,10 +266,10 @@
 		notRun bool
 	}{{"200 OK", false}, {"204 No Content", false}, {"421 Misdirected Request", true}} {
 		daemon := newRunningDaemon(t)
-		refusal := "HTTP/1.1 " + test.status + "\r\nX-Attempt-Id: x\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		refusal := "HTTP/1.1 " + test.status + "\r\nAttempt: x\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 		address := scriptedServer(t, func(number int, request *http.Request) string {
 			switch {
-			case request.Header.Get("X-Expect-Replica") == "i-former":
+			case request.Header.Get("Target") == "i-former":
 				return refusal
 			case number == 0:
 				return fmt.Sprintf(okTemplate, "x")
@@ -289,7 +289,7 @@
 func TestForwardedRequestWithoutAttempt(t *testing.T) {
 	address := repeatingServer(t, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		body, _ := io.ReadAll(request.Body)
-		writer.Header().Set("X-Response-Seal", "seal")
+		writer.Header().Set("Digest", "seal")
 		_, _ = writer.Write(body)
 	}))
 	daemon := newRunningDaemon(t)
