proof: ask the kernel for the one socket of a connection between daemons

Cause: fleets with a proxy for each pair of daemons found the dialling daemon by a read of /proc/net/tcp after each accepted connection, one at a time in a fleet. The table has a line for each closed connection of the whole machine for a minute. Beside tests that leave tens of thousands of them a read takes as long as the time limit of a heartbeat (1 s), and the daemons dial anew after each timeout. TestSilentConnections failed in all three cases when the whole package ran beside four busy processes, TestSilentPeers in one of four runs beside them; in both the heartbeats failed from the start on, before any fault was injected. A fault of the tests, not of serve.

Ruled out: a stall of the test's process (0 logged of over 0.5 s in each failing run; fleets without these proxies lost no heartbeat in two runs with logs).

The checks and bounds are the same.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -78,7 +78,6 @@
 	passSeeds   bool       // daemons started from now on get the addresses of the running ones as seeds
 	linkProxies bool       // each pair of daemons has its own proxy
 	mutex       sync.Mutex // guards daemons, which the goroutines of link routers read
-	sockets     socketTable
 }
 
 // startFleet starts the platform and daemons spread over its data centres, applies the world's configuration, and waits
