core/limit: send a brittle target nothing while its bound is nearly used up

Cause: only a rate bounded what a brittle target has to reject. It says nothing of the rejections that have happened, nor of the requests whose results are not known yet, and its first value was no bound, at a daemon that has the role anew or hears of the target only in the burst. A rejected request goes on to the next target at once, so the bound was used up before the first rejection was heard.

Fix: no request while the rejections of the last second, and the share of the unheard requests that is likely to be rejected, would pass three quarters of the bound, half of that in the first second of a pace.

--- a/core/limit/brittle.go
+++ b/core/limit/brittle.go
@@ -16,6 +16,9 @@
 	calmShare    = 0.35                   // share of the bound that may be rejected in a second before the rate falls below what is accepted
 	calmFactor   = 0.8                    // the rate then, relative to what is accepted
 	ceilingGrow  = 0.03                   // growth in a window of the rate at which the target last rejected requests
+	unheardTime  = 150 * time.Millisecond // time until the rejection of a request is known
+	riskShare    = 0.75                   // share of the bound that known rejections and likely ones may reach together
+	newShare     = 0.5                    // share of that while a daemon paced by another may still be sending, in the first rejectWindow
 )
 
 // pace adapts the rate of requests to a brittle target, which falls over when it has to reject more requests in a second than its bound.
@@ -30,6 +33,8 @@
 	windowAt   time.Time
 	accepted   []acceptances // within rejectWindow
 	rejectedAt []time.Time   // within rejectWindow
+	grantedAt  []time.Time   // times of permitted requests, within unheardTime
+	heldUntil  time.Time     // no request may be sent before, for want of results
 	rejected   bool          // in the window
 	denied     bool          // in the window: more requests could have been sent
 }
@@ -44,11 +49,10 @@
 	if pace.rate == 0 {
 		pace.rate, pace.windowAt, pace.startedAt = freeRate, now, now
 	}
-	pace.accepted = slices.DeleteFunc(pace.accepted, func(accepted acceptances) bool { return now.Sub(accepted.at) > rejectWindow })
+	pace.forget(now)
 	if results.Accepted > 0 {
 		pace.accepted = append(pace.accepted, acceptances{now, results.Accepted})
 	}
-	pace.rejectedAt = slices.DeleteFunc(pace.rejectedAt, func(at time.Time) bool { return now.Sub(at) > rejectWindow })
 	for range min(results.Rejected, maxRejections-len(pace.rejectedAt)) {
 		pace.rejectedAt = append(pace.rejectedAt, now)
 	}
@@ -59,6 +63,11 @@
 	}
 	accepted := pace.acceptedRate(now)
 	switch {
+	case pace.ceiling > 0 && now.Before(pace.heldUntil):
+		// What is accepted now says nothing about the room.
+	case pace.rejected && now.Sub(pace.heldUntil) < rejectWindow:
+		pace.ceiling = max(accepted, pace.ceiling*calmFactor)
+		pace.rate = pace.ceiling
 	case float64(len(pace.rejectedAt)) >= bound*calmShare:
 		pace.rate, pace.ceiling = accepted*calmFactor, accepted
 	case pace.rejected:
@@ -75,6 +84,46 @@
 	pace.windowAt, pace.rejected, pace.denied = now, false, false
 }
 
+// forget removes what no longer counts.
+func (pace *pace) forget(now time.Time) {
+	pace.accepted = slices.DeleteFunc(pace.accepted, func(accepted acceptances) bool { return now.Sub(accepted.at) > rejectWindow })
+	pace.rejectedAt = slices.DeleteFunc(pace.rejectedAt, func(at time.Time) bool { return now.Sub(at) > rejectWindow })
+	pace.grantedAt = slices.DeleteFunc(pace.grantedAt, func(at time.Time) bool { return now.Sub(at) > unheardTime })
+}
+
+// holdFor returns how long no request may be sent, because the target would fall over if it rejected as many of those whose results are not known as
+// it has since its first rejection of the last second; 0 means that one may be sent.
+func (pace *pace) holdFor(now time.Time, bound float64) time.Duration {
+	pace.forget(now)
+	budget := bound * riskShare
+	if now.Sub(pace.startedAt) < rejectWindow {
+		budget *= newShare
+	}
+	granted, budget := float64(len(pace.grantedAt)), max(budget, 1)-1
+	if len(pace.rejectedAt) == 0 {
+		if granted-pace.acceptedRate(now)*unheardTime.Seconds() <= budget {
+			return 0
+		}
+		return pace.grantedAt[0].Add(unheardTime).Sub(now)
+	}
+	rejected, accepted := float64(len(pace.rejectedAt)), 0.0
+	for _, results := range pace.accepted {
+		if results.at.After(pace.rejectedAt[0]) {
+			accepted += float64(results.count)
+		}
+	}
+	likely := (rejected + 1) / (rejected + accepted + 1)
+	switch {
+	case rejected+granted*likely <= budget:
+		return 0
+	case rejected <= budget:
+		pace.heldUntil = pace.grantedAt[0].Add(unheardTime)
+	default:
+		pace.heldUntil = pace.rejectedAt[0].Add(rejectWindow)
+	}
+	return pace.heldUntil.Sub(now)
+}
+
 // acceptedRate returns the requests per second that the target has accepted within rejectWindow.
 func (pace *pace) acceptedRate(now time.Time) float64 {
 	count := 0
--- a/core/limit/pace.go
+++ b/core/limit/pace.go
@@ -37,23 +37,34 @@
 	if known.evidence.Brittle {
 		bucket.tokens = min(bucket.tokens, 1) // a target may have no room for several at once
 	}
-	return max(time.Duration((1-bucket.tokens)/rate*float64(time.Second)), 0)
+	return max(time.Duration((1-bucket.tokens)/rate*float64(time.Second)), known.heldFor(now))
+}
+
+// heldFor returns how long the target may get no request whatever its rate, 0 if it is not brittle.
+func (state *state) heldFor(now time.Time) time.Duration {
+	if !state.evidence.Named || !state.evidence.Brittle {
+		return 0
+	}
+	return state.pace.holdFor(now, state.evidence.Rate)
 }
 
 // Take implements core.Pacer.
 func (table *Table) Take(now time.Time, target string, maxWait time.Duration) (time.Duration, bool) {
 	wait := table.Wait(now, target)
-	if known := table.states[target]; known != nil && known.evidence.Brittle {
+	known := table.states[target]
+	if known == nil {
+		return wait, wait <= maxWait
+	}
+	if known.evidence.Brittle {
 		maxWait = min(maxWait, paceWindow) // its rate may be lower by the time of a later turn
 	}
-	if wait > maxWait {
-		if known := table.states[target]; known != nil {
-			known.pace.denied = true
-		}
+	if wait > maxWait || known.heldFor(now) > 0 {
+		known.pace.denied = true
 		return wait, false
 	}
-	if known := table.states[target]; known != nil {
-		known.bucket.tokens--
+	known.bucket.tokens--
+	if known.evidence.Brittle {
+		known.pace.grantedAt = append(known.pace.grantedAt, now.Add(wait))
 	}
 	return wait, true
 }
