--- a/io/edge/limits_test.go
+++ b/io/edge/limits_test.go
@@ -103,3 +103,41 @@
 		}
 	}
 }
+
+// TestUnheardTargetsOfBrittleService guards against a burst that goes without a bound to targets which have not responded since the targets of their service are
+// brittle: nobody knows that they are until they have rejected more than they bear.
+func TestUnheardTargetsOfBrittleService(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		brittle bool          // another target of the service is
+		heard   time.Duration // time after that at which the target names no limit; 0 if it does not respond
+		limited bool
+	}{
+		{"the service is brittle", true, 0, true},
+		{"the service is brittle no longer", true, time.Second, false},
+		{"another target names a rate", false, 0, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			daemon := newFleetMember(t)
+			clock := &fakes.Clock{}
+			daemon.clock = clock
+			targets := daemon.view.Load().targets["ledger"]
+			daemon.do(func() {
+				daemon.control.limits.Observe(limit.Evidence{ID: 1, Target: targets[0].ID, StartedAt: targets[0].StartedAt, Named: true, Brittle: test.brittle, Rate: 4, At: clock.Now()})
+			})
+			if test.heard > 0 {
+				_, _ = daemon.permit(t.Context(), "ledger", targets[1], 0)
+				clock.Advance(test.heard)
+				daemon.do(func() {
+					daemon.control.limits.Observe(limit.Evidence{ID: 2, Target: targets[1].ID, StartedAt: targets[1].StartedAt, At: clock.Now()})
+				})
+			}
+			if granted, ok := daemon.permit(t.Context(), "ledger", targets[1], 0); ok == test.limited {
+				t.Errorf("permitted without a response of the daemon that paces the targets: %v, %+v", ok, granted)
+			}
+			if _, ok := daemon.permit(t.Context(), "stock", daemon.view.Load().targets["stock"][0], 0); !ok {
+				t.Error("a target of another service counts as limited")
+			}
+		})
+	}
+}
