io/edge: take all targets of a brittle service for brittle ones

Cause: a limit belongs to the target that names it. That holds for a rate, which a target names for itself, but the targets of a service are brittle together, and one that gets no requests cannot say so. Its siblings have said it for it.

Fix: before a target of a service is chosen, those that have not said otherwise since take over the bound of the newest response of a brittle one. The evidence keeps the number of that response, so it ages once. A rate that a target names goes first.

Ruled out: health checks of unused targets (a request and a slot each, and at times later than the burst).

--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -69,6 +69,35 @@
 	return before.Named != evidence.Named || evidence.Named && before.Rate != evidence.Rate
 }
 
+// Run is one run of a target.
+type Run struct {
+	Target    string
+	StartedAt time.Time
+}
+
+// InferBrittle takes all given targets, those of one service, for brittle ones if the newest response of one of them says so, and returns what it has inferred: the
+// targets of a service are brittle together, and those that get no requests cannot say it. What a target has said since goes first.
+func (table *Table) InferBrittle(targets []Run) []Evidence {
+	var newest Evidence
+	for _, run := range targets {
+		if known, found := table.Of(run.Target); found && known.Named && known.Brittle && known.At.After(newest.At) {
+			newest = known
+		}
+	}
+	if !newest.Brittle {
+		return nil
+	}
+	var inferred []Evidence
+	for _, run := range targets {
+		evidence := newest
+		evidence.Target, evidence.StartedAt = run.Target, run.StartedAt
+		if known, found := table.Of(run.Target); (!found || !known.Named) && table.Merge(evidence) {
+			inferred = append(inferred, evidence)
+		}
+	}
+	return inferred
+}
+
 // Evidence returns what is known of up to most targets, in random order; of those whose responses this daemon got, or of all.
 func (table *Table) Evidence(all bool, most int) []Evidence {
 	var list []Evidence
--- a/core/limit/table_test.go
+++ b/core/limit/table_test.go
@@ -71,3 +71,42 @@
 		}
 	}
 }
+
+// TestInferBrittle guards against targets of a brittle service that count as sound ones because they have not responded, and against ones whose own newer response, or
+// limit, counts for less than that of another target.
+func TestInferBrittle(t *testing.T) {
+	brittle := func(target string, seconds float64) Evidence {
+		return Evidence{ID: uint64(seconds), Target: target, Named: true, Brittle: true, Rate: 4, At: at(seconds)}
+	}
+	for _, test := range []struct {
+		name     string
+		evidence []Evidence
+		rate     float64 // of target b; 0 if it has no limit
+		brittle  bool
+	}{
+		{"nothing is known", nil, 0, false},
+		{"another target is brittle", []Evidence{brittle("a", 1)}, 4, true},
+		{"a target of another service is brittle", []Evidence{brittle("z", 1)}, 0, false},
+		{"another target is brittle no longer", []Evidence{brittle("a", 1), {ID: 2, Target: "a", At: at(2)}}, 0, false},
+		{"another target names a rate", []Evidence{{ID: 1, Target: "a", Named: true, Rate: 3, At: at(1)}}, 0, false},
+		{"it has said since that it is not", []Evidence{brittle("b", 1), brittle("a", 1), {ID: 2, Target: "b", At: at(2)}}, 0, false},
+		{"it has said before that it is not", []Evidence{brittle("b", 1), {ID: 2, Target: "b", At: at(2)}, brittle("a", 3)}, 4, true},
+		{"it names a rate", []Evidence{brittle("a", 2), {ID: 1, Target: "b", Named: true, Rate: 3, At: at(1)}}, 3, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var table Table
+			for _, evidence := range test.evidence {
+				table.Observe(evidence)
+			}
+			runs := []Run{{Target: "a"}, {Target: "b"}, {Target: "c"}}
+			table.InferBrittle(runs)
+			if again := table.InferBrittle(runs); len(again) > 0 {
+				t.Errorf("inferred again: %+v", again)
+			}
+			evidence, _ := table.Of("b")
+			if evidence.Brittle != test.brittle || evidence.Rate != test.rate {
+				t.Errorf("evidence %+v", evidence)
+			}
+		})
+	}
+}
--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -131,6 +131,7 @@
 	var reply placeReply
 	daemon.do(func() {
 		daemon.control.lastPlacement[message.Service] = daemon.clock.Now()
+		daemon.inferBrittle(daemon.view.Load().targets[message.Service])
 		placement := daemon.enginesOf(message.Service).Choose(daemon.clock.Now(), targets, message.Prompt)
 		reply.Fault, reply.Wait = placement.Fault, placement.Wait
 		if reply.Fault == place.Chosen {
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -146,6 +146,17 @@
 	}
 }
 
+// inferBrittle applies what one target of a service has said of the others; it must run on the loop.
+func (daemon *Daemon) inferBrittle(targets []place.Target) {
+	runs := make([]limit.Run, len(targets))
+	for i, target := range targets {
+		runs[i] = limit.Run{Target: target.ID, StartedAt: target.StartedAt}
+	}
+	for _, evidence := range daemon.control.limits.InferBrittle(runs) {
+		daemon.logLimit(evidence, "")
+	}
+}
+
 func (daemon *Daemon) logLimit(evidence limit.Evidence, seenBy core.MemberID) {
 	event := daemon.log.Info().Str("Target", evidence.Target).Str("SeenBy", string(seenBy)).Dur("Age", daemon.clock.Now().Sub(evidence.At))
 	if evidence.Named {
@@ -179,6 +190,7 @@
 	message := permitRequest{Service: service, MaxWait: maxWait}
 	address := ""
 	daemon.do(func() {
+		daemon.inferBrittle(daemon.view.Load().targets[service])
 		if _, limited = daemon.control.limits.Rate(target.ID); !limited {
 			return
 		}
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -97,6 +97,7 @@
 // dispatch sends the batches that can be sent now; it must run on the loop.
 func (daemon *Daemon) dispatch(sender *sender) {
 	now := daemon.clock.Now()
+	daemon.inferBrittle(daemon.view.Load().targets[sender.service])
 	calls, ended, unused := sender.pool.Dispatch(now)
 	daemon.deliver(sender, ended, unused)
 	daemon.releaseFetched(sender.pool.FetchedInputs(now))
