core/limit: end a pause early only for a run that began after it

Cause: a pause was kept with the run of the target that the daemon knew when it sent the request, and ended with the registration of a later run. A response does not name its run, and the registration of a target that has just come back is read some 100 ms late, so the pause that the new run had stated counted as one of the run before.

Fix: a pause is kept with the time of the response; only a run that began later ends it.

Ruled out: pauses that outlast each restart (a target that is back after a crash would stay without requests for the rest of a long pause); a look at the health response for the start of the run (a request for each pause).

--- a/core/limit/pause.go
+++ b/core/limit/pause.go
@@ -8,20 +8,22 @@
 
 // pause is the time in which a target wants nothing from this daemon.
 type pause struct {
-	startedAt time.Time // start of the target's run
-	until     time.Time
+	statedAt time.Time // latest response that states one
+	until    time.Time
 }
 
-// Pause records that a run of a target wants nothing from this daemon until a time; an earlier end than one it has stated before changes nothing.
-func (table *Table) Pause(target string, startedAt, until time.Time) {
+// Pause records that a target has stated at a time that it wants nothing from this daemon until another one; an earlier end than one it has stated before changes
+// nothing. Which run of the target responded is not known: a daemon may hear of a restart later.
+func (table *Table) Pause(target string, statedAt, until time.Time) {
 	if table.pauses == nil {
 		table.pauses = map[string]pause{}
 	}
-	known, found := table.pauses[target]
-	if found && (known.startedAt.After(startedAt) || known.startedAt.Equal(startedAt) && !until.After(known.until)) {
-		return
+	known := table.pauses[target]
+	if until.After(known.until) {
+		known.until = until
 	}
-	table.pauses[target] = pause{startedAt: startedAt, until: until}
+	known.statedAt = statedAt
+	table.pauses[target] = known
 }
 
 // PausedFor implements core.Pacer.
@@ -29,9 +31,9 @@
 	return max(table.pauses[target].until.Sub(now), 0)
 }
 
-// StartRun ends the pause of a target that has started again since.
+// StartRun ends the pause of a target that has started again since it stated that.
 func (table *Table) StartRun(target string, startedAt time.Time) {
-	if known, found := table.pauses[target]; found && startedAt.After(known.startedAt) {
+	if known, found := table.pauses[target]; found && startedAt.After(known.statedAt) {
 		delete(table.pauses, target)
 	}
 }
--- a/io/edge/hold.go
+++ b/io/edge/hold.go
@@ -17,7 +17,7 @@
 		if daemon.control.limits.PausedFor(now, response.target) == 0 {
 			daemon.log.Info().Str(eventField, eventTargetPauses).Str("Target", response.target).Dur("For", response.facts.Pause).Msg("the target is full and gets no requests of this daemon for a while")
 		}
-		daemon.control.limits.Pause(response.target, response.startedAt, now.Add(response.facts.Pause))
+		daemon.control.limits.Pause(response.target, now, now.Add(response.facts.Pause))
 	})
 }
 
