core/limit: test of brittle targets that fall silent, failing

A load in which the daemons overstep although the rate is kept: a target that reads nothing for a second gets what its rate allows all the while, and rejects it in one moment when it goes on. Sound targets fall silent for a second or so. All four targets fall over in all plays of 1 and 2 s.

--- a/core/limit/falls_test.go
+++ b/core/limit/falls_test.go
@@ -53,6 +53,7 @@
 	load                float64         // requests per second of the burst; a quarter before
 	moves               []time.Duration // times at which another daemon becomes the pacing one
 	unused              int             // targets that get their first request in the burst
+	silent              time.Duration   // time from its beginning in which the targets read nothing
 }
 
 // simulatedAttempt is a request on its way to a target, or back from those that have rejected it.
@@ -115,7 +116,7 @@
 	for i := range fleet.targets {
 		falls += fleet.targets[i].falls
 	}
-	allowed := min(float64(simulatedTargets*load.shrunk)/load.runTime.Seconds(), load.load) * (simulationLength - burstStart).Seconds()
+	allowed := min(float64(simulatedTargets*load.shrunk)/load.runTime.Seconds(), load.load) * (simulationLength - burstStart - load.silent).Seconds()
 	return falls, float64(fleet.served) / allowed
 }
 
@@ -155,6 +156,10 @@
 	if attempt.at.After(now) {
 		return true
 	}
+	if resumeAt := start.Add(burstStart + fleet.load.silent); now.After(resumeAt.Add(-fleet.load.silent)) && now.Before(resumeAt) {
+		attempt.at = resumeAt
+		return true
+	}
 	target := &fleet.targets[attempt.target]
 	if now.Before(target.downUntil) {
 		return false
@@ -195,7 +200,7 @@
 
 // TestFleetKeepsTargetsUp guards against daemons that together make the brittle targets of a service fall over more often than 2 + a tenth of their
 // number, and against ones that leave their room unused. A rejected request goes on to another target at once, so a burst may exceed the bound of all targets
-// before the pacing daemon has heard of a rejection, most of all if that daemon is a new one.
+// before the pacing daemon has heard of a rejection, most of all if that daemon is a new one; and targets that fall silent reject later what has come meanwhile.
 func TestFleetKeepsTargetsUp(t *testing.T) {
 	const (
 		ms        = time.Millisecond
@@ -219,6 +224,10 @@
 		{"the role moves, low bound", brittleLoad{bound: 4, room: 12, shrunk: 1, runTime: 160 * ms, load: 80, moves: []time.Duration{3000 * ms}}},
 		{"the role moves three times", brittleLoad{bound: 7, room: 12, shrunk: 1, runTime: 160 * ms, load: 160, moves: []time.Duration{3000 * ms, 4000 * ms, 5000 * ms}}},
 		{"the role comes back", brittleLoad{bound: 7, room: 12, shrunk: 1, runTime: 160 * ms, load: 160, moves: []time.Duration{1000 * ms, 1500 * ms, 2000 * ms, 3000 * ms}}},
+		{"silent for half a second", brittleLoad{bound: 4, room: 12, shrunk: 1, runTime: 160 * ms, load: 80, silent: 500 * ms}},
+		{"silent for a second", brittleLoad{bound: 4, room: 12, shrunk: 1, runTime: 160 * ms, load: 80, silent: time.Second}},
+		{"silent for two seconds", brittleLoad{bound: 4, room: 12, shrunk: 1, runTime: 160 * ms, load: 80, silent: 2 * time.Second}},
+		{"silent for two seconds, much load", brittleLoad{bound: 4, room: 12, shrunk: 1, runTime: 160 * ms, load: 200, silent: 2 * time.Second}},
 		{"much room", brittleLoad{bound: 8, room: 28, shrunk: 5, runTime: 100 * ms, late: true, load: 270}},
 		{"the role moves, much room", brittleLoad{bound: 8, room: 28, shrunk: 5, runTime: 100 * ms, late: true, load: 270, moves: []time.Duration{3500 * ms}}},
 	} {
