core/limit: bound what a silent brittle target has not read

A brittle target that falls silent for a second falls over when it goes on.

Cause: its rate followed the results of the last second, so that it got requests all through the silence, and rejected them in one moment. No daemon passed the rate.

Fix: requests that no result can be of yet count against the budget of rejections. After a time without requests the rate comes back to 0.8 of the bound at least, with which a target cannot fall over, because the room after a silence was left unused otherwise. A new pace begins with a third of the budget instead of a half: the old and the new daemon may both permit requests for a second.

--- a/core/limit/brittle.go
+++ b/core/limit/brittle.go
@@ -6,19 +6,21 @@
 )
 
 const (
-	paceWindow   = 250 * time.Millisecond // time after which the rate of a brittle target follows what it has accepted
-	rejectWindow = time.Second            // time in which a target counts its rejections
-	freeRate     = 1000.0                 // rate in requests per second before anything is known
-	growth       = 1.2                    // growth of the rate in a window without rejections
-	growthShare  = 0.3                    // the rate grows by this share of the bound as well
-	maxLead      = 2.0                    // multiple of what is accepted that the rate may reach, beside the bound
-	probeShare   = 0.15                   // share of the bound by which the rate exceeds what is accepted after a rejection
-	calmShare    = 0.35                   // share of the bound that may be rejected in a second before the rate falls below what is accepted
-	calmFactor   = 0.8                    // the rate then, relative to what is accepted
-	ceilingGrow  = 0.03                   // growth in a window of the rate at which the target last rejected requests
-	unheardTime  = 150 * time.Millisecond // time until the rejection of a request is known
-	riskShare    = 0.75                   // share of the bound that known rejections and likely ones may reach together
-	newShare     = 0.5                    // share of that while a daemon paced by another may still be sending, in the first rejectWindow
+	paceWindow     = 250 * time.Millisecond  // time after which the rate of a brittle target follows what it has accepted
+	rejectWindow   = time.Second             // time in which a target counts its rejections
+	freeRate       = 1000.0                  // rate in requests per second before anything is known
+	growth         = 1.2                     // growth of the rate in a window without rejections
+	growthShare    = 0.3                     // the rate grows by this share of the bound as well
+	maxLead        = 2.0                     // multiple of what is accepted that the rate may reach, beside the bound
+	probeShare     = 0.15                    // share of the bound by which the rate exceeds what is accepted after a rejection
+	calmShare      = 0.35                    // share of the bound that may be rejected in a second before the rate falls below what is accepted
+	calmFactor     = 0.8                     // the rate then, relative to what is accepted
+	ceilingGrow    = 0.03                    // growth in a window of the rate at which the target last rejected requests
+	unheardTime    = 150 * time.Millisecond  // time until the rejection of a request is known
+	minResultDelay = 50 * time.Millisecond   // a result is not of a request that was sent within this time
+	silenceLimit   = 2500 * time.Millisecond // time after which a request without a result no longer counts as unread
+	riskShare      = 0.75                    // share of the bound that known rejections and likely ones may reach together
+	newShare       = 0.35                    // share of that in the first rejectWindow, when the daemon that paced the target before may still permit requests
 )
 
 // pace adapts the rate of requests to a brittle target, which falls over when it has to reject more requests in a second than its bound.
@@ -34,6 +36,7 @@
 	accepted   []acceptances // within rejectWindow
 	rejectedAt []time.Time   // within rejectWindow
 	grantedAt  []time.Time   // times of permitted requests, within unheardTime
+	unread     []time.Time   // times of those that the last result says nothing of, within silenceLimit
 	heldUntil  time.Time     // no request may be sent before, for want of results
 	rejected   bool          // in the window
 	denied     bool          // in the window: more requests could have been sent
@@ -57,6 +60,9 @@
 		pace.rejectedAt = append(pace.rejectedAt, now)
 	}
 	pace.rejected = pace.rejected || results.Rejected > 0
+	if results != (Results{}) {
+		pace.unread = slices.DeleteFunc(pace.unread, func(at time.Time) bool { return now.Sub(at) > minResultDelay })
+	}
 	elapsed := now.Sub(pace.windowAt)
 	if elapsed < paceWindow && (results.Rejected == 0 || elapsed < paceWindow/5) {
 		return
@@ -66,7 +72,7 @@
 	case pace.ceiling > 0 && now.Before(pace.heldUntil):
 		// What is accepted now says nothing about the room.
 	case pace.rejected && now.Sub(pace.heldUntil) < rejectWindow:
-		pace.ceiling = max(accepted, pace.ceiling*calmFactor)
+		pace.ceiling = max(accepted, max(pace.ceiling, bound)*calmFactor)
 		pace.rate = pace.ceiling
 	case float64(len(pace.rejectedAt)) >= bound*calmShare:
 		pace.rate, pace.ceiling = accepted*calmFactor, accepted
@@ -78,24 +84,33 @@
 		pace.rate = accepted*growth + growthShare*bound
 	}
 	if pace.ceiling > 0 && !pace.rejected {
-		pace.rate = min(pace.rate, max(pace.ceiling, probeShare*bound))
+		pace.rate = min(pace.rate, max(pace.ceiling, calmShare*bound))
 		pace.ceiling += pace.ceiling*ceilingGrow + probeShare*bound*ceilingGrow
 	}
 	pace.windowAt, pace.rejected, pace.denied = now, false, false
 }
 
+// grant records that a request may be sent at a time.
+func (pace *pace) grant(at time.Time) {
+	pace.grantedAt, pace.unread = append(pace.grantedAt, at), append(pace.unread, at)
+}
+
 // forget removes what no longer counts.
 func (pace *pace) forget(now time.Time) {
 	pace.accepted = slices.DeleteFunc(pace.accepted, func(accepted acceptances) bool { return now.Sub(accepted.at) > rejectWindow })
 	pace.rejectedAt = slices.DeleteFunc(pace.rejectedAt, func(at time.Time) bool { return now.Sub(at) > rejectWindow })
 	pace.grantedAt = slices.DeleteFunc(pace.grantedAt, func(at time.Time) bool { return now.Sub(at) > unheardTime })
+	pace.unread = slices.DeleteFunc(pace.unread, func(at time.Time) bool { return now.Sub(at) > silenceLimit })
 }
 
 // holdFor returns how long no request may be sent, because the target would fall over if it rejected as many of those whose results are not known as
-// it has since its first rejection of the last second; 0 means that one may be sent.
+// it has since its first rejection of the last second, or if it has read none since the last result; 0 means that one may be sent.
 func (pace *pace) holdFor(now time.Time, bound float64) time.Duration {
 	pace.forget(now)
 	budget := bound * riskShare
+	if float64(len(pace.unread)) > max(budget, 1)-1 {
+		return unheardTime // a silent target rejects all that it has not read in one moment
+	}
 	if now.Sub(pace.startedAt) < rejectWindow {
 		budget *= newShare
 	}
--- a/core/limit/pace.go
+++ b/core/limit/pace.go
@@ -64,7 +64,7 @@
 	}
 	known.bucket.tokens--
 	if known.evidence.Brittle {
-		known.pace.grantedAt = append(known.pace.grantedAt, now.Add(wait))
+		known.pace.grant(now.Add(wait))
 	}
 	return wait, true
 }
