--- a/core/limit/brittle.go
+++ b/core/limit/brittle.go
@@ -27,7 +27,8 @@
 //
 // The rate exceeds what the target accepts by a share of the bound only, so that the rejections stay below it while its room is used. It comes back to the rate
 // at which the target last rejected requests, but grows beyond that slowly: results are some 100 ms late, and a rate that grows by a fifth in each
-// window oscillates between too low and far too high.
+// window oscillates between too low and far too high. A rate says nothing of the rejections that have happened, nor of the requests whose results are
+// not known yet; holdFor bounds these together.
 type pace struct {
 	rate       float64 // 0 before the first window
 	ceiling    float64 // rate that the target accepted when it last rejected requests; 0 if it has not
@@ -107,16 +108,16 @@
 // it has since its first rejection of the last second, or if it has read none since the last result; 0 means that one may be sent.
 func (pace *pace) holdFor(now time.Time, bound float64) time.Duration {
 	pace.forget(now)
-	budget := bound * riskShare
-	if float64(len(pace.unread)) > max(budget, 1)-1 {
+	budget := max(bound*riskShare, 1)
+	if float64(len(pace.unread)) > budget-1 {
 		return unheardTime // a silent target rejects all that it has not read in one moment
 	}
 	if now.Sub(pace.startedAt) < rejectWindow {
-		budget *= newShare
+		budget = max(budget*newShare, 1)
 	}
-	granted, budget := float64(len(pace.grantedAt)), max(budget, 1)-1
+	granted := float64(len(pace.grantedAt))
 	if len(pace.rejectedAt) == 0 {
-		if granted-pace.acceptedRate(now)*unheardTime.Seconds() <= budget {
+		if granted-pace.acceptedRate(now)*unheardTime.Seconds() <= budget-1 {
 			return 0
 		}
 		return pace.grantedAt[0].Add(unheardTime).Sub(now)
@@ -129,9 +130,9 @@
 	}
 	likely := (rejected + 1) / (rejected + accepted + 1)
 	switch {
-	case rejected+granted*likely <= budget:
+	case rejected+granted*likely <= budget-1:
 		return 0
-	case rejected <= budget:
+	case rejected <= budget-1:
 		pace.heldUntil = pace.grantedAt[0].Add(unheardTime)
 	default:
 		pace.heldUntil = pace.rejectedAt[0].Add(rejectWindow)
