--- a/core/limit/brittle.go
+++ b/core/limit/brittle.go
@@ -109,7 +109,7 @@
 func (pace *pace) holdFor(now time.Time, bound float64) time.Duration {
 	pace.forget(now)
 	budget := max(bound*riskShare, 1)
-	if float64(len(pace.unread)) > budget-1 {
+	if float64(len(pace.unread))-pace.acceptedRate(now)*minResultDelay.Seconds() > budget-1 {
 		return unheardTime // a silent target rejects all that it has not read in one moment
 	}
 	if now.Sub(pace.startedAt) < rejectWindow {
