io/edge: look for brittle targets only if some are known

The check ran for each placed prompt and each dispatch of batches, over all targets of the service (160 engines in the largest deployment), also where no target has ever been brittle. Behaviour is unchanged.

--- a/core/limit/table.go
+++ b/core/limit/table.go
@@ -69,6 +69,16 @@
 	return before.Named != evidence.Named || evidence.Named && before.Rate != evidence.Rate
 }
 
+// AnyBrittle reports whether some target has said last that it is brittle.
+func (table *Table) AnyBrittle() bool {
+	for _, known := range table.states {
+		if known.evidence.Named && known.evidence.Brittle {
+			return true
+		}
+	}
+	return false
+}
+
 // Run is one run of a target.
 type Run struct {
 	Target    string
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -148,6 +148,9 @@
 
 // inferBrittle applies what one target of a service has said of the others; it must run on the loop.
 func (daemon *Daemon) inferBrittle(targets []place.Target) {
+	if !daemon.control.limits.AnyBrittle() {
+		return
+	}
 	runs := make([]limit.Run, len(targets))
 	for i, target := range targets {
 		runs[i] = limit.Run{Target: target.ID, StartedAt: target.StartedAt}
