--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -103,7 +103,7 @@
 // errMismatchedResponse reports that the target sent only responses to other requests.
 var errMismatchedResponse = errors.New("target sent no response to this request")
 
-// IsForeign reports whether an exchange failed because of responses that do not belong to it, which say nothing about the target's health.
+// IsForeign reports whether an exchange failed because of responses that do not belong to it: the target works, and the request is not the cause.
 func IsForeign(err error) bool {
 	return errors.Is(err, errMismatchedResponse) || errors.Is(err, errJoinedHeads)
 }
