io/edge: keep what a forwarding daemon says about the outcome past the time limit

Callers of a daemon without paths could get 503, 'not run', for a request that another daemon had passed to a target.

Cause: the error of a forwarded request (502 and 504 of the other daemon, 'outcome unknown') is no sendError, and only these set mayHaveRun. If the time limit passes, or a leaving daemon cuts off its requests, after that response has arrived and before the request's error is classified, classify takes the request for one that no target got: 'not started within the time limit'. Now each error of an attempt that does not say 'not run' sets mayHaveRun.

Ruled out: the same on a direct attempt, whose errors all are sendErrors; a takeover, which counts any such error as failed.

TestForwardedOutcomeAtDeadline fails before for 502, 504 and 422 (the caller gets 503) and passes in 3 of 3 runs. Rejections that the other daemon promises stay 503. The fix costs no connection and no retry.

--- a/io/edge/refused_test.go
+++ b/io/edge/refused_test.go
@@ -309,3 +309,36 @@
 		cancel()
 	}
 }
+
+// TestForwardedOutcomeAtDeadline guards against a request that counts as not run although a target may have run it: the other daemon says so, and the request's
+// time limit passes before this daemon has told its caller.
+func TestForwardedOutcomeAtDeadline(t *testing.T) {
+	for _, test := range []struct {
+		status string
+		notRun bool // the other daemon promises that the request has not run
+	}{{"502 Bad Gateway", false}, {"504 Gateway Timeout", false}, {"422 Unprocessable Entity", false}, {"503 Service Unavailable", true}, {"404 Not Found", true}} {
+		daemon := newRunningDaemon(t)
+		address := scriptedServer(t, func(int, *http.Request) string {
+			return "HTTP/1.1 " + test.status + "\r\nContent-Length: 6\r\n\r\nfailed"
+		})
+		incoming := httptest.NewRequest(http.MethodPost, "/book/1", nil)
+		incoming.Header.Set("Attempt", "x")
+		received := &request{caller: core.CallerRequest{Attempt: "x"}, incoming: incoming, startedAt: daemon.clock.Now()}
+		recorder := httptest.NewRecorder()
+		inputs := &inputs{daemon: daemon, request: received}
+		delivery := &delivery{daemon: daemon, writer: recorder, request: received, inputs: inputs}
+		current := newRelay(daemon, received, core.ServiceSpec{}, daemon.forwardsTo(received, &peer{record: record{Peer: address}}), recorder, inputs)
+		ctx, cancel := context.WithCancel(t.Context())
+		err := current.run(ctx)
+		delivery.count(ctx, current, err)
+		cancel()
+		again, err := delivery.retry(ctx, current, err)
+		if again || err == nil {
+			t.Fatalf("%s: another attempt %v, error %v", test.status, again, err)
+		}
+		daemon.reject(recorder, received, daemon.classify(ctx, received, err))
+		if notRun := impliesNotRun(recorder.Code); notRun != test.notRun {
+			t.Errorf("the other daemon responds with %s; the caller gets status %d", test.status, recorder.Code)
+		}
+	}
+}
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -156,6 +156,9 @@
 	}
 	var failure *sendError
 	if !errors.As(err, &failure) {
+		if err != nil && core.AsError(err).Run != core.NotRun {
+			request.mayHaveRun = true // the daemon that forwards the request says so
+		}
 		return
 	}
 	if failure.run != core.NotRun {
