io/edge, io/xchg: keep connections of batch calls for less time than their handles are remembered

Pieces of a stage could get the results of other pieces, and with them a request the inputs of another one.

Cause: a second copy of the response to a batch call is told by its handles, which are remembered for 10 to 20 s. The comment said that idle connections are closed after some seconds, but a target that states a longer Keep-Alive kept them for as long, and the copy may come with the response to the next call, when the handles are forgotten.

Now a connection of batch calls stays idle for 5 s at most, handles are remembered for 20 s at least, and a call that may take more than the 15 s between gets a new connection.

TestRepeatedResultsOfLongIdleConnection fails before in 2 of 2 runs (the second call gets the handle of the first) and passes in 2 of 2. TestRepeats takes its time of the copy after a rotation from the constant, which was 11 s for a retention of 10 s.

Cost: one new connection to a target that gets no batch call for 5 s and states more than 5.5 s; without a stated time connections end after 3.5 s as before. Twice as many hashes of handles.

--- a/core/batch/repeats.go
+++ b/core/batch/repeats.go
@@ -8,9 +8,8 @@
 	"catkincove/core"
 )
 
-// repeatsRetention is the minimum time for which handles are remembered; a repeated response comes while its connection is
-// still open, and idle ones are closed after some seconds.
-const repeatsRetention = 10 * time.Second
+// RepeatsRetention is the minimum time for which handles are remembered; a repeated response comes before the response to the next call on its connection.
+const RepeatsRetention = 20 * time.Second
 
 // Repeats tells a new response of a target from a second copy of an earlier one; the zero value is ready to use. It is not
 // safe for concurrent use.
@@ -24,7 +23,7 @@
 
 // Add records the handles of a response and reports whether one of them was in an earlier response.
 func (repeats *Repeats) Add(now time.Time, results []core.PieceResult) bool {
-	if repeats.recent == nil || now.Sub(repeats.rotatedAt) > repeatsRetention {
+	if repeats.recent == nil || now.Sub(repeats.rotatedAt) > RepeatsRetention {
 		repeats.recent, repeats.older, repeats.rotatedAt = map[uint64]struct{}{}, repeats.recent, now
 	}
 	repeated := false
--- a/core/batch/repeats_test.go
+++ b/core/batch/repeats_test.go
@@ -29,7 +29,7 @@
 		{"copy of a part", 3 * time.Second, done("x", "d"), true},
 		{"no handles", 4 * time.Second, []core.PieceResult{{Fault: core.PieceNoRoom}}, false},
 		{"no handles again", 5 * time.Second, []core.PieceResult{{Fault: core.PieceNoRoom}}, false},
-		{"copy after a rotation", 11 * time.Second, done("c", "d"), true},
+		{"copy after a rotation", RepeatsRetention + time.Second, done("c", "d"), true},
 		{"same name long after", time.Minute, done("e"), false},
 		{"handle of an expired response", 2 * time.Minute, done("a"), false},
 	} {
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -20,6 +20,7 @@
 	freeTimeout       = time.Second          // results expire on their own after some seconds
 	senderIdleTimeout = 3 * time.Second      // time without jobs after which a sender no longer counts as in use
 	maxPiecesBody     = 1 << 20              // limit in bytes on the response to a batch call
+	maxBatchIdle      = 5 * time.Second      // time for which connections of batch calls stay idle; together with a call it is shorter than batch.RepeatsRetention
 )
 
 // Purposes that separate the connections of calls whose responses name no attempt. A second copy of one would be read as the response to a request; in the other
@@ -209,6 +210,7 @@
 	sentAt := daemon.clock.Now()
 	response, err := daemon.targets.Do(ctx, xchg.Request{
 		Address: call.Target.Address, Method: http.MethodPost, URI: path, Host: call.Target.Address, Header: header, Body: body, Purpose: purposeBatch,
+		MaxIdle: maxBatchIdle, Fresh: call.Timeout > batch.RepeatsRetention-maxBatchIdle,
 		MaxBody: maxPiecesBody, MatchBody: func(response *http.Response, data []byte) bool {
 			if response.StatusCode != http.StatusOK {
 				return true
--- a/io/edge/refused_test.go
+++ b/io/edge/refused_test.go
@@ -10,10 +10,12 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"catkincove/core"
+	"catkincove/core/batch"
 	"catkincove/core/fakes"
 	"catkincove/core/origin"
 	"catkincove/core/place"
@@ -342,3 +344,45 @@
 		}
 	}
 }
+
+// TestRepeatedResultsOfLongIdleConnection guards against results that count as those of other pieces: the second copy of a response comes over a connection that the target has kept
+// for longer than the handles of its responses are remembered.
+func TestRepeatedResultsOfLongIdleConnection(t *testing.T) {
+	clock := &fakes.Clock{}
+	daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self"}, Dialect: headDialect{}, Clock: clock})
+	go func() { _ = daemon.loop.Run(daemon.loopContext) }()
+	t.Cleanup(daemon.stopLoop)
+	response := func(handle string) string {
+		body := fmt.Sprintf(`{"items":[{"handle":"h/%s"}]}`, handle)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=90\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	var kept, others atomic.Int64 // calls
+	keeping := scriptedServer(t, func(number int, _ *http.Request) string {
+		call := kept.Add(1)
+		own := response(fmt.Sprint("result", call))
+		if number > 0 {
+			return response(fmt.Sprint("result", call-1)) + own
+		}
+		return own
+	})
+	other := scriptedServer(t, func(int, *http.Request) string { return response(fmt.Sprint("other", others.Add(1))) })
+	send := func(address string) string {
+		t.Helper()
+		call := batch.Call{Target: batch.Target{ID: "i-1", Address: address}, Pieces: []core.Piece{{Attempt: "x"}}, Timeout: time.Second}
+		results, outcome, err := daemon.sendBatch(t.Context(), &sender{service: "s"}, call)
+		if err != nil || outcome != batch.Responded || len(results) != 1 {
+			t.Fatalf("results %v, outcome %v, error %v", results, outcome, err)
+		}
+		return results[0].Handle
+	}
+	if handle := send(keeping); handle != "h/result1" {
+		t.Fatalf("first call: %s", handle)
+	}
+	for range 6 {
+		clock.Advance(5 * time.Second)
+		send(other)
+	}
+	if handle := send(keeping); handle != "h/result2" {
+		t.Errorf("the pieces of the second call get the result %s", handle)
+	}
+}
--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -56,6 +56,8 @@
 	Single bool
 	// Purpose separates connections: one is reused only for requests of the same purpose.
 	Purpose string
+	// MaxIdle limits the time for which the connection is kept for another request; 0 stands for no limit but that of the target.
+	MaxIdle time.Duration
 	// Match reports whether the status and headers of a response belong to the attempt; nil accepts any response.
 	Match func(response *http.Response) bool
 	// MatchBody is Match for responses that only their body identifies: the body is read first, up to MaxBody bytes.
@@ -174,7 +176,7 @@
 	if request.Single {
 		conn.unusable.Store(true)
 	}
-	exchange := &exchange{client: client, key: request.connKey(), conn: conn, written: make(chan error, 1)}
+	exchange := &exchange{client: client, key: request.connKey(), maxIdle: request.MaxIdle, conn: conn, written: make(chan error, 1)}
 	exchange.stopAbort = context.AfterFunc(ctx, exchange.abort)
 	response, err := exchange.run(request)
 	if err != nil {
@@ -283,6 +285,7 @@
 type exchange struct {
 	client    *Client
 	key       connKey
+	maxIdle   time.Duration
 	conn      *conn
 	stopAbort func() bool
 	written   chan error
@@ -427,7 +430,11 @@
 	if timeout, found := statedIdleTimeout(response.Header); found {
 		idleTimeout = timeout
 	}
-	body.exchange.conn.closesAt = body.exchange.client.Clock.Now().Add(idleTimeout - idleMargin)
+	idleTimeout -= idleMargin
+	if limit := body.exchange.maxIdle; limit > 0 {
+		idleTimeout = min(idleTimeout, limit)
+	}
+	body.exchange.conn.closesAt = body.exchange.client.Clock.Now().Add(idleTimeout)
 	if !body.atEnd && !body.exchange.ended.Load() {
 		_ = body.exchange.conn.net.SetLinger(0)
 	}
