io/edge: apply the pause of a target to the IDs of its earlier starts

A target that stated a pause (503 with Retry-After) could get requests and calls that free results in it, under the ID of its earlier start.

Cause: pauses are kept by ID, and a target that has started again at its address stays registered under the former ID until that registration lapses. Requests under it reach the process (and end with 421); results are freed by address, after the pause of whichever of the two IDs a map gave first. Now a pause applies to all IDs at the address whose starts are not later than the one that responded, and results are freed after the longest pause of the address.

TestPauseOfFormerID fails before in 2 of 2 runs (the former ID may get requests, results are freed at once) and passes in 3 of 3. Tests of io/edge, and of platform that match Pause|Hold|TestRepeated pass (load average 15). No new connection, no retry; a request avoids an attempt that would end with 421.

What is left: limits and brittleness stated under the new ID still don't bind requests under the former one, which end with 421.

--- a/io/edge/hold.go
+++ b/io/edge/hold.go
@@ -10,7 +10,8 @@
 // maxFreeDelay is the longest time for which results of a paused target are kept to be freed; they expire on their own by then.
 const maxFreeDelay = 5 * time.Second
 
-// pauseTarget records that a target wants nothing from this daemon for the time that its response states. It binds this daemon alone.
+// pauseTarget records that a target wants nothing from this daemon for the time that its response states. It binds this daemon alone. A target that has started again at its address may
+// be registered under the ID of an earlier start as well, to which the pause applies, too.
 func (daemon *Daemon) pauseTarget(response targetAnswer) {
 	daemon.do(func() {
 		now := daemon.clock.Now()
@@ -18,6 +19,11 @@
 			daemon.log.Info().Str(eventField, eventTargetPauses).Str("Target", response.target).Dur("For", response.facts.Pause).Msg("the target is full and gets no requests of this daemon for a while")
 		}
 		daemon.control.limits.Pause(response.target, now, now.Add(response.facts.Pause))
+		for id, address := range daemon.view.Load().byID {
+			if address == response.address && !daemon.control.registry.runs[id].startedAt.After(response.startedAt) {
+				daemon.control.limits.Pause(id, now, now.Add(response.facts.Pause))
+			}
+		}
 	})
 }
 
@@ -44,10 +50,11 @@
 
 // freeDelayOf returns how long the target at an address must get no calls; it must run on the loop.
 func (daemon *Daemon) freeDelayOf(now time.Time, address string) time.Duration {
+	var longest time.Duration
 	for id, known := range daemon.view.Load().byID {
 		if known == address {
-			return daemon.control.limits.PausedFor(now, id)
+			longest = max(longest, daemon.control.limits.PausedFor(now, id))
 		}
 	}
-	return 0
+	return longest
 }
--- a/io/edge/hold_test.go
+++ b/io/edge/hold_test.go
@@ -6,6 +6,7 @@
 
 	"catkincove/core"
 	"catkincove/core/fakes"
+	"catkincove/core/place"
 )
 
 // TestPauseOfRestartedTarget guards against requests to a target that has stated a pause after a restart of which the daemon had not heard yet: the response counts as one of
@@ -50,3 +51,31 @@
 		})
 	}
 }
+
+// TestPauseOfFormerID guards against requests and calls that reach a target in its pause: it has started again at its address, has stated the pause under its new ID, and still is
+// registered under the former one as well.
+func TestPauseOfFormerID(t *testing.T) {
+	const pause = 10 * time.Second
+	daemon := newFleetMember(t)
+	clock := &fakes.Clock{}
+	daemon.clock = clock
+	renewed, other := daemon.view.Load().targets["ledger"][0], daemon.view.Load().targets["ledger"][1]
+	former := renewed
+	former.ID, former.StartedAt = "i-former", renewed.StartedAt.Add(-time.Minute)
+	next := *daemon.view.Load()
+	next.targets = map[string][]place.Target{"ledger": {former, renewed, other}}
+	next.byID = map[string]string{former.ID: former.Address, renewed.ID: renewed.Address, other.ID: other.Address}
+	daemon.view.Store(&next)
+	daemon.pauseTarget(targetAnswer{service: "ledger", target: renewed.ID, address: renewed.Address, startedAt: renewed.StartedAt, facts: core.TargetResponse{Pause: pause}})
+	daemon.do(func() {
+		if targets, _ := daemon.unpausedTargets(clock.Now(), "ledger", ""); len(targets) != 1 || targets[0].ID != other.ID {
+			t.Errorf("targets that may get requests: %v", targets)
+		}
+		for range 20 { // the order of a map differs
+			if delay := daemon.freeDelayOf(clock.Now(), renewed.Address); delay < pause-time.Second {
+				t.Errorf("results are freed in %v", delay)
+				break
+			}
+		}
+	})
+}
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -57,6 +57,7 @@
 type targetAnswer struct {
 	service   string
 	target    string
+	address   string
 	startedAt time.Time // start of the target's run
 	sentAt    time.Time // time before the request was sent
 	status    int
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -231,7 +231,7 @@
 	}
 	_ = response.Body.Close()
 	facts := daemon.dialect.TargetResponse(response.StatusCode, response.Header)
-	daemon.observeAnswer(targetAnswer{service: sender.service, target: call.Target.ID, startedAt: call.Target.StartedAt, sentAt: sentAt, status: response.StatusCode, facts: facts})
+	daemon.observeAnswer(targetAnswer{service: sender.service, target: call.Target.ID, address: call.Target.Address, startedAt: call.Target.StartedAt, sentAt: sentAt, status: response.StatusCode, facts: facts})
 	switch {
 	case response.StatusCode != http.StatusOK:
 		err := fmt.Errorf("status %d", response.StatusCode)
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -511,7 +511,7 @@
 	facts := relay.daemon.dialect.TargetResponse(response.StatusCode, response.Header)
 	unidentified := facts.Attempt == "" && relay.request.caller.Attempt != ""
 	relay.daemon.observeAnswer(targetAnswer{
-		service: relay.service.Name, target: relay.attempt.target.ID, startedAt: relay.attempt.target.StartedAt, sentAt: relay.attempt.startedAt, status: response.StatusCode, facts: facts,
+		service: relay.service.Name, target: relay.attempt.target.ID, address: relay.attempt.target.Address, startedAt: relay.attempt.target.StartedAt, sentAt: relay.attempt.startedAt, status: response.StatusCode, facts: facts,
 		unidentified: unidentified,
 	})
 	switch {
