--- a/io/edge/refused_test.go
+++ b/io/edge/refused_test.go
@@ -10,10 +10,12 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"catkincove/core"
+	"catkincove/core/batch"
 	"catkincove/core/fakes"
 	"catkincove/core/origin"
 	"catkincove/core/place"
@@ -309,3 +311,78 @@
 		cancel()
 	}
 }
+
+// TestForwardedOutcomeAtDeadline guards against a request that counts as not run although a target may have run it: the other daemon says so, and the request's
+// time limit passes before this daemon has told its caller.
+func TestForwardedOutcomeAtDeadline(t *testing.T) {
+	for _, test := range []struct {
+		status string
+		notRun bool // the other daemon promises that the request has not run
+	}{{"502 Bad Gateway", false}, {"504 Gateway Timeout", false}, {"422 Unprocessable Entity", false}, {"503 Service Unavailable", true}, {"404 Not Found", true}} {
+		daemon := newRunningDaemon(t)
+		address := scriptedServer(t, func(int, *http.Request) string {
+			return "HTTP/1.1 " + test.status + "\r\nContent-Length: 6\r\n\r\nfailed"
+		})
+		incoming := httptest.NewRequest(http.MethodPost, "/book/1", nil)
+		incoming.Header.Set("Attempt", "x")
+		received := &request{caller: core.CallerRequest{Attempt: "x"}, incoming: incoming, startedAt: daemon.clock.Now()}
+		recorder := httptest.NewRecorder()
+		inputs := &inputs{daemon: daemon, request: received}
+		delivery := &delivery{daemon: daemon, writer: recorder, request: received, inputs: inputs}
+		current := newRelay(daemon, received, core.ServiceSpec{}, daemon.forwardsTo(received, &peer{record: record{Peer: address}}), recorder, inputs)
+		ctx, cancel := context.WithCancel(t.Context())
+		err := current.run(ctx)
+		delivery.count(ctx, current, err)
+		cancel()
+		again, err := delivery.retry(ctx, current, err)
+		if again || err == nil {
+			t.Fatalf("%s: another attempt %v, error %v", test.status, again, err)
+		}
+		daemon.reject(recorder, received, daemon.classify(ctx, received, err))
+		if notRun := impliesNotRun(recorder.Code); notRun != test.notRun {
+			t.Errorf("the other daemon responds with %s; the caller gets status %d", test.status, recorder.Code)
+		}
+	}
+}
+
+// TestRepeatedResultsOfLongIdleConnection guards against results that count as those of other pieces: the second copy of a response comes over a connection that the target has kept
+// for longer than the handles of its responses are remembered.
+func TestRepeatedResultsOfLongIdleConnection(t *testing.T) {
+	clock := &fakes.Clock{}
+	daemon := New(Options{Settings: inifmt.EdgeSettings{Name: "self"}, Dialect: headDialect{}, Clock: clock})
+	go func() { _ = daemon.loop.Run(daemon.loopContext) }()
+	t.Cleanup(daemon.stopLoop)
+	response := func(handle string) string {
+		body := fmt.Sprintf(`{"items":[{"handle":"h/%s"}]}`, handle)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=90\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	var kept, others atomic.Int64 // calls
+	keeping := scriptedServer(t, func(number int, _ *http.Request) string {
+		call := kept.Add(1)
+		own := response(fmt.Sprint("result", call))
+		if number > 0 {
+			return response(fmt.Sprint("result", call-1)) + own
+		}
+		return own
+	})
+	other := scriptedServer(t, func(int, *http.Request) string { return response(fmt.Sprint("other", others.Add(1))) })
+	send := func(address string) string {
+		t.Helper()
+		call := batch.Call{Target: batch.Target{ID: "i-1", Address: address}, Pieces: []core.Piece{{Attempt: "x"}}, Timeout: time.Second}
+		results, outcome, err := daemon.sendBatch(t.Context(), &sender{service: "s"}, call)
+		if err != nil || outcome != batch.Responded || len(results) != 1 {
+			t.Fatalf("results %v, outcome %v, error %v", results, outcome, err)
+		}
+		return results[0].Handle
+	}
+	if handle := send(keeping); handle != "h/result1" {
+		t.Fatalf("first call: %s", handle)
+	}
+	for range 6 {
+		clock.Advance(5 * time.Second)
+		send(other)
+	}
+	if handle := send(keeping); handle != "h/result2" {
+		t.Errorf("the pieces of the second call get the result %s", handle)
+	}
+}
