io/edge: random copies beside streams that go on and batch calls

TestRandomCopies also plays streams that break and go on, requests with two stages, and batch calls that are refused, fail for single pieces and are answered with copies. A staged request must name the result of its own attempt, a stream must have all events once. headDialect passes on the last event.

--- a/io/edge/copies_test.go
+++ b/io/edge/copies_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -75,14 +77,15 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
 			return
 		}
 		earlier := ""
 		if len(sent) > 0 {
 			earlier = sent[len(sent)-1-min(target.draw(3), len(sent)-1)]
 		}
-		response := target.respond(request)
+		response, ends := target.respond(request, body)
 		form := target.draw(6)
 		if earlier != "" && form < 3 {
 			target.mutex.Lock()
@@ -102,36 +105,72 @@
 		default:
 			write(response)
 		}
+		if ends {
+			return
+		}
 		sent = append(sent, response)
 	}
 }
 
-// respond runs a request or refuses it.
-func (target *copyingTarget) respond(request *http.Request) string {
+// respond runs a request or refuses it, and reports whether the connection ends with the response.
+func (target *copyingTarget) respond(request *http.Request, body []byte) (response string, ends bool) {
+	switch request.URL.Path {
+	case headPieces:
+		return target.produce(body), false
+	case headFree:
+		return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false
+	}
 	attempt := request.Header.Get("Attempt")
 	if !strings.HasSuffix(request.Header.Get("Target"), target.own) {
-		return "HTTP/1.1 421 Misdirected Request\r\n" + targetHeader(attempt) + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		return "HTTP/1.1 421 Misdirected Request\r\n" + targetHeader(attempt) + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n", false
 	}
 	if target.draw(8) == 0 {
-		return "HTTP/1.1 503 Service Unavailable\r\n" + targetHeader(attempt) + "Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
+		return "HTTP/1.1 503 Service Unavailable\r\n" + targetHeader(attempt) + "Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull", false
 	}
 	target.mutex.Lock()
 	target.runs[attempt]++
 	target.mutex.Unlock()
+	last, _ := strconv.Atoi(request.Header.Get("Last-Event"))
 	switch {
 	case target.draw(12) == 0:
-		return "HTTP/1.1 500 Failed\r\n" + targetHeader(attempt) + "Content-Length: 6\r\n\r\nfailed"
+		return "HTTP/1.1 500 Failed\r\n" + targetHeader(attempt) + "Content-Length: 6\r\n\r\nfailed", false
 	case strings.HasPrefix(request.URL.Path, "/once/"):
-		return streamReply(attempt, 1, headEvents).text
+		return streamReply(attempt, 1, headEvents).text, false
+	case strings.HasPrefix(request.URL.Path, "/stream/"):
+		to := min(last+1+target.draw(2*headEvents), headEvents)
+		return streamReply(attempt, last+1, to).text, to < headEvents
+	case strings.HasPrefix(request.URL.Path, "/staged/"):
+		inputs := strings.Split(request.Header.Get("Inputs"), ",")
+		if len(inputs) != 1 || !strings.HasSuffix(inputs[0], "/"+attempt+"-1") {
+			return wholeReply(attempt, fmt.Sprintf("inputs %q", inputs)).text, false
+		}
+	}
+	return wholeReply(attempt, "answer to "+attempt).text, false
+}
+
+// produce responds to a batch call; a handle names the attempt and the stage of its piece, and a number that tells the results of one piece apart.
+func (target *copyingTarget) produce(body []byte) string {
+	if target.draw(8) == 0 {
+		return "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull"
+	}
+	var pieces []core.Piece
+	_ = json.Unmarshal(body, &pieces)
+	var items []string
+	for _, piece := range pieces {
+		if target.draw(16) == 0 {
+			items = append(items, `{"reason":"error"}`)
+			continue
+		}
+		items = append(items, fmt.Sprintf(`{"handle":"%s/%d/%s-%d"}`, target.address, target.draw(1<<30), piece.Attempt, piece.Stage))
 	}
-	return wholeReply(attempt, "answer to "+attempt).text
+	return wholeReply("", `{"items":[`+strings.Join(items, ",")+`]}`).text
 }
 
-// TestRandomCopies guards against requests that run although their callers were told that they have not, that run twice, or that get the response to another one, while a target with
-// several IDs sends copies of its earlier responses, refusals of the same attempt among them.
+// TestRandomCopies guards against requests that run although their callers were told that they have not, that run twice, or that get the response to another one, inputs of another one or
+// streams with gaps, while a target with several IDs sends copies of its earlier responses, refusals of the same attempt among them.
 func TestRandomCopies(t *testing.T) {
 	t.Parallel()
-	const callers, requests = 6, 60
+	const callers, requests = 8, 30
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
@@ -140,7 +179,7 @@
 			peer := httptest.NewServer(daemon.guard("peer", callid.Echo(daemon.peerHandler())))
 			t.Cleanup(peer.Close)
 			fronts := []string{daemon.front, newForwardingDaemon(t, strings.TrimPrefix(peer.URL, "http://")).front} // the second one passes all requests on to the first
-			routes := []string{"unsafe", "safe", "once"}
+			routes := []string{"unsafe", "safe", "once", "stream", "staged"}
 			var group sync.WaitGroup
 			var mutex sync.Mutex
 			statuses := map[int]int{}
@@ -162,13 +201,13 @@
 						runs := target.runs[attempt]
 						target.mutex.Unlock()
 						want := "answer to " + attempt
-						if route == "once" {
+						if route == "once" || route == "stream" {
 							want = streamEvents(1, headEvents)
 						}
 						if got.complete() && (got.body != want || runs == 0) {
 							t.Errorf("%s: body %q after %d runs", attempt, got.body, runs)
 						}
-						if route != "safe" && (runs > 1 || runs > 0 && impliesNotRun(got.status)) {
+						if route != "safe" && route != "stream" && (runs > 1 || runs > 0 && impliesNotRun(got.status)) {
 							t.Errorf("%s: %d runs, status %d", attempt, runs, got.status)
 						}
 						mutex.Lock()
--- a/io/edge/head_test.go
+++ b/io/edge/head_test.go
@@ -214,6 +214,9 @@
 	header := caller.Clone()
 	header.Set("Target", forward.Target)
 	header.Set("Inputs", strings.Join(forward.Inputs, ","))
+	if forward.LastEvent != "" {
+		header.Set("Last-Event", forward.LastEvent)
+	}
 	return header
 }
 
