io/edge: send nothing to a target whose address another one has taken

A target that crashes and starts again at its address registers under a new ID, while its former registration stays for three heartbeats.

A process listens alone at its address. A registration now supersedes another one with its address, service and data centre if its target has started later and its entry was created after the last change of the other entry, in one epoch of the store. A superseded target gets no requests, calls with pieces, prompts or probes, and a pause of it no longer holds back results that are freed at the address. Entries that don't tell which is later are both used, as before.

A live target must not be left out by this. It writes its entry after its start and the ended process writes none, so the order of the store proves the end of the other one; the clock must agree, since a write may be under way while the next process starts. A 421 to a request that names the superseding ID, seen by this daemon or reported with a prefill, ends its claim until it starts again, and so does any write of the superseded entry.

--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -37,6 +37,8 @@
 	Attempt string
 	Outcome place.Outcome
 	Took    time.Duration // time from the start of the attempt to its first event or its end
+
+	Misdirected bool // the target at the engine's address has said that it is another one
 }
 
 // placeEngine returns an attempt at the engine chosen by the daemon that places the prompts of the service for the
@@ -164,6 +166,7 @@
 	attempt.prefillReported = true
 	message := prefillMessage{
 		Service: attempt.engineService, Target: attempt.target.ID, Attempt: request.caller.Attempt, Outcome: outcome, Took: duration,
+		Misdirected: attempt.misdirected,
 	}
 	if attempt.placedBy == nil {
 		daemon.loop.Post(func() { daemon.recordPrefill(message) })
@@ -193,6 +196,9 @@
 
 // recordPrefill applies the report of a prefill; it must run on the loop.
 func (daemon *Daemon) recordPrefill(message prefillMessage) {
+	if message.Misdirected {
+		daemon.markMisdirected(message.Target)
+	}
 	daemon.enginesOf(message.Service).FinishPrefill(daemon.clock.Now(), message.Target, message.Attempt, message.Outcome, message.Took)
 }
 
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -50,6 +50,8 @@
 	eventPermitFailed        = "PermitFailed"        // the daemon that paces a limited target did not respond
 	eventLimitLifted         = "LimitLifted"         // a target no longer names a request rate
 	eventTargetLeaves        = "TargetLeaves"        // a target has registered that it leaves
+	eventTargetSuperseded    = "TargetSuperseded"    // another target has started at the address of one whose registration has not lapsed yet
+	eventTargetReinstated    = "TargetReinstated"    // a target counted as superseded and is used again
 	eventTargetPauses        = "TargetPauses"        // a full target has stated for how long it wants nothing from this daemon
 	eventPathsLost           = "PathsLost"           // this daemon reaches most targets no longer
 	eventPathsReturned       = "PathsReturned"       // this daemon reaches the targets again
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -403,9 +403,9 @@
 func (daemon *Daemon) rebuildTargets(now time.Time, next *view, evacuated map[string]bool) {
 	present := map[string]bool{}
 	daemon.adoptBaselines(now)
-	var registered []core.TargetEntry
 	missing := map[string][]place.Target{} // usable targets by service that are no longer registered, perhaps because their leases lapsed
 	entries := daemon.control.registrations.Entries(now)
+	registrations := make([]registeredRun, 0, len(entries))
 	slices.SortFunc(entries, func(a, b core.Entry) int { return strings.Compare(a.Key, b.Key) })
 	for _, entry := range entries {
 		target, err := daemon.decodeTarget(entry)
@@ -423,7 +423,18 @@
 			daemon.logRevision(daemon.log.Info(), entry.ModRevision).Str(eventField, eventTargetLeaves).Str("Target", target.ID).Str("Service", target.Service).
 				Dur("CopyAge", now.Sub(daemon.control.storeReadAt)).Msg("the target leaves and gets no new requests")
 		}
+		registrations = append(registrations, registeredRun{target: target, run: run, created: entry.CreateRevision, changed: entry.ModRevision, retained: daemon.control.registrations.Retains(entry.Key)})
+	}
+	daemon.control.registry.removeAbsent(now, present)
+	next.superseded = superseded(registrations)
+	daemon.logSuperseded(daemon.view.Load().superseded, next.superseded)
+	registered := make([]core.TargetEntry, 0, len(registrations))
+	for _, registration := range registrations {
+		target, run := registration.target, registration.run
 		registered = append(registered, target)
+		if next.superseded[target.ID] != "" {
+			continue
+		}
 		next.services[target.Address] = target.Service
 		next.addresses[target.Address] = true
 		next.byID[target.ID] = target.Address
@@ -436,7 +447,7 @@
 			ID: target.ID, Address: target.Address, DataCentre: target.DataCentre, Version: target.Version, StartedAt: run.startedAt,
 			ColdUntil: run.coldUntil, ColdRate: service.ColdRate, MaxConnections: service.MaxConnections,
 		}
-		if daemon.control.registrations.Retains(entry.Key) {
+		if registration.retained {
 			missing[target.Service] = append(missing[target.Service], usable)
 		} else {
 			next.targets[target.Service] = append(next.targets[target.Service], usable)
@@ -448,10 +459,36 @@
 			next.targets[service] = append(next.targets[service], targets...)
 		}
 	}
-	daemon.control.registry.removeAbsent(now, present)
 	daemon.noteVersions(now, registered)
 }
 
+// logSuperseded logs which targets are known to have ended since the view before, and which are used again.
+func (daemon *Daemon) logSuperseded(before, now map[string]string) {
+	for id, by := range now {
+		if before[id] == "" {
+			daemon.log.Info().Str(eventField, eventTargetSuperseded).Str("Target", id).Str("By", by).Msg("another target has started at the address of this one, which gets no new requests")
+		}
+	}
+	for id, by := range before {
+		if now[id] == "" && daemon.control.registry.has(id) {
+			daemon.log.Warn().Str(eventField, eventTargetReinstated).Str("Target", id).Str("By", by).Msg("the target may be the one at its address after all and gets requests again")
+		}
+	}
+}
+
+// markMisdirected records that the target at the address of a registered one has said that it is another one; it must run on the loop.
+func (daemon *Daemon) markMisdirected(id string) {
+	if !daemon.control.registry.misdirect(id) {
+		return
+	}
+	for _, by := range daemon.view.Load().superseded {
+		if by == id {
+			daemon.rebuildView()
+			return
+		}
+	}
+}
+
 // markLeaving records that a target leaves, as its response says; it must run on the loop. The other daemons learn it from the store, or from the target.
 func (daemon *Daemon) markLeaving(id string, startedAt time.Time) {
 	if !daemon.control.registry.leave(id, startedAt) {
@@ -461,12 +498,12 @@
 	daemon.rebuildView()
 }
 
-// equivalentTarget reports whether two registrations of a target differ at most in their sequence.
+// equivalentTarget reports whether two registrations of a target differ at most in their sequence. A write of a target that counts as superseded says that it lives.
 func (daemon *Daemon) equivalentTarget(before, after core.Entry) bool {
 	known, errBefore := daemon.decodeTarget(before)
 	next, errAfter := daemon.decodeTarget(after)
 	known.Sequence = next.Sequence
-	return errBefore == nil && errAfter == nil && known == next
+	return errBefore == nil && errAfter == nil && known == next && daemon.view.Load().superseded[next.ID] == ""
 }
 
 // decodeTarget decodes a registration once for each of its revisions.
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -65,9 +65,10 @@
 	unidentified bool // it may be the response to another request, sent a second time
 }
 
-// observeAnswer records whether a response of a target names a limit, and whether it says that the target leaves.
+// observeAnswer records whether a response of a target names a limit, and whether it says that the target leaves or is another one.
 func (daemon *Daemon) observeAnswer(response targetAnswer) {
 	if response.status == http.StatusMisdirectedRequest {
+		daemon.loop.Post(func() { daemon.markMisdirected(response.target) })
 		return // another target at the address has responded
 	}
 	if response.facts.Leaving {
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -39,6 +39,7 @@
 	engineService   string // service of the engine, if the prompt was placed for the whole fleet; empty otherwise
 	prefillReported bool   // the end of the prefill was reported to the placing daemon
 	recorded        bool   // the outcome was recorded
+	misdirected     bool   // the target at the address has said that it is another one
 	through         *peer  // daemon that forwards the request, because this one has lost its paths to the targets; nil if none does
 	cancel          context.CancelFunc
 	trace           xchg.Trace // where the request was sent
@@ -520,6 +521,7 @@
 		if response.StatusCode == http.StatusConflict {
 			outcome = place.Inconclusive // an input no longer exists, which says nothing about the target
 		}
+		relay.attempt.misdirected = response.StatusCode == http.StatusMisdirectedRequest
 		relay.daemon.recordOutcome(relay.request, relay.attempt, outcome, 0)
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedResponse))
 		err = &sendError{run: core.NotRun, status: response.StatusCode, cause: fmt.Errorf("target responded with status %d and did not run the request", response.StatusCode)}
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -15,7 +15,8 @@
 	routingFrom source
 	targets     map[string][]place.Target // by service; without draining targets and those in an evacuated data centre
 	addresses   map[string]bool           // addresses of all registered targets
-	byID        map[string]string         // address of each registered target
+	byID        map[string]string         // address of each registered target; without superseded ones
+	superseded  map[string]string         // by ID of a target that has ended: the one that has started at its address since
 	services    map[string]string         // service by target address
 	dataCentres map[string]string         // data centre by target address
 }
@@ -48,6 +49,8 @@
 	coldUntil time.Time
 	address   string
 	goneSince time.Time // zero while the target is registered
+
+	misdirected bool // the target at the address has said that it is another one
 }
 
 // goneTTL is how long a target that is registered no longer is remembered: a store that is restored from a backup holds
@@ -92,6 +95,18 @@
 	return true
 }
 
+// misdirect records that the target at the address of a registration has said that it is another one, until the registered one starts again; it returns
+// false if that is known, or nothing is registered.
+func (registry *registry) misdirect(id string) bool {
+	known, found := registry.runs[id]
+	if !found || known.misdirected {
+		return false
+	}
+	known.misdirected = true
+	registry.runs[id] = known
+	return true
+}
+
 // has reports whether a target is registered.
 func (registry *registry) has(id string) bool {
 	known, found := registry.runs[id]
@@ -111,3 +126,55 @@
 		}
 	}
 }
+
+// registeredRun is a target's registration as the copy of the store holds it.
+type registeredRun struct {
+	target           core.TargetEntry
+	run              targetRun
+	created, changed core.Revision // first and last write of its entry
+	retained         bool          // it is missing in the store
+}
+
+// supersedes reports whether a registration is that of a process which has started at the address of another one's process after the end of that: a process
+// listens alone at its address until its end.
+//
+// The clock of the targets' machine and the order of the store must agree: the process has started later, and its registration has been created after the last
+// change of the other one, which a live process would have written since. Both are needed, because clocks are set and differ between machines, and a write may
+// reach the store late; revisions of two epochs have no order. What answers at the address is believed before either, and it is asked as long as requests
+// for which the other one would do may go to this one, of the same service and in the same data centre.
+func (registeredRun registeredRun) supersedes(other registeredRun) bool {
+	switch {
+	case registeredRun.target.Address != other.target.Address, registeredRun.target.Service != other.target.Service, registeredRun.target.DataCentre != other.target.DataCentre:
+		return false
+	case registeredRun.retained, registeredRun.run.misdirected:
+		return false
+	case other.run.startedAt.UnixMilli() <= 0, !registeredRun.run.startedAt.After(other.run.startedAt):
+		return false // not known, or not later
+	}
+	return registeredRun.created.Epoch() == other.changed.Epoch() && registeredRun.created > other.changed
+}
+
+// superseded returns the IDs of the targets that have ended, each with the ID of one that has started at its address since.
+func superseded(registrations []registeredRun) map[string]string {
+	counts := make(map[string]int, len(registrations)) // by address
+	for _, registeredRun := range registrations {
+		counts[registeredRun.target.Address]++
+	}
+	byAddress := map[string][]registeredRun{} // of several
+	for _, registeredRun := range registrations {
+		if address := registeredRun.target.Address; counts[address] > 1 {
+			byAddress[address] = append(byAddress[address], registeredRun)
+		}
+	}
+	ended := map[string]string{}
+	for _, sharing := range byAddress {
+		for _, former := range sharing {
+			for _, later := range sharing {
+				if later.supersedes(former) {
+					ended[former.target.ID] = later.target.ID
+				}
+			}
+		}
+	}
+	return ended
+}
