io/edge: let a leaving target supersede only what it has superseded before

A registration that is leaving gets no requests. If it is one that nothing stands behind, no 421 shows that, and a live target at its address would get none either until the entry is removed.

A target that the daemon has seen ready and that leaves goes on superseding the former one at its address, which would only get 421s. The new case of TestTargetStartsAgainAtItsAddress fails before; the case of a target that leaves now lets it register as ready first.

--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -426,8 +426,9 @@
 		registrations = append(registrations, registeredRun{target: target, run: run, created: entry.CreateRevision, changed: entry.ModRevision, retained: daemon.control.registrations.Retains(entry.Key)})
 	}
 	daemon.control.registry.removeAbsent(now, present)
-	next.superseded = superseded(registrations)
-	daemon.logSuperseded(daemon.view.Load().superseded, next.superseded)
+	before := daemon.view.Load().superseded
+	next.superseded = superseded(registrations, before)
+	daemon.logSuperseded(before, next.superseded)
 	registered := make([]core.TargetEntry, 0, len(registrations))
 	for _, registration := range registrations {
 		target, run := registration.target, registration.run
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -154,8 +154,9 @@
 	return registeredRun.created.Epoch() == other.changed.Epoch() && registeredRun.created > other.changed
 }
 
-// superseded returns the IDs of the targets that have ended, each with the ID of one that has started at its address since.
-func superseded(registrations []registeredRun) map[string]string {
+// superseded returns the IDs of the targets that have ended, each with the ID of one that has started at its address since; before is what it returned last. One
+// that leaves supersedes no more than before: it gets no requests, whose responses could show that it is not the one at its address.
+func superseded(registrations []registeredRun, before map[string]string) map[string]string {
 	counts := make(map[string]int, len(registrations)) // by address
 	for _, registeredRun := range registrations {
 		counts[registeredRun.target.Address]++
@@ -170,7 +171,7 @@
 	for _, sharing := range byAddress {
 		for _, former := range sharing {
 			for _, later := range sharing {
-				if later.supersedes(former) {
+				if later.supersedes(former) && (!later.run.draining || before[former.target.ID] == later.target.ID) {
 					ended[former.target.ID] = later.target.ID
 				}
 			}
