core/reach: judge returned paths by more than two rounds of probes

What callers saw: while some daemons reached one target in three, requests with stages failed at all daemons for some seconds, and others at the cut daemons.

Cause: a round probes five random targets, and two rounds that reach three of them bring the paths back. With a third of the targets reached a round does so by chance, in 8 % of the rounds with 10 targets and in 20 % with 36 or more. A daemon whose paths count as back keeps its callers' requests, gets those that other daemons forward, and is the sender of the batches again, because it was lately. In a failing run of the code before, daemon 0 (which reached no target of the stage) lost its paths at 17.66 s, took them for back at 19.37 s with 'Reached 3, OnlyOthers 2', got the sender role back and lost them again at 20.43 s; the cut ended at 23 s. The tries that were not served are the requests with stages of all four daemons.

Ruled out: the retry budget and ejected targets (no unserved try of the failing run names them), and load alone: the rounds of probes reached what the test let it reach.

Now a round probes the targets that were probed longest ago, and the newest probes of the last four rounds since the loss must have reached three quarters of the targets that somebody reaches, beside the two good rounds. A daemon that reaches between 60 % and 75 % stays without paths once it has lost them; its callers are served through others.

TestJudge gives the same rounds as probes of different targets; its cases are unchanged.

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -11,8 +12,10 @@
 	minUnreached  = 2                      // targets that must be silent or have failed for a suspicion; a single one may have crashed
 	minProbed     = 3                      // targets that somebody must reach for a judgement
 	lostShare     = 0.6                    // share of the probes that must fail for that
-	returnedShare = 0.6                    // share that must succeed for the paths to be back
+	returnedShare = 0.6                    // share of the probes of a round that must succeed for the paths to be back
 	returnRounds  = 2                      // consecutive rounds in which they must, so that a path that comes and goes is not used
+	pooledShare   = 0.75                   // share of the probes of the newest rounds together that must succeed as well
+	pooledRounds  = 4                      // number of these rounds: one or two often meet mostly reached targets while a third of all is
 )
 
 // Paths judges the paths of one daemon to the targets; the zero value has not lost them. It is not safe for concurrent use.
@@ -23,6 +26,16 @@
 	lost       bool
 	goodRounds int
 	changedAt  time.Time
+	rounds     int            // rounds of probes so far
+	probedIn   map[string]int // newest round in which a target was chosen
+	recent     [][]Probe      // newest rounds since the paths were lost
+}
+
+// Probe is the result of a connection to a target, which other daemons try as well if this one fails.
+type Probe struct {
+	Target        string
+	Reached       bool
+	OthersReachIt bool
 }
 
 // contact is what a daemon has seen of a target.
@@ -99,23 +112,43 @@
 	return contact.failedAt.After(contact.heardAt) && now.Sub(contact.failedAt) <= window
 }
 
-// Judge applies a round of probes of random targets, of which this daemon reached some and only others reached some more, and reports
-// whether the judgement has changed. A target that nobody reaches says nothing about the paths.
-func (paths *Paths) Judge(now time.Time, reached, onlyOthers int) bool {
+// Choose returns some of the targets for the next round of probes: those that were probed longest ago, in random order.
+func (paths *Paths) Choose(targets []string, count int, shuffle func(count int, swap func(i, j int))) []string {
+	chosen := slices.Clone(targets)
+	shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
+	slices.SortStableFunc(chosen, func(a, b string) int { return cmp.Compare(paths.probedIn[a], paths.probedIn[b]) })
+	probedIn := make(map[string]int, len(targets))
+	for _, target := range targets {
+		probedIn[target] = paths.probedIn[target]
+	}
+	chosen = chosen[:min(len(chosen), count)]
+	paths.rounds++
+	for _, target := range chosen {
+		probedIn[target] = paths.rounds
+	}
+	paths.probedIn = probedIn
+	return chosen
+}
+
+// Judge applies a round of probes, and reports whether the judgement has changed. A target that nobody reaches says nothing about the paths.
+func (paths *Paths) Judge(now time.Time, round []Probe) bool {
 	before := paths.lost
-	probed := reached + onlyOthers
-	share := float64(reached) / float64(max(probed, 1))
+	probed, share := summarise(round)
 	switch {
 	case probed < minProbed:
 	case !paths.lost:
-		paths.lost, paths.goodRounds = 1-share >= lostShare, 0
-	case share >= returnedShare:
-		if paths.goodRounds++; paths.goodRounds >= returnRounds {
+		paths.lost, paths.goodRounds, paths.recent = 1-share >= lostShare, 0, nil
+	default:
+		paths.recent = append(paths.recent[max(len(paths.recent)-pooledRounds+1, 0):], round)
+		if share < returnedShare {
+			paths.goodRounds = 0
+			break
+		}
+		paths.goodRounds++
+		if _, pooled := summarise(paths.newestProbes()); paths.goodRounds >= returnRounds && pooled >= pooledShare {
 			paths.lost = false
 			paths.forgetFailures()
 		}
-	default:
-		paths.goodRounds = 0
 	}
 	if paths.lost != before {
 		paths.changedAt = now
@@ -123,6 +156,35 @@
 	return paths.lost != before
 }
 
+// newestProbes returns the newest probe of each target in the recent rounds.
+func (paths *Paths) newestProbes() []Probe {
+	var newest []Probe
+	seen := map[string]bool{}
+	for _, round := range slices.Backward(paths.recent) {
+		for _, probe := range round {
+			if !seen[probe.Target] {
+				seen[probe.Target] = true
+				newest = append(newest, probe)
+			}
+		}
+	}
+	return newest
+}
+
+// summarise returns how many of the probed targets somebody reaches, and the share of them that this daemon reaches.
+func summarise(round []Probe) (probed int, share float64) {
+	reached := 0
+	for _, probe := range round {
+		if probe.Reached {
+			reached++
+		}
+		if probe.Reached || probe.OthersReachIt {
+			probed++
+		}
+	}
+	return probed, float64(reached) / float64(max(probed, 1))
+}
+
 func (paths *Paths) forgetFailures() {
 	for _, contact := range paths.targets {
 		contact.failedAt = time.Time{}
--- a/core/reach/paths_test.go
+++ b/core/reach/paths_test.go
@@ -128,8 +128,14 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var paths Paths
+			targets := 0
 			for _, round := range test.rounds {
-				paths.Judge(now, round[0], round[1])
+				var probes []Probe
+				for i := range round[0] + round[1] {
+					probes = append(probes, Probe{Target: fmt.Sprint("target", targets), Reached: i < round[0], OthersReachIt: true})
+					targets++
+				}
+				paths.Judge(now, probes)
 			}
 			if paths.Lost() != test.lost {
 				t.Errorf("lost %v", paths.Lost())
@@ -137,3 +143,67 @@
 		})
 	}
 }
+
+// TestPartialCut guards against a daemon that takes its paths for back while it reaches a third of the targets, because a round of probes
+// met mostly those: it keeps its callers' requests, gets those of other daemons and takes up the batches of the fleet again, which all
+// fail. It also guards against a cut that is noticed too late, or whose end is, when paths are judged by more than one round.
+func TestPartialCut(t *testing.T) {
+	const (
+		seeds       = 1000
+		probes      = 5
+		detected    = 3  // rounds of probes until the paths are lost
+		cutRounds   = 20 // rounds while they are cut
+		returnsIn   = 5  // rounds after the cut until they are back
+		mostReached = 3  // one of this many targets is reached during the cut
+	)
+	for _, targets := range []int{10, 36, 120} {
+		t.Run(fmt.Sprint(targets, " targets"), func(t *testing.T) {
+			var names []string
+			for i := range targets {
+				names = append(names, fmt.Sprint("target", i))
+			}
+			late, returned, lateReturn := 0, 0, 0
+			for seed := range uint64(seeds) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				var paths Paths
+				now := time.Unix(1000, 0)
+				reachable := map[string]bool{}
+				for _, i := range random.Perm(targets)[:targets/mostReached] {
+					reachable[names[i]] = true
+				}
+				probe := func(cut bool) {
+					var round []Probe
+					for _, name := range paths.Choose(names, probes, random.Shuffle) {
+						round = append(round, Probe{Target: name, Reached: !cut || reachable[name], OthersReachIt: true})
+					}
+					now = now.Add(500 * time.Millisecond)
+					paths.Judge(now, round)
+				}
+				rounds := 0
+				for ; rounds < cutRounds && !paths.Lost(); rounds++ {
+					probe(true)
+				}
+				if rounds > detected {
+					late++
+				}
+				for ; rounds < cutRounds && paths.Lost(); rounds++ {
+					probe(true)
+				}
+				if !paths.Lost() {
+					returned++
+					continue
+				}
+				for rounds = 0; rounds < cutRounds && paths.Lost(); rounds++ {
+					probe(false)
+				}
+				if rounds > returnsIn {
+					lateReturn++
+				}
+			}
+			t.Logf("of %d cuts, %d noticed late, %d taken for over, %d whose end is noticed late", seeds, late, returned, lateReturn)
+			if late > seeds/50 || returned > seeds/100 || lateReturn > seeds/100 {
+				t.Errorf("of %d cuts, %d noticed late, %d taken for over, %d whose end is noticed late", seeds, late, returned, lateReturn)
+			}
+		})
+	}
+}
--- a/io/edge/head_test.go
+++ b/io/edge/head_test.go
@@ -19,6 +19,7 @@
 
 	"catkincove/core"
 	"catkincove/core/origin"
+	"catkincove/core/reach"
 	"catkincove/io/callid"
 	"catkincove/io/inifmt"
 )
@@ -573,7 +574,11 @@
 func newForwardingDaemon(t testing.TB, peers ...string) headDaemon {
 	daemon := newHeadDaemon(t, "127.0.0.1:1", core.SystemClock{})
 	daemon.paths.mutex.Lock()
-	daemon.paths.paths.Judge(daemon.clock.Now(), 0, pathProbes)
+	var probes []reach.Probe
+	for i := range pathProbes {
+		probes = append(probes, reach.Probe{Target: fmt.Sprint("target", i), OthersReachIt: true})
+	}
+	daemon.paths.paths.Judge(daemon.clock.Now(), probes)
 	daemon.paths.mutex.Unlock()
 	daemon.do(func() {
 		now := daemon.clock.Now()
--- a/io/edge/paths.go
+++ b/io/edge/paths.go
@@ -158,7 +158,7 @@
 	return monitor.lost()
 }
 
-// probe opens connections to some random targets and judges the paths by that and by what other daemons reach; a round in progress is awaited instead.
+// probe opens connections to some targets and judges the paths by that and by what other daemons reach; a round in progress is awaited instead.
 func (monitor *pathMonitor) probe() {
 	monitor.mutex.Lock()
 	if round := monitor.round; round != nil {
@@ -170,18 +170,23 @@
 	monitor.round, monitor.probedAt, monitor.warned = round, monitor.daemon.clock.Now(), false
 	monitor.mutex.Unlock()
 	targets := slices.Collect(maps.Keys(monitor.daemon.view.Load().byID))
-	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	targets = targets[:min(len(targets), pathProbes)]
+	monitor.mutex.Lock()
+	targets = monitor.paths.Choose(targets, pathProbes, rand.Shuffle)
+	monitor.mutex.Unlock()
 	reached := monitor.daemon.connectAll(targets)
-	failed := slices.DeleteFunc(targets, func(id string) bool { return slices.Contains(reached, id) })
-	onlyOthers := monitor.daemon.reachedByOthers(failed)
+	failed := slices.DeleteFunc(slices.Clone(targets), func(id string) bool { return slices.Contains(reached, id) })
+	byOthers := monitor.daemon.reachedByOthers(failed)
+	probes := make([]reach.Probe, len(targets))
+	for i, id := range targets {
+		probes[i] = reach.Probe{Target: id, Reached: slices.Contains(reached, id), OthersReachIt: byOthers[id]}
+	}
 	monitor.mutex.Lock()
-	changed, lost := monitor.paths.Judge(monitor.daemon.clock.Now(), len(reached), onlyOthers), monitor.paths.Lost()
+	changed, lost := monitor.paths.Judge(monitor.daemon.clock.Now(), probes), monitor.paths.Lost()
 	monitor.round, monitor.calm = nil, len(reached) > len(failed)
 	monitor.mutex.Unlock()
 	close(round)
 	if changed {
-		monitor.daemon.handlePathChange(lost, len(reached), onlyOthers)
+		monitor.daemon.handlePathChange(lost, len(reached), len(byOthers))
 	}
 }
 
@@ -190,10 +195,10 @@
 
 type reachReply struct{ Reached []string }
 
-// reachedByOthers returns the number of targets that some of the other daemons, in several data centres if there are, can connect to.
-func (daemon *Daemon) reachedByOthers(targets []string) int {
+// reachedByOthers returns those of the targets that some of the other daemons, in several data centres if there are, can connect to.
+func (daemon *Daemon) reachedByOthers(targets []string) map[string]bool {
 	if len(targets) == 0 {
-		return 0
+		return nil
 	}
 	var asked []string
 	daemon.do(func() {
@@ -231,12 +236,14 @@
 			mutex.Lock()
 			defer mutex.Unlock()
 			for _, target := range reply.Reached {
-				reached[target] = true
+				if slices.Contains(targets, target) {
+					reached[target] = true
+				}
 			}
 		})
 	}
 	group.Wait()
-	return len(reached)
+	return reached
 }
 
 // serveReach answers which of some registered targets this daemon can connect to.
