io/xchg: end the context of a dial that failed at its deadline

What callers saw: a daemon without paths had no other daemon to forward to for up to a second, so it sent requests to targets that it did not reach, or took up the batches of a service itself, although another daemon was sound.

Cause: a dial fails with 'i/o timeout' at the deadline of its context, a moment before the context has an error. The callers of Do tell a failure of the address from a request that has run out of its time by that error. So the last try of a request marked a sound daemon as failed, which others pass over until its next ping, or counted as a failure of a target.

After a failed dial, the client waits until a context whose deadline has passed has ended. A dial of the calls between daemons runs without the deadline of the call (net/http), so only exchanges were affected. That this alone has made a run of TestLostPaths fail is not shown.

--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -204,12 +204,21 @@
 	}
 	opened, err := dial(ctx, request.Address)
 	if err != nil {
+		awaitDeadline(ctx)
 		return nil, err
 	}
 	input := &boundedReader{source: opened}
 	return &conn{net: opened, input: input, reader: bufio.NewReaderSize(input, readBufferBytes), number: client.opened.Add(1)}, nil
 }
 
+// awaitDeadline returns when a context whose deadline has passed has ended. A dial fails at the deadline, which its caller would take for a
+// failure of the address as long as the context has no error.
+func awaitDeadline(ctx context.Context) {
+	if deadline, found := ctx.Deadline(); found && !time.Now().Before(deadline) {
+		<-ctx.Done()
+	}
+}
+
 // takeIdle returns the connection that became idle last, of those that may carry the attempt; nil if there is none.
 func (client *Client) takeIdle(key connKey, attempt string) *conn {
 	now := client.Clock.Now()
