--- a/io/edge/paths.go
+++ b/io/edge/paths.go
@@ -19,10 +19,10 @@
 const (
 	pathCheckInterval  = 100 * time.Millisecond // interval of the checks whether the paths to the targets are suspect
 	pathProbeInterval  = 400 * time.Millisecond // interval of the rounds of probes while the paths are lost or suspect
-	pathCalmInterval   = 800 * time.Millisecond // interval while they are suspect, after a round that reached most targets
+	pathCalmInterval   = 800 * time.Millisecond // interval while they are suspect, after a round that reached most targets and all that others reach
 	pathProbeTimeout   = 350 * time.Millisecond // limit on one probe, which opens a connection
 	pathProbes         = 5                      // targets probed in a round
-	pathWitnesses      = 3                      // other daemons that are asked about targets that this one cannot connect to
+	pathWitnesses      = 3                      // other daemons that try the targets of a round as well
 	pathWitnessTimeout = 600 * time.Millisecond // limit on their answer, which takes pathProbeTimeout
 	pathDoubt          = 400 * time.Millisecond // time after a failure at a target in which the paths may turn out to be lost
 	pathFailureMemory  = 2 * time.Second        // time after the paths have returned in which failures are still put down to them
@@ -38,7 +38,7 @@
 	mutex    sync.Mutex
 	paths    reach.Paths
 	probedAt time.Time
-	calm     bool          // the last round reached most targets
+	calm     bool          // the last round reached most targets, and all that others reach
 	warned   bool          // another daemon has lost its paths since the last round
 	round    chan struct{} // closed at the end of the round of probes in progress; nil if there is none
 }
@@ -158,7 +158,7 @@
 	return monitor.lost()
 }
 
-// probe opens connections to some random targets and judges the paths by that and by what other daemons reach; a round in progress is awaited instead.
+// probe opens connections to some targets and judges the paths by that and by what other daemons reach; a round in progress is awaited instead.
 func (monitor *pathMonitor) probe() {
 	monitor.mutex.Lock()
 	if round := monitor.round; round != nil {
@@ -168,16 +168,31 @@
 	}
 	round := make(chan struct{})
 	monitor.round, monitor.probedAt, monitor.warned = round, monitor.daemon.clock.Now(), false
+	targets := monitor.paths.Choose(slices.Collect(maps.Keys(monitor.daemon.view.Load().byID)), pathProbes, rand.Shuffle)
 	monitor.mutex.Unlock()
-	targets := slices.Collect(maps.Keys(monitor.daemon.view.Load().byID))
-	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	targets = targets[:min(len(targets), pathProbes)]
-	reached := monitor.daemon.connectAll(targets)
-	failed := slices.DeleteFunc(targets, func(id string) bool { return slices.Contains(reached, id) })
-	onlyOthers := monitor.daemon.reachedByOthers(failed)
+	var reached []string
+	var byOthers map[string]bool
+	var group sync.WaitGroup
+	group.Go(func() {
+		defer monitor.daemon.recoverPanic("paths")
+		reached = monitor.daemon.connectAll(targets)
+	})
+	group.Go(func() {
+		defer monitor.daemon.recoverPanic("paths")
+		byOthers = monitor.daemon.reachedByOthers(targets)
+	})
+	group.Wait()
+	probes := make([]reach.Probe, len(targets))
+	onlyOthers := 0
+	for i, id := range targets {
+		probes[i] = reach.Probe{Target: id, Reached: slices.Contains(reached, id), OthersReachIt: byOthers[id]}
+		if !probes[i].Reached && byOthers[id] {
+			onlyOthers++
+		}
+	}
 	monitor.mutex.Lock()
-	changed, lost := monitor.paths.Judge(monitor.daemon.clock.Now(), len(reached), onlyOthers), monitor.paths.Lost()
-	monitor.round, monitor.calm = nil, len(reached) > len(failed)
+	changed, lost := monitor.paths.Judge(monitor.daemon.clock.Now(), probes), monitor.paths.Lost()
+	monitor.round, monitor.calm = nil, onlyOthers == 0 && len(reached) > len(targets)-len(reached)
 	monitor.mutex.Unlock()
 	close(round)
 	if changed {
@@ -190,10 +205,10 @@
 
 type reachReply struct{ Reached []string }
 
-// reachedByOthers returns the number of targets that some of the other daemons, in several data centres if there are, can connect to.
-func (daemon *Daemon) reachedByOthers(targets []string) int {
+// reachedByOthers returns those of the targets that some of the other daemons, in several data centres if there are, can connect to.
+func (daemon *Daemon) reachedByOthers(targets []string) map[string]bool {
 	if len(targets) == 0 {
-		return 0
+		return nil
 	}
 	var asked []string
 	daemon.do(func() {
@@ -231,12 +246,14 @@
 			mutex.Lock()
 			defer mutex.Unlock()
 			for _, target := range reply.Reached {
-				reached[target] = true
+				if slices.Contains(targets, target) {
+					reached[target] = true
+				}
 			}
 		})
 	}
 	group.Wait()
-	return len(reached)
+	return reached
 }
 
 // serveReach answers which of some registered targets this daemon can connect to.
