io/edge: log what occupies the targets when queued jobs are late

A request that waited in the queue of the sender until it could not meet its deadline left one line, "stage 1: Late", at the daemon of its caller.

The sender now logs JobsLate, at most one line a second and service with at most eight targets: the number of jobs and of queued pieces, whether the daemon is the sender still, how long ago it last looked at its queue, and per target the calls, the reserved, retained and unaccounted bytes, the slowdown and whether it is usable.

--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -20,6 +20,8 @@
 	freeTimeout       = time.Second          // results expire on their own after some seconds
 	senderIdleTimeout = 3 * time.Second      // time without jobs after which a sender no longer counts as in use
 	maxPiecesBody     = 1 << 20              // limit in bytes on the response to a batch call
+	lateLogInterval   = time.Second          // shortest time between two log lines of one service about jobs that are late
+	maxLateLogTargets = 8                    // targets in such a line, about 1.5 KB
 )
 
 // Purposes that separate the connections of calls whose responses name no attempt. A second copy of one would be read as the response to a request; in the other
@@ -36,6 +38,8 @@
 	results      map[batch.JobID]chan batch.Result // by job that a request waits for
 	lastJobAt    time.Time
 	wakeupAt     time.Time
+	dispatchedAt time.Time           // last Dispatch before the present one
+	lateLoggedAt time.Time           // last log line about jobs that could not meet their deadline
 	pendingFrees map[string][]string // handles to free, by address
 
 	lastForecast batch.Forecast
@@ -99,6 +103,8 @@
 	now := daemon.clock.Now()
 	daemon.inferBrittle(daemon.view.Load().targets[sender.service])
 	calls, ended, unused := sender.pool.Dispatch(now)
+	daemon.logLate(now, sender, ended)
+	sender.dispatchedAt = now
 	daemon.deliver(sender, ended, unused)
 	daemon.releaseFetched(sender.pool.FetchedInputs(now))
 	for _, call := range calls {
@@ -108,6 +114,23 @@
 	daemon.scheduleWakeup(sender, now)
 }
 
+// logLate logs what occupies the targets when queued jobs cannot meet their deadline; it must run on the loop.
+func (daemon *Daemon) logLate(now time.Time, sender *sender, ended []batch.Result) {
+	late := 0
+	for _, result := range ended {
+		if result.Fault == core.PieceLate {
+			late++
+		}
+	}
+	if late == 0 || now.Sub(sender.lateLoggedAt) < lateLogInterval {
+		return
+	}
+	sender.lateLoggedAt = now
+	queued, targets := sender.pool.Load(now, maxLateLogTargets)
+	daemon.log.Warn().Str(eventField, eventJobsLate).Str("Service", sender.service).Int("Jobs", late).Int("Queued", queued).Bool("Sends", daemon.senderOf(sender.service) == nil).
+		Dur("IdleFor", now.Sub(sender.dispatchedAt)).Interface("Targets", targets).Msg("queued jobs cannot meet their deadline")
+}
+
 // releaseFetched releases inputs that no target will fetch any more, each through the sender of its service; it must run on
 // the loop.
 func (daemon *Daemon) releaseFetched(handles []string) {
