core/batch: wake the pool for everything that time alone makes sendable

A queued job slept until its deadline, less the overhead of a call, when no event came: NextWakeup knew the backoffs of targets, but not the other conditions that change without an event. Seen in TestBatchingAcrossDaemons (KNOWN-RED): a request waited 5.8 s of 6 s beside idle targets.

NextWakeup now covers the expiry of retained results, the decay of unaccounted ones, the decay of a slowdown that leaves a target out, the end of the wait for a target near the inputs, the time from which a late job is rejected, and a stall timeout that shortens as the slowdown decays. Dispatch starts all calls that can be started: a target with two slots got one call an event. A piece that is left for lack of room counts as waiting for its data centre all the time, not only while its slack is long, so that the wait of the pieces behind it does not grow by itself. A piece with a running call no longer wakes the pool each millisecond at its deadline.

TestQueuedJobIsWoken has one case each; on the code before, all six fail: the job is sent after 5.8 s, or rejected after 5.81 s. The queue is ordered by the number of a piece, too, so that a run can be repeated.

--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -17,12 +17,25 @@
 	}
 	pool.requeueStalled(now)
 	ended, unused = pool.rejectInfeasible(now)
+	pool.localityWaitEnds = time.Time{}
+	for {
+		started := pool.dispatchRound(now)
+		if len(started) == 0 {
+			return calls, ended, unused
+		}
+		calls = append(calls, started...)
+	}
+}
+
+// dispatchRound starts at most one call to each idle target; a target may run several.
+func (pool *Pool) dispatchRound(now time.Time) []Call {
 	idle := pool.idleWorkers(now)
 	if len(idle) == 0 || len(pool.queue) == 0 {
-		return nil, ended, unused // most events on a long queue end here, without the cost of sorting it
+		return nil // most events on a long queue end here, without the cost of sorting it
 	}
 	pool.sortQueue(now)
 	dataCentres := pool.usableDataCentres(now)
+	var calls []Call
 	for i, worker := range idle {
 		if len(pool.queue) == 0 {
 			break
@@ -31,7 +44,7 @@
 			calls = append(calls, pool.startCall(now, worker, batch))
 		}
 	}
-	return calls, ended, unused
+	return calls
 }
 
 // compensateStall detects a stall of this process: without one, Dispatch runs before any call stalls. The duration of
@@ -121,7 +134,7 @@
 		return job.SoftDeadline.Add(time.Duration(job.Priority) * priorityOffset)
 	}
 	slices.SortStableFunc(pool.queue, func(a, b *piece) int {
-		return cmp.Or(cmp.Compare(late(a), late(b)), due(a.job).Compare(due(b.job)), cmp.Compare(a.job.id, b.job.id))
+		return cmp.Or(cmp.Compare(late(a), late(b)), due(a.job).Compare(due(b.job)), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.number, b.number))
 	})
 }
 
@@ -200,8 +213,13 @@
 // wait returns how long a piece waits for a slot in the data centre, behind the pieces that formBatch has left waiting
 // for it.
 func (dataCentre *dataCentre) wait(size int, callTime time.Duration) time.Duration {
+	return dataCentre.freeIn + dataCentre.waitBehind(size, callTime)
+}
+
+// waitBehind returns the part of wait after the first target has a free slot.
+func (dataCentre *dataCentre) waitBehind(size int, callTime time.Duration) time.Duration {
 	rounds := dataCentre.queued / (size * dataCentre.targets)
-	return dataCentre.freeIn + callTime*time.Duration(rounds)
+	return callTime * time.Duration(rounds)
 }
 
 // formBatch takes the pieces of one call off the queue and leaves a share for the other idle targets. A piece waits for
@@ -214,7 +232,13 @@
 			return false
 		}
 		slack := float64(job.SoftDeadline.Sub(now) - callTime)
-		return float64(dataCentres[job.DataCentre].wait(pool.spec.MaxPieces, callTime)) < slack*localityWaitShare
+		if float64(dataCentres[job.DataCentre].wait(pool.spec.MaxPieces, callTime)) >= slack*localityWaitShare {
+			return false
+		}
+		// The slack shrinks while the wait stays the same once a target there has a free slot.
+		behind := float64(dataCentres[job.DataCentre].waitBehind(pool.spec.MaxPieces, callTime)) / localityWaitShare
+		pool.localityWaitEnds = earliest(pool.localityWaitEnds, job.SoftDeadline.Add(-callTime-time.Duration(behind)))
+		return true
 	}
 	size := max((len(pool.queue)+idle-1)/idle, (pool.spec.MaxPieces+1)/2)
 	size = min(size, pool.spec.MaxPieces)
@@ -229,12 +253,10 @@
 			kept = append(kept, pool.queue[i:]...)
 			break
 		}
-		if shouldWait(waiting.job) {
-			dataCentres[waiting.job.DataCentre].queued++
-			kept = append(kept, waiting)
-			continue
-		}
-		if waiting.job.ResultBytes > freeBytes {
+		if shouldWait(waiting.job) || waiting.job.ResultBytes > freeBytes {
+			if near := dataCentres[waiting.job.DataCentre]; near != nil && waiting.job.DataCentre != worker.DataCentre {
+				near.queued++
+			}
 			kept = append(kept, waiting)
 			continue
 		}
--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -59,45 +59,6 @@
 	return pool.spec.CallOverhead + pieceTimes*time.Duration(size)/time.Duration(len(pool.queue))
 }
 
-// NextWakeup returns when Dispatch has to run again if no event comes first; the zero time means never.
-func (pool *Pool) NextWakeup(now time.Time) time.Time {
-	var wake time.Time
-	wakeBy := func(at time.Time) {
-		if wake.IsZero() || at.Before(wake) {
-			wake = at
-		}
-	}
-	for _, call := range pool.calls {
-		if !call.stalled {
-			wakeBy(call.startedAt.Add(pool.stallTimeout(now, call)))
-		}
-	}
-	if len(pool.queue) > 0 {
-		for _, worker := range pool.workers {
-			if worker.backoffUntil.After(now) {
-				wakeBy(worker.backoffUntil)
-			}
-			if worker.fullUntil.After(now) {
-				wakeBy(worker.fullUntil)
-			}
-			if wait := pool.paceWait(now, worker); wait > 0 {
-				wakeBy(now.Add(wait))
-			}
-		}
-		for _, waiting := range pool.queue {
-			wakeBy(waiting.job.Deadline.Add(-pool.spec.CallOverhead))
-		}
-	}
-	if len(pool.fetches) > 0 {
-		wakeBy(pool.fetches[0].at)
-	}
-	if !wake.IsZero() && !wake.After(now) {
-		wake = now.Add(time.Millisecond)
-	}
-	pool.dispatchDue = wake
-	return wake
-}
-
 // Forecast returns an estimate of how long new jobs would wait.
 func (pool *Pool) Forecast(now time.Time) Forecast {
 	forecast := Forecast{Call: pool.typicalCallTime(), ShortOfRoom: pool.isShortOfRoom(now), Ahead: make([]time.Duration, forecastSteps)}
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -43,6 +43,7 @@
 	lastCallID          CallID
 	infeasibleCheckedAt time.Time // last search of the queue for infeasible jobs
 	dispatchDue         time.Time // latest time for the next Dispatch; zero means none
+	localityWaitEnds    time.Time // first time at which a piece no longer waits for a target near its inputs, as of the last Dispatch; zero means none waits
 	firstCallAt         time.Time // start of the first call since the pool began to send
 	lastCallAt          time.Time // start of the last call
 	fetches             []fetch   // in order of time
--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -42,6 +42,7 @@
 	unaccountedBytes    int64 // bytes of results that this pool does not know, as of unaccountedAt
 	unaccountedAt       time.Time
 	retainedResults     map[string]retainedResult // results that the target retains, by handle
+	nextExpiry          time.Time                 // time until which none of them expires; zero means that there is none
 }
 
 func (worker *worker) usable(now time.Time) bool {
@@ -55,12 +56,22 @@
 	return 1 + (worker.slowdown-1)*math.Exp2(-halfLives)
 }
 
+// usableFrom returns when the slowdown falls below unusableSlowdown; zero means that it is below.
+func (worker *worker) usableFrom(now time.Time) time.Time {
+	if worker.currentSlowdown(now) < unusableSlowdown {
+		return time.Time{}
+	}
+	halfLives := math.Log2((worker.slowdown - 1) / (unusableSlowdown - 1))
+	return worker.slowdownAt.Add(time.Duration(halfLives*float64(slowdownHalfLife)) + time.Microsecond) // more than the rounding of currentSlowdown
+}
+
 func (worker *worker) retain(handle string, bytes int64, expires time.Time) {
 	if len(worker.retainedResults) >= maxRetainedResults {
 		return
 	}
 	worker.retainedResults[handle] = retainedResult{bytes: bytes, expires: expires}
 	worker.retainedBytes += bytes
+	worker.nextExpiry = earliest(worker.nextExpiry, expires)
 }
 
 func (worker *worker) freeRetainedResult(handle string) {
@@ -71,10 +82,16 @@
 }
 
 func (worker *worker) expireRetainedResults(now time.Time) {
+	if !now.After(worker.nextExpiry) {
+		return
+	}
+	worker.nextExpiry = time.Time{}
 	for handle, result := range worker.retainedResults {
 		if now.After(result.expires) {
 			worker.freeRetainedResult(handle)
+			continue
 		}
+		worker.nextExpiry = earliest(worker.nextExpiry, result.expires)
 	}
 }
 
@@ -92,6 +109,17 @@
 	return int64(float64(worker.unaccountedBytes) * max(remainingShare, 0))
 }
 
+// fitsFrom returns when unaccounted results have expired to such an extent that a result of the size fits; zero means that it
+// fits already, or only after other results are freed.
+func (worker *worker) fitsFrom(now time.Time, spec core.BatchSpec, bytes int64) time.Time {
+	room := int64(float64(spec.MaxResultBytes)*usableResultShare) - worker.reservedBytes - worker.retainedBytes - bytes
+	if room < 0 || worker.remainingUnaccounted(now, spec.ResultTTL) <= room {
+		return time.Time{}
+	}
+	remainingShare := float64(room) / float64(worker.unaccountedBytes)
+	return worker.unaccountedAt.Add(time.Duration((1 - remainingShare) * float64(spec.ResultTTL)))
+}
+
 // recordFull records that the target had no free result capacity although the pool expected some: after a daemon has
 // crashed, nobody frees the results of its requests.
 func (worker *worker) recordFull(now time.Time, spec core.BatchSpec) {
--- /dev/null
+++ b/core/batch/wakeup_test.go
@@ -0,0 +1,75 @@
+package batch
+
+import (
+	"testing"
+	"time"
+)
+
+// TestQueuedJobIsWoken guards against a job that waits until its deadline although a target could take it, because what it waits
+// for changes with time alone and the pool does not ask to be woken then: two of three pieces of a request waited for 5.8 s beside
+// idle targets, for results that had been freed without the pool and expired.
+func TestQueuedJobIsWoken(t *testing.T) {
+	const large = 15_000_000 // one result of this size fits
+	soon := Job{Pieces: 1, ResultBytes: large, SoftDeadline: start.Add(2 * time.Second), Deadline: start.Add(6 * time.Second)}
+	for _, test := range []struct {
+		name     string
+		targets  []Target
+		maxCalls int
+		job      Job
+		before   func(pool *Pool)
+		from, by time.Duration // when the call is sent, or the job ends
+		late     bool          // the job ends
+	}{
+		{"retained results expire", targets(1), 1, soon, func(pool *Pool) {
+			pool.workers["t0"].retain("h", large, start.Add(3*time.Second))
+		}, 3 * time.Second, 3005 * time.Millisecond, false},
+		{"unaccounted results expire", targets(1), 1, soon, func(pool *Pool) {
+			worker := pool.workers["t0"]
+			worker.unaccountedBytes, worker.unaccountedAt = 17_100_000, start
+		}, 3400 * time.Millisecond, 3600 * time.Millisecond, false},
+		{"a slow target is tried again", targets(2), 1, soon, func(pool *Pool) {
+			pool.workers["t0"].retain("h", large, start.Add(time.Minute))
+			pool.workers["t1"].slowdown, pool.workers["t1"].slowdownAt = 5, start
+		}, 4 * time.Second, 4005 * time.Millisecond, false},
+		{
+			"a full target near the inputs", []Target{{ID: "near", DataCentre: "a"}, {ID: "far", DataCentre: "b"}}, 1,
+			Job{Pieces: 1, ResultBytes: large, DataCentre: "a", SoftDeadline: start.Add(2 * time.Second), Deadline: start.Add(6 * time.Second)},
+			func(pool *Pool) { pool.workers["near"].retain("h", large, start.Add(time.Minute)) },
+			1600 * time.Millisecond, 1800 * time.Millisecond, false,
+		},
+		{
+			"a target with two slots", targets(1), 2, Job{Pieces: 16, SoftDeadline: start.Add(2 * time.Second), Deadline: start.Add(6 * time.Second)},
+			func(*Pool) {}, 0, 5 * time.Millisecond, false,
+		},
+		{"the caller can still retry", targets(1), 1, soon, func(pool *Pool) {
+			pool.workers["t0"].retain("h", large, start.Add(time.Minute))
+		}, 2500 * time.Millisecond, 3 * time.Second, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			spec := warehouseSpec
+			spec.MaxCalls = test.maxCalls
+			pool := New(spec)
+			pool.SetTargets(test.targets)
+			test.before(pool)
+			test.job.LastAttempt = !test.late
+			pool.Submit(test.job)
+			now, wakeups := start, 0
+			for wakeups = range 100 {
+				calls, ended, _ := pool.Dispatch(now)
+				waiting := len(pool.queue) // the call with the last piece has been sent
+				if elapsed := now.Sub(start); waiting == 0 || len(ended) > 0 {
+					if elapsed < test.from || elapsed > test.by || test.late != (len(ended) > 0) {
+						t.Errorf("%d calls are sent and %+v ends after %v, want that between %v and %v", len(calls), ended, elapsed, test.from, test.by)
+					}
+					break
+				}
+				if now = pool.NextWakeup(now); now.IsZero() {
+					t.Fatal("the pool does not ask to be woken")
+				}
+			}
+			if wakeups > 30 {
+				t.Errorf("the pool asked to be woken %d times", wakeups)
+			}
+		})
+	}
+}
