io/edge: ask other daemons only about targets that do not answer at once

A round of probes had up to three other daemons connect to all of its five targets, also to those that the daemon itself reaches.

Cause: the other daemons were asked at the start of a round, to save the time of a probe that hangs.

Now they are asked after 0.1 s, about the targets to which no connection has been opened by then. A target that answers does so within some milliseconds, and a round still takes one time limit instead of two. Tests of io/edge and core/reach pass.

--- a/io/edge/paths.go
+++ b/io/edge/paths.go
@@ -22,7 +22,8 @@
 	pathCalmInterval   = 800 * time.Millisecond // interval while they are suspect, after a round that reached most targets and all that others reach
 	pathProbeTimeout   = 350 * time.Millisecond // limit on one probe, which opens a connection
 	pathProbes         = 5                      // targets probed in a round
-	pathWitnesses      = 3                      // other daemons that try the targets of a round as well
+	pathWitnesses      = 3                      // other daemons that are asked about targets that this one cannot connect to
+	pathWitnessDelay   = 100 * time.Millisecond // time after which a probe that has no connection yet counts as one of these
 	pathWitnessTimeout = 600 * time.Millisecond // limit on their answer, which takes pathProbeTimeout
 	pathDoubt          = 400 * time.Millisecond // time after a failure at a target in which the paths may turn out to be lost
 	pathFailureMemory  = 2 * time.Second        // time after the paths have returned in which failures are still put down to them
@@ -170,33 +171,29 @@
 	monitor.round, monitor.probedAt, monitor.warned = round, monitor.daemon.clock.Now(), false
 	targets := monitor.paths.Choose(slices.Collect(maps.Keys(monitor.daemon.view.Load().byID)), pathProbes, rand.Shuffle)
 	monitor.mutex.Unlock()
-	var reached []string
-	var byOthers map[string]bool
-	var group sync.WaitGroup
-	group.Go(func() {
-		defer monitor.daemon.recoverPanic("paths")
-		reached = monitor.daemon.connectAll(targets)
-	})
-	group.Go(func() {
-		defer monitor.daemon.recoverPanic("paths")
-		byOthers = monitor.daemon.reachedByOthers(targets)
-	})
-	group.Wait()
+	dials := monitor.daemon.dialAll(targets)
+	select {
+	case <-dials.done:
+	case <-monitor.daemon.clock.After(pathWitnessDelay):
+	}
+	byOthers := monitor.daemon.reachedByOthers(dials.unreached(targets))
+	<-dials.done
+	unreached := dials.unreached(targets)
 	probes := make([]reach.Probe, len(targets))
 	onlyOthers := 0
 	for i, id := range targets {
-		probes[i] = reach.Probe{Target: id, Reached: slices.Contains(reached, id), OthersReachIt: byOthers[id]}
+		probes[i] = reach.Probe{Target: id, Reached: !slices.Contains(unreached, id), OthersReachIt: byOthers[id]}
 		if !probes[i].Reached && byOthers[id] {
 			onlyOthers++
 		}
 	}
 	monitor.mutex.Lock()
 	changed, lost := monitor.paths.Judge(monitor.daemon.clock.Now(), probes), monitor.paths.Lost()
-	monitor.round, monitor.calm = nil, onlyOthers == 0 && len(reached) > len(targets)-len(reached)
+	monitor.round, monitor.calm = nil, onlyOthers == 0 && len(unreached) < len(targets)-len(unreached)
 	monitor.mutex.Unlock()
 	close(round)
 	if changed {
-		monitor.daemon.handlePathChange(lost, len(reached), onlyOthers)
+		monitor.daemon.handlePathChange(lost, len(targets)-len(unreached), onlyOthers)
 	}
 }
 
@@ -262,30 +259,44 @@
 	if !readJSON(writer, request, &message) {
 		return
 	}
-	writeJSON(writer, reachReply{Reached: daemon.connectAll(message.Targets[:min(len(message.Targets), pathProbes)])})
+	dials := daemon.dialAll(message.Targets[:min(len(message.Targets), pathProbes)])
+	<-dials.done
+	writeJSON(writer, reachReply{Reached: dials.reached})
+}
+
+// dials are connections that are opened to targets side by side, each to see whether the target can be reached.
+type dials struct {
+	mutex   sync.Mutex
+	reached []string
+	done    chan struct{} // closed when all have been opened or have failed
 }
 
-// connectAll returns those of the targets that are registered and to which a connection can be opened.
-func (daemon *Daemon) connectAll(targets []string) []string {
+// dialAll opens connections to those of the targets that are registered.
+func (daemon *Daemon) dialAll(targets []string) *dials {
 	view := daemon.view.Load()
-	results := make([]bool, len(targets))
+	dials := &dials{done: make(chan struct{})}
 	var group sync.WaitGroup
-	for i, id := range targets {
+	for _, id := range targets {
 		if address, registered := view.byID[id]; registered {
 			group.Go(func() {
 				defer daemon.recoverPanic("paths")
-				results[i] = canConnect(address)
+				if canConnect(address) {
+					dials.mutex.Lock()
+					defer dials.mutex.Unlock()
+					dials.reached = append(dials.reached, id)
+				}
 			})
 		}
 	}
-	group.Wait()
-	var reached []string
-	for i, id := range targets {
-		if results[i] {
-			reached = append(reached, id)
-		}
-	}
-	return reached
+	go func() { group.Wait(); close(dials.done) }()
+	return dials
+}
+
+// unreached returns those of the targets to which no connection has been opened so far.
+func (dials *dials) unreached(targets []string) []string {
+	dials.mutex.Lock()
+	defer dials.mutex.Unlock()
+	return slices.DeleteFunc(slices.Clone(targets), func(id string) bool { return slices.Contains(dials.reached, id) })
 }
 
 func canConnect(address string) bool {
