--- a/io/edge/hold_test.go
+++ b/io/edge/hold_test.go
@@ -57,8 +57,6 @@
 func TestPauseOfFormerID(t *testing.T) {
 	const pause = 10 * time.Second
 	daemon := newFleetMember(t)
-	clock := &fakes.Clock{}
-	daemon.clock = clock
 	renewed, other := daemon.view.Load().targets["ledger"][0], daemon.view.Load().targets["ledger"][1]
 	former := renewed
 	former.ID, former.StartedAt = "i-former", renewed.StartedAt.Add(-time.Minute)
@@ -68,11 +66,11 @@
 	daemon.view.Store(&next)
 	daemon.pauseTarget(targetAnswer{service: "ledger", target: renewed.ID, address: renewed.Address, startedAt: renewed.StartedAt, facts: core.TargetResponse{Pause: pause}})
 	daemon.do(func() {
-		if targets, _ := daemon.unpausedTargets(clock.Now(), "ledger", ""); len(targets) != 1 || targets[0].ID != other.ID {
+		if targets, _ := daemon.unpausedTargets(daemon.clock.Now(), "ledger", ""); len(targets) != 1 || targets[0].ID != other.ID {
 			t.Errorf("targets that may get requests: %v", targets)
 		}
 		for range 20 { // the order of a map differs
-			if delay := daemon.freeDelayOf(clock.Now(), renewed.Address); delay < pause-time.Second {
+			if delay := daemon.freeDelayOf(daemon.clock.Now(), renewed.Address); delay < pause-time.Second {
 				t.Errorf("results are freed in %v", delay)
 				break
 			}
