io/edge: log the crashes for which a part of prompts is quarantined

A daemon logged only its own crashes, without the run of the target and without the fingerprint by which a quarantine names a part, so the logs of a failed soak could not tell which crashes, heard from whom, a daemon counted against a part. CrashRecorded has TargetRun and Suspects now, and each daemon logs once a second which parts it has begun to reject, with their crashes, and which it no longer rejects; at most 16 parts at a time.

--- a/io/edge/crash.go
+++ b/io/edge/crash.go
@@ -55,8 +55,12 @@
 
 func (relay *relay) logCrash(suspects blame.Request) {
 	request, target := relay.request, relay.attempt.target
+	fingerprints := make([]string, len(suspects.Parts))
+	for i, part := range suspects.Parts {
+		fingerprints[i] = part.String()
+	}
 	relay.daemon.log.Info().Str(eventField, eventCrashRecorded).Str("Request", request.caller.Attempt).Str("Target", target.ID).
-		Str("Content", suspects.Content.String()).Strs("Parts", request.sharedParts()).Bool("PartsSuspected", suspects.Parts != nil).
+		Str("TargetRun", runOf(target.ID, target.StartedAt)).Strs("Suspects", fingerprints).Str("Content", suspects.Content.String()).Strs("Parts", request.sharedParts()).Bool("PartsSuspected", suspects.Parts != nil).
 		Msg("the target disconnected and may have crashed under the request")
 }
 
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -44,6 +44,8 @@
 	eventFreeFailed          = "FreeFailed"          // results were not freed and expire on their own
 	eventAttemptFailed       = "AttemptFailed"       // an attempt at a target failed
 	eventCrashRecorded       = "CrashRecorded"       // a target may have crashed under a request
+	eventQuarantineBegan     = "QuarantineBegan"     // this daemon rejects prompts with a part
+	eventQuarantineEnded     = "QuarantineEnded"     // this daemon no longer rejects prompts with a part
 	eventQuarantineRecorded  = "QuarantineRecorded"  // a part of prompts is quarantined, which the store records
 	eventQuarantineIgnored   = "QuarantineIgnored"   // the record of a quarantine cannot be decoded
 	eventLimitNamed          = "LimitNamed"          // a target names a request rate for all daemons together, or another one than before
--- a/io/edge/quarantine.go
+++ b/io/edge/quarantine.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"catkincove/core"
@@ -14,6 +16,7 @@
 const (
 	recordInterval = time.Second      // period of the comparison of the quarantined parts with their records
 	recordTTL      = 10 * time.Minute // TTL of a record; the store allows no longer lease
+	maxLoggedParts = 16               // quarantined parts whose crashes are logged
 )
 
 // checkQuarantine returns an error if the request or a part of its prompt has crashed too many targets; it must run on the loop.
@@ -44,18 +47,21 @@
 // outlasts a loss of all daemons. One daemon of the fleet writes the records.
 func (daemon *Daemon) recordQuarantines(ctx context.Context) error {
 	leases := map[core.Fingerprint]core.LeaseID{} // of the records of this daemon
+	logged := map[core.Fingerprint]bool{}
 	var epoch int64
 	for core.Sleep(ctx, daemon.clock, recordInterval) {
 		if current := daemon.storeEpoch(); current != epoch {
 			clear(leases) // a store that was restored has lost the records
 			epoch = current
 		}
-		var parts map[core.Fingerprint][]blame.Crash
+		var quarantined, parts map[core.Fingerprint][]blame.Crash
 		daemon.do(func() {
+			quarantined = daemon.control.crashTracker.QuarantinedParts(daemon.clock.Now())
 			if daemon.senderOf(core.CrashPrefix) == nil {
-				parts = daemon.control.crashTracker.QuarantinedParts(daemon.clock.Now())
+				parts = quarantined
 			}
 		})
+		daemon.logQuarantines(logged, quarantined)
 		for part, crashes := range parts {
 			if leases[part] != 0 {
 				continue
@@ -77,6 +83,32 @@
 	return ctx.Err()
 }
 
+// logQuarantines logs which parts are quarantined since the last period and for which crashes, and which are not any more.
+func (daemon *Daemon) logQuarantines(logged map[core.Fingerprint]bool, quarantined map[core.Fingerprint][]blame.Crash) {
+	for part := range logged {
+		if _, found := quarantined[part]; !found {
+			delete(logged, part)
+			daemon.log.Info().Str(eventField, eventQuarantineEnded).Str("Part", part.String()).Msg("the quarantine of a part of prompts has ended")
+		}
+	}
+	for part, crashes := range quarantined {
+		if logged[part] || len(logged) >= maxLoggedParts {
+			continue
+		}
+		logged[part] = true
+		runs := make([]string, len(crashes))
+		for i, crash := range crashes {
+			with := make([]string, len(crash.With))
+			for j, other := range crash.With {
+				with[j] = other.String()
+			}
+			runs[i] = fmt.Sprintf("%s, %v ago, with %s", crash.Target, crash.Age.Round(time.Millisecond), strings.Join(with, " "))
+		}
+		slices.Sort(runs)
+		daemon.log.Info().Str(eventField, eventQuarantineBegan).Str("Part", part.String()).Strs("Crashes", runs).Msg("prompts with the part are rejected")
+	}
+}
+
 func (daemon *Daemon) recordQuarantine(ctx context.Context, part core.Fingerprint, crashes []blame.Crash) (core.LeaseID, error) {
 	value, err := json.Marshal(crashes)
 	if err != nil {
