core/blame: test which of several parts crashes targets

So the crashes had no part in common but the sound one, whose count was the highest, and the part to blame was not quarantined itself: its crashes were explained by the other. All daemons had lost what they knew of sound parts in the same seconds. Requests that lack the part to blame would have cleared the sound one, and were all rejected until the quarantine ended, after minutes.

Fix: the daemon that places the prompts sends one request with quarantined parts a second after their newest crash, if a part which that request lacks explains at least half of the crashes and not fewer than CrashLimit. If it completes, its parts are sound for all daemons. If its target crashes, the crash is marked, also in messages and records, and a part that did not meet this crash excuses the tested ones no more, so a part that crashes targets costs one test. Tests are sent after 1, 2, 4 to 16 s while they decide nothing. A quarantined part that no other one excuses is probed as before.

Ruled out: a tolerance for some crashes without the part in common, free for all daemons, would let each daemon send the part to blame at once; early probes of all quarantined parts would cost a target for each of them.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -20,6 +20,8 @@
 	maxPartCrashes     = 24                     // crashes that are kept of a part
 	maxDoublings       = 4                      // the longest quarantine of a part is 16 minutes
 	probeInterval      = 10 * time.Second       // time between two requests that probe a part after its quarantine
+	testDelay          = time.Second            // time after the newest crash of a part in which it is not tested: its target may still be away
+	testInterval       = time.Second            // time between the first two tests of a part, doubled for each further one
 	soundTTL           = 60 * time.Second       // time after a completed request in which its parts cannot be suspects
 	minRestart         = time.Second            // a target that has crashed responds again later than this
 	maxEndings         = 1024                   // endings of responses that are remembered, those of a second
@@ -34,6 +36,7 @@
 type Request struct {
 	Content core.Fingerprint   // of the whole request
 	Parts   []core.Fingerprint // parts of the prompt that other requests share
+	Probe   bool               // the request was sent to find out whether its quarantined parts are sound
 }
 
 // Crash is one target that crashed while it ran a request.
@@ -42,6 +45,7 @@
 	Part    bool
 	With    []core.Fingerprint // other parts of the prompt or, from another daemon, of all prompts with the part that the crash broke off
 	Target  string             // identifies one run of a target
+	Probe   bool               // a request with the part that was sent as a probe or test met the crash
 	Age     time.Duration
 }
 
@@ -68,10 +72,13 @@
 	part     bool
 	crashes  map[string]record // by run of a target
 	probedAt time.Time
+	testedAt time.Time
+	tests    int
 }
 
 type record struct {
 	seenAt time.Time
+	probe  bool               // a probe or test met the crash
 	local  bool               // observed by this daemon, not received by gossip
 	with   []core.Fingerprint // other parts of the prompts that were broken off by the crash and have the suspected one, without those that are sound
 }
@@ -82,7 +89,7 @@
 	crashTracker.Add(now, Crash{Content: request.Content, Target: target})
 	for i, part := range request.Parts {
 		with := slices.Concat(request.Parts[:i], request.Parts[i+1:])
-		crashTracker.Add(now, Crash{Content: part, Part: true, With: with, Target: target})
+		crashTracker.Add(now, Crash{Content: part, Part: true, With: with, Target: target, Probe: request.Probe})
 	}
 }
 
@@ -113,6 +120,7 @@
 		recorded.seenAt, recorded.local = at, crash.Age == 0
 	}
 	recorded.with = union(recorded.with, crash.With)
+	recorded.probe = recorded.probe || crash.Probe
 	known.crashes[crash.Target] = recorded
 	if known.part && len(known.crashes) > maxPartCrashes {
 		known.removeOldest()
@@ -255,13 +263,18 @@
 		return request.Content, true
 	}
 	for _, part := range request.Parts {
-		if known := crashTracker.suspects[part]; known != nil && crashTracker.isGuilty(now, known) && known.sharesWith(request.Parts) {
+		if known := crashTracker.suspects[part]; known != nil && crashTracker.rejects(now, known, request) {
 			return part, true
 		}
 	}
 	return 0, false
 }
 
+// rejects reports whether the request must not be sent because of one of its parts.
+func (crashTracker *CrashTracker) rejects(now time.Time, suspect *suspect, request Request) bool {
+	return crashTracker.isGuilty(now, suspect) && suspect.sharesWith(request.Parts)
+}
+
 // Probe reports whether the request may be sent to find out whether a part of its prompt still crashes targets: the quarantine has
 // lasted its time and no other request probes the part. Only one daemon of the fleet may probe.
 func (crashTracker *CrashTracker) Probe(now time.Time, part core.Fingerprint) bool {
@@ -273,6 +286,72 @@
 	return true
 }
 
+// Test reports whether a request with quarantined parts may be sent to find out whether they are sound, because a part that it lacks explains their crashes as
+// well. Which of such parts has the most crashes says little: a daemon that ends takes with it what it has seen. Only one daemon of the fleet may test.
+func (crashTracker *CrashTracker) Test(now time.Time, request Request) bool {
+	var tested []*suspect
+	for _, part := range request.Parts {
+		if known := crashTracker.suspects[part]; known != nil && crashTracker.rejects(now, known, request) {
+			if !known.isTestDue(now) || !crashTracker.hasAlternative(now, known, request) {
+				return false
+			}
+			tested = append(tested, known)
+		}
+	}
+	for _, known := range tested {
+		known.testedAt = now
+		known.tests++
+	}
+	return len(tested) > 0
+}
+
+func (suspect *suspect) isTestDue(now time.Time) bool {
+	_, last := suspect.span()
+	return now.Sub(last) >= testDelay && now.Sub(suspect.testedAt) >= testInterval<<min(max(suspect.tests-1, 0), maxDoublings)
+}
+
+// hasAlternative reports whether a part that the request lacks explains enough crashes of the suspect to be quarantined instead, at least half of all, and those of
+// each probe and test.
+func (crashTracker *CrashTracker) hasAlternative(now time.Time, suspect *suspect, request Request) bool {
+	explained := map[core.Fingerprint]int{}
+	probes := 0
+	probesExplained := map[core.Fingerprint]int{}
+	for target, crash := range suspect.crashes {
+		if crash.probe {
+			probes++
+		}
+		for part := range crashTracker.beside(target, crash) {
+			if slices.Contains(request.Parts, part) || crashTracker.isSound(now, part) {
+				continue
+			}
+			explained[part]++
+			if crash.probe {
+				probesExplained[part]++
+			}
+		}
+	}
+	for part, count := range explained {
+		if count >= CrashLimit && 2*count >= len(suspect.crashes) && probesExplained[part] == probes {
+			return true
+		}
+	}
+	return false
+}
+
+// beside returns the parts of all requests that a crash broke off, as far as this daemon knows them.
+func (crashTracker *CrashTracker) beside(target string, crash record) map[core.Fingerprint]bool {
+	parts := map[core.Fingerprint]bool{}
+	for _, part := range crash.with {
+		parts[part] = true
+	}
+	for content, known := range crashTracker.suspects {
+		if _, found := known.crashes[target]; found && known.part {
+			parts[content] = true
+		}
+	}
+	return parts
+}
+
 func (suspect *suspect) crashesSince(since time.Time) int {
 	count := 0
 	for _, known := range suspect.crashes {
@@ -367,7 +446,7 @@
 	var crashes []Crash
 	for target, crash := range suspect.crashes {
 		age := max(now.Sub(crash.seenAt), time.Nanosecond)
-		crashes = append(crashes, Crash{Content: content, Part: suspect.part, With: crash.with, Target: target, Age: age})
+		crashes = append(crashes, Crash{Content: content, Part: suspect.part, With: crash.with, Target: target, Probe: crash.probe, Age: age})
 	}
 	return crashes
 }
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -46,6 +46,7 @@
 	eventCrashRecorded       = "CrashRecorded"       // a target may have crashed under a request
 	eventQuarantineBegan     = "QuarantineBegan"     // this daemon rejects prompts with a part
 	eventQuarantineEnded     = "QuarantineEnded"     // this daemon no longer rejects prompts with a part
+	eventQuarantineProbed    = "QuarantineProbed"    // a request is sent to find out whether a quarantined part is sound
 	eventQuarantineRecorded  = "QuarantineRecorded"  // a part of prompts is quarantined, which the store records
 	eventQuarantineIgnored   = "QuarantineIgnored"   // the record of a quarantine cannot be decoded
 	eventLimitNamed          = "LimitNamed"          // a target names a request rate for all daemons together, or another one than before
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -43,7 +43,6 @@
 	bodyMemory   *bodyMemory
 	fingerprint  core.Fingerprint
 	suspects     blame.Request
-	probe        bool // finds out whether a part of its prompt still crashes targets
 	startedAt    time.Time
 	softDeadline time.Time
 	deadline     time.Time
--- a/io/edge/quarantine.go
+++ b/io/edge/quarantine.go
@@ -21,17 +21,21 @@
 
 // checkQuarantine returns an error if the request or a part of its prompt has crashed too many targets; it must run on the loop.
 //
-// After the quarantine of a part, the daemon that places the prompts of the service sends one request with it.
+// The daemon that places the prompts of the service sends one request with a quarantined part after its quarantine, and earlier if another part explains the
+// crashes as well.
 func (daemon *Daemon) checkQuarantine(now time.Time, request *request) error {
 	guilty, quarantined := daemon.control.crashTracker.Quarantined(now, request.suspects)
-	if !quarantined || request.probe {
+	if !quarantined || request.suspects.Probe {
 		return nil
 	}
 	if guilty == request.suspects.Content {
 		return core.Errorf(core.Poison, "the request has crashed targets before")
 	}
-	if daemon.senderOf(daemon.chooseService(request).Name) == nil && daemon.control.crashTracker.Probe(now, guilty) {
-		request.probe = true
+	crashTracker := &daemon.control.crashTracker
+	if daemon.senderOf(daemon.chooseService(request).Name) == nil && (crashTracker.Test(now, request.suspects) || crashTracker.Probe(now, guilty)) {
+		request.suspects.Probe = true
+		daemon.log.Info().Str(eventField, eventQuarantineProbed).Str("Request", request.caller.Attempt).Str("Part", guilty.String()).Strs("Parts", request.sharedParts()).
+			Msg("the request is sent to find out whether its quarantined parts are sound")
 		return nil
 	}
 	id := ""
