core/blame: test only if another part explains three quarters of the crashes

TestQuarantineSurvivesRestart failed on the commit before (2 of 2 runs): after a restart of all daemons two requests with the part reached targets, since one of three first parts had met half of its crashes and the test asked for no more.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -310,8 +310,8 @@
 	return now.Sub(last) >= testDelay && now.Sub(suspect.testedAt) >= testInterval<<min(max(suspect.tests-1, 0), maxDoublings)
 }
 
-// hasAlternative reports whether a part that the request lacks explains enough crashes of the suspect to be quarantined instead, at least half of all, and those of
-// each probe and test.
+// hasAlternative reports whether a part that the request lacks explains enough crashes of the suspect to be quarantined instead, at least three quarters of all, and those
+// of each probe and test.
 func (crashTracker *CrashTracker) hasAlternative(now time.Time, suspect *suspect, request Request) bool {
 	explained := map[core.Fingerprint]int{}
 	probes := 0
@@ -331,7 +331,7 @@
 		}
 	}
 	for part, count := range explained {
-		if count >= CrashLimit && 2*count >= len(suspect.crashes) && probesExplained[part] == probes {
+		if count >= CrashLimit && 4*count >= 3*len(suspect.crashes) && probesExplained[part] == probes {
 			return true
 		}
 	}
