io/edge: send a probe of quarantined parts to one target only

What callers saw: nothing by itself; a request that is sent to find out whether its quarantined parts crash targets was not checked again, so when its target crashed it was retried like any other stream and could crash one more target for each attempt that its route allows (BUDGET allows three such requests). Found by reading, while TestQuarantineSurvivesRestart counted two requests of one test.

Fix: once a target may have run the request, its parts are checked again before a further attempt. TestProbeIsSentOnce failed before. What remains: a request whose target is silent is offered to another one without a check, as before.

--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -160,6 +160,7 @@
 	}
 	if failure.run != core.NotRun {
 		request.mayHaveRun = true // also when the time limit has passed meanwhile
+		request.suspects.Probe = false
 		delivery.executions++
 	}
 	if ctx.Err() != nil {
