core/blame: tell other daemons that a content has completed

A completion removed the crashes at one daemon only, and only until the next message of another daemon, since crashes of contents with several are repeated in each message for a minute. With the third crash all daemons quarantined it, and nothing could clear it.

Fix: a content that completes after several crashes is sound, as a part of prompts is, and daemons tell each other so; crashes of it that others report are not added for a minute after its newest completion. Parts go first in the messages. Contents with one crash are only removed, so that a failure of many targets does not fill the messages.

--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -29,7 +29,7 @@
 	maxContents        = 4096                   // contents and parts that are tracked, about 1 MB
 	gossipPeriod       = 4 * time.Second        // time for which a crash is gossiped: the other daemons ask once a second
 	maxGossipedCrashes = 64                     // crashes in one message, about 4 KB
-	maxGossipedParts   = 64                     // sound parts in one message, about 1 KB
+	maxGossipedParts   = 64                     // sound parts and contents in one message, about 1 KB
 )
 
 // Request is what may crash the targets that run a request.
@@ -56,11 +56,17 @@
 // requests that have completed are sound.
 type CrashTracker struct {
 	suspects map[core.Fingerprint]*suspect
-	sound    map[core.Fingerprint]time.Time // time of the newest completed request, by part
-	cleared  map[core.Fingerprint]time.Time // time at which a suspected part was found to be sound; to be gossiped
+	sound    map[core.Fingerprint]time.Time // time of the newest completed request, by part and by content that has had several crashes
+	cleared  map[core.Fingerprint]clearance // suspects that were found to be sound; to be gossiped
 	unproven []ending                       // oldest first
 }
 
+// clearance says that a suspect was found to be sound.
+type clearance struct {
+	at   time.Time
+	part bool
+}
+
 // ending is the end of a response that a crash of its target may have brought about.
 type ending struct {
 	request Request
@@ -99,8 +105,8 @@
 	if crash.Age > crashTTL && !crash.Part || crash.Age > partCrashTTL {
 		return
 	}
-	if crash.Part && crashTracker.isSound(now, crash.Content) {
-		crashTracker.clear(now, crash.Content)
+	if crashTracker.isSound(now, crash.Content) {
+		crashTracker.clear(now, crash.Content, crash.Part)
 		return
 	}
 	crash.With = slices.DeleteFunc(slices.Clone(crash.With), func(part core.Fingerprint) bool { return crashTracker.isSound(now, part) })
@@ -177,9 +183,14 @@
 }
 
 // Exonerate removes the crashes of a request that has completed. Its parts are sound: a part that crashes targets crashes each
-// of them.
+// of them. So is its content, which other daemons have to know if it has had several crashes: they tell each other of these again and again.
 func (crashTracker *CrashTracker) Exonerate(now time.Time, request Request) {
-	delete(crashTracker.suspects, request.Content)
+	known := crashTracker.suspects[request.Content]
+	if known != nil && len(known.crashes) > 1 || crashTracker.isSound(now, request.Content) {
+		crashTracker.AddSound(now, request.Content)
+	} else {
+		delete(crashTracker.suspects, request.Content)
+	}
 	for _, part := range request.Parts {
 		crashTracker.AddSound(now, part)
 	}
@@ -212,7 +223,7 @@
 	crashTracker.unproven = slices.Delete(crashTracker.unproven, 0, expired)
 }
 
-// AddSound records that a request with a part of a prompt has completed.
+// AddSound records that a request with a part of a prompt, or a request with a content that several targets have crashed under, has completed.
 func (crashTracker *CrashTracker) AddSound(now time.Time, part core.Fingerprint) {
 	if crashTracker.sound == nil {
 		crashTracker.sound = map[core.Fingerprint]time.Time{}
@@ -221,17 +232,21 @@
 		crashTracker.evictSound(now)
 	}
 	crashTracker.sound[part] = now
-	if _, suspected := crashTracker.suspects[part]; !suspected {
+	cleared := crashTracker.suspects[part]
+	if cleared == nil {
 		return
 	}
 	delete(crashTracker.suspects, part)
+	crashTracker.clear(now, part, cleared.part)
+	if !cleared.part {
+		return
+	}
 	for _, known := range crashTracker.suspects {
 		for target, crash := range known.crashes {
 			crash.with = slices.DeleteFunc(slices.Clone(crash.with), func(other core.Fingerprint) bool { return other == part })
 			known.crashes[target] = crash
 		}
 	}
-	crashTracker.clear(now, part)
 }
 
 // evictSound removes expired parts or, if there are none, half of all.
@@ -249,11 +264,11 @@
 	return found && now.Sub(at) <= soundTTL
 }
 
-func (crashTracker *CrashTracker) clear(now time.Time, part core.Fingerprint) {
+func (crashTracker *CrashTracker) clear(now time.Time, content core.Fingerprint, part bool) {
 	if crashTracker.cleared == nil {
-		crashTracker.cleared = map[core.Fingerprint]time.Time{}
+		crashTracker.cleared = map[core.Fingerprint]clearance{}
 	}
-	crashTracker.cleared[part] = now
+	crashTracker.cleared[content] = clearance{at: now, part: part}
 }
 
 // Quarantined reports whether the request must not be sent because its content or a part of its prompt has crashed too many
@@ -451,18 +466,21 @@
 	return crashes
 }
 
-// SoundToGossip returns the parts that other daemons may suspect and that have turned out to be sound.
+// SoundToGossip returns the parts and contents that other daemons may suspect and that have turned out to be sound, parts first.
 func (crashTracker *CrashTracker) SoundToGossip(now time.Time) []core.Fingerprint {
-	var parts []core.Fingerprint
-	for part, at := range crashTracker.cleared {
+	var parts, contents []core.Fingerprint
+	for content, cleared := range crashTracker.cleared {
 		switch {
-		case now.Sub(at) > gossipPeriod:
-			delete(crashTracker.cleared, part)
-		case len(parts) < maxGossipedParts:
-			parts = append(parts, part)
+		case now.Sub(cleared.at) > gossipPeriod:
+			delete(crashTracker.cleared, content)
+		case cleared.part:
+			parts = append(parts, content)
+		default:
+			contents = append(contents, content)
 		}
 	}
-	return parts
+	sound := append(parts, contents...)
+	return sound[:min(len(sound), maxGossipedParts)]
 }
 
 func (crashTracker *CrashTracker) expire(now time.Time) {
