--- a/core/blame/content_test.go
+++ b/core/blame/content_test.go
@@ -52,6 +52,6 @@
 	tracker.Exonerate(now, Request{Content: 1, Parts: []core.Fingerprint{first}})
 	sound := tracker.SoundToGossip(now)
 	if len(sound) != maxGossipedParts || sound[0] != first {
-		t.Errorf("%d sound parts and contents are gossiped, the first is %v", len(sound), sound[:1])
+		t.Errorf("%d sound parts and contents are gossiped, the first are %v", len(sound), sound[:min(len(sound), 3)])
 	}
 }
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -67,7 +67,7 @@
 	Forecasts map[string]batch.Forecast // by service; for the services whose batches it sends
 	Sends     []string                  // services whose batches it sends or whose prompts it places
 	Losses    []blame.Crash             // crashes of targets that are being gossiped
-	Sound     []core.Fingerprint        // parts of prompts that were suspected of crashes and are sound
+	Sound     []core.Fingerprint        // parts of prompts, and contents, that were suspected of crashes and are sound
 	Heard     []gossipEntry             // gossip about other daemons, in a large fleet
 	PathsLost *bool                     // it reaches most targets no longer; nil from builds that do not forward requests of others
 	Limits    []limitEntry              // limits that targets have named or name no longer
