--- a/core/blame/content_test.go
+++ b/core/blame/content_test.go
@@ -7,7 +7,7 @@
 	"catkincove/core"
 )
 
-// TestSoundContentWithSeveralCrashes guards against a sound content, sent by many callers, that is quarantined at all daemons for a minute: it completed hundreds of times
+// TestSoundContentWithSeveralCrashes guards against a sound content, sent by many callers, that is quarantined at all daemons for a minute: it completed again and again
 // between the crashes of its targets, but each daemon had the crashes back from the messages of the others. In the soak, a fifth of the requests got 422.
 func TestSoundContentWithSeveralCrashes(t *testing.T) {
 	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
