--- a/core/blame/blame.go
+++ b/core/blame/blame.go
@@ -20,6 +20,8 @@
 	maxPartCrashes     = 24                     // crashes that are kept of a part
 	maxDoublings       = 4                      // the longest quarantine of a part is 16 minutes
 	probeInterval      = 10 * time.Second       // time between two requests that probe a part after its quarantine
+	testDelay          = time.Second            // time after the newest crash of a part in which it is not tested: its target may still be away
+	testInterval       = time.Second            // time between the first two tests of a part, doubled for each further one
 	soundTTL           = 60 * time.Second       // time after a completed request in which its parts cannot be suspects
 	minRestart         = time.Second            // a target that has crashed responds again later than this
 	maxEndings         = 1024                   // endings of responses that are remembered, those of a second
@@ -27,13 +29,14 @@
 	maxContents        = 4096                   // contents and parts that are tracked, about 1 MB
 	gossipPeriod       = 4 * time.Second        // time for which a crash is gossiped: the other daemons ask once a second
 	maxGossipedCrashes = 64                     // crashes in one message, about 4 KB
-	maxGossipedParts   = 64                     // sound parts in one message, about 1 KB
+	maxGossipedParts   = 64                     // sound parts and contents in one message, about 1 KB
 )
 
 // Request is what may crash the targets that run a request.
 type Request struct {
 	Content core.Fingerprint   // of the whole request
 	Parts   []core.Fingerprint // parts of the prompt that other requests share
+	Probe   bool               // the request was sent to find out whether its quarantined parts are sound
 }
 
 // Crash is one target that crashed while it ran a request.
@@ -42,6 +45,7 @@
 	Part    bool
 	With    []core.Fingerprint // other parts of the prompt or, from another daemon, of all prompts with the part that the crash broke off
 	Target  string             // identifies one run of a target
+	Probe   bool               // a request with the part that was sent as a probe or test met the crash
 	Age     time.Duration
 }
 
@@ -52,11 +56,17 @@
 // requests that have completed are sound.
 type CrashTracker struct {
 	suspects map[core.Fingerprint]*suspect
-	sound    map[core.Fingerprint]time.Time // time of the newest completed request, by part
-	cleared  map[core.Fingerprint]time.Time // time at which a suspected part was found to be sound; to be gossiped
+	sound    map[core.Fingerprint]time.Time // time of the newest completed request, by part and by content that has had several crashes
+	cleared  map[core.Fingerprint]clearance // suspects that were found to be sound; to be gossiped
 	unproven []ending                       // oldest first
 }
 
+// clearance says that a suspect was found to be sound.
+type clearance struct {
+	at   time.Time
+	part bool
+}
+
 // ending is the end of a response that a crash of its target may have brought about.
 type ending struct {
 	request Request
@@ -68,10 +78,13 @@
 	part     bool
 	crashes  map[string]record // by run of a target
 	probedAt time.Time
+	testedAt time.Time
+	tests    int
 }
 
 type record struct {
 	seenAt time.Time
+	probe  bool               // a probe or test met the crash
 	local  bool               // observed by this daemon, not received by gossip
 	with   []core.Fingerprint // other parts of the prompts that were broken off by the crash and have the suspected one, without those that are sound
 }
@@ -82,7 +95,7 @@
 	crashTracker.Add(now, Crash{Content: request.Content, Target: target})
 	for i, part := range request.Parts {
 		with := slices.Concat(request.Parts[:i], request.Parts[i+1:])
-		crashTracker.Add(now, Crash{Content: part, Part: true, With: with, Target: target})
+		crashTracker.Add(now, Crash{Content: part, Part: true, With: with, Target: target, Probe: request.Probe})
 	}
 }
 
@@ -92,8 +105,8 @@
 	if crash.Age > crashTTL && !crash.Part || crash.Age > partCrashTTL {
 		return
 	}
-	if crash.Part && crashTracker.isSound(now, crash.Content) {
-		crashTracker.clear(now, crash.Content)
+	if crashTracker.isSound(now, crash.Content) {
+		crashTracker.clear(now, crash.Content, crash.Part)
 		return
 	}
 	crash.With = slices.DeleteFunc(slices.Clone(crash.With), func(part core.Fingerprint) bool { return crashTracker.isSound(now, part) })
@@ -113,6 +126,7 @@
 		recorded.seenAt, recorded.local = at, crash.Age == 0
 	}
 	recorded.with = union(recorded.with, crash.With)
+	recorded.probe = recorded.probe || crash.Probe
 	known.crashes[crash.Target] = recorded
 	if known.part && len(known.crashes) > maxPartCrashes {
 		known.removeOldest()
@@ -169,9 +183,14 @@
 }
 
 // Exonerate removes the crashes of a request that has completed. Its parts are sound: a part that crashes targets crashes each
-// of them.
+// of them. So is its content, which other daemons have to know if it has had several crashes: they tell each other of these again and again.
 func (crashTracker *CrashTracker) Exonerate(now time.Time, request Request) {
-	delete(crashTracker.suspects, request.Content)
+	known := crashTracker.suspects[request.Content]
+	if known != nil && len(known.crashes) > 1 || crashTracker.isSound(now, request.Content) {
+		crashTracker.AddSound(now, request.Content)
+	} else {
+		delete(crashTracker.suspects, request.Content)
+	}
 	for _, part := range request.Parts {
 		crashTracker.AddSound(now, part)
 	}
@@ -204,7 +223,7 @@
 	crashTracker.unproven = slices.Delete(crashTracker.unproven, 0, expired)
 }
 
-// AddSound records that a request with a part of a prompt has completed.
+// AddSound records that a request with a part of a prompt, or a request with a content that several targets have crashed under, has completed.
 func (crashTracker *CrashTracker) AddSound(now time.Time, part core.Fingerprint) {
 	if crashTracker.sound == nil {
 		crashTracker.sound = map[core.Fingerprint]time.Time{}
@@ -213,17 +232,21 @@
 		crashTracker.evictSound(now)
 	}
 	crashTracker.sound[part] = now
-	if _, suspected := crashTracker.suspects[part]; !suspected {
+	cleared := crashTracker.suspects[part]
+	if cleared == nil {
 		return
 	}
 	delete(crashTracker.suspects, part)
+	crashTracker.clear(now, part, cleared.part)
+	if !cleared.part {
+		return
+	}
 	for _, known := range crashTracker.suspects {
 		for target, crash := range known.crashes {
 			crash.with = slices.DeleteFunc(slices.Clone(crash.with), func(other core.Fingerprint) bool { return other == part })
 			known.crashes[target] = crash
 		}
 	}
-	crashTracker.clear(now, part)
 }
 
 // evictSound removes expired parts or, if there are none, half of all.
@@ -241,11 +264,11 @@
 	return found && now.Sub(at) <= soundTTL
 }
 
-func (crashTracker *CrashTracker) clear(now time.Time, part core.Fingerprint) {
+func (crashTracker *CrashTracker) clear(now time.Time, content core.Fingerprint, part bool) {
 	if crashTracker.cleared == nil {
-		crashTracker.cleared = map[core.Fingerprint]time.Time{}
+		crashTracker.cleared = map[core.Fingerprint]clearance{}
 	}
-	crashTracker.cleared[part] = now
+	crashTracker.cleared[content] = clearance{at: now, part: part}
 }
 
 // Quarantined reports whether the request must not be sent because its content or a part of its prompt has crashed too many
@@ -255,13 +278,18 @@
 		return request.Content, true
 	}
 	for _, part := range request.Parts {
-		if known := crashTracker.suspects[part]; known != nil && crashTracker.isGuilty(now, known) && known.sharesWith(request.Parts) {
+		if known := crashTracker.suspects[part]; known != nil && crashTracker.rejects(now, known, request) {
 			return part, true
 		}
 	}
 	return 0, false
 }
 
+// rejects reports whether the request must not be sent because of one of its parts.
+func (crashTracker *CrashTracker) rejects(now time.Time, suspect *suspect, request Request) bool {
+	return crashTracker.isGuilty(now, suspect) && suspect.sharesWith(request.Parts)
+}
+
 // Probe reports whether the request may be sent to find out whether a part of its prompt still crashes targets: the quarantine has
 // lasted its time and no other request probes the part. Only one daemon of the fleet may probe.
 func (crashTracker *CrashTracker) Probe(now time.Time, part core.Fingerprint) bool {
@@ -273,6 +301,72 @@
 	return true
 }
 
+// Test reports whether a request with quarantined parts may be sent to find out whether they are sound, because a part that it lacks explains their crashes as
+// well. Which of such parts has the most crashes says little: a daemon that ends takes with it what it has seen. Only one daemon of the fleet may test.
+func (crashTracker *CrashTracker) Test(now time.Time, request Request) bool {
+	var tested []*suspect
+	for _, part := range request.Parts {
+		if known := crashTracker.suspects[part]; known != nil && crashTracker.rejects(now, known, request) {
+			if !known.isTestDue(now) || !crashTracker.hasAlternative(now, known, request) {
+				return false
+			}
+			tested = append(tested, known)
+		}
+	}
+	for _, known := range tested {
+		known.testedAt = now
+		known.tests++
+	}
+	return len(tested) > 0
+}
+
+func (suspect *suspect) isTestDue(now time.Time) bool {
+	_, last := suspect.span()
+	return now.Sub(last) >= testDelay && now.Sub(suspect.testedAt) >= testInterval<<min(max(suspect.tests-1, 0), maxDoublings)
+}
+
+// hasAlternative reports whether a part that the request lacks explains enough crashes of the suspect to be quarantined instead, at least three quarters of all, and those
+// of each probe and test.
+func (crashTracker *CrashTracker) hasAlternative(now time.Time, suspect *suspect, request Request) bool {
+	explained := map[core.Fingerprint]int{}
+	probes := 0
+	probesExplained := map[core.Fingerprint]int{}
+	for target, crash := range suspect.crashes {
+		if crash.probe {
+			probes++
+		}
+		for part := range crashTracker.beside(target, crash) {
+			if slices.Contains(request.Parts, part) || crashTracker.isSound(now, part) {
+				continue
+			}
+			explained[part]++
+			if crash.probe {
+				probesExplained[part]++
+			}
+		}
+	}
+	for part, count := range explained {
+		if count >= CrashLimit && 4*count >= 3*len(suspect.crashes) && probesExplained[part] == probes {
+			return true
+		}
+	}
+	return false
+}
+
+// beside returns the parts of all requests that a crash broke off, as far as this daemon knows them.
+func (crashTracker *CrashTracker) beside(target string, crash record) map[core.Fingerprint]bool {
+	parts := map[core.Fingerprint]bool{}
+	for _, part := range crash.with {
+		parts[part] = true
+	}
+	for content, known := range crashTracker.suspects {
+		if _, found := known.crashes[target]; found && known.part {
+			parts[content] = true
+		}
+	}
+	return parts
+}
+
 func (suspect *suspect) crashesSince(since time.Time) int {
 	count := 0
 	for _, known := range suspect.crashes {
@@ -367,23 +461,26 @@
 	var crashes []Crash
 	for target, crash := range suspect.crashes {
 		age := max(now.Sub(crash.seenAt), time.Nanosecond)
-		crashes = append(crashes, Crash{Content: content, Part: suspect.part, With: crash.with, Target: target, Age: age})
+		crashes = append(crashes, Crash{Content: content, Part: suspect.part, With: crash.with, Target: target, Probe: crash.probe, Age: age})
 	}
 	return crashes
 }
 
-// SoundToGossip returns the parts that other daemons may suspect and that have turned out to be sound.
+// SoundToGossip returns the parts and contents that other daemons may suspect and that have turned out to be sound, parts first.
 func (crashTracker *CrashTracker) SoundToGossip(now time.Time) []core.Fingerprint {
-	var parts []core.Fingerprint
-	for part, at := range crashTracker.cleared {
+	var parts, contents []core.Fingerprint
+	for content, cleared := range crashTracker.cleared {
 		switch {
-		case now.Sub(at) > gossipPeriod:
-			delete(crashTracker.cleared, part)
-		case len(parts) < maxGossipedParts:
-			parts = append(parts, part)
+		case now.Sub(cleared.at) > gossipPeriod:
+			delete(crashTracker.cleared, content)
+		case cleared.part:
+			parts = append(parts, content)
+		default:
+			contents = append(contents, content)
 		}
 	}
-	return parts
+	sound := append(parts, contents...)
+	return sound[:min(len(sound), maxGossipedParts)]
 }
 
 func (crashTracker *CrashTracker) expire(now time.Time) {
