io/edge: free the results of a stage through the daemon that sent its pieces

Results were freed through the daemon that sends the batches at the time. When two daemons send for a moment, because they have not met yet or were cut off, the one that gives up the role still has jobs in its queue; the results of its own calls were freed through the other one, so its pool counted them until they expired after 4 s, and its jobs waited for that room.

Each request now keeps which daemon sent the pieces of a stage and frees their results through it. The daemon that releases inputs early does not know it, so that the request frees them there as well if it is another one than the present sender; freeing twice does no harm.

TestResultsAreFreedAtTheirSender and TestFormerSenderFreesItsResults fail if the sender is ignored.

--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -144,7 +144,7 @@
 		byService[service] = append(byService[service], handle)
 	}
 	for service, handles := range byService {
-		daemon.releaseResults(service, handles)
+		daemon.releaseResults(service, results{handles: handles})
 	}
 }
 
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -51,6 +51,15 @@
 	Released bool // the inputs were released
 	Fault    core.PieceFault
 	Forecast batch.Forecast
+
+	sender string // peer address of the daemon that sent the pieces
+}
+
+// results are those of one stage of a request. They are freed through the daemon whose pool counts them, also when another one sends the batches by then:
+// a pool that does not hear of it counts them until they expire.
+type results struct {
+	handles []string
+	sender  string // peer address of that daemon; empty means the present sender
 }
 
 type freeRequest struct {
@@ -75,7 +84,7 @@
 	// releaseEarly allows to release the inputs of a stage before it ends.
 	releaseEarly bool
 	done         []chan struct{}
-	handles      [][]string
+	results      []results // by stage
 
 	mutex            sync.Mutex
 	pendingConsumers []int // number of later stages that still need the handles, by stage
@@ -83,16 +92,16 @@
 	cancel           context.CancelFunc
 }
 
-// runStages runs all stages and returns their handles by stage; only stages that no other one depends on keep theirs,
+// runStages runs all stages and returns their results by stage; only stages that no other one depends on keep theirs,
 // which the caller must free. Inputs may be released before their stage ends if releaseEarly is set.
-func (daemon *Daemon) runStages(ctx context.Context, request *request, releaseEarly bool) ([][]string, error) {
+func (daemon *Daemon) runStages(ctx context.Context, request *request, releaseEarly bool) ([]results, error) {
 	stages := request.route.Stages
 	request.stageDurations = make([]time.Duration, len(stages))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	run := &stageRun{
 		daemon: daemon, request: request, plan: request.plan, releaseEarly: releaseEarly, cancel: cancel,
-		done: make([]chan struct{}, len(stages)), handles: make([][]string, len(stages)), pendingConsumers: make([]int, len(stages)),
+		done: make([]chan struct{}, len(stages)), results: make([]results, len(stages)), pendingConsumers: make([]int, len(stages)),
 	}
 	for i, stage := range stages {
 		run.done[i] = make(chan struct{})
@@ -120,7 +129,7 @@
 		}
 		return nil, run.err
 	}
-	return run.handles, nil
+	return run.results, nil
 }
 
 func (run *stageRun) fail(err error) {
@@ -147,7 +156,7 @@
 	}
 	var inputs []string
 	for _, dependency := range stage.After {
-		inputs = append(inputs, run.handles[dependency]...)
+		inputs = append(inputs, run.results[dependency].handles...)
 	}
 	if stage.ResultBytes >= largeResultBytes && len(stage.After) == 0 {
 		// A large result occupies result capacity that other requests need while the longer chain of stages still
@@ -168,11 +177,11 @@
 		return
 	}
 	run.mutex.Lock()
-	run.handles[i] = produced.Handles
+	run.results[i] = results{produced.Handles, produced.sender}
 	var unneeded []int
 	for _, dependency := range stage.After {
-		if produced.Released {
-			run.handles[dependency] = nil
+		if produced.Released && run.daemon.countsReleased(run.request.route.Stages[dependency].Service, run.results[dependency].sender) {
+			run.results[dependency] = results{}
 		}
 		if run.pendingConsumers[dependency]--; run.pendingConsumers[dependency] == 0 {
 			unneeded = append(unneeded, dependency)
@@ -254,41 +263,42 @@
 
 func (run *stageRun) free(i int) {
 	run.mutex.Lock()
-	handles := run.handles[i]
-	run.handles[i] = nil
+	unneeded := run.results[i]
+	run.results[i] = results{}
 	run.mutex.Unlock()
-	run.daemon.releaseResults(run.request.route.Stages[i].Service, handles)
+	run.daemon.releaseResults(run.request.route.Stages[i].Service, unneeded)
 }
 
 // inputs are the results of the stages that the final target of a request fetches.
 type inputs struct {
 	daemon  *Daemon
 	request *request
-	handles [][]string // by stage; nil once they are freed
-	shared  bool       // another attempt holds them, too, and frees them
+	results []results // by stage; nil once they are freed
+	shared  bool      // another attempt holds them, too, and frees them
 }
 
 // produce runs the stages unless their results are still retained; it runs them again after free.
 func (inputs *inputs) produce(ctx context.Context) error {
 	daemon, request := inputs.daemon, inputs.request
-	if len(request.route.Stages) == 0 || inputs.handles != nil {
+	if len(request.route.Stages) == 0 || inputs.results != nil {
 		return nil
 	}
-	handles, err := daemon.runStages(ctx, request, true)
+	produced, err := daemon.runStages(ctx, request, true)
 	if failed := (*stageError)(nil); errors.As(err, &failed) && failed.fault == core.PieceInputGone {
 		// A piece failed after its inputs had been released, or the target that held them has ended.
 		daemon.metrics.stagesRepeated.Add(1)
 		daemon.log.Warn().Str(eventField, eventStagesRepeated).Str("Request", request.caller.Attempt).Int("Stage", failed.stage).Msg("inputs of a stage are gone; running the stages again")
-		handles, err = daemon.runStages(ctx, request, false)
+		produced, err = daemon.runStages(ctx, request, false)
 	}
 	if err != nil {
 		return err
 	}
-	inputs.handles = handles
+	inputs.results = produced
 	for _, i := range request.route.Leaves() {
-		request.inputHandles = append(request.inputHandles, handles[i]...)
-		if bytes := request.route.Stages[i].ResultBytes; bytes >= largeResultBytes && len(handles[i]) > 0 {
-			request.inputDataCentre, request.inputBytes = daemon.dataCentreOf(handles[i], bytes)
+		handles := produced[i].handles
+		request.inputHandles = append(request.inputHandles, handles...)
+		if bytes := request.route.Stages[i].ResultBytes; bytes >= largeResultBytes && len(handles) > 0 {
+			request.inputDataCentre, request.inputBytes = daemon.dataCentreOf(handles, bytes)
 		}
 	}
 	return nil
@@ -296,20 +306,20 @@
 
 // free releases the results, because a target has fetched them or none will.
 func (inputs *inputs) free() {
-	if inputs.handles == nil {
+	if inputs.results == nil {
 		return
 	}
 	inputs.release()
-	inputs.handles, inputs.shared, inputs.request.inputHandles = nil, false, nil
+	inputs.results, inputs.shared, inputs.request.inputHandles = nil, false, nil
 }
 
 // release is free for a request that an attempt may still be reading.
 func (inputs *inputs) release() {
-	if inputs.handles == nil || inputs.shared {
+	if inputs.results == nil || inputs.shared {
 		return
 	}
 	for _, i := range inputs.request.route.Leaves() {
-		inputs.daemon.releaseResults(inputs.request.route.Stages[i].Service, inputs.handles[i])
+		inputs.daemon.releaseResults(inputs.request.route.Stages[i].Service, inputs.results[i])
 	}
 }
 
@@ -370,6 +380,7 @@
 			daemon.do(func() { owner.leaving = true })
 			continue
 		}
+		reply.sender = address
 		return reply.checked(message.Stage)
 	}
 	return daemon.produceLocally(ctx, message)
@@ -403,12 +414,12 @@
 	})
 	select {
 	case ended := <-result:
-		return piecesReply{Handles: ended.Handles, Fault: ended.Fault, Released: ended.InputsReleased}.checked(message.Stage)
+		return piecesReply{Handles: ended.Handles, Fault: ended.Fault, Released: ended.InputsReleased, sender: daemon.options.Settings.AdvertisePeer}.checked(message.Stage)
 	case <-ctx.Done():
 		daemon.do(func() { daemon.cancelJob(owner, id) })
 		select {
 		case ended := <-result: // the job ended just before it was cancelled
-			daemon.releaseResults(message.Service, ended.Handles)
+			daemon.releaseResults(message.Service, results{ended.Handles, daemon.options.Settings.AdvertisePeer})
 		default:
 		}
 		return piecesReply{}, ctx.Err()
@@ -446,16 +457,31 @@
 	writeJSON(writer, reply)
 }
 
-// releaseResults frees results through the daemon that sends the batches of the service, which tracks their result
-// capacity.
-func (daemon *Daemon) releaseResults(service string, handles []string) {
-	handles = slices.DeleteFunc(slices.Clone(handles), func(handle string) bool { return handle == "" })
+// countsReleased reports whether the early release of results of a service has reached the pool of their sender: it goes to
+// the daemon that sends the batches of the service at the time, since the one that releases them does not know another.
+func (daemon *Daemon) countsReleased(service, sender string) bool {
+	present := daemon.options.Settings.AdvertisePeer
+	daemon.do(func() {
+		if known := daemon.senderOf(service); known != nil {
+			present = known.Peer
+		}
+	})
+	return sender == present
+}
+
+// releaseResults frees results through the daemon that sent their pieces, whose pool tracks their result capacity, or through the
+// present sender of the service if that daemon is not known.
+func (daemon *Daemon) releaseResults(service string, unneeded results) {
+	handles := slices.DeleteFunc(slices.Clone(unneeded.handles), func(handle string) bool { return handle == "" })
 	if len(handles) == 0 {
 		return
 	}
 	daemon.loop.Post(func() {
-		known := daemon.senderOf(service)
-		if known == nil {
+		address := unneeded.sender
+		if known := daemon.senderOf(service); address == "" && known != nil {
+			address = known.Peer
+		}
+		if address == "" || address == daemon.options.Settings.AdvertisePeer {
 			if local := daemon.control.senders[service]; local != nil {
 				daemon.queueFree(local, handles)
 				return
@@ -463,7 +489,6 @@
 			daemon.freeDirectly(handles)
 			return
 		}
-		address := known.Peer
 		daemon.spawn("free", func() {
 			ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 			defer cancel()
--- /dev/null
+++ b/io/edge/stages_test.go
@@ -0,0 +1,161 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"catkincove/core"
+	"catkincove/core/admit"
+	"catkincove/core/batch"
+)
+
+// peerCalls answers the calls of a daemon to others and records who frees what.
+type peerCalls struct {
+	pieces func(host string, message piecesRequest) piecesReply
+
+	mutex sync.Mutex
+	frees []string // "peer: handle handle"
+}
+
+// RoundTrip answers one call.
+func (calls *peerCalls) RoundTrip(request *http.Request) (*http.Response, error) {
+	var reply any = struct{}{}
+	switch request.URL.Path {
+	case pathPieces:
+		var message piecesRequest
+		if err := json.NewDecoder(request.Body).Decode(&message); err != nil {
+			return nil, err
+		}
+		reply = calls.pieces(request.URL.Host, message)
+	case pathFree:
+		var message freeRequest
+		if err := json.NewDecoder(request.Body).Decode(&message); err != nil {
+			return nil, err
+		}
+		calls.mutex.Lock()
+		calls.frees = append(calls.frees, fmt.Sprint(request.URL.Host, ": ", strings.Join(message.Handles, " ")))
+		calls.mutex.Unlock()
+	default:
+		return nil, errNoNetwork
+	}
+	body, err := json.Marshal(reply)
+	if err != nil {
+		return nil, err
+	}
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(body)), Request: request}, nil
+}
+
+// awaitFrees waits until there have been as many calls, and returns them in order.
+func (calls *peerCalls) awaitFrees(t *testing.T, count int) []string {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		calls.mutex.Lock()
+		frees := slices.Sorted(slices.Values(calls.frees))
+		calls.mutex.Unlock()
+		if len(frees) >= count || time.Now().After(deadline) {
+			return frees
+		}
+	}
+}
+
+// setSender makes all daemons of the fleet but one report that they do not send batches; it must run on the loop.
+func (daemon *Daemon) setSender(sender record) {
+	for _, known := range daemon.control.peers {
+		known.sendsFor = map[string]bool{"stock": known.ID == sender.ID}
+	}
+}
+
+// TestResultsAreFreedAtTheirSender guards against results that are freed through the daemon that sends the batches by then, while the one
+// that had sent their pieces counts them until they expire: its last jobs waited for room at idle targets until their deadline. Early
+// releases go to the present sender, which may be another one as well.
+func TestResultsAreFreedAtTheirSender(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		moves    int  // stage whose pieces are the last ones that the first sender sends
+		released bool // the second stage releases its inputs early
+		want     []string
+	}{
+		{"the role stays", 2, false, []string{"first: s0", "first: s1"}},
+		{"the role moves after the first stage", 0, false, []string{"first: s0", "second: s1"}},
+		{"the role moves after the second stage", 1, false, []string{"first: s0", "first: s1"}},
+		{"released early by the same sender", 2, true, []string{"first: s1"}},
+		{"released early by another sender", 0, true, []string{"first: s0", "second: s1"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			calls := &peerCalls{}
+			daemon := newFleetMemberWith(t, calls)
+			first, second := fleetRecord(3), fleetRecord(5)
+			names := map[string]string{first.Peer: "first", second.Peer: "second"}
+			calls.pieces = func(host string, message piecesRequest) piecesReply {
+				if message.Stage == test.moves {
+					daemon.do(func() { daemon.setSender(second) })
+				}
+				return piecesReply{Handles: []string{fmt.Sprint("s", message.Stage)}, Released: test.released && message.Stage == 1}
+			}
+			daemon.do(func() { daemon.setSender(first) })
+			now := daemon.clock.Now()
+			request := &request{
+				caller: core.CallerRequest{Attempt: "a"}, services: daemon.view.Load().routing.Services, startedAt: now,
+				softDeadline: now.Add(2 * time.Second), deadline: now.Add(6 * time.Second), plan: admit.Plan{Remaining: make([]time.Duration, 2), Slack: make([]time.Duration, 2)},
+				route: core.Route{Name: "r", Stages: []core.StageSpec{{Service: "stock", ResultBytes: 8000}, {Service: "stock", After: []int{0}, ResultBytes: 8000}}},
+			}
+			inputs := &inputs{daemon: daemon, request: request}
+			if err := inputs.produce(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			inputs.free()
+			frees := calls.awaitFrees(t, len(test.want))
+			for i := range frees {
+				host, handles, _ := strings.Cut(frees[i], ": ")
+				frees[i] = names[host] + ": " + handles
+			}
+			slices.Sort(frees)
+			if !slices.Equal(frees, test.want) {
+				t.Errorf("results are freed through %v, want %v", frees, test.want)
+			}
+		})
+	}
+}
+
+// TestFormerSenderFreesItsResults guards against a daemon that has lost the role of the sender and frees the results of its own pieces
+// through the new one, so that its own pool counts them until they expire.
+func TestFormerSenderFreesItsResults(t *testing.T) {
+	daemon := newFleetMemberWith(t, &peerCalls{})
+	daemon.do(func() {
+		daemon.setSender(fleetRecord(3))
+		now := daemon.clock.Now()
+		pool := daemon.sender("stock", *daemon.view.Load().routing.Services["stock"].Batch).pool
+		pool.Submit(batch.Job{Attempt: "a", Pieces: 1, ResultBytes: 1_500_000, SoftDeadline: now.Add(time.Second), Deadline: now.Add(time.Second)})
+		calls, _, _ := pool.Dispatch(now)
+		pool.Finish(now, calls[0].ID, batch.Responded, []core.PieceResult{{Handle: "h"}})
+	})
+	retained := func() (bytes int64) {
+		daemon.do(func() {
+			_, targets := daemon.control.senders["stock"].pool.Load(daemon.clock.Now(), fleetTargets)
+			for _, target := range targets {
+				bytes += target.RetainedBytes
+			}
+		})
+		return bytes
+	}
+	if before := retained(); before != 1_500_000 {
+		t.Fatalf("%d bytes are retained", before)
+	}
+	daemon.releaseResults("stock", results{[]string{"h"}, daemon.options.Settings.AdvertisePeer})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	for retained() > 0 {
+		if !core.Sleep(ctx, daemon.clock, time.Millisecond) {
+			t.Fatal("the pool still counts a result that was freed")
+		}
+	}
+}
--- a/io/edge/takeover.go
+++ b/io/edge/takeover.go
@@ -147,7 +147,7 @@
 	responses := watchdog.responses
 	request := relay.request.copy(watchdog.tried)
 	request.attempts += watchdog.failed
-	inputs := &inputs{daemon: relay.daemon, request: request, handles: relay.inputs.handles, shared: relay.inputs.handles != nil}
+	inputs := &inputs{daemon: relay.daemon, request: request, results: relay.inputs.results, shared: relay.inputs.results != nil}
 	watchdog.mutex.Unlock()
 
 	next, err := relay.openElsewhere(ctx, request, inputs)
