io/tool, cmd/catkincove: plug the platform and the demo into the commands in the main program

io/tool imported platform and stand/demo, so the commands, and with them everything that imports io/tool, depended on the users' platform and on stand-ins.

TestStoreBytesWithoutEnd moves with the client that it tests; the tests of the commands pass no parts. The demo runs (exit code 0), and the tests of cmd and io/tool pass. Behaviour is unchanged.

--- a/cmd/catkincove/main.go
+++ b/cmd/catkincove/main.go
@@ -11,7 +11,7 @@
 
 func main() {
 	ctx, cancel := tool.SignalContext()
-	code := tool.Main(ctx, os.Args, os.Stdout, os.Stderr)
+	code := tool.Main(ctx, parts, os.Args, os.Stdout, os.Stderr)
 	cancel()
 	os.Exit(code)
 }
--- a/io/tool/edge_test.go
+++ b/cmd/catkincove/store_test.go
@@ -1,4 +1,4 @@
-package tool
+package main
 
 import (
 	"bytes"
--- a/io/tool/check_test.go
+++ b/io/tool/check_test.go
@@ -30,7 +30,7 @@
 				t.Fatal(err)
 			}
 			var out, errs bytes.Buffer
-			code := Main(context.Background(), []string{"catkincove", "check", file}, &out, &errs)
+			code := Main(context.Background(), Parts{}, []string{"catkincove", "check", file}, &out, &errs)
 			output := out.String() + errs.String()
 			if code != test.code || !strings.Contains(output, test.contains) || test.code != 0 && !strings.Contains(output, "edge.ini:") {
 				t.Errorf("exit code %d, %q", code, output)
@@ -63,7 +63,7 @@
 		{"no file", []string{"explain", "a1", file + "x"}, 64, "no such file"},
 	} {
 		var out, errs bytes.Buffer
-		code := Main(context.Background(), append([]string{"catkincove"}, test.arguments...), &out, &errs)
+		code := Main(context.Background(), Parts{}, append([]string{"catkincove"}, test.arguments...), &out, &errs)
 		if output := out.String() + errs.String(); code != test.code || !strings.Contains(output, test.contains) {
 			t.Errorf("%s: exit code %d, %q", test.name, code, output)
 		}
--- a/io/tool/demo.go
+++ b/io/tool/demo.go
@@ -5,11 +5,16 @@
 	"fmt"
 
 	"github.com/urfave/cli/v3"
-
-	"catkincove/stand/demo"
 )
 
-func demoCommand() *cli.Command {
+// DemoOptions configures the demo.
+type DemoOptions struct {
+	Input    string // path of a text file with passages separated by blank lines; empty selects the sample documents
+	Question string // question about the documents; required with Input
+	Verbose  bool   // whether the output includes the log of the daemons
+}
+
+func demoCommand(parts Parts) *cli.Command {
 	return &cli.Command{
 		Name:  "demo",
 		Usage: "run two daemons with stand-ins for the platform in one process and demonstrate a pipeline",
@@ -22,12 +27,12 @@
 			if command.Args().Present() {
 				return fmt.Errorf("demo takes no arguments, but got %q", command.Args().First())
 			}
-			options := demo.Options{
+			options := DemoOptions{
 				Input:    command.String("input"),
 				Question: command.String("question"),
 				Verbose:  command.Bool("verbose"),
 			}
-			return demo.Run(ctx, options, writer(command))
+			return parts.Demo(ctx, options, writer(command))
 		},
 	}
 }
--- a/io/tool/tool.go
+++ b/io/tool/tool.go
@@ -24,9 +24,19 @@
 	outputJSON = "json"
 )
 
+// Parts are the implementations that the main program plugs into the commands, which import neither a platform nor stand-ins.
+type Parts struct {
+	// Dialect is what the daemons of edge speak.
+	Dialect core.Dialect
+	// Store returns the store of edge at an address (IP:port).
+	Store func(address string, clock core.Clock) core.Store
+	// Demo runs the demo and writes what it shows to the output.
+	Demo func(ctx context.Context, options DemoOptions, output io.Writer) error
+}
+
 // Main runs the command line and returns the exit code: 0, 64 for wrong usage, or the code of the error's kind.
-func Main(ctx context.Context, arguments []string, stdout, stderr io.Writer) int {
-	command := App(stdout, stderr)
+func Main(ctx context.Context, parts Parts, arguments []string, stdout, stderr io.Writer) int {
+	command := App(parts, stdout, stderr)
 	err := command.Run(ctx, arguments)
 	if err == nil {
 		return 0
@@ -40,7 +50,7 @@
 }
 
 // App returns the root command with all subcommands, writing to stdout and stderr.
-func App(stdout, stderr io.Writer) *cli.Command {
+func App(parts Parts, stdout, stderr io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:        "catkincove",
 		Usage:       "serve multi-stage model pipelines",
@@ -49,8 +59,8 @@
 		ErrWriter:   stderr,
 		Commands: []*cli.Command{
 			serveCommand(),
-			edgeCommand(),
-			demoCommand(),
+			edgeCommand(parts),
+			demoCommand(parts),
 			addressCommand(),
 			requestCommand(),
 			ticketCommand(),
