core/batch: do not wake a pool each millisecond while a call runs at a slow target

What an operator would see: processor time of the sender. A call that is expected to take 1 s and runs at a target with a slowdown of 20 had its pool dispatch 5,512 times in the 9.5 s until it counts as stalled.

Now the time left is divided by the rate at which the timeout shortens. The decay is convex, so the named time is never after the stall (TestPoolModel checks that nothing changes before it: 20,000 cases pass), and it approaches the stall fast.

TestStallOfSlowTargetWakesSeldom, wake-ups until the stall with slowdowns of 1, 3, 8 and 20: 1, 5, 13 and 5,512 before, 1, 4, 4 and 5 now.

--- a/core/batch/wakeup.go
+++ b/core/batch/wakeup.go
@@ -1,6 +1,9 @@
 package batch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const minWakeup = time.Millisecond // shortest time to the next Dispatch
 
@@ -40,10 +43,12 @@
 }
 
 // stallsFrom returns a time before which the call is not stalled. The timeout becomes shorter while the slowdown of its
-// target decays.
+// target decays, ever more slowly, so that its present rate gives a time that is not too late and is soon near the right one.
 func (pool *Pool) stallsFrom(now time.Time, call *call) time.Time {
-	latest := call.startedAt.Add(pool.stallTimeout(now, call))
-	return call.startedAt.Add(pool.stallTimeout(latest, call))
+	timeLeft := call.startedAt.Add(pool.stallTimeout(now, call)).Sub(now)
+	excess := max(call.worker.currentSlowdown(now)-1, 0)
+	rate := float64(call.expected) * stallFactor * excess * math.Ln2 / float64(slowdownHalfLife)
+	return now.Add(time.Duration(float64(timeLeft) / (1 + rate)))
 }
 
 // targetsChangeAt returns the first time at which a target may take queued pieces that it cannot take now.
--- a/core/batch/wakeup_test.go
+++ b/core/batch/wakeup_test.go
@@ -73,3 +73,36 @@
 		})
 	}
 }
+
+// TestStallOfSlowTargetWakesSeldom guards against a pool that wakes each millisecond for seconds while a call runs at a slow target: the time from which the
+// call counts as stalled was taken from a slowdown that had decayed more than it has by then.
+func TestStallOfSlowTargetWakesSeldom(t *testing.T) {
+	const maxWakeups = 30
+	for _, slowdown := range []float64{1, 3, 8, maxSlowdown} {
+		pool := New(warehouseSpec)
+		pool.SetTargets(targets(1))
+		pool.workers["t0"].slowdown, pool.workers["t0"].slowdownAt = slowdown, start
+		pool.Submit(Job{Pieces: 1, LastAttempt: true, SoftDeadline: start.Add(time.Minute), Deadline: start.Add(2 * time.Minute)})
+		calls, _, _ := pool.Dispatch(start)
+		if len(calls) != 1 {
+			t.Fatalf("slowdown %v: %d calls", slowdown, len(calls))
+		}
+		call := pool.calls[calls[0].ID]
+		call.expected = time.Second
+		now, wakeups := start, 0
+		for ; !call.stalled && wakeups < 100_000; wakeups++ {
+			if now = pool.NextWakeup(now); now.IsZero() {
+				t.Fatalf("slowdown %v: the pool does not ask to be woken", slowdown)
+			}
+			before := call.startedAt
+			pool.Dispatch(now)
+			if !call.startedAt.Equal(before) {
+				t.Fatalf("slowdown %v: a stall of the process is assumed", slowdown)
+			}
+		}
+		t.Logf("slowdown %v: stalled after %v and %d wake-ups", slowdown, now.Sub(start), wakeups)
+		if wakeups > maxWakeups {
+			t.Errorf("slowdown %v: %d wake-ups, want at most %d", slowdown, wakeups, maxWakeups)
+		}
+	}
+}
