core/reach: bring targets together that somebody reaches, after a round without a judgement

What callers would see: requests that fail at a daemon which never notices that its paths are cut, or detours for as long as the process lives after a cut, while most targets are down.

With a number of targets that is a multiple of five, the rounds meet the same five together each time. A round needs three targets that somebody reaches for a judgement; with four of ten up, two in each half, there is never one.

Now targets that nobody reached in a round without a judgement are passed over for four rounds, so that the rest meet.

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -16,6 +16,8 @@
 	returnRounds  = 2                      // consecutive rounds in which they must, so that a path that comes and goes is not used
 	pooledShare   = 0.75                   // share of the probes of the newest rounds together that must succeed as well
 	pooledRounds  = 4                      // number of these rounds: one or two often meet mostly reached targets while a third of all is
+
+	postponement = 4 // rounds for which a target that nobody reaches is passed over for others
 )
 
 // Paths judges the paths of one daemon to the targets; the zero value has not lost them. It is not safe for concurrent use.
@@ -142,6 +144,7 @@
 	}
 	switch {
 	case probed < minProbed:
+		paths.postpone(round)
 	case !paths.lost:
 		paths.lost, paths.goodRounds, paths.recent = 1-share >= lostShare, 0, nil
 	default:
@@ -162,6 +165,16 @@
 	return paths.lost != before
 }
 
+// postpone lets targets that nobody reached in a round wait longer for their next probe than the others. With a number of targets that is a
+// multiple of the probes, the same targets would meet in a round each time otherwise, perhaps too few reached ones for a judgement.
+func (paths *Paths) postpone(round []Probe) {
+	for _, probe := range round {
+		if _, known := paths.probedIn[probe.Target]; known && !probe.Reached && !probe.OthersReachIt {
+			paths.probedIn[probe.Target] += postponement
+		}
+	}
+}
+
 // newestProbes returns the newest probe of each target in the recent rounds.
 func (paths *Paths) newestProbes() []Probe {
 	var newest []Probe
--- a/core/reach/paths_test.go
+++ b/core/reach/paths_test.go
@@ -214,3 +214,54 @@
 		})
 	}
 }
+
+// TestJudgedBesideTargetsThatNobodyReaches guards against lost paths that are never noticed, or never taken for back, because the targets that
+// somebody reaches are spread over rounds that each meet too few of them for a judgement, the same ones each time.
+func TestJudgedBesideTargetsThatNobodyReaches(t *testing.T) {
+	const (
+		seeds    = 500
+		probes   = 5
+		maxTaken = 25 // rounds, ten seconds
+	)
+	for _, test := range []struct{ targets, alive int }{{8, 3}, {10, 3}, {10, 4}, {15, 4}, {15, 6}, {20, 4}} {
+		t.Run(fmt.Sprint(test.alive, " of ", test.targets), func(t *testing.T) {
+			var names []string
+			for i := range test.targets {
+				names = append(names, fmt.Sprint("target", i))
+			}
+			unnoticed, notBack := 0, 0
+			for seed := range uint64(seeds) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				var paths Paths
+				now := time.Unix(1000, 0)
+				alive := map[string]bool{}
+				for _, i := range random.Perm(test.targets)[:test.alive] {
+					alive[names[i]] = true
+				}
+				judgedAs := func(lost bool) bool {
+					for range maxTaken {
+						now = now.Add(400 * time.Millisecond)
+						var round []Probe
+						for _, name := range paths.Choose(names, probes, random.Shuffle) {
+							round = append(round, Probe{Target: name, Reached: alive[name] && !lost, OthersReachIt: alive[name]})
+						}
+						if paths.Judge(now, round); paths.Lost() == lost {
+							return true
+						}
+					}
+					return false
+				}
+				if !judgedAs(true) {
+					unnoticed++
+					paths.lost = true
+				}
+				if !judgedAs(false) {
+					notBack++
+				}
+			}
+			if unnoticed > 0 || notBack > 0 {
+				t.Errorf("of %d cuts, %d are not noticed and the end of %d is not, in %d rounds each", seeds, unnoticed, notBack, maxTaken)
+			}
+		})
+	}
+}
