io/edge: relay the write that shows that a contested target lives

What callers would see: a live target that gets no requests of the daemons which copy from another one, until a request of their own gets 421. It needs a registration that falsely looks like a later one at the address.

Cause: a live target's next heartbeat ends such a claim, but a daemon that copies from another one gets no writes that change the sequence alone. The other one passed on that heartbeat only if it counted the target as superseded itself when it read it. It does not if it has had a 421 under the superseding ID before, or has read that entry and the heartbeat together; from then on no heartbeat was passed on.

Now a write counts as a change if the last write of the target that was passed on is older than an entry which would supersede it. One write is passed on, and the next ones are older than nothing.

TestWriteOfLiveTargetReachesOtherDaemons: two of three cases fail before, after each of four heartbeats; all pass now, and one write of four is passed on.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -182,6 +182,9 @@
 	return event, false
 }
 
+// ChangedAt returns the revision of the last change of an entry that was not equivalent, which peers may know it by; 0 if there is none.
+func (copy *Copy) ChangedAt(key string) core.Revision { return copy.changedAt[key] }
+
 // Apply applies a watch event, its puts before its deletes; it ignores entries that are older than the copy, and all of them before the first listing. It
 // reports whether the event changes more than equivalent entries.
 func (copy *Copy) Apply(now time.Time, event core.WatchEvent) (changed bool) {
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -423,11 +423,14 @@
 			daemon.logRevision(daemon.log.Info(), entry.ModRevision).Str(eventField, eventTargetLeaves).Str("Target", target.ID).Str("Service", target.Service).
 				Dur("CopyAge", now.Sub(daemon.control.storeReadAt)).Msg("the target leaves and gets no new requests")
 		}
-		registrations = append(registrations, registeredRun{target: target, run: run, created: entry.CreateRevision, changed: entry.ModRevision, retained: daemon.control.registrations.Retains(entry.Key)})
+		registrations = append(registrations, registeredRun{
+			target: target, run: run, created: entry.CreateRevision, changed: entry.ModRevision, relayed: daemon.control.registrations.ChangedAt(entry.Key),
+			retained: daemon.control.registrations.Retains(entry.Key),
+		})
 	}
 	daemon.control.registry.removeAbsent(now, present)
 	before := daemon.view.Load().superseded
-	next.superseded = superseded(registrations, before)
+	next.superseded, next.contested = superseded(registrations, before)
 	daemon.logSuperseded(before, next.superseded)
 	registered := make([]core.TargetEntry, 0, len(registrations))
 	for _, registration := range registrations {
@@ -499,12 +502,13 @@
 	daemon.rebuildView()
 }
 
-// equivalentTarget reports whether two registrations of a target differ at most in their sequence. A write of a target that counts as superseded says that it lives.
+// equivalentTarget reports whether two registrations of a target differ at most in their sequence. A write of a target that this daemon, or one that copies from it, counts as superseded says
+// that it lives.
 func (daemon *Daemon) equivalentTarget(before, after core.Entry) bool {
 	known, errBefore := daemon.decodeTarget(before)
 	next, errAfter := daemon.decodeTarget(after)
 	known.Sequence = next.Sequence
-	return errBefore == nil && errAfter == nil && known == next && daemon.view.Load().superseded[next.ID] == ""
+	return errBefore == nil && errAfter == nil && known == next && !daemon.view.Load().contested[next.ID]
 }
 
 // decodeTarget decodes a registration once for each of its revisions.
--- a/io/edge/superseded_test.go
+++ b/io/edge/superseded_test.go
@@ -270,3 +270,69 @@
 	}
 	t.Logf("%d states with a live target, %d targets superseded", checked, superseded)
 }
+
+// TestWriteOfLiveTargetReachesOtherDaemons guards against a live target that gets no requests of daemons which copy from another one, because a registration with
+// its address looks like a later one and its own writes, which show that it lives, differ from what they know in their sequence only.
+func TestWriteOfLiveTargetReachesOtherDaemons(t *testing.T) {
+	live, other := registered{id: "live", startedAt: 1000, created: 10, last: 12}, registered{id: "other", startedAt: 5000, created: 20, last: 20}
+	for _, test := range []struct {
+		name string
+		play func(relay *Daemon)
+	}{
+		{"left out at the relay, too", func(relay *Daemon) { other.apply(relay) }},
+		{"the relay has had a response of the target", func(relay *Daemon) {
+			other.apply(relay)
+			relay.observeAnswer(targetAnswer{service: "ledger", target: "other", startedAt: time.UnixMilli(5000), status: http.StatusMisdirectedRequest})
+			relay.do(func() {})
+		}},
+		{"the relay reads both writes together", func(relay *Daemon) {
+			relay.do(func() {
+				relay.apply(core.WatchEvent{Revision: 21, Puts: []core.Entry{other.entry(relay), registered{id: "live", startedAt: 1000, created: 10, last: 21}.entry(relay)}})
+			})
+			relay.do(func() {})
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			relay, daemon := newFleetMember(t), newFleetMember(t)
+			copyAll := func() {
+				var since core.Revision
+				daemon.do(func() { since = daemon.control.registrations.Revision() })
+				var part copyPart
+				relay.do(func() {
+					event, whole := relay.control.registrations.Since(since)
+					part = copyPart{Revision: event.Revision, Whole: whole, Puts: event.Puts, Deletes: event.Deletes}
+				})
+				daemon.do(func() { daemon.mergePart(daemon.clock.Now(), &daemon.control.registrations, part) })
+				daemon.do(func() {})
+			}
+			live.apply(relay)
+			copyAll()
+			test.play(relay)
+			copyAll()
+			if got := strings.Join(usableAt(daemon, "10.8.0.1:80"), " "); got != "other" {
+				t.Fatalf("usable %q before the write, want other", got)
+			}
+			writes := 0
+			for last := core.Revision(30); last <= 60; last += 10 {
+				registered{id: "live", startedAt: 1000, created: 10, last: last}.apply(relay)
+				before := relay.view.Load()
+				copyAll()
+				if relay.view.Load() != before {
+					t.Error("a copy rebuilds the view of the relay")
+				}
+				if got := strings.Join(usableAt(daemon, "10.8.0.1:80"), " "); got != "live other" {
+					t.Errorf("usable %q after the write at %d, want live and other", got, last)
+				}
+				var puts int
+				relay.do(func() {
+					event, _ := relay.control.registrations.Since(last - 1)
+					puts = len(event.Puts)
+				})
+				writes += puts
+			}
+			if writes > 1 {
+				t.Errorf("%d writes reach other daemons, want the first one alone", writes)
+			}
+		})
+	}
+}
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -17,6 +17,7 @@
 	addresses   map[string]bool           // addresses of all registered targets
 	byID        map[string]string         // address of each registered target; without superseded ones
 	superseded  map[string]string         // by ID of a target that has ended: the one that has started at its address since
+	contested   map[string]bool           // IDs of targets that another daemon may count as superseded, by what it has copied from this one
 	services    map[string]string         // service by target address
 	dataCentres map[string]string         // data centre by target address
 }
@@ -132,6 +133,7 @@
 	target           core.TargetEntry
 	run              targetRun
 	created, changed core.Revision // first and last write of its entry
+	relayed          core.Revision // last write that daemons which copy from this one get
 	retained         bool          // it is missing in the store
 }
 
@@ -143,20 +145,31 @@
 // reach the store late; revisions of two epochs have no order. What answers at the address is believed before either, and it is asked as long as requests
 // for which the other one would do may go to this one, of the same service and in the same data centre.
 func (registeredRun registeredRun) supersedes(other registeredRun) bool {
+	if registeredRun.retained || registeredRun.run.misdirected || !registeredRun.startedAfter(other) {
+		return false
+	}
+	return registeredRun.created.Epoch() == other.changed.Epoch() && registeredRun.created > other.changed
+}
+
+// contests reports whether a daemon that copies from this one may take a registration for superseding another one.
+func (registeredRun registeredRun) contests(other registeredRun) bool {
+	return registeredRun.startedAfter(other) && registeredRun.created > other.relayed
+}
+
+// startedAfter reports whether a registration is of the address, service and data centre of another one and its target has started later by the clock.
+func (registeredRun registeredRun) startedAfter(other registeredRun) bool {
 	switch {
 	case registeredRun.target.Address != other.target.Address, registeredRun.target.Service != other.target.Service, registeredRun.target.DataCentre != other.target.DataCentre:
 		return false
-	case registeredRun.retained, registeredRun.run.misdirected:
-		return false
-	case other.run.startedAt.UnixMilli() <= 0, !registeredRun.run.startedAt.After(other.run.startedAt):
-		return false // not known, or not later
+	case other.run.startedAt.UnixMilli() <= 0:
+		return false // not known
 	}
-	return registeredRun.created.Epoch() == other.changed.Epoch() && registeredRun.created > other.changed
+	return registeredRun.run.startedAt.After(other.run.startedAt)
 }
 
 // superseded returns the IDs of the targets that have ended, each with the ID of one that has started at its address since; before is what it returned last. One
-// that leaves supersedes no more than before: it gets no requests, whose responses could show that it is not the one at its address.
-func superseded(registrations []registeredRun, before map[string]string) map[string]string {
+// that leaves supersedes no more than before: it gets no requests, whose responses could show that it is not the one at its address. It also returns the contested IDs.
+func superseded(registrations []registeredRun, before map[string]string) (ended map[string]string, contested map[string]bool) {
 	counts := make(map[string]int, len(registrations)) // by address
 	for _, registeredRun := range registrations {
 		counts[registeredRun.target.Address]++
@@ -167,15 +180,18 @@
 			byAddress[address] = append(byAddress[address], registeredRun)
 		}
 	}
-	ended := map[string]string{}
+	ended, contested = map[string]string{}, map[string]bool{}
 	for _, sharing := range byAddress {
 		for _, former := range sharing {
 			for _, later := range sharing {
 				if later.supersedes(former) && (!later.run.draining || before[former.target.ID] == later.target.ID) {
 					ended[former.target.ID] = later.target.ID
 				}
+				if later.contests(former) {
+					contested[former.target.ID] = true
+				}
 			}
 		}
 	}
-	return ended
+	return ended, contested
 }
