io/edge: random histories of an address behind a relay

TestLiveTargetIsUsedThroughRelay plays an address whose registrations the daemon copies from another one: processes by any clock, entries that nothing stands behind, 421s at the relay, lapses and restores.

--- a/io/edge/superseded_test.go
+++ b/io/edge/superseded_test.go
@@ -336,3 +336,108 @@
 		})
 	}
 }
+
+// TestLiveTargetIsUsedThroughRelay guards against a live target that gets no requests of a daemon which copies from another one for longer than a heartbeat, in random
+// histories of an address: processes follow one another by any clock, registrations that nothing stands behind come and go, the relay gets responses that the superseding
+// target is another one, registrations lapse, and the store is restored.
+func TestLiveTargetIsUsedThroughRelay(t *testing.T) {
+	checked, leftOut := 0, 0
+	for seed := range uint64(60) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		relay, daemon := newFleetMember(t), newFleetMember(t)
+		number, epoch := int64(10), int64(0)
+		items := map[string]registered{}
+		runs, live := 0, ""
+		event := core.WatchEvent{} // that the relay has not read yet
+		read := func() {
+			event.Revision = core.NewRevision(epoch, number)
+			relay.do(func() { relay.apply(event) })
+			relay.do(func() {})
+			event = core.WatchEvent{}
+		}
+		write := func(id string, startedAt int64) {
+			number++
+			item, found := items[id]
+			if !found {
+				item.created = core.NewRevision(epoch, number)
+			}
+			item.id, item.startedAt, item.last = id, startedAt, core.NewRevision(epoch, number)
+			items[id] = item
+			event.Puts = append(event.Puts, item.entry(relay))
+		}
+		copyAll := func() {
+			var since core.Revision
+			daemon.do(func() { since = daemon.control.registrations.Revision() })
+			var part copyPart
+			relay.do(func() {
+				changes, whole := relay.control.registrations.Since(since)
+				part = copyPart{Revision: changes.Revision, Whole: whole, Puts: changes.Puts, Deletes: changes.Deletes}
+			})
+			daemon.do(func() { daemon.mergePart(daemon.clock.Now(), &daemon.control.registrations, part) })
+			daemon.do(func() {})
+		}
+		for step := range 80 {
+			switch random.IntN(7) {
+			case 0:
+				runs++
+				live = fmt.Sprint("run", runs)
+				write(live, 1000+random.Int64N(4000))
+			case 1:
+				runs++
+				write(fmt.Sprint("run", runs), 1000+random.Int64N(8000)) // nothing stands behind it
+			case 2:
+				if by := relay.view.Load().superseded[live]; by != "" {
+					relay.observeAnswer(targetAnswer{service: "ledger", target: by, status: http.StatusMisdirectedRequest})
+					relay.do(func() {})
+				}
+			case 3:
+				read()
+				for _, id := range slices.Sorted(maps.Keys(items)) {
+					if random.IntN(3) == 0 && id != live {
+						delete(items, id)
+						number++
+						event.Deletes = append(event.Deletes, relay.dialect.TargetPrefix()+id)
+					}
+				}
+				read()
+			case 4:
+				if random.IntN(4) > 0 || len(items) == 0 {
+					continue
+				}
+				read()
+				epoch++
+				snapshot := core.Snapshot{Revision: core.NewRevision(epoch, number)}
+				for id, item := range items {
+					item.created, item.last = item.created.InEpoch(epoch), item.last.InEpoch(epoch)
+					items[id] = item
+					snapshot.Entries = append(snapshot.Entries, item.entry(relay))
+				}
+				relay.do(func() { relay.replaceCopies(snapshot) })
+				relay.do(func() {})
+			case 5:
+				read()
+			case 6:
+				copyAll()
+			}
+			if live == "" || random.IntN(4) > 0 {
+				continue
+			}
+			read()
+			copyAll()
+			if daemon.view.Load().superseded[live] != "" {
+				leftOut++
+			}
+			write(live, items[live].startedAt)
+			read()
+			copyAll()
+			checked++
+			if by := daemon.view.Load().superseded[live]; by != "" {
+				t.Fatalf("seed %d, step %d: %s is live, has been written since %s was, and counts as superseded by it", seed, step, live, by)
+			}
+		}
+	}
+	if checked < 500 || leftOut < 20 {
+		t.Errorf("%d heartbeats of a live target, %d times left out before", checked, leftOut)
+	}
+	t.Logf("%d heartbeats of a live target, %d times left out before", checked, leftOut)
+}
