--- a/core/batch/wakeup.go
+++ b/core/batch/wakeup.go
@@ -1,6 +1,10 @@
 package batch
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 const minWakeup = time.Millisecond // shortest time to the next Dispatch
 
@@ -40,15 +44,18 @@
 }
 
 // stallsFrom returns a time before which the call is not stalled. The timeout becomes shorter while the slowdown of its
-// target decays.
+// target decays, ever more slowly, so that its present rate gives a time that is not too late and is soon near the right one.
 func (pool *Pool) stallsFrom(now time.Time, call *call) time.Time {
-	latest := call.startedAt.Add(pool.stallTimeout(now, call))
-	return call.startedAt.Add(pool.stallTimeout(latest, call))
+	timeLeft := call.startedAt.Add(pool.stallTimeout(now, call)).Sub(now)
+	excess := max(call.worker.currentSlowdown(now)-1, 0)
+	rate := float64(call.expected) * stallFactor * excess * math.Ln2 / float64(slowdownHalfLife)
+	return now.Add(time.Duration(float64(timeLeft) / (1 + rate)))
 }
 
 // targetsChangeAt returns the first time at which a target may take queued pieces that it cannot take now.
 func (pool *Pool) targetsChangeAt(now time.Time) time.Time {
 	var change time.Time
+	var sizes []int64 // of the results of queued pieces, each once; nil before they are needed
 	for _, worker := range pool.workers {
 		for _, at := range []time.Time{worker.backoffUntil, worker.fullUntil, now.Add(pool.paceWait(now, worker)), worker.usableFrom(now)} {
 			if at.After(now) {
@@ -61,17 +68,26 @@
 		if worker.remainingUnaccounted(now, pool.spec.ResultTTL) <= 0 {
 			continue
 		}
-		seen := map[int64]bool{}
-		for _, waiting := range pool.queue {
-			if bytes := waiting.job.ResultBytes; !seen[bytes] {
-				seen[bytes] = true
-				change = earliest(change, worker.fitsFrom(now, pool.spec, bytes))
-			}
+		if sizes == nil {
+			sizes = pool.queuedSizes()
+		}
+		for _, bytes := range sizes {
+			change = earliest(change, worker.fitsFrom(now, pool.spec, bytes))
 		}
 	}
 	return change
 }
 
+// queuedSizes returns the sizes of the results of queued pieces, each once.
+func (pool *Pool) queuedSizes() []int64 {
+	sizes := make([]int64, len(pool.queue))
+	for i, waiting := range pool.queue {
+		sizes[i] = waiting.job.ResultBytes
+	}
+	slices.Sort(sizes)
+	return slices.Compact(sizes)
+}
+
 // nextRejection returns the first time at which rejectInfeasible may end a job, or record that it is late.
 func (pool *Pool) nextRejection(now time.Time) time.Time {
 	var next time.Time
--- a/io/edge/superseded_test.go
+++ b/io/edge/superseded_test.go
@@ -270,3 +270,174 @@
 	}
 	t.Logf("%d states with a live target, %d targets superseded", checked, superseded)
 }
+
+// TestWriteOfLiveTargetReachesOtherDaemons guards against a live target that gets no requests of daemons which copy from another one, because a registration with
+// its address looks like a later one and its own writes, which show that it lives, differ from what they know in their sequence only.
+func TestWriteOfLiveTargetReachesOtherDaemons(t *testing.T) {
+	live, other := registered{id: "live", startedAt: 1000, created: 10, last: 12}, registered{id: "other", startedAt: 5000, created: 20, last: 20}
+	for _, test := range []struct {
+		name string
+		play func(relay *Daemon)
+	}{
+		{"left out at the relay, too", func(relay *Daemon) { other.apply(relay) }},
+		{"the relay has had a response of the target", func(relay *Daemon) {
+			other.apply(relay)
+			relay.observeAnswer(targetAnswer{service: "ledger", target: "other", startedAt: time.UnixMilli(5000), status: http.StatusMisdirectedRequest})
+			relay.do(func() {})
+		}},
+		{"the relay reads both writes together", func(relay *Daemon) {
+			relay.do(func() {
+				relay.apply(core.WatchEvent{Revision: 21, Puts: []core.Entry{other.entry(relay), registered{id: "live", startedAt: 1000, created: 10, last: 21}.entry(relay)}})
+			})
+			relay.do(func() {})
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			relay, daemon := newFleetMember(t), newFleetMember(t)
+			copyAll := func() {
+				var since core.Revision
+				daemon.do(func() { since = daemon.control.registrations.Revision() })
+				var part copyPart
+				relay.do(func() {
+					event, whole := relay.control.registrations.Since(since)
+					part = copyPart{Revision: event.Revision, Whole: whole, Puts: event.Puts, Deletes: event.Deletes}
+				})
+				daemon.do(func() { daemon.mergePart(daemon.clock.Now(), &daemon.control.registrations, part) })
+				daemon.do(func() {})
+			}
+			live.apply(relay)
+			copyAll()
+			test.play(relay)
+			copyAll()
+			if got := strings.Join(usableAt(daemon, "10.8.0.1:80"), " "); got != "other" {
+				t.Fatalf("usable %q before the write, want other", got)
+			}
+			writes := 0
+			for last := core.Revision(30); last <= 60; last += 10 {
+				registered{id: "live", startedAt: 1000, created: 10, last: last}.apply(relay)
+				before := relay.view.Load()
+				copyAll()
+				if relay.view.Load() != before {
+					t.Error("a copy rebuilds the view of the relay")
+				}
+				if got := strings.Join(usableAt(daemon, "10.8.0.1:80"), " "); got != "live other" {
+					t.Errorf("usable %q after the write at %d, want live and other", got, last)
+				}
+				var puts int
+				relay.do(func() {
+					event, _ := relay.control.registrations.Since(last - 1)
+					puts = len(event.Puts)
+				})
+				writes += puts
+			}
+			if writes > 1 {
+				t.Errorf("%d writes reach other daemons, want the first one alone", writes)
+			}
+		})
+	}
+}
+
+// TestLiveTargetIsUsedThroughRelay guards against a live target that gets no requests of a daemon which copies from another one for longer than a heartbeat, in random
+// histories of an address: processes follow one another by any clock, registrations that nothing stands behind come and go, the relay gets responses that the superseding
+// target is another one, registrations lapse, and the store is restored.
+func TestLiveTargetIsUsedThroughRelay(t *testing.T) {
+	checked, leftOut := 0, 0
+	for seed := range uint64(60) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		relay, daemon := newFleetMember(t), newFleetMember(t)
+		number, epoch := int64(10), int64(0)
+		items := map[string]registered{}
+		runs, live := 0, ""
+		event := core.WatchEvent{} // that the relay has not read yet
+		read := func() {
+			event.Revision = core.NewRevision(epoch, number)
+			relay.do(func() { relay.apply(event) })
+			relay.do(func() {})
+			event = core.WatchEvent{}
+		}
+		write := func(id string, startedAt int64) {
+			number++
+			item, found := items[id]
+			if !found {
+				item.created = core.NewRevision(epoch, number)
+			}
+			item.id, item.startedAt, item.last = id, startedAt, core.NewRevision(epoch, number)
+			items[id] = item
+			event.Puts = append(event.Puts, item.entry(relay))
+		}
+		copyAll := func() {
+			var since core.Revision
+			daemon.do(func() { since = daemon.control.registrations.Revision() })
+			var part copyPart
+			relay.do(func() {
+				changes, whole := relay.control.registrations.Since(since)
+				part = copyPart{Revision: changes.Revision, Whole: whole, Puts: changes.Puts, Deletes: changes.Deletes}
+			})
+			daemon.do(func() { daemon.mergePart(daemon.clock.Now(), &daemon.control.registrations, part) })
+			daemon.do(func() {})
+		}
+		for step := range 80 {
+			switch random.IntN(7) {
+			case 0:
+				runs++
+				live = fmt.Sprint("run", runs)
+				write(live, 1000+random.Int64N(4000))
+			case 1:
+				runs++
+				write(fmt.Sprint("run", runs), 1000+random.Int64N(8000)) // nothing stands behind it
+			case 2:
+				if by := relay.view.Load().superseded[live]; by != "" {
+					relay.observeAnswer(targetAnswer{service: "ledger", target: by, status: http.StatusMisdirectedRequest})
+					relay.do(func() {})
+				}
+			case 3:
+				read()
+				for _, id := range slices.Sorted(maps.Keys(items)) {
+					if random.IntN(3) == 0 && id != live {
+						delete(items, id)
+						number++
+						event.Deletes = append(event.Deletes, relay.dialect.TargetPrefix()+id)
+					}
+				}
+				read()
+			case 4:
+				if random.IntN(4) > 0 || len(items) == 0 {
+					continue
+				}
+				read()
+				epoch++
+				snapshot := core.Snapshot{Revision: core.NewRevision(epoch, number)}
+				for id, item := range items {
+					item.created, item.last = item.created.InEpoch(epoch), item.last.InEpoch(epoch)
+					items[id] = item
+					snapshot.Entries = append(snapshot.Entries, item.entry(relay))
+				}
+				relay.do(func() { relay.replaceCopies(snapshot) })
+				relay.do(func() {})
+			case 5:
+				read()
+			case 6:
+				copyAll()
+			}
+			if live == "" || random.IntN(4) > 0 {
+				continue
+			}
+			read()
+			copyAll()
+			if daemon.view.Load().superseded[live] != "" {
+				leftOut++
+			}
+			write(live, items[live].startedAt)
+			read()
+			copyAll()
+			checked++
+			if by := daemon.view.Load().superseded[live]; by != "" {
+				t.Fatalf("seed %d, step %d: %s is live, has been written since %s was, and counts as superseded by it", seed, step, live, by)
+			}
+		}
+	}
+	if checked < 500 || leftOut < 20 {
+		t.Errorf("%d heartbeats of a live target, %d times left out before", checked, leftOut)
+	}
+	t.Logf("%d heartbeats of a live target, %d times left out before", checked, leftOut)
+}
