core/batch: let fast calls after a handover end a slowdown

One of 205 runs of TestBatchingAcrossDaemons at load averages of 40 to 62 sent 120 pieces in 42 calls, from a single sender. The stage times in its log rise by 41 ms for each request of two pieces, that is one piece a call at both targets, from 0.3 s, when the first calls stall, to 0.9 s; calls are larger after that. A stall raises the slowdown of a target, and one that is slow gets calls of one piece as probes. For 0.7 s after its first call, the handover period, a sender does not learn from calls that end, because they may have waited behind those of the previous sender: so nothing lowered the slowdown again.

Such a wait only makes a target look slower than it is. A call in that period that is faster than the slowdown says lowers it now; the time factors of the classes still learn nothing from it.

That the run failed for this reason follows from its stage times; it has no line that names the slowdown.

--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -200,8 +200,12 @@
 		return pool.retryPieces(call.pieces)
 	}
 	took := now.Sub(call.startedAt)
+	// A wait behind calls of the previous sender only makes a target look slower than it is, so that a fast call still shows
+	// that it is not slow: otherwise the first calls, if they stall, leave all targets with calls of one piece.
 	if !call.afterHandover {
 		pool.updateClassFactors(call, took)
+	}
+	if !call.afterHandover || float64(took) < float64(call.expected)*worker.currentSlowdown(now) {
 		worker.recordSuccess(now, took, call.expected)
 	}
 	expires := now.Add(pool.spec.ResultTTL)
--- a/core/batch/pool_test.go
+++ b/core/batch/pool_test.go
@@ -401,6 +401,26 @@
 	}
 }
 
+// TestStallAfterHandover guards against calls of one piece each at all targets for the rest of the handover period, because the first calls of a new
+// sender were stalled for a moment: 42 calls for 120 pieces.
+func TestStallAfterHandover(t *testing.T) {
+	spec := warehouseSpec
+	spec.CallOverhead, spec.PieceTime = 40*time.Millisecond, 2*time.Millisecond
+	simulation := newSimulation(spec, 2)
+	simulation.slowdowns["t0"], simulation.slowdowns["t1"] = 8, 8
+	for range 2 {
+		simulation.submit(5, 2*time.Second, 6*time.Second)
+	}
+	clear(simulation.slowdowns)
+	for range 22 {
+		simulation.submit(5, 2*time.Second, 6*time.Second)
+	}
+	simulation.run(2 * time.Second)
+	if mean := float64(simulation.pieces) / float64(simulation.calls); simulation.pieces < 24*5 || mean < 4 { // as in TestBatchingAcrossDaemons
+		t.Errorf("%d pieces were sent in %d calls", simulation.pieces, simulation.calls)
+	}
+}
+
 // TestTargetStaysFull guards against calls to a full target that follow each other without a backoff: doubled 36 times, it
 // overflowed.
 func TestTargetStaysFull(t *testing.T) {
