core/batch: probe a failing target with one call

A target with several slots that keeps failing got a call for each of them when its backoff ended, all of which failed and had their pieces queued again.

Sites whose services take one call at a time are not affected.

A target whose newest call failed gets no second call while one is in progress. TestFailingTargetGetsOneCall failed before (4 calls, want 1).

--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -165,6 +165,9 @@
 		if anyFast && worker.currentSlowdown(now) >= unusableSlowdown {
 			continue
 		}
+		if worker.consecutiveFailures > 0 && worker.inFlight > 0 {
+			continue // one call probes it
+		}
 		idle = append(idle, worker)
 	}
 	slices.SortFunc(idle, func(a, b *worker) int {
--- a/core/batch/wakeup_test.go
+++ b/core/batch/wakeup_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"catkincove/core"
 )
 
 // TestQueuedJobIsWoken guards against a job that waits until its deadline although a target could take it, because what it waits
@@ -118,3 +120,36 @@
 		t.Errorf("%v allocations, want at most %d", allocations, maxAllocations)
 	}
 }
+
+// TestFailingTargetGetsOneCall guards against a target that keeps failing and gets a call for each of its slots when its backoff ends, all of which fail.
+func TestFailingTargetGetsOneCall(t *testing.T) {
+	spec := warehouseSpec
+	spec.MaxCalls = 4
+	pool := New(spec)
+	pool.SetTargets(targets(1))
+	for range (spec.MaxCalls + 1) * spec.MaxPieces {
+		pool.Submit(Job{Pieces: 1, LastAttempt: true, SoftDeadline: start.Add(20 * time.Second), Deadline: start.Add(time.Minute)})
+	}
+	now := start
+	calls, _, _ := pool.Dispatch(now)
+	if len(calls) != spec.MaxCalls {
+		t.Fatalf("%d calls at a sound target, want %d", len(calls), spec.MaxCalls)
+	}
+	for range 3 {
+		for _, call := range calls {
+			pool.Finish(now, call.ID, Failed, nil)
+		}
+		now = now.Add(maxFailureBackoff)
+		if calls, _, _ = pool.Dispatch(now); len(calls) != 1 {
+			t.Fatalf("%d calls at a failing target, want 1", len(calls))
+		}
+	}
+	results := make([]core.PieceResult, len(calls[0].Pieces))
+	for i := range results {
+		results[i].Handle = "h"
+	}
+	pool.Finish(now, calls[0].ID, Responded, results)
+	if calls, _, _ = pool.Dispatch(now); len(calls) != spec.MaxCalls {
+		t.Errorf("%d calls after a success, want %d", len(calls), spec.MaxCalls)
+	}
+}
