--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -36,13 +36,15 @@
 
 // newFleetMember returns a daemon on a small VM that knows a whole fleet and follows a relay; its control loop runs until
 // the test ends.
-func newFleetMember(t testing.TB) *Daemon { return newFleetMemberWith(t, noNetwork{}) }
+func newFleetMember(t testing.TB) *Daemon {
+	return newFleetMemberWith(t, noNetwork{}, core.SystemClock{})
+}
 
-// newFleetMemberWith is newFleetMember with another network to the other daemons.
-func newFleetMemberWith(t testing.TB, peers http.RoundTripper) *Daemon {
+// newFleetMemberWith is newFleetMember with another network to the other daemons and another clock.
+func newFleetMemberWith(t testing.TB, peers http.RoundTripper, clock core.Clock) *Daemon {
 	daemon := New(Options{
 		Settings: inifmt.EdgeSettings{Name: "self", DataCentre: "dc-1", AdvertiseFront: "10.1.0.1:80", AdvertisePeer: "10.1.0.1:81", Cores: 0.192, MemoryMB: 184},
-		Dialect:  plainDialect{}, Clock: core.SystemClock{},
+		Dialect:  plainDialect{}, Clock: clock,
 	})
 	daemon.targets.Dial = func(context.Context, string) (*net.TCPConn, error) { return nil, errNoNetwork }
 	daemon.peers.Transport = peers
--- a/io/edge/hold_test.go
+++ b/io/edge/hold_test.go
@@ -27,10 +27,9 @@
 		{"started after the response", 50 * time.Millisecond, false, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			daemon := newFleetMember(t)
-			target := daemon.view.Load().targets["ledger"][0]
 			clock := &fakes.Clock{}
-			daemon.clock = clock
+			daemon := newFleetMemberWith(t, noNetwork{}, clock)
+			target := daemon.view.Load().targets["ledger"][0]
 			clock.Advance(target.StartedAt.Add(time.Hour).Sub(clock.Now()))
 			startedAt := clock.Now().Add(test.startedAt)
 			response := targetAnswer{service: "ledger", target: target.ID, startedAt: target.StartedAt, facts: core.TargetResponse{Pause: pause}}
--- a/io/edge/limits_test.go
+++ b/io/edge/limits_test.go
@@ -14,9 +14,8 @@
 
 // limitedFleetMember returns a daemon of a fleet that knows that the first target of a service, which it also returns, has named a limit.
 func limitedFleetMember(t *testing.T, service string, rate float64) (*Daemon, place.Target, *fakes.Clock) {
-	daemon := newFleetMember(t)
 	clock := &fakes.Clock{}
-	daemon.clock = clock
+	daemon := newFleetMemberWith(t, noNetwork{}, clock)
 	target := daemon.view.Load().targets[service][0]
 	daemon.do(func() {
 		daemon.control.limits.Observe(limit.Evidence{Target: target.ID, StartedAt: target.StartedAt, Named: true, Rate: rate, At: clock.Now()})
@@ -83,9 +82,8 @@
 // reports that they name no limit.
 func TestOlderBuildDoesNotLiftBrittleLimit(t *testing.T) {
 	for _, older := range []bool{true, false} {
-		daemon := newFleetMember(t)
 		clock := &fakes.Clock{}
-		daemon.clock = clock
+		daemon := newFleetMemberWith(t, noNetwork{}, clock)
 		target := daemon.view.Load().targets["ledger"][0]
 		limited := false
 		daemon.do(func() {
@@ -118,9 +116,8 @@
 		{"another target names a rate", false, 0, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			daemon := newFleetMember(t)
 			clock := &fakes.Clock{}
-			daemon.clock = clock
+			daemon := newFleetMemberWith(t, noNetwork{}, clock)
 			targets := daemon.view.Load().targets["ledger"]
 			daemon.do(func() {
 				daemon.control.limits.Observe(limit.Evidence{ID: 1, Target: targets[0].ID, StartedAt: targets[0].StartedAt, Named: true, Brittle: test.brittle, Rate: 4, At: clock.Now()})
--- a/io/edge/stages_test.go
+++ b/io/edge/stages_test.go
@@ -92,7 +92,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			calls := &peerCalls{}
-			daemon := newFleetMemberWith(t, calls)
+			daemon := newFleetMemberWith(t, calls, core.SystemClock{})
 			first, second := fleetRecord(3), fleetRecord(5)
 			names := map[string]string{first.Peer: "first", second.Peer: "second"}
 			calls.pieces = func(host string, message piecesRequest) piecesReply {
@@ -129,7 +129,7 @@
 // TestFormerSenderFreesItsResults guards against a daemon that has lost the role of the sender and frees the results of its own pieces
 // through the new one, so that its own pool counts them until they expire.
 func TestFormerSenderFreesItsResults(t *testing.T) {
-	daemon := newFleetMemberWith(t, &peerCalls{})
+	daemon := newFleetMemberWith(t, &peerCalls{}, core.SystemClock{})
 	daemon.do(func() {
 		daemon.setSender(fleetRecord(3))
 		now := daemon.clock.Now()
