io/edge: order the records of an origin of two daemons

A daemon records the origin of a target before it sends, and tells other daemons. By the logs d3 tried i-model4 (v1) for 000226 4.94 s after it had learned the baseline, while streams at it are still recorded; the connection was refused, d3 found that it had lost its paths and passed the request on to d0, whose target i-model18 (v2) began the stream; then d3 was killed. Both had recorded an origin. The sequence that orders what holders are told counts one daemon's records, and d3 had recorded more of them (its log names 20 tries of quotes by then, d0's 9), so holders kept v1, from which the resume was resolved: no daemon logged a look-up. The store keeps the later write of the two, and d3 kept its own target's version for resumes that come back to it.

Not told apart by the logs: whether d0's message reached the daemon of the resume.

The daemon that passes a request on now states the number of its newest record, and the other one counts on from there, which orders their messages. If the stream began at another version than the one that the first daemon has recorded, that daemon replaces its record before it forwards the first event. So the record of the version that began the stream is the last one with holders, in the store and in the first daemon's memory.

--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -25,17 +25,22 @@
 	headerElapsed      = "Catkincove-Elapsed"       // milliseconds since the first daemon received the request
 	headerContinues    = "Catkincove-Continues"     // last event that the caller has of a stream that goes on within its response
 	headerOrigin       = "Catkincove-Origin"        // service and version of the target that began the stream
+	headerSequence     = "Catkincove-Sequence"      // of the newest record of an origin of the first daemon, which may have tried targets
 	headerTargetLeaves = "Catkincove-Target-Leaves" // in a response: target that has said that it leaves
 	headerPathsLost    = "Catkincove-Paths-Lost"    // in a response: the daemon has lost its paths as well and has not run the request
 )
 
-var forwardHeaders = []string{headerElapsed, headerContinues, headerOrigin, headerTargetLeaves, headerPathsLost}
+// maxOriginSequence is far above the number of records that a daemon writes; a larger one could not be counted up.
+const maxOriginSequence = 1 << 60
+
+var forwardHeaders = []string{headerElapsed, headerContinues, headerOrigin, headerSequence, headerTargetLeaves, headerPathsLost}
 
 // forwardedRequest is what the first daemon says about a request that it passes on.
 type forwardedRequest struct {
 	elapsed   time.Duration
 	continues string
 	origin    origin.Origin
+	sequence  int64 // of the newest record of an origin there
 }
 
 func encodeOrigin(began origin.Origin) string {
@@ -60,6 +65,8 @@
 	header.Set(headerElapsed, strconv.FormatInt(daemon.clock.Now().Sub(request.startedAt).Milliseconds(), 10))
 	if request.origin.Known() {
 		header.Set(headerOrigin, encodeOrigin(request.origin))
+	} else if request.isResumable() {
+		header.Set(headerSequence, strconv.FormatInt(daemon.originSequence(), 10))
 	}
 	if request.responseStarted {
 		header.Set(headerContinues, request.resumeAfter)
@@ -148,6 +155,7 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
+	daemon.raiseOriginSequence(received.sequence)
 	daemon.serveRequest(writer, incoming, received)
 }
 
@@ -157,8 +165,15 @@
 	if err != nil || elapsed < 0 || elapsed > int64(time.Hour/time.Millisecond) {
 		return nil, errors.New("elapsed time")
 	}
+	sequence := int64(0) // not stated by older builds
+	if text := incoming.Header.Get(headerSequence); text != "" {
+		sequence, err = strconv.ParseInt(text, 10, 64)
+		if err != nil || sequence < 0 || sequence > maxOriginSequence {
+			return nil, errors.New("sequence of origins")
+		}
+	}
 	received := &forwardedRequest{
-		elapsed: time.Duration(elapsed) * time.Millisecond, continues: incoming.Header.Get(headerContinues), origin: parseOrigin(incoming.Header.Get(headerOrigin)),
+		elapsed: time.Duration(elapsed) * time.Millisecond, continues: incoming.Header.Get(headerContinues), origin: parseOrigin(incoming.Header.Get(headerOrigin)), sequence: sequence,
 	}
 	for _, name := range forwardHeaders {
 		incoming.Header.Del(name)
--- a/io/edge/holders.go
+++ b/io/edge/holders.go
@@ -22,7 +22,7 @@
 // toldOrigin is what a daemon tells of a stream that it has begun.
 type toldOrigin struct {
 	Origin   origin.Origin
-	Sequence int64 // orders what one daemon tells of an attempt
+	Sequence int64 // orders what is told of an attempt, also by a daemon to which the request was passed on
 }
 
 // originsMessage tells a holder which versions began streams, by attempt.
@@ -123,12 +123,11 @@
 		count := min(len(origins.untold), maxOriginsInMessage)
 		records, origins.untold = origins.untold[:count:count], origins.untold[count:]
 		for _, record := range records {
-			origins.sequence++
 			for _, address := range daemon.holdersOf(now, record.attempt, false) {
 				if messages[address].Origins == nil {
 					messages[address] = originsMessage{Origins: map[string]toldOrigin{}}
 				}
-				messages[address].Origins[record.attempt] = toldOrigin{Origin: record.origin, Sequence: origins.sequence}
+				messages[address].Origins[record.attempt] = toldOrigin{Origin: record.origin, Sequence: record.sequence}
 				recipients[address] = append(recipients[address], record)
 			}
 		}
--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -49,7 +49,7 @@
 	wake            chan struct{}   // has an element if records are pending
 	untold          []*originRecord // records that the holders are not told yet
 	tellWake        chan struct{}   // has an element if there are any
-	sequence        int64           // number of records that holders were told
+	sequence        int64           // of the newest record; above those of the daemons that have passed requests on to this one
 }
 
 // knownBaseline is a baseline with the time since which this daemon has known it.
@@ -68,6 +68,8 @@
 	told    chan struct{} // closed when its holders have answered, or are not waited for any longer
 	copies  int           // holders that have it
 
+	sequence int64 // orders what holders are told of an attempt
+
 	replacesSent bool // the store may have the record of another version, at which the stream did not begin
 }
 
@@ -110,8 +112,9 @@
 		}
 		origins.order = append(origins.order, attempt)
 	}
+	origins.sequence++
 	record := &originRecord{
-		attempt: attempt, origin: began, written: make(chan struct{}), told: make(chan struct{}),
+		attempt: attempt, origin: began, sequence: origins.sequence, written: make(chan struct{}), told: make(chan struct{}),
 		replacesSent: replaces && (before == nil || before.sent || before.replacesSent),
 	}
 	origins.pending[attempt] = record
@@ -165,6 +168,9 @@
 func (relay *relay) fixOrigin(ctx context.Context) error {
 	request := relay.request
 	if relay.attempt.through != nil && !request.origin.Known() {
+		if err := relay.correctRecord(ctx); err != nil {
+			return err
+		}
 		request.origin = relay.toldOrigin
 	}
 	defer func() {
@@ -185,6 +191,36 @@
 	return nil
 }
 
+// correctRecord replaces the record of a target that this daemon tried before it passed the request on, if the stream began at another version. The write of
+// that record may have come after the one of the daemon that forwards the request.
+func (relay *relay) correctRecord(ctx context.Context) error {
+	request, daemon := relay.request, relay.daemon
+	if !request.isResumable() || request.caller.Attempt == "" || !relay.toldOrigin.Known() {
+		return nil
+	}
+	differs := false
+	daemon.do(func() {
+		known, found := daemon.control.origins.table.Find(daemon.clock.Now(), originID(request.caller.Attempt))
+		differs = found && known != relay.toldOrigin
+	})
+	if !differs {
+		return nil
+	}
+	return relay.awaitRecord(ctx, relay.toldOrigin)
+}
+
+// originSequence returns the sequence of the newest record of this daemon.
+func (daemon *Daemon) originSequence() int64 {
+	sequence := int64(0)
+	daemon.do(func() { sequence = daemon.control.origins.sequence })
+	return sequence
+}
+
+// raiseOriginSequence lets what this daemon tells from now on replace what the daemon has told that passes a request on.
+func (daemon *Daemon) raiseOriginSequence(sequence int64) {
+	daemon.do(func() { daemon.control.origins.sequence = max(daemon.control.origins.sequence, sequence) })
+}
+
 // awaitRecord waits until the record of a stream's origin lies in the store. If the store does not answer in time, the stream begins at the version that
 // a missing record stands for, at another target if need be, and otherwise once other daemons keep a copy of the record.
 func (relay *relay) awaitRecord(ctx context.Context, began origin.Origin) error {
