io/edge: log resumes that are resolved from a daemon's own memory

In soak the daemon that joined two versions was killed before the resumed request ended, and OriginResolved came only for look-ups elsewhere, so nothing in its log named the request. The four logs could not tell whether the daemon had been told an origin, had read a record, or was never asked. OriginResolved now comes for each resume, with From Memory if the daemon knew the attempt.

--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -380,7 +380,9 @@
 		now := daemon.clock.Now()
 		began, found = daemon.control.origins.table.Find(now, resumed)
 	})
-	if !found {
+	if found {
+		daemon.logOrigin(resumed, began, originFromMemory)
+	} else {
 		began, found = daemon.lookUpOrigin(ctx, service, resumed)
 	}
 	if !found {
@@ -429,9 +431,7 @@
 // daemons must say so too: this one may be cut off, which it notices late.
 func (daemon *Daemon) lookUpOrigin(ctx context.Context, service, attempt string) (began origin.Origin, found bool) {
 	from := originFromNothing
-	defer func() {
-		daemon.log.Info().Str(eventField, eventOriginResolved).Str("Resumes", attempt).Bool("Found", found).Str("Version", began.Version).Str("From", from).Msg("looked up which software version began a stream")
-	}()
+	defer func() { daemon.logOrigin(attempt, began, from) }()
 	var record origin.Origin
 	read, recorded := false, false
 	var kept kept
@@ -462,8 +462,14 @@
 	return began, began.Known()
 }
 
+// logOrigin logs what tells at which version a resumed stream began. It comes before the request ends, which a killed daemon does not log.
+func (daemon *Daemon) logOrigin(attempt string, began origin.Origin, from string) {
+	daemon.log.Info().Str(eventField, eventOriginResolved).Str("Resumes", attempt).Bool("Found", began.Known()).Str("Version", began.Version).Str("From", from).Msg("looked up which software version began a stream")
+}
+
 // What tells the software version that began a stream, for the log.
 const (
+	originFromMemory     = "Memory"     // this daemon began the stream, keeps a copy of its record, or has read it before
 	originFromRecord     = "Record"     // the record in the store
 	originFromHolder     = "Holder"     // another daemon that keeps a copy of the record
 	originFromBaseline   = "Baseline"   // there is no record, so the stream began at the baseline
