core/admit: leave soft time to other requests only while they compete

Cause: the door left a part of the soft time of less urgent and of larger requests to others, whether or not there were any. Change: the forecast of a pool states its pressure, the work that arrives in relation to what the targets can do. The margins apply in proportion to it; without competition a request may be expected a little late, since a rejected one is late for certain. docs/design/admission.md. Ruled out: no margin at all (worse in bursts), other thresholds, a shorter Retry-After without competition (no difference beyond noise).

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -20,6 +20,9 @@
 	maxRetryAfterShare  = 1.0 / 3                // callers wait no longer than this share, and would all return at its end
 	minRetryAfter       = 200 * time.Millisecond // smallest RetryAfter
 	noTargetsRetryAfter = time.Second            // RetryAfter while a service has no targets
+	calmPressure        = 0.6                    // share of a stage's capacity up to which nobody competes for it
+	calmExcessShare     = 0.25                   // share of the soft time left by which a forecast may exceed it without competition: a rejected request is late for certain
+	fullPressure        = 0.9                    // share from which on the margins apply in full: calls are not always full
 )
 
 // Stage is one stage of a request with the forecast of its pool.
@@ -61,6 +64,22 @@
 	return min(float64(request.Work())/float64(request.UsualWork), maxSizeRatio)
 }
 
+// competition returns how much of the margins for more urgent and smaller requests applies: none while the targets of all stages have time for all work that
+// arrives, and all of them when those of one stage have not, or when it is unknown.
+func (request Request) competition() float64 {
+	competition := 0.0
+	for _, stage := range request.Stages {
+		if stage.Pieces == 0 {
+			continue
+		}
+		if stage.Forecast.Pressure <= 0 || !stage.ForecastFresh {
+			return 1
+		}
+		competition = max(competition, (stage.Forecast.Pressure-calmPressure)/(fullPressure-calmPressure))
+	}
+	return min(competition, 1)
+}
+
 // Plan is the expected schedule of a request and its stages.
 type Plan struct {
 	TimeToResponse time.Duration   // time until the response begins
@@ -139,10 +158,11 @@
 		return Decision{Admit: true} // whether targets have free slots is known only when one is chosen
 	}
 	plan := Forecast(request)
-	allowedShare := 1 - priorityMargin*float64(request.Priority) - teamPriorityMargin*float64(request.TeamPriority) - sizeMargin*(request.sizeRatio()-1)
-	allowedShare = min(max(allowedShare, minSoftTimeShare), 1)
+	margin := priorityMargin*float64(request.Priority) + teamPriorityMargin*float64(request.TeamPriority) + sizeMargin*(request.sizeRatio()-1)
+	competition := request.competition()
+	allowedShare := min(max(1-margin*competition, minSoftTimeShare), 1) + calmExcessShare*(1-competition)
 	if request.AdmittedShare < minAdmittedShare {
-		allowedShare = 1
+		allowedShare = max(allowedShare, 1)
 	}
 	excess := plan.TimeToResponse - time.Duration(float64(request.SoftTimeLeft)*allowedShare)
 	switch {
--- a/core/admit/replay_test.go
+++ b/core/admit/replay_test.go
@@ -43,6 +43,8 @@
 	routes   []deskRoute
 	crashAt  time.Duration // all daemons crash then; 0 means never
 	downFor  time.Duration // time until new daemons serve
+
+	engineTime time.Duration // from the last stage to the beginning of the response; 0 means the constant
 }
 
 type deskRoute struct {
@@ -333,7 +335,7 @@
 	timeLeft := visit.arrivedAt.Add(visit.limit).Sub(replay.now)
 	soft := visit.arrivedAt.Add(visit.route.LatencyObjective)
 	request := admit.Request{
-		TimeToFirstEvent: engineTime, SoftTimeLeft: soft.Sub(replay.now), TimeLeft: timeLeft, Priority: visit.route.Priority,
+		TimeToFirstEvent: cmp.Or(replay.desk.engineTime, engineTime), SoftTimeLeft: soft.Sub(replay.now), TimeLeft: timeLeft, Priority: visit.route.Priority,
 		AdmittedShare: 1 + replay.shares[visit.route.Name], Returning: visit.attempts > 1, UsualWork: replay.work[visit.route.Name],
 	}
 	for i, spec := range visit.route.Stages {
@@ -399,7 +401,7 @@
 		}
 	}
 	if all && visit.respondedAt.IsZero() {
-		visit.respondedAt = replay.now.Add(engineTime)
+		visit.respondedAt = replay.now.Add(cmp.Or(replay.desk.engineTime, engineTime))
 	}
 }
 
--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -63,6 +63,7 @@
 func (pool *Pool) Forecast(now time.Time) Forecast {
 	forecast := Forecast{Call: pool.typicalCallTime(), ShortOfRoom: pool.isShortOfRoom(now), Ahead: make([]time.Duration, forecastSteps)}
 	forecast.Capacity, forecast.PausedFor = pool.capacity(now, forecast.Call), pool.pausedFor(now)
+	forecast.Pressure = pool.pressure.value(now, forecast.Capacity*float64(pool.spec.MaxCalls))
 	perPiece := pool.spec.CallOverhead / time.Duration(pool.spec.MaxPieces)
 	for _, waiting := range pool.queue {
 		if now.Add(pool.spec.CallOverhead).After(waiting.job.SoftDeadline) {
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -48,6 +48,7 @@
 	lastCallAt          time.Time // start of the last call
 	fetches             []fetch   // in order of time
 	releaseAfter        time.Time // inputs are not released early before this time
+	pressure            pressure
 }
 
 type piece struct {
@@ -116,6 +117,7 @@
 	added := &job{Job: submitted, id: pool.lastJobID, remaining: submitted.Pieces, toBegin: submitted.Pieces, handles: make([]string, submitted.Pieces)}
 	added.pieces = make([]piece, submitted.Pieces)
 	pool.jobs[added.id] = added
+	pool.pressure.add(time.Duration(added.Pieces) * (pool.spec.CallOverhead/time.Duration(pool.spec.MaxPieces) + pool.pieceTime(added.Class)))
 	for i := range added.pieces {
 		added.pieces[i] = piece{job: added, number: i}
 		pool.enqueue(&added.pieces[i])
--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -73,6 +73,7 @@
 	PausedFor   time.Duration   // time until a target may get a call, if all have stated that they want none; 0 otherwise
 	ShortOfRoom bool            // the targets have little free capacity for results
 	Call        time.Duration   // typical time of a call at the present batch size
+	Pressure    float64         // work that arrives relative to what the targets can do; 0 means unknown
 	Ahead       []time.Duration // work of all targets before a job; the index is the time left to its soft deadline, in ForecastStep
 }
 
