core/admit: margins from a pressure of 0.8 on, and admission of forecasts that are a little late

Change: margins from a pressure of 0.8, in full from 1.1; without competition a forecast may exceed the soft time by two fifths.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -20,9 +20,9 @@
 	maxRetryAfterShare  = 1.0 / 3                // callers wait no longer than this share, and would all return at its end
 	minRetryAfter       = 200 * time.Millisecond // smallest RetryAfter
 	noTargetsRetryAfter = time.Second            // RetryAfter while a service has no targets
-	calmPressure        = 0.6                    // share of a stage's capacity up to which nobody competes for it
-	calmExcessShare     = 0.25                   // share of the soft time left by which a forecast may exceed it without competition: a rejected request is late for certain
-	fullPressure        = 0.9                    // share from which on the margins apply in full: calls are not always full
+	calmPressure        = 0.8                    // share of a stage's capacity up to which nobody competes for it
+	calmExcessShare     = 0.4                    // share of the soft time left by which a forecast may exceed it without competition: a rejected request is late for certain
+	fullPressure        = 1.1                    // share from which on the margins apply in full: calls are not always full
 )
 
 // Stage is one stage of a request with the forecast of its pool.
