--- a/core/routing.go
+++ b/core/routing.go
@@ -255,10 +255,22 @@
 	MaxRejections float64 // in a second, from all daemons together
 	RateLimit     float64 // requests per second that the target takes from all daemons together, for as long as it names them
 	Leaving       bool    // the target leaves and wants no further requests
+	Load          Load    // of the target when it sent the response
 
 	Pause time.Duration // time for which the target, which is full, wants nothing from this daemon; 0 means that it states none
 }
 
+// Load is what a target states about its own load.
+type Load struct {
+	Told    bool // the target states its load; otherwise the other fields say nothing
+	Running int  // requests in progress, from all daemons
+	Waiting int  // requests that wait for a slot
+	Slots   int  // requests that may be in progress at once; 0 means that the target states none
+	// Pace is how long work takes at this moment relative to the usual time: 2 means twice as long. It is 1 if the target states
+	// none.
+	Pace float64
+}
+
 // Piece is one unit of work of a stage.
 type Piece struct {
 	Attempt  string
