core/gauge, core/batch: go by the load that targets tell

By it the pool orders idle targets, leaves one that is slow at the moment to wait while the queue is done earlier by others, scales the timeouts and the forecast, and takes the told pace out of the measured slowdown. A target whose paces predict the times of its calls worse than the usual time does is not believed until they do. Calls of others, as of a previous sender, are waited for after a rejection and in the handover period.

TestPoolModel draws statements as well; nothing else in it changes. Without statements all factors are 1.

--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -17,7 +17,7 @@
 	}
 	pool.requeueStalled(now)
 	ended, unused = pool.rejectInfeasible(now)
-	pool.localityWaitEnds = time.Time{}
+	pool.localityWaitEnds, pool.passOverEnds = time.Time{}, time.Time{}
 	for {
 		started := pool.dispatchRound(now)
 		if len(started) == 0 {
@@ -34,13 +34,14 @@
 		return nil // most events on a long queue end here, without the cost of sorting it
 	}
 	pool.sortQueue(now)
-	dataCentres := pool.usableDataCentres(now)
+	dataCentres, callTime := pool.usableDataCentres(now), pool.typicalCallTime()
+	idle = pool.withoutSlow(now, idle, callTime)
 	var calls []Call
 	for i, worker := range idle {
 		if len(pool.queue) == 0 {
 			break
 		}
-		if batch := pool.formBatch(now, worker, len(idle)-i, dataCentres); batch != nil {
+		if batch := pool.formBatch(now, worker, sharers(now, idle[i:], callTime), dataCentres); batch != nil {
 			calls = append(calls, pool.startCall(now, worker, batch))
 		}
 	}
@@ -73,7 +74,7 @@
 			continue
 		}
 		call.stalled = true
-		call.worker.recordStall(now, float64(elapsed)/float64(call.expected))
+		call.worker.recordStall(now, float64(elapsed)/(float64(call.expected)*call.maxPace))
 		for _, piece := range call.pieces {
 			if piece.attempts < maxAttempts && !piece.job.released {
 				pool.enqueue(piece)
@@ -83,7 +84,7 @@
 }
 
 func (pool *Pool) stallTimeout(now time.Time, call *call) time.Duration {
-	timeout := time.Duration(float64(call.expected)*max(call.worker.currentSlowdown(now), 1)*stallFactor) + stallMargin
+	timeout := time.Duration(float64(call.expected)*max(call.worker.currentSlowdown(now)*call.maxPace, 1)*stallFactor) + stallMargin
 	if call.afterHandover {
 		timeout += call.expected
 	}
@@ -170,8 +171,12 @@
 		}
 		idle = append(idle, worker)
 	}
+	if len(idle) < 2 {
+		return idle
+	}
+	callTime := pool.typicalCallTime()
 	slices.SortFunc(idle, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(a.currentSlowdown(now), b.currentSlowdown(now)), cmp.Compare(a.retainedBytes+a.reservedBytes, b.retainedBytes+b.reservedBytes), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.factor(now, callTime), b.factor(now, callTime)), cmp.Compare(a.retainedBytes+a.reservedBytes, b.retainedBytes+b.reservedBytes), cmp.Compare(a.ID, b.ID))
 	})
 	return idle
 }
@@ -196,8 +201,7 @@
 	dataCentres := map[string]*dataCentre{}
 	freeIn := map[*worker]time.Duration{}
 	for _, call := range pool.calls {
-		timeLeft := max(time.Duration(float64(call.expected)*call.worker.currentSlowdown(now))-now.Sub(call.startedAt), 0)
-		freeIn[call.worker] = max(freeIn[call.worker], timeLeft)
+		freeIn[call.worker] = max(freeIn[call.worker], call.timeLeft(now))
 	}
 	for _, worker := range pool.workers {
 		if !worker.usable(now) {
@@ -282,6 +286,9 @@
 	}
 	pool.lastCallAt = now
 	started := &call{afterHandover: now.Sub(pool.firstCallAt) < handoverPeriod, id: pool.lastCallID, worker: worker, pieces: pieces, startedAt: now, expected: pool.expectedTime(pieces)}
+	started.stretch = worker.told.Stretch(now, started.expected)
+	started.predicted = worker.told.Prediction(now, started.expected)
+	started.maxPace = started.stretch
 	request := Call{ID: started.id, Target: worker.Target}
 	for _, piece := range pieces {
 		piece.attempts++
@@ -293,7 +300,7 @@
 			TimeLeft: piece.job.Deadline.Sub(now), Key: piece.job.Key, Inputs: piece.job.Inputs,
 		})
 	}
-	request.Timeout = time.Duration(float64(started.expected)*timeoutFactor*max(worker.currentSlowdown(now), 1)) + timeoutMargin
+	request.Timeout = time.Duration(float64(started.expected)*timeoutFactor*max(worker.factor(now, started.expected), 1)) + timeoutMargin
 	request.ResultBytes, request.RetainedBytes = started.resultBytes, worker.retainedBytes+worker.reservedBytes
 	if pool.Pacer != nil {
 		_, _ = pool.Pacer.Take(now, worker.ID, 0)
--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -26,9 +26,10 @@
 // unusually fast or slow are ignored.
 func (pool *Pool) updateClassFactors(call *call, took time.Duration) {
 	const normalMin, normalMax = 0.7, 1.4
-	if slowdown := call.worker.currentSlowdown(call.startedAt); slowdown < normalMin || slowdown > normalMax || call.expected <= pool.spec.CallOverhead {
+	if slowdown := call.worker.currentSlowdown(call.startedAt) * call.stretch; slowdown < normalMin || slowdown > normalMax || call.expected <= pool.spec.CallOverhead {
 		return
 	}
+	took = time.Duration(float64(took) / call.stretch)
 	ratio := float64(took-pool.spec.CallOverhead) / float64(call.expected-pool.spec.CallOverhead)
 	ratio = min(max(ratio, 0.5), 2)
 	classes := map[string]int{}
@@ -79,7 +80,7 @@
 	busy := 0
 	for _, call := range pool.calls {
 		busy++
-		running += max(call.startedAt.Add(call.expected).Sub(now), 0)
+		running += max(time.Duration(float64(call.expected)*call.stretch)-now.Sub(call.startedAt), 0)
 	}
 	if busy >= len(pool.workers)*pool.spec.MaxCalls {
 		for step := range forecast.Ahead {
@@ -100,6 +101,7 @@
 		// Each slowdown counts relative to the median: when all targets look slow at once, this process may as well have
 		// stalled, and that must not stop it from admitting work.
 		share := 1 / max(max(worker.currentSlowdown(now), 1)/slowdowns[len(slowdowns)/2], 1)
+		share /= worker.told.Stretch(now, callTime) // told, so that a stall of this process does not change it
 		if pool.Pacer != nil {
 			if pool.Pacer.PausedFor(now, worker.ID) > 0 {
 				continue
--- a/core/batch/model_test.go
+++ b/core/batch/model_test.go
@@ -73,7 +73,7 @@
 func (model *poolModel) run() {
 	operations := []func(){
 		model.submit, model.submit, model.submit, model.finish, model.finish, model.finish, model.finish, model.fail, model.free, model.cancel, model.setTargets,
-		model.pause, model.advance, model.advance, model.advance,
+		model.pause, model.tell, model.advance, model.advance, model.advance,
 	}
 	for range modelSteps {
 		operations[rapid.IntRange(0, len(operations)-1).Draw(model.t, "operation")]()
@@ -131,9 +131,25 @@
 		results[i].Handle, model.held[handle] = handle, true
 		model.retained[handle] = modelResult{target: call.Target, bytes: model.bytesOf(call, i), expires: model.now.Add(warehouseSpec.ResultTTL)}
 	}
+	model.pool.ObserveCall(model.now, call.ID, model.load())
 	model.record(model.pool.Finish(model.now, call.ID, Responded, results))
 }
 
+// tell lets a target state its load, as with the response to a call that frees results.
+func (model *poolModel) tell() {
+	model.pool.Observe(model.now, fmt.Sprintf("10.0.0.%d:80", rapid.IntRange(0, modelTargets-1).Draw(model.t, "telling target")), model.load())
+}
+
+func (model *poolModel) load() core.Load {
+	if model.responsive {
+		return core.Load{}
+	}
+	return core.Load{
+		Told: rapid.Bool().Draw(model.t, "told"), Running: rapid.IntRange(0, 3).Draw(model.t, "running"), Waiting: rapid.IntRange(0, 3).Draw(model.t, "waiting"),
+		Slots: rapid.IntRange(0, 2).Draw(model.t, "slots"), Pace: rapid.SampledFrom([]float64{1, 1, 0.5, 2.5, 20}).Draw(model.t, "pace"),
+	}
+}
+
 // bytesOf returns the size of the result of a piece of a running call.
 func (model *poolModel) bytesOf(call Call, i int) int64 {
 	return model.pool.calls[call.ID].pieces[i].job.ResultBytes
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -46,6 +46,7 @@
 	localityWaitEnds    time.Time // first time at which a piece no longer waits for a target near its inputs, as of the last Dispatch; zero means none waits
 	firstCallAt         time.Time // start of the first call since the pool began to send
 	lastCallAt          time.Time // start of the last call
+	passOverEnds        time.Time // time of the next look at targets that the last Dispatch passed over as slow; zero means none was
 	fetches             []fetch   // in order of time
 	releaseAfter        time.Time // inputs are not released early before this time
 }
@@ -79,7 +80,11 @@
 	expected      time.Duration // expected duration on a target of usual speed
 	resultBytes   int64
 	stalled       bool
-	afterHandover bool // may have waited behind a call of the previous sender
+	afterHandover bool    // may have waited behind a call of the previous sender
+	stretch       float64 // expected duration at the pace that the target had told when the call began, relative to expected
+	predicted     float64 // stretch by what the target had told, whether it counted or not
+	maxPace       float64 // highest pace that the target has told since, at least stretch
+	endPace       float64 // told with the response; 0 means none
 }
 
 // New returns a pool without targets or jobs for the specification.
@@ -188,7 +193,7 @@
 	}
 	switch outcome {
 	case Rejected:
-		worker.backoffUntil = now.Add(rejectedBackoff)
+		worker.backoffUntil = now.Add(max(rejectedBackoff, pool.externalWait(now, worker)))
 		for _, piece := range call.pieces {
 			piece.attempts--
 			piece.unwatchFetch()
@@ -205,8 +210,9 @@
 	if !call.afterHandover {
 		pool.updateClassFactors(call, took)
 	}
-	if !call.afterHandover || float64(took) < float64(call.expected)*worker.currentSlowdown(now) {
-		worker.recordSuccess(now, took, call.expected)
+	if !call.afterHandover || float64(took) < float64(call.expected)*worker.currentSlowdown(now)*call.stretch {
+		worker.told.Learn(call.predicted, float64(took)/float64(max(call.expected, time.Millisecond)))
+		worker.recordSuccess(now, call.slowdown(took))
 	}
 	expires := now.Add(pool.spec.ResultTTL)
 	full := false
--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"catkincove/core"
+	"catkincove/core/gauge"
 )
 
 const (
@@ -43,6 +44,7 @@
 	unaccountedAt       time.Time
 	retainedResults     map[string]retainedResult // results that the target retains, by handle
 	nextExpiry          time.Time                 // time until which none of them expires; zero means that there is none
+	told                gauge.Gauge               // what the target states of its load
 }
 
 func (worker *worker) usable(now time.Time) bool {
@@ -131,9 +133,9 @@
 	}
 }
 
-func (worker *worker) recordSuccess(now time.Time, took, expected time.Duration) {
+func (worker *worker) recordSuccess(now time.Time, ratio float64) {
 	worker.consecutiveFailures = 0
-	ratio := min(float64(took)/float64(max(expected, time.Millisecond)), maxSlowdown)
+	ratio = min(ratio, maxSlowdown)
 	slowdown := worker.currentSlowdown(now)
 	worker.slowdown, worker.slowdownAt = slowdown+(ratio-slowdown)*slowdownSmoothing, now
 }
--- a/core/batch/wakeup.go
+++ b/core/batch/wakeup.go
@@ -31,6 +31,7 @@
 	if len(pool.queue) > 0 {
 		wake = earliest(wake, pool.targetsChangeAt(now))
 		wake = earliest(wake, pool.localityWaitEnds)
+		wake = earliest(wake, pool.passOverEnds)
 		wake = earliest(wake, pool.nextRejection(now))
 	}
 	if len(pool.fetches) > 0 {
@@ -48,7 +49,7 @@
 func (pool *Pool) stallsFrom(now time.Time, call *call) time.Time {
 	timeLeft := call.startedAt.Add(pool.stallTimeout(now, call)).Sub(now)
 	excess := max(call.worker.currentSlowdown(now)-1, 0)
-	rate := float64(call.expected) * stallFactor * excess * math.Ln2 / float64(slowdownHalfLife)
+	rate := float64(call.expected) * call.maxPace * stallFactor * excess * math.Ln2 / float64(slowdownHalfLife)
 	return now.Add(time.Duration(float64(timeLeft) / (1 + rate)))
 }
 
