--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -30,6 +30,7 @@
 	"catkincove/core/wake"
 	"catkincove/io/callid"
 	"catkincove/io/inifmt"
+	"catkincove/io/lines"
 	"catkincove/io/xchg"
 )
 
@@ -57,7 +58,7 @@
 	dialect   core.Dialect
 	store     core.Store
 	clock     core.Clock
-	logWriter *logWriter
+	logWriter *lines.Writer
 	log       zerolog.Logger
 
 	loop        loop.Loop
@@ -135,12 +136,12 @@
 	settings.AdvertisePeer = cmp.Or(settings.AdvertisePeer, settings.Peer)
 	daemon := &Daemon{
 		options: options, dialect: options.Dialect, store: options.Store, clock: options.Clock,
-		logWriter: newLogWriter(options.Clock), leaveStarted: make(chan struct{}), drain: newDrain(), metrics: newMetrics(),
+		logWriter: lines.New(options.Clock), leaveStarted: make(chan struct{}), drain: newDrain(), metrics: newMetrics(),
 		targets: &xchg.Client{Clock: options.Clock},
 	}
 	daemon.loop.OnPanic = func(value any, stack []byte) { daemon.reportPanic("loop", value, stack) }
 	daemon.loopContext, daemon.stopLoop = context.WithCancel(context.Background())
-	daemon.log = daemon.logWriter.logger(options.Settings.Name)
+	daemon.log = daemon.logWriter.Logger(options.Settings.Name)
 	daemon.settings.Store(&options.Settings)
 	daemon.view.Store(&view{})
 	daemon.peers = &http.Client{Transport: &callid.Transport{Kept: &http.Transport{
@@ -174,7 +175,7 @@
 
 	logDone := make(chan struct{})
 	stopLog := make(chan struct{})
-	go func() { daemon.logWriter.run(daemon.options.Log, stopLog); close(logDone) }()
+	go func() { daemon.logWriter.Run(daemon.options.Log, stopLog); close(logDone) }()
 	defer func() { close(stopLog); <-logDone }()
 
 	// The loop stops last, since the other parts use it while they stop.
@@ -292,7 +293,7 @@
 				daemon.scheduleRebuild() // retained entries expire without an event
 			}
 		})
-		if now := daemon.logWriter.dropped.Load(); now > reported {
+		if now := daemon.logWriter.Dropped(); now > reported {
 			daemon.log.Warn().Str(eventField, eventLogDropped).Int64("Lines", now-reported).Msg("log lines were dropped")
 			reported = now
 		}
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -89,7 +89,7 @@
 	set("OriginsUnrecorded", metrics.originsUnrecorded.Load())
 	set("ConnectionsOpened", daemon.targets.Opened())
 	set("ResponsesSkipped", daemon.targets.Skipped())
-	set("LogLinesDropped", daemon.logWriter.dropped.Load())
+	set("LogLinesDropped", daemon.logWriter.Dropped())
 	metrics.mutex.Lock()
 	for name, count := range metrics.outcomes {
 		set("Outcome."+name, count)
--- a/io/edge/log.go
+++ b/io/lines/lines.go
@@ -1,4 +1,4 @@
-package edge
+package lines
 
 import (
 	"io"
@@ -16,8 +16,8 @@
 	maxLinesPerSecond = 400  // further lines are dropped and counted; a daemon serves some dozens of requests a second
 )
 
-// logWriter queues log lines for one writing goroutine and never blocks.
-type logWriter struct {
+// Writer queues log lines for one writing goroutine and never blocks.
+type Writer struct {
 	clock           core.Clock
 	lines           chan []byte
 	dropped         atomic.Int64
@@ -25,12 +25,13 @@
 	linesThisSecond atomic.Int64
 }
 
-func newLogWriter(clock core.Clock) *logWriter {
-	return &logWriter{clock: clock, lines: make(chan []byte, maxQueuedLines)}
+// New returns a writer without lines.
+func New(clock core.Clock) *Writer {
+	return &Writer{clock: clock, lines: make(chan []byte, maxQueuedLines)}
 }
 
 // Write queues a copy of one line, or counts it as dropped, and returns no error.
-func (writer *logWriter) Write(line []byte) (int, error) {
+func (writer *Writer) Write(line []byte) (int, error) {
 	if second := writer.clock.Now().Unix(); writer.currentSecond.Swap(second) != second {
 		writer.linesThisSecond.Store(0)
 	}
@@ -46,8 +47,8 @@
 	return len(line), nil
 }
 
-// run writes the queued lines until stop is closed and the queue is empty.
-func (writer *logWriter) run(out io.Writer, stop <-chan struct{}) {
+// Run writes the queued lines until stop is closed and the queue is empty.
+func (writer *Writer) Run(out io.Writer, stop <-chan struct{}) {
 	for {
 		select {
 		case line := <-writer.lines:
@@ -68,7 +69,11 @@
 // setTimeFormat sets the format of the times in log lines, which the logging library holds for the whole process.
 var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = time.RFC3339Nano })
 
-func (writer *logWriter) logger(name string) zerolog.Logger {
+// Dropped returns the number of lines that were dropped.
+func (writer *Writer) Dropped() int64 { return writer.dropped.Load() }
+
+// Logger returns a logger that writes to the queue and names the daemon in each line.
+func (writer *Writer) Logger(name string) zerolog.Logger {
 	setTimeFormat()
 	return zerolog.New(writer).With().Timestamp().Str("Daemon", name).Logger()
 }
