core/place: go by the load that targets tell

Each daemon chose between two random targets by its own requests, of which it has 0 or 1 at a target of which 61 daemons have dozens. The choice now counts the requests of others and the pace that both targets have told, for a second and two requests a statement, so that 61 daemons which see the same idle target don't all send there.

--- a/core/batch/told.go
+++ b/core/batch/told.go
@@ -53,7 +53,7 @@
 // or of a second one while the daemons disagree. A call that waits here may still go to another target.
 func (pool *Pool) externalWait(now time.Time, worker *worker) time.Duration {
 	load, _, _ := worker.told.Told(now)
-	excess := int(math.Round(worker.told.Others(now))) + worker.inFlight - max(load.Slots, 1)
+	excess := int(math.Round(float64(worker.told.Others())*worker.told.Weight(now))) + worker.inFlight - max(load.Slots, 1)
 	if excess < 0 {
 		return 0
 	}
--- a/core/gauge/gauge.go
+++ b/core/gauge/gauge.go
@@ -11,7 +11,7 @@
 	paceLasts      = 300 * time.Millisecond // mean time for which a machine keeps a speed that others on it cause
 	maxAge         = time.Second            // age from which on a statement is worth nothing
 	errorSmoothing = 0.1                    // smoothing factor (alpha) of the moving averages of prediction errors
-	maxUses        = 2                      // requests that one daemon sends by one statement of other requests: all daemons see the same idle target
+	maxUses        = 2                      // requests that one of several daemons sends by one statement: all of them see the same idle target
 )
 
 // Gauge is the newest statement of one target; the zero value holds none. It is not safe for concurrent use.
@@ -32,10 +32,11 @@
 	}
 }
 
-// Weight returns how much of the statement still holds: 1 when it arrives, 0 after maxAge or without one.
+// Weight returns how much of the statement still holds: 1 when it arrives, 0 after maxAge or without one. After maxUses requests it is
+// worth nothing, too: the other daemons have seen the same and have sent theirs.
 func (gauge *Gauge) Weight(now time.Time) float64 {
 	age := now.Sub(gauge.at)
-	if !gauge.load.Told || age >= maxAge {
+	if !gauge.load.Told || age >= maxAge || gauge.uses >= maxUses {
 		return 0
 	}
 	return math.Exp(-max(age, 0).Seconds() / paceLasts.Seconds())
@@ -80,14 +81,8 @@
 	return gauge.load, now.Sub(gauge.at), gauge.Weight(now) > 0
 }
 
-// Others returns how many requests of others the target has, as far as the statement still holds. After maxUses requests it is
-// worth nothing: the other daemons have seen the same and have sent theirs.
-func (gauge *Gauge) Others(now time.Time) float64 {
-	if gauge.uses >= maxUses {
-		return 0
-	}
-	return float64(gauge.others) * gauge.Weight(now)
-}
+// Others returns how many requests of others the target had by its last statement.
+func (gauge *Gauge) Others() int { return gauge.others }
 
 // Use counts a request that this daemon sends to the target.
 func (gauge *Gauge) Use() { gauge.uses++ }
--- a/core/gauge/gauge_test.go
+++ b/core/gauge/gauge_test.go
@@ -59,10 +59,16 @@
 func TestOthers(t *testing.T) {
 	var gauge Gauge
 	gauge.Observe(start, core.Load{Told: true, Running: 3, Waiting: 2, Pace: 1}, 1)
-	for use, want := range []float64{4, 4, 0} {
-		if others := gauge.Others(start); others != want {
-			t.Errorf("after %d requests: %v, want %v", use, others, want)
+	if gauge.Others() != 4 {
+		t.Errorf("%d requests of others, want 4", gauge.Others())
+	}
+	for range maxUses {
+		if gauge.Weight(start) != 1 {
+			t.Error("a fresh statement does not count")
 		}
 		gauge.Use()
 	}
+	if gauge.Weight(start) != 0 {
+		t.Errorf("the statement counts after %d requests", maxUses)
+	}
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"catkincove/core/gauge"
 )
 
 const (
@@ -107,6 +109,8 @@
 	cold                bucket
 	coldUntil           time.Time // end of the cold phase that the bucket is for
 	heldUntil           time.Time // the target has named a limit and may not get a request before this time
+	told                gauge.Gauge
+	predicted           float64 // told.Prediction when the target was last chosen; 0 before
 	lastUsed            time.Time
 }
 
@@ -187,6 +191,7 @@
 		state.inFlight++
 		state.lastUsed = now
 		state.probing = state.consecutiveFailures > 0
+		state.sentTold(now)
 		return i, Chosen
 	}
 	return 0, AllFull
@@ -242,11 +247,11 @@
 	return fault == Chosen && !now.Before(chooser.state(targets[candidates[0]].ID).backoffUntil)
 }
 
-// cost returns the expected time of one more request at the target, relative to a usual response.
-func (chooser *Chooser) cost(now time.Time, target Target) float64 {
+// cost returns the expected time of one more request at the target, which has others from other daemons, relative to a usual response.
+func (chooser *Chooser) cost(now time.Time, target Target, others float64) float64 {
 	state := chooser.state(target.ID)
 	state.decay(now)
-	cost := max(state.slowdown, 0.1) * float64(state.inFlight+1) * (1 + failurePenalty*state.failureRate)
+	cost := max(state.slowdown, 0.1) * state.told.Stretch(now, 0) * (float64(state.inFlight+1) + others) * (1 + failurePenalty*state.failureRate)
 	if now.Before(target.ColdUntil) {
 		cost *= 2
 	}
@@ -258,7 +263,12 @@
 func (chooser *Chooser) byLoad(now time.Time, targets []Target, candidates []int) []int {
 	order := slices.Clone(candidates)
 	chooser.Random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
-	if len(order) >= 2 && chooser.cost(now, targets[order[1]]) < chooser.cost(now, targets[order[0]]) {
+	if len(order) < 2 {
+		return order
+	}
+	first, second := targets[order[0]], targets[order[1]]
+	firstOthers, secondOthers := chooser.others(now, first, second)
+	if chooser.cost(now, second, secondOthers) < chooser.cost(now, first, firstOthers) {
 		order[0], order[1] = order[1], order[0]
 	}
 	return order
@@ -346,7 +356,7 @@
 		return
 	case Succeeded:
 		state.consecutiveFailures, state.probing = 0, false
-		state.slowdown += (min(slowdown, maxSlowdown) - state.slowdown) * slowdownSmoothing
+		state.slowdown += (min(state.unexplained(slowdown), maxSlowdown) - state.slowdown) * slowdownSmoothing
 	case ErrorResponse:
 		failure = 1
 	case Rejected:
