io/edge: pass the load that targets tell to the decisions

Responses to batch calls, to calls that free results and to requests carry the header; batch.Pool and place.Chooser now hear of each. No message is added.

--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -302,6 +302,7 @@
 	}
 	request.Timeout = time.Duration(float64(started.expected)*timeoutFactor*max(worker.factor(now, started.expected), 1)) + timeoutMargin
 	request.ResultBytes, request.RetainedBytes = started.resultBytes, worker.retainedBytes+worker.reservedBytes
+	_, request.ToldAge, request.Told = worker.told.Told(now)
 	if pool.Pacer != nil {
 		_, _ = pool.Pacer.Take(now, worker.ID, 0)
 	}
--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -46,6 +46,8 @@
 	Timeout       time.Duration // no response is expected after this
 	ResultBytes   int64         // expected size of the results
 	RetainedBytes int64         // expected size of the results that the target already retains
+	Told          bool          // what the target has told of its load counted in its choice
+	ToldAge       time.Duration // age of that
 }
 
 // Outcome says how a call ended.
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -95,6 +95,7 @@
 	}
 	daemon.loop.Post(func() {
 		daemon.control.crashTracker.AddResponse(daemon.clock.Now(), response.sentAt, runOf(response.target, response.startedAt))
+		daemon.control.chooser.Observe(daemon.clock.Now(), response.target, response.facts.Load)
 		evidence.ID = daemon.control.random.Uint64()
 		if daemon.control.limits.Observe(evidence) {
 			daemon.logLimit(evidence, daemon.id)
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -27,6 +27,8 @@
 	batchCalls       atomic.Int64
 	batchPieces      atomic.Int64
 	batchFaults      atomic.Int64
+	toldCalls        atomic.Int64 // batch calls that went by what their target had told of its load
+	toldAge          atomic.Int64 // milliseconds; sum of the ages of that
 	placedAlone      atomic.Int64
 	panics           atomic.Int64
 	stagesRepeated   atomic.Int64
@@ -81,6 +83,8 @@
 	set("BatchCalls", metrics.batchCalls.Load())
 	set("BatchPieces", metrics.batchPieces.Load())
 	set("BatchFaults", metrics.batchFaults.Load())
+	set("ToldCalls", metrics.toldCalls.Load())
+	set("ToldAgeMilliseconds", metrics.toldAge.Load())
 	set("PlacedAlone", metrics.placedAlone.Load())
 	set("Panics", metrics.panics.Load())
 	set("StagesRepeated", metrics.stagesRepeated.Load())
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -196,6 +196,10 @@
 	results, outcome, err := daemon.sendBatch(ctx, sender, call)
 	daemon.metrics.batchCalls.Add(1)
 	daemon.metrics.batchPieces.Add(int64(len(call.Pieces)))
+	if call.Told {
+		daemon.metrics.toldCalls.Add(1)
+		daemon.metrics.toldAge.Add(call.ToldAge.Milliseconds())
+	}
 	if err != nil {
 		daemon.metrics.batchFaults.Add(1)
 		daemon.log.Warn().Str(eventField, eventBatchFailed).Str("Service", sender.service).Str("Target", call.Target.ID).Int("Pieces", len(call.Pieces)).
@@ -255,6 +259,9 @@
 	_ = response.Body.Close()
 	facts := daemon.dialect.TargetResponse(response.StatusCode, response.Header)
 	daemon.observeAnswer(targetAnswer{service: sender.service, target: call.Target.ID, address: call.Target.Address, startedAt: call.Target.StartedAt, sentAt: sentAt, status: response.StatusCode, facts: facts})
+	if response.StatusCode != http.StatusMisdirectedRequest { // from another target
+		daemon.loop.Post(func() { sender.pool.ObserveCall(daemon.clock.Now(), call.ID, facts.Load) })
+	}
 	switch {
 	case response.StatusCode != http.StatusOK:
 		err := fmt.Errorf("status %d", response.StatusCode)
@@ -303,10 +310,11 @@
 			if delay > 0 && !core.Sleep(daemon.loopContext, daemon.clock, delay) {
 				return
 			}
-			daemon.sendFree(address, handles)
+			load := daemon.sendFree(address, handles)
 			// The result capacity is free only now: a batch sent earlier would find the target full.
 			daemon.loop.Post(func() {
 				sender.pool.Free(handles)
+				sender.pool.Observe(daemon.clock.Now(), address, load)
 				daemon.dispatch(sender)
 			})
 		})
@@ -314,7 +322,8 @@
 	sender.pendingFrees = map[string][]string{}
 }
 
-func (daemon *Daemon) sendFree(address string, handles []string) {
+// sendFree frees results and returns what their target states of its load.
+func (daemon *Daemon) sendFree(address string, handles []string) core.Load {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
 	path, body := daemon.dialect.FreeCall(handles)
@@ -328,8 +337,9 @@
 	}
 	if err != nil {
 		daemon.log.Warn().Str(eventField, eventFreeFailed).Str("Address", address).Int("Handles", len(handles)).Err(err).Msg("cannot free results; they expire on their own")
-		return
+		return core.Load{}
 	}
 	_, _ = io.Copy(io.Discard, response.Body)
 	_ = response.Body.Close()
+	return daemon.dialect.TargetResponse(response.StatusCode, response.Header).Load
 }
