core/place: engines of unequal speed get prompts by their speed

Engines of one service that differ from 0.7 to 1.7 in speed got prompts alike, as rendezvous hashing and chance placed the shared parts: the cost of a prompt used one prefill rate for all of them, and the slowdown of an engine forgets within seconds. The daemon that places prompts now learns the speed of each engine as the median of its newest prefills, each compared with those of its length. If the speeds of the fast and the slow engines differ by a quarter, it counts the recent work of each and passes an engine with more than 1.05 of its share over for prompts that no engine caches; others leave it if their shared parts are short. Engines that are alike are chosen as before.

--- a/core/place/engines.go
+++ b/core/place/engines.go
@@ -44,8 +44,12 @@
 	MemoryTokens int        // memory of one engine in tokens
 	Pacer        core.Pacer // nil means that no engine names a limit
 
-	engines     map[string]*engine
-	prefillRate float64 // tokens a second
+	engines         map[string]*engine
+	prefillRate     float64 // tokens a second
+	uneven          bool    // some engines are faster than others for good
+	meanSpeed       float64
+	sizeTimes       [12]sizeTime // by length from minRateSampleTokens on
+	speedsCheckedAt time.Time
 }
 
 type engine struct {
@@ -53,6 +57,9 @@
 	prefills     map[string]prefill    // prefills in progress, by attempt
 	parts        map[string]cachedPart // prompt parts in the cache, by ID
 	cachedTokens int                   // tokens of all cached parts
+	speed        speed
+	work         float64 // seconds of prefill, as of workAt
+	workAt       time.Time
 }
 
 type prefill struct {
@@ -125,8 +132,9 @@
 		return Placement{Fault: fault}
 	}
 	engines.adoptHint(now, targets, prompt)
+	cached, excess := engines.isCached(prompt), engines.excessWork(now, targets, candidates)
 	tolerance := costTolerance
-	if !engines.isCached(prompt) {
+	if !cached {
 		tolerance = uncachedCostTolerance
 	}
 	best, bestCost := -1, 0.0
@@ -139,7 +147,10 @@
 			}
 			continue
 		}
-		cost := engines.cost(now, targets[i], prompt) + wait.Seconds()
+		cost := engines.cost(now, targets[i], prompt, cached) + wait.Seconds() + excess[i]*excessWorkTime
+		if !cached && excess[i] > 0 {
+			cost += 2 * tolerance.Seconds()
+		}
 		if best >= 0 && cost >= bestCost-tolerance.Seconds() && (cost > bestCost+tolerance.Seconds() || rendezvousScore(prompt.affinityKey(), targets[i].ID) < rendezvousScore(prompt.affinityKey(), targets[best].ID)) {
 			continue
 		}
@@ -202,25 +213,36 @@
 	return prompt.Parts[len(prompt.Parts)-2].ID
 }
 
-// cost returns the expected time to the first token in seconds, plus what the prompt costs the other requests.
-func (engines *Engines) cost(now time.Time, target Target, prompt Prompt) float64 {
+// cost returns the expected time to the first token in seconds, plus what the prompt costs the other requests. The prefill of a prompt that
+// some engine caches counts alike at all: it would move to a faster one for less time than the prefill of its shared parts takes.
+func (engines *Engines) cost(now time.Time, target Target, prompt Prompt, cached bool) float64 {
 	engine := engines.engine(target)
 	state := engines.Chooser.state(target.ID)
-	tokens := float64(engine.uncachedTokens(prompt.Parts))*prefillWeight + engine.backlogTokens(now, engines.prefillRate)
+	ownRate, backlogRate := engines.prefillRate, engines.prefillRate*engines.relativeSpeed(engine)
+	if !cached {
+		ownRate = backlogRate
+	}
+	tokens := float64(engine.uncachedTokens(prompt.Parts)) * prefillWeight
 	if prompt.Zone != "" && prompt.Zone != target.DataCentre {
 		tokens += tokensPerRemoteMB * float64(prompt.InputBytes) / 1e6
 	}
 	state.decay(now)
-	cost := tokens/engines.prefillRate + prefillOverhead.Seconds()
+	cost := tokens/ownRate + engine.backlogTokens(now, backlogRate)/backlogRate + prefillOverhead.Seconds()
 	if now.Before(target.ColdUntil) {
 		cost *= 2
 	}
 	return cost * max(state.slowdown, 1) * (1 + failurePenalty*state.failureRate)
 }
 
+// prefillTime returns the expected seconds of a prefill.
+func (engines *Engines) prefillTime(engine *engine, tokens int) float64 {
+	return (float64(tokens)/engines.prefillRate + prefillOverhead.Seconds()) / engines.relativeSpeed(engine)
+}
+
 func (engines *Engines) startPrefill(now time.Time, target Target, prompt Prompt) {
 	engine := engines.engine(target)
 	engine.prefills[prompt.Attempt] = prefill{tokens: engine.uncachedTokens(prompt.Parts), startedAt: now, alone: len(engine.prefills) == 0}
+	engine.addWork(now, engines.prefillTime(engine, engine.prefills[prompt.Attempt].tokens))
 	engine.cacheParts(now, prompt.Parts)
 	for engine.cachedTokens > int(float64(engines.MemoryTokens)*cacheShare) && len(engine.parts) > 1 {
 		engine.evictOldest()
@@ -259,9 +281,10 @@
 		return
 	}
 	delete(engine.prefills, attempt)
-	expected := float64(prefill.tokens)/engines.prefillRate + prefillOverhead.Seconds()
+	expected := engines.prefillTime(engine, prefill.tokens)
 	if outcome == Succeeded && prefill.alone && prefill.tokens >= minRateSampleTokens {
 		measuredRate := float64(prefill.tokens) / max(took-prefillOverhead, time.Millisecond).Seconds()
+		engines.recordSpeed(now, engine, prefill.tokens, took)
 		engines.prefillRate += (min(max(measuredRate, minPrefillRate), maxPrefillRate) - engines.prefillRate) * prefillRateSmoothing
 	}
 	if !prefill.alone && outcome == Succeeded {
--- /dev/null
+++ b/core/place/speed.go
@@ -0,0 +1,124 @@
+package place
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	speedSamples       = 9                // newest prefills whose median is the speed of an engine: few of them fall into moments in which it is slow
+	minSpeedSamples    = 9                // prefills after which the speed of an engine is known
+	sizesPerDoubling   = 2                // classes of prompt lengths of which times are comparable
+	sizeTimeSmoothing  = 0.02             // smoothing factor (alpha) of the moving average of the prefills of a length at all engines
+	minSpeed           = 0.25             // lower bound of the speed of an engine relative to the mean
+	maxSpeed           = 4.0              // upper bound of that
+	unevenSpeeds       = 1.25             // ratio of the fast engines' speed to that of the slow ones from which on they count as uneven
+	evenSpeeds         = 1.15             // ratio below which they count as even again
+	speedQuantile      = 0.1              // engines at either end that do not count in the ratio: some are slow because of a fault
+	speedCheckInterval = time.Second      // time between two looks at the speeds of all engines
+	workHalfLife       = 30 * time.Second // time in which half of an engine's work is forgotten: about a hundred prompts, whose lengths differ widely
+	maxWorkShare       = 1.05             // multiple of the mean work beyond which an engine is passed over for prompts that no engine caches
+	excessWorkTime     = 0.2              // seconds that recent work of twice the bound adds to the cost: an excess of a tenth outweighs short shared parts only
+)
+
+// speed is what is known of how fast an engine is.
+type speed struct {
+	newest [speedSamples]float64 // ring of the newest prefills: time of those of that length at all engines relative to the time here
+	count  int                   // prefills recorded
+	median float64
+}
+
+// sizeTime is the moving average of the time of a token in prefills of about one length, at all engines.
+type sizeTime struct {
+	seconds float64
+	count   int
+}
+
+// recordSpeed records the time of a prefill without others beside it. It is compared with others of its length only, since no part of the
+// time need be in proportion to the tokens.
+func (engines *Engines) recordSpeed(now time.Time, engine *engine, tokens int, took time.Duration) {
+	size := int(sizesPerDoubling * math.Log2(float64(tokens)/minRateSampleTokens))
+	sizeTime := &engines.sizeTimes[min(size, len(engines.sizeTimes)-1)]
+	seconds := max(took, time.Millisecond).Seconds() / float64(tokens)
+	sizeTime.count++
+	sizeTime.seconds += (seconds - sizeTime.seconds) * max(sizeTimeSmoothing, 1/float64(sizeTime.count))
+	engine.speed.add(sizeTime.seconds / seconds)
+	engines.checkSpeeds(now)
+}
+
+func (speed *speed) add(ratio float64) {
+	speed.newest[speed.count%speedSamples] = ratio
+	speed.count++
+	sorted := speed.newest
+	known := sorted[:min(speed.count, speedSamples)]
+	slices.Sort(known)
+	speed.median = known[len(known)/2]
+}
+
+// relativeSpeed returns the speed of the engine, or 1 if that is not known yet or if all engines are about equally fast.
+func (engines *Engines) relativeSpeed(engine *engine) float64 {
+	if !engines.uneven || engine.speed.count < minSpeedSamples {
+		return 1
+	}
+	return min(max(engine.speed.median/engines.meanSpeed, minSpeed), maxSpeed)
+}
+
+// checkSpeeds decides whether the engines are unequally fast for good.
+func (engines *Engines) checkSpeeds(now time.Time) {
+	if now.Sub(engines.speedsCheckedAt) < speedCheckInterval {
+		return
+	}
+	engines.speedsCheckedAt = now
+	var speeds []float64
+	for _, engine := range engines.engines {
+		if engine.speed.count >= minSpeedSamples {
+			speeds = append(speeds, engine.speed.median)
+		}
+	}
+	if engines.uneven = engines.uneven && len(speeds) > 0; len(speeds) < max(len(engines.engines)/2, 2) {
+		return
+	}
+	engines.meanSpeed = 0
+	for _, speed := range speeds {
+		engines.meanSpeed += speed / float64(len(speeds))
+	}
+	slices.Sort(speeds)
+	left := int(float64(len(speeds)) * speedQuantile)
+	ratio := speeds[len(speeds)-1-left] / speeds[left]
+	engines.uneven = ratio >= unevenSpeeds || engines.uneven && ratio >= evenSpeeds
+}
+
+// recentWork returns the seconds of prefill that the engine has got, of which half is forgotten in workHalfLife.
+func (engine *engine) recentWork(now time.Time) float64 {
+	return engine.work * math.Exp2(-now.Sub(engine.workAt).Seconds()/workHalfLife.Seconds())
+}
+
+func (engine *engine) addWork(now time.Time, seconds float64) {
+	engine.work, engine.workAt = engine.recentWork(now)+seconds, now
+}
+
+// excessWork returns by how much the recent work of each candidate exceeds maxWorkShare, in multiples of the mean; 0 while all engines are
+// about equally fast.
+//
+// Load pattern: engines of which some are faster for good, and prompts that stay with the engine that caches their shared parts. Without a
+// bound, chance gives some engines the parts that are asked for often, and slow ones as many as fast ones.
+func (engines *Engines) excessWork(now time.Time, targets []Target, candidates []int) map[int]float64 {
+	if !engines.uneven {
+		return nil
+	}
+	sum := 0.0
+	excess := make(map[int]float64, len(candidates))
+	for _, i := range candidates {
+		excess[i] = engines.engine(targets[i]).recentWork(now)
+		sum += excess[i]
+	}
+	mean := sum / float64(len(candidates))
+	for i, work := range excess {
+		excess[i] = 0
+		if mean > 0 {
+			excess[i] = max(work/mean-maxWorkShare, 0)
+		}
+	}
+	return excess
+}
