--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -89,6 +89,9 @@
 	engines.uneven = ratio >= unevenSpeeds || engines.uneven && ratio >= evenSpeeds
 }
 
+// Uneven reports whether some engines are faster than others for good, by which their prompts are placed then.
+func (engines *Engines) Uneven() bool { return engines.uneven }
+
 // recentWork returns the seconds of prefill that the engine has got, of which half is forgotten in workHalfLife.
 func (engine *engine) recentWork(now time.Time) float64 {
 	return engine.work * math.Exp2(-now.Sub(engine.workAt).Seconds()/workHalfLife.Seconds())
--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -199,7 +199,12 @@
 	if message.Misdirected {
 		daemon.markMisdirected(message.Target)
 	}
-	daemon.enginesOf(message.Service).FinishPrefill(daemon.clock.Now(), message.Target, message.Attempt, message.Outcome, message.Took)
+	engines := daemon.enginesOf(message.Service)
+	before := engines.Uneven()
+	engines.FinishPrefill(daemon.clock.Now(), message.Target, message.Attempt, message.Outcome, message.Took)
+	if uneven := engines.Uneven(); uneven != before {
+		daemon.log.Info().Str(eventField, eventEngineSpeeds).Str("Service", message.Service).Bool("Uneven", uneven).Msg("the engines of the service differ in speed for good, or no longer do")
+	}
 }
 
 func (daemon *Daemon) servePlace(writer http.ResponseWriter, request *http.Request) {
