core/place: speeds of engines without the time of links; the mean as the bound of recent work

The fixed part of a prefill is taken off before prefills are compared, and an engine is passed over from the mean of recent work on; more work adds 0.6 s a mean to the cost, so that some of the prompts with long shared parts that a slow engine got before its speed was known leave it.

--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -7,19 +7,18 @@
 )
 
 const (
-	speedSamples       = 9                // newest prefills whose median is the speed of an engine: few of them fall into moments in which it is slow
-	minSpeedSamples    = 9                // prefills after which the speed of an engine is known
-	sizesPerDoubling   = 2                // classes of prompt lengths of which times are comparable
-	sizeTimeSmoothing  = 0.02             // smoothing factor (alpha) of the moving average of the prefills of a length at all engines
-	minSpeed           = 0.25             // lower bound of the speed of an engine relative to the mean
-	maxSpeed           = 4.0              // upper bound of that
-	unevenSpeeds       = 1.25             // ratio of the fast engines' speed to that of the slow ones from which on they count as uneven
-	evenSpeeds         = 1.15             // ratio below which they count as even again
-	speedQuantile      = 0.1              // engines at either end that do not count in the ratio: some are slow because of a fault
-	speedCheckInterval = time.Second      // time between two looks at the speeds of all engines
-	workHalfLife       = 30 * time.Second // time in which half of an engine's work is forgotten: about a hundred prompts, whose lengths differ widely
-	maxWorkShare       = 1.05             // multiple of the mean work beyond which an engine is passed over for prompts that no engine caches
-	excessWorkTime     = 0.2              // seconds that recent work of twice the bound adds to the cost: an excess of a tenth outweighs short shared parts only
+	speedSamples       = 9           // newest prefills whose median is the speed of an engine: few of them fall into moments in which it is slow
+	minSpeedSamples    = 9           // prefills after which the speed of an engine is known
+	sizesPerDoubling   = 2           // classes of prompt lengths of which times are comparable
+	sizeTimeSmoothing  = 0.02        // smoothing factor (alpha) of the moving average of the prefills of a length at all engines
+	minSpeed           = 0.25        // lower bound of the speed of an engine relative to the mean
+	maxSpeed           = 4.0         // upper bound of that
+	unevenSpeeds       = 1.25        // ratio of the fast engines' speed to that of the slow ones from which on they count as uneven
+	evenSpeeds         = 1.15        // ratio below which they count as even again
+	speedQuantile      = 0.1         // engines at either end that do not count in the ratio: some are slow because of a fault
+	speedCheckInterval = time.Second // time between two looks at the speeds of all engines
+	workHalfLife       = time.Minute // time in which half of an engine's work is forgotten: some hundred prompts, whose lengths differ widely
+	excessWorkTime     = 0.6         // seconds that excess work of another mean adds to the cost: prompts with short shared parts leave first
 )
 
 // speed is what is known of how fast an engine is.
@@ -35,12 +34,12 @@
 	count   int
 }
 
-// recordSpeed records the time of a prefill without others beside it. It is compared with others of its length only, since no part of the
-// time need be in proportion to the tokens.
+// recordSpeed records the time of a prefill without others beside it. It is compared with others of its length only, since the time need not
+// be in proportion to the tokens, and without the part that links and inputs take at any engine.
 func (engines *Engines) recordSpeed(now time.Time, engine *engine, tokens int, took time.Duration) {
 	size := int(sizesPerDoubling * math.Log2(float64(tokens)/minRateSampleTokens))
 	sizeTime := &engines.sizeTimes[min(size, len(engines.sizeTimes)-1)]
-	seconds := max(took, time.Millisecond).Seconds() / float64(tokens)
+	seconds := max(took-prefillOverhead, time.Millisecond).Seconds() / float64(tokens)
 	sizeTime.count++
 	sizeTime.seconds += (seconds - sizeTime.seconds) * max(sizeTimeSmoothing, 1/float64(sizeTime.count))
 	engine.speed.add(sizeTime.seconds / seconds)
@@ -101,7 +100,7 @@
 	engine.work, engine.workAt = engine.recentWork(now)+seconds, now
 }
 
-// excessWork returns by how much the recent work of each candidate exceeds maxWorkShare, in multiples of the mean; 0 while all engines are
+// excessWork returns by how much the recent work of each candidate exceeds the mean, in multiples of it; nil while all engines are
 // about equally fast.
 //
 // Load pattern: engines of which some are faster for good, and prompts that stay with the engine that caches their shared parts. Without a
@@ -120,7 +119,7 @@
 	for i, work := range excess {
 		excess[i] = 0
 		if mean > 0 {
-			excess[i] = max(work/mean-maxWorkShare, 0)
+			excess[i] = max(work/mean-1, 0)
 		}
 	}
 	return excess
