core/place: engines begin with the same recent work when their speeds become known

Slow engines have less work than their share before, since the slowdown of an engine counts in its cost. From the moment at which the speeds counted they got 0.35 to 0.60 of the work for some seconds (fair: 0.171), until they had caught up with the mean, and kept the prompts.

Ruled out: the whole recent work by the speed as it is known now (1.34 to 1.40, and 0.085 to 0.088 read again: the noise of the speed moves prompts); rendezvous hashing weighted by speed (1.22 to 1.30); the root of the speed in the cost of cached prompts (1.10, but 0.040 to 0.041 read again).

--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -85,7 +85,23 @@
 	slices.Sort(speeds)
 	left := int(float64(len(speeds)) * speedQuantile)
 	ratio := speeds[len(speeds)-1-left] / speeds[left]
-	engines.uneven = ratio >= unevenSpeeds || engines.uneven && ratio >= evenSpeeds
+	before := engines.uneven
+	engines.uneven = ratio >= unevenSpeeds || before && ratio >= evenSpeeds
+	if engines.uneven && !before {
+		engines.levelWork(now)
+	}
+}
+
+// levelWork lets all engines begin with the same recent work: those with less of it would get most of the new prompts until they have caught
+// up, and keep them.
+func (engines *Engines) levelWork(now time.Time) {
+	mean := 0.0
+	for _, engine := range engines.engines {
+		mean += engine.recentWork(now) / float64(len(engines.engines))
+	}
+	for _, engine := range engines.engines {
+		engine.work, engine.workAt = mean, now
+	}
 }
 
 // Uneven reports whether some engines are faster than others for good, by which their prompts are placed then.
