core/place, core/batch: predictions before their use is counted, and faults of a fifth of the engines

A request's prediction was read after its use had been counted, so that the second request by a statement predicted the usual pace and its time was taken for slowness. A call counts in ToldCalls only if the paces of its target are believed. Up to a fifth of the engines may be slow because of a fault without all of them counting as unequally fast; it was a tenth.

--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -302,7 +302,9 @@
 	}
 	request.Timeout = time.Duration(float64(started.expected)*timeoutFactor*max(worker.factor(now, started.expected), 1)) + timeoutMargin
 	request.ResultBytes, request.RetainedBytes = started.resultBytes, worker.retainedBytes+worker.reservedBytes
-	_, request.ToldAge, request.Told = worker.told.Told(now)
+	if _, age, fresh := worker.told.Told(now); fresh && worker.told.Right() {
+		request.Told, request.ToldAge = true, age
+	}
 	if pool.Pacer != nil {
 		_, _ = pool.Pacer.Take(now, worker.ID, 0)
 	}
--- a/core/place/speed.go
+++ b/core/place/speed.go
@@ -15,7 +15,7 @@
 	maxSpeed           = 4.0         // upper bound of that
 	unevenSpeeds       = 1.25        // ratio of the fast engines' speed to that of the slow ones from which on they count as uneven
 	evenSpeeds         = 1.15        // ratio below which they count as even again
-	speedQuantile      = 0.1         // engines at either end that do not count in the ratio: some are slow because of a fault
+	speedQuantile      = 0.2         // share of the engines at either end that do not count in the ratio: some are slow because of a fault
 	speedCheckInterval = time.Second // time between two looks at the speeds of all engines
 	workHalfLife       = time.Minute // time in which half of an engine's work is forgotten: some hundred prompts, whose lengths differ widely
 	cachedSpeedWeight  = 0.25        // exponent of an engine's speed in the prefill time of a prompt that some engine caches
--- a/core/place/told.go
+++ b/core/place/told.go
@@ -28,8 +28,8 @@
 
 // sentTold notes by what the target had told a request was sent to it.
 func (state *state) sentTold(now time.Time) {
-	state.told.Use()
 	state.predicted = state.told.Prediction(now, 0)
+	state.told.Use()
 }
 
 // unexplained returns the part of a measured slowdown that the told pace does not explain; they would count twice otherwise.
