--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -27,6 +27,7 @@
 	"catkincove/core/mirror"
 	"catkincove/core/place"
 	"catkincove/core/retry"
+	"catkincove/core/roster"
 	"catkincove/core/wake"
 	"catkincove/io/callid"
 	"catkincove/io/inifmt"
@@ -92,7 +93,7 @@
 	routes          mirror.Copy
 	registrations   mirror.Copy
 	live            mirror.Copy // keys of the daemons: their records, quarantines and baselines
-	registry        registry
+	registry        roster.Registry
 	chooser         place.Chooser
 	crashTracker    blame.CrashTracker
 	limits          limit.Table
@@ -285,7 +286,7 @@
 		daemon.loop.Post(func() {
 			now := daemon.clock.Now()
 			daemon.control.chooser.Sweep(now)
-			daemon.control.limits.Sweep(now, daemon.control.registry.has)
+			daemon.control.limits.Sweep(now, daemon.control.registry.Has)
 			daemon.control.origins.table.Sweep(now)
 			daemon.removePeers(now)
 			if slices.ContainsFunc(daemon.copyList(), (*mirror.Copy).RetainsEntries) {
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -13,6 +13,7 @@
 	"catkincove/core"
 	"catkincove/core/mirror"
 	"catkincove/core/place"
+	"catkincove/core/roster"
 )
 
 const (
@@ -405,7 +406,7 @@
 	daemon.adoptBaselines(now)
 	missing := map[string][]place.Target{} // usable targets by service that are no longer registered, perhaps because their leases lapsed
 	entries := daemon.control.registrations.Entries(now)
-	registrations := make([]registeredRun, 0, len(entries))
+	registrations := make([]roster.Registration, 0, len(entries))
 	slices.SortFunc(entries, func(a, b core.Entry) int { return strings.Compare(a.Key, b.Key) })
 	for _, entry := range entries {
 		target, err := daemon.decodeTarget(entry)
@@ -413,28 +414,28 @@
 			continue
 		}
 		present[target.ID] = true
-		wasDraining := daemon.control.registry.runs[target.ID].draining
-		run, current := daemon.control.registry.merge(now, target)
+		wasDraining := daemon.control.registry.Run(target.ID).Draining
+		run, current := daemon.control.registry.Merge(now, target)
 		if !current {
 			continue
 		}
-		daemon.control.limits.StartRun(target.ID, run.startedAt)
-		if run.draining && !wasDraining {
+		daemon.control.limits.StartRun(target.ID, run.StartedAt)
+		if run.Draining && !wasDraining {
 			daemon.logRevision(daemon.log.Info(), entry.ModRevision).Str(eventField, eventTargetLeaves).Str("Target", target.ID).Str("Service", target.Service).
 				Dur("CopyAge", now.Sub(daemon.control.storeReadAt)).Msg("the target leaves and gets no new requests")
 		}
-		registrations = append(registrations, registeredRun{
-			target: target, run: run, created: entry.CreateRevision, changed: entry.ModRevision, relayed: daemon.control.registrations.ChangedAt(entry.Key),
-			retained: daemon.control.registrations.Retains(entry.Key),
+		registrations = append(registrations, roster.Registration{
+			Target: target, Run: run, Created: entry.CreateRevision, Changed: entry.ModRevision, Relayed: daemon.control.registrations.ChangedAt(entry.Key),
+			Retained: daemon.control.registrations.Retains(entry.Key),
 		})
 	}
-	daemon.control.registry.removeAbsent(now, present)
+	daemon.control.registry.RemoveAbsent(now, present)
 	before := daemon.view.Load().superseded
-	next.superseded, next.contested = superseded(registrations, before)
+	next.superseded, next.contested = roster.Superseded(registrations, before)
 	daemon.logSuperseded(before, next.superseded)
 	registered := make([]core.TargetEntry, 0, len(registrations))
 	for _, registration := range registrations {
-		target, run := registration.target, registration.run
+		target, run := registration.Target, registration.Run
 		registered = append(registered, target)
 		if next.superseded[target.ID] != "" {
 			continue
@@ -443,15 +444,15 @@
 		next.addresses[target.Address] = true
 		next.byID[target.ID] = target.Address
 		next.dataCentres[target.Address] = target.DataCentre
-		if run.draining || evacuated[target.DataCentre] {
+		if run.Draining || evacuated[target.DataCentre] {
 			continue
 		}
 		service := next.routing.Services[target.Service]
 		usable := place.Target{
-			ID: target.ID, Address: target.Address, DataCentre: target.DataCentre, Version: target.Version, StartedAt: run.startedAt,
-			ColdUntil: run.coldUntil, ColdRate: service.ColdRate, MaxConnections: service.MaxConnections,
+			ID: target.ID, Address: target.Address, DataCentre: target.DataCentre, Version: target.Version, StartedAt: run.StartedAt,
+			ColdUntil: run.ColdUntil, ColdRate: service.ColdRate, MaxConnections: service.MaxConnections,
 		}
-		if registration.retained {
+		if registration.Retained {
 			missing[target.Service] = append(missing[target.Service], usable)
 		} else {
 			next.targets[target.Service] = append(next.targets[target.Service], usable)
@@ -474,7 +475,7 @@
 		}
 	}
 	for id, by := range before {
-		if now[id] == "" && daemon.control.registry.has(id) {
+		if now[id] == "" && daemon.control.registry.Has(id) {
 			daemon.log.Warn().Str(eventField, eventTargetReinstated).Str("Target", id).Str("By", by).Msg("the target may be the one at its address after all and gets requests again")
 		}
 	}
@@ -482,7 +483,7 @@
 
 // markMisdirected records that the target at the address of a registered one has said that it is another one; it must run on the loop.
 func (daemon *Daemon) markMisdirected(id string) {
-	if !daemon.control.registry.misdirect(id) {
+	if !daemon.control.registry.Misdirect(id) {
 		return
 	}
 	for _, by := range daemon.view.Load().superseded {
@@ -495,7 +496,7 @@
 
 // markLeaving records that a target leaves, as its response says; it must run on the loop. The other daemons learn it from the store, or from the target.
 func (daemon *Daemon) markLeaving(id string, startedAt time.Time) {
-	if !daemon.control.registry.leave(id, startedAt) {
+	if !daemon.control.registry.Leave(id, startedAt) {
 		return
 	}
 	daemon.log.Info().Str(eventField, eventTargetLeaves).Str("Target", id).Str("From", "Response").Msg("the target leaves and gets no new requests")
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -104,7 +104,7 @@
 	relay.toldOrigin = parseOrigin(response.Header.Get(headerOrigin))
 	response.Header.Del(headerOrigin)
 	if leaving := response.Header.Get(headerTargetLeaves); leaving != "" {
-		relay.daemon.do(func() { relay.daemon.markLeaving(leaving, relay.daemon.control.registry.runs[leaving].startedAt) })
+		relay.daemon.do(func() { relay.daemon.markLeaving(leaving, relay.daemon.control.registry.Run(leaving).StartedAt) })
 		response.Header.Del(headerTargetLeaves)
 	}
 	named := facts.Attempt == relay.request.caller.Attempt
--- a/io/edge/hold.go
+++ b/io/edge/hold.go
@@ -20,7 +20,7 @@
 		}
 		daemon.control.limits.Pause(response.target, now, now.Add(response.facts.Pause))
 		for id, address := range daemon.view.Load().byID {
-			if address == response.address && !daemon.control.registry.runs[id].startedAt.After(response.startedAt) {
+			if address == response.address && !daemon.control.registry.Run(id).StartedAt.After(response.startedAt) {
 				daemon.control.limits.Pause(id, now, now.Add(response.facts.Pause))
 			}
 		}
