--- a/core/dialect.go
+++ b/core/dialect.go
@@ -15,6 +15,14 @@
 	DecodeRouting(key string, value []byte) (Routing, bool, error)
 	// EvacuatedDataCentre returns the data centre that the key takes out of service.
 	EvacuatedDataCentre(key string) (string, bool)
+	// DecodeRollout reads an order to move the traffic of a service to another software version; it reports false when the key holds something else.
+	DecodeRollout(key string, value []byte) (RolloutOrder, bool, error)
+	// RolloutStatusKey is the store key of the status of a service's rollout.
+	RolloutStatusKey(service string) string
+	// DecodeRolloutStatus reads the status of a rollout.
+	DecodeRolloutStatus(value []byte) (RolloutStatus, error)
+	// EncodeRolloutStatus returns the status of a rollout as the operator reads it.
+	EncodeRolloutStatus(status RolloutStatus) []byte
 	// DecodeTarget reads the registration of a target.
 	DecodeTarget(key string, value []byte) (TargetEntry, error)
 
--- a/io/inifmt/edge.go
+++ b/io/inifmt/edge.go
@@ -44,6 +44,9 @@
 	ColdOver      float64 // a cold target receives at most rate x ColdOver + ColdSlack requests per second
 	ColdSlack     float64
 	DirectoryKeep time.Duration // maximum time for which callers cache addresses
+	ExposeShare   float64       // share of a service's requests, from an order of a rollout to its time limit, that a bad version may receive
+	ExposeSlack   float64       // requests that a bad version may receive beyond the share
+	Rollback      time.Duration // time after the 50th bad response of a version within which the last request is sent to it
 }
 
 // LoadEdge reads a settings file; it returns the errors of ParseEdge, or an error when the file is unreadable.
@@ -104,7 +107,10 @@
 		ColdOver:      table.float("ColdOver", 1),
 		ColdSlack:     table.float("ColdSlack", 0),
 		DirectoryKeep: table.duration("DirectoryKeep", 5*time.Second),
+		ExposeShare:   table.float("ExposeShare", 0.1),
+		ExposeSlack:   table.float("ExposeSlack", 50),
+		Rollback:      table.duration("Rollback", 5*time.Second),
 	}
-	table.close(oneOf("RetryRatio", "RetrySlack", "RetryWindow", "ColdOver", "ColdSlack", "DirectoryKeep"))
+	table.close(oneOf("RetryRatio", "RetrySlack", "RetryWindow", "ColdOver", "ColdSlack", "DirectoryKeep", "ExposeShare", "ExposeSlack", "Rollback"))
 	return bounds
 }
