--- /dev/null
+++ b/core/canary/evidence.go
@@ -0,0 +1,107 @@
+package canary
+
+import "math"
+
+// oddsRatios are the alternatives that an e-process bets on, as multiples of the odds that it tolerates.
+var oddsRatios = [...]float64{2, 5, 15, 50, 200}
+
+// process is an e-process: as long as its hypothesis holds, its value exceeds x at any time with a probability of at most 1/x, however often
+// it is read. It is a mixture over the odds and over the time at which the fault begins, so that a long good time does not hide a later fault.
+type process struct {
+	wealth  [len(oddsRatios)]float64
+	started float64 // part of the mass that has been bet; the rest waits for faults that begin later
+}
+
+// start bets the mass of the faults that begin up to a part of the time limit.
+func (process *process) start(elapsed float64) {
+	elapsed = min(max(elapsed, process.started), 1)
+	for i := range process.wealth {
+		process.wealth[i] += elapsed - process.started
+	}
+	process.started = elapsed
+}
+
+// observe takes hits and misses, of which each is a hit with the given probability at most if the hypothesis holds.
+func (process *process) observe(hits, misses int64, probability float64) {
+	if hits+misses <= 0 || probability <= 0 || probability >= 1 {
+		return
+	}
+	for i, ratio := range oddsRatios {
+		other := ratio * probability / (ratio*probability + 1 - probability)
+		gain := float64(hits)*math.Log(other/probability) + float64(misses)*math.Log((1-other)/(1-probability))
+		process.wealth[i] *= math.Exp(min(max(gain, -maxGain), maxGain))
+		process.wealth[i] = min(process.wealth[i], math.Exp(maxGain))
+	}
+}
+
+// maxGain keeps the wealth finite.
+const maxGain = 300
+
+func (process *process) value() float64 {
+	var sum float64
+	for _, wealth := range process.wealth {
+		sum += wealth
+	}
+	return sum/float64(len(oddsRatios)) + 1 - process.started
+}
+
+// limits say which difference between the versions counts as a fault.
+type limits struct {
+	odds     float64 // of the new version to the old one in the same interval that are tolerated
+	share    float64 // of the new version's requests that is tolerated
+	alone    float64 // the same without requests of the old version beside it
+	multiple float64 // of the old version's share before, when there is none beside it
+}
+
+var (
+	failureLimits = limits{odds: 1.5, share: 0.02, alone: 0.05, multiple: 4}
+	// A part of slow requests comes from slow or cold targets, which either version can have; a slower version shows in most requests.
+	slownessLimits = limits{odds: 3, share: 0.25, alone: 0.4, multiple: 4}
+)
+
+const (
+	mostly       = 0.5 // share of hits that counts as nearly all, the only kind of fault that a disturbed network cannot bring about
+	minOldShare  = 0.05
+	priorSamples = 20 // weight of the assumption that the old version has no hits
+)
+
+// counts are the requests of an interval that hit (failed, or were slow) and missed.
+type counts struct {
+	oldHits, oldMisses, newHits, newMisses int64
+}
+
+// comparison tests whether the new version hits more often than the old one on one route.
+type comparison struct {
+	against  process // the odds beside the old version, in the same intervals
+	alone    process // intervals without the old version
+	share    process // the share of hits of the new version
+	mostly   process
+	oldHits  int64
+	oldTotal int64
+}
+
+// observe takes the counts of an interval, in which both versions had the same trouble. The old version's share of the responses is that of its share of
+// the hits if the versions are alike (conditional test for two proportions). The bet is a convex function of the hits, so drawing without replacement keeps it fair.
+func (comparison *comparison) observe(elapsed float64, counts counts, limits limits) {
+	for _, process := range []*process{&comparison.against, &comparison.alone, &comparison.share, &comparison.mostly} {
+		process.start(elapsed)
+	}
+	oldTotal, newTotal := float64(counts.oldHits+counts.oldMisses), float64(counts.newHits+counts.newMisses)
+	if newTotal > 0 {
+		if oldTotal >= minOldShare*(oldTotal+newTotal) {
+			comparison.against.observe(counts.newHits, counts.oldHits, limits.odds*newTotal/(limits.odds*newTotal+oldTotal))
+		} else {
+			before := float64(comparison.oldHits) / float64(comparison.oldTotal+priorSamples)
+			comparison.alone.observe(counts.newHits, counts.newMisses, min(max(limits.alone, limits.multiple*before), 1))
+		}
+		comparison.share.observe(counts.newHits, counts.newMisses, limits.share)
+		comparison.mostly.observe(counts.newHits, counts.newMisses, mostly)
+	}
+	comparison.oldHits += counts.oldHits
+	comparison.oldTotal += counts.oldHits + counts.oldMisses
+}
+
+// evidence returns the evidence that the new version is worse: it hits more often than the old one beside it, and by a share that matters.
+func (comparison *comparison) evidence() float64 {
+	return min(comparison.against.value(), comparison.share.value())
+}
--- /dev/null
+++ b/core/canary/split.go
@@ -0,0 +1,79 @@
+package canary
+
+import (
+	"math"
+	"time"
+
+	"catkincove/core"
+)
+
+const (
+	partialUse = 0.8                // part of the bounds that new requests may use up below share 1, so that full traffic finds some left
+	fullUse    = 0.97               // part of the bounds at share 1, where the counts of several daemons round
+	goldenStep = 0.6180339887498949 // fractions of its multiples fill the interval evenly, also for every second or third request
+)
+
+// Bounds are the limits on what a bad version may get, which the operator states.
+type Bounds struct {
+	Share    float64       // of all requests for the service between the order and its time limit
+	Slack    float64       // requests beyond the share
+	Rollback time.Duration // time after the 50th bad response within which the last request is sent
+}
+
+// Grant says what a daemon may send to the new version; the zero value allows nothing.
+type Grant struct {
+	Share   float64       // of the daemon's requests for the service; 1 means that none may go to the old version
+	For     time.Duration // time for which the grant holds; after it, requests go to the old version
+	Phase   core.RolloutPhase
+	Bounds  Bounds // for all daemons together
+	Daemons int    // daemons that divide the slack of the bounds
+}
+
+// Splitter divides the requests of one daemon between the arms; the zero value sends all to the old one. It counts from the order on,
+// so an order needs its own. It is not safe for concurrent use.
+type Splitter struct {
+	grant     Grant
+	expiresAt time.Time
+	requests  int64
+	sentNew   int64
+}
+
+// Use replaces the grant.
+func (splitter *Splitter) Use(now time.Time, grant Grant) {
+	if splitter.grant.Phase != core.RolloutRunning {
+		return
+	}
+	splitter.grant, splitter.expiresAt = grant, now.Add(grant.For)
+}
+
+// Choose returns the arm of a new request. It never exceeds the daemon's part of the bounds before success; the daemons' parts add up to the bounds
+// without coordination, so a burst or a daemon that is cut off does not break them.
+func (splitter *Splitter) Choose(now time.Time) Arm {
+	splitter.requests++
+	switch {
+	case splitter.grant.Phase == core.RolloutSucceeded:
+		splitter.sentNew++
+		return New
+	case splitter.grant.Phase == core.RolloutRolledBack || !now.Before(splitter.expiresAt) || !splitter.isTurn():
+		return Old
+	case float64(splitter.sentNew+1) > splitter.grant.limit(splitter.requests):
+		return Old
+	}
+	splitter.sentNew++
+	return New
+}
+
+// isTurn reports whether the present request is one of the share.
+func (splitter *Splitter) isTurn() bool {
+	_, fraction := math.Modf(float64(splitter.requests) * goldenStep)
+	return fraction < splitter.grant.Share
+}
+
+// limit returns the new requests that a daemon may have sent when it has got a number of requests.
+func (grant Grant) limit(requests int64) float64 {
+	use := partialUse
+	if grant.Share >= 1 {
+		use = fullUse
+	}
+	return use * (grant.Bounds.Share*float64(requests) + grant.Bounds.Slack/float64(max(grant.Daemons, 1)))
+}
