core/batch: divide the calls between two software versions

A rollout moves a batch service in steps, so the pool has to send a share of its calls to the targets of the new version. Arms says which version may get a call; targets that may not count as unusable, also in forecasts. Without Arms nothing changes.

--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -12,6 +12,7 @@
 // longer needed.
 func (pool *Pool) Dispatch(now time.Time) (calls []Call, ended []Result, unused []string) {
 	pool.compensateStall(now)
+	pool.divide()
 	for _, worker := range pool.workers {
 		worker.expireRetainedResults(now)
 	}
@@ -40,6 +41,9 @@
 		if len(pool.queue) == 0 {
 			break
 		}
+		if worker.withheld {
+			continue // the calls before have used up the share of its version
+		}
 		if batch := pool.formBatch(now, worker, len(idle)-i, dataCentres); batch != nil {
 			calls = append(calls, pool.startCall(now, worker, batch))
 		}
@@ -298,6 +302,7 @@
 	if pool.Pacer != nil {
 		_, _ = pool.Pacer.Take(now, worker.ID, 0)
 	}
+	pool.began(worker)
 	worker.inFlight++
 	worker.reservedBytes += started.resultBytes
 	pool.calls[started.id] = started
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -32,6 +32,8 @@
 type Pool struct {
 	// Pacer limits the calls to targets that have named a limit; nil means that none has.
 	Pacer core.Pacer
+	// Arms divides the calls between software versions; nil means that all targets get calls.
+	Arms Arms
 
 	spec                core.BatchSpec
 	workers             map[string]*worker
--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -29,6 +29,7 @@
 // worker is the pool's state of one target.
 type worker struct {
 	Target
+	withheld            bool // Arms lets it get no call
 	removed             bool // no longer in the registry; its calls may still be in flight
 	inFlight            int
 	slowdown            float64 // moving average of measured to expected call time, as of slowdownAt
@@ -46,7 +47,7 @@
 }
 
 func (worker *worker) usable(now time.Time) bool {
-	return !worker.removed && !now.Before(worker.backoffUntil)
+	return !worker.removed && !worker.withheld && !now.Before(worker.backoffUntil)
 }
 
 // currentSlowdown returns the slowdown, decayed to now. It returns to 1 without new calls, because a target that gets
--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -36,6 +36,7 @@
 	Address    string
 	DataCentre string
 	StartedAt  time.Time // start of this run; results of earlier runs are gone
+	Version    string    // of its software
 }
 
 // Call is a batch to send to a target.
