io/shift, io/edge: rollouts

The operator orders a service moved to another software version; nothing followed such orders. io/shift divides the requests of each daemon between the versions, reports what became of them to the daemon that sends for the service, which decides with core/canary, and keeps the operator's status with the store's conditional write. A request has one side; its repeat goes to the old version. Prompts exclude a version as well as name one. Calls of batch services are divided by their pool. Without an order there are no messages, store calls or other choices.

--- a/core/place/engines.go
+++ b/core/place/engines.go
@@ -30,6 +30,7 @@
 	InputBytes int64  // size of those inputs
 	Exclude    []string
 	Version    string        // only engines of this software version; empty means all
+	Except     string        // no engine of this one; empty means none, and older builds do not know it
 	MaxWait    time.Duration // longest wait for a target that has named a limit
 	Hint       string        // engine that last cached the longest shared part, as far as the sender knows
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -40,14 +40,20 @@
 	MaxConnections int     // limit for all daemons together; 0 means no limit
 }
 
-// OfVersion returns the targets with a software version, or all of them if it is empty.
-func OfVersion(targets []Target, version string) []Target {
-	if version == "" {
+// Versions selects targets by their software version; the zero value selects all.
+type Versions struct {
+	Only   string // the one version that is selected; empty means any
+	Except string // a version that is not; empty means none
+}
+
+// Of returns the selected targets.
+func (versions Versions) Of(targets []Target) []Target {
+	if versions == (Versions{}) {
 		return targets
 	}
 	var matching []Target
 	for _, target := range targets {
-		if target.Version == version {
+		if (versions.Only == "" || target.Version == versions.Only) && (versions.Except == "" || target.Version != versions.Except) {
 			matching = append(matching, target)
 		}
 	}
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -31,6 +31,7 @@
 	"catkincove/core/wake"
 	"catkincove/io/callid"
 	"catkincove/io/inifmt"
+	"catkincove/io/shift"
 	"catkincove/io/xchg"
 )
 
@@ -84,6 +85,7 @@
 
 	paths        pathMonitor
 	pauses       wake.Detector
+	shift        *shift.Mover
 	repeatsMutex sync.Mutex
 	repeats      batch.Repeats // responses to batch calls, which are read outside the control loop
 }
@@ -162,6 +164,7 @@
 	daemon.paths.daemon = daemon
 	daemon.control.registrations.Equivalent = daemon.equivalentTarget
 	daemon.control.chooser = place.Chooser{Random: random, Daemons: 1}
+	daemon.shift = daemon.newMover()
 	return daemon
 }
 
@@ -199,6 +202,7 @@
 	daemon.addTask(&group, serving, "origins", daemon.recordOrigins)
 	daemon.addTask(&group, serving, "origins to holders", daemon.tellOrigins)
 	daemon.addTask(&group, serving, "baselines", daemon.maintainBaselines)
+	daemon.addTask(&group, serving, "rollouts", daemon.shift.Run)
 	for _, service := range services {
 		group.Add(func() error {
 			err := service.server.Serve(service.listener)
--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -44,16 +44,16 @@
 // placeEngine returns an attempt at the engine chosen by the daemon that places the prompts of the service for the
 // whole fleet; nil means that it chose none or did not respond, and that the caller must choose a target from local
 // state. It returns an error if no engine may get the prompt in time by the limits that they have named.
-func (daemon *Daemon) placeEngine(ctx context.Context, request *request, service core.ServiceSpec, version string) (*attempt, error) {
+func (daemon *Daemon) placeEngine(ctx context.Context, request *request, service core.ServiceSpec, versions place.Versions) (*attempt, error) {
 	var targets []place.Target
 	var pausedFor time.Duration
-	daemon.do(func() { targets, pausedFor = daemon.unpausedTargets(daemon.clock.Now(), service.Name, version) })
+	daemon.do(func() { targets, pausedFor = daemon.unpausedTargets(daemon.clock.Now(), service.Name, versions) })
 	if len(targets) == 0 && pausedFor > 0 {
 		return nil, daemon.pauseError(service.Name, pausedFor)
 	}
 	message := placeRequest{Service: service.Name, Prompt: place.Prompt{
 		Attempt: request.caller.Attempt, Parts: request.caller.Prompt, Zone: request.inputDataCentre, InputBytes: request.inputBytes, Exclude: daemon.excludedEngines(request, service.Name, targets),
-		MaxWait: request.maxPermitWait(daemon.clock.Now()), Version: version,
+		MaxWait: request.maxPermitWait(daemon.clock.Now()), Version: versions.Only, Except: versions.Except,
 	}}
 	shared, _ := request.sharedPrompt()
 	var owner *peer
@@ -107,7 +107,7 @@
 			}
 		})
 		request.attempts++
-		return &attempt{target: target, startedAt: daemon.clock.Now(), placedBy: owner, engineService: service.Name}, nil
+		return &attempt{target: target, startedAt: daemon.clock.Now(), placedBy: owner, engineService: service.Name, passage: daemon.shift.Begin(service.Name, target.Version, request.route.Name)}, nil
 	}
 	return nil, nil // the engine is no usable target in this daemon's view, as when it is draining or has another version
 }
@@ -129,7 +129,7 @@
 }
 
 func (daemon *Daemon) placeLocally(message placeRequest) placeReply {
-	targets := place.OfVersion(daemon.view.Load().targets[message.Service], message.Prompt.Version)
+	targets := place.Versions{Only: message.Prompt.Version, Except: message.Prompt.Except}.Of(daemon.view.Load().targets[message.Service])
 	var reply placeReply
 	daemon.do(func() {
 		daemon.control.lastPlacement[message.Service] = daemon.clock.Now()
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -14,6 +14,7 @@
 	"catkincove/core/mirror"
 	"catkincove/core/place"
 	"catkincove/core/roster"
+	"catkincove/io/shift"
 )
 
 const (
@@ -365,11 +366,16 @@
 		routing: previous.routing, routingFrom: previous.routingFrom, targets: map[string][]place.Target{}, addresses: map[string]bool{}, byID: map[string]string{}, services: map[string]string{}, dataCentres: map[string]string{},
 	}
 	evacuated := map[string]bool{}
+	var orders []shift.Order
 	for _, entry := range daemon.control.routes.Entries(now) {
 		if dataCentre, ok := daemon.dialect.EvacuatedDataCentre(entry.Key); ok {
 			evacuated[dataCentre] = true
 			continue
 		}
+		if order, is := daemon.decodeRollout(entry); is {
+			orders = append(orders, order)
+			continue
+		}
 		if entry.ModRevision <= daemon.control.routingRevision {
 			continue
 		}
@@ -395,7 +401,9 @@
 		next.routingFrom.log(daemon.log.Warn()).Str(eventField, eventRoutingChanged).Int64("Version", offered.routing.Version).
 			Dur("CopyAge", now.Sub(daemon.control.storeReadAt)).Msg("another daemon has a newer routing than the copies of this one; it is in force")
 	}
+	daemon.shift.Follow(orders)
 	daemon.rebuildTargets(now, next, evacuated)
+	daemon.shift.SetTargets(next.targets)
 	daemon.view.Store(next)
 	daemon.rebuildMembers(now)
 	daemon.refreshSenders(next)
@@ -464,6 +472,9 @@
 			next.targets[service] = append(next.targets[service], targets...)
 		}
 	}
+	for service, targets := range next.targets {
+		next.targets[service] = daemon.shift.Usable(service, targets)
+	}
 	daemon.noteVersions(now, registered)
 }
 
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -16,6 +16,7 @@
 	"catkincove/core/admit"
 	"catkincove/core/blame"
 	"catkincove/core/origin"
+	"catkincove/io/shift"
 )
 
 const (
@@ -63,6 +64,7 @@
 	triedPeers      []string      // addresses of the daemons that were asked to forward the request
 	triedTargets    []string      // IDs of the targets of those attempts
 	versions        []string      // software versions of those targets
+	choice          shift.Choice  // side of a rollout to which the request goes
 	origin          origin.Origin // what began the stream; unknown before its first event
 	mayHaveRun      bool          // a target may have run the request
 	responseStarted bool          // the response to the caller has started
--- a/io/edge/hold.go
+++ b/io/edge/hold.go
@@ -27,10 +27,10 @@
 	})
 }
 
-// unpausedTargets returns the targets of a service that may get a request of this daemon, of one version unless it is empty, and the time until the first of
+// unpausedTargets returns the targets of a service that may get a request of this daemon, of some software versions, and the time until the first of
 // the others may; 0 if there are none. It must run on the loop.
-func (daemon *Daemon) unpausedTargets(now time.Time, service, version string) (targets []place.Target, pausedFor time.Duration) {
-	for _, target := range place.OfVersion(daemon.view.Load().targets[service], version) {
+func (daemon *Daemon) unpausedTargets(now time.Time, service string, versions place.Versions) (targets []place.Target, pausedFor time.Duration) {
+	for _, target := range versions.Of(daemon.view.Load().targets[service]) {
 		wait := daemon.control.limits.PausedFor(now, target.ID)
 		switch {
 		case wait == 0:
--- a/io/edge/hold_test.go
+++ b/io/edge/hold_test.go
@@ -65,7 +65,7 @@
 	daemon.view.Store(&next)
 	daemon.pauseTarget(targetAnswer{service: "ledger", target: renewed.ID, address: renewed.Address, startedAt: renewed.StartedAt, facts: core.TargetResponse{Pause: pause}})
 	daemon.do(func() {
-		if targets, _ := daemon.unpausedTargets(daemon.clock.Now(), "ledger", ""); len(targets) != 1 || targets[0].ID != other.ID {
+		if targets, _ := daemon.unpausedTargets(daemon.clock.Now(), "ledger", place.Versions{}); len(targets) != 1 || targets[0].ID != other.ID {
 			t.Errorf("targets that may get requests: %v", targets)
 		}
 		for range 20 { // the order of a map differs
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -286,9 +286,9 @@
 	return max(wait, 0)
 }
 
-// choosePermitted chooses a target from local state, of the given version unless it is empty. A limited target that may get no request now is passed over for others; only
+// choosePermitted chooses a target from local state, of some software versions. A limited target that may get no request now is passed over for others; only
 // if there is none, the request waits for a permit.
-func (daemon *Daemon) choosePermitted(ctx context.Context, request *request, service, version string, placement place.Request) (place.Target, error) {
+func (daemon *Daemon) choosePermitted(ctx context.Context, request *request, service string, versions place.Versions, placement place.Request) (place.Target, error) {
 	var maxWait time.Duration
 	tries := 0
 	for {
@@ -298,7 +298,7 @@
 		var heldFor, pausedFor time.Duration
 		daemon.do(func() {
 			now := daemon.clock.Now()
-			targets, pausedFor = daemon.unpausedTargets(now, service, version)
+			targets, pausedFor = daemon.unpausedTargets(now, service, versions)
 			index, fault = daemon.control.chooser.Choose(now, targets, placement)
 			heldFor = daemon.control.chooser.HeldFor(now, targets)
 		})
--- a/io/edge/limits_test.go
+++ b/io/edge/limits_test.go
@@ -67,13 +67,13 @@
 		}
 	})
 	now := daemon.clock.Now()
-	_, err := daemon.choosePermitted(t.Context(), &request{softDeadline: now.Add(100 * time.Millisecond), deadline: now.Add(time.Second)}, "ledger", "", place.Request{})
+	_, err := daemon.choosePermitted(t.Context(), &request{softDeadline: now.Add(100 * time.Millisecond), deadline: now.Add(time.Second)}, "ledger", place.Versions{}, place.Request{})
 	if rejection := core.AsError(err); err == nil || rejection.Kind != core.Unavailable || rejection.RetryAfter <= 0 {
 		t.Errorf("all targets are limited: %v", err)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if _, err := daemon.choosePermitted(ctx, &request{softDeadline: now.Add(time.Minute), deadline: now.Add(time.Hour)}, "ledger", "", place.Request{}); !errors.Is(err, context.Canceled) && core.AsError(err).Kind != core.Unavailable {
+	if _, err := daemon.choosePermitted(ctx, &request{softDeadline: now.Add(time.Minute), deadline: now.Add(time.Hour)}, "ledger", place.Versions{}, place.Request{}); !errors.Is(err, context.Canceled) && core.AsError(err).Kind != core.Unavailable {
 		t.Errorf("the caller has left: %v", err)
 	}
 }
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -90,6 +90,9 @@
 	set("ConnectionsOpened", daemon.targets.Opened())
 	set("ResponsesSkipped", daemon.targets.Skipped())
 	set("LogLinesDropped", daemon.logWriter.dropped.Load())
+	for name, value := range daemon.shift.Metrics() {
+		set(name, value)
+	}
 	metrics.mutex.Lock()
 	for name, count := range metrics.outcomes {
 		set("Outcome."+name, count)
--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -312,7 +312,7 @@
 	case baseline == "":
 		return awaitCopies
 	}
-	targets, _ := daemon.unpausedTargets(now, service, baseline)
+	targets, _ := daemon.unpausedTargets(now, service, place.Versions{Only: baseline})
 	if request.route.Repeat == core.Idempotent && request.attempts < request.route.MaxTargets && daemon.control.chooser.HasUsable(now, targets, request.triedTargets) &&
 		daemon.retryWindow(service).Allow(now) {
 		return beginElsewhere
@@ -330,24 +330,28 @@
 	return daemon.control.routes.Unavailable() || recent(origins.lastFailure) || recent(origins.lateAt)
 }
 
-// versionFor returns the version that a target must have to get the request; empty means any. While records cannot be written, streams
-// begin at the version that needs none, as long as a target of it is usable.
-func (daemon *Daemon) versionFor(request *request, service string) string {
-	version := request.origin.Version
-	if request.origin.Known() || !request.isResumable() {
-		return version
+// versionsFor returns the versions that a target may have to get the request. While records cannot be written, streams
+// begin at the version that needs none, as long as a target of it is usable and a rollout does not forbid it.
+func (daemon *Daemon) versionsFor(request *request, service string) place.Versions {
+	if request.origin.Known() {
+		return place.Versions{Only: request.origin.Version}
+	}
+	versions := daemon.shift.Versions(service, &request.choice, request.attempts > 0)
+	if !request.isResumable() {
+		return versions
 	}
 	daemon.do(func() {
 		now := daemon.clock.Now()
 		known := daemon.control.origins.baselines[service]
-		if known.Version == "" || !daemon.originsFail(now) {
+		if known.Version == "" || known.Version == versions.Except || !daemon.originsFail(now) {
 			return
 		}
-		if targets, _ := daemon.unpausedTargets(now, service, known.Version); daemon.control.chooser.HasUsable(now, targets, request.triedTargets) {
-			version = known.Version
+		baseline := place.Versions{Only: known.Version}
+		if targets, _ := daemon.unpausedTargets(now, service, baseline); daemon.control.chooser.HasUsable(now, targets, request.triedTargets) {
+			versions = baseline
 		}
 	})
-	return version
+	return versions
 }
 
 // versionHasLeft reports whether targets of other versions serve, but none that the stream may still go on at; a service of one version
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -16,6 +16,7 @@
 	"catkincove/core"
 	"catkincove/core/batch"
 	"catkincove/core/blame"
+	"catkincove/io/shift"
 )
 
 const (
@@ -96,6 +97,7 @@
 	mux.HandleFunc("POST "+pathRouting, daemon.serveRouting)
 	mux.HandleFunc("POST "+pathOrigins, daemon.serveOrigins)
 	mux.HandleFunc("POST "+pathOrigin, daemon.serveOrigin)
+	mux.HandleFunc("POST "+shift.Path, daemon.serveRollout)
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if strings.HasPrefix(request.RequestURI, pathForward+"/") {
 			daemon.serveForward(writer, request) // the mux would clean the caller's path
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -12,6 +12,7 @@
 	"catkincove/core/batch"
 	"catkincove/core/limit"
 	"catkincove/core/place"
+	"catkincove/io/shift"
 	"catkincove/io/xchg"
 )
 
@@ -66,6 +67,7 @@
 			service: service, pool: batch.New(spec), results: map[batch.JobID]chan batch.Result{}, pendingFrees: map[string][]string{},
 		}
 		known.pool.Pacer = limit.Sender{Table: &daemon.control.limits}
+		known.pool.Arms = shift.Calls{Mover: daemon.shift, Service: service}
 		daemon.control.senders[service] = known
 		known.pool.SetTargets(batchTargets(daemon.view.Load().targets[service]))
 		daemon.log.Info().Str(eventField, eventSenderStarts).Str("Service", service).Msg("this daemon now sends the batches of the service")
@@ -76,7 +78,7 @@
 func batchTargets(targets []place.Target) []batch.Target {
 	list := make([]batch.Target, 0, len(targets))
 	for _, target := range targets {
-		list = append(list, batch.Target{ID: target.ID, Address: target.Address, DataCentre: target.DataCentre, StartedAt: target.StartedAt})
+		list = append(list, batch.Target{ID: target.ID, Address: target.Address, DataCentre: target.DataCentre, StartedAt: target.StartedAt, Version: target.Version})
 	}
 	return list
 }
@@ -193,7 +195,9 @@
 // runCall sends one batch to a target and records its outcome.
 func (daemon *Daemon) runCall(ctx context.Context, sender *sender, call batch.Call) {
 	began := daemon.clock.Now()
+	passage := daemon.shift.Begin(sender.service, call.Target.Version, "")
 	results, outcome, err := daemon.sendBatch(ctx, sender, call)
+	passage.End(daemon.callOutcome(ctx, outcome, results))
 	daemon.metrics.batchCalls.Add(1)
 	daemon.metrics.batchPieces.Add(int64(len(call.Pieces)))
 	if err != nil {
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -12,9 +12,11 @@
 	"time"
 
 	"catkincove/core"
+	"catkincove/core/canary"
 	"catkincove/core/origin"
 	"catkincove/core/place"
 	"catkincove/core/retry"
+	"catkincove/io/shift"
 	"catkincove/io/xchg"
 )
 
@@ -43,6 +45,7 @@
 	through         *peer  // daemon that forwards the request, because this one has lost its paths to the targets; nil if none does
 	cancel          context.CancelFunc
 	trace           xchg.Trace // where the request was sent
+	passage         *shift.Passage
 }
 
 // delivery is the state of sending one request to targets.
@@ -274,9 +277,16 @@
 	if quarantined != nil {
 		return nil, quarantined
 	}
-	version := daemon.versionFor(request, service.Name)
+	attempt, err := daemon.beginAttemptAt(ctx, request, service, daemon.versionsFor(request, service.Name))
+	if err != nil && ctx.Err() == nil && !request.origin.Known() && request.choice.Retreat() {
+		return daemon.beginAttemptAt(ctx, request, service, daemon.versionsFor(request, service.Name))
+	}
+	return attempt, err
+}
+
+func (daemon *Daemon) beginAttemptAt(ctx context.Context, request *request, service core.ServiceSpec, versions place.Versions) (*attempt, error) {
 	if service.Engine != nil {
-		if attempt, err := daemon.placeEngine(ctx, request, service, version); attempt != nil || err != nil {
+		if attempt, err := daemon.placeEngine(ctx, request, service, versions); attempt != nil || err != nil {
 			return attempt, err
 		}
 	}
@@ -285,7 +295,7 @@
 	if tokens < affinityTokens {
 		placement.DataCentre = request.inputDataCentre
 	}
-	target, err := daemon.choosePermitted(ctx, request, service.Name, version, placement)
+	target, err := daemon.choosePermitted(ctx, request, service.Name, versions, placement)
 	if err != nil {
 		return nil, err
 	}
@@ -293,7 +303,7 @@
 		daemon.do(func() { daemon.retryWindow(service.Name).AddRequest(daemon.clock.Now()) })
 	}
 	request.attempts++
-	return &attempt{target: target, startedAt: daemon.clock.Now()}, nil
+	return &attempt{target: target, startedAt: daemon.clock.Now(), passage: daemon.shift.Begin(service.Name, target.Version, request.route.Name)}, nil
 }
 
 // sharedPrompt returns the ID of the longest prompt prefix that other requests share, with its number of tokens; the
@@ -339,6 +349,7 @@
 		return
 	}
 	attempt.recorded = true
+	attempt.passage.End(daemon.canaryOutcome(request, attempt, outcome))
 	localOutcome := outcome
 	if attempt.engineService != "" && attempt.placedBy == nil && !attempt.prefillReported {
 		localOutcome = place.Inconclusive // this daemon places the prompts and records the engine's outcome with the prefill
@@ -496,6 +507,7 @@
 
 // replaced ends an attempt whose request another target has taken over. The target is not known to have failed.
 func (relay *relay) replaced() error {
+	relay.attempt.passage.End(canary.Bad)
 	relay.daemon.recordOutcome(relay.request, relay.attempt, place.Inconclusive, 0)
 	return &sendError{run: core.Unknown, cause: errTargetTimedOut}
 }
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -106,6 +106,7 @@
 		daemon.observeFirstEvent(request.route.Name, firstEventTime)
 	}
 	relay.firstEventLatency = firstEventTime
+	relay.attempt.passage.Answered()
 	daemon.reportPrefill(request, relay.attempt, place.Succeeded, firstEventTime)
 }
 
--- a/io/edge/takeover.go
+++ b/io/edge/takeover.go
@@ -235,7 +235,7 @@
 // the budget is spent; it must run on the loop.
 func (daemon *Daemon) reserveTakeover(service string, request *request) bool {
 	now := daemon.clock.Now()
-	targets, _ := daemon.unpausedTargets(now, service, request.origin.Version)
+	targets, _ := daemon.unpausedTargets(now, service, place.Versions{Only: request.origin.Version})
 	return (daemon.othersReachTargets(now) || daemon.control.chooser.HasUsable(now, targets, request.triedTargets)) && daemon.retryWindow(service).Allow(now)
 }
 
