--- a/io/edge/rollout.go
+++ b/io/edge/rollout.go
@@ -37,7 +37,7 @@
 		now := daemon.clock.Now()
 		state = shift.State{
 			Self: daemon.id, Daemons: []core.MemberID{daemon.id}, Large: len(daemon.control.peers) >= largeFleet,
-			Disturbed: daemon.control.routes.Unavailable() || daemon.paths.lostLately(), Leaving: daemon.leaving.Load(),
+			Disturbed: daemon.control.routes.Unavailable() || daemon.paths.lostLately(), Leaving: daemon.leaving.Load(), Single: daemon.view.Load().routing.Services[service].Batch != nil,
 		}
 		if decider := daemon.senderOf(service); decider != nil {
 			state.Decider = decider.Peer
--- a/io/shift/mover.go
+++ b/io/shift/mover.go
@@ -42,6 +42,7 @@
 	Large     bool            // the fleet is large
 	Disturbed bool            // the store or the network is
 	Leaving   bool            // this daemon is
+	Single    bool            // the decider sends all requests of the service
 }
 
 // Options are what a Mover works with.
@@ -86,7 +87,9 @@
 	splitter canary.Splitter
 	grant    canary.Grant
 	validTo  time.Time // of the grant
-	credits  int       // batch calls that may go to the new version
+	credits  int       // batch calls that may go to the new version, at a share below 1
+	next     canary.Arm
+	chosen   bool // next is the side of the next batch call, at share 1
 
 	phase      core.RolloutPhase
 	settled    bool      // the store holds the final phase
@@ -341,12 +344,17 @@
 	defer mover.mutex.Unlock()
 	known := mover.rollouts[calls.Service]
 	switch {
-	case known == nil || !known.hasOld || !known.hasNew || known.armOf(version) == canary.Old:
+	case known == nil || !known.hasOld || !known.hasNew || known.phase == core.RolloutSucceeded:
 		return true // old targets leave the view when the rollout has succeeded
-	case known.phase != core.RolloutRunning:
-		return known.phase == core.RolloutSucceeded
+	case known.phase == core.RolloutRolledBack || known.withdrawn || !mover.options.Clock.Now().Before(known.validTo):
+		return known.armOf(version) == canary.Old
+	case known.grant.Share < 1:
+		return known.armOf(version) == canary.Old || known.credits > 0
 	}
-	return !known.withdrawn && known.credits > 0 && mover.options.Clock.Now().Before(known.validTo)
+	if !known.chosen {
+		known.next, known.chosen = known.splitter.Choose(mover.options.Clock.Now()), true
+	}
+	return known.armOf(version) == known.next
 }
 
 // Began counts a call that is sent to a target of a version.
@@ -361,6 +369,10 @@
 	if known == nil {
 		return
 	}
+	if known.chosen {
+		known.chosen = false // this call was counted when it was chosen
+		return
+	}
 	if known.armOf(version) == canary.New {
 		known.credits = max(known.credits-1, 0)
 	}
--- a/io/shift/report.go
+++ b/io/shift/report.go
@@ -146,7 +146,7 @@
 		reply = Reply{Decided: true, Grant: canary.Grant{Phase: known.phase, Share: shareOf(known.phase)}, Settled: true}
 	case role == nil || role.judge == nil:
 	default:
-		role.judge.Add(now, message.From, message.Report, message.OldInProgress)
+		role.add(now, message)
 		reply = Reply{Decided: role.decided, Grant: role.grant}
 		// An earlier decider has told that daemon of its decision, and could not write it or a restored store has lost it.
 		inherits = message.Phase != core.RolloutRunning && known.phase == core.RolloutRunning
@@ -174,7 +174,7 @@
 		return
 	}
 	now := mover.options.Clock.Now()
-	changed := grant.Phase != known.phase || grant.Share != known.grant.Share
+	changed := grant.Phase != known.phase || (grant.Share == 0) != (known.grant.Share == 0) || (grant.Share < 1) != (known.grant.Share < 1)
 	if grant.Phase != core.RolloutRunning && grant.Phase != known.phase {
 		known.splitter = canary.Splitter{}
 		mover.log("RolloutEnded", known).Str("Phase", grant.Phase.String()).Bool("Written", settled).Str("Reason", reason).Msg("the rollout has ended")
--- a/io/shift/status.go
+++ b/io/shift/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"catkincove/core"
@@ -30,6 +31,35 @@
 	decided bool
 	grant   canary.Grant
 	reason  string
+	logged  canary.Decision // last step in the log
+
+	single  bool                   // this daemon sends all requests of the service
+	senders map[core.MemberID]bool // daemons that have sent some, if single
+}
+
+// add takes the report of another daemon. One that has sent nothing has no part in a service with a single sender, which needs all of the slack.
+func (role *role) add(now time.Time, message Message) {
+	if role.single {
+		if len(message.Report.Routes) == 0 && message.OldInProgress == 0 && !role.senders[message.From] {
+			return
+		}
+		role.senders[message.From] = true
+	}
+	role.judge.Add(now, message.From, message.Report, message.OldInProgress)
+}
+
+// daemons returns those in touch that send requests of the service.
+func (role *role) daemons(state State) []core.MemberID {
+	if !role.single {
+		return state.Daemons
+	}
+	return slices.DeleteFunc(slices.Clone(state.Daemons), func(id core.MemberID) bool { return id != state.Self && !role.senders[id] })
+}
+
+// isStep reports whether a decision differs enough from the last one in the log: the share moves a little with each report.
+func (role *role) isStep(decision canary.Decision) bool {
+	share, logged := decision.Share, role.logged.Share
+	return !role.decided || decision.Reason != role.logged.Reason || share != logged && (share == 0 || share == 1 || share >= 2*logged || share <= logged/2)
 }
 
 var (
@@ -47,7 +77,7 @@
 	}
 	now := mover.options.Clock.Now()
 	if known.role == nil {
-		known.role = &role{begunAt: now}
+		known.role = &role{begunAt: now, single: state.Single, senders: map[core.MemberID]bool{}}
 	}
 	role := known.role
 	if !role.begun {
@@ -63,7 +93,7 @@
 		return
 	}
 	role.judge.Add(now, state.Self, known.recorder.Report(now), mover.oldInProgress(known))
-	decision := role.judge.Decide(now, canary.Fleet{Daemons: state.Daemons, NewTargets: known.counts[canary.New], OldTargets: known.counts[canary.Old], Unstable: state.Disturbed})
+	decision := role.judge.Decide(now, canary.Fleet{Daemons: role.daemons(state), NewTargets: known.counts[canary.New], OldTargets: known.counts[canary.Old], Unstable: state.Disturbed})
 	if known.phase != core.RolloutRunning {
 		decision.Phase, decision.Share, decision.Reason = known.phase, shareOf(known.phase), role.reason // not written yet
 	}
@@ -71,7 +101,8 @@
 	if wanted == core.RolloutSucceeded && known.phase == core.RolloutRunning {
 		decision.Phase, decision.Share = core.RolloutRunning, 1 // claimed only when the store holds it
 	}
-	if !role.decided || decision.Share != role.grant.Share {
+	if role.isStep(decision) {
+		role.logged = decision
 		mover.log("RolloutStep", known).Float64("Share", decision.Share).Str("Phase", wanted.String()).Str("Reason", decision.Reason).Int("Daemons", len(state.Daemons)).
 			Int("NewTargets", known.counts[canary.New]).Int("OldTargets", known.counts[canary.Old]).Msg("the share of the new version changes")
 	}
@@ -148,13 +179,13 @@
 	if err != nil {
 		return written{}, err
 	}
-	if snapshot.Revision.Epoch() != order.Revision.Epoch() {
-		return written{}, errOlderCopy
-	}
 	result := written{phase: phase}
 	var before core.Revision
 	for _, entry := range snapshot.Entries {
 		before = entry.ModRevision
+		if before.Epoch() != order.Revision.Epoch() {
+			return written{}, errOlderCopy
+		}
 		status, err := mover.options.Dialect.DecodeRolloutStatus(entry.Value)
 		if err != nil || status.Version != order.Version || before < order.Revision {
 			continue // of an earlier order, or of another writer
