--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -6,71 +6,175 @@
 
 // The times are parts of the time limit, the costs parts of what the bounds allow; docs/design/rollouts.md derives them.
 const (
-	fullEnd      = 0.86 // time at which full traffic may have used up the bounds
-	lastSuccess  = 0.89 // time after which no order succeeds
-	lastDecision = 0.96 // time of the roll-back without evidence, so that all daemons know it by the time limit
-	lowCost      = 0.12 // cost of the long first step
-	quarterTime  = 0.2  // duration of the step at a quarter, in durations of full traffic that the bounds allow
-	halfTime     = 0.2
-	settledPart  = 0.65 // part of full traffic after which the order can succeed
-	minShare     = 0.005
-	maxLowShare  = 0.25
-	holdTime     = time.Second             // without a rise after a suspicion
-	grantFor     = 1000 * time.Millisecond // a daemon that is cut off stops well within the roll-back time of 5 s
+	planEnd       = 0.86 // time at which the bounds may be used up
+	lastSuccess   = 0.89 // time after which no order succeeds
+	lastDecision  = 0.96 // time of the roll-back without evidence, so that all daemons know it by the time limit
+	lowCost       = 0.12 // cost of the long first step
+	stepTime      = 0.12 // duration of the steps at a quarter and at a half, in durations of full traffic that the bounds allow
+	quarter       = 0.25
+	half          = 0.5
+	minShare      = 0.005 // below it, a fault at once shows too late
+	maxMoveTime   = 0.25  // greatest part of the time limit for which routes move ahead, at a load so low that the bounds would allow more
+	longestPart   = 0.995 // quantile of the times of the old version within which a route's requests end there
+	settledPart   = 0.5   // part of full traffic after which the order can succeed
+	minFull       = 300 * time.Millisecond
+	moveTime      = 400 * time.Millisecond // from the decision that a route moves until reports show that nothing new goes to the old version
+	holdTime      = time.Second            // without a rise after a suspicion
+	grantFor      = time.Second            // a daemon that is cut off stops well within the roll-back time of 5 s
+	bisectionStep = 30
 )
 
-// successAt returns the earliest time of success at full traffic.
-func (judge *Judge) successAt() time.Time {
-	return judge.fullSince.Add(time.Duration(settledPart * float64(judge.fullFor)))
+// ramp is the progress of an order: a long low share, a quarter, a half, and then all routes, those first whose requests take the longest to end at the old version.
+type ramp struct {
+	share        float64
+	quarterSince time.Time
+	halfSince    time.Time
+	moving       bool
+	moved        []string
+	fullSince    time.Time // since when share 1 is granted, zero if it is not
+	successAt    time.Time // earliest success
+	fullSent     int64     // new requests at fullSince
+	fullGood     int64
+	heldUntil    time.Time // before which the share does not rise after a suspicion
+	missing      string    // what the order lacked for success when there was still time
 }
 
-// setShare sets the share by what is left of the bounds and of the time.
-func (judge *Judge) setShare(now time.Time, fleet Fleet) {
-	duration := float64(judge.options.Order.Duration)
-	end := judge.options.IssuedAt.Add(time.Duration(fullEnd * duration))
-	late := !now.Before(judge.options.IssuedAt.Add(time.Duration(lastSuccess * duration)))
-	suspect := judge.suspect()
-	judge.reason = suspect
-	switch {
-	case fleet.NewTargets == 0:
-		judge.stopFull(0)
-		judge.reason = "no usable target of the new version"
+// setShare sets the share by what is left of the bounds and of the time. The order still lacks something for success.
+func (judge *Judge) setShare(now time.Time, fleet Fleet, missing string) {
+	ramp := &judge.ramp
+	duration := judge.options.Order.Duration
+	since := now.Sub(judge.options.IssuedAt)
+	if since >= time.Duration(lastSuccess*float64(duration)) {
+		ramp.share, ramp.moved, ramp.fullSince = 0, nil, time.Time{}
+		return
+	}
+	ramp.missing = missing
+	if fleet.NewTargets == 0 {
+		ramp.stop(0)
 		return
-	case late:
-		judge.stopFull(0)
-		judge.reason = "too late for success"
+	}
+	if suspect := judge.suspect(); suspect != "" && !ramp.moving {
+		ramp.heldUntil = now.Add(holdTime)
+		judge.reason = "held: " + suspect
+	}
+	if !ramp.fullSince.IsZero() {
 		return
-	case suspect != "":
-		judge.heldUntil = now.Add(holdTime)
 	}
-	left, whole, rate := judge.budget(now, end, fleet)
-	untilEnd := end.Sub(now).Seconds()
-	half, quarter := halfTime*whole, quarterTime*whole
-	held := now.Before(judge.heldUntil)
+	end := judge.options.IssuedAt.Add(time.Duration(planEnd * float64(duration)))
+	left, whole, rate := judge.budget(end, fleet)
+	untilEnd, step := end.Sub(now).Seconds(), stepTime*whole
+	if rate == 0 {
+		ramp.stop(minShare)
+		return
+	}
+	reserved := 0.0 // for the steps that are still to come
+	if !ramp.moving {
+		reserved = quarter*timeLeft(now, ramp.quarterSince, step) + half*timeLeft(now, ramp.halfSince, step)
+	}
+	moves := judge.moveTimes(left-reserved, maxMoveTime*duration.Seconds())
+	longest := 0.0
+	for _, move := range moves {
+		longest = max(longest, move)
+	}
 	switch {
-	case rate == 0:
-		judge.stopFull(minShare)
-	case !held && !judge.fullSince.IsZero():
-	case !held && untilEnd <= left:
-		totals := judge.newTotals()
-		judge.share, judge.fullSince, judge.fullSent, judge.fullGood = 1, now, totals.Sent, totals.Good
-		judge.fullFor = max(end.Sub(now), 0)
-	case !held && untilEnd <= left+half/2:
-		judge.stopFull(0.5)
-	case !held && untilEnd <= left+half/2+quarter*3/4:
-		judge.stopFull(0.25)
+	case now.Before(ramp.heldUntil) || !ramp.moving && untilEnd > longest+2*step:
+		ramp.stop(min(max((lowCost*whole-(whole-left))/max(untilEnd-longest-2*step, 1), minShare), quarter))
+	case ramp.quarterSince.IsZero() || now.Sub(ramp.quarterSince).Seconds() < step:
+		ramp.share = quarter
+		if ramp.quarterSince.IsZero() {
+			ramp.quarterSince = now
+		}
+	case !ramp.moving && (ramp.halfSince.IsZero() || now.Sub(ramp.halfSince).Seconds() < step):
+		ramp.share = half
+		if ramp.halfSince.IsZero() {
+			ramp.halfSince = now
+		}
 	default:
-		time := max(untilEnd-left-half/2-quarter*3/4, 1)
-		share := (lowCost*whole - (whole - left)) / time
-		judge.stopFull(min(max(share, minShare), maxLowShare))
+		ramp.moving, ramp.share = true, quarter
+		judge.move(now, end, moves)
+	}
+}
+
+// timeLeft returns the seconds of a step that are left.
+func timeLeft(now, since time.Time, step float64) float64 {
+	if since.IsZero() {
+		return step
+	}
+	return max(step-now.Sub(since).Seconds(), 0)
+}
+
+// stop sets a low share, from which the steps begin anew.
+func (ramp *ramp) stop(share float64) {
+	ramp.share, ramp.moved, ramp.moving = share, nil, false
+	ramp.quarterSince, ramp.halfSince, ramp.fullSince = time.Time{}, time.Time{}, time.Time{}
+}
+
+// move moves the routes whose time has come, and all traffic with the last of them.
+func (judge *Judge) move(now, end time.Time, moves map[string]float64) {
+	ramp := &judge.ramp
+	var moved []string
+	for _, name := range judge.routeNames() {
+		if end.Sub(now).Seconds() <= moves[name] {
+			moved = append(moved, name)
+		}
+	}
+	for _, name := range ramp.moved {
+		if _, found := moves[name]; found && end.Sub(now).Seconds() > moves[name] {
+			moved = append(moved, name)
+		}
+	}
+	ramp.moved = moved
+	if len(moved) < len(judge.routes) {
+		return
+	}
+	totals := judge.newTotals()
+	ramp.share, ramp.moved, ramp.fullSince, ramp.fullSent, ramp.fullGood = 1, nil, now, totals.Sent, totals.Good
+	ramp.successAt = now.Add(max(time.Duration(settledPart*float64(end.Sub(now))), minFull))
+	for _, route := range judge.routes {
+		route.full = route.sums.New.clone()
 	}
 }
 
-func (judge *Judge) stopFull(share float64) { judge.share, judge.fullSince = share, time.Time{} }
+// moveTimes returns how many seconds before the end of the plan each route moves so that its requests have ended at the old version by then, and all routes
+// together use up the given seconds of full traffic. The others have a quarter meanwhile.
+func (judge *Judge) moveTimes(left, most float64) map[string]float64 {
+	var all float64
+	for _, route := range judge.routes {
+		all += float64(route.sums.Old.Sent + route.sums.New.Sent)
+	}
+	moves := map[string]float64{}
+	low, high := -most, most
+	for range bisectionStep {
+		extra, longest, cost := (low+high)/2, 0.0, 0.0
+		for name, route := range judge.routes {
+			moves[name] = min(max(route.drainTime().Seconds()+extra, 0), most)
+			longest = max(longest, moves[name])
+		}
+		for name, route := range judge.routes {
+			share := float64(route.sums.Old.Sent+route.sums.New.Sent) / max(all, 1)
+			cost += share * (moves[name] + quarter*(longest-moves[name]))
+		}
+		if cost > left {
+			high = extra
+		} else {
+			low = extra
+		}
+	}
+	return moves
+}
+
+// drainTime returns the time after which nearly all requests of a route have ended at the old version once it has moved.
+func (route *route) drainTime() time.Duration {
+	held := quantile(route.sums.Old.Held, longestPart)
+	if held == 0 {
+		held = quantile(route.sums.Old.Times, longestPart)
+	}
+	return held + moveTime
+}
 
-// budget returns for how many seconds of full traffic the bounds will have room at a time, that is the least of all daemons; the whole of it
-// before any request; and the requests per second.
-func (judge *Judge) budget(now, end time.Time, fleet Fleet) (left, whole, rate float64) {
+// budget returns for how many seconds of full traffic the bounds will have room at a time, by the daemon with the least of it; how many there would be
+// without any request before; and the requests per second.
+func (judge *Judge) budget(end time.Time, fleet Fleet) (left, whole, rate float64) {
 	grant := Grant{Share: 1, Bounds: judge.options.Bounds, Daemons: max(len(judge.daemons), len(fleet.Daemons))}
 	first := true
 	for _, name := range fleet.Daemons {
@@ -83,7 +187,7 @@
 			continue
 		}
 		rate += daemonRate
-		limit := grant.limit(known.requests + int64(daemonRate*end.Sub(known.seenAt).Seconds()))
+		limit := grant.limit(known.requests + int64(daemonRate*max(end.Sub(known.seenAt), 0).Seconds()))
 		room := (limit - float64(known.requests-known.oldSent)) / daemonRate
 		if first || room < left {
 			left, whole, first = room, limit/daemonRate, false
--- a/core/canary/split.go
+++ b/core/canary/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"catkincove/core"
@@ -9,7 +10,7 @@
 
 const (
 	partialUse = 0.8                // part of the bounds that new requests may use up below share 1, so that full traffic finds some left
-	fullUse    = 0.97               // part of the bounds at share 1, where the counts of several daemons round
+	fullUse    = 0.97               // part of the bounds from the first moved route on, where the counts of several daemons round
 	goldenStep = 0.6180339887498949 // fractions of its multiples fill the interval evenly, also for every second or third request
 )
 
@@ -25,8 +26,9 @@
 	Share   float64       // of the daemon's requests for the service; 1 means that none may go to the old version
 	For     time.Duration // time for which the grant holds; after it, requests go to the old version
 	Phase   core.RolloutPhase
-	Bounds  Bounds // for all daemons together
-	Daemons int    // daemons that divide the slack of the bounds
+	Bounds  Bounds   // for all daemons together
+	Daemons int      // daemons that divide the slack of the bounds
+	Moved   []string // routes of which none may go to the old version, because their requests take long to end there
 }
 
 // Splitter divides the requests of one daemon between the arms; the zero value sends all to the old one. It counts from the order on,
@@ -46,15 +48,18 @@
 	splitter.grant, splitter.expiresAt = grant, now.Add(grant.For)
 }
 
-// Choose returns the arm of a new request. It never exceeds the daemon's part of the bounds before success; the daemons' parts add up to the bounds
-// without coordination, so a burst or a daemon that is cut off does not break them.
-func (splitter *Splitter) Choose(now time.Time) Arm {
+// Choose returns the arm of a new request on a route that is not known.
+func (splitter *Splitter) Choose(now time.Time) Arm { return splitter.ChooseRoute(now, "") }
+
+// ChooseRoute returns the arm of a new request on a route. It never exceeds the daemon's part of the bounds before success; the daemons' parts add up
+// to the bounds without coordination, so a burst or a daemon that is cut off does not break them.
+func (splitter *Splitter) ChooseRoute(now time.Time, route string) Arm {
 	splitter.requests++
 	switch {
 	case splitter.grant.Phase == core.RolloutSucceeded:
-		splitter.sentNew++
-		return New
-	case splitter.grant.Phase == core.RolloutRolledBack || !now.Before(splitter.expiresAt) || !splitter.isTurn():
+	case splitter.grant.Phase != core.RolloutRunning || !now.Before(splitter.expiresAt):
+		return Old
+	case !splitter.isTurn() && !slices.Contains(splitter.grant.Moved, route):
 		return Old
 	case float64(splitter.sentNew+1) > splitter.grant.limit(splitter.requests):
 		return Old
@@ -72,7 +77,7 @@
 // limit returns the new requests that a daemon may have sent when it has got a number of requests.
 func (grant Grant) limit(requests int64) float64 {
 	use := partialUse
-	if grant.Share >= 1 {
+	if grant.Share >= 1 || len(grant.Moved) > 0 {
 		use = fullUse
 	}
 	return use * (grant.Bounds.Share*float64(requests) + grant.Bounds.Slack/float64(max(grant.Daemons, 1)))
--- a/core/canary/tally.go
+++ b/core/canary/tally.go
@@ -1,16 +1,18 @@
 package canary
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
 )
 
 const (
-	timeBuckets     = 32      // of the time histograms: 1 ms to 5 min
-	bucketRatio     = 1.5     // of the upper bounds of two buckets; a version that is several times slower moves several buckets
-	maxRoutes       = 32      // routes that are counted apart, which bounds a report to about 20 KB; all others share one tally
+	timeBuckets     = 64      // of the time histograms: 1 ms to 80 s
+	bucketRatio     = 1.2     // of the bounds of a bucket; a version that is several times slower moves several buckets
+	maxRoutes       = 32      // routes that are counted apart, which bounds a report to about 40 KB; all others share one tally
 	maxTracked      = 1 << 15 // requests in progress whose age is known, about 2 MB
+	maxAnswered     = 1 << 14 // answered requests that may still fail, about 1 MB
 	firstTimeBucket = time.Millisecond
 )
 
@@ -25,6 +27,7 @@
 	Times      []int64 // good responses by the time that they took, in geometric buckets from 1 ms
 	Censored   []int64 // requests that failed or were abandoned by that time; they would have taken longer
 	InProgress []int64 // requests without an end, by their age at the time of the report
+	Held       []int64 // requests that Finish has ended, by the time for which they kept their target
 }
 
 // RouteTally holds the sums of one route.
@@ -44,16 +47,16 @@
 // lost, late or repeated changes nothing. The zero value is ready to use; it is not safe for concurrent use.
 type Recorder struct {
 	routes   map[string]*RouteTally
-	requests map[Request]tracked
-	answered []Request // those of requests with a good response, oldest first; a stream may still fail
+	requests map[Request]tracked // in progress
+	answered map[Request]tracked // with a good response; a stream may still fail
+	order    []Request           // answered ones, oldest first
 	last     Request
 	sequence int64
 }
 
 type tracked struct {
-	tally    *Tally
-	beganAt  time.Time
-	answered bool
+	tally   *Tally
+	beganAt time.Time
 }
 
 // Begin counts a request that is sent to a target of an arm.
@@ -64,9 +67,6 @@
 	if recorder.requests == nil {
 		recorder.requests = map[Request]tracked{}
 	}
-	if len(recorder.requests) >= maxTracked && len(recorder.answered) > 0 {
-		recorder.forgetAnswered()
-	}
 	if len(recorder.requests) < maxTracked {
 		recorder.requests[recorder.last] = tracked{tally: tally, beganAt: now}
 	}
@@ -96,45 +96,54 @@
 	return &tally.Old
 }
 
-// forgetAnswered drops the older half of the requests with a good response, whose later failure then goes uncounted.
-func (recorder *Recorder) forgetAnswered() {
-	half := (len(recorder.answered) + 1) / 2
-	for _, request := range recorder.answered[:half] {
-		delete(recorder.requests, request)
-	}
-	recorder.answered = slices.Delete(recorder.answered, 0, half)
-}
-
-// End counts the end of a request; for a stream that is its first event, or its failure at any time.
+// End counts the end of a request; for a stream that is its first event, or its failure at any time. A stream that fails after its first
+// event has a good and a bad response.
 func (recorder *Recorder) End(now time.Time, request Request, outcome Outcome) {
 	known, found := recorder.requests[request]
 	if !found {
-		return
-	}
-	tally, bucket := known.tally, bucketOf(now.Sub(known.beganAt))
-	if known.answered {
-		if outcome == Bad {
-			tally.Bad++
-			delete(recorder.requests, request)
+		if stream, answered := recorder.answered[request]; answered && outcome == Bad {
+			stream.tally.Bad++
+			delete(recorder.answered, request)
 		}
 		return
 	}
-	if outcome == Good {
-		tally.Good++
-		tally.Times = count(tally.Times, bucket)
-		known.answered = true
-		recorder.requests[request] = known
-		recorder.answered = append(recorder.answered, request)
-		if len(recorder.answered) > maxTracked/2 {
-			recorder.forgetAnswered()
-		}
+	delete(recorder.requests, request)
+	bucket := bucketOf(now.Sub(known.beganAt))
+	switch outcome {
+	case Good:
+		known.tally.Good++
+		known.tally.Times = count(known.tally.Times, bucket)
+		recorder.setAnswered(request, known)
 		return
+	case Bad:
+		known.tally.Bad++
 	}
-	if outcome == Bad {
-		tally.Bad++
+	known.tally.Censored = count(known.tally.Censored, bucket)
+}
+
+// Finish counts that a request no longer keeps its target, which for a stream is its last event; it counts nothing else. The judge learns by it how
+// long before success a route has to move, and takes the time until End for routes without it.
+func (recorder *Recorder) Finish(now time.Time, request Request) {
+	if known, answered := recorder.answered[request]; answered {
+		known.tally.Held = count(known.tally.Held, bucketOf(now.Sub(known.beganAt)))
+		delete(recorder.answered, request)
 	}
-	tally.Censored = count(tally.Censored, bucket)
-	delete(recorder.requests, request)
+}
+
+// setAnswered remembers a request for a later failure; the oldest ones are forgotten.
+func (recorder *Recorder) setAnswered(request Request, known tracked) {
+	if recorder.answered == nil {
+		recorder.answered = map[Request]tracked{}
+	}
+	if len(recorder.order) >= maxAnswered {
+		half := len(recorder.order) / 2
+		for _, oldest := range recorder.order[:half] {
+			delete(recorder.answered, oldest)
+		}
+		recorder.order = slices.Delete(recorder.order, 0, half)
+	}
+	recorder.answered[request] = known
+	recorder.order = append(recorder.order, request)
 }
 
 // Report returns the sums at a time.
@@ -145,29 +154,18 @@
 		known.Old.InProgress, known.New.InProgress = nil, nil
 	}
 	for _, known := range recorder.requests {
-		if !known.answered {
-			known.tally.InProgress = count(known.tally.InProgress, bucketOf(now.Sub(known.beganAt)))
-		}
+		known.tally.InProgress = count(known.tally.InProgress, bucketOf(now.Sub(known.beganAt)))
 	}
 	for _, known := range recorder.routes {
 		report.Routes = append(report.Routes, RouteTally{Route: known.Route, Old: known.Old.clone(), New: known.New.clone()})
 	}
-	slices.SortFunc(report.Routes, func(a, b RouteTally) int { return compareRoutes(a.Route, b.Route) })
+	slices.SortFunc(report.Routes, func(a, b RouteTally) int { return cmp.Compare(a.Route, b.Route) })
 	return report
 }
 
-func compareRoutes(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 func (tally Tally) clone() Tally {
-	tally.Times, tally.Censored, tally.InProgress = slices.Clone(tally.Times), slices.Clone(tally.Censored), slices.Clone(tally.InProgress)
+	tally.Times, tally.Censored = slices.Clone(tally.Times), slices.Clone(tally.Censored)
+	tally.InProgress, tally.Held = slices.Clone(tally.InProgress), slices.Clone(tally.Held)
 	return tally
 }
 
@@ -179,6 +177,7 @@
 	tally.Times = sum(tally.Times, other.Times, multiple)
 	tally.Censored = sum(tally.Censored, other.Censored, multiple)
 	tally.InProgress = sum(tally.InProgress, other.InProgress, multiple)
+	tally.Held = sum(tally.Held, other.Held, multiple)
 }
 
 // minus returns the sums that were added since another tally.
@@ -202,6 +201,31 @@
 // fast returns the good responses within the lower bound of a bucket.
 func (tally Tally) fast(bucket int) int64 { return total(tally.Times, 0) - total(tally.Times, bucket) }
 
+// logarithms returns the sum of the natural logarithms of the times in milliseconds, and their number. Requests without a good response count once they are slow.
+func (tally Tally) logarithms(slow int) (sum float64, number int64) {
+	add := func(buckets []int64, from int) {
+		for i := from; i < len(buckets); i++ {
+			sum += float64(buckets[i]) * float64(i) * math.Log(bucketRatio)
+			number += buckets[i]
+		}
+	}
+	add(tally.Times, 0)
+	add(tally.Censored, slow)
+	add(tally.InProgress, slow)
+	return sum, number
+}
+
+// quantile returns the upper bound of the bucket with a quantile of the times, or 0 without any.
+func quantile(buckets []int64, part float64) time.Duration {
+	all, below := total(buckets, 0), int64(0)
+	for i, number := range buckets {
+		if below += number; all > 0 && float64(below) >= part*float64(all) {
+			return lowerBound(i + 1)
+		}
+	}
+	return 0
+}
+
 // bucketOf returns the bucket of a duration: 0 below 1 ms, and the last one for all beyond its lower bound.
 func bucketOf(duration time.Duration) int {
 	if duration < firstTimeBucket {
