--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -34,7 +34,8 @@
 	settleTime      = 250 * time.Millisecond // without new requests to the old arm before a daemon counts as moved
 	minFullAnswered = 0.4                    // part of the requests at full traffic that must have been answered well
 	maxDeviations   = 2.5                    // of the times, beyond which the version does not succeed
-	chance          = 0.002                  // probability of as many failures below which the version does not succeed
+	minFailures     = 0.005                  // share of failures that no comparison with a few old responses shows
+	chance          = 0.005                  // probability of as many failures below which the version does not succeed
 	recentTimes     = 0.08                   // part of the time limit over which recent times are compared
 )
 
@@ -384,7 +385,7 @@
 
 // failureDoubt returns the figure by which the new version fails more often than may be chance, since the order or at full traffic.
 func failureDoubt(sums RouteTally, full Tally) string {
-	tolerated := max(failureLimits.share, failureLimits.odds*float64(sums.Old.Bad)/float64(sums.Old.Bad+sums.Old.Good+1))
+	tolerated := max(minFailures, failureLimits.odds*float64(sums.Old.Bad)/float64(sums.Old.Bad+sums.Old.Good+1))
 	for _, tally := range []Tally{sums.New, sums.New.minus(full)} {
 		if responses := tally.Bad + tally.Good; tail(tally.Bad, responses, min(tolerated, mostly)) < chance {
 			return fmt.Sprintf("%d of %d responses of the new version failed", tally.Bad, responses)
--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -6,19 +6,20 @@
 
 // The times are parts of the time limit, the costs parts of what the bounds allow; docs/design/rollouts.md derives them.
 const (
-	planEnd       = 0.86 // time at which the bounds may be used up
-	lastSuccess   = 0.89 // time after which no order succeeds
-	lastDecision  = 0.96 // time of the roll-back without evidence, so that all daemons know it by the time limit
-	lowCost       = 0.12 // cost of the long first step
-	stepTime      = 0.12 // duration of the steps at a quarter and at a half, in durations of full traffic that the bounds allow
+	planEnd       = 0.875 // time at which the bounds may be used up
+	lastSuccess   = 0.895 // time after which no order succeeds
+	lastDecision  = 0.96  // time of the roll-back without evidence, so that all daemons know it by the time limit
+	lowCost       = 0.1   // cost of the long first step
+	stepTime      = 0.1   // duration of the steps at a quarter and at a half, in durations of full traffic that the bounds allow
 	quarter       = 0.25
 	half          = 0.5
+	meanwhile     = 0.1   // share of the routes that have not moved yet while others have
 	minShare      = 0.005 // below it, a fault at once shows too late
 	maxMoveTime   = 0.25  // greatest part of the time limit for which routes move ahead, at a load so low that the bounds would allow more
 	longestPart   = 0.995 // quantile of the times of the old version within which a route's requests end there
-	settledPart   = 0.5   // part of full traffic after which the order can succeed
+	settledPart   = 0.8   // part of full traffic after which the order can succeed
 	minFull       = 300 * time.Millisecond
-	moveTime      = 400 * time.Millisecond // from the decision that a route moves until reports show that nothing new goes to the old version
+	moveTime      = 350 * time.Millisecond // from the decision that a route moves until reports show that nothing new goes to the old version
 	holdTime      = time.Second            // without a rise after a suspicion
 	grantFor      = time.Second            // a daemon that is cut off stops well within the roll-back time of 5 s
 	bisectionStep = 30
@@ -90,7 +91,7 @@
 			ramp.halfSince = now
 		}
 	default:
-		ramp.moving, ramp.share = true, quarter
+		ramp.moving, ramp.share = true, meanwhile
 		judge.move(now, end, moves)
 	}
 }
@@ -136,7 +137,7 @@
 }
 
 // moveTimes returns how many seconds before the end of the plan each route moves so that its requests have ended at the old version by then, and all routes
-// together use up the given seconds of full traffic. The others have a quarter meanwhile.
+// together use up the given seconds of full traffic. The others have a small share meanwhile.
 func (judge *Judge) moveTimes(left, most float64) map[string]float64 {
 	var all float64
 	for _, route := range judge.routes {
@@ -152,7 +153,7 @@
 		}
 		for name, route := range judge.routes {
 			share := float64(route.sums.Old.Sent+route.sums.New.Sent) / max(all, 1)
-			cost += share * (moves[name] + quarter*(longest-moves[name]))
+			cost += share * (moves[name] + meanwhile*(longest-moves[name]))
 		}
 		if cost > left {
 			high = extra
--- a/core/canary/replay_test.go
+++ b/core/canary/replay_test.go
@@ -14,6 +14,7 @@
 
 const (
 	testDaemons = 3
+	loadWindow  = 0.5 // seconds over which a load is felt
 	testStep    = 5 * time.Millisecond
 	testReports = 100 * time.Millisecond
 )
@@ -103,13 +104,14 @@
 		}
 	}
 	var decision Decision
-	newShare, allRate := 0.0, 0.0 // recent requests at the new version and at both
+	newRate := 0.0 // present requests a second at the new version
 	for ; at < situation.duration; at += testStep {
 		for len(pending) > 0 && pending[0].at <= at {
 			event := heap.Pop(&pending).(event)
 			event.do(testStart.Add(event.at))
 		}
 		now := testStart.Add(at)
+		newRate *= math.Exp(-testStep.Seconds() / loadWindow)
 		multiple, rate := 1.0, 1.0
 		if situation.trouble != nil {
 			multiple, rate = situation.trouble(at, random)
@@ -127,15 +129,14 @@
 				result.requests++
 				takes := route.mean * (0.3 + 0.7*random.ExpFloat64()) * multiple
 				fails := random.Float64() < 0.003
-				newShare, allRate = newShare*0.99, allRate*0.99+1
 				if arm == New {
-					newShare++
+					newRate += 1 / loadWindow
 					result.sent++
 					result.last = at
 					if result.sent <= situation.cold {
 						takes *= 6
 					}
-					if at >= situation.from && newShare >= situation.load*allRate && (situation.route == "" || situation.route == route.name) {
+					if at >= situation.from && newRate >= situation.load*situation.rate && (situation.route == "" || situation.route == route.name) {
 						takes *= max(situation.slow, 1)
 						fails = fails || random.Float64() < situation.fail
 					}
--- a/core/canary/split.go
+++ b/core/canary/split.go
@@ -10,7 +10,7 @@
 
 const (
 	partialUse = 0.8                // part of the bounds that new requests may use up below share 1, so that full traffic finds some left
-	fullUse    = 0.97               // part of the bounds from the first moved route on, where the counts of several daemons round
+	fullUse    = 1.0                // part of the bounds from the first moved route on, which then still grow until the time limit
 	goldenStep = 0.6180339887498949 // fractions of its multiples fill the interval evenly, also for every second or third request
 )
 
