core/canary: drain times by the requests in progress

The time for which a route has to move before success was a quantile of its times, which is too long for few requests and too short for many.

--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -31,7 +31,7 @@
 	rateWindow      = 2 * time.Second        // over which the rate of requests is taken
 	minGood         = 10                     // good responses without which no version succeeds
 	minRouteGood    = 3                      // of each route with a tenth of the requests
-	settleTime      = 250 * time.Millisecond // without new requests to the old arm before a daemon counts as moved
+	settleTime      = 200 * time.Millisecond // without new requests to the old arm before a daemon counts as moved
 	minFullAnswered = 0.4                    // part of the requests at full traffic that must have been answered well
 	maxDeviations   = 2.5                    // of the times, beyond which the version does not succeed
 	minFailures     = 0.005                  // share of failures that no comparison with a few old responses shows
--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -16,10 +16,10 @@
 	meanwhile     = 0.1   // share of the routes that have not moved yet while others have
 	minShare      = 0.005 // below it, a fault at once shows too late
 	maxMoveTime   = 0.25  // greatest part of the time limit for which routes move ahead, at a load so low that the bounds would allow more
-	longestPart   = 0.995 // quantile of the times of the old version within which a route's requests end there
+	stragglers    = 0.1   // expected requests of a moved route that are still in progress at the old version when it counts as empty
 	settledPart   = 0.8   // part of full traffic after which the order can succeed
-	minFull       = 300 * time.Millisecond
-	moveTime      = 350 * time.Millisecond // from the decision that a route moves until reports show that nothing new goes to the old version
+	minFull       = 250 * time.Millisecond
+	moveTime      = 450 * time.Millisecond // from the decision that a route moves until reports show that nothing new goes to the old version
 	holdTime      = time.Second            // without a rise after a suspicion
 	grantFor      = time.Second            // a daemon that is cut off stops well within the roll-back time of 5 s
 	bisectionStep = 30
@@ -137,18 +137,18 @@
 }
 
 // moveTimes returns how many seconds before the end of the plan each route moves so that its requests have ended at the old version by then, and all routes
-// together use up the given seconds of full traffic. The others have a small share meanwhile.
+// together use up the given seconds of full traffic, if these suffice for it. The others have a small share meanwhile.
 func (judge *Judge) moveTimes(left, most float64) map[string]float64 {
 	var all float64
 	for _, route := range judge.routes {
 		all += float64(route.sums.Old.Sent + route.sums.New.Sent)
 	}
 	moves := map[string]float64{}
-	low, high := -most, most
+	low, high := 0.0, most
 	for range bisectionStep {
 		extra, longest, cost := (low+high)/2, 0.0, 0.0
 		for name, route := range judge.routes {
-			moves[name] = min(max(route.drainTime().Seconds()+extra, 0), most)
+			moves[name] = min(max(judge.drainTime(route).Seconds()+extra, 0), most)
 			longest = max(longest, moves[name])
 		}
 		for name, route := range judge.routes {
@@ -165,12 +165,23 @@
 }
 
 // drainTime returns the time after which nearly all requests of a route have ended at the old version once it has moved.
-func (route *route) drainTime() time.Duration {
-	held := quantile(route.sums.Old.Held, longestPart)
-	if held == 0 {
-		held = quantile(route.sums.Old.Times, longestPart)
+func (judge *Judge) drainTime(route *route) time.Duration {
+	held := route.sums.Old.Held
+	if total(held, 0) == 0 {
+		held = route.sums.Old.Times
+	}
+	rate := float64(route.sums.Old.Sent) / max(judge.closedAt.Sub(judge.options.IssuedAt).Seconds(), 1)
+	left, longer := 0.0, 0.0 // requests in progress after the lower bound of a bucket, and the part of requests that take longer
+	bucket := len(held) - 1
+	for ; bucket > 0; bucket-- {
+		part := float64(held[bucket]) / float64(total(held, 0))
+		left += rate * (longer + part/2) * (lowerBound(bucket+1) - lowerBound(bucket)).Seconds()
+		longer += part
+		if left > stragglers {
+			break
+		}
 	}
-	return held + moveTime
+	return lowerBound(bucket+1) + moveTime
 }
 
 // budget returns for how many seconds of full traffic the bounds will have room at a time, by the daemon with the least of it; how many there would be
--- a/core/canary/replay_test.go
+++ b/core/canary/replay_test.go
@@ -192,6 +192,9 @@
 				}
 			}
 		}
+		if testTrace != nil {
+			testTrace(at, judge, decision, result.sent)
+		}
 		grant := decision.Grant
 		for i := range testDaemons {
 			message(func(now time.Time) { splitters[i].Use(now, grant) })
@@ -200,6 +203,8 @@
 	return result
 }
 
+var testTrace func(at any, judge *Judge, d Decision, sent int)
+
 func poisson(random *rand.Rand, mean float64) int {
 	count := 0
 	for product := random.Float64(); product > math.Exp(-mean); product *= random.Float64() {
--- a/core/canary/tally.go
+++ b/core/canary/tally.go
@@ -215,17 +215,6 @@
 	return sum, number
 }
 
-// quantile returns the upper bound of the bucket with a quantile of the times, or 0 without any.
-func quantile(buckets []int64, part float64) time.Duration {
-	all, below := total(buckets, 0), int64(0)
-	for i, number := range buckets {
-		if below += number; all > 0 && float64(below) >= part*float64(all) {
-			return lowerBound(i + 1)
-		}
-	}
-	return 0
-}
-
 // bucketOf returns the bucket of a duration: 0 below 1 ms, and the last one for all beyond its lower bound.
 func bucketOf(duration time.Duration) int {
 	if duration < firstTimeBucket {
