--- a/io/edge/rollout.go
+++ b/io/edge/rollout.go
@@ -41,6 +41,8 @@
 		}
 		if decider := daemon.senderOf(service); decider != nil {
 			state.Decider = decider.Peer
+		} else if !state.Leaving {
+			daemon.control.lastPlacement[service] = now // the daemon that decides goes on
 		}
 		for _, known := range daemon.control.peers {
 			if !known.leaving && !known.lastSeen.IsZero() && now.Sub(known.lastSeen) <= daemon.directoryTimeout() {
--- a/io/shift/mover.go
+++ b/io/shift/mover.go
@@ -151,7 +151,8 @@
 // take adopts an order. One that is written again in a store that was restored goes on.
 func (mover *Mover) take(now time.Time, order Order) {
 	known := mover.rollouts[order.Service]
-	if known != nil && known.order.Revision == order.Revision && !known.withdrawn {
+	if known != nil && known.order.Revision == order.Revision {
+		known.withdrawn = false // a copy from before the order was removed
 		return
 	}
 	if known != nil && known.order.RolloutOrder == order.RolloutOrder && known.order.Revision.Epoch() != order.Revision.Epoch() {
@@ -252,7 +253,7 @@
 	switch {
 	case !known.hasOld || !known.hasNew || known.phase == core.RolloutSucceeded:
 		return place.Versions{} // the targets of one side are the only ones
-	case choice.arm == canary.New && known.phase == core.RolloutRunning:
+	case choice.arm == canary.New && known.phase == core.RolloutRunning && !known.withdrawn:
 		return place.Versions{Only: known.order.Version}
 	}
 	return place.Versions{Except: known.order.Version}
