core/canary: grants have an order, and full traffic lasts until the bounds are nearly used

A grant that arrived late replaced a newer one, so that daemons sent to the old version after success.

--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -111,21 +111,21 @@
 
 const (
 	toleratedRatio = 1.6  // of the times of the new version to the old one's
-	logSpread      = 0.9  // standard deviation of the logarithm of times on a route where less is seen
+	minSpread      = 0.4  // least standard deviation of the logarithms that is assumed, as times of a few requests show too little of it
 	recentPart     = 0.05 // weight of an interval in the recent mean of the old version
 )
 
 // slowdown compares the mean logarithms of the times, interval by interval. It has more power than slow counts, without a guarantee for any number of looks: it
 // decides only whether the version may succeed.
 type slowdown struct {
-	excess  float64 // weighted sum of the differences beyond the tolerated one
+	excess  float64 // weighted sum of the differences beyond the tolerated one, in standard deviations
 	weight  float64
 	oldMean float64 // recent mean of the old version
 	known   bool
 }
 
-// observe takes the times of an interval in natural logarithms.
-func (slowdown *slowdown) observe(oldSum float64, oldCount int64, newSum float64, newCount int64) {
+// observe takes the times of an interval in natural logarithms, of which the old version's have a standard deviation.
+func (slowdown *slowdown) observe(spread, oldSum float64, oldCount int64, newSum float64, newCount int64) {
 	if oldCount > 0 {
 		mean := oldSum / float64(oldCount)
 		if !slowdown.known {
@@ -142,7 +142,7 @@
 		mean = oldSum / float64(oldCount)
 		weight = float64(newCount*oldCount) / float64(newCount+oldCount)
 	}
-	slowdown.excess += weight * (newSum/float64(newCount) - mean - math.Log(toleratedRatio))
+	slowdown.excess += weight * (newSum/float64(newCount) - mean - math.Log(toleratedRatio)) / max(spread, minSpread)
 	slowdown.weight += weight
 }
 
@@ -151,7 +151,7 @@
 	if slowdown.weight == 0 {
 		return 0
 	}
-	return slowdown.excess / (logSpread * math.Sqrt(slowdown.weight))
+	return slowdown.excess / math.Sqrt(slowdown.weight)
 }
 
 // add adds the differences of another route.
--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -6,7 +6,7 @@
 
 // The times are parts of the time limit, the costs parts of what the bounds allow; docs/design/rollouts.md derives them.
 const (
-	planEnd       = 0.875 // time at which the bounds may be used up
+	planEnd       = 0.88  // time at which the bounds may be used up
 	lastSuccess   = 0.895 // time after which no order succeeds
 	lastDecision  = 0.96  // time of the roll-back without evidence, so that all daemons know it by the time limit
 	lowCost       = 0.1   // cost of the long first step
@@ -17,7 +17,7 @@
 	minShare      = 0.005 // below it, a fault at once shows too late
 	maxMoveTime   = 0.25  // greatest part of the time limit for which routes move ahead, at a load so low that the bounds would allow more
 	stragglers    = 0.1   // expected requests of a moved route that are still in progress at the old version when it counts as empty
-	settledPart   = 0.8   // part of full traffic after which the order can succeed
+	minLeft       = 0.15  // seconds of full traffic that the bounds still allow below which an order succeeds earlier than planned
 	minFull       = 250 * time.Millisecond
 	moveTime      = 450 * time.Millisecond // from the decision that a route moves until reports show that nothing new goes to the old version
 	holdTime      = time.Second            // without a rise after a suspicion
@@ -58,11 +58,14 @@
 		ramp.heldUntil = now.Add(holdTime)
 		judge.reason = "held: " + suspect
 	}
+	end := judge.options.IssuedAt.Add(time.Duration(planEnd * float64(duration)))
+	left, whole, rate := judge.budget(end, fleet)
 	if !ramp.fullSince.IsZero() {
+		if left < minLeft {
+			ramp.successAt = ramp.fullSince.Add(minFull)
+		}
 		return
 	}
-	end := judge.options.IssuedAt.Add(time.Duration(planEnd * float64(duration)))
-	left, whole, rate := judge.budget(end, fleet)
 	untilEnd, step := end.Sub(now).Seconds(), stepTime*whole
 	if rate == 0 {
 		ramp.stop(minShare)
@@ -130,12 +133,19 @@
 	}
 	totals := judge.newTotals()
 	ramp.share, ramp.moved, ramp.fullSince, ramp.fullSent, ramp.fullGood = 1, nil, now, totals.Sent, totals.Good
-	ramp.successAt = now.Add(max(time.Duration(settledPart*float64(end.Sub(now))), minFull))
+	ramp.successAt = later(end, now.Add(minFull))
 	for _, route := range judge.routes {
 		route.full = route.sums.New.clone()
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // moveTimes returns how many seconds before the end of the plan each route moves so that its requests have ended at the old version by then, and all routes
 // together use up the given seconds of full traffic, if these suffice for it. The others have a small share meanwhile.
 func (judge *Judge) moveTimes(left, most float64) map[string]float64 {
--- a/core/canary/split.go
+++ b/core/canary/split.go
@@ -23,12 +23,13 @@
 
 // Grant says what a daemon may send to the new version; the zero value allows nothing.
 type Grant struct {
-	Share   float64       // of the daemon's requests for the service; 1 means that none may go to the old version
-	For     time.Duration // time for which the grant holds; after it, requests go to the old version
-	Phase   core.RolloutPhase
-	Bounds  Bounds   // for all daemons together
-	Daemons int      // daemons that divide the slack of the bounds
-	Moved   []string // routes of which none may go to the old version, because their requests take long to end there
+	Sequence int64         // of two running grants the one with the lower number is older; 0 for a grant without order
+	Share    float64       // of the daemon's requests for the service; 1 means that none may go to the old version
+	For      time.Duration // time for which the grant holds; after it, requests go to the old version
+	Phase    core.RolloutPhase
+	Bounds   Bounds   // for all daemons together
+	Daemons  int      // daemons that divide the slack of the bounds
+	Moved    []string // routes of which none may go to the old version, because their requests take long to end there
 }
 
 // Splitter divides the requests of one daemon between the arms; the zero value sends all to the old one. It counts from the order on,
@@ -40,9 +41,10 @@
 	sentNew   int64
 }
 
-// Use replaces the grant.
+// Use replaces the grant. It ignores a grant that is older than the present one, unless that has expired: another decider may have an earlier clock.
 func (splitter *Splitter) Use(now time.Time, grant Grant) {
-	if splitter.grant.Phase != core.RolloutRunning {
+	stale := grant.Sequence != 0 && grant.Sequence < splitter.grant.Sequence && now.Before(splitter.expiresAt)
+	if splitter.grant.Phase != core.RolloutRunning || stale && grant.Phase == core.RolloutRunning {
 		return
 	}
 	splitter.grant, splitter.expiresAt = grant, now.Add(grant.For)
--- a/core/canary/tally.go
+++ b/core/canary/tally.go
@@ -215,6 +215,20 @@
 	return sum, number
 }
 
+// spread returns the standard deviation of the natural logarithms of the times of good responses.
+func (tally Tally) spread() float64 {
+	var sum, squares, number float64
+	for i, times := range tally.Times {
+		sum += float64(times) * float64(i)
+		squares += float64(times) * float64(i*i)
+		number += float64(times)
+	}
+	if number == 0 {
+		return 0
+	}
+	return math.Log(bucketRatio) * math.Sqrt(max(squares/number-sum*sum/number/number, 0))
+}
+
 // bucketOf returns the bucket of a duration: 0 below 1 ms, and the last one for all beyond its lower bound.
 func bucketOf(duration time.Duration) int {
 	if duration < firstTimeBucket {
