--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -134,16 +134,16 @@
 		part := 1 - math.Pow(1-recentPart, float64(oldCount))
 		slowdown.oldMean += part * (mean - slowdown.oldMean)
 	}
-	if newCount == 0 || !slowdown.known {
+	if !slowdown.known {
 		return
 	}
-	mean, weight := slowdown.oldMean, float64(newCount)
+	mean, weight := slowdown.oldMean, 1.0
 	if oldCount > 0 && float64(oldCount) >= minOldShare*float64(newCount) {
 		mean = oldSum / float64(oldCount)
-		weight = float64(newCount*oldCount) / float64(newCount+oldCount)
+		weight = float64(oldCount) / float64(newCount+oldCount)
 	}
-	slowdown.excess += weight * (newSum/float64(newCount) - mean - math.Log(toleratedRatio)) / max(spread, minSpread)
-	slowdown.weight += weight
+	slowdown.excess += weight * (newSum - float64(newCount)*(mean+math.Log(toleratedRatio))) / max(spread, minSpread)
+	slowdown.weight += weight * float64(newCount)
 }
 
 // deviations returns by how many standard deviations the new version is slower than tolerated.
--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -16,7 +16,7 @@
 	falseAlarms     = 0.001                  // probability that a version like the old one is rolled back, over all routes and looks of an order
 	testsPerRoute   = 2                      // failures and times
 	unstableFactor  = 1000                   // evidence in a disturbed fleet, by that in a calm one
-	suspicion       = 20                     // evidence at which the share stops to rise
+	suspicion       = 10                     // evidence at which the share stops to rise
 	minInterval     = 200 * time.Millisecond // of responses that are compared with each other
 	maxInterval     = time.Second
 	minCompared     = 20                     // responses of a full interval
@@ -81,13 +81,14 @@
 	evidence
 	sums   RouteTally // over all daemons
 	closed RouteTally // sums at the end of the last interval
-	full   Tally      // of the new version when full traffic began
+	atFull Tally      // of the new version when full traffic began
 }
 
 // evidence is what is known of a difference between the versions.
 type evidence struct {
 	failures, times comparison
 	total, recent   slowdown
+	full            slowdown // since full traffic began
 }
 
 // NewJudge returns a judge without evidence.
@@ -174,8 +175,9 @@
 		oldSum, oldCount := span.Old.logarithms(bucket)
 		newSum, newCount := span.New.logarithms(bucket)
 		spread := route.closed.Old.spread()
-		route.total.observe(spread, oldSum, oldCount, newSum, newCount)
-		route.recent.observe(spread, oldSum, oldCount, newSum, newCount)
+		for _, slowdown := range []*slowdown{&route.total, &route.recent, &route.full} {
+			slowdown.observe(spread, oldSum, oldCount, newSum, newCount)
+		}
 	}
 }
 
@@ -209,7 +211,7 @@
 	for _, route := range judge.routes {
 		compared += route.sums.answered() - route.closed.answered()
 	}
-	if compared < minCompared && length < maxInterval {
+	if compared < minCompared && length < maxInterval && judge.ramp.fullSince.IsZero() {
 		return
 	}
 	fade := math.Exp(-float64(length) / (recentTimes * float64(judge.options.Order.Duration)))
@@ -359,39 +361,48 @@
 
 // doubt returns the route and the figure by which a version without a proven fault is still worse than may be chance, or nothing.
 func (judge *Judge) doubt() string {
-	var sums RouteTally
-	var full Tally
-	var total, recent slowdown
+	var all route
+	var slow, fast int64 // of the new version at full traffic
 	for _, name := range judge.routeNames() {
 		route := judge.routes[name]
-		if doubt := failureDoubt(route.sums, route.full); doubt != "" {
+		bucket, _ := route.slowBucket()
+		full := route.sums.New.minus(route.atFull)
+		if doubt := cmp.Or(route.doubt(), slowDoubt(full.slow(bucket), full.fast(bucket))); doubt != "" {
 			return fmt.Sprintf("route %q: %s", name, doubt)
 		}
-		if deviations := max(route.total.deviations(), route.recent.deviations()); deviations > maxDeviations {
-			return fmt.Sprintf("route %q: slower by %.1f standard deviations", name, deviations)
-		}
-		sums.add(route.sums)
-		full.add(route.full, 1)
-		total.add(route.total)
-		recent.add(route.recent)
-	}
-	if doubt := failureDoubt(sums, full); doubt != "" {
+		slow += full.slow(bucket)
+		fast += full.fast(bucket)
+		all.sums.add(route.sums)
+		all.atFull.add(route.atFull, 1)
+		all.total.add(route.total)
+		all.recent.add(route.recent)
+		all.full.add(route.full)
+	}
+	if doubt := cmp.Or(all.doubt(), slowDoubt(slow, fast)); doubt != "" {
 		return allRoutes + ": " + doubt
 	}
-	if deviations := max(total.deviations(), recent.deviations()); deviations > maxDeviations {
-		return fmt.Sprintf("%s: slower by %.1f standard deviations", allRoutes, deviations)
-	}
 	return ""
 }
 
-// failureDoubt returns the figure by which the new version fails more often than may be chance, since the order or at full traffic.
-func failureDoubt(sums RouteTally, full Tally) string {
-	tolerated := max(minFailures, failureLimits.odds*float64(sums.Old.Bad)/float64(sums.Old.Bad+sums.Old.Good+1))
-	for _, tally := range []Tally{sums.New, sums.New.minus(full)} {
+// doubt returns the figure by which the new version is slower, or fails more often than may be chance, since the order or at full traffic.
+func (route *route) doubt() string {
+	tolerated := max(minFailures, failureLimits.odds*float64(route.sums.Old.Bad)/float64(route.sums.Old.Bad+route.sums.Old.Good+1))
+	for _, tally := range []Tally{route.sums.New, route.sums.New.minus(route.atFull)} {
 		if responses := tally.Bad + tally.Good; tail(tally.Bad, responses, min(tolerated, mostly)) < chance {
 			return fmt.Sprintf("%d of %d responses of the new version failed", tally.Bad, responses)
 		}
 	}
+	if deviations := max(route.total.deviations(), route.recent.deviations(), route.full.deviations()); deviations > maxDeviations {
+		return fmt.Sprintf("slower by %.1f standard deviations", deviations)
+	}
+	return ""
+}
+
+// slowDoubt returns the figure by which the new version has more slow requests at full traffic than may be chance, or nothing.
+func slowDoubt(slow, fast int64) string {
+	if tail(max(slow, 0), max(slow, 0)+fast, slownessLimits.share) < chance {
+		return fmt.Sprintf("%d of %d requests at full traffic were slow", slow, slow+fast)
+	}
 	return ""
 }
 
--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -9,6 +9,7 @@
 	planEnd       = 0.88  // time at which the bounds may be used up
 	lastSuccess   = 0.895 // time after which no order succeeds
 	lastDecision  = 0.96  // time of the roll-back without evidence, so that all daemons know it by the time limit
+	planned       = 0.97  // part of the bounds that the plan uses, so that a daemon with a little more than its part still sends nothing to the old version
 	lowCost       = 0.1   // cost of the long first step
 	stepTime      = 0.1   // duration of the steps at a quarter and at a half, in durations of full traffic that the bounds allow
 	quarter       = 0.25
@@ -17,7 +18,7 @@
 	minShare      = 0.005 // below it, a fault at once shows too late
 	maxMoveTime   = 0.25  // greatest part of the time limit for which routes move ahead, at a load so low that the bounds would allow more
 	stragglers    = 0.1   // expected requests of a moved route that are still in progress at the old version when it counts as empty
-	minLeft       = 0.15  // seconds of full traffic that the bounds still allow below which an order succeeds earlier than planned
+	minLeft       = 0.2   // seconds of full traffic that the bounds still allow below which an order succeeds earlier than planned
 	minFull       = 250 * time.Millisecond
 	moveTime      = 450 * time.Millisecond // from the decision that a route moves until reports show that nothing new goes to the old version
 	holdTime      = time.Second            // without a rise after a suspicion
@@ -135,7 +136,7 @@
 	ramp.share, ramp.moved, ramp.fullSince, ramp.fullSent, ramp.fullGood = 1, nil, now, totals.Sent, totals.Good
 	ramp.successAt = later(end, now.Add(minFull))
 	for _, route := range judge.routes {
-		route.full = route.sums.New.clone()
+		route.atFull, route.full = route.sums.New.clone(), slowdown{}
 	}
 }
 
@@ -209,7 +210,7 @@
 			continue
 		}
 		rate += daemonRate
-		limit := grant.limit(known.requests + int64(daemonRate*max(end.Sub(known.seenAt), 0).Seconds()))
+		limit := planned * grant.limit(known.requests+int64(daemonRate*max(end.Sub(known.seenAt), 0).Seconds()))
 		room := (limit - float64(known.requests-known.oldSent)) / daemonRate
 		if first || room < left {
 			left, whole, first = room, limit/daemonRate, false
