core/canary: cold targets, held steps and short bounds

Requests to new targets that had just started held the order for good, as the low share gave no more evidence; routes that moved with too little left ran into the bounds.

--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -112,6 +112,7 @@
 const (
 	toleratedRatio = 1.6  // of the times of the new version to the old one's
 	minSpread      = 0.4  // least standard deviation of the logarithms that is assumed, as times of a few requests show too little of it
+	minWeight      = 2    // requests below which times say nothing
 	recentPart     = 0.05 // weight of an interval in the recent mean of the old version
 )
 
@@ -148,10 +149,7 @@
 
 // deviations returns by how many standard deviations the new version is slower than tolerated.
 func (slowdown *slowdown) deviations() float64 {
-	if slowdown.weight == 0 {
-		return 0
-	}
-	return slowdown.excess / math.Sqrt(slowdown.weight)
+	return slowdown.excess / math.Sqrt(max(slowdown.weight, minWeight))
 }
 
 // add adds the differences of another route.
--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -10,18 +10,17 @@
 	lastSuccess   = 0.895 // time after which no order succeeds
 	lastDecision  = 0.96  // time of the roll-back without evidence, so that all daemons know it by the time limit
 	planned       = 0.97  // part of the bounds that the plan uses, so that a daemon with a little more than its part still sends nothing to the old version
-	lowCost       = 0.1   // cost of the long first step
-	stepTime      = 0.1   // duration of the steps at a quarter and at a half, in durations of full traffic that the bounds allow
+	lowCost       = 0.08  // cost of the long first step
+	stepTime      = 0.08  // duration of the steps at a quarter and at a half, in durations of full traffic that the bounds allow
 	quarter       = 0.25
 	half          = 0.5
 	meanwhile     = 0.1   // share of the routes that have not moved yet while others have
 	minShare      = 0.005 // below it, a fault at once shows too late
 	maxMoveTime   = 0.25  // greatest part of the time limit for which routes move ahead, at a load so low that the bounds would allow more
-	stragglers    = 0.1   // expected requests of a moved route that are still in progress at the old version when it counts as empty
+	stragglers    = 0.03  // expected requests of a moved route that are still in progress at the old version when it counts as empty
 	minLeft       = 0.2   // seconds of full traffic that the bounds still allow below which an order succeeds earlier than planned
 	minFull       = 250 * time.Millisecond
 	moveTime      = 450 * time.Millisecond // from the decision that a route moves until reports show that nothing new goes to the old version
-	holdTime      = time.Second            // without a rise after a suspicion
 	grantFor      = time.Second            // a daemon that is cut off stops well within the roll-back time of 5 s
 	bisectionStep = 30
 )
@@ -37,8 +36,7 @@
 	successAt    time.Time // earliest success
 	fullSent     int64     // new requests at fullSince
 	fullGood     int64
-	heldUntil    time.Time // before which the share does not rise after a suspicion
-	missing      string    // what the order lacked for success when there was still time
+	missing      string // what the order lacked for success when there was still time
 }
 
 // setShare sets the share by what is left of the bounds and of the time. The order still lacks something for success.
@@ -55,10 +53,7 @@
 		ramp.stop(0)
 		return
 	}
-	if suspect := judge.suspect(); suspect != "" && !ramp.moving {
-		ramp.heldUntil = now.Add(holdTime)
-		judge.reason = "held: " + suspect
-	}
+	suspect := judge.suspect()
 	end := judge.options.IssuedAt.Add(time.Duration(planEnd * float64(duration)))
 	left, whole, rate := judge.budget(end, fleet)
 	if !ramp.fullSince.IsZero() {
@@ -82,7 +77,13 @@
 		longest = max(longest, move)
 	}
 	switch {
-	case now.Before(ramp.heldUntil) || !ramp.moving && untilEnd > longest+2*step:
+	case suspect != "" && !ramp.moving: // more evidence first, at a share that leaves room for full traffic
+		judge.reason = "held: " + suspect
+		ramp.stop(minShare)
+		if left > half*whole {
+			ramp.share = quarter
+		}
+	case !ramp.moving && untilEnd > longest+2*step:
 		ramp.stop(min(max((lowCost*whole-(whole-left))/max(untilEnd-longest-2*step, 1), minShare), quarter))
 	case ramp.quarterSince.IsZero() || now.Sub(ramp.quarterSince).Seconds() < step:
 		ramp.share = quarter
@@ -148,18 +149,18 @@
 }
 
 // moveTimes returns how many seconds before the end of the plan each route moves so that its requests have ended at the old version by then, and all routes
-// together use up the given seconds of full traffic, if these suffice for it. The others have a small share meanwhile.
+// together use up the given seconds of full traffic, if these suffice for it, or nearly so otherwise. The others have a small share meanwhile.
 func (judge *Judge) moveTimes(left, most float64) map[string]float64 {
 	var all float64
 	for _, route := range judge.routes {
 		all += float64(route.sums.Old.Sent + route.sums.New.Sent)
 	}
 	moves := map[string]float64{}
-	low, high := 0.0, most
+	low, high := -1.0, most // below 0 the part of the drain times that is left out, above it the seconds beyond them
 	for range bisectionStep {
 		extra, longest, cost := (low+high)/2, 0.0, 0.0
 		for name, route := range judge.routes {
-			moves[name] = min(max(judge.drainTime(route).Seconds()+extra, 0), most)
+			moves[name] = min(moveTime.Seconds()+judge.drainTime(route).Seconds()*(1+min(extra, 0))+max(extra, 0), most)
 			longest = max(longest, moves[name])
 		}
 		for name, route := range judge.routes {
@@ -192,7 +193,7 @@
 			break
 		}
 	}
-	return lowerBound(bucket+1) + moveTime
+	return lowerBound(bucket + 1)
 }
 
 // budget returns for how many seconds of full traffic the bounds will have room at a time, by the daemon with the least of it; how many there would be
