--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -83,8 +83,8 @@
 
 // observe takes the counts of an interval, in which both versions had the same trouble. If the versions are alike, each hit is the new version's with
 // its share of the responses as probability (conditional test of two proportions). A bet is a convex function of the hits, so that drawing without
-// replacement keeps it fair.
-func (comparison *comparison) observe(elapsed float64, counts counts, limits limits) {
+// replacement keeps it fair. Only a route that has moved is judged without the old version beside.
+func (comparison *comparison) observe(elapsed float64, counts counts, limits limits, moved bool) {
 	for _, process := range []*process{&comparison.against, &comparison.share, &comparison.mostly} {
 		process.start(elapsed)
 	}
@@ -93,7 +93,7 @@
 	if newTotal > 0 {
 		if oldTotal >= minOldShare*(oldTotal+newTotal) {
 			comparison.against.observe(counts.newHits, counts.oldHits, limits.odds*newTotal/(limits.odds*newTotal+oldTotal))
-		} else {
+		} else if moved {
 			before := float64(comparison.oldHits) / float64(comparison.oldTotal+priorSamples)
 			comparison.alone.observe(counts.newHits, counts.newMisses, min(max(limits.alone, limits.multiple*before), 1))
 		}
--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -137,7 +137,8 @@
 	ramp.share, ramp.moved, ramp.fullSince, ramp.fullSent, ramp.fullGood = 1, nil, now, totals.Sent, totals.Good
 	ramp.successAt = later(end, now.Add(minFull))
 	for _, route := range judge.routes {
-		route.atFull, route.full = route.sums.New.clone(), slowdown{}
+		route.atFull = route.sums.New.clone()
+		route.full = slowdown{oldMean: route.total.oldMean, known: route.total.known}
 	}
 }
 
