--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -35,10 +35,11 @@
 	minRouteGood    = 3                      // of each route with a tenth of the requests
 	settleTime      = 200 * time.Millisecond // without new requests to the old arm before a daemon counts as moved
 	minFullAnswered = 0.4                    // part of the requests at full traffic that must have been answered well
-	maxDeviations   = 3.0                    // of the times, beyond which the version does not succeed
+	maxDeviations   = 1.7                    // of the times, beyond which the version does not succeed
 	minFailures     = 0.005                  // share of failures that no comparison with a few old responses shows
-	chance          = 0.002                  // probability of as many failures below which the version does not succeed
-	recentTimes     = 0.08                   // part of the time limit over which recent times are compared
+	slowShare       = 0.2                    // of requests at full traffic that is tolerated
+	chance          = 0.004                  // probability of as many failures below which the version does not succeed
+	recentTimes     = 0.03                   // part of the time limit over which recent times are compared
 )
 
 // Judge decides the rollout of one order from the reports of all daemons. It is not safe for concurrent use.
@@ -417,7 +418,7 @@
 
 // slowDoubt returns the figure by which the new version has more slow requests at full traffic than may be chance, or nothing.
 func slowDoubt(slow, fast int64) string {
-	if tail(max(slow, 0), max(slow, 0)+fast, slownessLimits.share) < chance {
+	if tail(max(slow, 0), max(slow, 0)+fast, slowShare) < chance {
 		return fmt.Sprintf("%d of %d requests at full traffic were slow", slow, slow+fast)
 	}
 	return ""
