--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -83,8 +83,8 @@
 
 // observe takes the counts of an interval, in which both versions had the same trouble. If the versions are alike, each hit is the new version's with
 // its share of the responses as probability (conditional test of two proportions). A bet is a convex function of the hits, so that drawing without
-// replacement keeps it fair.
-func (comparison *comparison) observe(elapsed float64, counts counts, limits limits) {
+// replacement keeps it fair. Only a route that has moved is judged without the old version beside.
+func (comparison *comparison) observe(elapsed float64, counts counts, limits limits, moved bool) {
 	for _, process := range []*process{&comparison.against, &comparison.share, &comparison.mostly} {
 		process.start(elapsed)
 	}
@@ -93,7 +93,7 @@
 	if newTotal > 0 {
 		if oldTotal >= minOldShare*(oldTotal+newTotal) {
 			comparison.against.observe(counts.newHits, counts.oldHits, limits.odds*newTotal/(limits.odds*newTotal+oldTotal))
-		} else {
+		} else if moved {
 			before := float64(comparison.oldHits) / float64(comparison.oldTotal+priorSamples)
 			comparison.alone.observe(counts.newHits, counts.newMisses, min(max(limits.alone, limits.multiple*before), 1))
 		}
@@ -111,21 +111,22 @@
 
 const (
 	toleratedRatio = 1.6  // of the times of the new version to the old one's
-	logSpread      = 0.9  // standard deviation of the logarithm of times on a route where less is seen
+	minSpread      = 0.4  // least standard deviation of the logarithms that is assumed, as times of a few requests show too little of it
+	minWeight      = 2    // requests below which times say nothing
 	recentPart     = 0.05 // weight of an interval in the recent mean of the old version
 )
 
 // slowdown compares the mean logarithms of the times, interval by interval. It has more power than slow counts, without a guarantee for any number of looks: it
 // decides only whether the version may succeed.
 type slowdown struct {
-	excess  float64 // weighted sum of the differences beyond the tolerated one
+	excess  float64 // weighted sum of the differences beyond the tolerated one, in standard deviations
 	weight  float64
 	oldMean float64 // recent mean of the old version
 	known   bool
 }
 
-// observe takes the times of an interval in natural logarithms.
-func (slowdown *slowdown) observe(oldSum float64, oldCount int64, newSum float64, newCount int64) {
+// observe takes the times of an interval in natural logarithms, of which the old version's have a standard deviation.
+func (slowdown *slowdown) observe(spread, oldSum float64, oldCount int64, newSum float64, newCount int64) {
 	if oldCount > 0 {
 		mean := oldSum / float64(oldCount)
 		if !slowdown.known {
@@ -134,24 +135,21 @@
 		part := 1 - math.Pow(1-recentPart, float64(oldCount))
 		slowdown.oldMean += part * (mean - slowdown.oldMean)
 	}
-	if newCount == 0 || !slowdown.known {
+	if !slowdown.known {
 		return
 	}
-	mean, weight := slowdown.oldMean, float64(newCount)
+	mean, weight := slowdown.oldMean, 1.0
 	if oldCount > 0 && float64(oldCount) >= minOldShare*float64(newCount) {
 		mean = oldSum / float64(oldCount)
-		weight = float64(newCount*oldCount) / float64(newCount+oldCount)
+		weight = float64(oldCount) / float64(newCount+oldCount)
 	}
-	slowdown.excess += weight * (newSum/float64(newCount) - mean - math.Log(toleratedRatio))
-	slowdown.weight += weight
+	slowdown.excess += weight * (newSum - float64(newCount)*(mean+math.Log(toleratedRatio))) / max(spread, minSpread)
+	slowdown.weight += weight * float64(newCount)
 }
 
 // deviations returns by how many standard deviations the new version is slower than tolerated.
 func (slowdown *slowdown) deviations() float64 {
-	if slowdown.weight == 0 {
-		return 0
-	}
-	return slowdown.excess / (logSpread * math.Sqrt(slowdown.weight))
+	return slowdown.excess / math.Sqrt(max(slowdown.weight, minWeight))
 }
 
 // add adds the differences of another route.
--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -16,39 +16,43 @@
 	falseAlarms     = 0.001                  // probability that a version like the old one is rolled back, over all routes and looks of an order
 	testsPerRoute   = 2                      // failures and times
 	unstableFactor  = 1000                   // evidence in a disturbed fleet, by that in a calm one
-	suspicion       = 20                     // evidence at which the share stops to rise
+	suspicion       = 10                     // evidence at which the share stops to rise
 	minInterval     = 200 * time.Millisecond // of responses that are compared with each other
 	maxInterval     = time.Second
 	minCompared     = 20                     // responses of a full interval
 	reportGap       = 2 * time.Second        // a report after a longer gap spans several shares and troubles
 	gapOdds         = 4                      // odds that the spans of such reports add
-	minOldTimes     = 20                     // responses that show how long the old version takes
+	minOldTimes     = 10                     // responses that show how long the old version takes
 	slowQuantile    = 0.8                    // of the old version's times
 	slowBuckets     = 2                      // buckets beyond the quantile from which a response is slow: 1.2 to 1.44 times as long
 	coldShare       = 0.15                   // of the time limit in which times do not count: new targets start cold
 	maxCold         = 3 * time.Second        // targets are warm after some seconds, however long the order
+	coldRequests    = 3                      // of each new target whose times do not count either
+	maxColdShare    = 0.5                    // of the time limit after which all times count
 	maxDaemons      = 1024                   // daemons whose reports are kept, restarts included
 	rateWindow      = 2 * time.Second        // over which the rate of requests is taken
 	minGood         = 10                     // good responses without which no version succeeds
 	minRouteGood    = 3                      // of each route with a tenth of the requests
 	settleTime      = 200 * time.Millisecond // without new requests to the old arm before a daemon counts as moved
 	minFullAnswered = 0.4                    // part of the requests at full traffic that must have been answered well
-	maxDeviations   = 2.5                    // of the times, beyond which the version does not succeed
+	maxDeviations   = 1.7                    // of the times, beyond which the version does not succeed
 	minFailures     = 0.005                  // share of failures that no comparison with a few old responses shows
-	chance          = 0.005                  // probability of as many failures below which the version does not succeed
-	recentTimes     = 0.08                   // part of the time limit over which recent times are compared
+	slowShare       = 0.2                    // of requests at full traffic that is tolerated
+	chance          = 0.004                  // probability of as many failures below which the version does not succeed
+	recentTimes     = 0.03                   // part of the time limit over which recent times are compared
 )
 
 // Judge decides the rollout of one order from the reports of all daemons. It is not safe for concurrent use.
 type Judge struct {
-	options  JudgeOptions
-	daemons  map[core.MemberID]*daemon
-	routes   map[string]*route
-	closedAt time.Time // end of the last interval
-	phase    core.RolloutPhase
-	reason   string
-	all      evidence // on all routes together
-	ramp     ramp
+	options    JudgeOptions
+	daemons    map[core.MemberID]*daemon
+	routes     map[string]*route
+	closedAt   time.Time // end of the last interval
+	phase      core.RolloutPhase
+	reason     string
+	all        evidence // on all routes together
+	ramp       ramp
+	newTargets int
 }
 
 // JudgeOptions are the facts that a Judge begins with.
@@ -81,13 +85,14 @@
 	evidence
 	sums   RouteTally // over all daemons
 	closed RouteTally // sums at the end of the last interval
-	full   Tally      // of the new version when full traffic began
+	atFull Tally      // of the new version when full traffic began
 }
 
 // evidence is what is known of a difference between the versions.
 type evidence struct {
 	failures, times comparison
 	total, recent   slowdown
+	full            slowdown // since full traffic began
 }
 
 // NewJudge returns a judge without evidence.
@@ -159,23 +164,35 @@
 	failures, times := failureLimits, slownessLimits
 	failures.odds *= odds
 	times.odds *= odds
+	moved := !judge.ramp.fullSince.IsZero() || slices.Contains(judge.ramp.moved, span.Route)
 	failed := counts{span.Old.Bad, span.Old.Good, span.New.Bad, span.New.Good}
 	bucket, known := route.slowBucket()
-	cold := min(time.Duration(coldShare*float64(judge.options.Order.Duration)), maxCold)
+	known = known && !judge.isCold(now)
 	for _, evidence := range []*evidence{&route.evidence, &judge.all} {
-		evidence.failures.observe(elapsed, failed, failures)
-		if !known || now.Sub(judge.options.IssuedAt) < cold {
+		evidence.failures.observe(elapsed, failed, failures, moved)
+		if !known {
 			continue
 		}
 		slow := counts{span.Old.slow(bucket), span.Old.fast(bucket), span.New.slow(bucket), span.New.fast(bucket)}
-		evidence.times.observe(elapsed, slow.positive(), times)
+		evidence.times.observe(elapsed, slow.positive(), times, moved)
 	}
-	if known && now.Sub(judge.options.IssuedAt) >= cold {
+	if known {
 		oldSum, oldCount := span.Old.logarithms(bucket)
 		newSum, newCount := span.New.logarithms(bucket)
-		route.total.observe(oldSum, oldCount, newSum, newCount)
-		route.recent.observe(oldSum, oldCount, newSum, newCount)
+		spread := route.closed.Old.spread()
+		for _, slowdown := range []*slowdown{&route.total, &route.recent, &route.full} {
+			slowdown.observe(spread, oldSum, oldCount, newSum, newCount)
+		}
+	}
+}
+
+// isCold reports whether the new targets may still be slow because they have just started.
+func (judge *Judge) isCold(now time.Time) bool {
+	since, duration := now.Sub(judge.options.IssuedAt), float64(judge.options.Order.Duration)
+	if since < min(time.Duration(coldShare*duration), maxCold) {
+		return true
 	}
+	return since < time.Duration(maxColdShare*duration) && judge.newTotals().Good < int64(coldRequests*judge.newTargets)
 }
 
 // positive returns the counts without negative ones, which an abandoned request that was slow before leaves.
@@ -208,7 +225,7 @@
 	for _, route := range judge.routes {
 		compared += route.sums.answered() - route.closed.answered()
 	}
-	if compared < minCompared && length < maxInterval {
+	if compared < minCompared && length < maxInterval && judge.ramp.fullSince.IsZero() {
 		return
 	}
 	fade := math.Exp(-float64(length) / (recentTimes * float64(judge.options.Order.Duration)))
@@ -216,7 +233,7 @@
 		route := judge.routes[name]
 		route.recent.excess *= fade
 		route.recent.weight *= fade
-		span := RouteTally{Old: route.sums.Old.minus(route.closed.Old), New: route.sums.New.minus(route.closed.New)}
+		span := RouteTally{Route: name, Old: route.sums.Old.minus(route.closed.Old), New: route.sums.New.minus(route.closed.New)}
 		judge.compare(now, route, span, 1)
 		route.closed = RouteTally{Old: route.sums.Old.clone(), New: route.sums.New.clone()}
 	}
@@ -244,10 +261,11 @@
 // Decide returns the present decision; RolloutSucceeded and RolloutRolledBack are final.
 func (judge *Judge) Decide(now time.Time, fleet Fleet) Decision {
 	if judge.phase == core.RolloutRunning {
+		judge.newTargets = fleet.NewTargets
 		judge.closeInterval(now)
 		judge.decide(now, fleet)
 	}
-	grant := Grant{Phase: judge.phase, Bounds: judge.options.Bounds, Daemons: max(len(judge.daemons), len(fleet.Daemons))}
+	grant := Grant{Sequence: now.UnixNano(), Phase: judge.phase, Bounds: judge.options.Bounds, Daemons: max(len(judge.daemons), len(fleet.Daemons))}
 	switch judge.phase {
 	case core.RolloutSucceeded:
 		grant.Share, grant.For = 1, grantFor
@@ -358,39 +376,51 @@
 
 // doubt returns the route and the figure by which a version without a proven fault is still worse than may be chance, or nothing.
 func (judge *Judge) doubt() string {
-	var sums RouteTally
-	var full Tally
-	var total, recent slowdown
+	var all route
+	var slow, fast int64 // of the new version at full traffic
 	for _, name := range judge.routeNames() {
 		route := judge.routes[name]
-		if doubt := failureDoubt(route.sums, route.full); doubt != "" {
-			return fmt.Sprintf("route %q: %s", name, doubt)
+		doubt := route.doubt()
+		if bucket, known := route.slowBucket(); known {
+			full := route.sums.New.minus(route.atFull)
+			doubt = cmp.Or(doubt, slowDoubt(full.slow(bucket), full.fast(bucket)))
+			slow += full.slow(bucket)
+			fast += full.fast(bucket)
 		}
-		if deviations := max(route.total.deviations(), route.recent.deviations()); deviations > maxDeviations {
-			return fmt.Sprintf("route %q: slower by %.1f standard deviations", name, deviations)
+		if doubt != "" {
+			return fmt.Sprintf("route %q: %s", name, doubt)
 		}
-		sums.add(route.sums)
-		full.add(route.full, 1)
-		total.add(route.total)
-		recent.add(route.recent)
+		all.sums.add(route.sums)
+		all.atFull.add(route.atFull, 1)
+		all.total.add(route.total)
+		all.recent.add(route.recent)
+		all.full.add(route.full)
 	}
-	if doubt := failureDoubt(sums, full); doubt != "" {
+	if doubt := cmp.Or(all.doubt(), slowDoubt(slow, fast)); doubt != "" {
 		return allRoutes + ": " + doubt
 	}
-	if deviations := max(total.deviations(), recent.deviations()); deviations > maxDeviations {
-		return fmt.Sprintf("%s: slower by %.1f standard deviations", allRoutes, deviations)
-	}
 	return ""
 }
 
-// failureDoubt returns the figure by which the new version fails more often than may be chance, since the order or at full traffic.
-func failureDoubt(sums RouteTally, full Tally) string {
-	tolerated := max(minFailures, failureLimits.odds*float64(sums.Old.Bad)/float64(sums.Old.Bad+sums.Old.Good+1))
-	for _, tally := range []Tally{sums.New, sums.New.minus(full)} {
+// doubt returns the figure by which the new version is slower, or fails more often than may be chance, since the order or at full traffic.
+func (route *route) doubt() string {
+	tolerated := max(minFailures, failureLimits.odds*float64(route.sums.Old.Bad)/float64(route.sums.Old.Bad+route.sums.Old.Good+1))
+	for _, tally := range []Tally{route.sums.New, route.sums.New.minus(route.atFull)} {
 		if responses := tally.Bad + tally.Good; tail(tally.Bad, responses, min(tolerated, mostly)) < chance {
 			return fmt.Sprintf("%d of %d responses of the new version failed", tally.Bad, responses)
 		}
 	}
+	if deviations := max(route.total.deviations(), route.recent.deviations(), route.full.deviations()); deviations > maxDeviations {
+		return fmt.Sprintf("slower by %.1f standard deviations", deviations)
+	}
+	return ""
+}
+
+// slowDoubt returns the figure by which the new version has more slow requests at full traffic than may be chance, or nothing.
+func slowDoubt(slow, fast int64) string {
+	if tail(max(slow, 0), max(slow, 0)+fast, slowShare) < chance {
+		return fmt.Sprintf("%d of %d requests at full traffic were slow", slow, slow+fast)
+	}
 	return ""
 }
 
--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -6,21 +6,21 @@
 
 // The times are parts of the time limit, the costs parts of what the bounds allow; docs/design/rollouts.md derives them.
 const (
-	planEnd       = 0.875 // time at which the bounds may be used up
+	planEnd       = 0.88  // time at which the bounds may be used up
 	lastSuccess   = 0.895 // time after which no order succeeds
 	lastDecision  = 0.96  // time of the roll-back without evidence, so that all daemons know it by the time limit
-	lowCost       = 0.1   // cost of the long first step
-	stepTime      = 0.1   // duration of the steps at a quarter and at a half, in durations of full traffic that the bounds allow
+	planned       = 0.97  // part of the bounds that the plan uses, so that a daemon with a little more than its part still sends nothing to the old version
+	lowCost       = 0.08  // cost of the long first step
+	stepTime      = 0.08  // duration of the steps at a quarter and at a half, in durations of full traffic that the bounds allow
 	quarter       = 0.25
 	half          = 0.5
 	meanwhile     = 0.1   // share of the routes that have not moved yet while others have
 	minShare      = 0.005 // below it, a fault at once shows too late
 	maxMoveTime   = 0.25  // greatest part of the time limit for which routes move ahead, at a load so low that the bounds would allow more
-	stragglers    = 0.1   // expected requests of a moved route that are still in progress at the old version when it counts as empty
-	settledPart   = 0.8   // part of full traffic after which the order can succeed
+	stragglers    = 0.03  // expected requests of a moved route that are still in progress at the old version when it counts as empty
+	minLeft       = 0.2   // seconds of full traffic that the bounds still allow below which an order succeeds earlier than planned
 	minFull       = 250 * time.Millisecond
 	moveTime      = 450 * time.Millisecond // from the decision that a route moves until reports show that nothing new goes to the old version
-	holdTime      = time.Second            // without a rise after a suspicion
 	grantFor      = time.Second            // a daemon that is cut off stops well within the roll-back time of 5 s
 	bisectionStep = 30
 )
@@ -36,8 +36,7 @@
 	successAt    time.Time // earliest success
 	fullSent     int64     // new requests at fullSince
 	fullGood     int64
-	heldUntil    time.Time // before which the share does not rise after a suspicion
-	missing      string    // what the order lacked for success when there was still time
+	missing      string // what the order lacked for success when there was still time
 }
 
 // setShare sets the share by what is left of the bounds and of the time. The order still lacks something for success.
@@ -54,15 +53,15 @@
 		ramp.stop(0)
 		return
 	}
-	if suspect := judge.suspect(); suspect != "" && !ramp.moving {
-		ramp.heldUntil = now.Add(holdTime)
-		judge.reason = "held: " + suspect
-	}
+	suspect := judge.suspect()
+	end := judge.options.IssuedAt.Add(time.Duration(planEnd * float64(duration)))
+	left, whole, rate := judge.budget(end, fleet)
 	if !ramp.fullSince.IsZero() {
+		if left < minLeft {
+			ramp.successAt = ramp.fullSince.Add(minFull)
+		}
 		return
 	}
-	end := judge.options.IssuedAt.Add(time.Duration(planEnd * float64(duration)))
-	left, whole, rate := judge.budget(end, fleet)
 	untilEnd, step := end.Sub(now).Seconds(), stepTime*whole
 	if rate == 0 {
 		ramp.stop(minShare)
@@ -78,7 +77,13 @@
 		longest = max(longest, move)
 	}
 	switch {
-	case now.Before(ramp.heldUntil) || !ramp.moving && untilEnd > longest+2*step:
+	case suspect != "" && !ramp.moving: // more evidence first, at a share that leaves room for full traffic
+		judge.reason = "held: " + suspect
+		ramp.stop(minShare)
+		if left > half*whole {
+			ramp.share = quarter
+		}
+	case !ramp.moving && untilEnd > longest+2*step:
 		ramp.stop(min(max((lowCost*whole-(whole-left))/max(untilEnd-longest-2*step, 1), minShare), quarter))
 	case ramp.quarterSince.IsZero() || now.Sub(ramp.quarterSince).Seconds() < step:
 		ramp.share = quarter
@@ -130,25 +135,33 @@
 	}
 	totals := judge.newTotals()
 	ramp.share, ramp.moved, ramp.fullSince, ramp.fullSent, ramp.fullGood = 1, nil, now, totals.Sent, totals.Good
-	ramp.successAt = now.Add(max(time.Duration(settledPart*float64(end.Sub(now))), minFull))
+	ramp.successAt = later(end, now.Add(minFull))
 	for _, route := range judge.routes {
-		route.full = route.sums.New.clone()
+		route.atFull = route.sums.New.clone()
+		route.full = slowdown{oldMean: route.total.oldMean, known: route.total.known}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // moveTimes returns how many seconds before the end of the plan each route moves so that its requests have ended at the old version by then, and all routes
-// together use up the given seconds of full traffic, if these suffice for it. The others have a small share meanwhile.
+// together use up the given seconds of full traffic, if these suffice for it, or nearly so otherwise. The others have a small share meanwhile.
 func (judge *Judge) moveTimes(left, most float64) map[string]float64 {
 	var all float64
 	for _, route := range judge.routes {
 		all += float64(route.sums.Old.Sent + route.sums.New.Sent)
 	}
 	moves := map[string]float64{}
-	low, high := 0.0, most
+	low, high := -1.0, most // below 0 the part of the drain times that is left out, above it the seconds beyond them
 	for range bisectionStep {
 		extra, longest, cost := (low+high)/2, 0.0, 0.0
 		for name, route := range judge.routes {
-			moves[name] = min(max(judge.drainTime(route).Seconds()+extra, 0), most)
+			moves[name] = min(moveTime.Seconds()+judge.drainTime(route).Seconds()*(1+min(extra, 0))+max(extra, 0), most)
 			longest = max(longest, moves[name])
 		}
 		for name, route := range judge.routes {
@@ -181,7 +194,7 @@
 			break
 		}
 	}
-	return lowerBound(bucket+1) + moveTime
+	return lowerBound(bucket + 1)
 }
 
 // budget returns for how many seconds of full traffic the bounds will have room at a time, by the daemon with the least of it; how many there would be
@@ -199,7 +212,7 @@
 			continue
 		}
 		rate += daemonRate
-		limit := grant.limit(known.requests + int64(daemonRate*max(end.Sub(known.seenAt), 0).Seconds()))
+		limit := planned * grant.limit(known.requests+int64(daemonRate*max(end.Sub(known.seenAt), 0).Seconds()))
 		room := (limit - float64(known.requests-known.oldSent)) / daemonRate
 		if first || room < left {
 			left, whole, first = room, limit/daemonRate, false
