--- a/io/edge/doc.go
+++ b/io/edge/doc.go
@@ -5,5 +5,6 @@
 // its prompt, send.go and stream.go forward it to a target and relay the response, and takeover.go moves it when the
 // target is silent; crash.go and quarantine.go stop requests that crash targets; pools.go sends the batches of the
 // services that this daemon is the sender for; origin.go and holders.go keep what began a stream, so that only targets of
-// the same software version go on with it; drain.go ends the requests of a daemon that leaves.
+// the same software version go on with it; rollout.go connects
+// the orders of rollouts, which io/shift carries out; drain.go ends the requests of a daemon that leaves.
 package edge
--- a/io/edge/events_test.go
+++ b/io/edge/events_test.go
@@ -19,6 +19,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	rollouts, err := os.ReadFile("../shift/events.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	list = append(list, rollouts...)
 	events := regexp.MustCompile(`event\w+ += "(\w+)"`).FindAllSubmatch(list, -1)
 	if len(events) < 20 {
 		t.Fatalf("events.go lists %d events, want at least 20", len(events))
--- a/io/shift/mover.go
+++ b/io/shift/mover.go
@@ -122,7 +122,7 @@
 	for service, known := range mover.rollouts {
 		if !present[service] && !known.withdrawn {
 			known.withdrawn, known.role = true, nil
-			mover.log("RolloutWithdrawn", known).Str("Phase", known.phase.String()).Msg("the order of the rollout is gone")
+			mover.log(eventWithdrawn, known).Str("Phase", known.phase.String()).Msg("the order of the rollout is gone")
 		}
 	}
 	mover.active.Store(int64(len(mover.rollouts)))
@@ -164,7 +164,7 @@
 		started.follow(known)
 	}
 	mover.rollouts[order.Service] = started
-	mover.log("RolloutStarted", started).Dur("Duration", order.Duration).Int64("Revision", order.Revision.Number()).Msg("the operator moves the service to another version")
+	mover.log(eventStarted, started).Dur("Duration", order.Duration).Int64("Revision", order.Revision.Number()).Msg("the operator moves the service to another version")
 }
 
 // follow keeps what an earlier order of the service has decided about other versions.
@@ -180,7 +180,7 @@
 }
 
 func (mover *Mover) log(event string, known *rollout) *zerolog.Event {
-	return mover.options.Log.Info().Str("Event", event).Str("Service", known.order.Service).Str("Version", known.order.Version)
+	return mover.options.Log.Info().Str(eventField, event).Str("Service", known.order.Service).Str("Version", known.order.Version)
 }
 
 func (known *rollout) armOf(version string) canary.Arm {
--- a/io/shift/status.go
+++ b/io/shift/status.go
@@ -103,7 +103,7 @@
 	}
 	if role.isStep(decision) {
 		role.logged = decision
-		mover.log("RolloutStep", known).Float64("Share", decision.Share).Str("Phase", wanted.String()).Str("Reason", decision.Reason).Int("Daemons", len(state.Daemons)).
+		mover.log(eventStep, known).Float64("Share", decision.Share).Str("Phase", wanted.String()).Str("Reason", decision.Reason).Int("Daemons", len(state.Daemons)).
 			Int("NewTargets", known.counts[canary.New]).Int("OldTargets", known.counts[canary.Old]).Msg("the share of the new version changes")
 	}
 	role.decided, role.grant, role.reason = true, decision.Grant, decision.Reason
@@ -154,7 +154,7 @@
 	case err != nil:
 		role.retry = min(max(2*role.retry, storeRetry), maxStoreRetry)
 		role.retryAt = now.Add(role.retry)
-		mover.options.Log.Warn().Str("Event", "RolloutNotWritten").Str("Service", service).Err(err).Msg("cannot write the status of the rollout")
+		mover.options.Log.Warn().Str(eventField, eventNotWritten).Str("Service", service).Err(err).Msg("cannot write the status of the rollout")
 	default:
 		role.begun, role.inherited, role.revision, role.retry = true, role.inherited || result.inherited, result.revision, 0
 	}
