--- a/io/shift/status.go
+++ b/io/shift/status.go
@@ -15,6 +15,8 @@
 	storeRetry    = 500 * time.Millisecond // time after a failed call of the store before the next one
 	inheritWait   = time.Second            // time in which a decider that takes over hears from the others before it judges
 	maxStoreRetry = 4 * time.Second        // longest storeRetry, which doubles with each failure
+
+	reasonLogInterval = time.Second // between two log lines of which only the reason differs
 )
 
 // role is what the decider of a rollout knows.
@@ -33,6 +35,8 @@
 	reason  string
 	logged  canary.Decision // last step in the log
 
+	loggedAt time.Time
+
 	single  bool                   // this daemon sends all requests of the service
 	senders map[core.MemberID]bool // daemons that have sent some, if single
 }
@@ -56,10 +60,10 @@
 	return slices.DeleteFunc(slices.Clone(state.Daemons), func(id core.MemberID) bool { return id != state.Self && !role.senders[id] })
 }
 
-// isStep reports whether a decision differs enough from the last one in the log: the share moves a little with each report.
-func (role *role) isStep(decision canary.Decision) bool {
+// isStep reports whether a decision differs enough from the last one in the log: the share and the figures of the reason move a little with each report.
+func (role *role) isStep(now time.Time, decision canary.Decision) bool {
 	share, logged := decision.Share, role.logged.Share
-	return !role.decided || decision.Reason != role.logged.Reason || share != logged && (share == 0 || share == 1 || share >= 2*logged || share <= logged/2)
+	return !role.decided || decision.Reason != role.logged.Reason && now.Sub(role.loggedAt) >= reasonLogInterval || share != logged && (share == 0 || share == 1 || share >= 2*logged || share <= logged/2)
 }
 
 var (
@@ -101,8 +105,8 @@
 	if wanted == core.RolloutSucceeded && known.phase == core.RolloutRunning {
 		decision.Phase, decision.Share = core.RolloutRunning, 1 // claimed only when the store holds it
 	}
-	if role.isStep(decision) {
-		role.logged = decision
+	if role.isStep(now, decision) {
+		role.logged, role.loggedAt = decision, now
 		mover.log(eventStep, known).Float64("Share", decision.Share).Str("Phase", wanted.String()).Str("Reason", decision.Reason).Int("Daemons", len(state.Daemons)).
 			Int("NewTargets", known.counts[canary.New]).Int("OldTargets", known.counts[canary.Old]).Msg("the share of the new version changes")
 	}
