core/canary: daemons keep two requests of their bounds in reserve

A daemon that reached its part of the bounds just before success sent to the old version, which then stopped under the request.

--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -10,6 +10,7 @@
 	lastSuccess   = 0.895 // time after which no order succeeds
 	lastDecision  = 0.96  // time of the roll-back without evidence, so that all daemons know it by the time limit
 	planned       = 0.97  // part of the bounds that the plan uses, so that a daemon with a little more than its part still sends nothing to the old version
+	spare         = 2     // requests that the plan leaves to each daemon for the same reason
 	lowCost       = 0.08  // cost of the long first step
 	stepTime      = 0.08  // duration of the steps at a quarter and at a half, in durations of full traffic that the bounds allow
 	quarter       = 0.25
@@ -212,7 +213,7 @@
 			continue
 		}
 		rate += daemonRate
-		limit := planned * grant.limit(known.requests+int64(daemonRate*max(end.Sub(known.seenAt), 0).Seconds()))
+		limit := planned*grant.limit(known.requests+int64(daemonRate*max(end.Sub(known.seenAt), 0).Seconds())) - spare
 		room := (limit - float64(known.requests-known.oldSent)) / daemonRate
 		if first || room < left {
 			left, whole, first = room, limit/daemonRate, false
--- a/core/canary/replay_test.go
+++ b/core/canary/replay_test.go
@@ -308,6 +308,7 @@
 				}
 				if result.broken > 0 {
 					broken++
+					t.Logf("seed %d broken %+v %+v", seed, situation, result)
 				}
 			}
 			t.Logf("FIGURE %s: bad %v seeds %d over %d late %d missed %d broken %d; worst part of the bound %.3f, 50th bad to last %v", kind.name, bad, *testSeeds, over, late, missed, broken, worst, slowest)
