io/shift: a decider that was stopped begins anew

A step more than 1.5 s after the one before gives the role up; the status is read and written again, and the others are heard for a second.

--- a/io/shift/status.go
+++ b/io/shift/status.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	storeTimeout  = 2 * time.Second        // limit on reading and writing the status
-	storeRetry    = 500 * time.Millisecond // time after a failed call of the store before the next one
-	inheritWait   = time.Second            // time in which a decider that takes over hears from the others before it judges
-	maxStoreRetry = 4 * time.Second        // longest storeRetry, which doubles with each failure
+	storeTimeout  = 2 * time.Second         // limit on reading and writing the status
+	storeRetry    = 500 * time.Millisecond  // time after a failed call of the store before the next one
+	inheritWait   = time.Second             // time in which a decider that takes over hears from the others before it judges
+	maxStepGap    = 1500 * time.Millisecond // a decider that was stopped for longer begins anew: another one may have taken over, and it knows of no daemons in touch
+	maxStoreRetry = 4 * time.Second         // longest storeRetry, which doubles with each failure
 
 	reasonLogInterval = time.Second // between two log lines of which only the reason differs
 )
@@ -22,6 +23,7 @@
 // role is what the decider of a rollout knows.
 type role struct {
 	begunAt   time.Time
+	steppedAt time.Time     // last step
 	begun     bool          // the status has been read, and says that this daemon decides
 	inherited bool          // another daemon has decided before
 	revision  core.Revision // of the status that this daemon wrote
@@ -80,10 +82,14 @@
 		return
 	}
 	now := mover.options.Clock.Now()
+	if known.role != nil && now.Sub(known.role.steppedAt) > maxStepGap {
+		known.role = nil
+	}
 	if known.role == nil {
 		known.role = &role{begunAt: now, single: state.Single, senders: map[core.MemberID]bool{}}
 	}
 	role := known.role
+	role.steppedAt = now
 	if !role.begun {
 		mover.mutex.Unlock()
 		mover.sync(ctx, service, known.order, role, core.RolloutRunning)
