core/canary: roll back once success is impossible, and count bad answers near the 50th

After nine tenths of the time an order waited with share 0 until 0.96 of it. A version that fails a little more than the old one at a high load could reach 50 bad answers before its share of failures mattered; from 40 on, the comparison with the old version suffices. At a low load the steps use what full traffic cannot.

--- a/core/canary/canary_test.go
+++ b/core/canary/canary_test.go
@@ -186,7 +186,7 @@
 		now := testStart.Add(5*time.Second + time.Duration(second10)*100*time.Millisecond)
 		second.Add(now, "a", afresh.Report(now), 0)
 		want := core.RolloutRunning
-		if second10 >= 116 {
+		if second10 >= 108 {
 			want = core.RolloutRolledBack
 		}
 		if decision := second.Decide(now, fleet); decision.Phase != want {
--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -16,6 +16,7 @@
 	falseAlarms     = 0.001                  // probability that a version like the old one is rolled back, over all routes and looks of an order
 	testsPerRoute   = 2                      // failures and times
 	unstableFactor  = 1000                   // evidence in a disturbed fleet, by that in a calm one
+	maxBad          = 40                     // bad responses, before the 50th, from which on the share of failures need not matter
 	suspicion       = 10                     // evidence at which the share stops to rise
 	minInterval     = 200 * time.Millisecond // of responses that are compared with each other
 	maxInterval     = time.Second
@@ -288,22 +289,26 @@
 	}
 	judge.reason = missing
 	order := judge.options.Order
-	if limit := judge.options.IssuedAt.Add(time.Duration(lastDecision * float64(order.Duration))); !now.Before(limit) {
+	if limit := judge.options.IssuedAt.Add(time.Duration(lastSuccess * float64(order.Duration))); !now.Before(limit) {
 		judge.phase = core.RolloutRolledBack
-		judge.reason = fmt.Sprintf("time limit of %v: %s; the old version is the safer one", order.Duration, judge.ramp.missing)
+		judge.reason = fmt.Sprintf("time limit of %v: %s; the old version is the safer one", order.Duration, missing)
 		return
 	}
-	judge.setShare(now, fleet, missing)
+	judge.setShare(now, fleet)
 }
 
 // fault returns the route and the figure that show that the new version is bad, or nothing.
 func (judge *Judge) fault(fleet Fleet) string {
 	needed := float64(testsPerRoute*(len(judge.routes)+1)) / falseAlarms
+	manyBad := judge.newTotals().Bad >= maxBad
 	for name, evidence := range judge.evidence() {
 		for _, test := range []*comparison{&evidence.failures, &evidence.times} {
 			figure := test.evidence()
 			if test == &evidence.failures {
 				figure = max(figure, test.alone.value())
+				if manyBad {
+					figure = max(figure, test.against.value())
+				}
 			}
 			enough := figure >= needed
 			if fleet.Unstable {
--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -7,8 +7,7 @@
 // The times are parts of the time limit, the costs parts of what the bounds allow; docs/design/rollouts.md derives them.
 const (
 	planEnd       = 0.88  // time at which the bounds may be used up
-	lastSuccess   = 0.895 // time after which no order succeeds
-	lastDecision  = 0.96  // time of the roll-back without evidence, so that all daemons know it by the time limit
+	lastSuccess   = 0.895 // time after which no order succeeds; it is rolled back then, so that all daemons know it by the time limit
 	planned       = 0.97  // part of the bounds that the plan uses, so that a daemon with a little more than its part still sends nothing to the old version
 	spare         = 2     // requests that the plan leaves to each daemon for the same reason
 	lowCost       = 0.08  // cost of the long first step
@@ -17,7 +16,7 @@
 	half          = 0.5
 	meanwhile     = 0.1   // share of the routes that have not moved yet while others have
 	minShare      = 0.005 // below it, a fault at once shows too late
-	maxMoveTime   = 0.25  // greatest part of the time limit for which routes move ahead, at a load so low that the bounds would allow more
+	maxMoveTime   = 0.4   // greatest part of the time limit for which routes move ahead, at a load so low that the bounds would allow more
 	stragglers    = 0.03  // expected requests of a moved route that are still in progress at the old version when it counts as empty
 	minLeft       = 0.2   // seconds of full traffic that the bounds still allow below which an order succeeds earlier than planned
 	minFull       = 250 * time.Millisecond
@@ -37,19 +36,12 @@
 	successAt    time.Time // earliest success
 	fullSent     int64     // new requests at fullSince
 	fullGood     int64
-	missing      string // what the order lacked for success when there was still time
 }
 
-// setShare sets the share by what is left of the bounds and of the time. The order still lacks something for success.
-func (judge *Judge) setShare(now time.Time, fleet Fleet, missing string) {
+// setShare sets the share by what is left of the bounds and of the time.
+func (judge *Judge) setShare(now time.Time, fleet Fleet) {
 	ramp := &judge.ramp
 	duration := judge.options.Order.Duration
-	since := now.Sub(judge.options.IssuedAt)
-	if since >= time.Duration(lastSuccess*float64(duration)) {
-		ramp.share, ramp.moved, ramp.fullSince = 0, nil, time.Time{}
-		return
-	}
-	ramp.missing = missing
 	if fleet.NewTargets == 0 {
 		ramp.stop(0)
 		return
@@ -85,7 +77,8 @@
 			ramp.share = quarter
 		}
 	case !ramp.moving && untilEnd > longest+2*step:
-		ramp.stop(min(max((lowCost*whole-(whole-left))/max(untilEnd-longest-2*step, 1), minShare), quarter))
+		cost := max(lowCost*whole, whole-2*maxMoveTime*duration.Seconds()) // at a low load, most of the bounds are not needed later
+		ramp.stop(min(max((cost-(whole-left))/max(untilEnd-longest-2*step, 1), minShare), quarter))
 	case ramp.quarterSince.IsZero() || now.Sub(ramp.quarterSince).Seconds() < step:
 		ramp.share = quarter
 		if ramp.quarterSince.IsZero() {
