--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -20,7 +20,8 @@
 	stragglers    = 0.03  // expected requests of a moved route that are still in progress at the old version when it counts as empty
 	minLeft       = 0.2   // seconds of full traffic that the bounds still allow below which an order succeeds earlier than planned
 	minFull       = 250 * time.Millisecond
-	moveTime      = 450 * time.Millisecond // from the decision that a route moves until reports show that nothing new goes to the old version
+	moveTime      = 230 * time.Millisecond // of messages, from the decision that a route moves until reports show that nothing new goes to the old version
+	moveReports   = 2                      // intervals of reports that this takes besides
 	grantFor      = time.Second            // a daemon that is cut off stops well within the roll-back time of 5 s
 	bisectionStep = 30
 )
@@ -150,12 +151,13 @@
 	for _, route := range judge.routes {
 		all += float64(route.sums.Old.Sent + route.sums.New.Sent)
 	}
+	move := (moveTime + moveReports*judge.reportInterval()).Seconds()
 	moves := map[string]float64{}
 	low, high := -1.0, most // below 0 the part of the drain times that is left out, above it the seconds beyond them
 	for range bisectionStep {
 		extra, longest, cost := (low+high)/2, 0.0, 0.0
 		for name, route := range judge.routes {
-			moves[name] = min(moveTime.Seconds()+judge.drainTime(route).Seconds()*(1+min(extra, 0))+max(extra, 0), most)
+			moves[name] = min(move+judge.drainTime(route).Seconds()*(1+min(extra, 0))+max(extra, 0), most)
 			longest = max(longest, moves[name])
 		}
 		for name, route := range judge.routes {
@@ -215,6 +217,17 @@
 	return left, whole, rate
 }
 
+// reportInterval returns the mean time between two reports of a daemon.
+func (judge *Judge) reportInterval() time.Duration {
+	var elapsed time.Duration
+	reports := 0
+	for _, daemon := range judge.daemons {
+		reports += len(daemon.samples) - 1
+		elapsed += daemon.samples[len(daemon.samples)-1].at.Sub(daemon.samples[0].at)
+	}
+	return elapsed / time.Duration(max(reports, 1))
+}
+
 // rate returns the requests per second of a daemon.
 func (daemon *daemon) rate() float64 {
 	first, last := daemon.samples[0], daemon.samples[len(daemon.samples)-1]
