--- a/io/shift/mover.go
+++ b/io/shift/mover.go
@@ -15,7 +15,7 @@
 
 const (
 	maxOrderLag    = 500 * time.Millisecond // an order may be older by this much than the copy of the store that shows it
-	maxCallCredits = 2           // calls to the new version that may be due at a time, so that none burst after a wait for a free target
+	maxCallCredits = 2                      // calls to the new version that may be due at a time, so that none burst after a wait for a free target
 )
 
 // Order is an order as the store holds it.
