core/canary: parts of the bounds do not hold in a large fleet while traffic moves

Each daemon keeps to its part of the bounds, which with 73 daemons and 340 requests a second is six in 12 s: some daemon always had used it and sent to the old version, so no order could succeed.

--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -273,7 +273,7 @@
 	case core.RolloutRunning:
 		grant.Share, grant.For, grant.Moved = judge.ramp.share, grantFor, judge.ramp.moved
 	}
-	return Decision{Grant: grant, Reason: judge.reason}
+	return Decision{Grant: judge.pool(grant, fleet), Reason: judge.reason}
 }
 
 func (judge *Judge) decide(now time.Time, fleet Fleet) {
--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -37,6 +37,7 @@
 	successAt    time.Time // earliest success
 	fullSent     int64     // new requests at fullSince
 	fullGood     int64
+	left         float64 // seconds of full traffic that the bounds have room for
 }
 
 // setShare sets the share by what is left of the bounds and of the time.
@@ -50,6 +51,7 @@
 	suspect := judge.suspect()
 	end := judge.options.IssuedAt.Add(time.Duration(planEnd * float64(duration)))
 	left, whole, rate := judge.budget(end, fleet)
+	ramp.left = left
 	if !ramp.fullSince.IsZero() {
 		if left < minLeft {
 			ramp.successAt = ramp.fullSince.Add(minFull)
@@ -198,6 +200,7 @@
 func (judge *Judge) budget(end time.Time, fleet Fleet) (left, whole, rate float64) {
 	grant := Grant{Share: 1, Bounds: judge.options.Bounds, Daemons: max(len(judge.daemons), len(fleet.Daemons))}
 	first := true
+	var limits, sent float64
 	for _, name := range fleet.Daemons {
 		known := judge.daemons[name]
 		if known == nil {
@@ -208,12 +211,17 @@
 			continue
 		}
 		rate += daemonRate
+		limits += planned * grant.limit(known.requests+int64(daemonRate*max(end.Sub(known.seenAt), 0).Seconds()))
+		sent += float64(known.requests - known.oldSent)
 		limit := planned*grant.limit(known.requests+int64(daemonRate*max(end.Sub(known.seenAt), 0).Seconds())) - spare
 		room := (limit - float64(known.requests-known.oldSent)) / daemonRate
 		if first || room < left {
 			left, whole, first = room, limit/daemonRate, false
 		}
 	}
+	if isPooled(fleet) && rate > 0 {
+		return (limits-sent)/rate - pooledSpare, limits/rate - pooledSpare, rate
+	}
 	return left, whole, rate
 }
 
