io/shift: report twice as often while traffic moves; large fleets

Reports every 500 ms made the move of all daemons longer than the bounds allow at full traffic. They come every 250 ms below 100 daemons, and twice as often from a quarter of the traffic on. Between the decision for success and its writing no daemon returns to the old version. A request names its route to the splitter.

--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -336,7 +336,7 @@
 	if request.origin.Known() {
 		return place.Versions{Only: request.origin.Version}
 	}
-	versions := daemon.shift.Versions(service, &request.choice, request.attempts > 0)
+	versions := daemon.shift.Versions(service, request.route.Name, &request.choice, request.attempts > 0)
 	if !request.isResumable() {
 		return versions
 	}
--- a/io/edge/rollout.go
+++ b/io/edge/rollout.go
@@ -36,7 +36,7 @@
 	daemon.do(func() {
 		now := daemon.clock.Now()
 		state = shift.State{
-			Self: daemon.id, Daemons: []core.MemberID{daemon.id}, Large: len(daemon.control.peers) >= largeFleet,
+			Self: daemon.id, Daemons: []core.MemberID{daemon.id}, Large: shift.IsLarge(len(daemon.control.peers) + 1),
 			Disturbed: daemon.control.routes.Unavailable() || daemon.paths.lostLately(), Leaving: daemon.leaving.Load(), Single: daemon.view.Load().routing.Services[service].Batch != nil,
 		}
 		if decider := daemon.senderOf(service); decider != nil {
--- a/io/shift/mover.go
+++ b/io/shift/mover.go
@@ -232,7 +232,7 @@
 }
 
 // Versions returns the versions that a request may go to. It chooses once for each request; a repeat goes to the old version.
-func (mover *Mover) Versions(service string, choice *Choice, repeat bool) place.Versions {
+func (mover *Mover) Versions(service, route string, choice *Choice, repeat bool) place.Versions {
 	if mover.active.Load() == 0 {
 		return place.Versions{}
 	}
@@ -243,7 +243,7 @@
 		return place.Versions{}
 	}
 	if choice.order != known.order.Revision {
-		*choice = Choice{order: known.order.Revision, arm: known.splitter.Choose(mover.options.Clock.Now())}
+		*choice = Choice{order: known.order.Revision, arm: known.splitter.ChooseRoute(mover.options.Clock.Now(), route)}
 		if repeat || known.withdrawn || !known.hasNew {
 			choice.arm = canary.Old
 		}
--- a/io/shift/report.go
+++ b/io/shift/report.go
@@ -13,8 +13,11 @@
 const Path = "/peer/rollout"
 
 const (
+	stepInterval        = 125 * time.Millisecond // interval of steps, and of reports while traffic moves, which costs the bounds of the new version
 	reportInterval      = 250 * time.Millisecond // interval of reports to the decider
-	largeReportInterval = 500 * time.Millisecond // the same in a large fleet
+	largeReportInterval = 500 * time.Millisecond // the same in a fleet of largeFleet daemons or more, whose reports while traffic moves come every reportInterval
+	largeFleet          = 100
+	movingShare         = 0.25                   // share of the new version from which on traffic moves
 	idleReportInterval  = time.Second            // interval of reports of a daemon whose counts do not change; grants hold longer
 	reportTimeout       = 800 * time.Millisecond // limit on one report; a healthy decider replies within some milliseconds
 )
@@ -43,7 +46,7 @@
 func (mover *Mover) Run(ctx context.Context) error {
 	var group sync.WaitGroup
 	defer group.Wait()
-	for core.Sleep(ctx, mover.options.Clock, reportInterval) {
+	for core.Sleep(ctx, mover.options.Clock, mover.interval()) {
 		for _, service := range mover.due() {
 			group.Go(func() {
 				defer mover.release(service)
@@ -54,6 +57,22 @@
 	return ctx.Err()
 }
 
+// IsLarge reports whether a fleet has so many daemons that they report less often.
+func IsLarge(daemons int) bool { return daemons >= largeFleet }
+
+// interval returns the time until the next step.
+func (mover *Mover) interval() time.Duration {
+	if mover.active.Load() == 0 {
+		return reportInterval
+	}
+	return stepInterval
+}
+
+// moves reports whether a large part of the traffic goes to the new version.
+func (known *rollout) moves() bool {
+	return known.grant.Share >= movingShare || len(known.grant.Moved) > 0
+}
+
 // due returns the services whose rollout has not ended and of which no step is in progress, and marks them as having one.
 func (mover *Mover) due() []string {
 	if mover.active.Load() == 0 {
@@ -116,8 +135,11 @@
 		if state.Large {
 			interval = largeReportInterval
 		}
+		if known.moves() {
+			interval /= 2
+		}
 	}
-	if now.Sub(known.reportedAt) < interval-reportInterval/4 {
+	if now.Sub(known.reportedAt) < interval-stepInterval/2 {
 		return Message{}, false
 	}
 	known.reportedAt, known.reported = now, known.begun
--- a/io/shift/shift_test.go
+++ b/io/shift/shift_test.go
@@ -114,7 +114,7 @@
 	mover := newMover(&fakes.Store{})
 	check := func(name string, repeat bool, want place.Versions) {
 		t.Helper()
-		if got := mover.Versions("ledger", &Choice{}, repeat); got != want {
+		if got := mover.Versions("ledger", "book", &Choice{}, repeat); got != want {
 			t.Errorf("%s: %+v, want %+v", name, got, want)
 		}
 	}
@@ -130,7 +130,7 @@
 	check("granted", false, fresh)
 	check("repeat", true, old)
 	choice := Choice{}
-	if got := mover.Versions("ledger", &choice, false); got != fresh || !choice.Retreat() || mover.Versions("ledger", &choice, false) != old {
+	if got := mover.Versions("ledger", "book", &choice, false); got != fresh || !choice.Retreat() || mover.Versions("ledger", "book", &choice, false) != old {
 		t.Error("a request that found no new target does not turn to the old ones")
 	}
 	mover.SetTargets(targetsOf("v2"))
--- a/io/shift/status.go
+++ b/io/shift/status.go
@@ -89,6 +89,10 @@
 		known.role = &role{begunAt: now, single: state.Single, senders: map[core.MemberID]bool{}}
 	}
 	role := known.role
+	if role.begun && !known.moves() && now.Sub(role.steppedAt) < reportInterval-stepInterval/2 {
+		mover.mutex.Unlock()
+		return
+	}
 	role.steppedAt = now
 	if !role.begun {
 		mover.mutex.Unlock()
@@ -109,7 +113,8 @@
 	}
 	wanted := decision.Phase
 	if wanted == core.RolloutSucceeded && known.phase == core.RolloutRunning {
-		decision.Phase, decision.Share = core.RolloutRunning, 1 // claimed only when the store holds it
+		// Claimed only when the store holds it. Until then no daemon returns to the old version because its part of the bounds is used.
+		decision.Phase, decision.Share, decision.Bounds.Share = core.RolloutRunning, 1, 1
 	}
 	if role.isStep(now, decision) {
 		role.logged, role.loggedAt = decision, now
