io/shift: an order that a restore interrupts goes on; ends of streams count

A store restored from before an order shows an earlier one, or none, until the operator writes again: the order then began anew with all of its bounds, and requests from before never ended for the judge, as if they were slow. Recorder hears of the end of a stream, from which the judge plans when its route moves.

--- a/io/shift/mover.go
+++ b/io/shift/mover.go
@@ -74,11 +74,12 @@
 
 // rollout is what this daemon knows about the rollout of one service.
 type rollout struct {
-	order     Order
-	issuedAt  time.Time // earliest time at which the order may have been written, as far as known
-	withdrawn bool
-	banned    map[string]bool // versions of replaced orders that had not succeeded
-	base      string          // version of a replaced order that had; empty if there is none
+	order        Order
+	issuedAt     time.Time // earliest time at which the order may have been written, as far as known
+	withdrawn    bool
+	banned       map[string]bool // versions of replaced orders that had not succeeded
+	restoredFrom *rollout        // what was under way when a restore of the store brought this order back; nil otherwise
+	base         string          // version of a replaced order that had; empty if there is none
 
 	hasOld   bool // targets of other versions are usable
 	hasNew   bool
@@ -155,18 +156,32 @@
 		known.withdrawn = false // a copy from before the order was removed
 		return
 	}
-	if known != nil && known.order.RolloutOrder == order.RolloutOrder && known.order.Revision.Epoch() != order.Revision.Epoch() {
-		known.order.Revision, known.withdrawn, known.role, known.settled = order.Revision, false, nil, false
-		return
+	for _, before := range []*rollout{known, known.beforeRestore()} {
+		if before != nil && before.order.RolloutOrder == order.RolloutOrder && before.order.Revision.Epoch() != order.Revision.Epoch() {
+			before.order.Revision, before.withdrawn, before.role, before.settled = order.Revision, false, nil, false
+			mover.rollouts[order.Service] = before
+			return
+		}
 	}
 	started := &rollout{order: order, issuedAt: now.Add(-maxOrderLag), banned: map[string]bool{}}
 	if known != nil {
 		started.follow(known)
 	}
+	if known != nil && known.order.Revision.Epoch() != order.Revision.Epoch() {
+		started.restoredFrom = known
+	}
 	mover.rollouts[order.Service] = started
 	mover.log(eventStarted, started).Dur("Duration", order.Duration).Int64("Revision", order.Revision.Number()).Msg("the operator moves the service to another version")
 }
 
+// beforeRestore returns the rollout that was under way when the store was restored, if the store held this one's order then; nil otherwise.
+func (known *rollout) beforeRestore() *rollout {
+	if known == nil {
+		return nil
+	}
+	return known.restoredFrom
+}
+
 // follow keeps what an earlier order of the service has decided about other versions.
 func (known *rollout) follow(earlier *rollout) {
 	for version := range earlier.banned {
@@ -220,8 +235,8 @@
 
 // Choice is the side of a rollout to which a request goes; the zero value has none.
 type Choice struct {
-	order core.Revision
-	arm   canary.Arm
+	rollout *rollout
+	arm     canary.Arm
 }
 
 // Retreat turns a request that found no target of the new version to the others, and reports whether it had been meant for the new one.
@@ -242,8 +257,8 @@
 	if known == nil {
 		return place.Versions{}
 	}
-	if choice.order != known.order.Revision {
-		*choice = Choice{order: known.order.Revision, arm: known.splitter.ChooseRoute(mover.options.Clock.Now(), route)}
+	if choice.rollout != known {
+		*choice = Choice{rollout: known, arm: known.splitter.ChooseRoute(mover.options.Clock.Now(), route)}
 		if repeat || known.withdrawn || !known.hasNew {
 			choice.arm = canary.Old
 		}
@@ -263,7 +278,7 @@
 type Passage struct {
 	mover   *Mover
 	at      arm
-	order   core.Revision // 0 if no order was in force
+	rollout *rollout // nil if no order was in force
 	request canary.Request
 	ended   bool
 }
@@ -276,7 +291,7 @@
 	mover.inProgress[passage.at]++
 	if known := mover.rollouts[service]; known != nil && !known.withdrawn {
 		known.begun++
-		passage.order = known.order.Revision
+		passage.rollout = known
 		passage.request = known.recorder.Begin(mover.options.Clock.Now(), route, known.armOf(version))
 	}
 	return passage
@@ -284,7 +299,7 @@
 
 // Answered counts the first event of a stream.
 func (passage *Passage) Answered() {
-	if passage == nil || passage.order == 0 {
+	if passage == nil || passage.rollout == nil {
 		return
 	}
 	passage.mover.mutex.Lock()
@@ -308,13 +323,15 @@
 		delete(mover.inProgress, passage.at)
 	}
 	passage.record(outcome)
+	if passage.rollout != nil {
+		passage.rollout.recorder.Finish(mover.options.Clock.Now(), passage.request)
+	}
 }
 
-// record counts an outcome unless the order has been replaced; the mutex must be held.
+// record counts an outcome; the mutex must be held.
 func (passage *Passage) record(outcome canary.Outcome) {
-	known := passage.mover.rollouts[passage.at.service]
-	if passage.order != 0 && known != nil && known.order.Revision == passage.order {
-		known.recorder.End(passage.mover.options.Clock.Now(), passage.request, outcome)
+	if passage.rollout != nil {
+		passage.rollout.recorder.End(passage.mover.options.Clock.Now(), passage.request, outcome)
 	}
 }
 
--- a/io/shift/shift_test.go
+++ b/io/shift/shift_test.go
@@ -171,3 +171,25 @@
 		t.Errorf("%d old requests in progress after their end", count)
 	}
 }
+
+// TestOrderAfterRestore guards against a bad version that has its bounds once more, and requests that never seem to end, because a restored store holds
+// an earlier order, or none, until the operator writes the present one again.
+func TestOrderAfterRestore(t *testing.T) {
+	mover := newMover(&fakes.Store{})
+	restored := func(version string, number int64) Order {
+		return orderOf(version, core.NewRevision(1, number))
+	}
+	mover.Follow([]Order{orderOf("v2", 5)})
+	mover.SetTargets(targetsOf("v1", "v2"))
+	passage := mover.Begin("ledger", "v2", "book")
+	before := mover.rollouts["ledger"]
+	mover.Follow([]Order{restored("v1", 3)})
+	mover.Follow([]Order{restored("v2", 9)})
+	if mover.rollouts["ledger"] != before || before.order.Revision.Epoch() != 1 {
+		t.Error("the order has begun anew")
+	}
+	passage.End(canary.Bad)
+	if report := before.recorder.Report(mover.options.Clock.Now()); len(report.Routes) != 1 || report.Routes[0].New.Bad != 1 {
+		t.Errorf("the end of a request from before the restore is not counted: %+v", report)
+	}
+}
