--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -1,8 +1,6 @@
 package canary
 
-import (
-	"time"
-)
+import "time"
 
 // The times are parts of the time limit, the costs parts of what the bounds allow; docs/design/rollouts.md derives them.
 const (
@@ -152,12 +150,15 @@
 		all += float64(route.sums.Old.Sent + route.sums.New.Sent)
 	}
 	move := (moveTime + moveReports*judge.reportInterval()).Seconds()
-	moves := map[string]float64{}
+	drains, moves := map[string]float64{}, map[string]float64{}
+	for name, route := range judge.routes {
+		drains[name] = judge.drainTime(route).Seconds()
+	}
 	low, high := -1.0, most // below 0 the part of the drain times that is left out, above it the seconds beyond them
 	for range bisectionStep {
 		extra, longest, cost := (low+high)/2, 0.0, 0.0
-		for name, route := range judge.routes {
-			moves[name] = min(move+judge.drainTime(route).Seconds()*(1+min(extra, 0))+max(extra, 0), most)
+		for name, drain := range drains {
+			moves[name] = min(move+drain*(1+min(extra, 0))+max(extra, 0), most)
 			longest = max(longest, moves[name])
 		}
 		for name, route := range judge.routes {
@@ -180,10 +181,11 @@
 		held = route.sums.Old.Times
 	}
 	rate := float64(route.sums.Old.Sent) / max(judge.closedAt.Sub(judge.options.IssuedAt).Seconds(), 1)
+	all := max(float64(total(held, 0)), 1)
 	left, longer := 0.0, 0.0 // requests in progress after the lower bound of a bucket, and the part of requests that take longer
 	bucket := len(held) - 1
 	for ; bucket > 0; bucket-- {
-		part := float64(held[bucket]) / float64(total(held, 0))
+		part := float64(held[bucket]) / all
 		left += rate * (longer + part/2) * (lowerBound(bucket+1) - lowerBound(bucket)).Seconds()
 		longer += part
 		if left > stragglers {
