--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -27,10 +27,12 @@
 	"catkincove/core/mirror"
 	"catkincove/core/place"
 	"catkincove/core/retry"
+	"catkincove/core/roster"
 	"catkincove/core/wake"
 	"catkincove/io/callid"
 	"catkincove/io/inifmt"
 	"catkincove/io/lines"
+	"catkincove/io/shift"
 	"catkincove/io/xchg"
 )
 
@@ -84,6 +86,7 @@
 
 	paths        pathMonitor
 	pauses       wake.Detector
+	shift        *shift.Mover
 	repeatsMutex sync.Mutex
 	repeats      batch.Repeats // responses to batch calls, which are read outside the control loop
 }
@@ -93,7 +96,7 @@
 	routes          mirror.Copy
 	registrations   mirror.Copy
 	live            mirror.Copy // keys of the daemons: their records, quarantines and baselines
-	registry        registry
+	registry        roster.Registry
 	chooser         place.Chooser
 	crashTracker    blame.CrashTracker
 	limits          limit.Table
@@ -162,6 +165,7 @@
 	daemon.paths.daemon = daemon
 	daemon.control.registrations.Equivalent = daemon.equivalentTarget
 	daemon.control.chooser = place.Chooser{Random: random, Daemons: 1}
+	daemon.shift = daemon.newMover()
 	return daemon
 }
 
@@ -199,6 +203,7 @@
 	daemon.addTask(&group, serving, "origins", daemon.recordOrigins)
 	daemon.addTask(&group, serving, "origins to holders", daemon.tellOrigins)
 	daemon.addTask(&group, serving, "baselines", daemon.maintainBaselines)
+	daemon.addTask(&group, serving, "rollouts", daemon.shift.Run)
 	for _, service := range services {
 		group.Add(func() error {
 			err := service.server.Serve(service.listener)
@@ -286,7 +291,7 @@
 		daemon.loop.Post(func() {
 			now := daemon.clock.Now()
 			daemon.control.chooser.Sweep(now)
-			daemon.control.limits.Sweep(now, daemon.control.registry.has)
+			daemon.control.limits.Sweep(now, daemon.control.registry.Has)
 			daemon.control.origins.table.Sweep(now)
 			daemon.removePeers(now)
 			if slices.ContainsFunc(daemon.copyList(), (*mirror.Copy).RetainsEntries) {
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -94,6 +94,9 @@
 	set("ConnectionsOpened", daemon.targets.Opened())
 	set("ResponsesSkipped", daemon.targets.Skipped())
 	set("LogLinesDropped", daemon.logWriter.Dropped())
+	for name, value := range daemon.shift.Metrics() {
+		set(name, value)
+	}
 	metrics.mutex.Lock()
 	for name, count := range metrics.outcomes {
 		set("Outcome."+name, count)
