core/batch: bound what others hold at a full target by its lifetime

After a loss of all daemons, targets stay full of results that nobody frees. A piece without room made the pool take all capacity that it did not account for as occupied for another lifetime, renewed by each such call, and blocked the target for results of any size. The estimate is now taken from what fitted beside the results known when the call was sent, ends with the lifetime of what other senders or calls without a response can have left, and only results of the size that found no room wait.

--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -294,7 +294,8 @@
 		})
 	}
 	request.Timeout = time.Duration(float64(started.expected)*timeoutFactor*max(worker.currentSlowdown(now), 1)) + timeoutMargin
-	request.ResultBytes, request.RetainedBytes = started.resultBytes, worker.retainedBytes+worker.reservedBytes
+	started.heldBytes = worker.retainedBytes + worker.reservedBytes
+	request.ResultBytes, request.RetainedBytes = started.resultBytes, started.heldBytes
 	if pool.Pacer != nil {
 		_, _ = pool.Pacer.Take(now, worker.ID, 0)
 	}
--- a/core/batch/load.go
+++ b/core/batch/load.go
@@ -23,7 +23,7 @@
 	for _, worker := range pool.workers {
 		targets = append(targets, TargetLoad{
 			ID: worker.ID, Calls: worker.inFlight, FreeBytes: worker.freeResultBytes(now, pool.spec), ReservedBytes: worker.reservedBytes,
-			RetainedBytes: worker.retainedBytes, UnaccountedBytes: worker.remainingUnaccounted(now, pool.spec.ResultTTL),
+			RetainedBytes: worker.retainedBytes, UnaccountedBytes: worker.unaccounted.at(now),
 			Slowdown: worker.currentSlowdown(now), Usable: worker.usable(now) && pool.paceWait(now, worker) == 0,
 		})
 	}
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -78,6 +78,7 @@
 	startedAt     time.Time
 	expected      time.Duration // expected duration on a target of usual speed
 	resultBytes   int64
+	heldBytes     int64 // results that the pool knew at the target when the call was sent
 	stalled       bool
 	afterHandover bool // may have waited behind a call of the previous sender
 }
@@ -196,7 +197,7 @@
 		}
 		return nil, nil
 	case Failed:
-		worker.recordFailure(now)
+		worker.recordFailure(now, pool.spec.ResultTTL)
 		return pool.retryPieces(call.pieces)
 	}
 	took := now.Sub(call.startedAt)
@@ -209,7 +210,7 @@
 		worker.recordSuccess(now, took, call.expected)
 	}
 	expires := now.Add(pool.spec.ResultTTL)
-	full := false
+	pool.recordRoom(now, call, results)
 	for i, returned := range call.pieces {
 		result := results[i]
 		switch {
@@ -221,7 +222,6 @@
 			ended = append(ended, pool.complete(returned, result.Handle)...)
 		case returned.done:
 		case result.Fault == core.PieceNoRoom:
-			full = true
 			pool.enqueue(returned)
 		case result.Fault == core.PieceFailed:
 			failed, freed := pool.retryPieces([]*piece{returned})
@@ -236,11 +236,6 @@
 			ended = append(ended, Result{Job: returned.job.id, Fault: result.Fault})
 		}
 	}
-	if full {
-		worker.recordFull(now, pool.spec)
-	} else {
-		worker.consecutiveFull = 0
-	}
 	return ended, unused
 }
 
--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"catkincove/core"
 )
 
 const (
@@ -35,12 +33,13 @@
 	slowdownAt          time.Time
 	backoffUntil        time.Time // no calls before this time
 	consecutiveFailures int
-	fullUntil           time.Time // the target has no free result capacity before this time
-	consecutiveFull     int       // consecutive calls with a piece that found no result capacity
+	fullUntil           time.Time // the target has no room for results of fullBytes and more before this time
+	fullBytes           int64     // smallest result that found no room in the last call with such a result
+	consecutiveFull     int       // consecutive calls in which no result of fullBytes or more found room
 	reservedBytes       int64     // bytes of the results of calls in flight
 	retainedBytes       int64
-	unaccountedBytes    int64 // bytes of results that this pool does not know, as of unaccountedAt
-	unaccountedAt       time.Time
+	unaccounted         unaccounted
+	unansweredUntil     time.Time                 // until then, results of calls without a response may occupy room
 	retainedResults     map[string]retainedResult // results that the target retains, by handle
 	nextExpiry          time.Time                 // time until which none of them expires; zero means that there is none
 }
@@ -95,42 +94,6 @@
 	}
 }
 
-func (worker *worker) freeResultBytes(now time.Time, spec core.BatchSpec) int64 {
-	if now.Before(worker.fullUntil) {
-		return 0
-	}
-	return int64(float64(spec.MaxResultBytes)*usableResultShare) - worker.reservedBytes - worker.retainedBytes - worker.remainingUnaccounted(now, spec.ResultTTL)
-}
-
-// remainingUnaccounted returns the bytes that unaccounted results still occupy; they expire evenly over the lifetime of
-// a result.
-func (worker *worker) remainingUnaccounted(now time.Time, ttl time.Duration) int64 {
-	remainingShare := 1 - float64(now.Sub(worker.unaccountedAt))/float64(max(ttl, time.Millisecond))
-	return int64(float64(worker.unaccountedBytes) * max(remainingShare, 0))
-}
-
-// fitsFrom returns when unaccounted results have expired to such an extent that a result of the size fits; zero means that it
-// fits already, or only after other results are freed.
-func (worker *worker) fitsFrom(now time.Time, spec core.BatchSpec, bytes int64) time.Time {
-	room := int64(float64(spec.MaxResultBytes)*usableResultShare) - worker.reservedBytes - worker.retainedBytes - bytes
-	if room < 0 || worker.remainingUnaccounted(now, spec.ResultTTL) <= room {
-		return time.Time{}
-	}
-	remainingShare := float64(room) / float64(worker.unaccountedBytes)
-	return worker.unaccountedAt.Add(time.Duration((1 - remainingShare) * float64(spec.ResultTTL)))
-}
-
-// recordFull records that the target had no free result capacity although the pool expected some: after a daemon has
-// crashed, nobody frees the results of its requests.
-func (worker *worker) recordFull(now time.Time, spec core.BatchSpec) {
-	worker.fullUntil = now.Add(min(fullBackoff<<min(worker.consecutiveFull, 4), maxFullBackoff))
-	worker.consecutiveFull++
-	accounted := worker.reservedBytes + worker.retainedBytes
-	if unaccounted := int64(float64(spec.MaxResultBytes)*usableResultShare) - accounted; unaccounted > worker.remainingUnaccounted(now, spec.ResultTTL) {
-		worker.unaccountedBytes, worker.unaccountedAt = unaccounted, now
-	}
-}
-
 func (worker *worker) recordSuccess(now time.Time, took, expected time.Duration) {
 	worker.consecutiveFailures = 0
 	ratio := min(float64(took)/float64(max(expected, time.Millisecond)), maxSlowdown)
@@ -143,7 +106,8 @@
 	worker.slowdown, worker.slowdownAt = min(max(worker.currentSlowdown(now), ratio), maxSlowdown), now
 }
 
-func (worker *worker) recordFailure(now time.Time) {
+func (worker *worker) recordFailure(now time.Time, ttl time.Duration) {
 	worker.backoffUntil = now.Add(min(failureBackoff<<min(worker.consecutiveFailures, 4), maxFailureBackoff))
 	worker.consecutiveFailures++
+	worker.unansweredUntil = now.Add(ttl)
 }
--- a/core/batch/wakeup.go
+++ b/core/batch/wakeup.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -55,7 +54,6 @@
 // targetsChangeAt returns the first time at which a target may take queued pieces that it cannot take now.
 func (pool *Pool) targetsChangeAt(now time.Time) time.Time {
 	var change time.Time
-	var sizes []int64 // of the results of queued pieces, each once; nil before they are needed
 	for _, worker := range pool.workers {
 		for _, at := range []time.Time{worker.backoffUntil, worker.fullUntil, now.Add(pool.paceWait(now, worker)), worker.usableFrom(now)} {
 			if at.After(now) {
@@ -65,29 +63,13 @@
 		if !worker.nextExpiry.IsZero() {
 			change = earliest(change, worker.nextExpiry.Add(1)) // expired after that time
 		}
-		if worker.remainingUnaccounted(now, pool.spec.ResultTTL) <= 0 {
-			continue
-		}
-		if sizes == nil {
-			sizes = pool.queuedSizes()
-		}
-		for _, bytes := range sizes {
-			change = earliest(change, worker.fitsFrom(now, pool.spec, bytes))
+		if at := worker.unaccounted.changesAt(now); !at.IsZero() {
+			change = earliest(change, at)
 		}
 	}
 	return change
 }
 
-// queuedSizes returns the sizes of the results of queued pieces, each once.
-func (pool *Pool) queuedSizes() []int64 {
-	sizes := make([]int64, len(pool.queue))
-	for i, waiting := range pool.queue {
-		sizes[i] = waiting.job.ResultBytes
-	}
-	slices.Sort(sizes)
-	return slices.Compact(sizes)
-}
-
 // nextRejection returns the first time at which rejectInfeasible may end a job, or record that it is late.
 func (pool *Pool) nextRejection(now time.Time) time.Time {
 	var next time.Time
