core/batch: keep room for results of each class

A burst of a class with large results that nobody frees filled the targets of a stage, and a class that needs a hundredth of the room found none for a lifetime of a result. Each class now keeps at each target what it has needed lately and may need next, at most an equal part; others use what is beyond. While an estimate of unaccounted results holds, smaller results than the one that found no room may use what may be free beyond it. JobsLate logs the room by class.

--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -34,6 +34,7 @@
 		return nil // most events on a long queue end here, without the cost of sorting it
 	}
 	pool.sortQueue(now)
+	pool.measureShares(now)
 	dataCentres := pool.usableDataCentres(now)
 	var calls []Call
 	for i, worker := range idle {
@@ -248,7 +249,7 @@
 	if worker.slowdown >= unusableSlowdown {
 		size = 1 // probes whether the target is still slow
 	}
-	freeBytes := worker.freeResultBytes(now, pool.spec)
+	room := pool.room(now, worker)
 	var batch []*piece
 	kept := pool.queue[:0]
 	for i, waiting := range pool.queue {
@@ -256,14 +257,14 @@
 			kept = append(kept, pool.queue[i:]...)
 			break
 		}
-		if shouldWait(waiting.job) || waiting.job.ResultBytes > freeBytes {
+		if shouldWait(waiting.job) || !room.fits(waiting.job) {
 			if near := dataCentres[waiting.job.DataCentre]; near != nil && waiting.job.DataCentre != worker.DataCentre {
 				near.queued++
 			}
 			kept = append(kept, waiting)
 			continue
 		}
-		freeBytes -= waiting.job.ResultBytes
+		room.take(waiting.job)
 		waiting.queued = false
 		if waiting.job.DataCentre == "" {
 			waiting.job.DataCentre = worker.DataCentre // keeps the other pieces of the job in the same data centre
@@ -288,6 +289,7 @@
 		piece.runningCalls++
 		pool.watchFetch(now, piece)
 		started.resultBytes += piece.job.ResultBytes
+		worker.hold(piece.job.share, piece.job.ResultBytes)
 		request.Pieces = append(request.Pieces, core.Piece{
 			Attempt: piece.job.Attempt, Stage: piece.job.Stage, Number: piece.number,
 			TimeLeft: piece.job.Deadline.Sub(now), Key: piece.job.Key, Inputs: piece.job.Inputs,
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -41,13 +41,15 @@
 	classFactors        map[string]float64 // time of a piece relative to spec.PieceTime, by class
 	lastJobID           JobID
 	lastCallID          CallID
-	infeasibleCheckedAt time.Time // last search of the queue for infeasible jobs
-	dispatchDue         time.Time // latest time for the next Dispatch; zero means none
-	localityWaitEnds    time.Time // first time at which a piece no longer waits for a target near its inputs, as of the last Dispatch; zero means none waits
-	firstCallAt         time.Time // start of the first call since the pool began to send
-	lastCallAt          time.Time // start of the last call
-	fetches             []fetch   // in order of time
-	releaseAfter        time.Time // inputs are not released early before this time
+	infeasibleCheckedAt time.Time         // last search of the queue for infeasible jobs
+	dispatchDue         time.Time         // latest time for the next Dispatch; zero means none
+	localityWaitEnds    time.Time         // first time at which a piece no longer waits for a target near its inputs, as of the last Dispatch; zero means none waits
+	firstCallAt         time.Time         // start of the first call since the pool began to send
+	lastCallAt          time.Time         // start of the last call
+	fetches             []fetch           // in order of time
+	releaseAfter        time.Time         // inputs are not released early before this time
+	shares              map[string]*share // claims on the room for results, by class
+	sharesChangeAt      time.Time         // end of the present lifetime of a result in shares
 }
 
 type piece struct {
@@ -63,6 +65,7 @@
 type job struct {
 	Job
 	id        JobID
+	share     *share
 	pieces    []piece
 	handles   []string
 	remaining int
@@ -88,7 +91,7 @@
 	spec.MaxPieces, spec.MaxCalls = max(spec.MaxPieces, 1), max(spec.MaxCalls, 1)
 	return &Pool{
 		spec: spec, workers: map[string]*worker{}, jobs: map[JobID]*job{}, calls: map[CallID]*call{},
-		classFactors: map[string]float64{},
+		classFactors: map[string]float64{}, shares: map[string]*share{},
 	}
 }
 
@@ -102,7 +105,7 @@
 			known.removed = false
 			continue
 		}
-		pool.workers[target.ID] = &worker{Target: target, slowdown: 1, retainedResults: map[string]retainedResult{}}
+		pool.workers[target.ID] = &worker{Target: target, slowdown: 1, retainedResults: map[string]retainedResult{}, heldBytes: map[*share]int64{}}
 	}
 	for id, worker := range pool.workers {
 		if worker.removed && worker.inFlight == 0 {
@@ -114,7 +117,7 @@
 // Submit queues a job and returns its ID.
 func (pool *Pool) Submit(submitted Job) JobID {
 	pool.lastJobID++
-	added := &job{Job: submitted, id: pool.lastJobID, remaining: submitted.Pieces, toBegin: submitted.Pieces, handles: make([]string, submitted.Pieces)}
+	added := &job{Job: submitted, id: pool.lastJobID, share: pool.shareOf(submitted.Class, submitted.ResultBytes), remaining: submitted.Pieces, toBegin: submitted.Pieces, handles: make([]string, submitted.Pieces)}
 	added.pieces = make([]piece, submitted.Pieces)
 	pool.jobs[added.id] = added
 	for i := range added.pieces {
@@ -186,6 +189,7 @@
 	worker.reservedBytes -= call.resultBytes
 	for _, piece := range call.pieces {
 		piece.runningCalls--
+		worker.hold(piece.job.share, -piece.job.ResultBytes)
 	}
 	switch outcome {
 	case Rejected:
@@ -215,10 +219,10 @@
 		result := results[i]
 		switch {
 		case result.Fault == core.PieceDone && returned.done:
-			worker.retain(result.Handle, returned.job.ResultBytes, expires)
+			worker.retain(result.Handle, returned.job.share, returned.job.ResultBytes, expires)
 			unused = append(unused, result.Handle)
 		case result.Fault == core.PieceDone:
-			worker.retain(result.Handle, returned.job.ResultBytes, expires)
+			worker.retain(result.Handle, returned.job.share, returned.job.ResultBytes, expires)
 			ended = append(ended, pool.complete(returned, result.Handle)...)
 		case returned.done:
 		case result.Fault == core.PieceNoRoom:
--- a/core/batch/room.go
+++ b/core/batch/room.go
@@ -13,6 +13,7 @@
 // target full meanwhile.
 type unaccounted struct {
 	bytes      int64 // as of measuredAt
+	refused    int64 // smallest result that found no room then
 	measuredAt time.Time
 	until      time.Time // none of them lives longer
 }
@@ -98,7 +99,7 @@
 	explained := now.Before(until)
 	if explained {
 		bytes := usableResultBytes(pool.spec) - evidence.heldBytes - evidence.fittedBytes
-		worker.unaccounted = unaccounted{bytes: max(bytes, 0), measuredAt: now, until: until}
+		worker.unaccounted = unaccounted{bytes: max(bytes, 0), refused: evidence.smallest, measuredAt: now, until: until}
 	}
 	if evidence.largest >= evidence.smallest {
 		worker.consecutiveFull = 0
--- a/core/batch/roomreplay_test.go
+++ b/core/batch/roomreplay_test.go
@@ -229,3 +229,49 @@
 	}
 	t.Logf("%d pieces found no room", portal.noRoom)
 }
+
+// TestSmallResultsBesideLargeOnes guards against results that nobody frees, of a burst of a class with large ones, which fill
+// the targets of a stage and leave no room for another class that needs a hundredth of it: while they are made, when the other
+// class begins only then, and after the pool that made them was lost.
+func TestSmallResultsBesideLargeOnes(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		bytes int64 // beside 25 results of 1.5 MB half a megabyte stays free, beside 20 of 1.9 MB nothing
+		begin bool  // the small class begins after a second of the burst
+		lose  bool  // the pool is lost after two seconds of the burst
+	}{
+		{"burst", 1_500_000, false, false},
+		{"burst to the brim", 1_900_000, false, false},
+		{"idle class begins", 1_900_000, true, false},
+		{"pool is lost", 1_500_000, false, true},
+		{"pool is lost, to the brim", 1_900_000, false, true},
+	} {
+		share := map[bool]float64{}
+		for _, burst := range []bool{false, true} {
+			large, small := portalLoad()
+			large.bytes, large.perSecond = test.bytes, large.perSecond/2
+			perSecond := small.perSecond
+			portal := newPortal(large, small)
+			portal.run(3 * time.Second)
+			if test.begin {
+				small.perSecond = 0
+			}
+			portal.run(2 * time.Second)
+			if burst {
+				large.perSecond, large.unfreed = large.perSecond*2.1, true
+			}
+			portal.run(time.Second)
+			small.perSecond = perSecond
+			portal.run(time.Second)
+			if test.lose {
+				portal.lose()
+			}
+			portal.run(5 * time.Second)
+			share[burst] = portal.share(7, 11, small.name)
+			t.Logf("%s, %v: %.2f and %.2f in time, %d pieces found no room", test.name, burst, portal.share(7, 11, large.name), share[burst], portal.noRoom)
+		}
+		if share[true] < share[false]*0.9 {
+			t.Errorf("%s: %.2f of the small class are in time beside the burst, %.2f without", test.name, share[true], share[false])
+		}
+	}
+}
--- /dev/null
+++ b/core/batch/shares.go
@@ -0,0 +1,178 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// shareGrowth is the multiple of the room that a class had lately which is kept for it, so that its results may double within the
+// time of a call.
+const shareGrowth = 2
+
+// share is the claim of one class of jobs on the room for results.
+type share struct {
+	class                string
+	bytes                int64 // size of its last result
+	peak, previous       int64 // most bytes that it held at all targets, in the present and the previous lifetime of a result
+	submitted, wasRecent bool  // it got jobs in the present and the previous lifetime
+}
+
+func (share *share) active() bool {
+	return share.submitted || share.wasRecent || share.peak > 0 || share.previous > 0
+}
+
+// shareOf returns the share of a class that gets a job with results of the size.
+func (pool *Pool) shareOf(class string, bytes int64) *share {
+	known := pool.shares[class]
+	if known == nil {
+		known = &share{class: class}
+		pool.shares[class] = known
+	}
+	known.bytes, known.submitted = bytes, true
+	return known
+}
+
+// measureShares records how much room the classes have, and forgets those that were idle for two lifetimes of a result.
+func (pool *Pool) measureShares(now time.Time) {
+	if !now.Before(pool.sharesChangeAt) {
+		pool.sharesChangeAt = now.Add(pool.spec.ResultTTL)
+		for class, share := range pool.shares {
+			share.previous, share.peak = share.peak, 0
+			share.wasRecent, share.submitted = share.submitted, false
+			if !share.active() {
+				delete(pool.shares, class)
+			}
+		}
+	}
+	held := map[*share]int64{}
+	for _, worker := range pool.workers {
+		for share, bytes := range worker.heldBytes {
+			held[share] += bytes
+		}
+	}
+	for share, bytes := range held {
+		if share != nil {
+			share.peak = max(share.peak, bytes)
+		}
+	}
+}
+
+// entitlement returns the room at one target that is kept for the class, in whole results: what it has needed lately and may need
+// next, at most an equal part of the room.
+func (pool *Pool) entitlement(share *share, usable int64) int64 {
+	if !share.active() || share.bytes <= 0 {
+		return 0
+	}
+	needed := max(share.peak, share.previous)*shareGrowth/int64(max(len(pool.workers), 1)) + share.bytes
+	entitled := min(usable/int64(len(pool.shares)), needed)
+	return entitled - entitled%share.bytes
+}
+
+// hold records that results of the class take this many bytes more at the target.
+func (worker *worker) hold(share *share, bytes int64) {
+	if worker.heldBytes[share] += bytes; worker.heldBytes[share] == 0 {
+		delete(worker.heldBytes, share)
+	}
+}
+
+// room is what a target has left for the results of one call.
+//
+// Load pattern: a burst of a class with large results, which nobody frees, beside a class that needs a hundredth of the room. A
+// class may use all room but what is kept for others that were active lately.
+type room struct {
+	free   int64
+	usable int64 // without results that the pool does not know
+	kept   []keptRoom
+	sum    int64 // of kept
+	// beyond is what may be free beyond the estimate, for results that are smaller than the smallest one that found no room.
+	beyond int64
+}
+
+type keptRoom struct {
+	share *share
+	bytes int64
+}
+
+func (pool *Pool) room(now time.Time, worker *worker) room {
+	foreign := worker.unaccounted.at(now)
+	room := room{free: worker.freeResultBytes(now, pool.spec), usable: usableResultBytes(pool.spec) - foreign}
+	if foreign > 0 {
+		room.beyond = max(worker.unaccounted.refused-1, 0)
+	}
+	if len(pool.shares) < 2 {
+		return room
+	}
+	for _, share := range pool.shares {
+		if bytes := pool.entitlement(share, room.usable) - worker.heldBytes[share]; bytes > 0 {
+			room.kept = append(room.kept, keptRoom{share, bytes})
+			room.sum += bytes
+		}
+	}
+	return room
+}
+
+// fits reports whether a result of the job may be placed at the target. One that is larger than its share needs an empty target.
+func (room *room) fits(job *job) bool {
+	free := room.free
+	if job.ResultBytes <= room.beyond {
+		free += room.beyond
+	}
+	others := room.sum
+	for _, kept := range room.kept {
+		if kept.share == job.share {
+			others -= kept.bytes
+		}
+	}
+	return job.ResultBytes <= free && (job.ResultBytes+others <= free || room.free >= room.usable)
+}
+
+// take uses room for a result of the job.
+func (room *room) take(job *job) {
+	room.free -= job.ResultBytes
+	for i, kept := range room.kept {
+		if kept.share == job.share {
+			used := min(kept.bytes, job.ResultBytes)
+			room.kept[i].bytes -= used
+			room.sum -= used
+		}
+	}
+}
+
+// ClassRoom is the room for results that a class of jobs has at all targets together.
+type ClassRoom struct {
+	Class     string
+	HeldBytes int64 // of its results and those of its calls
+	KeptBytes int64 // that other classes leave to it
+	Queued    int   // pieces
+}
+
+// Room returns the room of each class, for the log.
+func (pool *Pool) Room(now time.Time) []ClassRoom {
+	byClass := map[string]*ClassRoom{}
+	at := func(class string) *ClassRoom {
+		if byClass[class] == nil {
+			byClass[class] = &ClassRoom{Class: class}
+		}
+		return byClass[class]
+	}
+	for _, waiting := range pool.queue {
+		at(waiting.job.Class).Queued++
+	}
+	for _, worker := range pool.workers {
+		for share, bytes := range worker.heldBytes {
+			if share != nil {
+				at(share.class).HeldBytes += bytes
+			}
+		}
+		for _, kept := range pool.room(now, worker).kept {
+			at(kept.share.class).KeptBytes += kept.bytes
+		}
+	}
+	var classes []ClassRoom
+	for _, class := range byClass {
+		classes = append(classes, *class)
+	}
+	slices.SortFunc(classes, func(a, b ClassRoom) int { return cmp.Compare(a.Class, b.Class) })
+	return classes
+}
--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -20,6 +20,7 @@
 )
 
 type retainedResult struct {
+	share   *share
 	bytes   int64
 	expires time.Time
 }
@@ -39,6 +40,7 @@
 	reservedBytes       int64     // bytes of the results of calls in flight
 	retainedBytes       int64
 	unaccounted         unaccounted
+	heldBytes           map[*share]int64          // reservedBytes and retainedBytes by class
 	unansweredUntil     time.Time                 // until then, results of calls without a response may occupy room
 	retainedResults     map[string]retainedResult // results that the target retains, by handle
 	nextExpiry          time.Time                 // time until which none of them expires; zero means that there is none
@@ -64,11 +66,12 @@
 	return worker.slowdownAt.Add(time.Duration(halfLives*float64(slowdownHalfLife)) + time.Microsecond) // more than the rounding of currentSlowdown
 }
 
-func (worker *worker) retain(handle string, bytes int64, expires time.Time) {
+func (worker *worker) retain(handle string, share *share, bytes int64, expires time.Time) {
 	if len(worker.retainedResults) >= maxRetainedResults {
 		return
 	}
-	worker.retainedResults[handle] = retainedResult{bytes: bytes, expires: expires}
+	worker.retainedResults[handle] = retainedResult{share: share, bytes: bytes, expires: expires}
+	worker.hold(share, bytes)
 	worker.retainedBytes += bytes
 	worker.nextExpiry = earliest(worker.nextExpiry, expires)
 }
@@ -77,6 +80,7 @@
 	if result, found := worker.retainedResults[handle]; found {
 		delete(worker.retainedResults, handle)
 		worker.retainedBytes -= result.bytes
+		worker.hold(result.share, -result.bytes)
 	}
 }
 
--- a/core/batch/wakeup.go
+++ b/core/batch/wakeup.go
@@ -54,6 +54,9 @@
 // targetsChangeAt returns the first time at which a target may take queued pieces that it cannot take now.
 func (pool *Pool) targetsChangeAt(now time.Time) time.Time {
 	var change time.Time
+	if len(pool.shares) > 1 && pool.sharesChangeAt.After(now) {
+		change = pool.sharesChangeAt
+	}
 	for _, worker := range pool.workers {
 		for _, at := range []time.Time{worker.backoffUntil, worker.fullUntil, now.Add(pool.paceWait(now, worker)), worker.usableFrom(now)} {
 			if at.After(now) {
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -129,7 +129,7 @@
 	sender.lateLoggedAt = now
 	queued, targets := sender.pool.Load(now, maxLateLogTargets)
 	daemon.log.Warn().Str(eventField, eventJobsLate).Str("Service", sender.service).Int("Jobs", late).Int("Queued", queued).Bool("Sends", daemon.senderOf(sender.service) == nil).
-		Dur("IdleFor", now.Sub(sender.dispatchedAt)).Interface("Targets", targets).Msg("queued jobs cannot meet their deadline")
+		Dur("IdleFor", now.Sub(sender.dispatchedAt)).Interface("Targets", targets).Interface("Room", sender.pool.Room(now)).Msg("queued jobs cannot meet their deadline")
 }
 
 // releaseFetched releases inputs that no target will fetch any more, each through the sender of its service; it must run on
