core/batch: probe for room that others have freed

The estimate of unaccounted results fell evenly until their lifetime ended. The estimate now stays, each call tries one result more, and four times as many after each call that found what it tried.

--- a/core/batch/room.go
+++ b/core/batch/room.go
@@ -6,34 +6,26 @@
 	"catkincove/core"
 )
 
-const unaccountedStep = 150 * time.Millisecond // the estimate of unaccounted results changes at multiples of this time, so that few wake-ups follow from it
+// probeGrowth is the factor by which the room that a call tries beyond the estimate grows with each call that found it: results of
+// senders that ended together expire together.
+const probeGrowth = 4
 
 // unaccounted is an estimate of the results at a target that the pool does not know: those of calls that another sender made
 // before this one, and of calls that had no response. It ends when the last of them has expired, however many calls find the
 // target full meanwhile.
 type unaccounted struct {
-	bytes      int64 // as of measuredAt
-	refused    int64 // smallest result that found no room then
-	measuredAt time.Time
-	until      time.Time // none of them lives longer
+	bytes   int64
+	refused int64     // smallest result that found no room in the last call with such a result
+	probe   int64     // room that the next call may try beyond the estimate
+	until   time.Time // none of the results lives longer
 }
 
-// at returns the bytes that are expected at the time; they fall evenly until all results have expired.
+// at returns the bytes that are expected at the time.
 func (unaccounted unaccounted) at(now time.Time) int64 {
-	timeLeft := unaccounted.until.Sub(now.Truncate(unaccountedStep))
-	whole := unaccounted.until.Sub(unaccounted.measuredAt.Truncate(unaccountedStep))
-	if whole <= 0 || !now.Before(unaccounted.until) {
+	if !now.Before(unaccounted.until) {
 		return 0
 	}
-	return int64(float64(unaccounted.bytes) * float64(timeLeft) / float64(whole))
-}
-
-// changesAt returns when the estimate changes next; zero means that it does not.
-func (unaccounted unaccounted) changesAt(now time.Time) time.Time {
-	if unaccounted.bytes == 0 || !now.Before(unaccounted.until) {
-		return time.Time{}
-	}
-	return earliest(now.Truncate(unaccountedStep).Add(unaccountedStep), unaccounted.until)
+	return unaccounted.bytes
 }
 
 // usableResultBytes returns the part of a target's result capacity that the pool plans with.
@@ -43,7 +35,10 @@
 
 // freeResultBytes returns the room at the target for results of further pieces.
 func (worker *worker) freeResultBytes(now time.Time, spec core.BatchSpec) int64 {
-	free := usableResultBytes(spec) - worker.reservedBytes - worker.retainedBytes - worker.unaccounted.at(now)
+	free := usableResultBytes(spec) - worker.reservedBytes - worker.retainedBytes
+	if foreign := worker.unaccounted.at(now); foreign > 0 {
+		free -= max(foreign-worker.unaccounted.probe, 0)
+	}
 	if now.Before(worker.fullUntil) {
 		free = min(free, worker.fullBytes-1)
 	}
@@ -85,10 +80,15 @@
 // that each full call renews keeps the pool from room that is free, and queues grow under the load that it served before.
 func (pool *Pool) recordRoom(now time.Time, call *call, results []core.PieceResult) {
 	worker, evidence := call.worker, call.evidence(results)
+	foreign := max(usableResultBytes(pool.spec)-evidence.heldBytes-evidence.fittedBytes, 0)
 	if !evidence.full {
 		if evidence.largest >= worker.fullBytes {
 			worker.consecutiveFull = 0
 		}
+		if foreign < worker.unaccounted.at(now) {
+			worker.unaccounted.bytes = foreign
+			worker.unaccounted.probe *= probeGrowth
+		}
 		return
 	}
 	fullCall := pool.spec.CallOverhead + pool.spec.PieceTime*time.Duration(pool.spec.MaxPieces) // the last call of another sender
@@ -98,8 +98,7 @@
 	}
 	explained := now.Before(until)
 	if explained {
-		bytes := usableResultBytes(pool.spec) - evidence.heldBytes - evidence.fittedBytes
-		worker.unaccounted = unaccounted{bytes: max(bytes, 0), refused: evidence.smallest, measuredAt: now, until: until}
+		worker.unaccounted = unaccounted{bytes: foreign, refused: evidence.smallest, probe: evidence.smallest, until: until}
 	}
 	if evidence.largest >= evidence.smallest {
 		worker.consecutiveFull = 0
--- a/core/batch/wakeup.go
+++ b/core/batch/wakeup.go
@@ -58,7 +58,7 @@
 		change = pool.sharesChangeAt
 	}
 	for _, worker := range pool.workers {
-		for _, at := range []time.Time{worker.backoffUntil, worker.fullUntil, now.Add(pool.paceWait(now, worker)), worker.usableFrom(now)} {
+		for _, at := range []time.Time{worker.backoffUntil, worker.fullUntil, worker.unaccounted.until, now.Add(pool.paceWait(now, worker)), worker.usableFrom(now)} {
 			if at.After(now) {
 				change = earliest(change, at)
 			}
@@ -66,9 +66,6 @@
 		if !worker.nextExpiry.IsZero() {
 			change = earliest(change, worker.nextExpiry.Add(1)) // expired after that time
 		}
-		if at := worker.unaccounted.changesAt(now); !at.IsZero() {
-			change = earliest(change, at)
-		}
 	}
 	return change
 }
