io/edge: move conversions of batches to core/batch

TargetsOf, IdleForecast, AnyHandle and GroupHandles need nothing of the daemon; no change of behaviour.

--- a/core/batch/roomreplay_test.go
+++ b/core/batch/roomreplay_test.go
@@ -216,7 +216,7 @@
 // TestRoomAfterLoss guards against a pool that stays slow after all daemons were lost: it took each full target for one whose
 // capacity was occupied for another lifetime of a result, and used less and less of what was free.
 //
-// The lost results occupy three quarters of the room for 4 s after the end of their calls, so that large ones cannot be back
+// The lost results occupy more than four fifths of the room for 4 s after the end of their calls, so that large ones cannot be back
 // sooner; small ones need no room that those hold.
 func TestRoomAfterLoss(t *testing.T) {
 	large, small := portalLoad()
--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -1,9 +1,11 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"catkincove/core"
+	"catkincove/core/place"
 )
 
 // JobID identifies a job of a pool.
@@ -38,6 +40,15 @@
 	StartedAt  time.Time // start of this run; results of earlier runs are gone
 }
 
+// TargetsOf returns the targets of a service as they are known for placement.
+func TargetsOf(targets []place.Target) []Target {
+	list := make([]Target, 0, len(targets))
+	for _, target := range targets {
+		list = append(list, Target{ID: target.ID, Address: target.Address, DataCentre: target.DataCentre, StartedAt: target.StartedAt})
+	}
+	return list
+}
+
 // Call is a batch to send to a target.
 type Call struct {
 	ID            CallID
@@ -76,6 +87,15 @@
 	Ahead       []time.Duration // work of all targets before a job; the index is the time left to its soft deadline, in ForecastStep
 }
 
+// IdleForecast returns the forecast of a pool without jobs; without a specification the time of a call is not known.
+func IdleForecast(targets int, spec *core.BatchSpec) Forecast {
+	idle := Forecast{Capacity: float64(targets)}
+	if spec != nil {
+		idle.Call = spec.CallOverhead + spec.PieceTime*time.Duration(spec.MaxPieces)/2
+	}
+	return idle
+}
+
 // ForecastStep is the width of the steps of Forecast.Ahead.
 const ForecastStep = 250 * time.Millisecond
 
@@ -90,3 +110,17 @@
 	step := min(max(int(timeLeft/ForecastStep), 0), len(forecast.Ahead)-1)
 	return time.Duration(float64(forecast.Ahead[step]) / forecast.Capacity)
 }
+
+// AnyHandle reports whether one of the pieces has a result.
+func AnyHandle(results []core.PieceResult) bool {
+	return slices.ContainsFunc(results, func(result core.PieceResult) bool { return result.Handle != "" })
+}
+
+// GroupHandles returns the handles by their key, such as the address of their target.
+func GroupHandles(handles []string, key func(handle string) string) map[string][]string {
+	groups := map[string][]string{}
+	for _, handle := range handles {
+		groups[key(handle)] = append(groups[key(handle)], handle)
+	}
+	return groups
+}
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -5,13 +5,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"catkincove/core"
 	"catkincove/core/batch"
 	"catkincove/core/limit"
-	"catkincove/core/place"
 	"catkincove/io/xchg"
 )
 
@@ -67,24 +65,16 @@
 		}
 		known.pool.Pacer = limit.Sender{Table: &daemon.control.limits}
 		daemon.control.senders[service] = known
-		known.pool.SetTargets(batchTargets(daemon.view.Load().targets[service]))
+		known.pool.SetTargets(batch.TargetsOf(daemon.view.Load().targets[service]))
 		daemon.log.Info().Str(eventField, eventSenderStarts).Str("Service", service).Msg("this daemon now sends the batches of the service")
 	}
 	return known
 }
 
-func batchTargets(targets []place.Target) []batch.Target {
-	list := make([]batch.Target, 0, len(targets))
-	for _, target := range targets {
-		list = append(list, batch.Target{ID: target.ID, Address: target.Address, DataCentre: target.DataCentre, StartedAt: target.StartedAt})
-	}
-	return list
-}
-
 // refreshSenders gives the targets of a new view to all senders; it must run on the loop.
 func (daemon *Daemon) refreshSenders(next *view) {
 	for service, sender := range daemon.control.senders {
-		sender.pool.SetTargets(batchTargets(next.targets[service]))
+		sender.pool.SetTargets(batch.TargetsOf(next.targets[service]))
 		daemon.dispatch(sender)
 	}
 }
@@ -138,13 +128,8 @@
 	if len(handles) == 0 {
 		return
 	}
-	byService := map[string][]string{}
-	view := daemon.view.Load()
-	for _, handle := range handles {
-		service := view.services[daemon.dialect.HandleAddress(handle)]
-		byService[service] = append(byService[service], handle)
-	}
-	for service, handles := range byService {
+	services := daemon.view.Load().services
+	for service, handles := range batch.GroupHandles(handles, func(handle string) string { return services[daemon.dialect.HandleAddress(handle)] }) {
 		daemon.releaseResults(service, results{handles: handles})
 	}
 }
@@ -249,7 +234,7 @@
 		return nil, batch.Failed, err
 	}
 	daemon.paths.reached(call.Target.Address)
-	if !anyResult(results) {
+	if !batch.AnyHandle(results) {
 		cancel() // closes the connection: a second copy of a response without handles could not be told from the next response
 	}
 	_ = response.Body.Close()
@@ -268,10 +253,6 @@
 	return results, batch.Responded, nil
 }
 
-func anyResult(results []core.PieceResult) bool {
-	return slices.ContainsFunc(results, func(result core.PieceResult) bool { return result.Handle != "" })
-}
-
 // isRepeated reports whether a response to a batch call is a second copy of an earlier one.
 func (daemon *Daemon) isRepeated(results []core.PieceResult) bool {
 	daemon.repeatsMutex.Lock()
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -501,12 +501,7 @@
 }
 
 func (daemon *Daemon) freeDirectly(handles []string) {
-	byAddress := map[string][]string{}
-	for _, handle := range handles {
-		address := daemon.dialect.HandleAddress(handle)
-		byAddress[address] = append(byAddress[address], handle)
-	}
-	for address, handles := range byAddress {
+	for address, handles := range batch.GroupHandles(handles, daemon.dialect.HandleAddress) {
 		daemon.spawn("free", func() { daemon.sendFree(address, handles) })
 	}
 }
@@ -539,9 +534,5 @@
 	} else if received, found := known.forecasts[service]; found && now.Sub(received.at) < forecastTTL {
 		return received.Forecast, true
 	}
-	idle := batch.Forecast{Capacity: float64(len(view.targets[service]))}
-	if spec := view.routing.Services[service].Batch; spec != nil {
-		idle.Call = spec.CallOverhead + spec.PieceTime*time.Duration(spec.MaxPieces)/2
-	}
-	return idle, len(view.targets[service]) == 0
+	return batch.IdleForecast(len(view.targets[service]), view.routing.Services[service].Batch), len(view.targets[service]) == 0
 }
