io/edge: a daemon that is asked for pieces names the sender that it knows

Cause of the pool that stays slow after a power cut: two daemons send the batches of one service. After the cut a dozen of them took the role within half a second; in a fleet of 88 the others meet few daemons a second, and each asks the sender that it knows, so that both stay. The inference of held room, which was suspected, had ended by then.

A daemon that knows of another current sender that goes before it now replies PieceMoved with its address, once for a job.

--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -44,6 +44,7 @@
 	Zone      string        // data centre in which the stage should run; empty means any
 	Aim       time.Duration // time left to the soft deadline of the stage
 	Left      time.Duration // time left to the deadline of the stage
+	Named     bool          // another daemon has named the receiver as the sender; not stated by older builds
 }
 
 type piecesReply struct {
@@ -51,6 +52,7 @@
 	Released bool // the inputs were released
 	Fault    core.PieceFault
 	Forecast batch.Forecast
+	Sender   string // peer address of the daemon that sends the batches, if it is another one; the fault is then PieceMoved
 
 	sender string // peer address of the daemon that sent the pieces
 }
@@ -377,7 +379,8 @@
 			owner.forecasts[message.Service] = forecastAt{Forecast: reply.Forecast, at: daemon.clock.Now()}
 		})
 		if reply.Fault == core.PieceMoved {
-			daemon.do(func() { owner.leaving = true })
+			message.Named = reply.Sender != ""
+			daemon.do(func() { daemon.noteSender(owner, message.Service, reply.Sender) })
 			continue
 		}
 		reply.sender = address
@@ -386,6 +389,25 @@
 	return daemon.produceLocally(ctx, message)
 }
 
+// noteSender notes that a daemon does not send the batches of the service: the one at the address does, or, without an
+// address, the daemon is leaving; it must run on the loop.
+//
+// After a loss of all daemons, several take the role at once, and in a large fleet the others meet only some of them. Each
+// of two senders takes the calls of the other for slow targets and sends small calls.
+func (daemon *Daemon) noteSender(former *peer, service, address string) {
+	if address == "" {
+		former.leaving = true
+		return
+	}
+	if sender := daemon.control.peers[address]; sender != nil {
+		delete(former.sendsFor, service)
+		if sender.sendsFor == nil {
+			sender.sendsFor = map[string]bool{}
+		}
+		sender.sendsFor[service] = true
+	}
+}
+
 // checked returns the reply, or its fault as an error.
 func (reply piecesReply) checked(stage int) (piecesReply, error) {
 	if reply.Fault != core.PieceDone {
@@ -435,10 +457,15 @@
 		http.Error(writer, "number of pieces", http.StatusBadRequest)
 		return
 	}
-	moved := daemon.leaving.Load()
-	daemon.do(func() { moved = moved || daemon.othersReachTargets(daemon.clock.Now()) })
+	moved, sender := daemon.leaving.Load(), ""
+	daemon.do(func() {
+		moved = moved || daemon.othersReachTargets(daemon.clock.Now())
+		if known := daemon.senderOf(message.Service); known != nil && known.sendsFor[message.Service] && !message.Named {
+			moved, sender = true, known.Peer
+		}
+	})
 	if moved {
-		writeJSON(writer, piecesReply{Fault: core.PieceMoved})
+		writeJSON(writer, piecesReply{Fault: core.PieceMoved, Sender: sender})
 		return
 	}
 	reply, err := daemon.produceLocally(request.Context(), message)
--- a/io/edge/stages_test.go
+++ b/io/edge/stages_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -159,3 +160,37 @@
 		}
 	}
 }
+
+// TestTwoSenders guards against two daemons that both send the batches of a service for many seconds, because the others know one
+// of them only: each takes the calls of the other for slow targets. A daemon that knows of the other sender names it, once for a job.
+func TestTwoSenders(t *testing.T) {
+	calls := &peerCalls{}
+	daemon := newFleetMemberWith(t, calls, core.SystemClock{})
+	first, second := fleetRecord(3), fleetRecord(5)
+	var asked []string
+	calls.pieces = func(host string, message piecesRequest) piecesReply {
+		asked = append(asked, fmt.Sprint(host, " ", message.Named))
+		if host == first.Peer {
+			return piecesReply{Fault: core.PieceMoved, Sender: second.Peer}
+		}
+		return piecesReply{Handles: []string{"h"}}
+	}
+	daemon.do(func() { daemon.setSender(first) })
+	for range 2 {
+		if _, err := daemon.produce(t.Context(), piecesRequest{Service: "stock", Pieces: 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if want := []string{first.Peer + " false", second.Peer + " true", second.Peer + " false"}; !slices.Equal(asked, want) {
+		t.Errorf("asked %v, want %v", asked, want)
+	}
+	for named, want := range map[bool]piecesReply{false: {Fault: core.PieceMoved, Sender: second.Peer}, true: {Fault: core.PieceLate}} {
+		body, _ := json.Marshal(piecesRequest{Service: "stock", Spec: daemon.view.Load().routing.Services["stock"].Batch, Pieces: 1, Named: named})
+		answer := httptest.NewRecorder()
+		daemon.servePieces(answer, httptest.NewRequest(http.MethodPost, pathPieces, bytes.NewReader(body)))
+		var got piecesReply
+		if err := json.Unmarshal(answer.Body.Bytes(), &got); err != nil || got.Fault != want.Fault || got.Sender != want.Sender {
+			t.Errorf("named %v: %+v, %v, want %+v", named, got, err, want)
+		}
+	}
+}
