--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -59,6 +59,14 @@
 	return pool.spec.CallOverhead + pieceTimes*time.Duration(size)/time.Duration(len(pool.queue))
 }
 
+// RecentForecast returns a forecast that is no older than the age.
+func (pool *Pool) RecentForecast(now time.Time, maxAge time.Duration) Forecast {
+	if now.Sub(pool.forecastAt) > maxAge {
+		pool.recentForecast, pool.forecastAt = pool.Forecast(now), now
+	}
+	return pool.recentForecast
+}
+
 // Forecast returns an estimate of how long new jobs would wait.
 func (pool *Pool) Forecast(now time.Time) Forecast {
 	forecast := Forecast{Call: pool.typicalCallTime(), ShortOfRoom: pool.isShortOfRoom(now), Ahead: make([]time.Duration, forecastSteps)}
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -41,13 +41,15 @@
 	classFactors        map[string]float64 // time of a piece relative to spec.PieceTime, by class
 	lastJobID           JobID
 	lastCallID          CallID
-	infeasibleCheckedAt time.Time         // last search of the queue for infeasible jobs
-	dispatchDue         time.Time         // latest time for the next Dispatch; zero means none
-	localityWaitEnds    time.Time         // first time at which a piece no longer waits for a target near its inputs, as of the last Dispatch; zero means none waits
-	firstCallAt         time.Time         // start of the first call since the pool began to send
-	lastCallAt          time.Time         // start of the last call
-	fetches             []fetch           // in order of time
-	releaseAfter        time.Time         // inputs are not released early before this time
+	infeasibleCheckedAt time.Time // last search of the queue for infeasible jobs
+	dispatchDue         time.Time // latest time for the next Dispatch; zero means none
+	localityWaitEnds    time.Time // first time at which a piece no longer waits for a target near its inputs, as of the last Dispatch; zero means none waits
+	firstCallAt         time.Time // start of the first call since the pool began to send
+	lastCallAt          time.Time // start of the last call
+	fetches             []fetch   // in order of time
+	releaseAfter        time.Time // inputs are not released early before this time
+	recentForecast      Forecast
+	forecastAt          time.Time         // of recentForecast
 	shares              map[string]*share // claims on the room for results, by class
 	sharesChangeAt      time.Time         // end of the present lifetime of a result in shares
 }
--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -124,3 +124,16 @@
 	}
 	return groups
 }
+
+// MostCommon returns the key that most of the handles have, such as the data centre of their target, and how many have it; of keys
+// that are as common, the one that is so first.
+func MostCommon(handles []string, key func(handle string) string) (most string, count int) {
+	counts := map[string]int{}
+	for _, handle := range handles {
+		found := key(handle)
+		if counts[found]++; counts[found] > counts[most] || most == "" {
+			most = found
+		}
+	}
+	return most, counts[most]
+}
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -134,7 +134,7 @@
 	status.Limits = daemon.limitsToGossip(now, len(status.Sends) > 0)
 	for service, sender := range daemon.control.senders {
 		if sender.inUse(now) {
-			status.Forecasts[service] = sender.forecast(now)
+			status.Forecasts[service] = sender.pool.RecentForecast(now, statusTTL)
 		}
 	}
 	if len(daemon.control.peers) >= largeFleet {
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -40,17 +40,6 @@
 	dispatchedAt time.Time           // last Dispatch before the present one
 	lateLoggedAt time.Time           // last log line about jobs that could not meet their deadline
 	pendingFrees map[string][]string // handles to free, by address
-
-	lastForecast batch.Forecast
-	forecastAt   time.Time
-}
-
-// forecast returns the pool's forecast, computed at most every statusTTL.
-func (sender *sender) forecast(now time.Time) batch.Forecast {
-	if now.Sub(sender.forecastAt) > statusTTL {
-		sender.lastForecast, sender.forecastAt = sender.pool.Forecast(now), now
-	}
-	return sender.lastForecast
 }
 
 func (sender *sender) inUse(now time.Time) bool { return now.Sub(sender.lastJobAt) < senderIdleTimeout }
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -251,16 +251,8 @@
 // result.
 func (daemon *Daemon) dataCentreOf(handles []string, bytes int64) (string, int64) {
 	view := daemon.view.Load()
-	sums := map[string]int64{}
-	largest := ""
-	for _, handle := range handles {
-		dataCentre := view.dataCentres[daemon.dialect.HandleAddress(handle)]
-		sums[dataCentre] += bytes
-		if sums[dataCentre] > sums[largest] || largest == "" {
-			largest = dataCentre
-		}
-	}
-	return largest, sums[largest]
+	most, count := batch.MostCommon(handles, func(handle string) string { return view.dataCentres[daemon.dialect.HandleAddress(handle)] })
+	return most, int64(count) * bytes
 }
 
 func (run *stageRun) free(i int) {
@@ -478,7 +470,7 @@
 	}
 	daemon.do(func() {
 		if owner := daemon.control.senders[message.Service]; owner != nil {
-			reply.Forecast = owner.forecast(daemon.clock.Now())
+			reply.Forecast = owner.pool.RecentForecast(daemon.clock.Now(), statusTTL)
 		}
 	})
 	writeJSON(writer, reply)
@@ -556,7 +548,7 @@
 	known := daemon.senderOf(service)
 	if known == nil {
 		if local := daemon.control.senders[service]; local != nil {
-			return local.forecast(now), true
+			return local.pool.RecentForecast(now, statusTTL), true
 		}
 	} else if received, found := known.forecasts[service]; found && now.Sub(received.at) < forecastTTL {
 		return received.Forecast, true
