core/batch: shares of room by the mean of what classes held lately

A share was twice the most that a class had held in up to 8 s. It is now twice the mean of a period of half a lifetime of a result, the larger of the last two.

--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -15,6 +15,7 @@
 	for _, worker := range pool.workers {
 		worker.expireRetainedResults(now)
 	}
+	pool.measureShares(now)
 	pool.requeueStalled(now)
 	ended, unused = pool.rejectInfeasible(now)
 	pool.localityWaitEnds = time.Time{}
@@ -34,7 +35,6 @@
 		return nil // most events on a long queue end here, without the cost of sorting it
 	}
 	pool.sortQueue(now)
-	pool.measureShares(now)
 	dataCentres := pool.usableDataCentres(now)
 	var calls []Call
 	for i, worker := range idle {
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -51,7 +51,8 @@
 	recentForecast      Forecast
 	forecastAt          time.Time         // of recentForecast
 	shares              map[string]*share // claims on the room for results, by class
-	sharesChangeAt      time.Time         // end of the present lifetime of a result in shares
+	sharesMeasuredAt    time.Time
+	sharesChangeAt      time.Time // end of the present period of shares
 }
 
 type piece struct {
--- a/core/batch/shares.go
+++ b/core/batch/shares.go
@@ -6,20 +6,34 @@
 	"time"
 )
 
-// shareGrowth is the multiple of the room that a class had lately which is kept for it, so that its results may double within the
-// time of a call.
-const shareGrowth = 2
+const (
+	// shareGrowth is the multiple of the room that a class had lately which is kept for it, so that its results may double within the
+	// time of a call.
+	shareGrowth = 2
+	// shareWindows is the number of periods in a lifetime of a result over which the room of a class is averaged.
+	shareWindows = 2
+	// shareSampling is the shortest time between two samples of the room that the classes have.
+	shareSampling = 20 * time.Millisecond
+)
 
 // share is the claim of one class of jobs on the room for results.
 type share struct {
-	class                string
-	bytes                int64 // size of its last result
-	peak, previous       int64 // most bytes that it held at all targets, in the present and the previous lifetime of a result
-	submitted, wasRecent bool  // it got jobs in the present and the previous lifetime
+	class     string
+	bytes     int64                  // size of its last result
+	sum       float64                // of the bytes that it held at all targets, times seconds, in the present period
+	lately    [shareWindows]int64    // mean of the bytes that it held in each of the last periods
+	submitted [shareWindows + 1]bool // it got jobs in the present and in each of the last periods
 }
 
 func (share *share) active() bool {
-	return share.submitted || share.wasRecent || share.peak > 0 || share.previous > 0
+	return slices.Contains(share.submitted[:], true) || slices.Max(share.lately[:]) > 0
+}
+
+// endPeriod begins the next period.
+func (share *share) endPeriod(took time.Duration) {
+	copy(share.lately[1:], share.lately[:])
+	copy(share.submitted[1:], share.submitted[:])
+	share.lately[0], share.submitted[0], share.sum = int64(share.sum/took.Seconds()), false, 0
 }
 
 // shareOf returns the share of a class that gets a job with results of the size.
@@ -29,42 +43,47 @@
 		known = &share{class: class}
 		pool.shares[class] = known
 	}
-	known.bytes, known.submitted = bytes, true
+	known.bytes, known.submitted[0] = bytes, true
 	return known
 }
 
-// measureShares records how much room the classes have, and forgets those that were idle for two lifetimes of a result.
+// measureShares records how much room the classes have, and forgets those that were idle for a lifetime of a result.
 func (pool *Pool) measureShares(now time.Time) {
-	if !now.Before(pool.sharesChangeAt) {
-		pool.sharesChangeAt = now.Add(pool.spec.ResultTTL)
-		for class, share := range pool.shares {
-			share.previous, share.peak = share.peak, 0
-			share.wasRecent, share.submitted = share.submitted, false
-			if !share.active() {
-				delete(pool.shares, class)
-			}
-		}
+	period := pool.spec.ResultTTL / shareWindows
+	if pool.sharesMeasuredAt.IsZero() {
+		pool.sharesMeasuredAt, pool.sharesChangeAt = now, now.Add(period)
 	}
-	held := map[*share]int64{}
+	elapsed := now.Sub(pool.sharesMeasuredAt)
+	if elapsed < shareSampling && now.Before(pool.sharesChangeAt) {
+		return
+	}
+	pool.sharesMeasuredAt = now
 	for _, worker := range pool.workers {
 		for share, bytes := range worker.heldBytes {
-			held[share] += bytes
+			if share != nil {
+				share.sum += float64(bytes) * elapsed.Seconds()
+			}
 		}
 	}
-	for share, bytes := range held {
-		if share != nil {
-			share.peak = max(share.peak, bytes)
+	if now.Before(pool.sharesChangeAt) {
+		return
+	}
+	took := now.Sub(pool.sharesChangeAt) + period
+	pool.sharesChangeAt = now.Add(period)
+	for class, share := range pool.shares {
+		if share.endPeriod(took); !share.active() {
+			delete(pool.shares, class)
 		}
 	}
 }
 
-// entitlement returns the room at one target that is kept for the class, in whole results: what it has needed lately and may need
-// next, at most an equal part of the room.
+// entitlement returns the room at one target that is kept for the class, in whole results: what it had lately and may need next,
+// at most an equal part of the room.
 func (pool *Pool) entitlement(share *share, usable int64) int64 {
 	if !share.active() || share.bytes <= 0 {
 		return 0
 	}
-	needed := max(share.peak, share.previous)*shareGrowth/int64(max(len(pool.workers), 1)) + share.bytes
+	needed := slices.Max(share.lately[:])*shareGrowth/int64(max(len(pool.workers), 1)) + share.bytes
 	entitled := min(usable/int64(len(pool.shares)), needed)
 	return entitled - entitled%share.bytes
 }
