core/batch, io/edge: the sender frees what a terminated daemon held

Results of daemons that were killed took room until they expired, and their queued jobs were sent for callers that were gone. A request for pieces states the run of its daemon; the sender keeps it with each result. A connection that breaks while a job waits makes the sender ping that daemon; a refused connection, or another run at the address, proves that it has terminated. Silence proves nothing.

Tests: retain takes a retainedResult in TestLoad and TestQueuedJobIsWoken.

--- a/core/batch/load_test.go
+++ b/core/batch/load_test.go
@@ -10,7 +10,7 @@
 func TestLoad(t *testing.T) {
 	pool := New(warehouseSpec)
 	pool.SetTargets(targets(3))
-	pool.workers["t0"].retain("h", nil, 1000, start.Add(time.Second))
+	pool.workers["t0"].retain("h", retainedResult{bytes: 1000, expires: start.Add(time.Second)})
 	pool.Submit(Job{Pieces: 9, ResultBytes: 2_000_000, SoftDeadline: start.Add(time.Second), Deadline: start.Add(2 * time.Second)})
 	pool.SetTargets(targets(1))
 	pool.Dispatch(start)
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -222,10 +222,10 @@
 		result := results[i]
 		switch {
 		case result.Fault == core.PieceDone && returned.done:
-			worker.retain(result.Handle, returned.job.share, returned.job.ResultBytes, expires)
+			worker.retain(result.Handle, retainedResult{owner: returned.job.Owner, share: returned.job.share, bytes: returned.job.ResultBytes, expires: expires})
 			unused = append(unused, result.Handle)
 		case result.Fault == core.PieceDone:
-			worker.retain(result.Handle, returned.job.share, returned.job.ResultBytes, expires)
+			worker.retain(result.Handle, retainedResult{owner: returned.job.Owner, share: returned.job.share, bytes: returned.job.ResultBytes, expires: expires})
 			ended = append(ended, pool.complete(returned, result.Handle)...)
 		case returned.done:
 		case result.Fault == core.PieceNoRoom:
--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -20,6 +20,7 @@
 )
 
 type retainedResult struct {
+	owner   string // daemon that holds it; empty means this one or one of an older build
 	share   *share
 	bytes   int64
 	expires time.Time
@@ -66,14 +67,14 @@
 	return worker.slowdownAt.Add(time.Duration(halfLives*float64(slowdownHalfLife)) + time.Microsecond) // more than the rounding of currentSlowdown
 }
 
-func (worker *worker) retain(handle string, share *share, bytes int64, expires time.Time) {
+func (worker *worker) retain(handle string, result retainedResult) {
 	if len(worker.retainedResults) >= maxRetainedResults {
 		return
 	}
-	worker.retainedResults[handle] = retainedResult{share: share, bytes: bytes, expires: expires}
-	worker.hold(share, bytes)
-	worker.retainedBytes += bytes
-	worker.nextExpiry = earliest(worker.nextExpiry, expires)
+	worker.retainedResults[handle] = result
+	worker.hold(result.share, result.bytes)
+	worker.retainedBytes += result.bytes
+	worker.nextExpiry = earliest(worker.nextExpiry, result.expires)
 }
 
 func (worker *worker) freeRetainedResult(handle string) {
--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -17,6 +18,7 @@
 // Job is the work of one stage of one request.
 type Job struct {
 	Attempt     string
+	Owner       string // daemon whose request it is, if it is another one; see Pool.Abandon
 	Stage       int
 	Pieces      int
 	Key         string
@@ -78,6 +80,15 @@
 	InputsReleased bool
 }
 
+// StageError says why a stage of a request has no results; the request itself has not run.
+type StageError struct {
+	Stage int
+	Fault core.PieceFault
+}
+
+// Error returns the stage and its fault.
+func (e *StageError) Error() string { return fmt.Sprintf("stage %d: %s", e.Stage, e.Fault) }
+
 // Forecast tells other daemons how long new work would wait; the zero value means no capacity.
 type Forecast struct {
 	Capacity    float64         // usable targets; slow ones count in part
--- a/core/batch/wakeup_test.go
+++ b/core/batch/wakeup_test.go
@@ -23,19 +23,21 @@
 		late     bool          // the job ends
 	}{
 		{"retained results expire", targets(1), 1, soon, func(pool *Pool) {
-			pool.workers["t0"].retain("h", nil, large, start.Add(3*time.Second))
+			pool.workers["t0"].retain("h", retainedResult{bytes: large, expires: start.Add(3 * time.Second)})
 		}, 3 * time.Second, 3005 * time.Millisecond, false},
 		{"unaccounted results expire", targets(1), 1, soon, func(pool *Pool) {
 			pool.workers["t0"].unaccounted = unaccounted{bytes: 17_100_000, until: start.Add(warehouseSpec.ResultTTL)}
 		}, 4 * time.Second, 4005 * time.Millisecond, false},
 		{"a slow target is tried again", targets(2), 1, soon, func(pool *Pool) {
-			pool.workers["t0"].retain("h", nil, large, start.Add(time.Minute))
+			pool.workers["t0"].retain("h", retainedResult{bytes: large, expires: start.Add(time.Minute)})
 			pool.workers["t1"].slowdown, pool.workers["t1"].slowdownAt = 5, start
 		}, 4 * time.Second, 4005 * time.Millisecond, false},
 		{
 			"a full target near the inputs", []Target{{ID: "near", DataCentre: "a"}, {ID: "far", DataCentre: "b"}}, 1,
 			Job{Pieces: 1, ResultBytes: large, DataCentre: "a", SoftDeadline: start.Add(2 * time.Second), Deadline: start.Add(6 * time.Second)},
-			func(pool *Pool) { pool.workers["near"].retain("h", nil, large, start.Add(time.Minute)) },
+			func(pool *Pool) {
+				pool.workers["near"].retain("h", retainedResult{bytes: large, expires: start.Add(time.Minute)})
+			},
 			1600 * time.Millisecond, 1800 * time.Millisecond, false,
 		},
 		{
@@ -43,7 +45,7 @@
 			func(*Pool) {}, 0, 5 * time.Millisecond, false,
 		},
 		{"the caller can still retry", targets(1), 1, soon, func(pool *Pool) {
-			pool.workers["t0"].retain("h", nil, large, start.Add(time.Minute))
+			pool.workers["t0"].retain("h", retainedResult{bytes: large, expires: start.Add(time.Minute)})
 		}, 2500 * time.Millisecond, 3 * time.Second, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -37,6 +37,7 @@
 	eventPeerForgotten       = "PeerForgotten"       // another daemon was removed
 	eventSenderStarts        = "SenderStarts"        // this daemon starts to send the batches of a service
 	eventJobsHandedOver      = "JobsHandedOver"      // queued jobs were handed over to another daemon
+	eventResultsAbandoned    = "ResultsAbandoned"    // the results of a daemon that terminated are freed
 	eventSenderFailed        = "SenderFailed"        // the sender of a service failed; its pieces go to the next one
 	eventPlacedAlone         = "PlacedAlone"         // an engine is chosen from local state
 	eventBatchFailed         = "BatchFailed"         // a batch call failed
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"catkincove/core"
@@ -165,6 +166,7 @@
 	known := daemon.addPeer(now, status.Record)
 	if known.ID != status.Record.ID {
 		// The daemon at the address has restarted: calls to the earlier run have failed.
+		daemon.freeResultsOf(known.ID)
 		known.cancelCalls()
 		known.callContext, known.cancelCalls = context.WithCancel(context.Background())
 		known.record, known.forecasts = status.Record, map[string]forecastAt{}
@@ -286,12 +288,22 @@
 	})
 }
 
+// checkPeer pings a daemon unless a ping is under way; it must run on the loop.
+func (daemon *Daemon) checkPeer(address string) {
+	if known := daemon.control.peers[address]; known != nil && (known.unansweredSince.IsZero() || daemon.clock.Now().Sub(known.unansweredSince) > pingTimeout) {
+		daemon.spawn("ping", func() { daemon.ping(address) })
+	}
+}
+
 // handlePingFailure records a failed ping and cancels the calls in progress to a daemon that is suspect; it must run on
 // the loop.
 func (daemon *Daemon) handlePingFailure(address string, err error) {
 	now := daemon.clock.Now()
 	daemon.metrics.peerErrors.Add(1)
 	known := daemon.control.peers[address]
+	if known != nil && errors.Is(err, syscall.ECONNREFUSED) {
+		daemon.freeResultsOf(known.ID)
+	}
 	if known == nil || known.lastSeen.IsZero() || !daemon.isSuspect(now, known) {
 		return
 	}
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -156,6 +156,16 @@
 	}
 }
 
+// freeResultsOf frees what the requests of a daemon that has terminated held; it must run on the loop.
+func (daemon *Daemon) freeResultsOf(ended core.MemberID) {
+	for service, sender := range daemon.control.senders {
+		if jobs, handles := sender.pool.Abandon(string(ended)); len(jobs)+len(handles) > 0 {
+			daemon.deliver(sender, jobs, handles)
+			daemon.log.Info().Str(eventField, eventResultsAbandoned).Str("Service", service).Str("Peer", string(ended)).Int("Jobs", len(jobs)).Int("Results", len(handles)).Msg("daemon terminated; freeing its results")
+		}
+	}
+}
+
 // cancelJob cancels a job that no request waits for any more; it must run on the loop.
 func (daemon *Daemon) cancelJob(sender *sender, id batch.JobID) {
 	if channel := sender.results[id]; channel != nil {
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -44,6 +44,8 @@
 	Zone      string        // data centre in which the stage should run; empty means any
 	Aim       time.Duration // time left to the soft deadline of the stage
 	Left      time.Duration // time left to the deadline of the stage
+	Peer      string        // address of the requesting daemon
+	Daemon    core.MemberID // its run, whose results are freed when it has terminated; neither is stated by older builds
 	Named     bool          // another daemon has named the receiver as the sender; not stated by older builds
 }
 
@@ -69,14 +71,7 @@
 	Handles []string
 }
 
-// stageError says why a stage of a request has no results; the request itself has not run.
-type stageError struct {
-	stage int
-	fault core.PieceFault
-}
-
-// Error returns the stage and its fault.
-func (e *stageError) Error() string { return fmt.Sprintf("stage %d: %s", e.stage, e.fault) }
+type stageError = batch.StageError
 
 // stageRun runs the stages of one request.
 type stageRun struct {
@@ -222,7 +217,7 @@
 	stage := request.route.Stages[i]
 	now := run.daemon.clock.Now()
 	return piecesRequest{
-		Service: stage.Service, Spec: request.services[stage.Service].Batch, Attempt: request.caller.Attempt, Stage: i, Pieces: pieces, Key: request.caller.PieceKey,
+		Service: stage.Service, Spec: request.services[stage.Service].Batch, Attempt: request.caller.Attempt, Stage: i, Pieces: pieces, Key: request.caller.PieceKey, Peer: run.daemon.options.Settings.AdvertisePeer, Daemon: run.daemon.id,
 		Inputs: inputs, Bytes: stage.ResultBytes, Zone: run.dataCentre(i, inputs), Class: fmt.Sprintf("%s/%d", request.route.Name, i), Priority: request.priority, Returning: request.returning,
 		Aim:  request.softDeadline.Sub(now) - run.plan.Remaining[i],
 		Left: request.deadline.Sub(now) - run.plan.Remaining[i]/2,
@@ -278,10 +273,10 @@
 		return nil
 	}
 	produced, err := daemon.runStages(ctx, request, true)
-	if failed := (*stageError)(nil); errors.As(err, &failed) && failed.fault == core.PieceInputGone {
+	if failed := (*stageError)(nil); errors.As(err, &failed) && failed.Fault == core.PieceInputGone {
 		// A piece failed after its inputs had been released, or the target that held them has ended.
 		daemon.metrics.stagesRepeated.Add(1)
-		daemon.log.Warn().Str(eventField, eventStagesRepeated).Str("Request", request.caller.Attempt).Int("Stage", failed.stage).Msg("inputs of a stage are gone; running the stages again")
+		daemon.log.Warn().Str(eventField, eventStagesRepeated).Str("Request", request.caller.Attempt).Int("Stage", failed.Stage).Msg("inputs of a stage are gone; running the stages again")
 		produced, err = daemon.runStages(ctx, request, false)
 	}
 	if err != nil {
@@ -344,7 +339,7 @@
 		})
 		if owner == nil {
 			reply, err := daemon.produceLocally(ctx, message)
-			if failed := (*stageError)(nil); errors.As(err, &failed) && failed.fault == core.PieceMoved {
+			if failed := (*stageError)(nil); errors.As(err, &failed) && failed.Fault == core.PieceMoved {
 				continue
 			}
 			return reply, err
@@ -403,7 +398,7 @@
 // checked returns the reply, or its fault as an error.
 func (reply piecesReply) checked(stage int) (piecesReply, error) {
 	if reply.Fault != core.PieceDone {
-		return piecesReply{}, &stageError{stage: stage, fault: reply.Fault}
+		return piecesReply{}, &stageError{Stage: stage, Fault: reply.Fault}
 	}
 	return reply, nil
 }
@@ -412,7 +407,7 @@
 func (daemon *Daemon) produceLocally(ctx context.Context, message piecesRequest) (piecesReply, error) {
 	spec := cmp.Or(daemon.view.Load().routing.Services[message.Service].Batch, message.Spec)
 	if spec == nil {
-		return piecesReply{}, &stageError{stage: message.Stage, fault: core.PieceFailed}
+		return piecesReply{}, &stageError{Stage: message.Stage, Fault: core.PieceFailed}
 	}
 	var id batch.JobID
 	var result <-chan batch.Result
@@ -421,7 +416,7 @@
 		now := daemon.clock.Now()
 		owner = daemon.sender(message.Service, *spec)
 		id, result = daemon.submit(owner, batch.Job{
-			Attempt: message.Attempt, Stage: message.Stage, Pieces: message.Pieces, Key: message.Key, Inputs: message.Inputs,
+			Attempt: message.Attempt, Owner: string(message.Daemon), Stage: message.Stage, Pieces: message.Pieces, Key: message.Key, Inputs: message.Inputs,
 			ReleaseInputs: message.Release, ResultBytes: message.Bytes, Class: message.Class, Priority: message.Priority, LastAttempt: message.Returning, DataCentre: message.Zone,
 			SoftDeadline: now.Add(message.Aim), Deadline: now.Add(message.Left),
 		})
@@ -452,7 +447,7 @@
 	moved, sender := daemon.leaving.Load(), ""
 	daemon.do(func() {
 		moved = moved || daemon.othersReachTargets(daemon.clock.Now())
-		if known := daemon.senderOf(message.Service); known != nil && known.sendsFor[message.Service] && !message.Named {
+		if known := daemon.senderOf(message.Service); !moved && !message.Named && known != nil && known.sendsFor[message.Service] {
 			moved, sender = true, known.Peer
 		}
 	})
@@ -464,9 +459,10 @@
 	var failed *stageError
 	switch {
 	case errors.As(err, &failed):
-		reply.Fault = failed.fault
+		reply.Fault = failed.Fault
 	case err != nil:
-		return // the requesting daemon has disconnected
+		daemon.loop.Post(func() { daemon.checkPeer(message.Peer) }) // a cancelled request, or the daemon has terminated
+		return
 	}
 	daemon.do(func() {
 		if owner := daemon.control.senders[message.Service]; owner != nil {
--- a/io/edge/stages_test.go
+++ b/io/edge/stages_test.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -194,3 +196,60 @@
 		}
 	}
 }
+
+// refusingPeer refuses connections to the daemon at the address; others cannot be reached.
+type refusingPeer string
+
+// RoundTrip fails as a connection to a process that has ended.
+func (peer refusingPeer) RoundTrip(request *http.Request) (*http.Response, error) {
+	if request.URL.Host != string(peer) {
+		return nil, errNoNetwork
+	}
+	return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+}
+
+// TestResultsOfKilledDaemon guards against results of a daemon that was killed which occupy room until they expire: its connection with
+// a job of a request breaks, and its address refuses connections or answers for another run.
+func TestResultsOfKilledDaemon(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		holder, other := fleetRecord(3), fleetRecord(5)
+		daemon := newFleetMemberWith(t, refusingPeer(holder.Peer), core.SystemClock{})
+		var pool *batch.Pool
+		daemon.do(func() {
+			now := daemon.clock.Now()
+			spec := *daemon.view.Load().routing.Services["stock"].Batch
+			spec.ResultTTL = time.Minute
+			pool = daemon.sender("stock", spec).pool
+			for _, owner := range []core.MemberID{holder.ID, other.ID} {
+				pool.Submit(batch.Job{Attempt: "a", Owner: string(owner), Pieces: 1, ResultBytes: 1_500_000, SoftDeadline: now.Add(time.Second), Deadline: now.Add(time.Second)})
+			}
+			calls, _, _ := pool.Dispatch(now)
+			for i, call := range calls {
+				results := make([]core.PieceResult, len(call.Pieces))
+				for j := range results {
+					results[j].Handle = fmt.Sprint("h", i, j)
+				}
+				pool.Finish(now, call.ID, batch.Responded, results)
+			}
+		})
+		if restarted {
+			again := holder
+			again.ID += "-again"
+			daemon.do(func() { daemon.mergeStatus(peerStatus{Record: again}) })
+		}
+		var held int64
+		for deadline := time.Now().Add(5 * time.Second); held != 1_500_000 && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			held = 0
+			daemon.do(func() {
+				daemon.checkPeer(holder.Peer)
+				_, targets := pool.Load(daemon.clock.Now(), fleetTargets)
+				for _, target := range targets {
+					held += target.RetainedBytes
+				}
+			})
+		}
+		if held != 1_500_000 {
+			t.Errorf("restarted %v: %d bytes are retained, want those of the other daemon", restarted, held)
+		}
+	}
+}
