core/batch: an empty target is one at which the pool holds nothing

While the pool probes beyond its estimate of unaccounted results, a target with some of its own results counted as empty, so that a result could ignore the room that is kept for other classes.

--- a/core/batch/shares.go
+++ b/core/batch/shares.go
@@ -100,10 +100,10 @@
 // Load pattern: a burst of a class with large results, which nobody frees, beside a class that needs a hundredth of the room. A
 // class may use all room but what is kept for others that were active lately.
 type room struct {
-	free   int64
-	usable int64 // without results that the pool does not know
-	kept   []keptRoom
-	sum    int64 // of kept
+	free int64
+	held int64 // by results that the pool knows, and those that were taken for the call
+	kept []keptRoom
+	sum  int64 // of kept
 	// beyond is what may be free beyond the estimate, for results that are smaller than the smallest one that found no room.
 	beyond int64
 }
@@ -115,7 +115,7 @@
 
 func (pool *Pool) room(now time.Time, worker *worker) room {
 	foreign := worker.unaccounted.at(now)
-	room := room{free: worker.freeResultBytes(now, pool.spec), usable: usableResultBytes(pool.spec) - foreign}
+	room := room{free: worker.freeResultBytes(now, pool.spec), held: worker.reservedBytes + worker.retainedBytes}
 	if foreign > 0 {
 		room.beyond = max(worker.unaccounted.refused-1, 0)
 	}
@@ -123,7 +123,7 @@
 		return room
 	}
 	for _, share := range pool.shares {
-		if bytes := pool.entitlement(share, room.usable) - worker.heldBytes[share]; bytes > 0 {
+		if bytes := pool.entitlement(share, usableResultBytes(pool.spec)-foreign) - worker.heldBytes[share]; bytes > 0 {
 			room.kept = append(room.kept, keptRoom{share, bytes})
 			room.sum += bytes
 		}
@@ -143,12 +143,13 @@
 			others -= kept.bytes
 		}
 	}
-	return job.ResultBytes <= free && (job.ResultBytes+others <= free || room.free >= room.usable)
+	return job.ResultBytes <= free && (job.ResultBytes+others <= free || room.held == 0)
 }
 
 // take uses room for a result of the job.
 func (room *room) take(job *job) {
 	room.free -= job.ResultBytes
+	room.held += job.ResultBytes
 	for i, kept := range room.kept {
 		if kept.share == job.share {
 			used := min(kept.bytes, job.ResultBytes)
