core/batch: room is kept only beside larger results

Classes with large results kept room from each other, and from small ones, that then stood empty. Now a class leaves room only to classes with smaller results, the mean of what they held and one result; the due time decides between results of one size.

TestSmallResultsBesideLargeOnes and TestRoomAfterLoss hold as before.

--- a/core/batch/shares.go
+++ b/core/batch/shares.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// shareGrowth is the multiple of the room that a class had lately which is kept for it, so that its results may double within the
-	// time of a call.
-	shareGrowth = 2
 	// shareWindows is the number of periods in a lifetime of a result over which the room of a class is averaged.
 	shareWindows = 2
 	// shareSampling is the shortest time between two samples of the room that the classes have.
@@ -68,7 +65,7 @@
 	if now.Before(pool.sharesChangeAt) {
 		return
 	}
-	took := now.Sub(pool.sharesChangeAt) + period
+	took := max(now.Sub(pool.sharesChangeAt)+period, time.Millisecond)
 	pool.sharesChangeAt = now.Add(period)
 	for class, share := range pool.shares {
 		if share.endPeriod(took); !share.active() {
@@ -77,13 +74,13 @@
 	}
 }
 
-// entitlement returns the room at one target that is kept for the class, in whole results: what it had lately and may need next,
-// at most an equal part of the room.
+// entitlement returns the room at one target that is kept for the class, in whole results: what it had lately and one
+// result more, at most an equal part of the room.
 func (pool *Pool) entitlement(share *share, usable int64) int64 {
 	if !share.active() || share.bytes <= 0 {
 		return 0
 	}
-	needed := slices.Max(share.lately[:])*shareGrowth/int64(max(len(pool.workers), 1)) + share.bytes
+	needed := slices.Max(share.lately[:])/int64(max(len(pool.workers), 1)) + share.bytes
 	entitled := min(usable/int64(len(pool.shares)), needed)
 	return entitled - entitled%share.bytes
 }
@@ -98,12 +95,12 @@
 // room is what a target has left for the results of one call.
 //
 // Load pattern: a burst of a class with large results, which nobody frees, beside a class that needs a hundredth of the room. A
-// class may use all room but what is kept for others that were active lately.
+// class may use all room but what is kept for classes with smaller results that were active lately. Between results of one size the
+// due time decides: room that is kept among them stands empty while others wait.
 type room struct {
 	free int64
 	held int64 // by results that the pool knows, and those that were taken for the call
 	kept []keptRoom
-	sum  int64 // of kept
 	// beyond is what may be free beyond the estimate, for results that are smaller than the smallest one that found no room.
 	beyond int64
 }
@@ -125,7 +122,6 @@
 	for _, share := range pool.shares {
 		if bytes := pool.entitlement(share, usableResultBytes(pool.spec)-foreign) - worker.heldBytes[share]; bytes > 0 {
 			room.kept = append(room.kept, keptRoom{share, bytes})
-			room.sum += bytes
 		}
 	}
 	return room
@@ -137,10 +133,10 @@
 	if job.ResultBytes <= room.beyond {
 		free += room.beyond
 	}
-	others := room.sum
+	var others int64
 	for _, kept := range room.kept {
-		if kept.share == job.share {
-			others -= kept.bytes
+		if kept.share.bytes < job.ResultBytes {
+			others += kept.bytes
 		}
 	}
 	return job.ResultBytes <= free && (job.ResultBytes+others <= free || room.held == 0)
@@ -152,9 +148,7 @@
 	room.held += job.ResultBytes
 	for i, kept := range room.kept {
 		if kept.share == job.share {
-			used := min(kept.bytes, job.ResultBytes)
-			room.kept[i].bytes -= used
-			room.sum -= used
+			room.kept[i].bytes -= min(kept.bytes, job.ResultBytes)
 		}
 	}
 }
