--- a/core/batch/room.go
+++ b/core/batch/room.go
@@ -87,7 +87,7 @@
 		}
 		if foreign < worker.unaccounted.at(now) {
 			worker.unaccounted.bytes = foreign
-			worker.unaccounted.probe *= probeGrowth
+			worker.unaccounted.probe = min(worker.unaccounted.probe*probeGrowth, pool.spec.MaxResultBytes)
 		}
 		return
 	}
