--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -16,6 +16,7 @@
 	for _, worker := range pool.workers {
 		worker.expireRetainedResults(now)
 	}
+	pool.measureShares(now)
 	pool.requeueStalled(now)
 	ended, unused = pool.rejectInfeasible(now)
 	pool.localityWaitEnds, pool.passOverEnds = time.Time{}, time.Time{}
@@ -256,7 +257,7 @@
 	if worker.slowdown >= unusableSlowdown {
 		size = 1 // probes whether the target is still slow
 	}
-	freeBytes := worker.freeResultBytes(now, pool.spec)
+	room := pool.room(now, worker)
 	var batch []*piece
 	kept := pool.queue[:0]
 	for i, waiting := range pool.queue {
@@ -264,14 +265,14 @@
 			kept = append(kept, pool.queue[i:]...)
 			break
 		}
-		if shouldWait(waiting.job) || waiting.job.ResultBytes > freeBytes {
+		if shouldWait(waiting.job) || !room.fits(waiting.job) {
 			if near := dataCentres[waiting.job.DataCentre]; near != nil && waiting.job.DataCentre != worker.DataCentre {
 				near.queued++
 			}
 			kept = append(kept, waiting)
 			continue
 		}
-		freeBytes -= waiting.job.ResultBytes
+		room.take(waiting.job)
 		waiting.queued = false
 		if waiting.job.DataCentre == "" {
 			waiting.job.DataCentre = worker.DataCentre // keeps the other pieces of the job in the same data centre
@@ -299,13 +300,15 @@
 		piece.runningCalls++
 		pool.watchFetch(now, piece)
 		started.resultBytes += piece.job.ResultBytes
+		worker.hold(piece.job.share, piece.job.ResultBytes)
 		request.Pieces = append(request.Pieces, core.Piece{
 			Attempt: piece.job.Attempt, Stage: piece.job.Stage, Number: piece.number,
 			TimeLeft: piece.job.Deadline.Sub(now), Key: piece.job.Key, Inputs: piece.job.Inputs,
 		})
 	}
 	request.Timeout = time.Duration(float64(started.expected)*timeoutFactor*max(worker.factor(now, started.expected), 1)) + timeoutMargin
-	request.ResultBytes, request.RetainedBytes = started.resultBytes, worker.retainedBytes+worker.reservedBytes
+	started.heldBytes = worker.retainedBytes + worker.reservedBytes
+	request.ResultBytes, request.RetainedBytes = started.resultBytes, started.heldBytes
 	if _, age, fresh := worker.told.Told(now); fresh && worker.told.Right() {
 		request.Told, request.ToldAge = true, age
 	}
--- a/core/batch/load.go
+++ b/core/batch/load.go
@@ -31,7 +31,7 @@
 		}
 		targets = append(targets, TargetLoad{
 			ID: worker.ID, Calls: worker.inFlight, FreeBytes: worker.freeResultBytes(now, pool.spec), ReservedBytes: worker.reservedBytes,
-			RetainedBytes: worker.retainedBytes, UnaccountedBytes: worker.remainingUnaccounted(now, pool.spec.ResultTTL),
+			RetainedBytes: worker.retainedBytes, UnaccountedBytes: worker.unaccounted.at(now),
 			Slowdown: worker.currentSlowdown(now), ToldPace: told.Pace, ToldMilliseconds: age.Milliseconds(), ExternalCalls: external, Usable: worker.usable(now) && pool.paceWait(now, worker) == 0,
 		})
 	}
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -52,6 +52,11 @@
 	fetches             []fetch   // in order of time
 	releaseAfter        time.Time // inputs are not released early before this time
 	pressure            pressure
+	recentForecast      Forecast
+	forecastAt          time.Time         // of recentForecast
+	shares              map[string]*share // claims on the room for results, by class
+	sharesMeasuredAt    time.Time
+	sharesChangeAt      time.Time // end of the present period of shares
 }
 
 type piece struct {
@@ -67,6 +72,7 @@
 type job struct {
 	Job
 	id        JobID
+	share     *share
 	pieces    []piece
 	handles   []string
 	remaining int
@@ -82,6 +88,7 @@
 	startedAt     time.Time
 	expected      time.Duration // expected duration on a target of usual speed
 	resultBytes   int64
+	heldBytes     int64 // results that the pool knew at the target when the call was sent
 	stalled       bool
 	afterHandover bool    // may have waited behind a call of the previous sender
 	stretch       float64 // expected duration at the pace that the target had told when the call began, relative to expected
@@ -95,7 +102,7 @@
 	spec.MaxPieces, spec.MaxCalls = max(spec.MaxPieces, 1), max(spec.MaxCalls, 1)
 	return &Pool{
 		spec: spec, workers: map[string]*worker{}, jobs: map[JobID]*job{}, calls: map[CallID]*call{},
-		classFactors: map[string]float64{},
+		classFactors: map[string]float64{}, shares: map[string]*share{},
 	}
 }
 
@@ -109,7 +116,7 @@
 			known.removed = false
 			continue
 		}
-		pool.workers[target.ID] = &worker{Target: target, slowdown: 1, retainedResults: map[string]retainedResult{}}
+		pool.workers[target.ID] = &worker{Target: target, slowdown: 1, retainedResults: map[string]retainedResult{}, heldBytes: map[*share]int64{}}
 	}
 	for id, worker := range pool.workers {
 		if worker.removed && worker.inFlight == 0 {
@@ -121,7 +128,7 @@
 // Submit queues a job and returns its ID.
 func (pool *Pool) Submit(submitted Job) JobID {
 	pool.lastJobID++
-	added := &job{Job: submitted, id: pool.lastJobID, remaining: submitted.Pieces, toBegin: submitted.Pieces, handles: make([]string, submitted.Pieces)}
+	added := &job{Job: submitted, id: pool.lastJobID, share: pool.shareOf(submitted.Class, submitted.ResultBytes), remaining: submitted.Pieces, toBegin: submitted.Pieces, handles: make([]string, submitted.Pieces)}
 	added.pieces = make([]piece, submitted.Pieces)
 	pool.jobs[added.id] = added
 	pool.pressure.add(time.Duration(added.Pieces) * (pool.spec.CallOverhead/time.Duration(pool.spec.MaxPieces) + pool.pieceTime(added.Class)))
@@ -194,6 +201,7 @@
 	worker.reservedBytes -= call.resultBytes
 	for _, piece := range call.pieces {
 		piece.runningCalls--
+		worker.hold(piece.job.share, -piece.job.ResultBytes)
 	}
 	switch outcome {
 	case Rejected:
@@ -205,7 +213,7 @@
 		}
 		return nil, nil
 	case Failed:
-		worker.recordFailure(now)
+		worker.recordFailure(now, pool.spec.ResultTTL)
 		return pool.retryPieces(call.pieces)
 	}
 	took := now.Sub(call.startedAt)
@@ -219,19 +227,18 @@
 		worker.recordSuccess(now, call.slowdown(took))
 	}
 	expires := now.Add(pool.spec.ResultTTL)
-	full := false
+	pool.recordRoom(now, call, results)
 	for i, returned := range call.pieces {
 		result := results[i]
 		switch {
 		case result.Fault == core.PieceDone && returned.done:
-			worker.retain(result.Handle, returned.job.ResultBytes, expires)
+			worker.retain(result.Handle, retainedResult{owner: returned.job.Owner, share: returned.job.share, bytes: returned.job.ResultBytes, expires: expires})
 			unused = append(unused, result.Handle)
 		case result.Fault == core.PieceDone:
-			worker.retain(result.Handle, returned.job.ResultBytes, expires)
+			worker.retain(result.Handle, retainedResult{owner: returned.job.Owner, share: returned.job.share, bytes: returned.job.ResultBytes, expires: expires})
 			ended = append(ended, pool.complete(returned, result.Handle)...)
 		case returned.done:
 		case result.Fault == core.PieceNoRoom:
-			full = true
 			pool.enqueue(returned)
 		case result.Fault == core.PieceFailed:
 			failed, freed := pool.retryPieces([]*piece{returned})
@@ -246,11 +253,6 @@
 			ended = append(ended, Result{Job: returned.job.id, Fault: result.Fault})
 		}
 	}
-	if full {
-		worker.recordFull(now, pool.spec)
-	} else {
-		worker.consecutiveFull = 0
-	}
 	return ended, unused
 }
 
--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"catkincove/core"
 	"catkincove/core/gauge"
 )
 
@@ -23,6 +22,8 @@
 )
 
 type retainedResult struct {
+	owner   string // daemon that holds it; empty means this one or one of an older build
+	share   *share
 	bytes   int64
 	expires time.Time
 }
@@ -37,12 +38,14 @@
 	slowdownAt          time.Time
 	backoffUntil        time.Time // no calls before this time
 	consecutiveFailures int
-	fullUntil           time.Time // the target has no free result capacity before this time
-	consecutiveFull     int       // consecutive calls with a piece that found no result capacity
+	fullUntil           time.Time // the target has no room for results of fullBytes and more before this time
+	fullBytes           int64     // smallest result that found no room in the last call with such a result
+	consecutiveFull     int       // consecutive calls in which no result of fullBytes or more found room
 	reservedBytes       int64     // bytes of the results of calls in flight
 	retainedBytes       int64
-	unaccountedBytes    int64 // bytes of results that this pool does not know, as of unaccountedAt
-	unaccountedAt       time.Time
+	unaccounted         unaccounted
+	heldBytes           map[*share]int64          // reservedBytes and retainedBytes by class
+	unansweredUntil     time.Time                 // until then, results of calls without a response may occupy room
 	retainedResults     map[string]retainedResult // results that the target retains, by handle
 	nextExpiry          time.Time                 // time until which none of them expires; zero means that there is none
 	told                gauge.Gauge               // what the target states of its load
@@ -68,19 +71,21 @@
 	return worker.slowdownAt.Add(time.Duration(halfLives*float64(slowdownHalfLife)) + time.Microsecond) // more than the rounding of currentSlowdown
 }
 
-func (worker *worker) retain(handle string, bytes int64, expires time.Time) {
+func (worker *worker) retain(handle string, result retainedResult) {
 	if len(worker.retainedResults) >= maxRetainedResults {
 		return
 	}
-	worker.retainedResults[handle] = retainedResult{bytes: bytes, expires: expires}
-	worker.retainedBytes += bytes
-	worker.nextExpiry = earliest(worker.nextExpiry, expires)
+	worker.retainedResults[handle] = result
+	worker.hold(result.share, result.bytes)
+	worker.retainedBytes += result.bytes
+	worker.nextExpiry = earliest(worker.nextExpiry, result.expires)
 }
 
 func (worker *worker) freeRetainedResult(handle string) {
 	if result, found := worker.retainedResults[handle]; found {
 		delete(worker.retainedResults, handle)
 		worker.retainedBytes -= result.bytes
+		worker.hold(result.share, -result.bytes)
 	}
 }
 
@@ -98,42 +103,6 @@
 	}
 }
 
-func (worker *worker) freeResultBytes(now time.Time, spec core.BatchSpec) int64 {
-	if now.Before(worker.fullUntil) {
-		return 0
-	}
-	return int64(float64(spec.MaxResultBytes)*usableResultShare) - worker.reservedBytes - worker.retainedBytes - worker.remainingUnaccounted(now, spec.ResultTTL)
-}
-
-// remainingUnaccounted returns the bytes that unaccounted results still occupy; they expire evenly over the lifetime of
-// a result.
-func (worker *worker) remainingUnaccounted(now time.Time, ttl time.Duration) int64 {
-	remainingShare := 1 - float64(now.Sub(worker.unaccountedAt))/float64(max(ttl, time.Millisecond))
-	return int64(float64(worker.unaccountedBytes) * max(remainingShare, 0))
-}
-
-// fitsFrom returns when unaccounted results have expired to such an extent that a result of the size fits; zero means that it
-// fits already, or only after other results are freed.
-func (worker *worker) fitsFrom(now time.Time, spec core.BatchSpec, bytes int64) time.Time {
-	room := int64(float64(spec.MaxResultBytes)*usableResultShare) - worker.reservedBytes - worker.retainedBytes - bytes
-	if room < 0 || worker.remainingUnaccounted(now, spec.ResultTTL) <= room {
-		return time.Time{}
-	}
-	remainingShare := float64(room) / float64(worker.unaccountedBytes)
-	return worker.unaccountedAt.Add(time.Duration((1 - remainingShare) * float64(spec.ResultTTL)))
-}
-
-// recordFull records that the target had no free result capacity although the pool expected some: after a daemon has
-// crashed, nobody frees the results of its requests.
-func (worker *worker) recordFull(now time.Time, spec core.BatchSpec) {
-	worker.fullUntil = now.Add(min(fullBackoff<<min(worker.consecutiveFull, 4), maxFullBackoff))
-	worker.consecutiveFull++
-	accounted := worker.reservedBytes + worker.retainedBytes
-	if unaccounted := int64(float64(spec.MaxResultBytes)*usableResultShare) - accounted; unaccounted > worker.remainingUnaccounted(now, spec.ResultTTL) {
-		worker.unaccountedBytes, worker.unaccountedAt = unaccounted, now
-	}
-}
-
 func (worker *worker) recordSuccess(now time.Time, ratio float64) {
 	worker.consecutiveFailures = 0
 	ratio = min(ratio, maxSlowdown)
@@ -146,7 +115,8 @@
 	worker.slowdown, worker.slowdownAt = min(max(worker.currentSlowdown(now), ratio), maxSlowdown), now
 }
 
-func (worker *worker) recordFailure(now time.Time) {
+func (worker *worker) recordFailure(now time.Time, ttl time.Duration) {
 	worker.backoffUntil = now.Add(min(failureBackoff<<min(worker.consecutiveFailures, 4), maxFailureBackoff))
 	worker.consecutiveFailures++
+	worker.unansweredUntil = now.Add(ttl)
 }
--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -1,9 +1,12 @@
 package batch
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"catkincove/core"
+	"catkincove/core/place"
 )
 
 // JobID identifies a job of a pool.
@@ -15,6 +18,7 @@
 // Job is the work of one stage of one request.
 type Job struct {
 	Attempt     string
+	Owner       string // daemon whose request it is, if it is another one; see Pool.Abandon
 	Stage       int
 	Pieces      int
 	Key         string
@@ -39,6 +43,15 @@
 	Version    string    // of its software
 }
 
+// TargetsOf returns the targets of a service as they are known for placement.
+func TargetsOf(targets []place.Target) []Target {
+	list := make([]Target, 0, len(targets))
+	for _, target := range targets {
+		list = append(list, Target{ID: target.ID, Address: target.Address, DataCentre: target.DataCentre, StartedAt: target.StartedAt, Version: target.Version})
+	}
+	return list
+}
+
 // Call is a batch to send to a target.
 type Call struct {
 	ID            CallID
@@ -70,6 +83,15 @@
 	InputsReleased bool
 }
 
+// StageError says why a stage of a request has no results; the request itself has not run.
+type StageError struct {
+	Stage int
+	Fault core.PieceFault
+}
+
+// Error returns the stage and its fault.
+func (e *StageError) Error() string { return fmt.Sprintf("stage %d: %s", e.Stage, e.Fault) }
+
 // Forecast tells other daemons how long new work would wait; the zero value means no capacity.
 type Forecast struct {
 	Capacity    float64         // usable targets; slow ones count in part
@@ -80,6 +102,15 @@
 	Ahead       []time.Duration // work of all targets before a job; the index is the time left to its soft deadline, in ForecastStep
 }
 
+// IdleForecast returns the forecast of a pool without jobs; without a specification the time of a call is not known.
+func IdleForecast(targets int, spec *core.BatchSpec) Forecast {
+	idle := Forecast{Capacity: float64(targets)}
+	if spec != nil {
+		idle.Call = spec.CallOverhead + spec.PieceTime*time.Duration(spec.MaxPieces)/2
+	}
+	return idle
+}
+
 // ForecastStep is the width of the steps of Forecast.Ahead.
 const ForecastStep = 250 * time.Millisecond
 
@@ -94,3 +125,30 @@
 	step := min(max(int(timeLeft/ForecastStep), 0), len(forecast.Ahead)-1)
 	return time.Duration(float64(forecast.Ahead[step]) / forecast.Capacity)
 }
+
+// AnyHandle reports whether one of the pieces has a result.
+func AnyHandle(results []core.PieceResult) bool {
+	return slices.ContainsFunc(results, func(result core.PieceResult) bool { return result.Handle != "" })
+}
+
+// GroupHandles returns the handles by their key, such as the address of their target.
+func GroupHandles(handles []string, key func(handle string) string) map[string][]string {
+	groups := map[string][]string{}
+	for _, handle := range handles {
+		groups[key(handle)] = append(groups[key(handle)], handle)
+	}
+	return groups
+}
+
+// MostCommon returns the key that most of the handles have, such as the data centre of their target, and how many have it; of keys
+// that are as common, the one that is so first.
+func MostCommon(handles []string, key func(handle string) string) (most string, count int) {
+	counts := map[string]int{}
+	for _, handle := range handles {
+		found := key(handle)
+		if counts[found]++; counts[found] > counts[most] || most == "" {
+			most = found
+		}
+	}
+	return most, counts[most]
+}
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -5,13 +5,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"catkincove/core"
 	"catkincove/core/batch"
 	"catkincove/core/limit"
-	"catkincove/core/place"
 	"catkincove/io/shift"
 	"catkincove/io/xchg"
 )
@@ -43,17 +41,6 @@
 	dispatchedAt time.Time           // last Dispatch before the present one
 	lateLoggedAt time.Time           // last log line about jobs that could not meet their deadline
 	pendingFrees map[string][]string // handles to free, by address
-
-	lastForecast batch.Forecast
-	forecastAt   time.Time
-}
-
-// forecast returns the pool's forecast, computed at most every statusTTL.
-func (sender *sender) forecast(now time.Time) batch.Forecast {
-	if now.Sub(sender.forecastAt) > statusTTL {
-		sender.lastForecast, sender.forecastAt = sender.pool.Forecast(now), now
-	}
-	return sender.lastForecast
 }
 
 func (sender *sender) inUse(now time.Time) bool { return now.Sub(sender.lastJobAt) < senderIdleTimeout }
@@ -69,24 +56,16 @@
 		known.pool.Pacer = limit.Sender{Table: &daemon.control.limits}
 		known.pool.Arms = shift.Calls{Mover: daemon.shift, Service: service}
 		daemon.control.senders[service] = known
-		known.pool.SetTargets(batchTargets(daemon.view.Load().targets[service]))
+		known.pool.SetTargets(batch.TargetsOf(daemon.view.Load().targets[service]))
 		daemon.log.Info().Str(eventField, eventSenderStarts).Str("Service", service).Msg("this daemon now sends the batches of the service")
 	}
 	return known
 }
 
-func batchTargets(targets []place.Target) []batch.Target {
-	list := make([]batch.Target, 0, len(targets))
-	for _, target := range targets {
-		list = append(list, batch.Target{ID: target.ID, Address: target.Address, DataCentre: target.DataCentre, StartedAt: target.StartedAt, Version: target.Version})
-	}
-	return list
-}
-
 // refreshSenders gives the targets of a new view to all senders; it must run on the loop.
 func (daemon *Daemon) refreshSenders(next *view) {
 	for service, sender := range daemon.control.senders {
-		sender.pool.SetTargets(batchTargets(next.targets[service]))
+		sender.pool.SetTargets(batch.TargetsOf(next.targets[service]))
 		daemon.dispatch(sender)
 	}
 }
@@ -131,7 +110,7 @@
 	sender.lateLoggedAt = now
 	queued, targets := sender.pool.Load(now, maxLateLogTargets)
 	daemon.log.Warn().Str(eventField, eventJobsLate).Str("Service", sender.service).Int("Jobs", late).Int("Queued", queued).Bool("Sends", daemon.senderOf(sender.service) == nil).
-		Dur("IdleFor", now.Sub(sender.dispatchedAt)).Interface("Targets", targets).Msg("queued jobs cannot meet their deadline")
+		Dur("IdleFor", now.Sub(sender.dispatchedAt)).Interface("Targets", targets).Interface("Room", sender.pool.Room(now)).Msg("queued jobs cannot meet their deadline")
 }
 
 // releaseFetched releases inputs that no target will fetch any more, each through the sender of its service; it must run on
@@ -140,13 +119,8 @@
 	if len(handles) == 0 {
 		return
 	}
-	byService := map[string][]string{}
-	view := daemon.view.Load()
-	for _, handle := range handles {
-		service := view.services[daemon.dialect.HandleAddress(handle)]
-		byService[service] = append(byService[service], handle)
-	}
-	for service, handles := range byService {
+	services := daemon.view.Load().services
+	for service, handles := range batch.GroupHandles(handles, func(handle string) string { return services[daemon.dialect.HandleAddress(handle)] }) {
 		daemon.releaseResults(service, results{handles: handles})
 	}
 }
@@ -184,6 +158,16 @@
 	}
 }
 
+// freeResultsOf frees what the requests of a daemon that has terminated held; it must run on the loop.
+func (daemon *Daemon) freeResultsOf(ended core.MemberID) {
+	for service, sender := range daemon.control.senders {
+		if jobs, handles := sender.pool.Abandon(string(ended)); len(jobs)+len(handles) > 0 {
+			daemon.deliver(sender, jobs, handles)
+			daemon.log.Info().Str(eventField, eventResultsAbandoned).Str("Service", service).Str("Peer", string(ended)).Int("Jobs", len(jobs)).Int("Results", len(handles)).Msg("daemon terminated; freeing its results")
+		}
+	}
+}
+
 // cancelJob cancels a job that no request waits for any more; it must run on the loop.
 func (daemon *Daemon) cancelJob(sender *sender, id batch.JobID) {
 	if channel := sender.results[id]; channel != nil {
@@ -257,7 +241,7 @@
 		return nil, batch.Failed, err
 	}
 	daemon.paths.reached(call.Target.Address)
-	if !anyResult(results) {
+	if !batch.AnyHandle(results) {
 		cancel() // closes the connection: a second copy of a response without handles could not be told from the next response
 	}
 	_ = response.Body.Close()
@@ -279,10 +263,6 @@
 	return results, batch.Responded, nil
 }
 
-func anyResult(results []core.PieceResult) bool {
-	return slices.ContainsFunc(results, func(result core.PieceResult) bool { return result.Handle != "" })
-}
-
 // isRepeated reports whether a response to a batch call is a second copy of an earlier one.
 func (daemon *Daemon) isRepeated(results []core.PieceResult) bool {
 	daemon.repeatsMutex.Lock()
--- a/io/edge/rollout.go
+++ b/io/edge/rollout.go
@@ -100,7 +100,7 @@
 	case outcome == batch.Failed || failed:
 		return canary.Bad
 	}
-	if !anyResult(results) {
+	if !batch.AnyHandle(results) {
 		return canary.Ignored
 	}
 	return canary.Good
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -44,6 +44,9 @@
 	Zone      string        // data centre in which the stage should run; empty means any
 	Aim       time.Duration // time left to the soft deadline of the stage
 	Left      time.Duration // time left to the deadline of the stage
+	Peer      string        // address of the requesting daemon
+	Daemon    core.MemberID // its run, whose results are freed when it has terminated; neither is stated by older builds
+	Named     bool          // another daemon has named the receiver as the sender; not stated by older builds
 }
 
 type piecesReply struct {
@@ -51,6 +54,7 @@
 	Released bool // the inputs were released
 	Fault    core.PieceFault
 	Forecast batch.Forecast
+	Sender   string // peer address of the daemon that sends the batches, if it is another one; the fault is then PieceMoved
 
 	sender string // peer address of the daemon that sent the pieces
 }
@@ -67,14 +71,7 @@
 	Handles []string
 }
 
-// stageError says why a stage of a request has no results; the request itself has not run.
-type stageError struct {
-	stage int
-	fault core.PieceFault
-}
-
-// Error returns the stage and its fault.
-func (e *stageError) Error() string { return fmt.Sprintf("stage %d: %s", e.stage, e.fault) }
+type stageError = batch.StageError
 
 // stageRun runs the stages of one request.
 type stageRun struct {
@@ -220,7 +217,7 @@
 	stage := request.route.Stages[i]
 	now := run.daemon.clock.Now()
 	return piecesRequest{
-		Service: stage.Service, Spec: request.services[stage.Service].Batch, Attempt: request.caller.Attempt, Stage: i, Pieces: pieces, Key: request.caller.PieceKey,
+		Service: stage.Service, Spec: request.services[stage.Service].Batch, Attempt: request.caller.Attempt, Stage: i, Pieces: pieces, Key: request.caller.PieceKey, Peer: run.daemon.options.Settings.AdvertisePeer, Daemon: run.daemon.id,
 		Inputs: inputs, Bytes: stage.ResultBytes, Zone: run.dataCentre(i, inputs), Class: fmt.Sprintf("%s/%d", request.route.Name, i), Priority: request.priority, Returning: request.returning,
 		Aim:  request.softDeadline.Sub(now) - run.plan.Remaining[i],
 		Left: request.deadline.Sub(now) - run.plan.Remaining[i]/2,
@@ -249,16 +246,8 @@
 // result.
 func (daemon *Daemon) dataCentreOf(handles []string, bytes int64) (string, int64) {
 	view := daemon.view.Load()
-	sums := map[string]int64{}
-	largest := ""
-	for _, handle := range handles {
-		dataCentre := view.dataCentres[daemon.dialect.HandleAddress(handle)]
-		sums[dataCentre] += bytes
-		if sums[dataCentre] > sums[largest] || largest == "" {
-			largest = dataCentre
-		}
-	}
-	return largest, sums[largest]
+	most, count := batch.MostCommon(handles, func(handle string) string { return view.dataCentres[daemon.dialect.HandleAddress(handle)] })
+	return most, int64(count) * bytes
 }
 
 func (run *stageRun) free(i int) {
@@ -284,10 +273,10 @@
 		return nil
 	}
 	produced, err := daemon.runStages(ctx, request, true)
-	if failed := (*stageError)(nil); errors.As(err, &failed) && failed.fault == core.PieceInputGone {
+	if failed := (*stageError)(nil); errors.As(err, &failed) && failed.Fault == core.PieceInputGone {
 		// A piece failed after its inputs had been released, or the target that held them has ended.
 		daemon.metrics.stagesRepeated.Add(1)
-		daemon.log.Warn().Str(eventField, eventStagesRepeated).Str("Request", request.caller.Attempt).Int("Stage", failed.stage).Msg("inputs of a stage are gone; running the stages again")
+		daemon.log.Warn().Str(eventField, eventStagesRepeated).Str("Request", request.caller.Attempt).Int("Stage", failed.Stage).Msg("inputs of a stage are gone; running the stages again")
 		produced, err = daemon.runStages(ctx, request, false)
 	}
 	if err != nil {
@@ -350,7 +339,7 @@
 		})
 		if owner == nil {
 			reply, err := daemon.produceLocally(ctx, message)
-			if failed := (*stageError)(nil); errors.As(err, &failed) && failed.fault == core.PieceMoved {
+			if failed := (*stageError)(nil); errors.As(err, &failed) && failed.Fault == core.PieceMoved {
 				continue
 			}
 			return reply, err
@@ -377,7 +366,8 @@
 			owner.forecasts[message.Service] = forecastAt{Forecast: reply.Forecast, at: daemon.clock.Now()}
 		})
 		if reply.Fault == core.PieceMoved {
-			daemon.do(func() { owner.leaving = true })
+			message.Named = reply.Sender != ""
+			daemon.do(func() { daemon.noteSender(owner, message.Service, reply.Sender) })
 			continue
 		}
 		reply.sender = address
@@ -386,10 +376,29 @@
 	return daemon.produceLocally(ctx, message)
 }
 
+// noteSender notes that a daemon does not send the batches of the service: the one at the address does, or, without an
+// address, the daemon is leaving; it must run on the loop.
+//
+// After a loss of all daemons, several take the role at once, and in a large fleet the others meet only some of them. Each
+// of two senders takes the calls of the other for slow targets and sends small calls.
+func (daemon *Daemon) noteSender(former *peer, service, address string) {
+	if address == "" {
+		former.leaving = true
+		return
+	}
+	if sender := daemon.control.peers[address]; sender != nil {
+		delete(former.sendsFor, service)
+		if sender.sendsFor == nil {
+			sender.sendsFor = map[string]bool{}
+		}
+		sender.sendsFor[service] = true
+	}
+}
+
 // checked returns the reply, or its fault as an error.
 func (reply piecesReply) checked(stage int) (piecesReply, error) {
 	if reply.Fault != core.PieceDone {
-		return piecesReply{}, &stageError{stage: stage, fault: reply.Fault}
+		return piecesReply{}, &stageError{Stage: stage, Fault: reply.Fault}
 	}
 	return reply, nil
 }
@@ -398,7 +407,7 @@
 func (daemon *Daemon) produceLocally(ctx context.Context, message piecesRequest) (piecesReply, error) {
 	spec := cmp.Or(daemon.view.Load().routing.Services[message.Service].Batch, message.Spec)
 	if spec == nil {
-		return piecesReply{}, &stageError{stage: message.Stage, fault: core.PieceFailed}
+		return piecesReply{}, &stageError{Stage: message.Stage, Fault: core.PieceFailed}
 	}
 	var id batch.JobID
 	var result <-chan batch.Result
@@ -407,7 +416,7 @@
 		now := daemon.clock.Now()
 		owner = daemon.sender(message.Service, *spec)
 		id, result = daemon.submit(owner, batch.Job{
-			Attempt: message.Attempt, Stage: message.Stage, Pieces: message.Pieces, Key: message.Key, Inputs: message.Inputs,
+			Attempt: message.Attempt, Owner: string(message.Daemon), Stage: message.Stage, Pieces: message.Pieces, Key: message.Key, Inputs: message.Inputs,
 			ReleaseInputs: message.Release, ResultBytes: message.Bytes, Class: message.Class, Priority: message.Priority, LastAttempt: message.Returning, DataCentre: message.Zone,
 			SoftDeadline: now.Add(message.Aim), Deadline: now.Add(message.Left),
 		})
@@ -435,23 +444,29 @@
 		http.Error(writer, "number of pieces", http.StatusBadRequest)
 		return
 	}
-	moved := daemon.leaving.Load()
-	daemon.do(func() { moved = moved || daemon.othersReachTargets(daemon.clock.Now()) })
+	moved, sender := daemon.leaving.Load(), ""
+	daemon.do(func() {
+		moved = moved || daemon.othersReachTargets(daemon.clock.Now())
+		if known := daemon.senderOf(message.Service); !moved && !message.Named && known != nil && known.sendsFor[message.Service] {
+			moved, sender = true, known.Peer
+		}
+	})
 	if moved {
-		writeJSON(writer, piecesReply{Fault: core.PieceMoved})
+		writeJSON(writer, piecesReply{Fault: core.PieceMoved, Sender: sender})
 		return
 	}
 	reply, err := daemon.produceLocally(request.Context(), message)
 	var failed *stageError
 	switch {
 	case errors.As(err, &failed):
-		reply.Fault = failed.fault
+		reply.Fault = failed.Fault
 	case err != nil:
-		return // the requesting daemon has disconnected
+		daemon.loop.Post(func() { daemon.checkPeer(message.Peer) }) // a cancelled request, or the daemon has terminated
+		return
 	}
 	daemon.do(func() {
 		if owner := daemon.control.senders[message.Service]; owner != nil {
-			reply.Forecast = owner.forecast(daemon.clock.Now())
+			reply.Forecast = owner.pool.RecentForecast(daemon.clock.Now(), statusTTL)
 		}
 	})
 	writeJSON(writer, reply)
@@ -501,12 +516,7 @@
 }
 
 func (daemon *Daemon) freeDirectly(handles []string) {
-	byAddress := map[string][]string{}
-	for _, handle := range handles {
-		address := daemon.dialect.HandleAddress(handle)
-		byAddress[address] = append(byAddress[address], handle)
-	}
-	for address, handles := range byAddress {
+	for address, handles := range batch.GroupHandles(handles, daemon.dialect.HandleAddress) {
 		daemon.spawn("free", func() { daemon.sendFree(address, handles) })
 	}
 }
@@ -534,14 +544,10 @@
 	known := daemon.senderOf(service)
 	if known == nil {
 		if local := daemon.control.senders[service]; local != nil {
-			return local.forecast(now), true
+			return local.pool.RecentForecast(now, statusTTL), true
 		}
 	} else if received, found := known.forecasts[service]; found && now.Sub(received.at) < forecastTTL {
 		return received.Forecast, true
 	}
-	idle := batch.Forecast{Capacity: float64(len(view.targets[service]))}
-	if spec := view.routing.Services[service].Batch; spec != nil {
-		idle.Call = spec.CallOverhead + spec.PieceTime*time.Duration(spec.MaxPieces)/2
-	}
-	return idle, len(view.targets[service]) == 0
+	return batch.IdleForecast(len(view.targets[service]), view.routing.Services[service].Batch), len(view.targets[service]) == 0
 }
--- a/io/edge/stages_test.go
+++ b/io/edge/stages_test.go
@@ -6,10 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -159,3 +162,94 @@
 		}
 	}
 }
+
+// TestTwoSenders guards against two daemons that both send the batches of a service for many seconds, because the others know one
+// of them only: each takes the calls of the other for slow targets. A daemon that knows of the other sender names it, once for a job.
+func TestTwoSenders(t *testing.T) {
+	calls := &peerCalls{}
+	daemon := newFleetMemberWith(t, calls, core.SystemClock{})
+	first, second := fleetRecord(3), fleetRecord(5)
+	var asked []string
+	calls.pieces = func(host string, message piecesRequest) piecesReply {
+		asked = append(asked, fmt.Sprint(host, " ", message.Named))
+		if host == first.Peer {
+			return piecesReply{Fault: core.PieceMoved, Sender: second.Peer}
+		}
+		return piecesReply{Handles: []string{"h"}}
+	}
+	daemon.do(func() { daemon.setSender(first) })
+	for range 2 {
+		if _, err := daemon.produce(t.Context(), piecesRequest{Service: "stock", Pieces: 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if want := []string{first.Peer + " false", second.Peer + " true", second.Peer + " false"}; !slices.Equal(asked, want) {
+		t.Errorf("asked %v, want %v", asked, want)
+	}
+	for named, want := range map[bool]piecesReply{false: {Fault: core.PieceMoved, Sender: second.Peer}, true: {Fault: core.PieceLate}} {
+		body, _ := json.Marshal(piecesRequest{Service: "stock", Spec: daemon.view.Load().routing.Services["stock"].Batch, Pieces: 1, Named: named})
+		answer := httptest.NewRecorder()
+		daemon.servePieces(answer, httptest.NewRequest(http.MethodPost, pathPieces, bytes.NewReader(body)))
+		var got piecesReply
+		if err := json.Unmarshal(answer.Body.Bytes(), &got); err != nil || got.Fault != want.Fault || got.Sender != want.Sender {
+			t.Errorf("named %v: %+v, %v, want %+v", named, got, err, want)
+		}
+	}
+}
+
+// refusingPeer refuses connections to the daemon at the address; others cannot be reached.
+type refusingPeer string
+
+// RoundTrip fails as a connection to a process that has ended.
+func (peer refusingPeer) RoundTrip(request *http.Request) (*http.Response, error) {
+	if request.URL.Host != string(peer) {
+		return nil, errNoNetwork
+	}
+	return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+}
+
+// TestResultsOfKilledDaemon guards against results of a daemon that was killed which occupy room until they expire: its connection with
+// a job of a request breaks, and its address refuses connections or answers for another run.
+func TestResultsOfKilledDaemon(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		holder, other := fleetRecord(3), fleetRecord(5)
+		daemon := newFleetMemberWith(t, refusingPeer(holder.Peer), core.SystemClock{})
+		var pool *batch.Pool
+		daemon.do(func() {
+			now := daemon.clock.Now()
+			spec := *daemon.view.Load().routing.Services["stock"].Batch
+			spec.ResultTTL = time.Minute
+			pool = daemon.sender("stock", spec).pool
+			for _, owner := range []core.MemberID{holder.ID, other.ID} {
+				pool.Submit(batch.Job{Attempt: "a", Owner: string(owner), Pieces: 1, ResultBytes: 1_500_000, SoftDeadline: now.Add(time.Second), Deadline: now.Add(time.Second)})
+			}
+			calls, _, _ := pool.Dispatch(now)
+			for i, call := range calls {
+				results := make([]core.PieceResult, len(call.Pieces))
+				for j := range results {
+					results[j].Handle = fmt.Sprint("h", i, j)
+				}
+				pool.Finish(now, call.ID, batch.Responded, results)
+			}
+		})
+		if restarted {
+			again := holder
+			again.ID += "-again"
+			daemon.do(func() { daemon.mergeStatus(peerStatus{Record: again}) })
+		}
+		var held int64
+		for deadline := time.Now().Add(5 * time.Second); held != 1_500_000 && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			held = 0
+			daemon.do(func() {
+				daemon.checkPeer(holder.Peer)
+				_, targets := pool.Load(daemon.clock.Now(), fleetTargets)
+				for _, target := range targets {
+					held += target.RetainedBytes
+				}
+			})
+		}
+		if held != 1_500_000 {
+			t.Errorf("restarted %v: %d bytes are retained, want those of the other daemon", restarted, held)
+		}
+	}
+}
