io/edge: move the reader of events, questions and encoded origins out

Change: stream.ReadEvent, wake.Question, origin.Parse and Origin.Encode; no change of behaviour. TestReadEvent and FuzzReadEvent name the moved functions and are otherwise as before.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/url"
 	"time"
 )
 
@@ -14,6 +15,20 @@
 // Known reports whether the origin is known.
 func (origin Origin) Known() bool { return origin != Origin{} }
 
+// Encode returns the origin as text for the header of a message; Parse reads it.
+func (origin Origin) Encode() string {
+	return url.Values{"Service": {origin.Service}, "Version": {origin.Version}}.Encode()
+}
+
+// Parse returns the origin that Encode has written, or an unknown one if the text is not readable.
+func Parse(text string) Origin {
+	values, err := url.ParseQuery(text)
+	if err != nil {
+		return Origin{}
+	}
+	return Origin{Service: values.Get("Service"), Version: values.Get("Version")}
+}
+
 // Table remembers the origins of streams by the attempt that brought their first event; the zero value is empty. It is not safe for
 // concurrent use.
 type Table struct {
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"catkincove/core"
+	"catkincove/io/stream"
 )
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
@@ -66,21 +67,21 @@
 	}{
 		{"whole", "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n", "1,2", io.EOF},
 		{"carriage returns", "id: 1\r\ndata: a\r\n\r\n", "1", io.EOF},
-		{"truncated inside an event", "id: 1\ndata: a\n\nid: 2\nda", "1", errTruncated},
-		{"truncated before the blank line", "id: 1\ndata: a\n", "", errTruncated},
-		{"long", "id: 1\ndata: " + strings.Repeat("x", 3*eventBufferBytes) + "\n\n", "1", io.EOF},
-		{"line that fills the buffer", "id: 1\ndata: " + strings.Repeat("x", eventBufferBytes-len("data: ")) + "\nid: 2\ndata: a\n\n", "2", io.EOF},
-		{"ID inside a long line", "id: 1\ndata: " + strings.Repeat("x", eventBufferBytes-len("data: ")) + "id: 7\n\n", "1", io.EOF},
+		{"truncated inside an event", "id: 1\ndata: a\n\nid: 2\nda", "1", stream.ErrTruncated},
+		{"truncated before the blank line", "id: 1\ndata: a\n", "", stream.ErrTruncated},
+		{"long", "id: 1\ndata: " + strings.Repeat("x", 3*stream.BufferBytes) + "\n\n", "1", io.EOF},
+		{"line that fills the buffer", "id: 1\ndata: " + strings.Repeat("x", stream.BufferBytes-len("data: ")) + "\nid: 2\ndata: a\n\n", "2", io.EOF},
+		{"ID inside a long line", "id: 1\ndata: " + strings.Repeat("x", stream.BufferBytes-len("data: ")) + "id: 7\n\n", "1", io.EOF},
 		{"empty", "", "", io.EOF},
-		{"one line without end", strings.Repeat("x", 2*maxEventBytes), "", errEventTooLong},
-		{"short lines without end", strings.Repeat("data: x\n", 2*maxEventBytes/8), "", errEventTooLong},
+		{"one line without end", strings.Repeat("x", 2*stream.MaxEventBytes), "", stream.ErrEventTooLong},
+		{"short lines without end", strings.Repeat("data: x\n", 2*stream.MaxEventBytes/8), "", stream.ErrEventTooLong},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			reader := bufio.NewReaderSize(strings.NewReader(test.stream), eventBufferBytes)
+			reader := bufio.NewReaderSize(strings.NewReader(test.stream), stream.BufferBytes)
 			var ids []string
 			var size int
 			for {
-				event, id, err := readEvent(reader, &bodyMemory{used: new(atomic.Int64), budget: 4 * maxEventBytes})
+				event, id, err := stream.ReadEvent(reader, (&bodyMemory{used: new(atomic.Int64), budget: 4 * stream.MaxEventBytes}).reserve)
 				if err != nil {
 					if !errors.Is(err, test.err) {
 						t.Errorf("stream ends with %v", err)
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -71,9 +71,9 @@
 // list replaces the copies by a listing of all keys and reports whether it did; after a failure it waits for a moment.
 func (daemon *Daemon) list(ctx context.Context) bool {
 	question := daemon.ask(ctx)
-	snapshot, err := daemon.store.List(question.ctx, allKeys)
-	question.cancel()
-	if question.outdated() {
+	snapshot, err := daemon.store.List(question.Context, allKeys)
+	question.Cancel()
+	if daemon.outdated(question) {
 		return false
 	}
 	if err != nil {
@@ -82,7 +82,7 @@
 		return false
 	}
 	daemon.do(func() { daemon.replaceCopies(snapshot) })
-	question.answered()
+	daemon.answered(question)
 	return true
 }
 
@@ -158,23 +158,23 @@
 // watch applies changes of the store until a call fails, a relay takes over or the process was paused.
 func (daemon *Daemon) watch(ctx context.Context, relays *relays) error {
 	question := daemon.ask(ctx)
-	defer question.cancel()
+	defer question.Cancel()
 	var after core.Revision
 	daemon.do(func() { after = daemon.control.routes.Revision() })
 	daemon.setWatchPace()
-	events, err := daemon.store.Watch(question.ctx, allKeys, after)
+	events, err := daemon.store.Watch(question.Context, allKeys, after)
 	if err != nil {
 		return err
 	}
 	for event := range events {
-		if question.outdated() {
+		if daemon.outdated(question) {
 			return ctx.Err()
 		}
 		if event.Err != nil {
 			return event.Err
 		}
 		daemon.do(func() { daemon.apply(event) })
-		question.answered()
+		daemon.answered(question)
 		if relays.next() != nil {
 			return nil
 		}
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -45,18 +45,6 @@
 	sequence  int64 // of the newest record of an origin there
 }
 
-func encodeOrigin(began origin.Origin) string {
-	return url.Values{"Service": {began.Service}, "Version": {began.Version}}.Encode()
-}
-
-func parseOrigin(text string) origin.Origin {
-	values, err := url.ParseQuery(text)
-	if err != nil {
-		return origin.Origin{}
-	}
-	return origin.Origin{Service: values.Get("Service"), Version: values.Get("Version")}
-}
-
 // forwardExchange sends the request to the daemon that forwards it and returns its response with the body unread.
 func (relay *relay) forwardExchange(ctx context.Context) (*http.Response, error) {
 	request, daemon, through := relay.request, relay.daemon, relay.attempt.through
@@ -66,7 +54,7 @@
 	}
 	header.Set(headerElapsed, strconv.FormatInt(daemon.clock.Now().Sub(request.startedAt).Milliseconds(), 10))
 	if request.origin.Known() {
-		header.Set(headerOrigin, encodeOrigin(request.origin))
+		header.Set(headerOrigin, request.origin.Encode())
 	} else if request.isResumable() {
 		header.Set(headerSequence, strconv.FormatInt(daemon.originSequence(), 10))
 	}
@@ -103,7 +91,7 @@
 		return nil, err
 	}
 	facts := relay.daemon.dialect.TargetResponse(response.StatusCode, response.Header)
-	relay.toldOrigin = parseOrigin(response.Header.Get(headerOrigin))
+	relay.toldOrigin = origin.Parse(response.Header.Get(headerOrigin))
 	response.Header.Del(headerOrigin)
 	if leaving := response.Header.Get(headerTargetLeaves); leaving != "" {
 		relay.daemon.do(func() { relay.daemon.markLeaving(leaving, relay.daemon.control.registry.runs[leaving].startedAt) })
@@ -175,7 +163,7 @@
 		}
 	}
 	received := &forwardedRequest{
-		elapsed: time.Duration(elapsed) * time.Millisecond, continues: incoming.Header.Get(headerContinues), origin: parseOrigin(incoming.Header.Get(headerOrigin)), sequence: sequence,
+		elapsed: time.Duration(elapsed) * time.Millisecond, continues: incoming.Header.Get(headerContinues), origin: origin.Parse(incoming.Header.Get(headerOrigin)), sequence: sequence,
 	}
 	for _, name := range forwardHeaders {
 		incoming.Header.Del(name)
--- a/io/edge/fuzz_test.go
+++ b/io/edge/fuzz_test.go
@@ -16,6 +16,7 @@
 	"catkincove/core"
 	"catkincove/core/blame"
 	"catkincove/core/place"
+	"catkincove/io/stream"
 )
 
 // FuzzReadEvent guards against bytes of a stream that are lost, repeated or invented when it is split into events, against an
@@ -24,17 +25,17 @@
 func FuzzReadEvent(f *testing.F) {
 	for _, seed := range []string{
 		"id: 1\ndata: a\n\nid: 2\n\n", "id: 1\r\ndata: a\r\n\r\n", "data: a", "id: 1\ndata: a\n", "\n\n\n", ": hi\n\n: hi\n", ": hi\n\n\nid: 1\ndata: a\n\n\n", "\n: hi", "id:\nid:7\n\n",
-		"id: " + string(bytes.Repeat([]byte("1"), eventBufferBytes)) + "\n\n",
-		"data: " + string(bytes.Repeat([]byte("x"), eventBufferBytes)) + "\n\n", string(bytes.Repeat([]byte("x"), eventBufferBytes)) + "id: 9\n\n",
+		"id: " + string(bytes.Repeat([]byte("1"), stream.BufferBytes)) + "\n\n",
+		"data: " + string(bytes.Repeat([]byte("x"), stream.BufferBytes)) + "\n\n", string(bytes.Repeat([]byte("x"), stream.BufferBytes)) + "id: 9\n\n",
 	} {
 		f.Add([]byte(seed))
 	}
-	f.Fuzz(func(t *testing.T, stream []byte) {
-		reader := bufio.NewReaderSize(bytes.NewReader(stream), eventBufferBytes)
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		reader := bufio.NewReaderSize(bytes.NewReader(sent), stream.BufferBytes)
 		var whole []byte
 		var end error
 		for end == nil {
-			event, id, err := readEvent(reader, &bodyMemory{used: new(atomic.Int64), budget: 4 * maxEventBytes})
+			event, id, err := stream.ReadEvent(reader, (&bodyMemory{used: new(atomic.Int64), budget: 4 * stream.MaxEventBytes}).reserve)
 			if end = err; err != nil {
 				break
 			}
@@ -61,11 +62,11 @@
 			}
 			whole = append(whole, event...)
 		}
-		if !bytes.HasPrefix(stream, whole) {
+		if !bytes.HasPrefix(sent, whole) {
 			t.Errorf("the events are not the beginning of the stream")
 		}
-		rest := stream[len(whole):]
-		if len(rest) < maxEventBytes && bytes.Contains(withoutIdleLines(rest), []byte("\n\n")) {
+		rest := sent[len(whole):]
+		if len(rest) < stream.MaxEventBytes && bytes.Contains(withoutIdleLines(rest), []byte("\n\n")) {
 			t.Errorf("an event is left out: %q", rest)
 		}
 		if (end == io.EOF) != (len(rest) == 0) {
--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -175,7 +175,7 @@
 	}
 	defer func() {
 		if request.forwarded {
-			relay.writer.Header().Set(headerOrigin, encodeOrigin(request.origin))
+			relay.writer.Header().Set(headerOrigin, request.origin.Encode())
 		}
 	}()
 	if !request.isResumable() || request.origin.Known() {
--- a/io/edge/pause.go
+++ b/io/edge/pause.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"catkincove/core/wake"
 )
 
 // checkWait limits how long requests wait after a pause until the store or a relay was asked for changes; a response takes
@@ -39,46 +41,22 @@
 	}
 }
 
-// question is a question about the state of the store that is asked again when the process was paused meanwhile: its
-// answer may be from before the pause, and its time limit may have passed during it.
-type question struct {
-	daemon  *Daemon
-	askedAt time.Time
-	ctx     context.Context // ends when a pause is detected
-	cancel  context.CancelFunc
-	woken   <-chan struct{}
-}
-
-// ask begins a question; cancel must be called at its end.
-func (daemon *Daemon) ask(ctx context.Context) *question {
-	question := &question{daemon: daemon, askedAt: daemon.clock.Now(), woken: daemon.pauses.Woken()}
-	question.ctx, question.cancel = context.WithCancel(ctx)
-	daemon.spawn("pause", func() {
-		select {
-		case <-question.woken:
-			question.cancel()
-		case <-question.ctx.Done():
-		}
-	})
-	return question
+// ask begins a question about the state of the store; Cancel must be called at its end.
+func (daemon *Daemon) ask(ctx context.Context) *wake.Question {
+	return daemon.pauses.Ask(ctx, daemon.clock.Now())
 }
 
 // outdated reports whether the process was paused since the question was asked.
-func (question *question) outdated() bool {
-	question.daemon.observe()
-	select {
-	case <-question.woken:
-		return true
-	default:
-		return false
-	}
+func (daemon *Daemon) outdated(question *wake.Question) bool {
+	daemon.observe()
+	return question.Outdated()
 }
 
 // answered records that the answer is in force: requests that wait for a check after an earlier pause go on.
-func (question *question) answered() {
-	if question.daemon.pauses.Unchecked() == nil {
+func (daemon *Daemon) answered(question *wake.Question) {
+	if daemon.pauses.Unchecked() == nil {
 		return
 	}
-	question.daemon.do(func() {}) // the view is rebuilt on the loop before this function runs
-	question.daemon.pauses.Check(question.askedAt)
+	daemon.do(func() {}) // the view is rebuilt on the loop before this function runs
+	question.Check()
 }
--- a/io/edge/relay.go
+++ b/io/edge/relay.go
@@ -209,10 +209,10 @@
 			wait = 0
 		}
 		question := daemon.ask(ctx)
-		copied, err := daemon.copyFrom(question.ctx, relay.Peer, wait, timeout)
-		question.cancel()
+		copied, err := daemon.copyFrom(question.Context, relay.Peer, wait, timeout)
+		question.Cancel()
 		switch {
-		case question.outdated():
+		case daemon.outdated(question):
 			continue
 		case err != nil:
 			daemon.do(func() { daemon.markFailed(relay, err) })
@@ -223,7 +223,7 @@
 			return fmt.Errorf("%w: %v", errStaleCopies, copied.age.Round(time.Millisecond))
 		}
 		relays.failures = 0
-		question.answered()
+		daemon.answered(question)
 	}
 	return nil
 }
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -14,24 +12,18 @@
 
 	"catkincove/core"
 	"catkincove/core/place"
+	"catkincove/io/stream"
 	"catkincove/io/xchg"
 )
 
-const (
-	maxEventBytes    = 1 << 20 // limit on one event
-	eventBufferBytes = 4 << 10 // an event of some tokens has about 250 bytes
-)
-
 var (
-	errGap          = errors.New("events are missing in the stream")
-	errTruncated    = errors.New("the stream ended inside an event")
-	errEventTooLong = errors.New("an event is too long")
-	errNotResumed   = errors.New("the target does not go on with the stream")
+	errGap        = errors.New("events are missing in the stream")
+	errNotResumed = errors.New("the target does not go on with the stream")
 )
 
 // stream forwards events as they arrive, whole ones only, so that another target can resume after the last one.
 func (relay *relay) stream(ctx context.Context, response *http.Response) error {
-	reader := bufio.NewReaderSize(response.Body, eventBufferBytes)
+	reader := bufio.NewReaderSize(response.Body, stream.BufferBytes)
 	request := relay.request
 	flusher := http.NewResponseController(relay.writer)
 	memory := relay.daemon.newBodyMemory(&relay.daemon.responseBytes, responseMemoryShare)
@@ -42,7 +34,7 @@
 	}
 	for count := 0; ; count++ {
 		relay.watchdog.wait()
-		event, id, err := readEvent(reader, memory)
+		event, id, err := stream.ReadEvent(reader, memory.reserve)
 		if !relay.watchdog.endWait(err == nil || err == io.EOF) {
 			return relay.replaced()
 		}
@@ -60,7 +52,7 @@
 		if err != nil {
 			return relay.disconnected(ctx, err)
 		}
-		if resumed && count == 0 && id == "" && request.isNumbered() && !isComment(event) {
+		if resumed && count == 0 && id == "" && request.isNumbered() && !stream.IsComment(event) {
 			return relay.notResumed()
 		}
 		relay.watchdog.receiveEvent()
@@ -123,16 +115,6 @@
 	return &sendError{run: core.HasRun, cause: errNotResumed}
 }
 
-// isComment reports whether an event holds only comments and empty lines.
-func isComment(event []byte) bool {
-	for line := range bytes.Lines(event) {
-		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // isNumbered reports whether the last event that the caller has received has a number.
 func (request *request) isNumbered() bool {
 	_, err := strconv.ParseInt(request.resumeAfter, 10, 64)
@@ -186,44 +168,3 @@
 	next, err := strconv.ParseInt(id, 10, 64)
 	return err == nil && next <= last
 }
-
-// readEvent returns one whole event with its ID, and with the empty lines and comments before it, which are no sign that the
-// target works; those at the end of the stream are returned alone. io.EOF means that the stream ended between events,
-// errTruncated inside one, and errBodyMemory that it is longer than the memory for responses has room for. The memory is reserved until its release.
-func readEvent(reader *bufio.Reader, memory *bodyMemory) (event []byte, id string, err error) {
-	hasContent := false
-	for lineStart := 0; ; {
-		part, err := reader.ReadSlice('\n')
-		if len(event)+len(part) > eventBufferBytes {
-			if err := memory.reserve(2 * int64(len(event)+len(part))); err != nil { // append doubles the buffer
-				return nil, "", err
-			}
-		}
-		event = append(event, part...)
-		switch {
-		case len(event) > maxEventBytes:
-			return nil, "", errEventTooLong
-		case err == bufio.ErrBufferFull:
-			continue // the line goes on
-		case err == io.EOF && len(event) == 0:
-			return nil, "", io.EOF
-		case err == io.EOF && len(event) == lineStart && !hasContent:
-			return event, "", nil
-		case err == io.EOF:
-			return nil, "", errTruncated
-		case err != nil:
-			return nil, "", fmt.Errorf("stream: %w", err)
-		}
-		line := event[lineStart:]
-		if text, found := bytes.CutPrefix(line, []byte("id:")); found {
-			id = string(bytes.TrimSpace(text))
-		}
-		switch empty := len(bytes.TrimRight(line, "\r\n")) == 0; {
-		case empty && hasContent:
-			return event, id, nil
-		case !empty && line[0] != ':':
-			hasContent = true
-		}
-		lineStart = len(event)
-	}
-}
--- /dev/null
+++ b/io/stream/doc.go
@@ -0,0 +1,2 @@
+// Package stream splits the streams of targets into events.
+package stream
