io/edge, core/hedge: second tries for slow answers

Change: with HedgeShare above 0, a plain request of a safe route gets a second attempt after the time that 95 of 100 answers of its route need, by a histogram over the fleet, within the share and the retry budget of all daemons; the first usable response goes to the caller and the loser is cancelled. Default 0: off. Pieces of stages are not changed yet.

--- a/core/routing.go
+++ b/core/routing.go
@@ -156,6 +156,24 @@
 // Known reports whether a configuration has been read.
 func (routing Routing) Known() bool { return routing.known }
 
+// ServiceFor returns the name of the route's service for a request content, chosen by weight; empty if no service has a weight.
+func (route Route) ServiceFor(content Fingerprint) string {
+	total := 0
+	for _, share := range route.Services {
+		total += max(share.Weight, 0)
+	}
+	point := 0
+	if total > 0 {
+		point = int(uint64(content) % uint64(total))
+	}
+	for _, share := range route.Services {
+		if point -= max(share.Weight, 0); point < 0 {
+			return share.Service
+		}
+	}
+	return ""
+}
+
 // Match returns the route of the host whose prefix is the longest that begins the path.
 func (routing Routing) Match(host, path string) (Route, bool) {
 	for _, route := range routing.routes[host] {
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -22,6 +22,7 @@
 	"catkincove/core"
 	"catkincove/core/batch"
 	"catkincove/core/blame"
+	"catkincove/core/hedge"
 	"catkincove/core/limit"
 	"catkincove/core/loop"
 	"catkincove/core/mirror"
@@ -97,7 +98,8 @@
 	crashTracker    blame.CrashTracker
 	limits          limit.Table
 	origins         origins
-	retryWindows    map[string]*retry.Window  // by service
+	retryWindows    map[string]*retry.Window // by service
+	hedger          hedge.Hedger
 	engines         map[string]*place.Engines // by service; for the services whose prompts this daemon places for the fleet
 	placementHints  map[string]string         // ID of the engine that last prefilled a prompt, by the ID of its longest shared part
 	lastPlacement   map[string]time.Time      // time at which this daemon last placed a prompt for the fleet, by service
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -65,5 +65,6 @@
 	eventOriginResolved      = "OriginResolved"      // what tells the software version that began a resumed stream
 	eventOriginNotWritten    = "OriginNotWritten"    // records of software versions were not written to the store
 	eventTakeover            = "Takeover"            // a silent target's request was offered to another one
+	eventSecondTry           = "SecondTry"           // a slow request was sent to a second target
 	eventRequestEnded        = "RequestEnded"        // a request has ended
 )
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,6 +16,7 @@
 	"catkincove/core/blame"
 	"catkincove/core/origin"
 	"catkincove/io/answer"
+	"catkincove/io/xchg"
 )
 
 const (
@@ -134,7 +134,7 @@
 		}
 	}
 	path, _, _ := strings.Cut(incoming.RequestURI, "?")
-	route, found := view.routing.Match(hostName(incoming.Host), path)
+	route, found := view.routing.Match(xchg.HostName(incoming.Host), path)
 	if !found {
 		return request, core.Errorf(core.NotFound, "no route for host and path; routing version %d", view.routing.Version)
 	}
@@ -156,13 +156,6 @@
 	return request, daemon.readBody(writer, request, view.routing.RequestLimits)
 }
 
-func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
-
 // setDeadlines sets the deadline and the soft deadline. A caller that retries after a rejection states far less time
 // than the route gives, and its latency objective counts from its first attempt.
 func (request *request) setDeadlines(now time.Time) {
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -96,6 +96,9 @@
 	daemon.loop.Post(func() {
 		daemon.control.crashTracker.AddResponse(daemon.clock.Now(), response.sentAt, runOf(response.target, response.startedAt))
 		evidence.ID = daemon.control.random.Uint64()
+		if rejectsForRoom(response) {
+			daemon.hedger().RecordNoRoom(daemon.clock.Now(), response.service)
+		}
 		if daemon.control.limits.Observe(evidence) {
 			daemon.logLimit(evidence, daemon.id)
 		}
--- a/io/edge/pause.go
+++ b/io/edge/pause.go
@@ -19,6 +19,7 @@
 	daemon.log.Warn().Str(eventField, eventPaused).Msg("the process was paused; checking what it knew before")
 	daemon.loop.Post(func() {
 		daemon.control.comparedAt = time.Time{}
+		daemon.hedger().RecordStall(daemon.clock.Now())
 		for _, known := range daemon.control.peers {
 			known.unansweredSince = time.Time{} // the silence was this daemon's own
 			clear(known.forecasts)
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -16,6 +16,7 @@
 	"catkincove/core"
 	"catkincove/core/batch"
 	"catkincove/core/blame"
+	"catkincove/core/hedge"
 )
 
 const (
@@ -71,6 +72,7 @@
 	Heard     []gossipEntry             // gossip about other daemons, in a large fleet
 	PathsLost *bool                     // it reaches most targets no longer; nil from builds that do not forward requests of others
 	Limits    []limitEntry              // limits that targets have named or name no longer
+	Latencies []hedge.Latency           // of the routes, while second tries are allowed
 
 	Generation     int   // of its messages
 	RoutingVersion int64 // version of the routing in force; 0 means none
@@ -124,7 +126,7 @@
 	status := peerStatus{
 		Record: daemon.self(), Leaving: daemon.leaving.Load(), PathsLost: new(daemon.paths.lost()), Losses: daemon.control.crashTracker.CrashesToGossip(now),
 		Sound: daemon.control.crashTracker.SoundToGossip(now), Generation: messageGeneration, RoutingVersion: daemon.view.Load().routing.Version,
-		Forecasts: map[string]batch.Forecast{},
+		Forecasts: map[string]batch.Forecast{}, Latencies: daemon.hedger().Report(now),
 	}
 	for service := range daemon.view.Load().routing.Services {
 		if daemon.isSender(now, service) {
@@ -192,6 +194,7 @@
 	for service, forecast := range status.Forecasts {
 		known.forecasts[service] = forecastAt{Forecast: forecast, at: now}
 	}
+	daemon.hedger().Merge(now, status.Record.Peer, status.Latencies)
 	daemon.mergeCrashes(now, status.Losses)
 	for _, part := range status.Sound {
 		daemon.control.crashTracker.AddSound(now, part)
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -76,6 +76,7 @@
 			if current == nil {
 				continue
 			}
+			current = delivery.race(ctx, current)
 		}
 		err := current.run(ctx)
 		current.attempt.cancel()
@@ -235,18 +236,8 @@
 	if request.origin.Known() {
 		return withName(request.services[request.origin.Service], request.origin.Service)
 	}
-	total := 0
-	for _, share := range request.route.Services {
-		total += max(share.Weight, 0)
-	}
-	point := 0
-	if total > 0 {
-		point = int(uint64(request.fingerprint) % uint64(total))
-	}
-	for _, share := range request.route.Services {
-		if point -= max(share.Weight, 0); point < 0 {
-			return withName(request.services[share.Service], share.Service)
-		}
+	if name := request.route.ServiceFor(request.fingerprint); name != "" {
+		return withName(request.services[name], name)
 	}
 	return core.ServiceSpec{}
 }
@@ -403,6 +394,7 @@
 	parent            context.Context // of all attempts of the request
 	ctx               context.Context // of this attempt
 	opening           chan opened     // result of an attempt that was opened by a takeover; nil otherwise
+	answered          func()          // called when the result is there; nil if nothing waits for it besides run
 	sending           chan struct{}   // closed when such an attempt begins to send its request
 	record            *originRecord   // of the stream that the target would begin; nil if it needs none or was not queued by this attempt
 	toldOrigin        origin.Origin   // what began the stream, by the daemon that forwards the request, which records it
--- a/io/edge/takeover.go
+++ b/io/edge/takeover.go
@@ -250,7 +250,12 @@
 	relay.ctx, relay.opening, relay.sending = ctx, make(chan opened, 1), make(chan struct{})
 	relay.daemon.spawn("takeover", func() {
 		result := opened{err: errors.New("panic")}
-		defer func() { relay.opening <- result }()
+		defer func() {
+			relay.opening <- result
+			if relay.answered != nil {
+				relay.answered()
+			}
+		}()
 		result.response, result.err = relay.open(ctx)
 	})
 }
--- a/io/inifmt/edge.go
+++ b/io/inifmt/edge.go
@@ -8,10 +8,11 @@
 	"time"
 )
 
-// Defaults of EdgeSettings.
+// Defaults and limits of EdgeSettings.
 const (
 	DefaultGrace    = 8 * time.Second
 	DefaultMemoryMB = 256
+	MaxHedgeShare   = 0.2 // limit on EdgeBounds.HedgeShare
 )
 
 // EdgeSettings are the settings of the edge command, a daemon that forwards requests to targets on the users' platform.
@@ -43,6 +44,7 @@
 	RetryWindow   time.Duration
 	ColdOver      float64 // a cold target receives at most rate x ColdOver + ColdSlack requests per second
 	ColdSlack     float64
+	HedgeShare    float64       // second tries for slow answers allowed per request that may be repeated; 0 means none
 	DirectoryKeep time.Duration // maximum time for which callers cache addresses
 }
 
@@ -103,8 +105,12 @@
 		RetryWindow:   table.duration("RetryWindow", 10*time.Second),
 		ColdOver:      table.float("ColdOver", 1),
 		ColdSlack:     table.float("ColdSlack", 0),
+		HedgeShare:    table.float("HedgeShare", 0),
 		DirectoryKeep: table.duration("DirectoryKeep", 5*time.Second),
 	}
-	table.close(oneOf("RetryRatio", "RetrySlack", "RetryWindow", "ColdOver", "ColdSlack", "DirectoryKeep"))
+	table.close(oneOf("RetryRatio", "RetrySlack", "RetryWindow", "ColdOver", "ColdSlack", "HedgeShare", "DirectoryKeep"))
+	if bounds.HedgeShare < 0 || !(bounds.HedgeShare <= MaxHedgeShare) {
+		table.addProblem("HedgeShare", table.text("HedgeShare", ""), "a number from 0 to 0.2")
+	}
 	return bounds
 }
--- a/io/inifmt/inifmt_test.go
+++ b/io/inifmt/inifmt_test.go
@@ -234,3 +234,18 @@
 		}
 	}
 }
+
+// TestHedgeShare guards against a share of second tries that a typing error makes large, and against one that is on by default.
+func TestHedgeShare(t *testing.T) {
+	const edge = "[Edge]\nName = a\nDataCentre = d\nFront = 127.0.0.1:1\nReady = 127.0.0.1:2\nDirectory = 127.0.0.1:3\nPeer = 127.0.0.1:4\nStore = 127.0.0.1:5\n"
+	for text, want := range map[string]float64{"": 0, "[Bounds]\nHedgeShare = 0.05\n": 0.05, "[Bounds]\nHedgeShare = 0.2\n": 0.2} {
+		if settings, err := ParseEdge("f", edge+text); err != nil || settings.Bounds.HedgeShare != want {
+			t.Errorf("%q: %v, %v", text, settings.Bounds.HedgeShare, err)
+		}
+	}
+	for _, value := range []string{"5", "-0.01", "0.21", "NaN", "five"} {
+		if _, err := ParseEdge("f", edge+"[Bounds]\nHedgeShare = "+value+"\n"); err == nil {
+			t.Errorf("a share of %s is accepted", value)
+		}
+	}
+}
--- a/io/xchg/header.go
+++ b/io/xchg/header.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 )
 
@@ -52,3 +53,11 @@
 	body.Closed()
 	return body.ReadCloser.Close()
 }
+
+// HostName returns the host of a Host header field without its port.
+func HostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
