core/batch: repeat pieces of slow calls early, within HedgeShare

Change: with HedgeShare above 0, the pieces of a call are repeated from the 95th percentile of measured to expected call times on, within the share and the retry budget of the service, if nothing is queued, another target is idle and no call was rejected lately.

--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -16,6 +16,7 @@
 		worker.expireRetainedResults(now)
 	}
 	pool.requeueStalled(now)
+	pool.requeueSlow(now)
 	ended, unused = pool.rejectInfeasible(now)
 	pool.localityWaitEnds = time.Time{}
 	for {
--- /dev/null
+++ b/core/batch/early.go
@@ -0,0 +1,117 @@
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	minEarlySamples  = 100              // calls from which the quantile of their times counts
+	earlySpan        = 30 * time.Second // a histogram covers one to two of these; older calls are forgotten
+	earlyQuantile    = 95
+	maxEarlyCredit   = 40.0            // pieces saved up beyond which calls earn none; a call repeats all its pieces
+	earlyNoRoom      = 3 * time.Second // time after a rejection in which the service counts as short of room
+	earlyScale       = 1000            // steps of the histograms for the expected time of a call
+	maxEarlyRatio    = 100             // largest measured time of a call in the histograms, as a multiple of the expected one
+	earlyDigits      = 2               // precision of the histograms, an error of 1 in 100
+	minEarlyFraction = 1.05            // a call is not repeated before this multiple of its expected time
+)
+
+// Early is how the pieces of slow calls are repeated before their call counts as stalled; the zero value repeats none.
+type Early struct {
+	Share  float64                              // pieces repeated per piece; 0 means none
+	Charge func(now time.Time, pieces int) bool // charges the retry budget of the service; nil means that there is none
+
+	current, before *hdrhistogram.Histogram // measured time of calls relative to the expected one
+	since           time.Time               // start of the current span
+	factor          float64                 // quantile of both; 0 means unknown
+	credit          float64                 // pieces that may be repeated
+	noRoomAt        time.Time
+	repeated        map[CallID]bool // calls in flight whose pieces were repeated
+	pieces          int64           // pieces repeated so far
+}
+
+// Repeated returns how many pieces were repeated early so far.
+func (early *Early) Repeated() int64 { return early.pieces }
+
+// finish learns from the end of a call.
+func (early *Early) finish(now time.Time, call *call, outcome Outcome) {
+	delete(early.repeated, call.id)
+	if early.Share <= 0 {
+		return
+	}
+	if outcome == Rejected {
+		early.noRoomAt = now
+	}
+	if outcome != Responded || call.afterHandover || call.expected <= 0 {
+		return
+	}
+	early.credit = min(early.credit+early.Share*float64(len(call.pieces)), maxEarlyCredit)
+	if early.current == nil || now.Sub(early.since) >= earlySpan {
+		early.before, early.current, early.since = early.current, hdrhistogram.New(1, maxEarlyRatio*earlyScale, earlyDigits), now
+	}
+	ratio := int64(earlyScale * float64(now.Sub(call.startedAt)) / float64(call.expected))
+	_ = early.current.RecordValue(min(max(ratio, 1), maxEarlyRatio*earlyScale))
+	merged := early.current
+	if early.before != nil {
+		merged = early.before.Clone()
+		merged.Merge(early.current)
+	}
+	early.factor = 0
+	if merged.TotalCount() >= minEarlySamples {
+		early.factor = max(float64(merged.ValueAtQuantile(earlyQuantile))/earlyScale, minEarlyFraction)
+	}
+}
+
+// due returns when the pieces of a call may be repeated early; zero means never.
+func (early *Early) due(call *call) time.Time {
+	if early.Share <= 0 || early.factor == 0 || early.credit < float64(len(call.pieces)) || call.stalled || early.repeated[call.id] {
+		return time.Time{}
+	}
+	return call.startedAt.Add(time.Duration(early.factor * float64(call.expected)))
+}
+
+// requeueSlow queues the pieces of one call that takes longer than 95 of 100 calls again, if nothing is queued and another target is idle; the other
+// calls follow once these pieces are sent.
+func (pool *Pool) requeueSlow(now time.Time) {
+	early := &pool.Early
+	if early.Share <= 0 || len(pool.queue) > 0 || !early.noRoomAt.IsZero() && now.Sub(early.noRoomAt) < earlyNoRoom {
+		return
+	}
+	var slowest *call
+	for _, call := range pool.calls {
+		due := early.due(call)
+		if due.IsZero() || now.Before(due) || !pool.mayRepeat(call) {
+			continue
+		}
+		if slowest == nil || call.id < slowest.id {
+			slowest = call
+		}
+	}
+	if slowest == nil {
+		return
+	}
+	idle := pool.idleWorkers(now)
+	fits := len(idle) > 0 && idle[0] != slowest.worker && 2*len(slowest.pieces) <= pool.spec.MaxPieces+1 // a call of all goes to the first idle target
+	if len(idle) == 0 || !fits && slices.Contains(idle, slowest.worker) || early.Charge != nil && !early.Charge(now, len(slowest.pieces)) {
+		return
+	}
+	if early.repeated == nil {
+		early.repeated = map[CallID]bool{}
+	}
+	early.repeated[slowest.id] = true
+	early.credit -= float64(len(slowest.pieces))
+	early.pieces += int64(len(slowest.pieces))
+	for _, piece := range slowest.pieces {
+		pool.enqueue(piece)
+	}
+}
+
+// mayRepeat reports whether all pieces of a call are in no other call, can be sent again and have their inputs.
+func (pool *Pool) mayRepeat(call *call) bool {
+	return !slices.ContainsFunc(call.pieces, func(piece *piece) bool {
+		return piece.done || piece.runningCalls != 1 || piece.attempts >= maxAttempts || piece.job.released
+	})
+}
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -32,6 +32,8 @@
 type Pool struct {
 	// Pacer limits the calls to targets that have named a limit; nil means that none has.
 	Pacer core.Pacer
+	// Early repeats pieces of slow calls.
+	Early Early
 
 	spec                core.BatchSpec
 	workers             map[string]*worker
@@ -182,6 +184,7 @@
 	}
 	pool.compensateStall(now)
 	delete(pool.calls, id)
+	pool.Early.finish(now, call, outcome)
 	worker := call.worker
 	worker.inFlight--
 	worker.reservedBytes -= call.resultBytes
--- a/core/batch/wakeup.go
+++ b/core/batch/wakeup.go
@@ -26,6 +26,9 @@
 	for _, call := range pool.calls {
 		if !call.stalled {
 			wake = earliest(wake, pool.stallsFrom(now, call))
+			if due := pool.Early.due(call); due.After(now) {
+				wake = earliest(wake, due)
+			}
 		}
 	}
 	if len(pool.queue) > 0 {
--- a/core/hedge/hedge.go
+++ b/core/hedge/hedge.go
@@ -106,6 +106,18 @@
 	}
 }
 
+// CountPieces counts pieces of a batch that are repeated early, or not because the retry budget is used up, and returns allowed.
+func (hedger *Hedger) CountPieces(pieces int, allowed bool) bool {
+	name := "Pieces"
+	if !allowed {
+		name = "PiecesRefused." + string(BudgetSpent)
+	}
+	for range pieces {
+		hedger.count(name)
+	}
+	return allowed
+}
+
 func (hedger *Hedger) count(name string) {
 	if hedger.counts == nil {
 		hedger.counts = map[string]int64{}
@@ -113,5 +125,9 @@
 	hedger.counts[name]++
 }
 
-// Counts returns how many second tries were started, won, lost and refused by cause; it must not be changed.
-func (hedger *Hedger) Counts() map[string]int64 { return hedger.counts }
+// EachCount calls visit with how many second tries were started, won, lost and refused by cause.
+func (hedger *Hedger) EachCount(visit func(name string, count int64)) {
+	for name, count := range hedger.counts {
+		visit("SecondTries."+name, count)
+	}
+}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -58,3 +58,14 @@
 	window.retries[window.slot%windowSlots]++
 	return true
 }
+
+// AllowAll reports whether a number of retries is within the limit, and counts them if so.
+func (window *Window) AllowAll(now time.Time, count int) bool {
+	for allowed := range count {
+		if !window.Allow(now) {
+			window.retries[window.slot%windowSlots] -= float64(allowed)
+			return false
+		}
+	}
+	return true
+}
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -53,3 +53,12 @@
 		t.Error("a window without ratio and slack allows a retry")
 	}
 }
+
+// TestAllowAll guards against a group of retries that is charged although it does not fit into the limit as a whole.
+func TestAllowAll(t *testing.T) {
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	window := Window{Slack: 5}
+	if !window.AllowAll(now, 3) || window.AllowAll(now, 3) || !window.AllowAll(now, 2) || window.Allow(now) {
+		t.Error("groups of 3 and 2 retries must fit into a limit of 5, beside one of 3 that does not")
+	}
+}
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -67,11 +67,7 @@
 	set("ConnectionsOpened", daemon.targets.Opened())
 	set("ResponsesSkipped", daemon.targets.Skipped())
 	set("LogLinesDropped", daemon.logWriter.dropped.Load())
-	daemon.do(func() {
-		for name, count := range daemon.control.hedger.Counts() {
-			set("SecondTries."+name, count)
-		}
-	})
+	daemon.do(func() { daemon.control.hedger.EachCount(set) })
 	metrics.mutex.Lock()
 	for name, count := range metrics.outcomes {
 		set("Outcome."+name, count)
--- a/io/edge/second.go
+++ b/io/edge/second.go
@@ -115,11 +115,10 @@
 }
 
 // reserveSecond charges a second try to the operators' share and to the retry budget, or returns why there is none.
-func (daemon *Daemon) reserveSecond(service string, request *request, due time.Time) hedge.Refusal {
+func (daemon *Daemon) reserveSecond(service string, request *request, due time.Time) (refusal hedge.Refusal) {
 	if daemon.paths.lostLately() {
 		return hedge.PathsLost
 	}
-	refusal := hedge.Allowed
 	daemon.do(func() {
 		now := daemon.clock.Now()
 		targets, _ := daemon.unpausedTargets(now, service, request.origin.Version)
@@ -160,8 +159,7 @@
 	}
 	delivery.request = winner.request
 	daemon.loop.Post(func() { daemon.hedger().CountEnd(winner == second) })
-	daemon.log.Info().Str(eventField, eventSecondTry).Str("Request", winner.request.caller.Attempt).Str("Target", first.attempt.target.ID).Str("Next", second.attempt.target.ID).
-		Bool("Won", winner == second).Msg("a slow request was sent to a second target")
+	daemon.log.Info().Str(eventField, eventSecondTry).Str("Request", winner.request.caller.Attempt).Str("Target", first.attempt.target.ID).Str("Next", second.attempt.target.ID).Bool("Won", winner == second).Msg("a slow request was sent to a second target")
 	return winner
 }
 
