core/batch, core/hedge: a budget of pieces, and a random credit at the start

Early repeats of pieces were charged to the budget of requests, which counts no piece, so that none was possible; 16 repeatable requests at each daemon earned no second try at 0.01 and hardly any at 0.05. Change: the sender of a service keeps early repeats to the retry ratio of its own pieces; the credit of a daemon begins at random below one.

--- a/core/batch/early.go
+++ b/core/batch/early.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"catkincove/core/retry"
 )
 
 const (
@@ -21,8 +23,8 @@
 
 // Early is how the pieces of slow calls are repeated before their call counts as stalled; the zero value repeats none.
 type Early struct {
-	Share  float64                              // pieces repeated per piece; 0 means none
-	Charge func(now time.Time, pieces int) bool // charges the retry budget of the service; nil means that there is none
+	share  float64      // pieces repeated per piece; 0 means none
+	budget retry.Window // the pieces that were answered count as its requests
 
 	current, before *hdrhistogram.Histogram // measured time of calls relative to the expected one
 	since           time.Time               // start of the current span
@@ -33,13 +35,21 @@
 	pieces          int64           // pieces repeated so far
 }
 
+// Limit sets the share of the pieces that may be repeated, and the retry budget: repeats allowed per piece in a sliding window.
+func (early *Early) Limit(share, ratio float64, window time.Duration) {
+	if window != early.budget.Length {
+		early.budget = retry.Window{Length: window}
+	}
+	early.share, early.budget.Ratio = share, ratio
+}
+
 // Repeated returns how many pieces were repeated early so far.
 func (early *Early) Repeated() int64 { return early.pieces }
 
 // finish learns from the end of a call.
 func (early *Early) finish(now time.Time, call *call, outcome Outcome) {
 	delete(early.repeated, call.id)
-	if early.Share <= 0 {
+	if early.share <= 0 {
 		return
 	}
 	if outcome == Rejected {
@@ -48,7 +58,10 @@
 	if outcome != Responded || call.afterHandover || call.expected <= 0 {
 		return
 	}
-	early.credit = min(early.credit+early.Share*float64(len(call.pieces)), maxEarlyCredit)
+	for range call.pieces {
+		early.budget.AddRequest(now)
+	}
+	early.credit = min(early.credit+early.share*float64(len(call.pieces)), maxEarlyCredit)
 	if early.current == nil || now.Sub(early.since) >= earlySpan {
 		early.before, early.current, early.since = early.current, hdrhistogram.New(1, maxEarlyRatio*earlyScale, earlyDigits), now
 	}
@@ -67,7 +80,7 @@
 
 // due returns when the pieces of a call may be repeated early; zero means never.
 func (early *Early) due(call *call) time.Time {
-	if early.Share <= 0 || early.factor == 0 || early.credit < float64(len(call.pieces)) || call.stalled || early.repeated[call.id] {
+	if early.share <= 0 || early.factor == 0 || early.credit < float64(len(call.pieces)) || call.stalled || early.repeated[call.id] {
 		return time.Time{}
 	}
 	return call.startedAt.Add(time.Duration(early.factor * float64(call.expected)))
@@ -77,7 +90,7 @@
 // calls follow once these pieces are sent.
 func (pool *Pool) requeueSlow(now time.Time) {
 	early := &pool.Early
-	if early.Share <= 0 || len(pool.queue) > 0 || !early.noRoomAt.IsZero() && now.Sub(early.noRoomAt) < earlyNoRoom {
+	if early.share <= 0 || len(pool.queue) > 0 || !early.noRoomAt.IsZero() && now.Sub(early.noRoomAt) < earlyNoRoom {
 		return
 	}
 	var slowest *call
@@ -95,7 +108,7 @@
 	}
 	idle := pool.idleWorkers(now)
 	fits := len(idle) > 0 && idle[0] != slowest.worker && 2*len(slowest.pieces) <= pool.spec.MaxPieces+1 // a call of all goes to the first idle target
-	if len(idle) == 0 || !fits && slices.Contains(idle, slowest.worker) || early.Charge != nil && !early.Charge(now, len(slowest.pieces)) {
+	if len(idle) == 0 || !fits && slices.Contains(idle, slowest.worker) || !early.budget.AllowAll(now, len(slowest.pieces)) {
 		return
 	}
 	if early.repeated == nil {
--- a/core/batch/early_test.go
+++ b/core/batch/early_test.go
@@ -30,12 +30,12 @@
 		{"no idle target", 0.05, 1, nil, time.Hour, true},
 		{"rejections", 0.05, 8, func(simulation *simulation, job int) { simulation.pool.Early.noRoomAt = simulation.now }, time.Second, true},
 		{"retry budget spent", 0.05, 8, func(simulation *simulation, job int) {
-			simulation.pool.Early.Charge = func(time.Time, int) bool { return false }
+			simulation.pool.Early.Limit(0.05, 0, 10*time.Second)
 		}, time.Second, true},
 	} {
 		random := rand.New(rand.NewPCG(1, 2))
 		simulation := newSimulation(spec, test.targets)
-		simulation.pool.Early.Share = test.share
+		simulation.pool.Early.Limit(test.share, 0.2, 10*time.Second)
 		begun := map[JobID]time.Time{}
 		for job := range jobs {
 			for i := range test.targets { // 3 in 100 calls take 2.3 times as long, which is no stall yet
@@ -75,7 +75,7 @@
 // TestEarlyAfterStall guards against pieces that are repeated early because the process was stalled, while their responses wait to be read.
 func TestEarlyAfterStall(t *testing.T) {
 	simulation := newSimulation(warehouseSpec, 4)
-	simulation.pool.Early.Share = 0.05
+	simulation.pool.Early.Limit(0.05, 0.2, 10*time.Second)
 	for range 300 {
 		simulation.submit(1, 30*time.Second, 60*time.Second)
 		simulation.run(100 * time.Millisecond)
--- a/core/hedge/hedge.go
+++ b/core/hedge/hedge.go
@@ -30,13 +30,15 @@
 // Hedger decides on the second tries of one daemon; the zero value allows none. It is not safe for concurrent use.
 //
 // Each daemon keeps to the share of its own requests, so that the sum over the fleet does without messages: in each span of time, a daemon's second tries are
-// at most Share for each request in it and 10 saved up before, and over its lifetime at most Share for each request.
+// at most Share for each request in it and 10 saved up before, and over its lifetime at most Share for each request and its Credit at the start.
 type Hedger struct {
 	Share float64 // second tries allowed per request; 0 means off
+	// Credit holds the second tries earned and not used. A random start below 1 makes the sum over a fleet the share of the requests on average, also where no
+	// daemon has enough of them to earn one.
+	Credit float64
 
 	routes    map[string]*latencies
 	fleet     map[string]report    // by address of the daemon
-	credit    float64              // second tries earned and not used
 	noRoomAt  map[string]time.Time // by service
 	stalledAt time.Time
 	counts    map[string]int64
@@ -47,7 +49,7 @@
 
 // Begin counts a request that may be repeated, and returns its Delay.
 func (hedger *Hedger) Begin(now time.Time, route string) (time.Duration, bool) {
-	hedger.credit = min(hedger.credit+hedger.Share, maxCredit)
+	hedger.Credit = min(hedger.Credit+hedger.Share, maxCredit)
 	return hedger.Delay(now, route)
 }
 
@@ -77,10 +79,10 @@
 		return Stalled
 	case within(now, hedger.noRoomAt[service], noRoomMemory):
 		return NoRoom
-	case hedger.credit < 1:
+	case hedger.Credit < 1:
 		return ShareSpent
 	}
-	hedger.credit--
+	hedger.Credit--
 	return Allowed
 }
 
@@ -106,18 +108,6 @@
 	}
 }
 
-// CountPieces counts pieces of a batch that are repeated early, or not because the retry budget is used up, and returns allowed.
-func (hedger *Hedger) CountPieces(pieces int, allowed bool) bool {
-	name := "Pieces"
-	if !allowed {
-		name = "PiecesRefused." + string(BudgetSpent)
-	}
-	for range pieces {
-		hedger.count(name)
-	}
-	return allowed
-}
-
 func (hedger *Hedger) count(name string) {
 	if hedger.counts == nil {
 		hedger.counts = map[string]int64{}
--- a/core/hedge/hedge_test.go
+++ b/core/hedge/hedge_test.go
@@ -131,3 +131,21 @@
 		t.Error("the zero value allows second tries")
 	}
 }
+
+// TestShareOfFleet guards against a fleet without second tries because no daemon has enough requests to earn one: 61 daemons had 16 each on a day.
+func TestShareOfFleet(t *testing.T) {
+	const daemons, requests, share = 61, 16, 0.05
+	tries := 0
+	for i := range daemons {
+		hedger := Hedger{Share: share, Credit: (float64(i) + 0.5) / daemons}
+		for range requests {
+			hedger.Begin(start, "route")
+			if hedger.Allow(start, start, "service") == Allowed {
+				tries++
+			}
+		}
+	}
+	if limit := share * daemons * requests; float64(tries) > limit+1 || float64(tries) < limit-1 {
+		t.Errorf("%d second tries of %d requests at a share of %v", tries, daemons*requests, share)
+	}
+}
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -156,7 +156,7 @@
 	daemon.id = newMemberID(options.Settings.Name, random)
 	daemon.control = control{
 		registrations: mirror.Copy{RetainExpired: true}, live: mirror.Copy{RetainExpired: true}, origins: newOrigins(),
-		retryWindows: map[string]*retry.Window{}, senders: map[string]*sender{}, engines: map[string]*place.Engines{}, placementHints: map[string]string{}, lastPlacement: map[string]time.Time{}, peers: map[string]*peer{},
+		retryWindows: map[string]*retry.Window{}, hedger: hedge.Hedger{Credit: random.Float64()}, senders: map[string]*sender{}, engines: map[string]*place.Engines{}, placementHints: map[string]string{}, lastPlacement: map[string]time.Time{}, peers: map[string]*peer{},
 		firstEventTimes: map[string]time.Duration{}, admittedOffset: map[string]float64{}, usualWork: map[string]time.Duration{}, random: random, copiesChanged: make(chan struct{}),
 	}
 	daemon.control.batchContext, daemon.control.cancelBatches = context.WithCancel(context.Background())
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -67,7 +67,12 @@
 	set("ConnectionsOpened", daemon.targets.Opened())
 	set("ResponsesSkipped", daemon.targets.Skipped())
 	set("LogLinesDropped", daemon.logWriter.dropped.Load())
-	daemon.do(func() { daemon.control.hedger.EachCount(set) })
+	daemon.do(func() {
+		daemon.control.hedger.EachCount(set)
+		for service, sender := range daemon.control.senders {
+			set("SecondTries.Pieces."+service, sender.pool.Early.Repeated())
+		}
+	})
 	metrics.mutex.Lock()
 	for name, count := range metrics.outcomes {
 		set("Outcome."+name, count)
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -66,14 +66,12 @@
 			service: service, pool: batch.New(spec), results: map[batch.JobID]chan batch.Result{}, pendingFrees: map[string][]string{},
 		}
 		known.pool.Pacer = limit.Sender{Table: &daemon.control.limits}
-		known.pool.Early.Charge = func(now time.Time, pieces int) bool {
-			return daemon.hedger().CountPieces(pieces, daemon.retryWindow(service).AllowAll(now, pieces))
-		}
 		daemon.control.senders[service] = known
 		known.pool.SetTargets(batchTargets(daemon.view.Load().targets[service]))
 		daemon.log.Info().Str(eventField, eventSenderStarts).Str("Service", service).Msg("this daemon now sends the batches of the service")
 	}
-	known.pool.Early.Share = daemon.settings.Load().Bounds.HedgeShare
+	bounds := daemon.settings.Load().Bounds
+	known.pool.Early.Limit(bounds.HedgeShare, bounds.RetryRatio*retryBudgetShare, bounds.RetryWindow)
 	return known
 }
 
--- a/io/edge/second.go
+++ b/io/edge/second.go
@@ -22,9 +22,8 @@
 func (delivery *delivery) mayRace(first *relay) bool {
 	request, route := delivery.request, delivery.request.route
 	switch {
-	case delivery.daemon.settings.Load().Bounds.HedgeShare <= 0, route.Repeat != core.Idempotent, route.Stream, len(route.Stages) > 0, delivery.service.Engine != nil:
-		return false
-	case first.attempt.through != nil, request.forwarded, request.suspects.Probe, request.caller.Attempt == "":
+	case delivery.daemon.settings.Load().Bounds.HedgeShare <= 0, route.Repeat != core.Idempotent, route.Stream, len(route.Stages) > 0, delivery.service.Engine != nil,
+		first.attempt.through != nil, request.forwarded, request.suspects.Probe, request.caller.Attempt == "":
 		return false
 	}
 	return request.attempts == 1 && request.attempts < route.MaxTargets
