--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -18,6 +18,7 @@
 	}
 	pool.measureShares(now)
 	pool.requeueStalled(now)
+	pool.requeueSlow(now)
 	ended, unused = pool.rejectInfeasible(now)
 	pool.localityWaitEnds, pool.passOverEnds = time.Time{}, time.Time{}
 	for {
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -34,6 +34,8 @@
 	Pacer core.Pacer
 	// Arms divides the calls between software versions; nil means that all targets get calls.
 	Arms Arms
+	// Early repeats pieces of slow calls.
+	Early Early
 
 	spec                core.BatchSpec
 	workers             map[string]*worker
@@ -196,6 +198,7 @@
 	}
 	pool.compensateStall(now)
 	delete(pool.calls, id)
+	pool.Early.finish(now, call, outcome)
 	worker := call.worker
 	worker.inFlight--
 	worker.reservedBytes -= call.resultBytes
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -22,6 +22,7 @@
 	"catkincove/core"
 	"catkincove/core/batch"
 	"catkincove/core/blame"
+	"catkincove/core/hedge"
 	"catkincove/core/limit"
 	"catkincove/core/loop"
 	"catkincove/core/mirror"
@@ -101,7 +102,8 @@
 	crashTracker    blame.CrashTracker
 	limits          limit.Table
 	origins         origins
-	retryWindows    map[string]*retry.Window  // by service
+	retryWindows    map[string]*retry.Window // by service
+	hedger          hedge.Hedger
 	engines         map[string]*place.Engines // by service; for the services whose prompts this daemon places for the fleet
 	placementHints  map[string]string         // ID of the engine that last prefilled a prompt, by the ID of its longest shared part
 	lastPlacement   map[string]time.Time      // time at which this daemon last placed a prompt for the fleet, by service
@@ -158,7 +160,7 @@
 	daemon.id = newMemberID(options.Settings.Name, random)
 	daemon.control = control{
 		registrations: mirror.Copy{RetainExpired: true}, live: mirror.Copy{RetainExpired: true}, origins: newOrigins(),
-		retryWindows: map[string]*retry.Window{}, senders: map[string]*sender{}, engines: map[string]*place.Engines{}, placementHints: map[string]string{}, lastPlacement: map[string]time.Time{}, peers: map[string]*peer{},
+		retryWindows: map[string]*retry.Window{}, hedger: hedge.Hedger{Credit: random.Float64()}, senders: map[string]*sender{}, engines: map[string]*place.Engines{}, placementHints: map[string]string{}, lastPlacement: map[string]time.Time{}, peers: map[string]*peer{},
 		firstEventTimes: map[string]time.Duration{}, admittedOffset: map[string]float64{}, usualWork: map[string]time.Duration{}, random: random, copiesChanged: make(chan struct{}),
 	}
 	daemon.control.batchContext, daemon.control.cancelBatches = context.WithCancel(context.Background())
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -13,6 +13,8 @@
 	"catkincove/core"
 	"catkincove/core/origin"
 	"catkincove/core/place"
+	"catkincove/core/retry"
+	"catkincove/io/answer"
 	"catkincove/io/callid"
 	"catkincove/io/xchg"
 )
@@ -43,18 +45,6 @@
 	sequence  int64 // of the newest record of an origin there
 }
 
-func encodeOrigin(began origin.Origin) string {
-	return url.Values{"Service": {began.Service}, "Version": {began.Version}}.Encode()
-}
-
-func parseOrigin(text string) origin.Origin {
-	values, err := url.ParseQuery(text)
-	if err != nil {
-		return origin.Origin{}
-	}
-	return origin.Origin{Service: values.Get("Service"), Version: values.Get("Version")}
-}
-
 // forwardExchange sends the request to the daemon that forwards it and returns its response with the body unread.
 func (relay *relay) forwardExchange(ctx context.Context) (*http.Response, error) {
 	request, daemon, through := relay.request, relay.daemon, relay.attempt.through
@@ -64,14 +54,14 @@
 	}
 	header.Set(headerElapsed, strconv.FormatInt(daemon.clock.Now().Sub(request.startedAt).Milliseconds(), 10))
 	if request.origin.Known() {
-		header.Set(headerOrigin, encodeOrigin(request.origin))
+		header.Set(headerOrigin, request.origin.Encode())
 	} else if request.isResumable() {
 		header.Set(headerSequence, strconv.FormatInt(daemon.originSequence(), 10))
 	}
 	if request.responseStarted {
 		header.Set(headerContinues, request.resumeAfter)
 	}
-	for name := range connectionHeaders {
+	for name := range xchg.ConnectionHeaders {
 		header.Del(name)
 	}
 	response, err := daemon.targets.Do(ctx, xchg.Request{
@@ -101,7 +91,7 @@
 		return nil, err
 	}
 	facts := relay.daemon.dialect.TargetResponse(response.StatusCode, response.Header)
-	relay.toldOrigin = parseOrigin(response.Header.Get(headerOrigin))
+	relay.toldOrigin = origin.Parse(response.Header.Get(headerOrigin))
 	response.Header.Del(headerOrigin)
 	if leaving := response.Header.Get(headerTargetLeaves); leaving != "" {
 		relay.daemon.do(func() { relay.daemon.markLeaving(leaving, relay.daemon.control.registry.Run(leaving).StartedAt) })
@@ -118,13 +108,13 @@
 	}
 	cause := fmt.Errorf("daemon %s responded with status %d", relay.attempt.through.ID, response.StatusCode)
 	seconds, _ := strconv.ParseFloat(response.Header.Get(retryAfterHeader), 64)
-	retryAfter := max(time.Duration(seconds*float64(time.Second)), minRetryPause)
+	retryAfter := max(time.Duration(seconds*float64(time.Second)), retry.MinPause)
 	switch {
 	case response.Header.Get(headerPathsLost) != "":
 		return nil, &sendError{unsent: true, run: core.NotRun, cause: cause}
-	case relay.request.responseStarted && impliesNotRun(response.StatusCode):
+	case relay.request.responseStarted && answer.ImpliesNotRun(response.StatusCode):
 		return nil, &sendError{run: core.NotRun, status: response.StatusCode, cause: cause}
-	case impliesNotRun(response.StatusCode):
+	case answer.ImpliesNotRun(response.StatusCode):
 		return nil, core.Errorf(core.Unavailable, "%w", cause).WithRetryAfter(retryAfter)
 	case relay.request.caller.Attempt == "":
 		// A target names no attempt either, and may have run the request.
@@ -173,7 +163,7 @@
 		}
 	}
 	received := &forwardedRequest{
-		elapsed: time.Duration(elapsed) * time.Millisecond, continues: incoming.Header.Get(headerContinues), origin: parseOrigin(incoming.Header.Get(headerOrigin)), sequence: sequence,
+		elapsed: time.Duration(elapsed) * time.Millisecond, continues: incoming.Header.Get(headerContinues), origin: origin.Parse(incoming.Header.Get(headerOrigin)), sequence: sequence,
 	}
 	for _, name := range forwardHeaders {
 		incoming.Header.Del(name)
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,7 +15,9 @@
 	"catkincove/core/admit"
 	"catkincove/core/blame"
 	"catkincove/core/origin"
+	"catkincove/io/answer"
 	"catkincove/io/shift"
+	"catkincove/io/xchg"
 )
 
 const (
@@ -135,7 +136,7 @@
 		}
 	}
 	path, _, _ := strings.Cut(incoming.RequestURI, "?")
-	route, found := view.routing.Match(hostName(incoming.Host), path)
+	route, found := view.routing.Match(xchg.HostName(incoming.Host), path)
 	if !found {
 		return request, core.Errorf(core.NotFound, "no route for host and path; routing version %d", view.routing.Version)
 	}
@@ -157,13 +158,6 @@
 	return request, daemon.readBody(writer, request, view.routing.RequestLimits)
 }
 
-func hostName(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
-
 // setDeadlines sets the deadline and the soft deadline. A caller that retries after a rejection states far less time
 // than the route gives, and its latency objective counts from its first attempt.
 func (request *request) setDeadlines(now time.Time) {
@@ -316,7 +310,7 @@
 // reject responds with an error of this daemon and logs the request.
 func (daemon *Daemon) reject(writer http.ResponseWriter, request *request, err error) {
 	e := core.AsError(err)
-	if request.mayHaveRun && impliesNotRun(e.Kind.Answer().Status) {
+	if request.mayHaveRun && answer.ImpliesNotRun(e.Kind.Answer().Status) {
 		// An earlier target may have run the request, so the response must not say that it has not run.
 		e = core.Errorf(core.TargetFailed, "%w", err)
 	}
@@ -367,7 +361,7 @@
 		request.outcome = "Served"
 	}
 	daemon.metrics.countOutcome(request.outcome)
-	daemon.metrics.observeLatency(request.route.Name, daemon.clock.Now().Sub(request.startedAt))
+	daemon.metrics.latencies.Observe(request.route.Name, daemon.clock.Now().Sub(request.startedAt))
 	daemon.logRequest(request, request.status, nil)
 }
 
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -97,6 +97,9 @@
 		daemon.control.crashTracker.AddResponse(daemon.clock.Now(), response.sentAt, runOf(response.target, response.startedAt))
 		daemon.control.chooser.Observe(daemon.clock.Now(), response.target, response.facts.Load)
 		evidence.ID = daemon.control.random.Uint64()
+		if rejectsForRoom(response) {
+			daemon.hedger().RecordNoRoom(daemon.clock.Now(), response.service)
+		}
 		if daemon.control.limits.Observe(evidence) {
 			daemon.logLimit(evidence, daemon.id)
 		}
--- a/io/edge/pools.go
+++ b/io/edge/pools.go
@@ -59,6 +59,8 @@
 		known.pool.SetTargets(batch.TargetsOf(daemon.view.Load().targets[service]))
 		daemon.log.Info().Str(eventField, eventSenderStarts).Str("Service", service).Msg("this daemon now sends the batches of the service")
 	}
+	bounds := daemon.settings.Load().Bounds
+	known.pool.Early.Limit(bounds.HedgeShare, bounds.RetryRatio*retryBudgetShare, bounds.RetryWindow)
 	return known
 }
 
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -16,6 +16,7 @@
 	"catkincove/core/origin"
 	"catkincove/core/place"
 	"catkincove/core/retry"
+	"catkincove/io/answer"
 	"catkincove/io/shift"
 	"catkincove/io/xchg"
 )
@@ -25,8 +26,6 @@
 	maxRejections       = 2                      // rejections by targets after which another target is tried
 	retryBudgetShare    = 0.8                    // share of the retry budget that is used; the rest covers daemons that do not know each other yet
 	maxBufferedResponse = 1 << 20                // limit in bytes; a longer response is forwarded as it arrives
-	minRetryPause       = 100 * time.Millisecond // targets that are full accept a request some hundred milliseconds later
-	maxRetryPause       = 800 * time.Millisecond
 	fullRetryAfter      = 400 * time.Millisecond // Retry-After of a service whose targets are all full
 )
 
@@ -61,7 +60,7 @@
 	rejections   int
 	executions   int      // attempts at targets that may have run the request
 	rejectedBy   []string // targets that did not run the request after its response had started
-	pause        retryPause
+	pause        retry.Pause
 	lastErr      error
 }
 
@@ -80,6 +79,7 @@
 			if current == nil {
 				continue
 			}
+			current = delivery.race(ctx, current)
 		}
 		err := current.run(ctx)
 		current.attempt.cancel()
@@ -121,7 +121,7 @@
 	}
 	// A stream that resumes at another target needs the inputs again, which were freed early for their result capacity.
 	if err := delivery.inputs.produce(ctx); err != nil {
-		if failed := (*stageError)(nil); request.responseStarted && errors.As(err, &failed) && delivery.pause.sleep(ctx, daemon.clock) {
+		if failed := (*stageError)(nil); request.responseStarted && errors.As(err, &failed) && delivery.pause.Sleep(ctx, daemon.clock) {
 			return nil, nil
 		}
 		return nil, err
@@ -131,7 +131,7 @@
 		if daemon.versionHasLeft(request, delivery.service.Name, delivery.rejectedBy) {
 			return nil, core.Errorf(core.Unavailable, "no further target has version %s, which began the stream", request.origin.Version).WithRetryAfter(originRetryAfter)
 		}
-		if request.responseStarted && core.AsError(err).Kind != core.Poison && delivery.pause.sleep(ctx, daemon.clock) {
+		if request.responseStarted && core.AsError(err).Kind != core.Poison && delivery.pause.Sleep(ctx, daemon.clock) {
 			request.triedTargets = slices.DeleteFunc(request.triedTargets, func(id string) bool { return slices.Contains(delivery.rejectedBy, id) })
 			return nil, nil
 		}
@@ -210,7 +210,7 @@
 	case failure.run == core.NotRun && request.responseStarted:
 		delivery.rejectedBy = append(delivery.rejectedBy, current.attempt.target.ID)
 		for !failure.unsent && !daemon.allowRetry(delivery.service.Name) {
-			if !delivery.pause.sleep(ctx, daemon.clock) {
+			if !delivery.pause.Sleep(ctx, daemon.clock) {
 				return false, err
 			}
 		}
@@ -229,16 +229,6 @@
 	return true, nil
 }
 
-// retryPause is the pause before a further attempt for a request whose response has started; each is twice as long as the one before,
-// up to maxRetryPause.
-type retryPause time.Duration
-
-// sleep returns false if ctx ends.
-func (pause *retryPause) sleep(ctx context.Context, clock core.Clock) bool {
-	*pause = retryPause(min(max(2*time.Duration(*pause), minRetryPause), maxRetryPause))
-	return core.Sleep(ctx, clock, time.Duration(*pause))
-}
-
 func (daemon *Daemon) fullError(cause error) error {
 	return core.Errorf(core.Unavailable, "targets are full: %w", cause).WithRetryAfter(fullRetryAfter)
 }
@@ -249,18 +239,8 @@
 	if request.origin.Known() {
 		return withName(request.services[request.origin.Service], request.origin.Service)
 	}
-	total := 0
-	for _, share := range request.route.Services {
-		total += max(share.Weight, 0)
-	}
-	point := 0
-	if total > 0 {
-		point = int(uint64(request.fingerprint) % uint64(total))
-	}
-	for _, share := range request.route.Services {
-		if point -= max(share.Weight, 0); point < 0 {
-			return withName(request.services[share.Service], share.Service)
-		}
+	if name := request.route.ServiceFor(request.fingerprint); name != "" {
+		return withName(request.services[name], name)
 	}
 	return core.ServiceSpec{}
 }
@@ -400,37 +380,14 @@
 // write sends the response of a target to the caller.
 func (request *request) write(writer http.ResponseWriter, response *bufferedResponse) {
 	request.status = response.status
-	copyHeader(writer.Header(), response.header)
-	if bodyAllowed(response.status) {
+	xchg.CopyHeader(writer.Header(), response.header)
+	if xchg.BodyAllowed(response.status) {
 		writer.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
 	}
 	writer.WriteHeader(response.status)
 	_, _ = writer.Write(response.body)
 }
 
-func bodyAllowed(status int) bool {
-	return status != http.StatusNoContent && status != http.StatusNotModified
-}
-
-var connectionHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
-}
-
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		if !connectionHeaders[name] {
-			to[name] = values
-		}
-	}
-	if from.Get("Content-Type") == "" {
-		to["Content-Type"] = nil // net/http would guess a type
-	}
-	if from.Get("Date") == "" {
-		to["Date"] = nil
-	}
-}
-
 var (
 	errUnidentified = errors.New("response without the attempt's ID")
 	errTargetFailed = errors.New("the target responded with an error")
@@ -448,6 +405,7 @@
 	parent            context.Context // of all attempts of the request
 	ctx               context.Context // of this attempt
 	opening           chan opened     // result of an attempt that was opened by a takeover; nil otherwise
+	answered          func()          // called when the result is there; nil if nothing waits for it besides run
 	sending           chan struct{}   // closed when such an attempt begins to send its request
 	record            *originRecord   // of the stream that the target would begin; nil if it needs none or was not queued by this attempt
 	toldOrigin        origin.Origin   // what began the stream, by the daemon that forwards the request, which records it
@@ -613,7 +571,7 @@
 	}
 	relay.daemon.recordOutcome(relay.request, relay.attempt, outcome, relay.daemon.clock.Now().Sub(relay.attempt.startedAt))
 	cause := fmt.Errorf("target responded with status %d", response.StatusCode)
-	if impliesNotRun(response.StatusCode) {
+	if answer.ImpliesNotRun(response.StatusCode) {
 		// The target does not state that it did not run the request, so the status sent to the caller must not imply
 		// it.
 		return &sendError{run: core.Unknown, cause: cause}
@@ -644,7 +602,7 @@
 
 // forwardLong forwards a response as it arrives, after the beginning of its body that was already read, whose memory it frees.
 func (relay *relay) forwardLong(ctx context.Context, response *http.Response, begin []byte, memory *bodyMemory) error {
-	copyHeader(relay.writer.Header(), response.Header)
+	xchg.CopyHeader(relay.writer.Header(), response.Header)
 	relay.resumable = false
 	relay.request.responseStarted, relay.request.status = true, response.StatusCode
 	relay.writer.WriteHeader(response.StatusCode)
@@ -656,14 +614,6 @@
 	return nil
 }
 
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
-
 // forwardBuffered forwards a response that is not a stream; a short one is read to its end first, so that the request
 // can be retried if the target disconnects.
 func (relay *relay) forwardBuffered(ctx context.Context, response *http.Response) error {
