--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -59,6 +59,7 @@
 // process is one daemon with a proxy between it and the store and a proxy between callers or peers and it.
 type process struct {
 	name     string
+	listen   string // address at which it is reached without the proxy
 	command  *exec.Cmd
 	store    *fault.Proxy
 	front    *fault.Proxy
@@ -77,6 +78,7 @@
 	lastTicket  int64
 	omitVMList  bool       // daemons started from now on get no URL of the list of VMs
 	passSeeds   bool       // daemons started from now on get the addresses of the running ones as seeds
+	descriptors int        // limit on the open descriptors of daemons started from now on; 0 means that of the test
 	linkProxies bool       // each pair of daemons has its own proxy
 	mutex       sync.Mutex // guards daemons, which the goroutines of link routers read
 }
@@ -180,7 +182,7 @@
 func (fleet *fleet) startWith(name, dataCentre string, store fault.Mode) *process {
 	fleet.t.Helper()
 	listen := freeAddress()
-	daemon := &process{name: name, exited: make(chan error, 1)}
+	daemon := &process{name: name, listen: listen, exited: make(chan error, 1)}
 	daemon.store = fleet.proxy(fleet.world.StoreServer.Address())
 	daemon.front = fleet.proxy(listen)
 	if err := daemon.store.SetMode(store); err != nil {
@@ -217,6 +219,10 @@
 		fleet.t.Fatal(err)
 	}
 	daemon.command = exec.Command(fleet.nextProgram(), "serve", "--config", file)
+	if fleet.descriptors > 0 {
+		arguments := append([]string{"-c", fmt.Sprintf(`ulimit -n %d; exec "$@"`, fleet.descriptors), "sh"}, daemon.command.Args...)
+		daemon.command = exec.Command("sh", arguments...)
+	}
 	log, err := os.Create(filepath.Join(folder, name+".log"))
 	if err != nil {
 		fleet.t.Fatal(err)
