io/intake: the memory of bodies moves out of io/edge

The accounting of the memory of bodies and responses moves as it is; the tests of readEvent make their memory through the new type.

--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -30,6 +30,7 @@
 	"catkincove/core/wake"
 	"catkincove/io/callid"
 	"catkincove/io/inifmt"
+	"catkincove/io/intake"
 	"catkincove/io/xchg"
 )
 
@@ -76,10 +77,10 @@
 	leaveOnce      sync.Once
 	leaveStarted   chan struct{} // closed when the daemon starts to leave
 	drain          drain
-	activeRequests atomic.Int64 // requests of callers in progress
-	lastRequestEnd atomic.Int64 // Unix time in nanoseconds
-	bodyBytes      atomic.Int64 // size of the request bodies in memory
-	responseBytes  atomic.Int64 // size of what was read of responses and not forwarded yet
+	activeRequests atomic.Int64  // requests of callers in progress
+	lastRequestEnd atomic.Int64  // Unix time in nanoseconds
+	bodyBudget     intake.Budget // of the request bodies in memory
+	responseBudget intake.Budget // of what was read of responses and not forwarded yet
 
 	paths        pathMonitor
 	pauses       wake.Detector
@@ -150,6 +151,8 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: xchg.MaxHeadBytes,
 	}}}
+	memory := float64(settings.MemoryMB) * (1 << 20)
+	daemon.bodyBudget.Limit, daemon.responseBudget.Limit = int64(memory*bodyMemoryShare), int64(memory*responseMemoryShare)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	daemon.id = newMemberID(options.Settings.Name, random)
 	daemon.control = control{
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -8,11 +8,11 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"catkincove/core"
+	"catkincove/io/intake"
 )
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
@@ -80,7 +80,7 @@
 			var ids []string
 			var size int
 			for {
-				event, id, err := readEvent(reader, &bodyMemory{used: new(atomic.Int64), budget: 4 * maxEventBytes})
+				event, id, err := readEvent(reader, (&intake.Budget{Limit: 4 * maxEventBytes}).Memory())
 				if err != nil {
 					if !errors.Is(err, test.err) {
 						t.Errorf("stream ends with %v", err)
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -16,6 +16,7 @@
 	"catkincove/core/admit"
 	"catkincove/core/blame"
 	"catkincove/core/origin"
+	"catkincove/io/intake"
 )
 
 const (
@@ -40,7 +41,7 @@
 	priority     int
 	incoming     *http.Request
 	body         []byte
-	bodyMemory   *bodyMemory
+	bodyMemory   *intake.Memory
 	fingerprint  core.Fingerprint
 	suspects     blame.Request
 	startedAt    time.Time
@@ -97,7 +98,7 @@
 		daemon.reject(writer, request, err)
 		return
 	}
-	defer request.bodyMemory.release()
+	defer request.bodyMemory.Release()
 	ctx, cancel := context.WithDeadline(incoming.Context(), request.deadline)
 	defer cancel()
 	ctx, stop := daemon.untilCut(ctx)
--- a/io/edge/fuzz_test.go
+++ b/io/edge/fuzz_test.go
@@ -9,13 +9,13 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"catkincove/core"
 	"catkincove/core/blame"
 	"catkincove/core/place"
+	"catkincove/io/intake"
 )
 
 // FuzzReadEvent guards against bytes of a stream that are lost, repeated or invented when it is split into events, against an
@@ -34,7 +34,7 @@
 		var whole []byte
 		var end error
 		for end == nil {
-			event, id, err := readEvent(reader, &bodyMemory{used: new(atomic.Int64), budget: 4 * maxEventBytes})
+			event, id, err := readEvent(reader, (&intake.Budget{Limit: 4 * maxEventBytes}).Memory())
 			if end = err; err != nil {
 				break
 			}
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -15,6 +15,7 @@
 	"catkincove/core/origin"
 	"catkincove/core/place"
 	"catkincove/core/retry"
+	"catkincove/io/intake"
 	"catkincove/io/xchg"
 )
 
@@ -589,10 +590,10 @@
 
 // errorResponse forwards an error response of the target, or returns it as an error if another attempt may succeed.
 func (relay *relay) errorResponse(ctx context.Context, response *http.Response) error {
-	memory := relay.daemon.newBodyMemory(&relay.daemon.responseBytes, responseMemoryShare)
-	defer memory.release()
-	body, err := memory.readResponse(response)
-	if err != nil && !errors.Is(err, errBodyMemory) {
+	memory := relay.daemon.responseBudget.Memory()
+	defer memory.Release()
+	body, err := readResponse(response, memory)
+	if err != nil && !errors.Is(err, intake.ErrMemory) {
 		return relay.disconnected(ctx, err)
 	}
 	outcome := place.Succeeded
@@ -622,22 +623,22 @@
 	return nil
 }
 
-// readResponse reads the body of a response, or the first maxBufferedResponse bytes of a longer one. With errBodyMemory it returns what the memory for
+// readResponse reads the body of a response, or the first maxBufferedResponse bytes of a longer one. With intake.ErrMemory it returns what the memory for
 // responses has room for: a target in trouble may send bytes without end to all its requests.
-func (memory *bodyMemory) readResponse(response *http.Response) ([]byte, error) {
+func readResponse(response *http.Response, memory *intake.Memory) ([]byte, error) {
 	var body bytes.Buffer
-	_, err := io.Copy(&body, &meteredReader{source: io.LimitReader(response.Body, maxBufferedResponse), memory: memory})
+	_, err := io.Copy(&body, memory.Reader(io.LimitReader(response.Body, maxBufferedResponse)))
 	return body.Bytes(), err
 }
 
 // forwardLong forwards a response as it arrives, after the beginning of its body that was already read, whose memory it frees.
-func (relay *relay) forwardLong(ctx context.Context, response *http.Response, begin []byte, memory *bodyMemory) error {
+func (relay *relay) forwardLong(ctx context.Context, response *http.Response, begin []byte, memory *intake.Memory) error {
 	copyHeader(relay.writer.Header(), response.Header)
 	relay.resumable = false
 	relay.request.responseStarted, relay.request.status = true, response.StatusCode
 	relay.writer.WriteHeader(response.StatusCode)
 	_, _ = relay.writer.Write(begin)
-	memory.release()
+	memory.Release()
 	if _, err := io.Copy(relay.writer, response.Body); err != nil {
 		return relay.disconnected(ctx, err)
 	}
@@ -656,11 +657,11 @@
 // can be retried if the target disconnects.
 func (relay *relay) forwardBuffered(ctx context.Context, response *http.Response) error {
 	relay.watchdog.wait()
-	memory := relay.daemon.newBodyMemory(&relay.daemon.responseBytes, responseMemoryShare)
-	defer memory.release()
-	body, err := memory.readResponse(response)
+	memory := relay.daemon.responseBudget.Memory()
+	defer memory.Release()
+	body, err := readResponse(response, memory)
 	relay.request.firstEventAfter = relay.daemon.clock.Now().Sub(relay.request.startedAt)
-	if err != nil && !errors.Is(err, errBodyMemory) {
+	if err != nil && !errors.Is(err, intake.ErrMemory) {
 		return relay.disconnected(ctx, err)
 	}
 	relay.inputs.free()
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -14,6 +14,7 @@
 
 	"catkincove/core"
 	"catkincove/core/place"
+	"catkincove/io/intake"
 )
 
 const (
@@ -33,8 +34,8 @@
 	reader := bufio.NewReaderSize(response.Body, eventBufferBytes)
 	request := relay.request
 	flusher := http.NewResponseController(relay.writer)
-	memory := relay.daemon.newBodyMemory(&relay.daemon.responseBytes, responseMemoryShare)
-	defer memory.release()
+	memory := relay.daemon.responseBudget.Memory()
+	defer memory.Release()
 	resumed := request.responseStarted
 	if resumed && (response.StatusCode != request.status || mediaType(response) != request.mediaType) {
 		return relay.notResumed()
@@ -51,7 +52,7 @@
 		if err == io.EOF {
 			return relay.endStream(response, count)
 		}
-		if errors.Is(err, errBodyMemory) { // other responses use the memory, which is no fault of this target
+		if errors.Is(err, intake.ErrMemory) { // other responses use the memory, which is no fault of this target
 			request.mayHaveRun = true
 			relay.daemon.recordOutcome(request, relay.attempt, place.Inconclusive, 0)
 			return &sendError{run: core.Unknown, cause: err}
@@ -85,7 +86,7 @@
 			relay.resumable = false
 			return relay.disconnected(ctx, err)
 		}
-		memory.release()
+		memory.Release()
 		if id != "" {
 			request.resumeAfter = id
 		}
@@ -188,13 +189,13 @@
 
 // readEvent returns one whole event with its ID, and with the empty lines and comments before it, which are no sign that the
 // target works; those at the end of the stream are returned alone. io.EOF means that the stream ended between events,
-// errTruncated inside one, and errBodyMemory that it is longer than the memory for responses has room for. The memory is reserved until its release.
-func readEvent(reader *bufio.Reader, memory *bodyMemory) (event []byte, id string, err error) {
+// errTruncated inside one, and intake.ErrMemory that it is longer than the memory for responses has room for. The memory is reserved until its release.
+func readEvent(reader *bufio.Reader, memory *intake.Memory) (event []byte, id string, err error) {
 	hasContent := false
 	for lineStart := 0; ; {
 		part, err := reader.ReadSlice('\n')
 		if len(event)+len(part) > eventBufferBytes {
-			if err := memory.reserve(2 * int64(len(event)+len(part))); err != nil { // append doubles the buffer
+			if err := memory.Reserve(2 * int64(len(event)+len(part))); err != nil { // append doubles the buffer
 				return nil, "", err
 			}
 		}
--- /dev/null
+++ b/io/intake/doc.go
@@ -0,0 +1,2 @@
+// Package intake bounds what callers, and others that connect to a process, may use of its memory and descriptors.
+package intake
