io/intake: limit the connections of a process by its memory and descriptors

Clients that the operators don't control ended a process. Each of many connections kept a head that never ended, below the limit on one head, and nothing bounded them together. Connections without a request, bodies that stopped short after the response, which net/http reads without a limit on the time, and responses that nobody read held their descriptors for good, so neither ordinary callers nor the daemon itself got any.

A pool holds the accepted connections of a process, of all ports of edge and of serve. When their number, or the memory of heads and bodies, reaches a limit, connections without a whole request are closed first, then those of callers that do not read, then idle ones; of each kind those of the source with most, the oldest first. A request in progress stays; if all are in progress, a new connection gets 503, of which nothing was read. Memory for a body is reserved as it arrives instead of by its stated length, long messages of other daemons have a share of the memory, and serve reads heads of 64 KB instead of 1 MB and sets the memory limit of the runtime.

TestCrowdAtServe sets MemoryMB to the 128 MB that it checks; the setting did not exist before.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"catkincove/io/codec"
 	"catkincove/io/entry"
 	"catkincove/io/etcd"
+	"catkincove/io/intake"
 	"catkincove/io/meter"
 	"catkincove/io/peer"
 	"catkincove/io/target"
@@ -64,6 +65,7 @@
 
 	control  control
 	snapshot atomic.Pointer[snapshot]
+	intake   *intake.Pool
 
 	peerBytes      meter.Counter
 	releases       sync.WaitGroup
@@ -87,10 +89,11 @@
 		id:           core.MemberID(options.Name + "-" + ulid.Make().String()),
 		address:      options.Advertise,
 		clock:        options.Clock,
-		listener:     meter.Listener{Listener: listener},
+		intake:       intake.New(intake.Limits{MemoryBytes: int64(options.MemoryMB) << 20, Descriptors: options.Descriptors}, options.Clock),
 		draining:     make(chan struct{}),
 		heartbeatNow: make(chan struct{}, 1),
 	}
+	daemon.listener = meter.Listener{Listener: daemon.intake.Listen(listener, 1)}
 	if daemon.address == "" {
 		daemon.address = listener.Addr().String()
 	}
@@ -212,14 +215,17 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
+	server := &http.Server{
 		Handler:           callid.Echo(mux),
 		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    intake.DefaultHeadBytes,
 		ConnContext:       meter.ConnContext,
 	}
+	daemon.intake.Serve(server)
+	return server
 }
 
 func ignoreClosed(err error) error {
--- a/io/daemon/metrics.go
+++ b/io/daemon/metrics.go
@@ -27,6 +27,9 @@
 	set("LateResults", func() any { return daemon.runner.LateResults() })
 	set("MismatchedAnswers", func() any { return daemon.targets.Mismatched() })
 	set("SilentConnections", func() any { return daemon.targets.TimedOut() })
+	set("CallerConnections", func() any { return daemon.intake.Connections() })
+	set("CallerConnectionsEvicted", func() any { return daemon.intake.Evicted() })
+	set("CallerConnectionsRefused", func() any { return daemon.intake.Refused() })
 	set("Pools", func() any { return daemon.poolCounters() })
 	return metrics
 }
--- a/io/daemon/options.go
+++ b/io/daemon/options.go
@@ -26,6 +26,8 @@
 	StoreTimeout time.Duration // timeout of one store call; 0 means DefaultStoreTimeout
 	Seeds        []string      // addresses of peers to copy state from if the store cannot be read at startup
 	VMList       string        // URL of the platform's list of VMs, to find peers and terminated members; may be empty
+	MemoryMB     int           // memory available to the process; 0 means 256
+	Descriptors  int           // limit on the descriptors of the process; 0 means that of the operating system
 	Clock        core.Clock    // nil means the system clock
 	Log          zerolog.Logger
 	Listener     net.Listener // used instead of Listen when not nil
--- a/io/edge/body.go
+++ b/io/edge/body.go
@@ -17,6 +17,7 @@
 const (
 	bodyMemoryShare     = 0.25    // share of MemoryMB for request bodies
 	responseMemoryShare = 0.15    // share of MemoryMB for what is read of responses before it is forwarded
+	messageMemoryShare  = 0.1     // share of MemoryMB for messages of other daemons that are longer than 64 KB
 	defaultMaxBody      = 4 << 20 // bytes; limit on a body while the routing states none
 )
 
@@ -37,9 +38,6 @@
 		return bodyError(errTooLarge)
 	}
 	memory := daemon.bodyBudget.Memory()
-	if err := memory.Reserve(incoming.ContentLength); err != nil {
-		return bodyError(err)
-	}
 	connection := http.NewResponseController(writer)
 	_ = connection.SetReadDeadline(request.deadline) // fails only for connections that have no deadlines
 	body, err := readAll(incoming, memory, limit)
@@ -78,9 +76,7 @@
 // readAll reads a body of at most limit bytes, reserving its memory in advance.
 func readAll(incoming *http.Request, memory *intake.Memory, limit int64) ([]byte, error) {
 	if incoming.ContentLength >= 0 {
-		body := make([]byte, incoming.ContentLength)
-		_, err := io.ReadFull(incoming.Body, body)
-		return body, err
+		return memory.ReadFull(incoming.Body, incoming.ContentLength)
 	}
 	body, err := io.ReadAll(memory.Reader(io.LimitReader(incoming.Body, limit+1)))
 	if err == nil && int64(len(body)) > limit {
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -35,11 +35,9 @@
 )
 
 const (
-	memoryLimitShare     = 0.6              // share of MemoryMB that is set as the memory limit of the Go runtime
 	housekeepingInterval = time.Second      // period of the sweeps and of the check of the settings file
 	headerTimeout        = 10 * time.Second // limit on reading a request's header; callers may open connections ahead of use
 	idleTimeout          = 75 * time.Second // longer than callers keep idle connections, so that the callers close them
-	maxHeaderBytes       = 64 << 10         // limit on a request's header
 )
 
 // Options configures a Daemon; Settings.Metrics and SettingsFile may be empty.
@@ -70,6 +68,7 @@
 	targets     *xchg.Client
 	peers       *http.Client
 	metrics     *metrics
+	intake      *intake.Pool
 
 	id             core.MemberID
 	leaving        atomic.Bool
@@ -79,6 +78,7 @@
 	drain          drain
 	activeRequests atomic.Int64  // requests of callers in progress
 	lastRequestEnd atomic.Int64  // Unix time in nanoseconds
+	messageBudget  intake.Budget // of what other daemons send, beyond 64 KB of each message
 	bodyBudget     intake.Budget // of the request bodies in memory
 	responseBudget intake.Budget // of what was read of responses and not forwarded yet
 
@@ -152,7 +152,9 @@
 		MaxResponseHeaderBytes: xchg.MaxHeadBytes,
 	}}}
 	memory := float64(settings.MemoryMB) * (1 << 20)
-	daemon.bodyBudget.Limit, daemon.responseBudget.Limit = int64(memory*bodyMemoryShare), int64(memory*responseMemoryShare)
+	daemon.bodyBudget.Limit, daemon.responseBudget.Limit, daemon.messageBudget.Limit = int64(memory*bodyMemoryShare), int64(memory*responseMemoryShare), int64(memory*messageMemoryShare)
+	daemon.intake = intake.New(intake.Limits{MemoryBytes: int64(memory), Descriptors: settings.Descriptors}, options.Clock)
+	daemon.bodyBudget.Short, daemon.responseBudget.Short, daemon.messageBudget.Short = daemon.intake.Reclaim, daemon.intake.Reclaim, daemon.intake.Reclaim
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	daemon.id = newMemberID(options.Settings.Name, random)
 	daemon.control = control{
@@ -171,7 +173,7 @@
 // cannot be listened on.
 func (daemon *Daemon) Run(ctx context.Context) error {
 	settings := daemon.options.Settings
-	debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * memoryLimitShare * (1 << 20)))
+	debug.SetMemoryLimit(intake.Limits{MemoryBytes: int64(settings.MemoryMB) << 20}.RuntimeBytes())
 	began := daemon.clock.Now()
 	daemon.log.Info().Str(eventField, eventStart).Str("ID", string(daemon.id)).Int("Generation", messageGeneration).Str("Front", settings.Front).Msg("daemon starts")
 
@@ -235,12 +237,13 @@
 		part     string
 		handler  http.Handler
 		optional bool
+		share    float64 // of all connections
 	}{
-		{settings.Front, "front", http.HandlerFunc(daemon.serveFront), false},
-		{settings.Ready, "ready", http.HandlerFunc(daemon.serveReady), false},
-		{settings.Directory, "directory", http.HandlerFunc(daemon.serveDirectory), false},
-		{settings.Peer, "peer", callid.Echo(daemon.peerHandler()), false},
-		{settings.Metrics, "metrics", http.HandlerFunc(daemon.serveMetrics), true},
+		{settings.Front, "front", http.HandlerFunc(daemon.serveFront), false, 0.75},
+		{settings.Ready, "ready", http.HandlerFunc(daemon.serveReady), false, 0.125},
+		{settings.Directory, "directory", http.HandlerFunc(daemon.serveDirectory), false, 0.5},
+		{settings.Peer, "peer", callid.Echo(daemon.peerHandler()), false, 0.75},
+		{settings.Metrics, "metrics", http.HandlerFunc(daemon.serveMetrics), true, 0.125},
 	} {
 		if address.optional && address.address == "" {
 			continue
@@ -248,7 +251,7 @@
 		listener, err := net.Listen("tcp", address.address)
 		switch {
 		case err == nil:
-			services = append(services, service{daemon.server(daemon.guard(address.part, address.handler)), listener})
+			services = append(services, service{daemon.server(daemon.guard(address.part, address.handler)), daemon.intake.Listen(listener, address.share)})
 		case address.optional:
 			daemon.log.Error().Str(eventField, eventMetricsUnavailable).Err(err).Msg("cannot listen on the metrics address; metrics are not served")
 		default:
@@ -267,7 +270,9 @@
 }
 
 func (daemon *Daemon) server(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: intake.DefaultHeadBytes, ErrorLog: nil}
+	daemon.intake.Serve(server)
+	return server
 }
 
 // housekeep periodically removes expired state and reloads the settings file when it has changed, which may happen
@@ -277,7 +282,7 @@
 	if text, err := os.ReadFile(daemon.options.SettingsFile); err == nil {
 		lastText = string(text)
 	}
-	var reported int64
+	var reported, evictions int64
 	for core.Sleep(ctx, daemon.clock, housekeepingInterval) {
 		if text, err := os.ReadFile(daemon.options.SettingsFile); err == nil && string(text) != lastText {
 			lastText = string(text)
@@ -299,6 +304,10 @@
 			daemon.log.Warn().Str(eventField, eventLogDropped).Int64("Lines", now-reported).Msg("log lines were dropped")
 			reported = now
 		}
+		if now := daemon.intake.Evicted() + daemon.intake.Refused(); now > evictions {
+			daemon.log.Warn().Str(eventField, eventConnectionsEvicted).Int64("Connections", now-evictions).Int("Open", daemon.intake.Connections()).Msg("connections of callers were closed or refused")
+			evictions = now
+		}
 	}
 	return ctx.Err()
 }
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -15,6 +15,7 @@
 	eventStagesRepeated      = "StagesRepeated"      // the inputs of a stage are gone, and the stages of the request run again
 	eventPaused              = "Paused"              // the process was paused; what it knew before is checked
 	eventPanic               = "Panic"               // the daemon recovered from a panic, a fault of its own
+	eventConnectionsEvicted  = "ConnectionsEvicted"  // connections were closed or refused because too many were open or held too much memory
 	eventLogDropped          = "LogDropped"          // log lines were dropped
 	eventStoreLost           = "StoreLost"           // the store is unavailable and the copies of its keys are not updated
 	eventStoreReturned       = "StoreReturned"       // the store is available again
--- a/io/edge/panic.go
+++ b/io/edge/panic.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -66,7 +65,7 @@
 	if err != nil {
 		return // the connection has ended already
 	}
-	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+	if tcp, isTCP := conn.(interface{ SetLinger(seconds int) error }); isTCP {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
--- a/io/edge/peer.go
+++ b/io/edge/peer.go
@@ -101,6 +101,9 @@
 			daemon.serveForward(writer, request) // the mux would clean the caller's path
 			return
 		}
+		memory := daemon.messageBudget.Memory()
+		defer memory.Release()
+		request.Body = memory.Body(request.Body)
 		mux.ServeHTTP(writer, request)
 	})
 }
--- a/io/inifmt/edge.go
+++ b/io/inifmt/edge.go
@@ -27,13 +27,14 @@
 	// proxy or port forwarding; empty means that Front and Peer are reached directly.
 	AdvertiseFront, AdvertisePeer string
 
-	Metrics  string // IP:port for metrics; empty means none
-	Seeds    []string
-	Store    string  // IP:port; required
-	MemoryMB int     // memory available to the process
-	Cores    float64 // CPU cores of the VM; 0 means unknown
-	Grace    time.Duration
-	Bounds   EdgeBounds
+	Metrics     string // IP:port for metrics; empty means none
+	Seeds       []string
+	Store       string  // IP:port; required
+	MemoryMB    int     // memory available to the process
+	Descriptors int     // limit on the descriptors of the process; 0 means that of the operating system
+	Cores       float64 // CPU cores of the VM; 0 means unknown
+	Grace       time.Duration
+	Bounds      EdgeBounds
 }
 
 // EdgeBounds are fleet-wide limits, which all daemons observe together.
@@ -85,14 +86,15 @@
 		AdvertiseFront: table.text("AdvertiseFront", ""),
 		AdvertisePeer:  table.text("AdvertisePeer", ""),
 
-		Seeds:    table.list("Seeds"),
-		Store:    table.text("Store", ""),
-		MemoryMB: table.number("MemoryMB", DefaultMemoryMB),
-		Cores:    table.float("Cores", 0),
-		Grace:    table.duration("Grace", DefaultGrace),
+		Seeds:       table.list("Seeds"),
+		Store:       table.text("Store", ""),
+		MemoryMB:    table.number("MemoryMB", DefaultMemoryMB),
+		Descriptors: table.number("Descriptors", 0),
+		Cores:       table.float("Cores", 0),
+		Grace:       table.duration("Grace", DefaultGrace),
 	}
 	table.close(oneOf("Name", "DataCentre", "Front", "Ready", "Directory", "Peer", "AdvertiseFront", "AdvertisePeer",
-		"Metrics", "Seeds", "Store", "MemoryMB", "Cores", "Grace"))
+		"Metrics", "Seeds", "Store", "MemoryMB", "Descriptors", "Cores", "Grace"))
 	return settings
 }
 
--- a/io/inifmt/settings.go
+++ b/io/inifmt/settings.go
@@ -41,13 +41,15 @@
 
 // DaemonSettings describe the daemon itself.
 type DaemonSettings struct {
-	Name       string        // name in logs; default DefaultName
-	Listen     string        // IP:port; the port may be 0; default DefaultListen
-	Advertise  string        // IP:port that others connect to; default Listen
-	DataCentre string        // required
-	KeepFor    time.Duration // how long callers may cache addresses; default DefaultKeepFor
-	LogLevel   string        // debug, info, warn or error; default DefaultLogLevel
-	LogFormat  string        // json or console; default DefaultLogFormat
+	Name        string        // name in logs; default DefaultName
+	Listen      string        // IP:port; the port may be 0; default DefaultListen
+	Advertise   string        // IP:port that others connect to; default Listen
+	DataCentre  string        // required
+	KeepFor     time.Duration // how long callers may cache addresses; default DefaultKeepFor
+	LogLevel    string        // debug, info, warn or error; default DefaultLogLevel
+	MemoryMB    int           // memory available to the process; 0 means DefaultMemoryMB
+	Descriptors int           // limit on the descriptors of the process; 0 means that of the operating system
+	LogFormat   string        // json or console; default DefaultLogFormat
 }
 
 // StoreSettings describe the key-value store.
@@ -96,15 +98,17 @@
 func (table *table) daemon() DaemonSettings {
 	table.require("DataCentre", "the name of the data centre of this daemon")
 	daemon := DaemonSettings{
-		Name:       table.name("Name", DefaultName),
-		Listen:     table.listen(),
-		DataCentre: table.name("DataCentre", ""),
-		KeepFor:    table.durationBetween("KeepFor", DefaultKeepFor, minKeepFor, maxKeepFor),
-		LogLevel:   table.option("LogLevel", DefaultLogLevel, "debug", "info", "warn", "error"),
-		LogFormat:  table.option("LogFormat", DefaultLogFormat, "json", "console"),
+		Name:        table.name("Name", DefaultName),
+		Listen:      table.listen(),
+		DataCentre:  table.name("DataCentre", ""),
+		KeepFor:     table.durationBetween("KeepFor", DefaultKeepFor, minKeepFor, maxKeepFor),
+		LogLevel:    table.option("LogLevel", DefaultLogLevel, "debug", "info", "warn", "error"),
+		MemoryMB:    table.number("MemoryMB", 0),
+		Descriptors: table.number("Descriptors", 0),
+		LogFormat:   table.option("LogFormat", DefaultLogFormat, "json", "console"),
 	}
 	daemon.Advertise = table.advertise(daemon.Listen)
-	table.close(oneOf("Name", "Listen", "Advertise", "DataCentre", "KeepFor", "LogLevel", "LogFormat"))
+	table.close(oneOf("Name", "Listen", "Advertise", "DataCentre", "KeepFor", "LogLevel", "LogFormat", "MemoryMB", "Descriptors"))
 	return daemon
 }
 
--- /dev/null
+++ b/io/intake/conn.go
@@ -0,0 +1,217 @@
+package intake
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Ranks of connections; lower ones are evicted first.
+const (
+	unfinished = iota // no whole request has come
+	unread            // the caller does not read the response
+	idle              // nothing has come since the last response
+	stays             // a request is in progress
+)
+
+// Conn is a connection of a pool.
+type Conn struct {
+	net.Conn
+	pool   *Pool
+	port   *port
+	source string // IP address of the caller
+
+	// Guarded by the mutex of the pool.
+	since        time.Time // begin of the present state
+	active       bool      // the head of a request is whole
+	handled      bool      // a handler has begun since
+	rest         bool      // the handler has returned and a part of the body has not come
+	used         bool      // a whole request has come before
+	requests     int       // in their handlers
+	incomplete   int       // requests in their handlers whose bodies are not whole
+	headReceived int64     // bytes since the last response
+	headBytes    int64     // memory of the connection and of a head that is not whole
+	bodyBytes    int64     // memory of heads and bodies of requests in progress
+	multiplexed  bool      // its requests come over HTTP/2
+	bodyReadAt   time.Time // when bytes of a body last came
+	writes       int       // calls of Write in progress
+	writingSince time.Time // begin of the oldest of them
+}
+
+// rank returns the rank of a connection; the mutex must be held.
+func (conn *Conn) rank(now time.Time) int {
+	switch {
+	case conn.writes > 0 && now.Sub(conn.writingSince) > minStall:
+		return unread
+	case conn.requests > conn.incomplete:
+		return stays
+	case conn.requests > 0:
+		return unfinished
+	case conn.active && conn.handled && !conn.rest && now.Sub(conn.since) <= minStall:
+		return stays // its response is being sent
+	case conn.active || conn.headReceived > 0 && !conn.multiplexed || !conn.used: // HTTP/2 sends frames beside requests
+		return unfinished
+	}
+	return idle
+}
+
+// isStalled reports whether a body or the reading of a response makes no progress; the mutex must be held.
+func (conn *Conn) isStalled(now time.Time) bool {
+	return conn.rank(now) == unread || conn.incomplete > 0 && conn.requests == conn.incomplete && now.Sub(conn.bodyReadAt) > minStall
+}
+
+// Read reads from the connection and counts the bytes of a head that is not whole.
+func (conn *Conn) Read(data []byte) (int, error) {
+	count, err := conn.Conn.Read(data)
+	if count == 0 {
+		return count, err
+	}
+	pool := conn.pool
+	pool.mutex.Lock()
+	var victims []*Conn
+	if _, found := pool.connections[conn]; found && !conn.active && conn.headReceived < maxHeadReceived {
+		if conn.headReceived == 0 {
+			conn.since = pool.clock.Now()
+		}
+		conn.headReceived += int64(count)
+		pool.charge(conn, int64(count)*headFactor, true)
+		victims = pool.shrink()
+	}
+	pool.mutex.Unlock()
+	closeAll(victims)
+	return count, err
+}
+
+// Write writes to the connection and notes how long it has waited for the caller to read.
+func (conn *Conn) Write(data []byte) (int, error) {
+	mutex := &conn.pool.mutex
+	mutex.Lock()
+	if conn.writes++; conn.writes == 1 {
+		conn.writingSince = conn.pool.clock.Now()
+	}
+	mutex.Unlock()
+	defer func() {
+		mutex.Lock()
+		conn.writes--
+		mutex.Unlock()
+	}()
+	return conn.Conn.Write(data)
+}
+
+// Close closes the connection.
+func (conn *Conn) Close() error {
+	conn.pool.mutex.Lock()
+	conn.pool.remove(conn)
+	conn.pool.mutex.Unlock()
+	return conn.Conn.Close()
+}
+
+// CloseWrite ends what is sent.
+func (conn *Conn) CloseWrite() error {
+	if half, possible := conn.Conn.(interface{ CloseWrite() error }); possible {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// SetLinger sets what closing does with data that was not sent yet, as for a TCP connection.
+func (conn *Conn) SetLinger(seconds int) error {
+	if tcp, possible := conn.Conn.(*net.TCPConn); possible {
+		return tcp.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
+
+// setState applies what the server reports.
+func (conn *Conn) setState(state http.ConnState) {
+	pool := conn.pool
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if _, found := pool.connections[conn]; !found || state != http.StateActive && state != http.StateIdle {
+		return
+	}
+	conn.since = pool.clock.Now()
+	conn.active, conn.handled, conn.rest = state == http.StateActive, false, false
+	headBytes := conn.headBytes - connectionBytes
+	pool.charge(conn, -headBytes, true)
+	pool.charge(conn, -conn.bodyBytes, false)
+	if conn.active {
+		conn.used = true
+		pool.charge(conn, headBytes, false)
+	}
+	conn.headReceived = 0
+}
+
+// begin notes that a request is in its handler, and returns its body, which is nil if it has none.
+func (conn *Conn) begin(request *http.Request) *body {
+	conn.pool.mutex.Lock()
+	defer conn.pool.mutex.Unlock()
+	conn.requests++
+	conn.handled = true
+	conn.since = conn.pool.clock.Now()
+	conn.bodyReadAt = conn.since
+	conn.multiplexed = request.ProtoMajor > 1
+	if request.Body == nil || request.Body == http.NoBody {
+		return nil
+	}
+	conn.incomplete++
+	body := &body{ReadCloser: request.Body, conn: conn}
+	request.Body = body
+	return body
+}
+
+// end notes that the handler of a request has returned, and reports whether a part of its body has not been read.
+func (conn *Conn) end(body *body) bool {
+	conn.pool.mutex.Lock()
+	defer conn.pool.mutex.Unlock()
+	conn.requests--
+	conn.since = conn.pool.clock.Now()
+	if body == nil {
+		return false
+	}
+	if _, found := conn.pool.connections[conn]; found {
+		freed := min(body.bytes, conn.bodyBytes)
+		conn.pool.charge(conn, -freed, false)
+	}
+	conn.rest = !body.whole
+	body.finish()
+	return conn.rest
+}
+
+// body is the body of a request, whose bytes count until its handler returns.
+type body struct {
+	io.ReadCloser
+	conn  *Conn
+	bytes int64
+	whole bool
+}
+
+// Read reads from the body and counts the bytes.
+func (body *body) Read(data []byte) (int, error) {
+	count, err := body.ReadCloser.Read(data)
+	pool := body.conn.pool
+	pool.mutex.Lock()
+	var victims []*Conn
+	if _, found := pool.connections[body.conn]; found {
+		body.bytes += int64(count)
+		body.conn.bodyReadAt = pool.clock.Now()
+		pool.charge(body.conn, int64(count), false)
+		victims = pool.shrink()
+	}
+	if err == io.EOF {
+		body.finish()
+	}
+	pool.mutex.Unlock()
+	closeAll(victims)
+	return count, err
+}
+
+// finish notes that no more of the body is awaited; the mutex must be held.
+func (body *body) finish() {
+	if !body.whole {
+		body.whole = true
+		body.conn.incomplete--
+	}
+}
--- /dev/null
+++ b/io/intake/intake_test.go
@@ -0,0 +1,161 @@
+package intake
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"catkincove/core"
+)
+
+// stepClock is a clock that tests set.
+type stepClock struct {
+	core.SystemClock
+	now time.Time
+}
+
+func (clock *stepClock) Now() time.Time { return clock.now }
+
+// fakeConn is a connection from an address, which reads what is needed and notes that it was closed.
+type fakeConn struct {
+	net.Conn
+	from   string
+	closed bool
+}
+
+func (conn *fakeConn) RemoteAddr() net.Addr          { return &net.TCPAddr{IP: net.ParseIP(conn.from)} }
+func (conn *fakeConn) Read(data []byte) (int, error) { return len(data), nil }
+func (conn *fakeConn) Close() error                  { conn.closed = true; return nil }
+
+// TestEvictionOrder guards against the eviction of an ordinary caller's connection instead of one of the crowd: requests in progress stay, unfinished heads
+// go before responses that nobody reads and those before idle connections, the source that has most comes first, and then the oldest.
+func TestEvictionOrder(t *testing.T) {
+	head := func(conn *Conn) { _, _ = conn.Read(make([]byte, 100)) }
+	busy := func(conn *Conn) { conn.setState(http.StateActive); conn.begin(httptest.NewRequest("GET", "/", nil)) }
+	body := func(conn *Conn) {
+		conn.setState(http.StateActive)
+		conn.begin(httptest.NewRequest("POST", "/", strings.NewReader("b")))
+	}
+	unread := func(conn *Conn) { busy(conn); conn.writes, conn.writingSince = 1, conn.pool.clock.Now() }
+	idle := func(conn *Conn) { busy(conn); conn.end(nil); conn.setState(http.StateIdle) }
+	rest := func(conn *Conn) { busy(conn); conn.end(nil) } // the server reads the rest of a body
+	type step struct {
+		from string
+		do   func(*Conn)
+	}
+	for _, test := range []struct {
+		name    string
+		steps   []step
+		evicted string // indices; -1 means that the new connection is refused
+	}{
+		{"oldest head", []step{{"1", busy}, {"1", head}, {"1", head}, {"1", idle}}, "1"},
+		{"source with most", []step{{"1", head}, {"2", head}, {"2", head}, {"3", idle}}, "1"},
+		{"heads before idle", []step{{"1", idle}, {"1", idle}, {"2", head}, {"1", idle}}, "2"},
+		{"body before idle", []step{{"1", idle}, {"1", idle}, {"2", body}, {"1", idle}}, "2"},
+		{"unused before idle", []step{{"1", idle}, {"1", idle}, {"2", func(*Conn) {}}, {"1", idle}}, "2"},
+		{"unread before idle", []step{{"1", idle}, {"1", unread}, {"1", busy}, {"1", idle}}, "1"},
+		{"head before unread", []step{{"1", idle}, {"1", unread}, {"1", busy}, {"1", head}}, "3"},
+		{"rest of a body before idle", []step{{"1", idle}, {"1", busy}, {"1", rest}, {"1", idle}}, "2"},
+		{"head over the limit before idle", []step{{"1", idle}, {"1", idle}, {"2", func(conn *Conn) { conn.setState(http.StateActive) }}, {"1", idle}}, "2"},
+		{"oldest idle", []step{{"1", busy}, {"1", idle}, {"1", idle}, {"1", busy}}, "1"},
+		{"nothing to evict", []step{{"1", busy}, {"1", busy}, {"1", busy}, {"1", busy}}, "-1"},
+	} {
+		clock := &stepClock{now: time.Unix(1000, 0)}
+		pool := New(Limits{}, clock)
+		pool.maxConnections = 4
+		port := pool.Listen(nil, 1).(*port)
+		var conns []*fakeConn
+		for _, step := range test.steps {
+			conns = append(conns, &fakeConn{from: "10.0.0." + step.from})
+			step.do(pool.add(port, conns[len(conns)-1]))
+			clock.now = clock.now.Add(2 * minStall)
+		}
+		var evicted []string
+		if pool.add(port, &fakeConn{from: "10.0.0.9"}) == nil {
+			evicted = append(evicted, "-1")
+		}
+		for i, conn := range conns {
+			if conn.closed {
+				evicted = append(evicted, fmt.Sprint(i))
+			}
+		}
+		if got := strings.Join(evicted, " "); got != test.evicted {
+			t.Errorf("%s: evicted %q, expected %q", test.name, got, test.evicted)
+		}
+	}
+}
+
+// TestMemoryIsReturned guards against a pool whose memory is used up by connections that were closed and by requests that have ended: it would evict
+// ordinary callers.
+func TestMemoryIsReturned(t *testing.T) {
+	pool := New(Limits{}, core.SystemClock{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/read" {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		_, _ = io.WriteString(writer, "ok")
+	})}
+	pool.Serve(server)
+	go func() { _ = server.Serve(pool.Listen(listener, 1)) }()
+	defer func() { _ = server.Close() }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(conn)
+	for i, request := range []string{
+		"POST /read HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello", "POST /not HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello",
+		"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "POST /read HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	} {
+		if _, err := io.WriteString(conn, request); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("request %d: %v %v", i, response, err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+	}
+	expect := func(what string, connections int, bytes int64) {
+		t.Helper()
+		for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+			pool.mutex.Lock()
+			reached := len(pool.connections) == connections && pool.headBytes == bytes && pool.totalBytes == bytes
+			pool.mutex.Unlock()
+			if reached {
+				return
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: %d connections, %d and %d bytes", what, len(pool.connections), pool.headBytes, pool.totalBytes)
+			}
+		}
+	}
+	expect("idle", 1, connectionBytes)
+	_ = conn.Close()
+	expect("closed", 0, 0)
+}
+
+// TestReadFull guards against a body that is changed by the growth of its buffer, and against memory that is reserved for a length that a caller only states.
+func TestReadFull(t *testing.T) {
+	for _, length := range []int{0, 1, firstRead, firstRead + 1, 5*firstRead + 7} {
+		text := strings.Repeat("0123456789abcde", length/15+1)[:length]
+		memory := (&Budget{Limit: 1 << 20}).Memory()
+		if body, err := memory.ReadFull(strings.NewReader(text), int64(length)); err != nil || string(body) != text || memory.reserved != int64(length) {
+			t.Errorf("%d bytes: got %d, reserved %d: %v", length, len(body), memory.reserved, err)
+		}
+	}
+	budget := &Budget{Limit: 1 << 20}
+	if _, err := budget.Memory().ReadFull(strings.NewReader("short"), 1<<30); err != io.ErrUnexpectedEOF || budget.used.Load() != firstRead {
+		t.Errorf("a stated length: %v, reserved %d", err, budget.used.Load())
+	}
+}
--- a/io/intake/memory.go
+++ b/io/intake/memory.go
@@ -6,12 +6,19 @@
 	"sync/atomic"
 )
 
+// firstRead is the size of the first buffer for a body, which most do not exceed.
+const firstRead = 64 << 10
+
+// messageFactor is the memory of a message per byte that was read, while its buffer grows.
+const messageFactor = 2
+
 // ErrMemory is returned when a budget has too little memory left.
 var ErrMemory = errors.New("bodies exceed their memory limit")
 
 // Budget is memory that many bodies share; it is safe for concurrent use.
 type Budget struct {
-	Limit int64 // bytes
+	Limit int64  // bytes
+	Short func() // called when there is too little; may be nil
 	used  atomic.Int64
 }
 
@@ -32,6 +39,9 @@
 	}
 	if memory.budget.used.Add(further) > memory.budget.Limit {
 		memory.budget.used.Add(-further)
+		if memory.budget.Short != nil {
+			memory.budget.Short()
+		}
 		return ErrMemory
 	}
 	memory.reserved += further
@@ -44,6 +54,43 @@
 	memory.reserved = 0
 }
 
+// ReadFull reads a body of the length, reserving its memory as it arrives, because a caller may state a length and send nothing.
+func (memory *Memory) ReadFull(source io.Reader, length int64) ([]byte, error) {
+	var body []byte
+	for size := min(length, firstRead); ; size = min(length, 2*size) {
+		if err := memory.Reserve(size); err != nil {
+			return nil, err
+		}
+		read := len(body)
+		body = append(make([]byte, 0, size), body...)[:size]
+		if _, err := io.ReadFull(source, body[read:]); err != nil || size == length {
+			return body, err
+		}
+	}
+}
+
+// Body returns the body of a message, which reserves memory for what exceeds the first 64 KB, so that short ones are read however little is left.
+func (memory *Memory) Body(source io.ReadCloser) io.ReadCloser {
+	return &messageBody{ReadCloser: source, memory: memory}
+}
+
+type messageBody struct {
+	io.ReadCloser
+	memory *Memory
+	count  int64 // bytes read
+}
+
+// Read returns ErrMemory when the budget is used up.
+func (body *messageBody) Read(data []byte) (int, error) {
+	count, err := body.ReadCloser.Read(data)
+	if body.count += int64(count); body.count > firstRead {
+		if err := body.memory.Reserve(messageFactor * body.count); err != nil {
+			return count, err
+		}
+	}
+	return count, err
+}
+
 // Reader returns a reader that reserves memory for the buffers that it reads into: a read of a chunk returns only when its buffer is full.
 func (memory *Memory) Reader(source io.Reader) io.Reader {
 	return &meteredReader{source: source, memory: memory}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -27,6 +27,9 @@
 // Assign makes the connection add all further bytes to the counter; nil stops counting.
 func (conn *Conn) Assign(counter *Counter) { conn.counter.Store(counter) }
 
+// NetConn returns the connection whose bytes are counted.
+func (conn *Conn) NetConn() net.Conn { return conn.Conn }
+
 // Read reads from the connection and counts the bytes received.
 func (conn *Conn) Read(buffer []byte) (int, error) {
 	n, err := conn.Conn.Read(buffer)
--- a/io/tool/serve.go
+++ b/io/tool/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"runtime/debug"
 
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
@@ -10,6 +11,7 @@
 	"catkincove/core"
 	"catkincove/io/daemon"
 	"catkincove/io/inifmt"
+	"catkincove/io/intake"
 )
 
 func serveCommand() *cli.Command {
@@ -35,6 +37,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(intake.Limits{MemoryBytes: int64(settings.Daemon.MemoryMB) << 20}.RuntimeBytes())
 	instance, err := daemon.New(daemon.Options{
 		Name:         settings.Daemon.Name,
 		Listen:       settings.Daemon.Listen,
@@ -45,6 +48,8 @@
 		StoreTimeout: settings.Store.Timeout,
 		Seeds:        settings.Peers.Seeds,
 		VMList:       settings.VMList.URL,
+		MemoryMB:     settings.Daemon.MemoryMB,
+		Descriptors:  settings.Daemon.Descriptors,
 		Log:          logger,
 	})
 	if err != nil {
--- a/proof/clients_test.go
+++ b/proof/clients_test.go
@@ -20,7 +20,7 @@
 const (
 	crowdSize        = 400     // connections of the crowd at any time
 	crowdBytes       = 300_000 // sent on each of them
-	crowdMemory      = 128     // MB of resident memory
+	crowdMemory      = 128     // MB of the machine, which the resident memory never exceeds
 	crowdDescriptors = 500     // limit on the descriptors of the daemon
 	maxOpened        = 400     // descriptors open at any time; the rest are for the store, other daemons and targets
 	crowdDuration    = 2 * time.Second
@@ -91,7 +91,7 @@
 		{"idle", nil},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			fleet := (&fleet{t: t, descriptors: crowdDescriptors}).begin(1, world.Options{})
+			fleet := (&fleet{t: t, descriptors: crowdDescriptors, daemonLines: fmt.Sprintf("MemoryMB = %d", crowdMemory)}).begin(1, world.Options{})
 			fleet.waitForOwners()
 			daemon := fleet.daemons[0]
 			served := func() bool { return sendOnce(daemon, lookup(1)) == nil }
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -78,6 +78,7 @@
 	lastTicket  int64
 	omitVMList  bool       // daemons started from now on get no URL of the list of VMs
 	passSeeds   bool       // daemons started from now on get the addresses of the running ones as seeds
+	daemonLines string     // further settings of the section Daemon of daemons started from now on
 	descriptors int        // limit on the open descriptors of daemons started from now on; 0 means that of the test
 	linkProxies bool       // each pair of daemons has its own proxy
 	mutex       sync.Mutex // guards daemons, which the goroutines of link routers read
@@ -201,10 +202,10 @@
 KeepFor = %s
 LogLevel = debug
 LogFormat = json
-
+%s
 [Store]
 Endpoints = http://%s
-`, name, listen, advertise, dataCentre, testKeepFor, daemon.store.Address())
+`, name, listen, advertise, dataCentre, testKeepFor, fleet.daemonLines, daemon.store.Address())
 	if !fleet.omitVMList {
 		settings += "\n[VMList]\nURL = http://" + fleet.world.ListServer.Address() + "/vms\n"
 	}
