io/intake: hand the handler a copy of the request

A body that stopped short until its time limit was answered late: net/http looks at the type of the body in its own request to decide whether to read the rest before it responds, and found that of the pool. TestUnfinishedUploads, which saw "i/o timeout after 4s" at a time limit of 1.5 s, passes again.

--- a/io/intake/pool.go
+++ b/io/intake/pool.go
@@ -136,13 +136,14 @@
 			handler.ServeHTTP(writer, request)
 			return
 		}
-		body := conn.begin(request)
+		copied := *request // the server looks at the body of its own one to decide whether to read the rest
+		body := conn.begin(&copied)
 		defer func() {
 			if conn.end(body) && request.ProtoMajor == 1 {
 				_ = http.NewResponseController(writer).SetReadDeadline(pool.clock.Now().Add(drainTimeout)) // fails only for a connection that was taken over
 			}
 		}()
-		handler.ServeHTTP(writer, request)
+		handler.ServeHTTP(writer, &copied)
 	})
 }
 
