--- a/io/intake/pool.go
+++ b/io/intake/pool.go
@@ -30,7 +30,7 @@
 	evictionShare   = 16                   // one in so many of a limit is freed at once
 
 	runtimeShare   = 0.6      // share of the memory that the Go runtime may use
-	outsideRuntime = 24 << 20 // memory at least for the program's own pages, and for what is allocated while the collector runs
+	outsideRuntime = 28 << 20 // memory at least for the program's own pages, and for what is allocated while the collector runs
 
 	drainTimeout   = 10 * time.Second // limit on reading the rest of a body after the response
 	minStall       = time.Second      // a caller that has not read the response for less is not evicted
