io/xchg: a status below 100 is no response

A replica in trouble sent an answer whose status was 000. Such an exchange fails now, as one with bytes of other responses does: the request may have run, the target counts as failing, and the request is not blamed for a crash.

By reading, not by a test: the clients of serve (io/target, io/caller, io/etcd, io/peer), the calls between daemons, of stages and of freeing compare the status with 200 and fail with any other.

--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -105,9 +105,12 @@
 // errMismatchedResponse reports that the target sent only responses to other requests.
 var errMismatchedResponse = errors.New("target sent no response to this request")
 
+// errInvalidStatus reports a status below 100: the bytes are no response, nor is what follows them.
+var errInvalidStatus = errors.New("the status of the response is invalid")
+
 // IsForeign reports whether an exchange failed because of responses that do not belong to it: the target works, and the request is not the cause.
 func IsForeign(err error) bool {
-	return errors.Is(err, errMismatchedResponse) || errors.Is(err, errJoinedHeads)
+	return errors.Is(err, errMismatchedResponse) || errors.Is(err, errJoinedHeads) || errors.Is(err, errInvalidStatus)
 }
 
 // Client is an HTTP/1.1 client with a pool of connections per target; Clock must be set.
@@ -379,6 +382,9 @@
 		if HeadIsJoined(response) {
 			return nil, errJoinedHeads
 		}
+		if response.StatusCode < http.StatusContinue {
+			return nil, errInvalidStatus
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/io/xchg/client_test.go
+++ b/io/xchg/client_test.go
@@ -281,6 +281,27 @@
 	}
 }
 
+// TestStatusBelowHundred guards against a status that no response has, which was passed over like an interim response, so that what followed was taken for the
+// response; whether the request has run is unknown.
+func TestStatusBelowHundred(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nAttempt: a\r\nContent-Length: 2\r\n\r\nok"
+	for _, sent := range []string{
+		"HTTP/1.1 000 \r\n\r\n" + ok, "HTTP/1.1 000 \r\nAttempt: a\r\nContent-Length: 0\r\n\r\n" + ok, "HTTP/1.1 099 Odd\r\n\r\n" + ok,
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 \r\n\r\n" + ok, "HTTP/1.1 000 \r\nContent-Length: 2\r\n\r\nno" + ok,
+	} {
+		address := serveTCP(t, func(connection net.Conn, reader *bufio.Reader) {
+			if _, err := readRequest(reader); err == nil {
+				_, _ = connection.Write([]byte(sent))
+			}
+		})
+		body, err := exchangeWith(&Client{Clock: core.SystemClock{}}, address, "a")
+		var failed *Error
+		if !errors.As(err, &failed) || !failed.Sent {
+			t.Errorf("%q: got %q, %v", sent, body, err)
+		}
+	}
+}
+
 // TestTruncatedBody guards against a truncated response that counts as complete.
 func TestTruncatedBody(t *testing.T) {
 	address := serveTCP(t, func(connection net.Conn, reader *bufio.Reader) {
