io/xchg: a response that ends before its request was sent is incomplete

A replica answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The end of the connection counted as that of the response as soon as a FIN came before the reset. TestEarlyAnswer plays it on plain services and streams, resumable and not, in seven forms of responses and five ends of the connection.

The end of a response without a length counts now only when the whole request is written and acknowledged by the target's host.

--- a/io/xchg/client.go
+++ b/io/xchg/client.go
@@ -105,6 +105,13 @@
 // errMismatchedResponse reports that the target sent only responses to other requests.
 var errMismatchedResponse = errors.New("target sent no response to this request")
 
+// errEndedEarly reports that the connection of a response without a length was closed while the request was being sent, so that its end may not be that
+// of the response.
+var errEndedEarly = errors.New("the connection ended before the request was sent")
+
+// writtenTimeout is the time within which the writing of a request that its target has read is noticed.
+const writtenTimeout = 100 * time.Millisecond
+
 // errInvalidStatus reports a status below 100: the bytes are no response, nor is what follows them.
 var errInvalidStatus = errors.New("the status of the response is invalid")
 
@@ -391,6 +398,17 @@
 	}
 }
 
+// isWritten reports whether the whole request is written and the target's host has acknowledged it; it waits for a short time, as the end of a response may be read before that of the request is noticed.
+func (exchange *exchange) isWritten() bool {
+	select {
+	case err := <-exchange.written:
+		exchange.written <- err
+		return err == nil && exchange.readQueue().bytes == 0
+	case <-exchange.client.Clock.After(writtenTimeout):
+		return false
+	}
+}
+
 func (exchange *exchange) finish(reusable bool) {
 	if exchange.ended.Swap(true) {
 		return
@@ -428,6 +446,9 @@
 
 func (body *body) Read(data []byte) (int, error) {
 	count, err := body.ReadCloser.Read(data)
+	if err == io.EOF && !body.isDelimited() && !body.exchange.isWritten() {
+		err = errEndedEarly
+	}
 	switch {
 	case err == io.EOF:
 		body.atEnd = true
@@ -437,10 +458,14 @@
 	return count, err
 }
 
+// isDelimited reports whether the end of the body can be told from that of its connection.
+func (body *body) isDelimited() bool {
+	return body.response.ContentLength >= 0 || len(body.response.TransferEncoding) > 0
+}
+
 func (body *body) Close() error {
 	response := body.response
-	delimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	reusable := body.atEnd && !body.failed && delimited && !response.Close
+	reusable := body.atEnd && !body.failed && body.isDelimited() && !response.Close
 	idleTimeout := defaultIdleTimeout
 	if timeout, found := statedIdleTimeout(response.Header); found {
 		idleTimeout = timeout
