--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -8,11 +8,11 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"catkincove/core"
+	"catkincove/io/intake"
 	"catkincove/io/stream"
 )
 
@@ -42,7 +42,7 @@
 			var ids []string
 			var size int
 			for {
-				event, id, err := stream.ReadEvent(reader, (&bodyMemory{used: new(atomic.Int64), budget: 4 * stream.MaxEventBytes}).reserve)
+				event, id, err := stream.ReadEvent(reader, (&intake.Budget{Limit: 4 * stream.MaxEventBytes}).Memory().Reserve)
 				if err != nil {
 					if !errors.Is(err, test.err) {
 						t.Errorf("stream ends with %v", err)
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -16,6 +16,7 @@
 	"catkincove/core/blame"
 	"catkincove/core/origin"
 	"catkincove/io/answer"
+	"catkincove/io/intake"
 	"catkincove/io/shift"
 	"catkincove/io/xchg"
 )
@@ -42,7 +43,7 @@
 	priority     int
 	incoming     *http.Request
 	body         []byte
-	bodyMemory   *bodyMemory
+	bodyMemory   *intake.Memory
 	fingerprint  core.Fingerprint
 	suspects     blame.Request
 	startedAt    time.Time
@@ -100,7 +101,7 @@
 		daemon.reject(writer, request, err)
 		return
 	}
-	defer request.bodyMemory.release()
+	defer request.bodyMemory.Release()
 	ctx, cancel := context.WithDeadline(incoming.Context(), request.deadline)
 	defer cancel()
 	ctx, stop := daemon.untilCut(ctx)
--- a/io/edge/fuzz_test.go
+++ b/io/edge/fuzz_test.go
@@ -9,13 +9,13 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"catkincove/core"
 	"catkincove/core/blame"
 	"catkincove/core/place"
+	"catkincove/io/intake"
 	"catkincove/io/stream"
 )
 
@@ -35,7 +35,7 @@
 		var whole []byte
 		var end error
 		for end == nil {
-			event, id, err := stream.ReadEvent(reader, (&bodyMemory{used: new(atomic.Int64), budget: 4 * stream.MaxEventBytes}).reserve)
+			event, id, err := stream.ReadEvent(reader, (&intake.Budget{Limit: 4 * stream.MaxEventBytes}).Memory().Reserve)
 			if end = err; err != nil {
 				break
 			}
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -12,6 +12,7 @@
 
 	"catkincove/core"
 	"catkincove/core/place"
+	"catkincove/io/intake"
 	"catkincove/io/stream"
 	"catkincove/io/xchg"
 )
@@ -26,15 +27,15 @@
 	reader := bufio.NewReaderSize(response.Body, stream.BufferBytes)
 	request := relay.request
 	flusher := http.NewResponseController(relay.writer)
-	memory := relay.daemon.newBodyMemory(&relay.daemon.responseBytes, responseMemoryShare)
-	defer memory.release()
+	memory := relay.daemon.responseBudget.Memory()
+	defer memory.Release()
 	resumed := request.responseStarted
 	if resumed && (response.StatusCode != request.status || mediaType(response) != request.mediaType) {
 		return relay.notResumed()
 	}
 	for count := 0; ; count++ {
 		relay.watchdog.wait()
-		event, id, err := stream.ReadEvent(reader, memory.reserve)
+		event, id, err := stream.ReadEvent(reader, memory.Reserve)
 		if !relay.watchdog.endWait(err == nil || err == io.EOF) {
 			return relay.replaced()
 		}
@@ -44,7 +45,7 @@
 		if err == io.EOF {
 			return relay.endStream(response, count)
 		}
-		if errors.Is(err, errBodyMemory) { // other responses use the memory, which is no fault of this target
+		if errors.Is(err, intake.ErrMemory) { // other responses use the memory, which is no fault of this target
 			request.mayHaveRun = true
 			relay.daemon.recordOutcome(request, relay.attempt, place.Inconclusive, 0)
 			return &sendError{run: core.Unknown, cause: err}
@@ -78,7 +79,7 @@
 			relay.resumable = false
 			return relay.disconnected(ctx, err)
 		}
-		memory.release()
+		memory.Release()
 		if id != "" {
 			request.resumeAfter = id
 		}
