io/shift: which targets an ended or replaced order leaves out

After two orders in a row that did not succeed, the version in force counted as one of a replaced order, and all requests went to the third order's version at once. After a success, targets of any later version were left out, so a release without an order had emptied the service while the order was still in the store. Versions are kept as they were decided, and a success leaves out what had started by then.

go test -race ./io/shift, with both cases; go test ./platform -run TestRollout -v, once: passed in 21 s.

--- a/io/shift/mover.go
+++ b/io/shift/mover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -77,9 +78,9 @@
 	order        Order
 	issuedAt     time.Time // earliest time at which the order may have been written, as far as known
 	withdrawn    bool
-	banned       map[string]bool // versions of replaced orders that had not succeeded
-	restoredFrom *rollout        // what was under way when a restore of the store brought this order back; nil otherwise
-	base         string          // version of a replaced order that had; empty if there is none
+	banned       map[string]time.Time // versions whose targets get nothing; until the time at which those that do not started, or all if it is zero
+	seen         map[string]bool      // versions of usable targets since the order
+	restoredFrom *rollout             // what was under way when a restore of the store brought this order back; nil otherwise
 
 	hasOld   bool // targets of other versions are usable
 	hasNew   bool
@@ -140,6 +141,7 @@
 		known.counts = [2]int{}
 		for _, target := range targets[service] {
 			known.counts[known.armOf(target.Version)]++
+			known.seen[target.Version] = true
 		}
 		known.hasOld, known.hasNew = known.counts[canary.Old] > 0, known.counts[canary.New] > 0
 		if known.withdrawn && (!known.hasNew || known.phase != core.RolloutSucceeded && !known.hasOld) {
@@ -163,7 +165,7 @@
 			return
 		}
 	}
-	started := &rollout{order: order, issuedAt: now.Add(-maxOrderLag), banned: map[string]bool{}}
+	started := &rollout{order: order, issuedAt: now.Add(-maxOrderLag), banned: map[string]time.Time{}, seen: map[string]bool{}}
 	if known != nil {
 		started.follow(known)
 	}
@@ -184,13 +186,19 @@
 
 // follow keeps what an earlier order of the service has decided about other versions.
 func (known *rollout) follow(earlier *rollout) {
-	for version := range earlier.banned {
-		known.banned[version] = true
+	maps.Copy(known.banned, earlier.banned)
+	if earlier.phase != core.RolloutSucceeded {
+		known.banned[earlier.order.Version] = time.Time{}
 	}
-	known.banned[earlier.order.Version] = earlier.phase != core.RolloutSucceeded
-	known.banned[known.order.Version] = false
-	if earlier.phase == core.RolloutSucceeded {
-		known.base = earlier.order.Version
+	delete(known.banned, known.order.Version)
+}
+
+// banOthers leaves out the targets of the other versions that have started until now.
+func (known *rollout) banOthers(now time.Time) {
+	for version := range known.seen {
+		if version != known.order.Version {
+			known.banned[version] = now
+		}
 	}
 }
 
@@ -205,8 +213,8 @@
 	return canary.Old
 }
 
-// Usable returns the targets of a service that may get anything at all. Those of other versions stop when a rollout has succeeded, and those of
-// versions that earlier orders named and the present one does not are left out while there are others.
+// Usable returns the targets of a service that may get anything at all. The old ones stop when a rollout has succeeded, and those of
+// versions whose orders were replaced before that are left out, too, while there are others.
 func (mover *Mover) Usable(service string, targets []place.Target) []place.Target {
 	if mover.active.Load() == 0 {
 		return targets
@@ -217,13 +225,11 @@
 	if known == nil {
 		return targets
 	}
-	if known.phase == core.RolloutSucceeded {
-		return place.Versions{Only: known.order.Version}.Of(targets)
-	}
 	var usable []place.Target
 	for _, target := range targets {
-		isOther := known.base != "" && target.Version != known.base && target.Version != known.order.Version
-		if !known.banned[target.Version] && !isOther {
+		// A target that has started since is of a later release, without an order.
+		until, banned := known.banned[target.Version]
+		if !banned || !until.IsZero() && target.StartedAt.After(until) {
 			usable = append(usable, target)
 		}
 	}
--- a/io/shift/report.go
+++ b/io/shift/report.go
@@ -199,6 +199,9 @@
 	changed := grant.Phase != known.phase || (grant.Share == 0) != (known.grant.Share == 0) || (grant.Share < 1) != (known.grant.Share < 1)
 	if grant.Phase != core.RolloutRunning && grant.Phase != known.phase {
 		known.splitter = canary.Splitter{}
+		if grant.Phase == core.RolloutSucceeded {
+			known.banOthers(now)
+		}
 		mover.log(eventEnded, known).Str("Phase", grant.Phase.String()).Bool("Written", settled).Str("Reason", reason).Msg("the rollout has ended")
 	}
 	known.grant, known.validTo, known.phase = grant, now.Add(grant.For), grant.Phase
--- a/io/shift/shift_test.go
+++ b/io/shift/shift_test.go
@@ -112,6 +112,7 @@
 // TestVersions guards against requests at a version that they must not reach: without a grant, as a repeat, and after the end or withdrawal of an order.
 func TestVersions(t *testing.T) {
 	mover := newMover(&fakes.Store{})
+	mover.options.Clock.(*fakes.Clock).Advance(time.Hour)
 	check := func(name string, repeat bool, want place.Versions) {
 		t.Helper()
 		if got := mover.Versions("ledger", "book", &Choice{}, repeat); got != want {
@@ -139,6 +140,7 @@
 	mover.Follow(nil)
 	check("withdrawn", false, old)
 	mover.Follow([]Order{orderOf("v3", 9)})
+	mover.SetTargets(targetsOf("v1", "v3"))
 	if usable := mover.Usable("ledger", targetsOf("v1", "v2", "v3")["ledger"]); len(usable) != 2 || usable[0].Version != "v1" || usable[1].Version != "v3" {
 		t.Errorf("usable after another order: %v", usable)
 	}
@@ -146,10 +148,22 @@
 	if usable := mover.Usable("ledger", targetsOf("v1", "v2", "v3")["ledger"]); len(usable) != 1 || usable[0].Version != "v3" {
 		t.Errorf("usable after success: %v", usable)
 	}
+	released := targetsOf("v3", "v4")["ledger"]
+	released = append(released, place.Target{ID: "again", Version: "v1", StartedAt: mover.options.Clock.Now().Add(time.Minute)})
+	if usable := mover.Usable("ledger", released); len(usable) != 3 {
+		t.Errorf("usable of a later release: %v", usable)
+	}
 	mover.apply("ledger", 9, canary.Grant{Phase: core.RolloutRolledBack}, false, "")
 	if usable := mover.Usable("ledger", targetsOf("v1", "v3")["ledger"]); len(usable) != 1 {
 		t.Errorf("a phase that the store holds gave way: %v", usable)
 	}
+	for i, version := range []string{"v4", "v5"} { // neither succeeds
+		mover.Follow([]Order{orderOf(version, core.Revision(10+i))})
+		mover.SetTargets(targetsOf("v3", version))
+		if usable := mover.Usable("ledger", targetsOf("v1", "v3", version)["ledger"]); len(usable) != 2 || usable[0].Version != "v3" {
+			t.Errorf("usable with the order for %s: %v", version, usable)
+		}
+	}
 }
 
 // TestOldRequestsAreCounted guards against a success while requests from before the order are still at old targets.
