--- a/core/place/engines.go
+++ b/core/place/engines.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math"
 	"time"
 
 	"catkincove/core"
@@ -46,12 +45,8 @@
 	MemoryTokens int        // memory of one engine in tokens
 	Pacer        core.Pacer // nil means that no engine names a limit
 
-	engines         map[string]*engine
-	prefillRate     float64 // tokens a second
-	uneven          bool    // some engines are faster than others for good
-	meanSpeed       float64
-	sizeTimes       [12]sizeTime // by length from minRateSampleTokens on
-	speedsCheckedAt time.Time
+	engines     map[string]*engine
+	prefillRate float64 // tokens a second
 }
 
 type engine struct {
@@ -59,9 +54,6 @@
 	prefills     map[string]prefill    // prefills in progress, by attempt
 	parts        map[string]cachedPart // prompt parts in the cache, by ID
 	cachedTokens int                   // tokens of all cached parts
-	speed        speed
-	work         float64 // seconds of prefill, as of workAt
-	workAt       time.Time
 }
 
 type prefill struct {
@@ -134,9 +126,8 @@
 		return Placement{Fault: fault}
 	}
 	engines.adoptHint(now, targets, prompt)
-	cached, excess := engines.isCached(prompt), engines.excessWork(now, targets, candidates)
 	tolerance := costTolerance
-	if !cached {
+	if !engines.isCached(prompt) {
 		tolerance = uncachedCostTolerance
 	}
 	best, bestCost := -1, 0.0
@@ -149,10 +140,7 @@
 			}
 			continue
 		}
-		cost := engines.cost(now, targets[i], prompt, cached) + wait.Seconds() + excess[i]*excessWorkTime
-		if !cached && excess[i] > 0 {
-			cost += 2 * tolerance.Seconds()
-		}
+		cost := engines.cost(now, targets[i], prompt) + wait.Seconds()
 		if best >= 0 && cost >= bestCost-tolerance.Seconds() && (cost > bestCost+tolerance.Seconds() || rendezvousScore(prompt.affinityKey(), targets[i].ID) < rendezvousScore(prompt.affinityKey(), targets[best].ID)) {
 			continue
 		}
@@ -215,39 +203,25 @@
 	return prompt.Parts[len(prompt.Parts)-2].ID
 }
 
-// cost returns the expected time to the first token in seconds, plus what the prompt costs the other requests. In the prefill of a prompt
-// that some engine caches, the speed of an engine counts in part: by all of it, prompts would move to faster engines and read their shared
-// parts again.
-func (engines *Engines) cost(now time.Time, target Target, prompt Prompt, cached bool) float64 {
+// cost returns the expected time to the first token in seconds, plus what the prompt costs the other requests.
+func (engines *Engines) cost(now time.Time, target Target, prompt Prompt) float64 {
 	engine := engines.engine(target)
 	state := engines.Chooser.state(target.ID)
-	ownRate, backlogRate := engines.prefillRate, engines.prefillRate*engines.relativeSpeed(engine)
-	if cached {
-		ownRate *= math.Pow(engines.relativeSpeed(engine), cachedSpeedWeight)
-	} else {
-		ownRate = backlogRate
-	}
-	tokens := float64(engine.uncachedTokens(prompt.Parts)) * prefillWeight
+	tokens := float64(engine.uncachedTokens(prompt.Parts))*prefillWeight + engine.backlogTokens(now, engines.prefillRate)
 	if prompt.Zone != "" && prompt.Zone != target.DataCentre {
 		tokens += tokensPerRemoteMB * float64(prompt.InputBytes) / 1e6
 	}
 	state.decay(now)
-	cost := tokens/ownRate + engine.backlogTokens(now, backlogRate)/backlogRate + prefillOverhead.Seconds()
+	cost := tokens/engines.prefillRate + prefillOverhead.Seconds()
 	if now.Before(target.ColdUntil) {
 		cost *= 2
 	}
 	return cost * max(state.slowdown, 1) * (1 + failurePenalty*state.failureRate)
 }
 
-// prefillTime returns the expected seconds of a prefill.
-func (engines *Engines) prefillTime(engine *engine, tokens int) float64 {
-	return (float64(tokens)/engines.prefillRate + prefillOverhead.Seconds()) / engines.relativeSpeed(engine)
-}
-
 func (engines *Engines) startPrefill(now time.Time, target Target, prompt Prompt) {
 	engine := engines.engine(target)
 	engine.prefills[prompt.Attempt] = prefill{tokens: engine.uncachedTokens(prompt.Parts), startedAt: now, alone: len(engine.prefills) == 0}
-	engine.addWork(now, engines.prefillTime(engine, engine.prefills[prompt.Attempt].tokens))
 	engine.cacheParts(now, prompt.Parts)
 	for engine.cachedTokens > int(float64(engines.MemoryTokens)*cacheShare) && len(engine.parts) > 1 {
 		engine.evictOldest()
@@ -286,10 +260,9 @@
 		return
 	}
 	delete(engine.prefills, attempt)
-	expected := engines.prefillTime(engine, prefill.tokens)
+	expected := float64(prefill.tokens)/engines.prefillRate + prefillOverhead.Seconds()
 	if outcome == Succeeded && prefill.alone && prefill.tokens >= minRateSampleTokens {
 		measuredRate := float64(prefill.tokens) / max(took-prefillOverhead, time.Millisecond).Seconds()
-		engines.recordSpeed(now, engine, prefill.tokens, took)
 		engines.prefillRate += (min(max(measuredRate, minPrefillRate), maxPrefillRate) - engines.prefillRate) * prefillRateSmoothing
 	}
 	if !prefill.alone && outcome == Succeeded {
--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -199,12 +199,7 @@
 	if message.Misdirected {
 		daemon.markMisdirected(message.Target)
 	}
-	engines := daemon.enginesOf(message.Service)
-	before := engines.Uneven()
-	engines.FinishPrefill(daemon.clock.Now(), message.Target, message.Attempt, message.Outcome, message.Took)
-	if uneven := engines.Uneven(); uneven != before {
-		daemon.log.Info().Str(eventField, eventEngineSpeeds).Str("Service", message.Service).Bool("Uneven", uneven).Msg("the engines of the service differ in speed for good, or no longer do")
-	}
+	daemon.enginesOf(message.Service).FinishPrefill(daemon.clock.Now(), message.Target, message.Attempt, message.Outcome, message.Took)
 }
 
 func (daemon *Daemon) servePlace(writer http.ResponseWriter, request *http.Request) {
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -43,7 +43,6 @@
 	eventPlacedAlone         = "PlacedAlone"         // an engine is chosen from local state
 	eventBatchFailed         = "BatchFailed"         // a batch call failed
 	eventPiecesFailed        = "PiecesFailed"        // pieces of a batch have no result
-	eventEngineSpeeds        = "EngineSpeeds"        // the engines of a service differ in speed, or no longer do
 	eventJobsLate            = "JobsLate"            // queued jobs cannot meet their deadline
 	eventFreeFailed          = "FreeFailed"          // results were not freed and expire on their own
 	eventAttemptFailed       = "AttemptFailed"       // an attempt at a target failed
