--- a/io/target/ends_test.go
+++ b/io/target/ends_test.go
@@ -102,6 +102,9 @@
 		{"error 400", "HTTP/1.1 400 Wrong", "", "why", false, false, core.BadRequest, core.OutcomeRejected},
 		{"error 503", "HTTP/1.1 503 Full", "", "why", false, false, core.Overloaded, core.OutcomeRejected},
 		{"error 500, reset", "HTTP/1.1 500 Failed", "", "why", false, true, core.TargetFailed, core.OutcomeFailed},
+		{"status 000", "HTTP/1.1 000 ", "", object, false, false, core.TargetFailed, core.OutcomeFailed},
+		{"status 099, stream", "HTTP/1.1 099 ", "", stream, true, false, core.TargetFailed, core.OutcomeFailed},
+		{"status 000, then 200", "HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK", "", object, false, false, core.TargetFailed, core.OutcomeMismatched},
 	} {
 		for _, kept := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, kept=%v", test.name, kept), func(t *testing.T) {
