io/tool, core/audit: check reviews routings before they are sent

Credentials are never printed.

Errors of decoded messages name the index of the entry and the wrong value, of lists only that they are none, since they may hold credentials; daemons log the same text.

Ruled out: reports on services of batches that also serve requests, since the users' own example does that; fields that the daemons do not read, since the platform defines more of them. Only the first error of decoding is reported.

--- a/cmd/catkincove/parts.go
+++ b/cmd/catkincove/parts.go
@@ -21,6 +21,7 @@
 // parts are the users' platform and the demo's stand-ins.
 var parts = tool.Parts{
 	Dialect: plat.Dialect{},
+	Format:  plat.Dialect{},
 	Store: func(address string, clock core.Clock) core.Store {
 		return &plat.Store{Address: address, Clock: clock, WatchInterval: watchDebounce, HTTP: storeClient()}
 	},
--- a/core/dialect.go
+++ b/core/dialect.go
@@ -52,3 +52,20 @@
 	// AddressResponse returns the body of the response, which lets callers cache the addresses for the TTL.
 	AddressResponse(addresses []string, ttl time.Duration) []byte
 }
+
+// RoutingFormat reads a routing as the operator writes it, for reviews before it is sent.
+type RoutingFormat interface {
+	// RoutingKey is the store key of the routing.
+	RoutingKey() string
+	// DecodeRoutingOptions reads a routing that is not indexed yet, by the same rules as Dialect.DecodeRouting; its errors may be Located.
+	DecodeRoutingOptions(value []byte) (RoutingOptions, error)
+	// Place returns the place in the written routing of an entry such as teams[2].
+	Place(entry string) string
+}
+
+// Located is an error of one place in a message.
+type Located interface {
+	error
+	// Place returns the place, such as routes[2].name.
+	Place() string
+}
--- a/core/routing.go
+++ b/core/routing.go
@@ -132,9 +132,16 @@
 	Routes        []Route
 	Services      []ServiceSpec
 	Teams         map[string]TeamSpec // by credential; nil means that no credentials are asked for
+	TeamList      []TeamCredentials   // as the operator lists them, for reviews; Teams decides
 	RequestLimits RequestLimits
 }
 
+// TeamCredentials is a team with the credentials of its callers.
+type TeamCredentials struct {
+	Team        TeamSpec
+	Credentials []string
+}
+
 // NewRouting indexes the routes by host and prefix.
 func NewRouting(options RoutingOptions) Routing {
 	routing := Routing{
--- a/io/tool/tool.go
+++ b/io/tool/tool.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	exitUsage  = 64 // sysexits EX_USAGE
-	outputText = "text"
-	outputJSON = "json"
+	exitFindings = 1  // check has found something in a routing that it could read
+	exitUsage    = 64 // sysexits EX_USAGE
+	outputText   = "text"
+	outputJSON   = "json"
 )
 
 // Parts are the implementations that the main program plugs into the commands, which import neither a platform nor stand-ins.
@@ -30,11 +31,13 @@
 	Dialect core.Dialect
 	// Store returns the store of edge at an address (IP:port).
 	Store func(address string, clock core.Clock) core.Store
+	// Format reads routings as operators write them for the daemons of edge.
+	Format core.RoutingFormat
 	// Demo runs the demo and writes what it shows to the output.
 	Demo func(ctx context.Context, options DemoOptions, output io.Writer) error
 }
 
-// Main runs the command line and returns the exit code: 0, 64 for wrong usage, or the code of the error's kind.
+// Main runs the command line and returns the exit code: 0, 1 for findings of check, 64 for wrong usage, or the code of the error's kind.
 func Main(ctx context.Context, parts Parts, arguments []string, stdout, stderr io.Writer) int {
 	command := App(parts, stdout, stderr)
 	err := command.Run(ctx, arguments)
@@ -42,6 +45,9 @@
 		return 0
 	}
 	_, _ = fmt.Fprintf(stderr, "catkincove: %v\n", err)
+	if errors.Is(err, errFindings) {
+		return exitFindings
+	}
 	var e *core.Error
 	if errors.As(err, &e) {
 		return e.Kind.Answer().ExitCode
@@ -54,7 +60,7 @@
 	return &cli.Command{
 		Name:        "catkincove",
 		Usage:       "serve multi-stage model pipelines",
-		Description: "Exit codes: 0 done, 64 wrong usage or bad input, 65 conflict, 66 not found, 69 target failed,\n70 internal error, 75 try again later, 76 outcome unknown, 77 not authorised.",
+		Description: "Exit codes: 0 done, 1 findings of check, 64 wrong usage or bad input, 65 conflict, 66 not found, 69 target failed,\n70 internal error, 75 try again later, 76 outcome unknown, 77 not authorised.",
 		Writer:      stdout,
 		ErrWriter:   stderr,
 		Commands: []*cli.Command{
@@ -64,7 +70,7 @@
 			addressCommand(),
 			requestCommand(),
 			ticketCommand(),
-			checkCommand(),
+			checkCommand(parts),
 			explainCommand(),
 			lossesCommand(),
 			statusCommand(),
