ORDER: a missing record tells nothing after a restore of the store

Cause: the records of nine streams that v1.1 had begun were written up to 0.4 s before their daemons lost power, and were taken by a later restore of the store. All daemons that lived through the restore were killed 2 s later. Those that started then knew nothing of it, and took the missing records for proof that the streams began at the baseline, v1.

Baselines name the epoch of the store now. In another epoch a missing record names no version and all streams are recorded, also those from before; the sender writes the baseline in the new epoch and lifts this when the streams from before the restore have ended, or at once for a service of one version.

TestMissingRecordNamesVersion plays restores; it and TestBaselineInRestoredStore were seen failing without the condition. The signatures of Advance and Covers change, and with them their calls in the tests; no check is weaker.

--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -84,15 +84,50 @@
 		{"a third version replaces the next one", changing, map[string]int{"v3": 4}, longest, Baseline{Generation: 3, Version: "v2"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			if got := test.baseline.Advance(test.targets, test.unchanged, longest); got != test.want {
+			if got := test.baseline.Advance(State{Targets: test.targets, UnchangedFor: test.unchanged, Longest: longest}); got != test.want {
 				t.Errorf("%+v, expected %+v", got, test.want)
 			}
 		})
 	}
 }
 
+// TestBaselineInRestoredStore guards against a missing record that a restore of the store has taken and that names a version, and against one that names none
+// for longer than a stream lasts, or in a service that has had one version.
+func TestBaselineInRestoredStore(t *testing.T) {
+	const longest = 10 * time.Second
+	before := Baseline{Generation: 5, Version: "v1", Next: "v2", Epoch: 1}
+	doubtful := Baseline{Generation: 6, Version: "v1", Next: "v1", Epoch: 2}
+	older := Baseline{Generation: 5, Version: "v1", Epoch: AnyEpoch}
+	for _, test := range []struct {
+		name     string
+		baseline Baseline
+		state    State
+		want     Baseline
+	}{
+		{"restored", before, State{UnchangedFor: time.Hour}, doubtful},
+		{"restored, one version", Baseline{Generation: 5, Version: "v1", Epoch: 1}, State{OneVersion: true}, Baseline{Generation: 6, Version: "v1", Epoch: 2}},
+		{"streams from before may still be resumed", doubtful, State{UnchangedFor: longest - 1}, doubtful},
+		{"they have ended", doubtful, State{UnchangedFor: longest}, Baseline{Generation: 7, Version: "v1", Epoch: 2}},
+		{"an older build has written it", older, State{}, Baseline{Generation: 6, Version: "v1", Epoch: 2}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			test.state.Targets, test.state.Longest, test.state.Epoch = map[string]int{"v1": 1, "v2": 5}, longest, 2
+			if got := test.baseline.Advance(test.state); got != test.want {
+				t.Errorf("%+v, expected %+v", got, test.want)
+			}
+		})
+	}
+	if before.Unrecorded(2) != "" || doubtful.Unrecorded(2) != "" || doubtful.Covers("v1", 2, time.Hour) || before.Unrecorded(1) != "v1" || older.Unrecorded(2) != "v1" {
+		t.Error("a missing record names a version in a restored store, or none in one that was not")
+	}
+	if lower := (Baseline{Generation: 4, Epoch: 2}); !lower.Replaces(before) || before.Replaces(doubtful) || older.Replaces(before) {
+		t.Error("a baseline of a later epoch does not replace one of an earlier epoch, or the reverse")
+	}
+}
+
 // TestMissingRecordNamesVersion guards against a missing record that is taken for another version than the one that began the stream,
-// while targets of several versions come and go and daemons see a change of the baseline late.
+// while targets of several versions come and go, daemons see a change of the baseline late, and the store is restored, which takes records and turns the
+// baseline back to an earlier one.
 func TestMissingRecordNamesVersion(t *testing.T) {
 	const (
 		longest = 10 // seconds after which a stream can no longer be resumed
@@ -105,7 +140,7 @@
 			recorded bool
 		}
 		history := []Baseline{{}} // by tick
-		changedAt := 0
+		changedAt, epoch := 0, int64(0)
 		var streams []stream
 		counts := map[string]int{}
 		for tick := 1; tick < 120; tick++ {
@@ -119,7 +154,16 @@
 				}
 			}
 			baseline := history[len(history)-1]
-			next := baseline.Advance(targets, time.Duration(tick-changedAt)*time.Second, (longest+delay)*time.Second)
+			// A backup from before the first baseline is an open case: docs/platform.md, 4.1.
+			backupAt := max(tick-1-rapid.IntRange(0, 20).Draw(t, "backup"), 0)
+			if rapid.IntRange(0, 29).Draw(t, "restore") == 0 && history[backupAt].Version != "" {
+				epoch++
+				baseline = history[backupAt]
+				for i := range streams {
+					streams[i].recorded = streams[i].recorded && streams[i].begunAt < backupAt
+				}
+			}
+			next := baseline.Advance(State{Targets: targets, UnchangedFor: time.Duration(tick-changedAt) * time.Second, Longest: (longest + delay) * time.Second, Epoch: epoch})
 			if next != baseline {
 				changedAt = tick
 			}
@@ -130,15 +174,15 @@
 				for knownSince > 0 && history[knownSince-1] == history[at] {
 					knownSince--
 				}
-				streams = append(streams, stream{version: version, begunAt: tick, recorded: !history[at].Covers(version, time.Duration(at-knownSince)*time.Second)})
+				streams = append(streams, stream{version: version, begunAt: tick, recorded: !history[at].Covers(version, history[at].Epoch, time.Duration(at-knownSince)*time.Second)})
 			}
 			for _, stream := range streams {
 				if stream.recorded || tick-stream.begunAt > longest {
 					continue
 				}
 				seen := history[max(tick-rapid.IntRange(0, delay).Draw(t, "delay"), 0)]
-				if seen.Version != "" && seen.Version != stream.version {
-					t.Fatalf("a stream of %s without a record, begun at %d, is taken for one of %q at %d", stream.version, stream.begunAt, seen.Version, tick)
+				if named := seen.Unrecorded(epoch); named != "" && named != stream.version {
+					t.Fatalf("a stream of %s without a record, begun at %d, is taken for one of %q at %d", stream.version, stream.begunAt, named, tick)
 				}
 			}
 		}
--- a/io/edge/holders.go
+++ b/io/edge/holders.go
@@ -57,7 +57,7 @@
 	daemon.do(func() {
 		expires := daemon.clock.Now().Add(daemon.originLifetime())
 		for attempt, told := range message.Origins {
-			if told.Origin.Known() && attempt == originID(attempt) {
+			if told.Origin.Known() && attempt == origin.ID(attempt) {
 				daemon.control.origins.table.AddTold(attempt, told.Origin, expires, told.Sequence)
 			}
 		}
--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -6,13 +6,10 @@
 	"errors"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"catkincove/core"
 	"catkincove/core/origin"
 	"catkincove/core/place"
@@ -29,7 +26,6 @@
 	baselineInterval    = time.Second            // period in which the baselines are compared with the targets
 	recordsWatchPause   = 250 * time.Millisecond // interval of watches while records are written, each of which ends a watch
 	maxComparisonAge    = time.Second            // time since copies were compared with another daemon's after which a daemon without the store is out of step; it asks three times in that
-	maxOriginID         = 64                     // bytes of an attempt's ID that is kept as it is; stores limit the length of keys
 	maxPendingOrigins   = 2000                   // records that wait to be written
 )
 
@@ -133,8 +129,11 @@
 	if now.Before(daemon.control.origins.unrecordedUntil) {
 		return false // a missing record names no version then
 	}
-	known := daemon.control.origins.baselines[began.Service]
-	return known.Covers(began.Version, now.Sub(known.since))
+	known, epoch := daemon.control.origins.baselines[began.Service], daemon.control.routes.Revision().Epoch()
+	if known.Epoch != epoch && known.Version == began.Version && daemon.hasOneVersion(now, began.Service) {
+		return true // the sender concludes the same
+	}
+	return known.Covers(began.Version, epoch, now.Sub(known.since))
 }
 
 // origin returns the origin of a stream that begins at the target of the relay, by the newest registration.
@@ -155,7 +154,9 @@
 		return
 	}
 	began := relay.origin()
-	daemon.do(func() { relay.record = daemon.queueOrigin(daemon.clock.Now(), originID(request.caller.Attempt), began) })
+	daemon.do(func() {
+		relay.record = daemon.queueOrigin(daemon.clock.Now(), origin.ID(request.caller.Attempt), began)
+	})
 }
 
 var (
@@ -200,7 +201,7 @@
 	}
 	differs := false
 	daemon.do(func() {
-		known, found := daemon.control.origins.table.Find(daemon.clock.Now(), originID(request.caller.Attempt))
+		known, found := daemon.control.origins.table.Find(daemon.clock.Now(), origin.ID(request.caller.Attempt))
 		differs = found && known != relay.toldOrigin
 	})
 	if !differs {
@@ -225,7 +226,7 @@
 // a missing record stands for, at another target if need be, and otherwise once other daemons keep a copy of the record.
 func (relay *relay) awaitRecord(ctx context.Context, began origin.Origin) error {
 	request, daemon := relay.request, relay.daemon
-	attempt := originID(request.caller.Attempt)
+	attempt := origin.ID(request.caller.Attempt)
 	record := relay.record // also if it was dropped from a full queue
 	failing := false
 	daemon.do(func() {
@@ -378,7 +379,7 @@
 		return nil
 	}
 	service := daemon.chooseService(request).Name
-	resumed := originID(request.caller.Resumes)
+	resumed := origin.ID(request.caller.Resumes)
 	began, found := origin.Origin{}, false
 	daemon.do(func() {
 		now := daemon.clock.Now()
@@ -397,7 +398,7 @@
 		expires := daemon.clock.Now().Add(daemon.originLifetime())
 		daemon.control.origins.table.Add(resumed, began, expires, false)
 		// A caller may name this attempt when it resumes once more.
-		daemon.control.origins.table.Add(originID(request.caller.Attempt), began, expires, false)
+		daemon.control.origins.table.Add(origin.ID(request.caller.Attempt), began, expires, false)
 	})
 	if !slices.ContainsFunc(request.route.Services, func(share core.ServiceShare) bool { return share.Service == began.Service }) ||
 		daemon.versionHasLeft(request, began.Service, nil) {
@@ -437,12 +438,12 @@
 	from := originFromNothing
 	defer func() { daemon.logOrigin(attempt, began, from) }()
 	var record origin.Origin
-	read, recorded := false, false
+	read, recorded, epoch := false, false, int64(0)
 	var kept kept
 	var group sync.WaitGroup
 	group.Go(func() { kept = daemon.askHolders(ctx, service, attempt) })
 	if attempt != "" {
-		record, recorded, read = daemon.readOrigin(ctx, attempt)
+		record, epoch, recorded, read = daemon.readOrigin(ctx, attempt)
 	}
 	group.Wait()
 	if kept.told || kept.began.Known() && !recorded {
@@ -458,7 +459,7 @@
 		switch {
 		case read && kept.silent && daemon.originsMayBeLost(now):
 		case read:
-			from, began = originFromBaseline, daemon.originWithoutRecord(now, service)
+			from, began = originFromBaseline, daemon.originWithoutRecord(now, service, epoch)
 		case daemon.hasOneVersion(now, service) && !kept.several && (kept.asked == 0 || kept.oneVersion > 0):
 			from, began = originFromOneVersion, origin.Origin{Service: service, Version: daemon.control.origins.baselines[service].Version}
 		}
@@ -481,28 +482,32 @@
 	originFromNothing    = "Nothing"
 )
 
-// readOrigin reads the record of an attempt. It returns false for read if the store does not answer, and a zero origin if the record cannot be decoded.
-func (daemon *Daemon) readOrigin(ctx context.Context, attempt string) (record origin.Origin, recorded, read bool) {
+// readOrigin reads the record of an attempt, and the epoch of the store. It returns false for read if the store does not answer, and a zero origin if the
+// record cannot be decoded.
+func (daemon *Daemon) readOrigin(ctx context.Context, attempt string) (record origin.Origin, epoch int64, recorded, read bool) {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
 	snapshot, err := daemon.store.Get(ctx, core.OriginPrefix+attempt)
 	if err != nil {
 		daemon.metrics.storeErrors.Add(1)
 		daemon.log.Warn().Str(eventField, eventOriginUnknown).Str("Resumes", attempt).Err(err).Msg("cannot read which software version began a stream")
-		return origin.Origin{}, false, false
+		return origin.Origin{}, 0, false, false
 	}
 	if len(snapshot.Entries) == 0 {
-		return origin.Origin{}, false, true
+		return origin.Origin{}, snapshot.Revision.Epoch(), false, true
 	}
 	record, _ = decodeOrigin(snapshot.Entries[0].Value)
-	return record, true, true
+	return record, snapshot.Revision.Epoch(), true, true
 }
 
-// originWithoutRecord returns the origin of a stream without a record, its service's baseline, or the zero value if that is not known; it must run on the
-// loop.
-func (daemon *Daemon) originWithoutRecord(now time.Time, service string) origin.Origin {
-	baseline := daemon.control.origins.baselines[service].Version
-	if now.Before(daemon.control.origins.unrecordedUntil) && !daemon.hasOneVersion(now, service) {
+// originWithoutRecord returns the origin of a stream without a record in an epoch of the store, its service's baseline, or the zero value if that is not
+// known; it must run on the loop.
+func (daemon *Daemon) originWithoutRecord(now time.Time, service string, epoch int64) origin.Origin {
+	known := daemon.control.origins.baselines[service]
+	baseline := known.Unrecorded(max(epoch, daemon.control.routes.Revision().Epoch()))
+	if daemon.hasOneVersion(now, service) {
+		baseline = known.Version
+	} else if now.Before(daemon.control.origins.unrecordedUntil) {
 		return origin.Origin{}
 	}
 	if baseline == "" || daemon.pauses.Unchecked() != nil || daemon.copiesAreStale(now) {
@@ -516,15 +521,6 @@
 	return now.Sub(daemon.control.storeReadAt) > originSlack
 }
 
-// originID returns the attempt's ID, which the caller chooses, or a hash of one that is long or not printable.
-func originID(attempt string) string {
-	unprintable := func(char rune) bool { return char <= ' ' || char > '~' }
-	if len(attempt) <= maxOriginID && !strings.ContainsFunc(attempt, unprintable) {
-		return attempt
-	}
-	return "hash/" + strconv.FormatUint(xxhash.Sum64String(attempt), 16)
-}
-
 func decodeOrigin(value []byte) (origin.Origin, error) {
 	var began origin.Origin
 	err := json.Unmarshal(value, &began)
@@ -658,8 +654,8 @@
 		}
 		known := origins.baselines[service]
 		switch {
-		case baseline.Generation > known.Generation:
-			daemon.log.Info().Str(eventField, eventBaseline).Str("Service", service).Str("Version", baseline.Version).Str("Next", baseline.Next).Msg("streams at this software version need no record")
+		case baseline.Replaces(known.Baseline):
+			daemon.log.Info().Str(eventField, eventBaseline).Str("Service", service).Str("Version", baseline.Version).Str("Next", baseline.Next).Int64("Epoch", baseline.Epoch).Msg("streams at this software version need no record")
 			origins.baselines[service] = knownBaseline{Baseline: baseline, since: now, revision: entry.ModRevision}
 			origins.mixedAt[service] = now
 		case baseline == known.Baseline:
@@ -674,7 +670,7 @@
 
 // decodeBaseline decodes a baseline and reports whether it is valid; it logs an invalid one once for each of its revisions. It must run on the loop.
 func (daemon *Daemon) decodeBaseline(entry core.Entry) (origin.Baseline, bool) {
-	var baseline origin.Baseline
+	baseline := origin.Baseline{Epoch: origin.AnyEpoch}
 	err := json.Unmarshal(entry.Value, &baseline)
 	if err == nil && (baseline.Generation < 0 || baseline.Generation > maxBaselineGeneration) {
 		err = errors.New("generation out of range")
@@ -757,9 +753,12 @@
 				versions[target.Version]++
 			}
 			known := daemon.control.origins.baselines[service]
-			next := known.Baseline.Advance(versions, now.Sub(known.since), daemon.originLifetime())
+			next := known.Baseline.Advance(origin.State{
+				Targets: versions, UnchangedFor: now.Sub(known.since), Longest: daemon.originLifetime(),
+				Epoch: daemon.control.routes.Revision().Epoch(), OneVersion: daemon.hasOneVersion(now, service),
+			})
 			stored := daemon.storedBaseline(now, service)
-			if stored.Generation > known.Generation {
+			if stored.Replaces(known.Baseline) {
 				continue // it is about to be adopted
 			}
 			if next != known.Baseline || stored.Baseline != known.Baseline {
