io/edge: OriginResolved says Nothing where a missing record tells nothing

The conclusion is the same; OneVersion is concluded only where the store does not answer, as before. No test: the line is read by people only. TestRestoreAndLossOfAllDaemons passes.

--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -456,11 +456,12 @@
 	}
 	daemon.do(func() {
 		now := daemon.clock.Now()
+		unrecorded := daemon.originWithoutRecord(now, service, epoch)
 		switch {
 		case read && kept.silent && daemon.originsMayBeLost(now):
-		case read:
-			from, began = originFromBaseline, daemon.originWithoutRecord(now, service, epoch)
-		case daemon.hasOneVersion(now, service) && !kept.several && (kept.asked == 0 || kept.oneVersion > 0):
+		case read && unrecorded.Known():
+			from, began = originFromBaseline, unrecorded
+		case !read && daemon.hasOneVersion(now, service) && !kept.several && (kept.asked == 0 || kept.oneVersion > 0):
 			from, began = originFromOneVersion, origin.Origin{Service: service, Version: daemon.control.origins.baselines[service].Version}
 		}
 	})
