io/intake, io/edge: reserve the buffers of a response that are really allocated

Cause: the first megabyte of a long response was collected in a bytes.Buffer over a reader that reserved no more than the limit of 1 MB. A buffer that doubles from 512 bytes is 1,048,064 bytes long just below the limit, and the last 512 bytes made it 2 MB, with the old one beside it until the next cycle of the collector: 3 MB where 1 MB was reserved. So callers that read nothing took three times the share for responses; the runtime's limit (20 MB of 48) was below what was live, and the collector could free nothing.

Change: Memory.ReadAll grows a buffer that never exceeds the limit, and reserves it together with the one that it replaces. A body that its sender broke off stays an error.

Ruled out: garbage of closed connections (peak with 22 MB live after a cycle, 250 goroutines), kernel buffers, thread stacks (12 to 18 threads).

--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -596,9 +595,7 @@
 // readResponse reads the body of a response, or the first maxBufferedResponse bytes of a longer one. With intake.ErrMemory it returns what the memory for
 // responses has room for: a target in trouble may send bytes without end to all its requests.
 func readResponse(response *http.Response, memory *intake.Memory) ([]byte, error) {
-	var body bytes.Buffer
-	_, err := io.Copy(&body, memory.Reader(io.LimitReader(response.Body, maxBufferedResponse)))
-	return body.Bytes(), err
+	return memory.ReadAll(response.Body, maxBufferedResponse)
 }
 
 // forwardLong forwards a response as it arrives, after the beginning of its body that was already read, whose memory it frees.
--- a/io/intake/intake_test.go
+++ b/io/intake/intake_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"catkincove/core"
@@ -159,3 +160,37 @@
 		t.Errorf("a stated length: %v, reserved %d", err, budget.used.Load())
 	}
 }
+
+// TestReadAll guards against a body that takes more memory than it has reserved while its buffer grows, against one that is taken as whole although its
+// sender broke it off, and against the loss of what was read when the memory is used up.
+func TestReadAll(t *testing.T) {
+	text := strings.Repeat("0123456789abcde", 1<<20/15)
+	for _, test := range []struct {
+		length, limit, memory int
+		cause, expected       error
+	}{
+		{length: 0, limit: 100, memory: 1 << 20},
+		{length: 99, limit: 100, memory: 1 << 20},
+		{length: 5000, limit: 100, memory: 100},
+		{length: 100_000, limit: 1 << 20, memory: 192 << 10},
+		{length: 1 << 19, limit: 1 << 20, memory: 300_000, expected: ErrMemory},
+		{length: 5000, limit: 1 << 20, memory: 1 << 20, cause: io.ErrUnexpectedEOF, expected: io.ErrUnexpectedEOF},
+	} {
+		source := io.Reader(strings.NewReader(text[:test.length]))
+		if test.cause != nil {
+			source = io.MultiReader(source, iotest.ErrReader(test.cause))
+		}
+		budget := &Budget{Limit: int64(test.memory)}
+		memory := budget.Memory()
+		body, err := memory.ReadAll(source, int64(test.limit))
+		if err != test.expected || string(body) != text[:len(body)] || err == nil && len(body) != min(test.length, test.limit) || err == ErrMemory && len(body) < test.memory/4 {
+			t.Errorf("%+v: %d bytes, %v", test, len(body), err)
+		}
+		if used := budget.used.Load(); used < int64(cap(body)) || used > budget.Limit {
+			t.Errorf("%+v: buffer of %d bytes, reserved %d", test, cap(body), used)
+		}
+		if memory.Release(); budget.used.Load() != 0 {
+			t.Errorf("%+v: %d bytes stay reserved", test, budget.used.Load())
+		}
+	}
+}
--- a/io/intake/memory.go
+++ b/io/intake/memory.go
@@ -9,6 +9,9 @@
 // firstRead is the size of the first buffer for a body, which most do not exceed.
 const firstRead = 64 << 10
 
+// firstReadAll is the size of the first buffer for a body of unknown length.
+const firstReadAll = 4 << 10
+
 // messageFactor is the memory of a message per byte that was read, while its buffer grows.
 const messageFactor = 2
 
@@ -91,23 +94,26 @@
 	return count, err
 }
 
-// Reader returns a reader that reserves memory for the buffers that it reads into: a read of a chunk returns only when its buffer is full.
-func (memory *Memory) Reader(source io.Reader) io.Reader {
-	return &meteredReader{source: source, memory: memory}
-}
-
-type meteredReader struct {
-	source io.Reader
-	memory *Memory
-	count  int64 // bytes read
-}
-
-// Read returns ErrMemory when the budget is used up.
-func (reader *meteredReader) Read(data []byte) (int, error) {
-	if err := reader.memory.Reserve(reader.count + int64(len(data))); err != nil {
-		return 0, err
+// ReadAll reads a body to its end, or its first limit bytes. It reserves each buffer together with the one that it replaces, which the garbage collector has
+// not freed yet, and returns what it has read with ErrMemory when the budget is used up.
+func (memory *Memory) ReadAll(source io.Reader, limit int64) ([]byte, error) {
+	var body []byte
+	for int64(len(body)) < limit {
+		if len(body) == cap(body) {
+			size := min(limit, max(firstReadAll, 2*int64(cap(body))))
+			if err := memory.Reserve(size + int64(cap(body))); err != nil {
+				return body, err
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		count, err := source.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
 	}
-	count, err := reader.source.Read(data)
-	reader.count += int64(count)
-	return count, err
+	return body, nil
 }
