io/intake, io/daemon: count connections that are closed until they are free

Cause: on a protocol error the HTTP/2 server sends GOAWAY and keeps the connection for one second, with its goroutine, buffers and stack, and it doesn't read, so it doesn't notice that the pool has evicted it or that the client is gone. The pool had freed it in its books. So the memory beyond the limits was the rate of evictions times a second: at the peak 1,300 goroutines for 150 connections, 41 to 44 MB live after a cycle and 12 MB of stacks, where the pool counted 19 MB at most. A faster machine opens more.

A connection that receives more than 72 KB before its first request is closed at once, as an unfinished head; HTTP/1 ends with 431 at 68 KB, and HTTP/2 that has had a request may still get the body of one that was rejected. 2. The memory of a closed connection counts until its goroutine has ended and a later cycle of the collector has too. Above 0.1 of the memory, accepting and reads of heads that are not whole wait for that, 1 s at most; above half of it a cycle is begun. 3. HTTP/2 frames of callers are 16 KB at most: the server allocates the buffer of a frame, up to 1 MB, when its length was read.

Ruled out: that the garbage alone is the cause: what was live after a cycle exceeded the books by half.

TestEndlessHeaderBlock fails on the code before; TestClosedConnections fails without the wait.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -38,6 +38,7 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
+	maxFrameBytes     = 16 << 10 // the buffer of a frame is allocated when its length was read
 	pingInterval      = time.Second
 	pingTimeout       = 2 * time.Second
 )
@@ -218,7 +219,7 @@
 	server := &http.Server{
 		Handler:           callid.Echo(mux),
 		Protocols:         protocols,
-		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout, MaxReadFrameSize: maxFrameBytes},
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    intake.DefaultHeadBytes,
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -16,6 +16,8 @@
 	stays             // a request is in progress
 )
 
+var errHeadTooLong = errors.New("head of a request exceeds its limit")
+
 // Conn is a connection of a pool.
 type Conn struct {
 	net.Conn
@@ -36,8 +38,12 @@
 	bodyBytes    int64     // memory of heads and bodies of requests in progress
 	multiplexed  bool      // its requests come over HTTP/2
 	bodyReadAt   time.Time // when bytes of a body last came
+	reads        int       // calls of Read in progress
 	writes       int       // calls of Write in progress
 	writingSince time.Time // begin of the oldest of them
+	ended        bool      // the server has ended its goroutine
+	endingHead   int64     // memory of the head, counted as closed until the read in progress returns
+	endingBytes  int64     // other memory, counted as closed until the goroutine has ended
 }
 
 // rank returns the rank of a connection; the mutex must be held.
@@ -62,22 +68,35 @@
 	return conn.rank(now) == unread || conn.incomplete > 0 && conn.requests == conn.incomplete && now.Sub(conn.bodyReadAt) > minStall
 }
 
-// Read reads from the connection and counts the bytes of a head that is not whole.
+// Read reads from the connection and counts the bytes of a head that is not whole; it returns errHeadTooLong when they are more than a server reads.
 func (conn *Conn) Read(data []byte) (int, error) {
-	count, err := conn.Conn.Read(data)
-	if count == 0 {
-		return count, err
-	}
 	pool := conn.pool
 	pool.mutex.Lock()
+	conn.reads++
+	wait := !conn.active && pool.isOver()
+	pool.mutex.Unlock()
+	if wait {
+		pool.awaitCollection(conn)
+	}
+	count, err := conn.Conn.Read(data)
+	pool.mutex.Lock()
+	conn.reads--
 	var victims []*Conn
-	if _, found := pool.connections[conn]; found && !conn.active && conn.headReceived < maxHeadReceived {
+	if _, found := pool.connections[conn]; found && !conn.active && count > 0 && conn.headReceived <= maxHeadReceived {
 		if conn.headReceived == 0 {
 			conn.since = pool.clock.Now()
 		}
 		conn.headReceived += int64(count)
 		pool.charge(conn, int64(count)*headFactor, true)
-		victims = pool.shrink()
+		if conn.headReceived > maxHeadReceived && !conn.multiplexed { // HTTP/2 may still get the body of a request that was rejected
+			count, err = 0, errHeadTooLong
+			victims = append(victims, conn)
+			pool.removeAll(victims)
+		}
+		victims = append(victims, pool.shrink()...)
+	}
+	if conn.reads == 0 {
+		pool.endHead(conn)
 	}
 	pool.mutex.Unlock()
 	closeAll(victims)
@@ -129,6 +148,9 @@
 	pool := conn.pool
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		pool.end(conn)
+	}
 	if _, found := pool.connections[conn]; !found || state != http.StateActive && state != http.StateIdle {
 		return
 	}
--- a/io/intake/intake_test.go
+++ b/io/intake/intake_test.go
@@ -21,7 +21,8 @@
 	now time.Time
 }
 
-func (clock *stepClock) Now() time.Time { return clock.now }
+func (clock *stepClock) Now() time.Time                       { return clock.now }
+func (clock *stepClock) After(time.Duration) <-chan time.Time { return nil }
 
 // fakeConn is a connection from an address, which reads what is needed and notes that it was closed.
 type fakeConn struct {
@@ -194,3 +195,76 @@
 		}
 	}
 }
+
+// TestEndlessHeaderBlock guards against an HTTP/2 connection whose header block exceeds the limit and which the server keeps for a second with its memory,
+// also when the client is gone, so that many of them opened one after the other exceed the memory. The limit counts only until the first request.
+func TestEndlessHeaderBlock(t *testing.T) {
+	pool := New(Limits{}, core.SystemClock{})
+	port := pool.Listen(nil, 1).(*port)
+	for _, test := range []struct {
+		name   string
+		before func(*Conn)
+		closed bool
+	}{
+		{"first request", func(*Conn) {}, true},
+		{"rest of a rejected body", func(conn *Conn) { conn.multiplexed = true }, false},
+		{"body", func(conn *Conn) { conn.setState(http.StateActive) }, false},
+	} {
+		inner := &fakeConn{from: "10.0.0.1"}
+		conn := pool.add(port, inner)
+		test.before(conn)
+		var err error
+		for range 2 * maxHeadReceived / 4096 {
+			if _, err = conn.Read(make([]byte, 4096)); err != nil {
+				break
+			}
+		}
+		if inner.closed != test.closed || (err != nil) != test.closed || conn.headBytes > connectionBytes+headFactor*(maxHeadReceived+4096) {
+			t.Errorf("%s: closed %v, %v, charged %d bytes", test.name, inner.closed, err, conn.headBytes)
+		}
+	}
+}
+
+// TestClosedConnections guards against memory that is taken as free when a connection is closed, although its goroutine, its head or the garbage that they
+// leave is still there: reads of other heads wait for a cycle of the collector, those of requests do not, and a connection that waits ends when it is evicted.
+func TestClosedConnections(t *testing.T) {
+	pool := New(Limits{}, &stepClock{})
+	pool.maxClosedBytes = 4 * connectionBytes
+	port := pool.Listen(nil, 1).(*port)
+	waiting, evicted, busy := pool.add(port, &fakeConn{from: "1.1.1.1"}), pool.add(port, &fakeConn{from: "1.1.1.1"}), pool.add(port, &fakeConn{from: "1.1.1.1"})
+	busy.setState(http.StateActive)
+	var closed []*Conn
+	for range 5 {
+		closed = append(closed, pool.add(port, &fakeConn{from: "1.1.1.1"}))
+		_ = closed[len(closed)-1].Close()
+	}
+	reads := make(chan *Conn, 2)
+	for _, conn := range []*Conn{waiting, evicted} {
+		go func() { _, _ = conn.Read(make([]byte, 100)); reads <- conn }()
+	}
+	_, _ = busy.Read(make([]byte, 100))
+	for isWaiting := 0; isWaiting < 2 && len(reads) == 0; time.Sleep(time.Millisecond) {
+		pool.mutex.Lock()
+		isWaiting = waiting.reads + evicted.reads
+		pool.mutex.Unlock()
+	}
+	_ = evicted.Close()
+	if first := <-reads; first != evicted {
+		t.Error("a read went on while the goroutines of closed connections had not ended")
+	}
+	for _, conn := range append(closed, evicted) {
+		conn.setState(http.StateClosed)
+	}
+	<-reads
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		pool.mutex.Lock()
+		now := pool.closed
+		pool.mutex.Unlock()
+		if now.endingBytes == 0 && now.garbageBytes <= pool.maxClosedBytes/2 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes ending, %d of garbage", now.endingBytes, now.garbageBytes)
+		}
+	}
+}
--- a/io/intake/pool.go
+++ b/io/intake/pool.go
@@ -23,11 +23,12 @@
 	connectionShare  = 0.5  // share of the other descriptors for accepted connections; the rest is for the store, other daemons and targets
 	headMemoryShare  = 0.15 // share of the memory for connections and heads that are not whole
 	totalMemoryShare = 0.4  // share of the memory for connections, heads and bodies
+	closedShare      = 0.1  // share of the memory for closed connections whose goroutines have not ended or that were not collected as garbage
 
-	connectionBytes = 16 << 10             // memory of a connection: its goroutine and two buffers of 4 KB
-	maxHeadReceived = 2 * DefaultHeadBytes // bytes that count of one head; a server reads no more
-	headFactor      = 2                    // memory of a head per byte received: lines are assembled and their values copied
-	evictionShare   = 16                   // one in so many of a limit is freed at once
+	connectionBytes = 16 << 10                 // memory of a connection: its goroutine and two buffers of 4 KB
+	maxHeadReceived = DefaultHeadBytes + 8<<10 // bytes of one head after which its connection is closed; an HTTP/1 server ends with 431 before
+	headFactor      = 2                        // memory of a head per byte received: lines are assembled and their values copied
+	evictionShare   = 16                       // one in so many of a limit is freed at once
 
 	runtimeShare   = 0.6      // share of the memory that the Go runtime may use
 	outsideRuntime = 28 << 20 // memory at least for the program's own pages, and for what is allocated while the collector runs
@@ -77,6 +78,7 @@
 	maxConnections int
 	maxHeadBytes   int64
 	maxTotalBytes  int64
+	maxClosedBytes int64
 
 	evicted atomic.Int64
 	refused atomic.Int64
@@ -85,13 +87,14 @@
 	connections map[*Conn]struct{}
 	headBytes   int64 // memory of all connections and of the heads that are not whole
 	totalBytes  int64 // the same with the bodies and the heads of requests in progress
+	closed      closed
 }
 
 // New returns a pool without connections.
 func New(limits Limits, clock core.Clock) *Pool {
 	return &Pool{
 		clock: clock, maxConnections: limits.connections(), maxHeadBytes: limits.headBytes(), maxTotalBytes: limits.totalBytes(),
-		connections: map[*Conn]struct{}{},
+		maxClosedBytes: int64(limits.memory() * closedShare), connections: map[*Conn]struct{}{}, closed: closed{reduced: make(chan struct{})},
 	}
 }
 
@@ -178,6 +181,7 @@
 		if err != nil {
 			return nil, err
 		}
+		port.pool.awaitCollection(nil)
 		if conn := port.pool.add(port, inner); conn != nil {
 			return conn, nil
 		}
@@ -315,6 +319,7 @@
 	conn.port.connections--
 	pool.headBytes -= conn.headBytes
 	pool.totalBytes -= conn.headBytes + conn.bodyBytes
+	pool.ending(conn)
 }
 
 func closeAll(victims []*Conn) {
