Merge the count of closed connections

What an evicted or closed connection has received counts until its goroutine has ended and the collector has freed it (docs/design/clients.md).

--- a/io/intake/intake_test.go
+++ b/io/intake/intake_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"catkincove/core"
@@ -20,7 +21,8 @@
 	now time.Time
 }
 
-func (clock *stepClock) Now() time.Time { return clock.now }
+func (clock *stepClock) Now() time.Time                       { return clock.now }
+func (clock *stepClock) After(time.Duration) <-chan time.Time { return nil }
 
 // fakeConn is a connection from an address, which reads what is needed and notes that it was closed.
 type fakeConn struct {
@@ -159,3 +161,110 @@
 		t.Errorf("a stated length: %v, reserved %d", err, budget.used.Load())
 	}
 }
+
+// TestReadAll guards against a body that takes more memory than it has reserved while its buffer grows, against one that is taken as whole although its
+// sender broke it off, and against the loss of what was read when the memory is used up.
+func TestReadAll(t *testing.T) {
+	text := strings.Repeat("0123456789abcde", 1<<20/15)
+	for _, test := range []struct {
+		length, limit, memory int
+		cause, expected       error
+	}{
+		{length: 0, limit: 100, memory: 1 << 20},
+		{length: 99, limit: 100, memory: 1 << 20},
+		{length: 5000, limit: 100, memory: 100},
+		{length: 100_000, limit: 1 << 20, memory: 192 << 10},
+		{length: 1 << 19, limit: 1 << 20, memory: 300_000, expected: ErrMemory},
+		{length: 5000, limit: 1 << 20, memory: 1 << 20, cause: io.ErrUnexpectedEOF, expected: io.ErrUnexpectedEOF},
+	} {
+		source := io.Reader(strings.NewReader(text[:test.length]))
+		if test.cause != nil {
+			source = io.MultiReader(source, iotest.ErrReader(test.cause))
+		}
+		budget := &Budget{Limit: int64(test.memory)}
+		memory := budget.Memory()
+		body, err := memory.ReadAll(source, int64(test.limit))
+		if err != test.expected || string(body) != text[:len(body)] || err == nil && len(body) != min(test.length, test.limit) || err == ErrMemory && len(body) < test.memory/4 {
+			t.Errorf("%+v: %d bytes, %v", test, len(body), err)
+		}
+		if used := budget.used.Load(); used < int64(cap(body)) || used > budget.Limit {
+			t.Errorf("%+v: buffer of %d bytes, reserved %d", test, cap(body), used)
+		}
+		if memory.Release(); budget.used.Load() != 0 {
+			t.Errorf("%+v: %d bytes stay reserved", test, budget.used.Load())
+		}
+	}
+}
+
+// TestEndlessHeaderBlock guards against an HTTP/2 connection whose header block exceeds the limit and which the server keeps for a second with its memory,
+// also when the client is gone, so that many of them opened one after the other exceed the memory. The limit counts only until the first request.
+func TestEndlessHeaderBlock(t *testing.T) {
+	pool := New(Limits{}, core.SystemClock{})
+	port := pool.Listen(nil, 1).(*port)
+	for _, test := range []struct {
+		name   string
+		before func(*Conn)
+		closed bool
+	}{
+		{"first request", func(*Conn) {}, true},
+		{"rest of a rejected body", func(conn *Conn) { conn.multiplexed = true }, false},
+		{"body", func(conn *Conn) { conn.setState(http.StateActive) }, false},
+	} {
+		inner := &fakeConn{from: "10.0.0.1"}
+		conn := pool.add(port, inner)
+		test.before(conn)
+		var err error
+		for range 2 * maxHeadReceived / 4096 {
+			if _, err = conn.Read(make([]byte, 4096)); err != nil {
+				break
+			}
+		}
+		if inner.closed != test.closed || (err != nil) != test.closed || conn.headBytes > connectionBytes+headFactor*(maxHeadReceived+4096) {
+			t.Errorf("%s: closed %v, %v, charged %d bytes", test.name, inner.closed, err, conn.headBytes)
+		}
+	}
+}
+
+// TestClosedConnections guards against memory that is taken as free when a connection is closed, although its goroutine, its head or the garbage that they
+// leave is still there: reads of other heads wait for a cycle of the collector, those of requests do not, and a connection that waits ends when it is evicted.
+func TestClosedConnections(t *testing.T) {
+	pool := New(Limits{}, &stepClock{})
+	pool.maxClosedBytes = 4 * connectionBytes
+	port := pool.Listen(nil, 1).(*port)
+	waiting, evicted, busy := pool.add(port, &fakeConn{from: "1.1.1.1"}), pool.add(port, &fakeConn{from: "1.1.1.1"}), pool.add(port, &fakeConn{from: "1.1.1.1"})
+	busy.setState(http.StateActive)
+	var closed []*Conn
+	for range 5 {
+		closed = append(closed, pool.add(port, &fakeConn{from: "1.1.1.1"}))
+		_ = closed[len(closed)-1].Close()
+	}
+	reads := make(chan *Conn, 2)
+	for _, conn := range []*Conn{waiting, evicted} {
+		go func() { _, _ = conn.Read(make([]byte, 100)); reads <- conn }()
+	}
+	_, _ = busy.Read(make([]byte, 100))
+	for isWaiting := 0; isWaiting < 2 && len(reads) == 0; time.Sleep(time.Millisecond) {
+		pool.mutex.Lock()
+		isWaiting = waiting.reads + evicted.reads
+		pool.mutex.Unlock()
+	}
+	_ = evicted.Close()
+	if first := <-reads; first != evicted {
+		t.Error("a read went on while the goroutines of closed connections had not ended")
+	}
+	for _, conn := range append(closed, evicted) {
+		conn.setState(http.StateClosed)
+	}
+	<-reads
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		pool.mutex.Lock()
+		now := pool.closed
+		pool.mutex.Unlock()
+		if now.endingBytes == 0 && now.garbageBytes <= pool.maxClosedBytes/2 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes ending, %d of garbage", now.endingBytes, now.garbageBytes)
+		}
+	}
+}
