core/flow: run only the missing stages again when an input is gone

Cause: a piece that found an input gone, or a 409 of the request's target, ended all stages of the request, freed all results and ran all stages again, also those whose results were held, and whether or not there was time.

core/flow decides now (DecideRerun): by expiry, by the runs of the targets that made the results, and by early release it finds which inputs are gone; these run again, after stages whose own results were freed, if the forecast of admission over what is left fits the time limit. Otherwise the request ends at once with the stage's error. A piece is given all inputs of a stage or none (checked in Chain.inputs).

The reply for pieces has Released also when they failed.

Ruled out: keeping the results of earlier stages until a chain has ended (takes room at targets when it is least), the soft deadline as the limit (late responses still have worth, in slots that nobody else needs).

--- /dev/null
+++ b/core/flow/chain.go
@@ -0,0 +1,322 @@
+package flow
+
+import (
+	"context"
+	"errors"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"time"
+
+	"catkincove/core"
+	"catkincove/core/admit"
+	"catkincove/core/batch"
+)
+
+// StageResults are those of one stage of a request.
+type StageResults struct {
+	Handles  []string
+	Sender   string    // peer address of the daemon whose pool counts them; empty means the present sender of the service
+	Until    time.Time // the first of them may expire then
+	Runs     []string  // runs of the targets that hold them
+	Released bool      // the inputs of the stage were released, also if it has failed
+}
+
+// StageCall asks for the results of one stage.
+type StageCall struct {
+	Stage   int
+	Inputs  []string
+	Release bool // the inputs may be released before the stage ends
+	Again   bool // the stage runs again, or its inputs were produced again
+}
+
+// ChainHost does what the stages of a request need; its methods are safe for concurrent use.
+type ChainHost interface {
+	// Produce has the pieces of a stage produced; a *batch.StageError says why there are no results.
+	Produce(ctx context.Context, call StageCall) (StageResults, error)
+	// Release frees results.
+	Release(stage int, results StageResults)
+	// CountsReleased reports whether the early release of the results has reached the pool that counts them.
+	CountsReleased(stage int, results StageResults) bool
+	// ShortOfRoom reports whether the targets of a stage have little room for results.
+	ShortOfRoom(stage int) bool
+	// Runs reports whether the runs of targets go on.
+	Runs(stage int, runs []string) bool
+	// Forecast returns the request as it would be admitted now.
+	Forecast() admit.Request
+	// Reran reports a decision after a consumer found an input gone; see DecideRerun.
+	Reran(consumer int, rerun Rerun)
+	// ReportPanic reports a panic of a stage.
+	ReportPanic(value any, stack []byte)
+}
+
+// Chain runs the stages of one request and holds their results until no other stage needs them; those of stages that none follows
+// are held until Free. It must not be copied.
+type Chain struct {
+	Stages       []core.StageSpec
+	Pieces       func(stage int) int // 0 means that the stage is omitted
+	Host         ChainHost
+	Clock        core.Clock
+	ReleaseEarly bool // inputs may be released before the stage that has fetched them ends
+
+	mutex            sync.Mutex
+	done             []chan struct{} // by stage; closed when its present run has ended
+	results          []StageResults
+	lost             []bool // the results were released although a later stage needs them
+	runs             []int  // by stage; number of runs that have begun
+	pendingConsumers []int  // number of later stages that still need the results
+	err              error
+	reruns           sync.Mutex // held while stages run again
+	repeated         []bool     // by consumer; stages ran again for it
+}
+
+// Run runs all stages; after an error no results are held.
+func (chain *Chain) Run(ctx context.Context) error {
+	count := len(chain.Stages)
+	chain.done, chain.results, chain.lost = make([]chan struct{}, count), make([]StageResults, count), make([]bool, count)
+	chain.runs, chain.pendingConsumers, chain.repeated = make([]int, count), make([]int, count), make([]bool, count+1)
+	all := make([]int, count)
+	for i, stage := range chain.Stages {
+		all[i], chain.done[i] = i, make(chan struct{})
+		for _, dependency := range stage.After {
+			chain.pendingConsumers[dependency]++
+		}
+	}
+	return chain.run(ctx, all, false)
+}
+
+// Repeat has those results produced again that the request's target found gone, or all inputs of it if nothing shows which; after an
+// error no results are held.
+func (chain *Chain) Repeat(ctx context.Context) error {
+	consumer := len(chain.Stages)
+	_, used, err := chain.inputs(chain.targetInputs())
+	if err == nil {
+		err = chain.rerun(ctx, consumer, used, &batch.StageError{Stage: consumer, Fault: core.PieceInputGone})
+	}
+	if err != nil {
+		chain.Free()
+	}
+	return err
+}
+
+// Results returns what is held of a stage.
+func (chain *Chain) Results(stage int) StageResults {
+	chain.mutex.Lock()
+	defer chain.mutex.Unlock()
+	return chain.results[stage]
+}
+
+// Free frees all results.
+func (chain *Chain) Free() {
+	for stage := range chain.results {
+		chain.free(stage)
+	}
+}
+
+func (chain *Chain) free(stage int) {
+	chain.mutex.Lock()
+	unneeded := chain.results[stage]
+	chain.results[stage] = StageResults{}
+	chain.mutex.Unlock()
+	chain.Host.Release(stage, unneeded)
+}
+
+// run runs the stages side by side, each after those that it depends on.
+func (chain *Chain) run(ctx context.Context, stages []int, again bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := slices.Clone(chain.done) // stages that run again replace theirs
+	var group sync.WaitGroup
+	for _, i := range stages {
+		group.Go(func() {
+			defer close(done[i])
+			defer func() {
+				if value := recover(); value != nil {
+					chain.Host.ReportPanic(value, debug.Stack())
+					chain.fail(cancel, core.Errorf(core.Internal, "stage %d: panic: %v", i, value))
+				}
+			}()
+			if err := chain.runStage(ctx, i, again); err != nil {
+				chain.fail(cancel, err)
+			}
+		})
+	}
+	group.Wait()
+	chain.mutex.Lock()
+	err := chain.err
+	chain.mutex.Unlock()
+	if err != nil && !again {
+		chain.Free()
+	}
+	return err
+}
+
+// fail keeps the first error, from which the others follow, and cancels the other stages.
+func (chain *Chain) fail(cancel context.CancelFunc, err error) {
+	chain.mutex.Lock()
+	defer chain.mutex.Unlock()
+	if chain.err == nil {
+		chain.err = err
+	}
+	cancel()
+}
+
+func (chain *Chain) runStage(ctx context.Context, i int, again bool) error {
+	after := chain.Stages[i].After
+	call := StageCall{Stage: i, Again: again}
+	for {
+		inputs, used, err := chain.inputs(after)
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err != nil:
+			return err
+		case chain.Pieces(i) == 0:
+			return nil
+		}
+		call.Inputs, call.Release = inputs, !call.Again && chain.mayRelease(after)
+		produced, err := chain.Host.Produce(ctx, call)
+		if failed := (*batch.StageError)(nil); errors.As(err, &failed) && failed.Fault == core.PieceInputGone && !again {
+			chain.markReleased(after, produced.Released)
+			if err := chain.rerun(ctx, i, used, err); err != nil {
+				return err
+			}
+			call.Again = true
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		chain.finish(i, produced)
+		return nil
+	}
+}
+
+// inputs waits for the stages and returns the handles of their results, with the number of the run of each that made them.
+func (chain *Chain) inputs(after []int) (handles []string, used []int, err error) {
+	for {
+		chain.mutex.Lock()
+		open := slices.IndexFunc(after, func(stage int) bool { return !isClosed(chain.done[stage]) })
+		if open >= 0 {
+			done := chain.done[after[open]]
+			chain.mutex.Unlock()
+			<-done
+			continue
+		}
+		for _, stage := range after {
+			if len(chain.results[stage].Handles) != chain.Pieces(stage) {
+				// A piece must get all inputs or none.
+				err = core.Errorf(core.Unavailable, "stage %d holds %d of %d results", stage, len(chain.results[stage].Handles), chain.Pieces(stage))
+			}
+			handles, used = append(handles, chain.results[stage].Handles...), append(used, chain.runs[stage])
+		}
+		chain.mutex.Unlock()
+		return handles, used, err
+	}
+}
+
+func isClosed(done chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
+// markReleased notes that the inputs of a stage that failed have been released.
+func (chain *Chain) markReleased(after []int, released bool) {
+	chain.mutex.Lock()
+	defer chain.mutex.Unlock()
+	for _, stage := range after {
+		chain.lost[stage] = chain.lost[stage] || released
+	}
+}
+
+// finish holds the results of a stage and frees its inputs that no other stage needs.
+func (chain *Chain) finish(i int, produced StageResults) {
+	chain.mutex.Lock()
+	chain.results[i] = produced
+	var unneeded []int
+	for _, dependency := range chain.Stages[i].After {
+		if produced.Released && chain.Host.CountsReleased(dependency, chain.results[dependency]) {
+			chain.results[dependency] = StageResults{}
+		}
+		if chain.pendingConsumers[dependency]--; chain.pendingConsumers[dependency] == 0 {
+			unneeded = append(unneeded, dependency)
+		}
+	}
+	chain.mutex.Unlock()
+	for _, dependency := range unneeded {
+		chain.free(dependency)
+	}
+}
+
+// mayRelease reports whether the results of the stages may be released as soon as the targets of the next stage have
+// fetched them: no other stage needs them, and their own targets are short of room.
+func (chain *Chain) mayRelease(stages []int) bool {
+	chain.mutex.Lock()
+	defer chain.mutex.Unlock()
+	for _, stage := range stages {
+		if chain.pendingConsumers[stage] > 1 || !chain.Host.ShortOfRoom(stage) {
+			return false
+		}
+	}
+	return chain.ReleaseEarly && len(stages) > 0
+}
+
+func (chain *Chain) targetInputs() []int { return core.Route{Stages: chain.Stages}.Leaves() }
+
+// rerun runs those stages again whose results a consumer needs and which are gone, once for each stage and if there is time;
+// otherwise it returns the error. It returns at once if another stage had the inputs produced again meanwhile. How often targets of the
+// request are tried is bounded by the caller.
+func (chain *Chain) rerun(ctx context.Context, consumer int, used []int, gone error) error {
+	chain.reruns.Lock()
+	defer chain.reruns.Unlock()
+	after := chain.targetInputs()
+	if consumer < len(chain.Stages) {
+		after = chain.Stages[consumer].After
+	}
+	chain.mutex.Lock()
+	for i, stage := range after {
+		if chain.runs[stage] != used[i] {
+			chain.mutex.Unlock()
+			return nil
+		}
+	}
+	repeated := chain.repeated[consumer]
+	chain.repeated[consumer] = consumer < len(chain.Stages)
+	held := make([]Held, len(chain.Stages))
+	for stage, results := range chain.results {
+		held[stage] = Held{Until: results.Until, Lost: chain.lost[stage] || !chain.Host.Runs(stage, results.Runs)}
+	}
+	chain.mutex.Unlock()
+	if repeated || ctx.Err() != nil {
+		return gone
+	}
+	decision := DecideRerun(chain.Clock.Now(), chain.Host.Forecast(), held, consumer)
+	chain.Host.Reran(consumer, decision)
+	if !decision.Feasible {
+		return gone
+	}
+	chain.reopen(decision.Stages)
+	return chain.run(ctx, decision.Stages, true)
+}
+
+// reopen frees what is left of the results of stages that run again. Stages that have not taken their inputs yet wait for the new ones.
+func (chain *Chain) reopen(stages []int) {
+	chain.mutex.Lock()
+	unneeded := make([]StageResults, len(stages))
+	for i, stage := range stages {
+		unneeded[i] = chain.results[stage]
+		chain.results[stage], chain.lost[stage], chain.done[stage] = StageResults{}, false, make(chan struct{})
+		chain.runs[stage]++
+		for _, dependency := range chain.Stages[stage].After {
+			chain.pendingConsumers[dependency]++
+		}
+	}
+	chain.mutex.Unlock()
+	for i, stage := range stages {
+		chain.Host.Release(stage, unneeded[i])
+	}
+}
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -12,7 +12,8 @@
 	eventReload              = "Reload"              // the settings were reloaded
 	eventReloadFailed        = "ReloadFailed"        // the settings cannot be loaded; those in force stay
 	eventMetricsUnavailable  = "MetricsUnavailable"  // the metrics address cannot be listened on
-	eventStagesRepeated      = "StagesRepeated"      // the inputs of a stage are gone, and the stages of the request run again
+	eventStagesRepeated      = "StagesRepeated"      // the inputs of a stage are gone, and those stages of the request run again whose results are missing
+	eventStagesNotRepeated   = "StagesNotRepeated"   // the same without time for it
 	eventPaused              = "Paused"              // the process was paused; what it knew before is checked
 	eventPanic               = "Panic"               // the daemon recovered from a panic, a fault of its own
 	eventConnectionsEvicted  = "ConnectionsEvicted"  // connections were closed or refused because too many were open or held too much memory
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -22,10 +22,13 @@
 	toldAge          atomic.Int64 // milliseconds; sum of the ages of that
 	placedAlone      atomic.Int64
 	panics           atomic.Int64
-	stagesRepeated   atomic.Int64
+	stagesRepeated   atomic.Int64 // requests whose stages ran again
+	stagesRerun      atomic.Int64 // stages that ran again
 	responsesAborted atomic.Int64
 	permitsDenied    atomic.Int64
 
+	stagesNotRepeated atomic.Int64 // requests whose inputs were gone without time to produce them again
+
 	originsUnrecorded atomic.Int64 // streams that began before the record of their software version was written
 
 	mutex     sync.Mutex
@@ -65,6 +68,8 @@
 	set("PlacedAlone", metrics.placedAlone.Load())
 	set("Panics", metrics.panics.Load())
 	set("StagesRepeated", metrics.stagesRepeated.Load())
+	set("StagesRunAgain", metrics.stagesRerun.Load())
+	set("StagesNotRepeated", metrics.stagesNotRepeated.Load())
 	set("ResponsesAborted", metrics.responsesAborted.Load())
 	set("PermitsDenied", metrics.permitsDenied.Load())
 	set("OriginsUnrecorded", metrics.originsUnrecorded.Load())
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -204,7 +204,7 @@
 		return false, request.deliver(delivery.writer, err)
 	}
 	if failure.status == http.StatusConflict && failure.run == core.NotRun {
-		delivery.inputs.free() // the target found that an input no longer exists
+		delivery.inputs.lose()
 	}
 	switch {
 	case errors.Is(failure.cause, errBeginsAtBaseline): // its retry is charged
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -6,14 +6,13 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"runtime/debug"
 	"slices"
-	"sync"
 	"time"
 
 	"catkincove/core"
 	"catkincove/core/admit"
 	"catkincove/core/batch"
+	"catkincove/core/flow"
 	"catkincove/core/place"
 )
 
@@ -73,137 +72,106 @@
 
 type stageError = batch.StageError
 
-// stageRun runs the stages of one request.
+// stageRun is the host of the stages of one request.
 type stageRun struct {
 	daemon  *Daemon
 	request *request
 	plan    admit.Plan
-	// releaseEarly allows to release the inputs of a stage before it ends.
-	releaseEarly bool
-	done         []chan struct{}
-	results      []results // by stage
-
-	mutex            sync.Mutex
-	pendingConsumers []int // number of later stages that still need the handles, by stage
-	err              error
-	cancel           context.CancelFunc
-}
-
-// runStages runs all stages and returns their results by stage; only stages that no other one depends on keep theirs,
-// which the caller must free. Inputs may be released before their stage ends if releaseEarly is set.
-func (daemon *Daemon) runStages(ctx context.Context, request *request, releaseEarly bool) ([]results, error) {
-	stages := request.route.Stages
-	request.stageDurations = make([]time.Duration, len(stages))
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	run := &stageRun{
-		daemon: daemon, request: request, plan: request.plan, releaseEarly: releaseEarly, cancel: cancel,
-		done: make([]chan struct{}, len(stages)), results: make([]results, len(stages)), pendingConsumers: make([]int, len(stages)),
-	}
-	for i, stage := range stages {
-		run.done[i] = make(chan struct{})
-		for _, dependency := range stage.After {
-			run.pendingConsumers[dependency]++
-		}
-	}
-	var group sync.WaitGroup
-	for i := range stages {
-		group.Go(func() {
-			defer close(run.done[i])
-			defer func() {
-				if value := recover(); value != nil {
-					daemon.reportPanic("stage", value, debug.Stack())
-					run.fail(core.Errorf(core.Internal, "stage %d: panic: %v", i, value))
-				}
-			}()
-			run.runStage(ctx, i)
-		})
-	}
-	group.Wait()
-	if run.err != nil {
-		for i := range stages {
-			run.free(i)
-		}
-		return nil, run.err
-	}
-	return run.results, nil
 }
 
-func (run *stageRun) fail(err error) {
-	run.mutex.Lock()
-	defer run.mutex.Unlock()
-	if run.err == nil {
-		run.err = err
-		run.cancel()
-	}
+// newChain returns the chain of the stages of the request.
+func (daemon *Daemon) newChain(request *request) *flow.Chain {
+	run := &stageRun{daemon: daemon, request: request, plan: request.plan}
+	request.stageDurations = make([]time.Duration, len(request.route.Stages))
+	return &flow.Chain{Stages: request.route.Stages, Pieces: request.pieces, Host: run, Clock: daemon.clock, ReleaseEarly: true}
 }
 
-func (run *stageRun) runStage(ctx context.Context, i int) {
-	stage := run.request.route.Stages[i]
-	for _, dependency := range stage.After {
-		<-run.done[dependency]
-	}
-	if ctx.Err() != nil {
-		run.fail(ctx.Err())
-		return
-	}
-	pieces := run.request.pieces(i)
-	if pieces == 0 {
-		return
-	}
-	var inputs []string
-	for _, dependency := range stage.After {
-		inputs = append(inputs, run.results[dependency].handles...)
-	}
-	if stage.ResultBytes >= largeResultBytes && len(stage.After) == 0 {
+// Produce implements flow.ChainHost.
+func (run *stageRun) Produce(ctx context.Context, call flow.StageCall) (flow.StageResults, error) {
+	daemon, stage := run.daemon, run.request.route.Stages[call.Stage]
+	if stage.ResultBytes >= largeResultBytes && len(stage.After) == 0 && !call.Again {
 		// A large result occupies result capacity that other requests need while the longer chain of stages still
 		// runs.
-		wait := time.Duration(float64(run.plan.Slack[i]) * lateStartSlackShare)
-		if wait > 0 && !core.Sleep(ctx, run.daemon.clock, wait) {
-			run.fail(ctx.Err())
-			return
+		wait := time.Duration(float64(run.plan.Slack[call.Stage]) * lateStartSlackShare)
+		if wait > 0 && !core.Sleep(ctx, daemon.clock, wait) {
+			return flow.StageResults{}, ctx.Err()
 		}
 	}
-	began := run.daemon.clock.Now()
-	message := run.message(i, pieces, inputs)
-	message.Release = run.mayRelease(stage.After)
-	produced, err := run.daemon.produce(ctx, message)
-	run.request.stageDurations[i] = run.daemon.clock.Now().Sub(began)
-	if err != nil {
-		run.fail(err)
-		return
+	began := daemon.clock.Now()
+	message := run.message(call.Stage, run.request.pieces(call.Stage), call.Inputs)
+	message.Release = call.Release
+	produced, err := daemon.produce(ctx, message)
+	run.request.stageDurations[call.Stage] += daemon.clock.Now().Sub(began)
+	reply := flow.StageResults{Handles: produced.Handles, Sender: produced.sender, Released: produced.Released}
+	if err == nil && message.Spec != nil {
+		// No call ends sooner.
+		reply.Until = began.Add(message.Spec.CallOverhead + message.Spec.ResultTTL)
+		reply.Runs = daemon.runsOf(stage.Service, produced.Handles)
+	}
+	return reply, err
+}
+
+// runsOf returns the runs of the targets that hold the results, as far as they are known.
+func (daemon *Daemon) runsOf(service string, handles []string) []string {
+	byAddress := map[string]string{}
+	for _, target := range daemon.view.Load().targets[service] {
+		byAddress[target.Address] = runOf(target.ID, target.StartedAt)
 	}
-	run.mutex.Lock()
-	run.results[i] = results{produced.Handles, produced.sender}
-	var unneeded []int
-	for _, dependency := range stage.After {
-		if produced.Released && run.daemon.countsReleased(run.request.route.Stages[dependency].Service, run.results[dependency].sender) {
-			run.results[dependency] = results{}
+	var runs []string
+	for address := range batch.GroupHandles(handles, daemon.dialect.HandleAddress) {
+		if run := byAddress[address]; run != "" {
+			runs = append(runs, run)
 		}
-		if run.pendingConsumers[dependency]--; run.pendingConsumers[dependency] == 0 {
-			unneeded = append(unneeded, dependency)
-		}
-	}
-	run.mutex.Unlock()
-	for _, dependency := range unneeded {
-		run.free(dependency)
 	}
+	return runs
 }
 
-// mayRelease reports whether the results of the stages may be released as soon as the targets of the next stage have
-// fetched them: no other stage needs them, and their own targets are short of room.
-func (run *stageRun) mayRelease(stages []int) bool {
-	run.mutex.Lock()
-	defer run.mutex.Unlock()
-	for _, stage := range stages {
-		if run.pendingConsumers[stage] > 1 || !run.shortOfRoom(stage) {
-			return false
-		}
+// Runs implements flow.ChainHost.
+func (run *stageRun) Runs(stage int, runs []string) bool {
+	present := map[string]bool{}
+	for _, target := range run.daemon.view.Load().targets[run.request.route.Stages[stage].Service] {
+		present[runOf(target.ID, target.StartedAt)] = true
 	}
-	return run.releaseEarly && len(stages) > 0
+	return !slices.ContainsFunc(runs, func(run string) bool { return !present[run] })
+}
+
+// Forecast implements flow.ChainHost.
+func (run *stageRun) Forecast() (forecast admit.Request) {
+	run.daemon.do(func() { forecast = run.daemon.admissionRequest(run.request, run.daemon.clock.Now()) })
+	return forecast
+}
+
+// Reran implements flow.ChainHost.
+func (run *stageRun) Reran(consumer int, rerun flow.Rerun) {
+	metrics, event, message := run.daemon.metrics, eventStagesRepeated, "inputs of a stage are gone; running the missing stages again"
+	if rerun.Feasible {
+		metrics.stagesRepeated.Add(1)
+		metrics.stagesRerun.Add(int64(len(rerun.Stages)))
+	} else {
+		metrics.stagesNotRepeated.Add(1)
+		event, message = eventStagesNotRepeated, "inputs of a stage are gone, and there is no time to produce them again"
+	}
+	run.daemon.log.Warn().Str(eventField, event).Str("Request", run.request.caller.Attempt).Int("Stage", consumer).Ints("Again", rerun.Stages).
+		Dur("Forecast", rerun.Time).Dur("Left", run.request.deadline.Sub(run.daemon.clock.Now())).Msg(message)
 }
 
-func (run *stageRun) shortOfRoom(stage int) bool {
+// ReportPanic implements flow.ChainHost.
+func (run *stageRun) ReportPanic(value any, stack []byte) {
+	run.daemon.reportPanic("stage", value, stack)
+}
+
+// Release implements flow.ChainHost.
+func (run *stageRun) Release(stage int, unneeded flow.StageResults) {
+	run.daemon.releaseResults(run.request.route.Stages[stage].Service, results{unneeded.Handles, unneeded.Sender})
+}
+
+// CountsReleased implements flow.ChainHost.
+func (run *stageRun) CountsReleased(stage int, released flow.StageResults) bool {
+	return run.daemon.countsReleased(run.request.route.Stages[stage].Service, released.Sender)
+}
+
+// ShortOfRoom implements flow.ChainHost.
+func (run *stageRun) ShortOfRoom(stage int) bool {
 	short := false
 	run.daemon.do(func() {
 		forecast, fresh := run.daemon.forecast(run.request.route.Stages[stage].Service)
@@ -250,41 +218,33 @@
 	return most, int64(count) * bytes
 }
 
-func (run *stageRun) free(i int) {
-	run.mutex.Lock()
-	unneeded := run.results[i]
-	run.results[i] = results{}
-	run.mutex.Unlock()
-	run.daemon.releaseResults(run.request.route.Stages[i].Service, unneeded)
-}
-
 // inputs are the results of the stages that the final target of a request fetches.
 type inputs struct {
 	daemon  *Daemon
 	request *request
-	results []results // by stage; nil once they are freed
-	shared  bool      // another attempt holds them, too, and frees them
+	chain   *flow.Chain // nil until the stages have run, and once their results are freed
+	shared  bool        // another attempt holds them, too, and frees them
+	gone    bool        // a target found that one no longer exists
 }
 
-// produce runs the stages unless their results are still retained; it runs them again after free.
+// produce runs the stages unless their results are still retained, and those of which results are gone; it runs all again after
+// free.
 func (inputs *inputs) produce(ctx context.Context) error {
 	daemon, request := inputs.daemon, inputs.request
-	if len(request.route.Stages) == 0 || inputs.results != nil {
+	if len(request.route.Stages) == 0 || inputs.chain != nil && !inputs.gone {
 		return nil
 	}
-	produced, err := daemon.runStages(ctx, request, true)
-	if failed := (*stageError)(nil); errors.As(err, &failed) && failed.Fault == core.PieceInputGone {
-		// A piece failed after its inputs had been released, or the target that held them has ended.
-		daemon.metrics.stagesRepeated.Add(1)
-		daemon.log.Warn().Str(eventField, eventStagesRepeated).Str("Request", request.caller.Attempt).Int("Stage", failed.Stage).Msg("inputs of a stage are gone; running the stages again")
-		produced, err = daemon.runStages(ctx, request, false)
+	chain, run := inputs.chain, (*flow.Chain).Repeat
+	if chain == nil {
+		chain, run = daemon.newChain(request), (*flow.Chain).Run
 	}
-	if err != nil {
+	inputs.chain, inputs.gone = nil, false
+	if err := run(chain, ctx); err != nil {
 		return err
 	}
-	inputs.results = produced
+	inputs.chain = chain
 	for _, i := range request.route.Leaves() {
-		handles := produced[i].handles
+		handles := chain.Results(i).Handles
 		request.inputHandles = append(request.inputHandles, handles...)
 		if bytes := request.route.Stages[i].ResultBytes; bytes >= largeResultBytes && len(handles) > 0 {
 			request.inputDataCentre, request.inputBytes = daemon.dataCentreOf(handles, bytes)
@@ -293,22 +253,28 @@
 	return nil
 }
 
+// lose notes that a target found that one of the results no longer exists. Those that another attempt holds are left to it.
+func (inputs *inputs) lose() {
+	if inputs.shared || inputs.chain == nil {
+		inputs.free()
+		return
+	}
+	inputs.gone, inputs.request.inputHandles = true, nil
+}
+
 // free releases the results, because a target has fetched them or none will.
 func (inputs *inputs) free() {
-	if inputs.results == nil {
+	if inputs.chain == nil {
 		return
 	}
 	inputs.release()
-	inputs.results, inputs.shared, inputs.request.inputHandles = nil, false, nil
+	inputs.chain, inputs.shared, inputs.gone, inputs.request.inputHandles = nil, false, false, nil
 }
 
 // release is free for a request that an attempt may still be reading.
 func (inputs *inputs) release() {
-	if inputs.results == nil || inputs.shared {
-		return
-	}
-	for _, i := range inputs.request.route.Leaves() {
-		inputs.daemon.releaseResults(inputs.request.route.Stages[i].Service, inputs.results[i])
+	if inputs.chain != nil && !inputs.shared {
+		inputs.chain.Free()
 	}
 }
 
@@ -398,7 +364,7 @@
 // checked returns the reply, or its fault as an error.
 func (reply piecesReply) checked(stage int) (piecesReply, error) {
 	if reply.Fault != core.PieceDone {
-		return piecesReply{}, &stageError{Stage: stage, Fault: reply.Fault}
+		return piecesReply{Released: reply.Released}, &stageError{Stage: stage, Fault: reply.Fault}
 	}
 	return reply, nil
 }
--- a/io/edge/stages_test.go
+++ b/io/edge/stages_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -129,6 +130,52 @@
 	}
 }
 
+// TestMissingStagesRunAgain guards against stage work that is thrown away: after a target had restarted, all stages of a request whose
+// input was gone ran again, also those whose results were held, and also without time for them.
+func TestMissingStagesRunAgain(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		left time.Duration
+		runs []int // by stage
+		want bool
+	}{
+		{"in time", 6 * time.Second, []int{1, 2, 2, 1}, true},
+		{"no time left", 200 * time.Millisecond, []int{1, 1, 1, 0}, false},
+	} {
+		calls := &peerCalls{}
+		daemon := newFleetMemberWith(t, calls, core.SystemClock{})
+		runs := make([]int, 4)
+		var mutex sync.Mutex
+		calls.pieces = func(_ string, message piecesRequest) piecesReply {
+			mutex.Lock()
+			defer mutex.Unlock()
+			runs[message.Stage]++
+			reply := piecesReply{Handles: []string{fmt.Sprint("s", message.Stage, "-", runs[message.Stage])}, Forecast: batch.Forecast{Capacity: 5, Call: 100 * time.Millisecond}}
+			if message.Stage == 2 && slices.Contains(message.Inputs, "s1-1") {
+				return piecesReply{Fault: core.PieceInputGone, Forecast: reply.Forecast}
+			}
+			return reply
+		}
+		now := daemon.clock.Now()
+		request := &request{
+			caller: core.CallerRequest{Attempt: "a"}, services: daemon.view.Load().routing.Services, startedAt: now,
+			softDeadline: now.Add(test.left), deadline: now.Add(test.left), plan: admit.Plan{Remaining: make([]time.Duration, 4), Slack: make([]time.Duration, 4)},
+			route: core.Route{Name: "r", Stages: []core.StageSpec{{Service: "stock", ResultBytes: 1_500_000}, {Service: "stock", ResultBytes: 8000}, {Service: "stock", After: []int{1}}, {Service: "stock", After: []int{2}}}},
+		}
+		daemon.do(func() { daemon.setSender(fleetRecord(3)) })
+		err := (&inputs{daemon: daemon, request: request}).produce(t.Context())
+		failed := (*stageError)(nil)
+		if done := err == nil; done != test.want || !done && !(errors.As(err, &failed) && failed.Fault == core.PieceInputGone) {
+			t.Errorf("%s: error %v", test.name, err)
+		}
+		mutex.Lock()
+		if !slices.Equal(runs, test.runs) {
+			t.Errorf("%s: the stages ran %v times, want %v", test.name, runs, test.runs)
+		}
+		mutex.Unlock()
+	}
+}
+
 // TestFormerSenderFreesItsResults guards against a daemon that has lost the role of the sender and frees the results of its own pieces
 // through the new one, so that its own pool counts them until they expire.
 func TestFormerSenderFreesItsResults(t *testing.T) {
--- a/io/edge/takeover.go
+++ b/io/edge/takeover.go
@@ -147,7 +147,7 @@
 	responses := watchdog.responses
 	request := relay.request.copy(watchdog.tried)
 	request.attempts += watchdog.failed
-	inputs := &inputs{daemon: relay.daemon, request: request, results: relay.inputs.results, shared: relay.inputs.results != nil}
+	inputs := &inputs{daemon: relay.daemon, request: request, chain: relay.inputs.chain, shared: relay.inputs.chain != nil}
 	watchdog.mutex.Unlock()
 
 	next, err := relay.openElsewhere(ctx, request, inputs)
@@ -223,8 +223,7 @@
 			return next, err
 		}
 		if failure.status == http.StatusConflict {
-			// An input no longer exists; the target may take over with new ones.
-			inputs.free()
+			inputs.lose() // the target may take over with new ones
 			request.triedTargets = request.triedTargets[:len(request.triedTargets)-1]
 		}
 	}
