--- a/core/flow/chain.go
+++ b/core/flow/chain.go
@@ -16,10 +16,10 @@
 // StageResults are those of one stage of a request.
 type StageResults struct {
 	Handles  []string
-	Sender   string    // peer address of the daemon whose pool counts them; empty means the present sender of the service
-	Until    time.Time // the first of them may expire then
-	Runs     []string  // runs of the targets that hold them
-	Released bool      // the inputs of the stage were released, also if it has failed
+	Sender   string               // peer address of the daemon whose pool counts them; empty means the present sender of the service
+	Until    time.Time            // the first of them may expire then
+	Runs     map[string]TargetRun // runs of the targets that hold them, by address
+	Released bool                 // the inputs of the stage were released, also if it has failed
 }
 
 // StageCall asks for the results of one stage.
@@ -40,8 +40,8 @@
 	CountsReleased(stage int, results StageResults) bool
 	// ShortOfRoom reports whether the targets of a stage have little room for results.
 	ShortOfRoom(stage int) bool
-	// Runs reports whether the runs of targets go on.
-	Runs(stage int, runs []string) bool
+	// GoesOn reports whether the runs of the targets that hold the results go on.
+	GoesOn(results StageResults) bool
 	// Forecast returns the request as it would be admitted now.
 	Forecast() admit.Request
 	// Reran reports a decision after a consumer found an input gone; see DecideRerun.
@@ -288,7 +288,7 @@
 	chain.repeated[consumer] = consumer < len(chain.Stages)
 	held := make([]Held, len(chain.Stages))
 	for stage, results := range chain.results {
-		held[stage] = Held{Until: results.Until, Lost: chain.lost[stage] || !chain.Host.Runs(stage, results.Runs)}
+		held[stage] = Held{Until: results.Until, Lost: chain.lost[stage] || !chain.Host.GoesOn(results)}
 	}
 	chain.mutex.Unlock()
 	if repeated || ctx.Err() != nil {
--- a/core/flow/chain_test.go
+++ b/core/flow/chain_test.go
@@ -129,11 +129,12 @@
 		}
 	}
 	target := host.target(call.Stage)
+	host.runs[target] += 0 // it is known
 	host.made++
 	host.produced[call.Stage]++
 	handle := fmt.Sprintf("%s/%d/stage%d/%d", target, host.runs[target], call.Stage, host.made)
 	host.results[handle] = true
-	return StageResults{Handles: []string{handle}, Until: host.clock.Now().Add(time.Hour), Runs: []string{fmt.Sprint(target, "/", host.runs[target])}}, nil
+	return StageResults{Handles: []string{handle}, Until: host.clock.Now().Add(time.Hour), Runs: map[string]TargetRun{target: {target, start.Add(time.Duration(host.runs[target]))}}}, nil
 }
 
 func (host *lossyHost) Release(_ int, results StageResults) {
@@ -144,13 +145,14 @@
 	}
 }
 
-func (host *lossyHost) Runs(_ int, runs []string) bool {
+func (host *lossyHost) GoesOn(results StageResults) bool {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
-	return !slices.ContainsFunc(runs, func(run string) bool {
-		target, number, _ := strings.Cut(run, "/")
-		return number != fmt.Sprint(host.runs[target])
-	})
+	known := map[string]TargetRun{}
+	for target, run := range host.runs {
+		known[target] = TargetRun{target, start.Add(time.Duration(run))}
+	}
+	return results.GoesOn(known)
 }
 
 func (host *lossyHost) CountsReleased(int, StageResults) bool { return true }
--- a/core/flow/rerun.go
+++ b/core/flow/rerun.go
@@ -128,3 +128,30 @@
 	}
 	return slices.DeleteFunc(slices.Clone(inputs), func(input int) bool { return stages[input].Pieces == 0 })
 }
+
+// TargetRun is a run of a target.
+type TargetRun struct {
+	Target    string
+	StartedAt time.Time
+}
+
+// RunsOf returns the runs of the targets that hold the results, by address, as far as they are known.
+func RunsOf(handles []string, known map[string]TargetRun, address func(handle string) string) map[string]TargetRun {
+	runs := map[string]TargetRun{}
+	for _, handle := range handles {
+		if run, found := known[address(handle)]; found {
+			runs[address(handle)] = run
+		}
+	}
+	return runs
+}
+
+// GoesOn reports whether the runs of the targets that hold the results are still known.
+func (results StageResults) GoesOn(known map[string]TargetRun) bool {
+	for address, run := range results.Runs {
+		if now := known[address]; now.Target != run.Target || !now.StartedAt.Equal(run.StartedAt) {
+			return false
+		}
+	}
+	return true
+}
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"catkincove/core"
+	"catkincove/core/flow"
 	"catkincove/core/mirror"
 	"catkincove/core/place"
 	"catkincove/core/roster"
@@ -363,7 +364,7 @@
 	now := daemon.clock.Now()
 	previous := daemon.view.Load()
 	next := &view{
-		routing: previous.routing, routingFrom: previous.routingFrom, targets: map[string][]place.Target{}, addresses: map[string]bool{}, byID: map[string]string{}, services: map[string]string{}, dataCentres: map[string]string{},
+		routing: previous.routing, routingFrom: previous.routingFrom, targets: map[string][]place.Target{}, addresses: map[string]bool{}, byID: map[string]string{}, services: map[string]string{}, dataCentres: map[string]string{}, runs: map[string]flow.TargetRun{},
 	}
 	evacuated := map[string]bool{}
 	var orders []shift.Order
@@ -452,6 +453,7 @@
 		next.addresses[target.Address] = true
 		next.byID[target.ID] = target.Address
 		next.dataCentres[target.Address] = target.DataCentre
+		next.runs[target.Address] = flow.TargetRun{Target: target.ID, StartedAt: run.StartedAt}
 		if run.Draining || evacuated[target.DataCentre] {
 			continue
 		}
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -4,6 +4,7 @@
 	"github.com/rs/zerolog"
 
 	"catkincove/core"
+	"catkincove/core/flow"
 	"catkincove/core/place"
 )
 
@@ -18,6 +19,7 @@
 	contested   map[string]bool           // IDs of targets that another daemon may count as superseded, by what it has copied from this one
 	services    map[string]string         // service by target address
 	dataCentres map[string]string         // data centre by target address
+	runs        map[string]flow.TargetRun // by target address
 }
 
 // source is where a daemon has a change of its copies from: the store, or another daemon.
