--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -19,7 +19,7 @@
 	minLeft       = 0.2   // seconds of full traffic that the bounds still allow below which an order succeeds earlier than planned
 	minFull       = 250 * time.Millisecond
 	moveTime      = 230 * time.Millisecond // of messages, from the decision that a route moves until reports show that nothing new goes to the old version
-	moveReports   = 2                      // intervals of reports that this takes besides
+	moveReports   = 1                      // intervals of reports that this takes besides
 	grantFor      = time.Second            // a daemon that is cut off stops well within the roll-back time of 5 s
 	bisectionStep = 30
 )
