core/canary: a change of slow requests at full traffic is found by a CUSUM

Cause: a version that is slow only under load was compared by all its requests since full traffic began. Those before the load was reached, and before the slow ones had become visible, hid the last ones; intervals of 200 ms added up to one step of the decision to their age. Slow requests now go into a CUSUM (the greatest likelihood ratio of a change to 0.6 from the tolerated 0.2 at any time), interval by interval, each as short as a step at full traffic. Its limit is the logarithm of 1 / 0.004, the same chance as of the test that it replaces. Trouble that passes no longer counts until the end.

Ruled out: a longer window of recent times; it dilutes in the same way.

--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -170,3 +170,13 @@
 	}
 	return max(1-below, 0)
 }
+
+// change detects that hits become more frequent, by a CUSUM: the logarithm of the greatest likelihood ratio of a change at any time until now. Earlier misses do
+// not hide a late change, and misses after a passing trouble end its effect. The zero value has seen nothing.
+type change struct{ sum float64 }
+
+// observe takes the hits and misses of an interval, of which up to a share of hits is tolerated.
+func (change *change) observe(hits, misses int64, tolerated, changed float64) {
+	gain := float64(hits)*math.Log(changed/tolerated) + float64(misses)*math.Log((1-changed)/(1-tolerated))
+	change.sum = max(change.sum+gain, 0)
+}
--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -39,6 +39,8 @@
 	maxDeviations   = 1.7                    // of the times, beyond which the version does not succeed
 	minFailures     = 0.005                  // share of failures that no comparison with a few old responses shows
 	slowShare       = 0.2                    // of requests at full traffic that is tolerated
+	slowChanged     = 0.6                    // share of slow requests of a version that is several times slower
+	maxSlowing      = 5.5                    // logarithm of the likelihood ratio of such a change, 1 / chance, beyond which the version does not succeed
 	chance          = 0.004                  // probability of as many failures below which the version does not succeed
 	recentTimes     = 0.03                   // part of the time limit over which recent times are compared
 )
@@ -94,6 +96,7 @@
 	failures, times comparison
 	total, recent   slowdown
 	full            slowdown // since full traffic began
+	slowing         change   // since full traffic began
 }
 
 // NewJudge returns a judge without evidence.
@@ -175,7 +178,11 @@
 			continue
 		}
 		slow := counts{span.Old.slow(bucket), span.Old.fast(bucket), span.New.slow(bucket), span.New.fast(bucket)}
-		evidence.times.observe(elapsed, slow.positive(), times, moved)
+		slow = slow.positive()
+		evidence.times.observe(elapsed, slow, times, moved)
+		if !judge.ramp.fullSince.IsZero() {
+			evidence.slowing.observe(slow.newHits, slow.newMisses, slowShare, slowChanged)
+		}
 	}
 	if known {
 		oldSum, oldCount := span.Old.logarithms(bucket)
@@ -219,7 +226,7 @@
 // closeInterval compares the responses since the last interval if they are enough.
 func (judge *Judge) closeInterval(now time.Time) {
 	length := now.Sub(judge.closedAt)
-	if length < minInterval {
+	if length < minInterval && judge.ramp.fullSince.IsZero() {
 		return
 	}
 	var compared int64
@@ -382,17 +389,9 @@
 // doubt returns the route and the figure by which a version without a proven fault is still worse than may be chance, or nothing.
 func (judge *Judge) doubt() string {
 	var all route
-	var slow, fast int64 // of the new version at full traffic
 	for _, name := range judge.routeNames() {
 		route := judge.routes[name]
-		doubt := route.doubt()
-		if bucket, known := route.slowBucket(); known {
-			full := route.sums.New.minus(route.atFull)
-			doubt = cmp.Or(doubt, slowDoubt(full.slow(bucket), full.fast(bucket)))
-			slow += full.slow(bucket)
-			fast += full.fast(bucket)
-		}
-		if doubt != "" {
+		if doubt := route.doubt(); doubt != "" {
 			return fmt.Sprintf("route %q: %s", name, doubt)
 		}
 		all.sums.add(route.sums)
@@ -400,8 +399,9 @@
 		all.total.add(route.total)
 		all.recent.add(route.recent)
 		all.full.add(route.full)
+		all.slowing = judge.all.slowing
 	}
-	if doubt := cmp.Or(all.doubt(), slowDoubt(slow, fast)); doubt != "" {
+	if doubt := all.doubt(); doubt != "" {
 		return allRoutes + ": " + doubt
 	}
 	return ""
@@ -418,13 +418,8 @@
 	if deviations := max(route.total.deviations(), route.recent.deviations(), route.full.deviations()); deviations > maxDeviations {
 		return fmt.Sprintf("slower by %.1f standard deviations", deviations)
 	}
-	return ""
-}
-
-// slowDoubt returns the figure by which the new version has more slow requests at full traffic than may be chance, or nothing.
-func slowDoubt(slow, fast int64) string {
-	if tail(max(slow, 0), max(slow, 0)+fast, slowShare) < chance {
-		return fmt.Sprintf("%d of %d requests at full traffic were slow", slow, slow+fast)
+	if route.slowing.sum > maxSlowing {
+		return fmt.Sprintf("slow requests at full traffic, log likelihood ratio %.1f of a change", route.slowing.sum)
 	}
 	return ""
 }
--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -131,8 +131,10 @@
 	totals := judge.newTotals()
 	ramp.share, ramp.moved, ramp.fullSince, ramp.fullSent, ramp.fullGood = 1, nil, now, totals.Sent, totals.Good
 	ramp.successAt = later(end, now.Add(minFull))
+	judge.all.slowing = change{}
 	for _, route := range judge.routes {
 		route.atFull = route.sums.New.clone()
+		route.slowing = change{}
 		route.full = slowdown{oldMean: route.total.oldMean, known: route.total.known}
 	}
 }
