core/canary: what is left of the bound goes to full traffic first

Cause: the time that a route moves ahead was the settling time of 200 ms plus the drain of its old requests, though both begin with its last old request. And what the bound left beyond that was added to all routes alike: 0.1 s more for each costs 0.1 s of full traffic, and gives the load of all routes together only 0.1 s more. Routes now move ahead by the greater of settling and drain, and the rest of the bound moves the last routes earlier, which costs only their part of the traffic. The grant and the report take one interval of reports each, so two again instead of one.

--- a/core/canary/late_test.go
+++ b/core/canary/late_test.go
@@ -10,7 +10,7 @@
 
 // TestLateFaults guards against success of a version that is slow only under the load of the last moments before it: what was fast before hid it.
 func TestLateFaults(t *testing.T) {
-	for _, seed := range []uint64{27} {
+	for _, seed := range []uint64{21, 27, 93} {
 		random := rand.New(rand.NewPCG(seed, 11))
 		situation := sizes[seed%uint64(len(sizes))]
 		situation.slow, situation.load = 3+3*random.Float64(), 0.1+0.7*random.Float64()
--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -18,8 +18,8 @@
 	stragglers    = 0.03  // expected requests of a moved route that are still in progress at the old version when it counts as empty
 	minLeft       = 0.2   // seconds of full traffic that the bounds still allow below which an order succeeds earlier than planned
 	minFull       = 250 * time.Millisecond
-	moveTime      = 230 * time.Millisecond // of messages, from the decision that a route moves until reports show that nothing new goes to the old version
-	moveReports   = 1                      // intervals of reports that this takes besides
+	moveTime      = 30 * time.Millisecond  // of messages, from the decision that a route moves until reports show that its last requests at the old version have ended
+	moveReports   = 2                      // intervals of reports that this takes besides
 	grantFor      = time.Second            // a daemon that is cut off stops well within the roll-back time of 5 s
 	bisectionStep = 30
 )
@@ -156,13 +156,13 @@
 	move := (moveTime + moveReports*judge.reportInterval()).Seconds()
 	drains, moves := map[string]float64{}, map[string]float64{}
 	for name, route := range judge.routes {
-		drains[name] = judge.drainTime(route).Seconds()
+		drains[name] = max(judge.drainTime(route), settleTime).Seconds()
 	}
-	low, high := -1.0, most // below 0 the part of the drain times that is left out, above it the seconds beyond them
+	low, high := -1.0, most // below 0 the part of the drain times that is left out, above it the least time at full traffic
 	for range bisectionStep {
 		extra, longest, cost := (low+high)/2, 0.0, 0.0
 		for name, drain := range drains {
-			moves[name] = min(move+drain*(1+min(extra, 0))+max(extra, 0), most)
+			moves[name] = min(max(move+drain*(1+min(extra, 0)), extra), most)
 			longest = max(longest, moves[name])
 		}
 		for name, route := range judge.routes {
