core/canary: grants say when the next routes move

Cause: a route moved at each daemon when the grant of that moment arrived. The last routes then had too little time to end at the old version. A grant now names the routes that move within 300 ms and the time until then, so that all daemons move them together. A later grant replaces the plan, and an expired one moves nothing; the parts of the daemons hold as before. Older builds ignore the field and move with the grant.

--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -278,7 +278,7 @@
 	case core.RolloutSucceeded:
 		grant.Share, grant.For = 1, grantFor
 	case core.RolloutRunning:
-		grant.Share, grant.For, grant.Moved = judge.ramp.share, grantFor, judge.ramp.moved
+		grant.Share, grant.For, grant.Moved, grant.Moves = judge.ramp.share, grantFor, judge.ramp.moved, judge.ramp.moves
 	}
 	return Decision{Grant: judge.pool(grant, fleet), Reason: judge.reason}
 }
--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -1,6 +1,9 @@
 package canary
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The times are parts of the time limit, the costs parts of what the bounds allow; docs/design/rollouts.md derives them.
 const (
@@ -20,6 +23,7 @@
 	minFull       = 250 * time.Millisecond
 	moveTime      = 30 * time.Millisecond  // of messages, from the decision that a route moves until reports show that its last requests at the old version have ended
 	moveReports   = 2                      // intervals of reports that this takes besides
+	moveAhead     = 300 * time.Millisecond // time before its move at which daemons learn of it; a suspicion that arises meanwhile stops it only if the grant arrives in time
 	grantFor      = time.Second            // a daemon that is cut off stops well within the roll-back time of 5 s
 	bisectionStep = 30
 )
@@ -31,6 +35,7 @@
 	halfSince    time.Time
 	moving       bool
 	moved        []string
+	moves        []Move    // that come next
 	fullSince    time.Time // since when share 1 is granted, zero if it is not
 	successAt    time.Time // earliest success
 	fullSent     int64     // new requests at fullSince
@@ -106,7 +111,7 @@
 
 // stop sets a low share, from which the steps begin anew.
 func (ramp *ramp) stop(share float64) {
-	ramp.share, ramp.moved, ramp.moving = share, nil, false
+	ramp.share, ramp.moved, ramp.moves, ramp.moving = share, nil, nil, false
 	ramp.quarterSince, ramp.halfSince, ramp.fullSince = time.Time{}, time.Time{}, time.Time{}
 }
 
@@ -124,7 +129,12 @@
 			moved = append(moved, name)
 		}
 	}
-	ramp.moved = moved
+	ramp.moved, ramp.moves = moved, nil
+	for _, name := range judge.routeNames() {
+		if after := end.Sub(now) - time.Duration(moves[name]*float64(time.Second)); after > 0 && after <= moveAhead && !slices.Contains(moved, name) {
+			ramp.moves = append(ramp.moves, Move{Route: name, After: after})
+		}
+	}
 	if len(moved) < len(judge.routes) {
 		return
 	}
--- a/core/canary/split.go
+++ b/core/canary/split.go
@@ -30,12 +30,20 @@
 	Bounds   Bounds   // for all daemons together
 	Daemons  int      // daemons that divide the slack of the bounds
 	Moved    []string // routes of which none may go to the old version, because their requests take long to end there
+	Moves    []Move   // routes that become moved ones before later grants may arrive
+}
+
+// Move is a route that moves after a time from the arrival of the grant on, so that all daemons move it at once, whichever messages are lost.
+type Move struct {
+	Route string
+	After time.Duration
 }
 
 // Splitter divides the requests of one daemon between the arms; the zero value sends all to the old one. It counts from the order on,
 // so an order needs its own. It is not safe for concurrent use.
 type Splitter struct {
 	grant     Grant
+	usedAt    time.Time
 	expiresAt time.Time
 	requests  int64
 	sentNew   int64
@@ -47,7 +55,7 @@
 	if splitter.grant.Phase != core.RolloutRunning || stale && grant.Phase == core.RolloutRunning {
 		return
 	}
-	splitter.grant, splitter.expiresAt = grant, now.Add(grant.For)
+	splitter.grant, splitter.usedAt, splitter.expiresAt = grant, now, now.Add(grant.For)
 }
 
 // Choose returns the arm of a new request on a route that is not known.
@@ -57,6 +65,7 @@
 // to the bounds without coordination, so a burst or a daemon that is cut off does not break them.
 func (splitter *Splitter) ChooseRoute(now time.Time, route string) Arm {
 	splitter.requests++
+	splitter.applyMoves(now)
 	switch {
 	case splitter.grant.Phase == core.RolloutSucceeded:
 	case splitter.grant.Phase != core.RolloutRunning || !now.Before(splitter.expiresAt):
@@ -70,6 +79,15 @@
 	return New
 }
 
+// applyMoves moves the routes whose time has come.
+func (splitter *Splitter) applyMoves(now time.Time) {
+	for _, move := range splitter.grant.Moves {
+		if now.Sub(splitter.usedAt) >= move.After && !slices.Contains(splitter.grant.Moved, move.Route) {
+			splitter.grant.Moved = append(slices.Clone(splitter.grant.Moved), move.Route)
+		}
+	}
+}
+
 // isTurn reports whether the present request is one of the share.
 func (splitter *Splitter) isTurn() bool {
 	_, fraction := math.Modf(float64(splitter.requests) * goldenStep)
