--- a/io/shift/shift_test.go
+++ b/io/shift/shift_test.go
@@ -186,6 +186,24 @@
 	}
 }
 
+// TestPromptReport guards against bad responses that a daemon tells half a second late, so that a bad version gets requests meanwhile.
+func TestPromptReport(t *testing.T) {
+	mover := newMover(&fakes.Store{})
+	clock := mover.options.Clock.(*fakes.Clock)
+	clock.Advance(time.Hour)
+	mover.Follow([]Order{orderOf("v2", 5)})
+	report := func(version string, outcome canary.Outcome) bool {
+		mover.Begin("ledger", version, "book").End(outcome)
+		clock.Advance(stepInterval)
+		_, due := mover.message("ledger", State{Large: true})
+		return due
+	}
+	report("v1", canary.Good)
+	if report("v2", canary.Good) || report("v1", canary.Bad) || !report("v2", canary.Bad) || report("v2", canary.Good) {
+		t.Error("a report is due after another step than that with a bad response of the new version")
+	}
+}
+
 // TestOrderAfterRestore guards against a bad version that has its bounds once more, and requests that never seem to end, because a restored store holds
 // an earlier order, or none, until the operator writes the present one again.
 func TestOrderAfterRestore(t *testing.T) {
