core/canary: the first step warms the new targets

Cause: at 20 requests a second for 12 s the first step sent 4 requests, as it costs 0.08 of the bound at most. Times count from half of the time limit on, or from three responses for each new target, so that the first responses of cold targets were taken for slowness at full traffic. The first step may now cost as many requests as it takes to warm the targets, up to a quarter of the bound. At 100 requests a second or more this changes nothing but the first seconds.

No test of its own: the kind "good, cold" of TestReplays shows it.

--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -12,6 +12,7 @@
 	planned       = 0.97  // part of the bounds that the plan uses, so that a daemon with a little more than its part still sends nothing to the old version
 	spare         = 2     // requests that the plan leaves to each daemon for the same reason
 	lowCost       = 0.08  // cost of the long first step
+	maxWarmCost   = 0.25  // greatest cost of the first step, if it has to warm the new targets
 	stepTime      = 0.08  // duration of the steps at a quarter and at a half, in durations of full traffic that the bounds allow
 	quarter       = 0.25
 	half          = 0.5
@@ -83,7 +84,8 @@
 			ramp.share = quarter
 		}
 	case !ramp.moving && untilEnd > longest+2*step:
-		cost := max(lowCost*whole, whole-2*maxMoveTime*duration.Seconds()) // at a low load, most of the bounds are not needed later
+		warm := min(float64(coldRequests*fleet.NewTargets)/rate, maxWarmCost*whole) // without it, the first times that count are those of cold targets
+		cost := max(lowCost*whole, warm, whole-2*maxMoveTime*duration.Seconds())    // at a low load, most of the bounds are not needed later
 		ramp.stop(min(max((cost-(whole-left))/max(untilEnd-longest-2*step, 1), minShare), quarter))
 	case ramp.quarterSince.IsZero() || now.Sub(ramp.quarterSince).Seconds() < step:
 		ramp.share = quarter
