--- /dev/null
+++ b/core/canary/late_test.go
@@ -0,0 +1,69 @@
+package canary
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"catkincove/core"
+)
+
+// TestLateFaults guards against success of a version that is slow only under the load of the last moments before it: what was fast before hid it.
+func TestLateFaults(t *testing.T) {
+	for _, seed := range []uint64{21, 27, 93, 111} {
+		random := rand.New(rand.NewPCG(seed, 11))
+		situation := sizes[seed%uint64(len(sizes))]
+		situation.slow, situation.load = 3+3*random.Float64(), 0.1+0.7*random.Float64()
+		if result := situation.replay(seed); result.phase != core.RolloutRolledBack {
+			t.Errorf("seed %d: %+v %+v", seed, situation, result)
+		}
+	}
+}
+
+// TestSettledDaemon guards against a daemon whose last requests to the old version count from the arrival of the report, one interval late.
+func TestSettledDaemon(t *testing.T) {
+	judge := NewJudge(JudgeOptions{IssuedAt: testStart})
+	var recorder Recorder
+	recorder.End(testStart, recorder.Begin(testStart, "a", Old), Good)
+	for _, after := range []time.Duration{settleTime - 1, settleTime} {
+		judge.Add(testStart.Add(after), "a", recorder.Report(testStart.Add(after)), 0)
+		if settled := judge.daemons["a"].hasSettled(); settled != (after >= settleTime) {
+			t.Errorf("after %v: settled %v", after, settled)
+		}
+	}
+}
+
+// TestMoves guards against routes that move late at a daemon because the grant of that moment was lost.
+func TestMoves(t *testing.T) {
+	var splitter Splitter
+	grant := Grant{Sequence: 1, Share: 0.001, For: time.Second, Bounds: Bounds{Share: 1}, Moves: []Move{{Route: "a", After: 200 * time.Millisecond}}}
+	splitter.Use(testStart, grant)
+	for _, test := range []struct {
+		at    time.Duration
+		route string
+		want  Arm
+	}{{199, "a", Old}, {200, "a", New}, {200, "b", Old}, {1000, "a", Old}} {
+		if arm := splitter.ChooseRoute(testStart.Add(test.at*time.Millisecond), test.route); arm != test.want {
+			t.Errorf("route %s after %d ms: %v", test.route, test.at, arm)
+		}
+	}
+}
+
+// TestBudgetBetweenReports guards against a plan that takes the bound for larger than it is, because requests since the last reports did not count.
+func TestBudgetBetweenReports(t *testing.T) {
+	judge := NewJudge(JudgeOptions{IssuedAt: testStart, Bounds: testBounds})
+	var recorder Recorder
+	for second := range 3 {
+		for range 100 {
+			recorder.Begin(testStart, "a", Old)
+		}
+		judge.Add(testStart.Add(time.Duration(second)*time.Second), "a", recorder.Report(testStart), 0)
+	}
+	judge.ramp.share = 0.5
+	reported, end, fleet := testStart.Add(2*time.Second), testStart.Add(10*time.Second), Fleet{Daemons: []core.MemberID{"a"}}
+	before, _, _ := judge.budget(reported, end, fleet)
+	after, _, _ := judge.budget(reported.Add(200*time.Millisecond), end, fleet)
+	if used := before - after; used < 0.09 || used > 0.11 {
+		t.Errorf("200 ms after the report at share 0.5, %.2f s of full traffic are used, want 0.10", used)
+	}
+}
