core/admit, io/edge: Retry-After from when the scarce stage will have drained, spread over promised returns

The history of the door moves from io/edge to core/admit (Door), with the returns that it has promised.

Ruled out: the drain time by the free share of the pressure alone (free share at least 0.1): a burst of one second left the pressure above 1, and returns at 5.9 s (replay, p50); a burst therefore counts as ended after 2 s, jittered.

Replays of core/admit keep their goals.

The replays' own copies of the route history are gone: they now drive the Door. The log of a rejection has "retry in", the metrics Rejected.*, ReturnsPromised and PromisedMilliseconds.*; the forecast has Late, which older builds ignore.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -9,20 +9,17 @@
 )
 
 const (
-	priorityMargin      = 0.06                   // share of the soft time left that each priority step of a route leaves to more urgent routes
-	teamPriorityMargin  = 0.02                   // share that each priority step of a team leaves to more urgent teams
-	sizeMargin          = 0.15                   // share that a request of twice its route's usual work leaves to smaller ones, which are more for the same work
-	maxSizeRatio        = 3.0                    // upper bound of a request's work relative to the usual one
-	minSoftTimeShare    = 0.5                    // smallest share of the soft time left that the least urgent requests may use
-	lateTimeShare       = 0.6                    // share of the time left within which a late response is still likely
-	minAdmittedShare    = 0.5                    // a route that admits a smaller share of its recent requests may use its whole soft time
-	minRetryAfterShare  = 0.2                    // smallest RetryAfter as a share of the time left: a burst lasts seconds
-	maxRetryAfterShare  = 1.0 / 3                // callers wait no longer than this share, and would all return at its end
-	minRetryAfter       = 200 * time.Millisecond // smallest RetryAfter
-	noTargetsRetryAfter = time.Second            // RetryAfter while a service has no targets
-	calmPressure        = 0.8                    // share of a stage's capacity up to which nobody competes for it
-	calmExcessShare     = 0.4                    // share of the soft time left by which a forecast may exceed it without competition: a rejected request is late for certain
-	fullPressure        = 1.1                    // share from which on the margins apply in full: calls are not always full
+	priorityMargin      = 0.06        // share of the soft time left that each priority step of a route leaves to more urgent routes
+	teamPriorityMargin  = 0.02        // share that each priority step of a team leaves to more urgent teams
+	sizeMargin          = 0.15        // share that a request of twice its route's usual work leaves to smaller ones, which are more for the same work
+	maxSizeRatio        = 3.0         // upper bound of a request's work relative to the usual one
+	minSoftTimeShare    = 0.5         // smallest share of the soft time left that the least urgent requests may use
+	lateTimeShare       = 0.6         // share of the time left within which a late response is still likely
+	minAdmittedShare    = 0.5         // a route that admits a smaller share of its recent requests may use its whole soft time
+	noTargetsRetryAfter = time.Second // RetryAfter while a service has no targets
+	calmPressure        = 0.8         // share of a stage's capacity up to which nobody competes for it
+	calmExcessShare     = 0.4         // share of the soft time left by which a forecast may exceed it without competition: a rejected request is late for certain
+	fullPressure        = 1.1         // share from which on the margins apply in full: calls are not always full
 )
 
 // Stage is one stage of a request with the forecast of its pool.
@@ -31,11 +28,13 @@
 	Pieces        int
 	PieceTime     time.Duration // share of one piece in a full call
 	Forecast      batch.Forecast
-	ForecastFresh bool // the forecast is recent
+	ForecastFresh bool          // the forecast is recent
+	Promised      time.Duration // time until the targets will have done the work of the callers that were told to return
 }
 
 // Request is the input of an admission decision.
 type Request struct {
+	Route            string
 	Stages           []Stage
 	TimeToFirstEvent time.Duration // typical time from the end of the last stage to the first event
 	SoftTimeLeft     time.Duration // time until the response should begin
@@ -45,6 +44,7 @@
 	Returning        bool          // the caller was rejected before
 	UsualWork        time.Duration // average Work of the route's requests; 0 means unknown
 	AdmittedShare    float64       // share of the recent requests of the route that were admitted
+	Daemons          int           // daemons that share the free time of the targets; 0 means 1
 }
 
 // Work returns the time of targets that the request takes in full calls.
@@ -93,6 +93,8 @@
 	Late       bool // the response is expected after the soft deadline
 	RetryAfter time.Duration
 	Reason     string
+	Scarce     string        // service in whose free time the caller returns
+	Promised   time.Duration // time until the targets of that service will have done its work too; 0 means that none was promised
 }
 
 // Forecast returns the expected schedule of a request.
@@ -172,18 +174,12 @@
 		// Pools give it only slots that no other request needs.
 		return Decision{Admit: true, Late: true}
 	default:
-		return Decision{Reason: "WouldBeLate", RetryAfter: retryAfter(request.TimeLeft, excess, random)}
+		decision := Decision{Reason: "WouldBeLate"}
+		decision.RetryAfter, decision.Promised, decision.Scarce = request.returnAt(random)
+		return decision
 	}
 }
 
-// retryAfter returns when a caller should return: after the excess, but not before a burst may have passed. The times of
-// several callers are spread, so that they do not all return at once but while capacity becomes free.
-func retryAfter(timeLeft, excess time.Duration, random *rand.Rand) time.Duration {
-	share := minRetryAfterShare + (maxRetryAfterShare-minRetryAfterShare)*random.Float64()
-	latest := time.Duration(float64(timeLeft) * maxRetryAfterShare)
-	return max(min(max(jittered(excess, random), time.Duration(float64(timeLeft)*share)), latest), minRetryAfter)
-}
-
 // jittered returns a time that is spread evenly around the mean.
 func jittered(mean time.Duration, random *rand.Rand) time.Duration {
 	return max(time.Duration(float64(mean)*(0.5+random.Float64())), minRetryAfter)
--- a/core/admit/replay_test.go
+++ b/core/admit/replay_test.go
@@ -144,11 +144,10 @@
 	jobs      map[jobKey]jobOwner
 	forecasts map[string][]timedForecast
 	returns   []returning
-	shares    map[string]float64 // admitted share by route
+	door      admit.Door
 	visits    []*visit
 	held      map[*visit][]string      // handles to free when the response begins
 	attempts  map[string]jobOwner      // by the attempt of the job
-	work      map[string]time.Duration // moving average of the work of a route's requests
 	targets   map[string]*replayTarget // by address
 	calls     int                      // keeps handles unique
 }
@@ -188,9 +187,10 @@
 func run(desk desk, bursts []burst, seed uint64) []*visit {
 	replay := &replay{
 		desk: desk, random: rand.New(rand.NewPCG(seed, 7)), now: replayStart, pools: map[string]*batch.Pool{}, jobs: map[jobKey]jobOwner{},
-		forecasts: map[string][]timedForecast{}, shares: map[string]float64{}, held: map[*visit][]string{}, attempts: map[string]jobOwner{}, work: map[string]time.Duration{},
+		forecasts: map[string][]timedForecast{}, held: map[*visit][]string{}, attempts: map[string]jobOwner{},
 		targets: map[string]*replayTarget{},
 	}
+	replay.door.Random = replay.random
 	replay.startPools()
 	for replay.now.Before(replayStart.Add(replayLength + 21*time.Second)) {
 		replay.step(bursts)
@@ -235,8 +235,7 @@
 	}
 	clear(replay.jobs)
 	clear(replay.held)
-	clear(replay.shares)
-	clear(replay.work)
+	replay.door = admit.Door{Random: replay.random}
 	clear(replay.forecasts)
 	replay.startPools()
 }
@@ -335,8 +334,8 @@
 	timeLeft := visit.arrivedAt.Add(visit.limit).Sub(replay.now)
 	soft := visit.arrivedAt.Add(visit.route.LatencyObjective)
 	request := admit.Request{
-		TimeToFirstEvent: cmp.Or(replay.desk.engineTime, engineTime), SoftTimeLeft: soft.Sub(replay.now), TimeLeft: timeLeft, Priority: visit.route.Priority,
-		AdmittedShare: 1 + replay.shares[visit.route.Name], Returning: visit.attempts > 1, UsualWork: replay.work[visit.route.Name],
+		Route: visit.route.Name, TimeToFirstEvent: cmp.Or(replay.desk.engineTime, engineTime), SoftTimeLeft: soft.Sub(replay.now), TimeLeft: timeLeft, Priority: visit.route.Priority,
+		Returning: visit.attempts > 1,
 	}
 	for i, spec := range visit.route.Stages {
 		service := replay.desk.services[spec.Service]
@@ -345,16 +344,8 @@
 			Forecast: replay.forecast(spec.Service), ForecastFresh: true,
 		})
 	}
-	if visit.attempts == 1 {
-		replay.work[visit.route.Name] += (request.Work() - replay.work[visit.route.Name]) / 20
-	}
 	visit.plan = admit.Forecast(request)
-	decision := admit.Decide(request, replay.random)
-	admitted := 0.0
-	if decision.Admit {
-		admitted = 1
-	}
-	replay.shares[visit.route.Name] += (admitted - 1 - replay.shares[visit.route.Name]) * 0.05
+	decision := replay.door.Decide(replay.now, request)
 	if !decision.Admit {
 		replay.refuse(visit, decision.RetryAfter)
 		return
--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -75,10 +75,11 @@
 	forecast.Pressure = pool.pressure.value(now, forecast.Capacity*float64(pool.spec.MaxCalls))
 	perPiece := pool.spec.CallOverhead / time.Duration(pool.spec.MaxPieces)
 	for _, waiting := range pool.queue {
+		cost := perPiece + pool.pieceTime(waiting.job.Class)
 		if now.Add(pool.spec.CallOverhead).After(waiting.job.SoftDeadline) {
+			forecast.Late += cost
 			continue // new jobs go before those past their soft deadline
 		}
-		cost := perPiece + pool.pieceTime(waiting.job.Class)
 		due := waiting.job.SoftDeadline.Add(time.Duration(waiting.job.Priority) * priorityOffset).Sub(now)
 		for step := max(int(due/ForecastStep), 0); step < forecastSteps; step++ {
 			forecast.Ahead[step] += cost
--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -100,6 +100,7 @@
 	Call        time.Duration   // typical time of a call at the present batch size
 	Pressure    float64         // work that arrives relative to what the targets can do; 0 means unknown
 	Ahead       []time.Duration // work of all targets before a job; the index is the time left to its soft deadline, in ForecastStep
+	Late        time.Duration   // work of the jobs past their soft deadline, which go after all others
 }
 
 // IdleForecast returns the forecast of a pool without jobs; without a specification the time of a call is not known.
@@ -126,6 +127,14 @@
 	return time.Duration(float64(forecast.Ahead[step]) / forecast.Capacity)
 }
 
+// WaitForAll returns how long the targets need for all work that is queued, without what arrives meanwhile.
+func (forecast Forecast) WaitForAll() time.Duration {
+	if forecast.Capacity <= 0 || len(forecast.Ahead) == 0 {
+		return 0
+	}
+	return time.Duration(float64(forecast.Ahead[len(forecast.Ahead)-1]+forecast.Late) / forecast.Capacity)
+}
+
 // AnyHandle reports whether one of the pieces has a result.
 func AnyHandle(results []core.PieceResult) bool {
 	return slices.ContainsFunc(results, func(result core.PieceResult) bool { return result.Handle != "" })
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"catkincove/core"
+	"catkincove/core/admit"
 	"catkincove/core/batch"
 	"catkincove/core/blame"
 	"catkincove/core/hedge"
@@ -114,8 +115,7 @@
 	peers           map[string]*peer          // by peer address
 	peersBySize     []*peer                   // the same, largest VM first; nil after a change
 	firstEventTimes map[string]time.Duration  // moving average of the time to the first event, by route
-	usualWork       map[string]time.Duration  // moving average of the work of requests in stages, by route
-	admittedOffset  map[string]float64        // moving average of the admitted share of requests less 1, by route; 0 means all
+	door            admit.Door                // of the requests that callers send to this daemon
 	status          peerStatus                // status reported to other daemons, as of statusAt
 	statusAt        time.Time
 	rebuildPosted   bool // a rebuild of the view is queued on the loop
@@ -166,7 +166,7 @@
 	daemon.control = control{
 		registrations: mirror.Copy{RetainExpired: true}, live: mirror.Copy{RetainExpired: true}, origins: newOrigins(),
 		retryWindows: map[string]*retry.Window{}, hedger: hedge.Hedger{Credit: random.Float64()}, senders: map[string]*sender{}, engines: map[string]*place.Engines{}, placementHints: map[string]string{}, lastPlacement: map[string]time.Time{}, peers: map[string]*peer{},
-		firstEventTimes: map[string]time.Duration{}, admittedOffset: map[string]float64{}, usualWork: map[string]time.Duration{}, random: random, copiesChanged: make(chan struct{}),
+		firstEventTimes: map[string]time.Duration{}, door: admit.Door{Random: random}, random: random, copiesChanged: make(chan struct{}),
 	}
 	daemon.control.batchContext, daemon.control.cancelBatches = context.WithCancel(context.Background())
 	daemon.paths.daemon = daemon
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -27,8 +27,6 @@
 	defaultRetryAfter     = 500 * time.Millisecond // Retry-After without a routing or after the time limit, and the minimum after failed stages
 	defaultFirstEventTime = 150 * time.Millisecond // assumed time to the first event of a route before any was measured
 	firstEventAlpha       = 0.1                    // weight of the newest value in the average time to the first event
-	workAlpha             = 0.05                   // weight of the newest request in the average work of a route
-	admittedAlpha         = 0.05                   // weight of the newest decision in the average admitted share
 	minFirstTimeLeftShare = 0.82                   // share of the route's time limit below which a request is a retry; first attempts state 0.85 to 1
 	usualTimeLeftShare    = 0.92                   // middle of the shares that callers state on a first attempt
 	retryAfterHeader      = "Retry-After"          // value in seconds, with fractions
@@ -210,24 +208,14 @@
 		now := daemon.clock.Now()
 		quarantined = daemon.checkQuarantine(now, request)
 		plan := daemon.admissionRequest(request, now)
-		request.plan = admit.Forecast(plan)
-		if !request.returning {
-			daemon.observeWork(request.route.Name, plan.Work())
-		}
-		decision = admit.Decide(plan, daemon.control.random)
-		offset := daemon.control.admittedOffset[request.route.Name]
-		admitted := 0.0
-		if decision.Admit {
-			admitted = 1
-		}
-		daemon.control.admittedOffset[request.route.Name] = offset + (admitted-1-offset)*admittedAlpha
+		request.plan, decision = admit.Forecast(plan), daemon.control.door.Decide(now, plan)
 	})
 	if quarantined != nil {
 		return quarantined
 	}
 	if !decision.Admit {
-		return core.Errorf(core.Unavailable, "%s: response expected in %v, soft deadline in %v", decision.Reason,
-			request.plan.TimeToResponse.Round(time.Millisecond), request.softDeadline.Sub(request.startedAt)).WithRetryAfter(decision.RetryAfter)
+		return core.Errorf(core.Unavailable, "%s: response expected in %v, soft deadline in %v, retry in %v", decision.Reason,
+			request.plan.TimeToResponse.Round(time.Millisecond), request.softDeadline.Sub(request.startedAt), decision.RetryAfter.Round(time.Millisecond)).WithRetryAfter(decision.RetryAfter)
 	}
 	return nil
 }
@@ -239,8 +227,8 @@
 		firstEventTime = defaultFirstEventTime
 	}
 	plan := admit.Request{
-		TimeToFirstEvent: firstEventTime, SoftTimeLeft: request.softDeadline.Sub(now), TimeLeft: request.deadline.Sub(now), Priority: request.route.Priority, TeamPriority: request.team.Priority,
-		AdmittedShare: 1 + daemon.control.admittedOffset[request.route.Name], Returning: request.returning, UsualWork: daemon.control.usualWork[request.route.Name],
+		Route: request.route.Name, Daemons: daemon.control.chooser.Daemons, TimeToFirstEvent: firstEventTime, SoftTimeLeft: request.softDeadline.Sub(now), TimeLeft: request.deadline.Sub(now), Priority: request.route.Priority, TeamPriority: request.team.Priority,
+		Returning: request.returning,
 	}
 	for i, spec := range request.route.Stages {
 		forecast, fresh := daemon.forecast(spec.Service)
@@ -253,15 +241,6 @@
 	return plan
 }
 
-// observeWork includes the work of a request in the average of its route; it must run on the loop.
-func (daemon *Daemon) observeWork(route string, work time.Duration) {
-	usual, known := daemon.control.usualWork[route]
-	if !known {
-		usual = work
-	}
-	daemon.control.usualWork[route] = usual + time.Duration(float64(work-usual)*workAlpha)
-}
-
 // classify returns the error to report for a request; it gives the end of a context, failed stages and failed attempts
 // their kinds.
 func (daemon *Daemon) classify(ctx context.Context, request *request, err error) error {
@@ -293,17 +272,17 @@
 	return errors.Is(err, context.Canceled) || errors.As(err, &failedStage)
 }
 
-// stagesRetryAfter estimates when the stages will have caught up: the excess of the forecast over half the latency
-// objective, and at least defaultRetryAfter.
+// stagesRetryAfter estimates when the stages will have caught up if the forecast exceeds half the latency objective, and
+// returns at least defaultRetryAfter.
 func (daemon *Daemon) stagesRetryAfter(request *request) time.Duration {
-	var decision admit.Decision
+	var retryAfter time.Duration
 	daemon.do(func() {
 		now := daemon.clock.Now()
 		plan := daemon.admissionRequest(request, now)
 		plan.SoftTimeLeft = request.route.LatencyObjective / 2
-		decision = admit.Decide(plan, daemon.control.random)
+		retryAfter = daemon.control.door.RetryAfter(now, plan)
 	})
-	return max(decision.RetryAfter, defaultRetryAfter)
+	return max(retryAfter, defaultRetryAfter)
 }
 
 var errCallerDisconnected = errors.New("the caller closed its connection")
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -79,6 +79,7 @@
 	}
 	daemon.do(func() {
 		daemon.control.hedger.EachCount(set)
+		daemon.control.door.EachCount(daemon.clock.Now(), set)
 		for service, sender := range daemon.control.senders {
 			set("SecondTries.Pieces."+service, sender.pool.Early.Repeated())
 		}
