--- a/core/admit/retry.go
+++ b/core/admit/retry.go
@@ -10,7 +10,7 @@
 	burstShare         = 0.6                    // share of the longest wait from which returns are spread that find no free time before: a burst lasts seconds
 	minRetryAfter      = 200 * time.Millisecond // smallest RetryAfter
 	burstTime          = 2 * time.Second        // time after which a burst is expected to have ended
-	minFreeShare       = 0.25                   // smallest share of a stage's capacity that counts as free for returns, also while its pressure is unknown
+	minFreeShare       = 0.3                    // smallest share of a stage's capacity that counts as free for returns, also while its pressure is unknown
 )
 
 // scarceStage returns the stage that will be the last to have done the work that is queued and promised, and that time; no stage has pieces if the index is negative.
@@ -36,14 +36,14 @@
 	return max(1-stage.Forecast.Pressure, minFreeShare)
 }
 
-// drainTime returns the time in which the targets will have done the work that is queued now beside that which arrives, and whether the end of a burst bounds it: a queue
-// that grows, or of which too little is known, drains after that.
+// drainTime returns the time in which the targets will have done the work that is queued now beside that which arrives, and whether the end of a burst bounds it: the
+// pressure, an average of what is admitted, does not show how long a queue of more than a call will grow.
 func (stage Stage) drainTime() (drained time.Duration, afterBurst bool) {
 	wait := stage.Forecast.WaitForAll()
-	if free := 1 - stage.Forecast.Pressure; stage.ForecastFresh && stage.Forecast.Pressure > 0 && float64(wait) < float64(burstTime+wait)*free {
-		return time.Duration(float64(wait) / free), false
+	if pressure := stage.Forecast.Pressure; stage.ForecastFresh && pressure > 0 && pressure <= calmPressure && wait < stage.Forecast.Call {
+		return time.Duration(float64(wait) / (1 - pressure)), false
 	}
-	return burstTime + wait, true
+	return max(time.Duration(float64(wait)/minFreeShare), burstTime), true
 }
 
 // timeWithoutWait returns the time to the response if no stage has a queue.
