core/batch: jobs without a team have no floor as one

Cause: jobs without a team, which are all of a deployment without teams, shared one average. With under half of them in time all were below the floor, and the order by worth ended in the worst overload, when it is needed.

--- a/core/batch/order.go
+++ b/core/batch/order.go
@@ -144,9 +144,17 @@
 	team bool
 }
 
+// groups returns the class and the team of a job; jobs without a team have no floor as one, or all of them would be below it in the worst overload.
+func (job *job) groups() []group {
+	if job.Team == "" {
+		return []group{{job.Class, false}}
+	}
+	return []group{{job.Class, false}, {job.Team, true}}
+}
+
 // belowFloor reports whether too small a share of the jobs of the class or the team of a job is in time.
 func (pool *Pool) belowFloor(job *job) bool {
-	return 1+pool.inTimeOffset[group{job.Class, false}] < floorShare || 1+pool.inTimeOffset[group{job.Team, true}] < floorShare
+	return slices.ContainsFunc(job.groups(), func(group group) bool { return 1+pool.inTimeOffset[group] < floorShare })
 }
 
 // recordInTime includes whether a job has met its soft deadline in the averages of its class and team.
@@ -159,7 +167,7 @@
 	if inTime {
 		outcome = 0
 	}
-	for _, key := range []group{{job.Class, false}, {job.Team, true}} {
+	for _, key := range job.groups() {
 		offset, known := pool.inTimeOffset[key]
 		if inTime && !known {
 			continue
--- a/core/batch/order_test.go
+++ b/core/batch/order_test.go
@@ -16,6 +16,7 @@
 	job := func(class string, priority, pieces int, soft time.Duration) Job {
 		return Job{Class: class, Team: "of " + class, Priority: priority, Pieces: pieces, SoftDeadline: now.Add(soft), Deadline: now.Add(8 * time.Second)}
 	}
+	withoutTeam := func(job Job) Job { job.Team = ""; return job }
 	const ms = time.Millisecond
 	chat, check := job("chat", 2, 8, 1000*ms), job("check", 0, 4, 1300*ms)
 	for _, test := range []struct {
@@ -29,6 +30,7 @@
 		{"large and small of one priority", []Job{job("large", 0, 8, 1000*ms), job("small", 0, 1, 1050*ms)}, nil, []string{"small", "large"}},
 		{"class below its floor", []Job{chat, check}, map[group]float64{{"chat", false}: -0.6}, []string{"chat", "check"}},
 		{"team below its floor", []Job{chat, check}, map[group]float64{{"of chat", true}: -0.6}, []string{"chat", "check"}},
+		{"all jobs without a team late", []Job{withoutTeam(chat), withoutTeam(check)}, map[group]float64{{"", true}: -0.9}, []string{"check", "chat"}},
 		{"late work last", []Job{job("late", 0, 1, 100*ms), chat, check}, nil, []string{"check", "chat", "late"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
