--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -41,7 +41,6 @@
 	TimeLeft         time.Duration // time until the request fails
 	Priority         int           // priority of the route; 0 is the most urgent
 	TeamPriority     int           // priority of the team; 0 is the most urgent
-	QueuePriority    int           // priority of its jobs in the queues of stages; 0 is the most urgent
 	Returning        bool          // the caller was rejected before
 	UsualWork        time.Duration // average Work of the route's requests; 0 means unknown
 	AdmittedShare    float64       // share of the recent requests of the route that were admitted
@@ -106,7 +105,7 @@
 	ends := make([]time.Duration, stageCount)
 	times := make([]time.Duration, stageCount)
 	for i, stage := range request.Stages {
-		times[i] = stageTime(stage, request.QueuePriority, request.SoftTimeLeft)
+		times[i] = stageTime(stage, request.SoftTimeLeft)
 	}
 	for range stageCount {
 		for i, stage := range request.Stages {
@@ -133,11 +132,11 @@
 }
 
 // stageTime returns the expected wait for the stage's call plus the time of the call.
-func stageTime(stage Stage, priority int, softTimeLeft time.Duration) time.Duration {
+func stageTime(stage Stage, softTimeLeft time.Duration) time.Duration {
 	if stage.Pieces == 0 {
 		return 0
 	}
-	return stage.Forecast.WaitOf(priority, softTimeLeft) + stage.Forecast.Call
+	return stage.Forecast.Wait(softTimeLeft) + stage.Forecast.Call
 }
 
 // Decide admits a request that is likely to meet its soft deadline, and one whose caller returns if it is likely to get a
--- a/core/admit/replay_test.go
+++ b/core/admit/replay_test.go
@@ -334,7 +334,7 @@
 	timeLeft := visit.arrivedAt.Add(visit.limit).Sub(replay.now)
 	soft := visit.arrivedAt.Add(visit.route.LatencyObjective)
 	request := admit.Request{
-		Route: visit.route.Name, TimeToFirstEvent: cmp.Or(replay.desk.engineTime, engineTime), SoftTimeLeft: soft.Sub(replay.now), TimeLeft: timeLeft, Priority: visit.route.Priority, QueuePriority: visit.route.Priority,
+		Route: visit.route.Name, TimeToFirstEvent: cmp.Or(replay.desk.engineTime, engineTime), SoftTimeLeft: soft.Sub(replay.now), TimeLeft: timeLeft, Priority: visit.route.Priority,
 		Returning: visit.attempts > 1,
 	}
 	for i, spec := range visit.route.Stages {
--- a/core/admit/retry.go
+++ b/core/admit/retry.go
@@ -50,7 +50,7 @@
 func (request Request) timeWithoutWait() time.Duration {
 	stages := make([]Stage, len(request.Stages))
 	for i, stage := range request.Stages {
-		stage.Forecast.Ahead, stage.Forecast.AheadOf, stage.Forecast.Late = nil, nil, 0
+		stage.Forecast.Ahead, stage.Forecast.Late = nil, 0
 		stages[i] = stage
 	}
 	request.Stages = stages
--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -123,13 +123,34 @@
 	return ended, unused
 }
 
+// sortQueue puts the jobs that can still meet their soft deadline first, in order of their due time; late jobs fill the
+// rest of a call, in order of their deadline, since by their soft deadline one with much time left would go before one
+// that is about to fail.
+func (pool *Pool) sortQueue(now time.Time) {
+	pool.markLate(now)
+	late := func(waiting *piece) int {
+		if !waiting.job.lateSince.IsZero() {
+			return 1
+		}
+		return 0
+	}
+	due := func(job *job) time.Time {
+		if !job.lateSince.IsZero() {
+			return job.Deadline
+		}
+		return job.SoftDeadline.Add(time.Duration(job.Priority) * priorityOffset)
+	}
+	slices.SortStableFunc(pool.queue, func(a, b *piece) int {
+		return cmp.Or(cmp.Compare(late(a), late(b)), due(a.job).Compare(due(b.job)), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.number, b.number))
+	})
+}
+
 // markLate records since when jobs can no longer meet their soft deadline.
 func (pool *Pool) markLate(now time.Time) {
 	callTime := pool.typicalCallTime()
 	for _, waiting := range pool.queue {
 		if waiting.job.lateSince.IsZero() && now.Add(callTime).After(waiting.job.SoftDeadline) {
 			waiting.job.lateSince = now
-			pool.recordInTime(waiting.job, false)
 		}
 	}
 }
--- a/core/batch/forecast.go
+++ b/core/batch/forecast.go
@@ -70,27 +70,19 @@
 
 // Forecast returns an estimate of how long new jobs would wait.
 func (pool *Pool) Forecast(now time.Time) Forecast {
-	forecast := Forecast{Call: pool.typicalCallTime(), ShortOfRoom: pool.isShortOfRoom(now), Ahead: pool.ahead(now, func(*job) bool { return true }), AheadOf: pool.aheadOf(now)}
+	forecast := Forecast{Call: pool.typicalCallTime(), ShortOfRoom: pool.isShortOfRoom(now), Ahead: make([]time.Duration, forecastSteps)}
 	forecast.Capacity, forecast.PausedFor = pool.capacity(now, forecast.Call), pool.pausedFor(now)
 	forecast.Pressure = pool.pressure.value(now, forecast.Capacity*float64(pool.spec.MaxCalls))
+	perPiece := pool.spec.CallOverhead / time.Duration(pool.spec.MaxPieces)
 	for _, waiting := range pool.queue {
-		if pool.pastSoftDeadline(now, waiting.job) {
-			forecast.Late += pool.shareOfCall(waiting.job)
-		}
-	}
-	return forecast
-}
-
-// ahead returns the work before a new job, by the time left to its soft deadline in ForecastStep: that of the jobs which count, and of running calls.
-func (pool *Pool) ahead(now time.Time, counts func(*job) bool) []time.Duration {
-	ahead := make([]time.Duration, forecastSteps)
-	for _, waiting := range pool.queue {
-		if pool.pastSoftDeadline(now, waiting.job) || !counts(waiting.job) {
+		cost := perPiece + pool.pieceTime(waiting.job.Class)
+		if now.Add(pool.spec.CallOverhead).After(waiting.job.SoftDeadline) {
+			forecast.Late += cost
 			continue // new jobs go before those past their soft deadline
 		}
 		due := waiting.job.SoftDeadline.Add(time.Duration(waiting.job.Priority) * priorityOffset).Sub(now)
 		for step := max(int(due/ForecastStep), 0); step < forecastSteps; step++ {
-			ahead[step] += pool.shareOfCall(waiting.job)
+			forecast.Ahead[step] += cost
 		}
 	}
 	// Running calls occupy their targets for the rest of their expected time.
@@ -101,20 +93,11 @@
 		running += max(time.Duration(float64(call.expected)*call.stretch)-now.Sub(call.startedAt), 0)
 	}
 	if busy >= len(pool.workers)*pool.spec.MaxCalls {
-		for step := range ahead {
-			ahead[step] += running / 2
+		for step := range forecast.Ahead {
+			forecast.Ahead[step] += running / 2
 		}
 	}
-	return ahead
-}
-
-func (pool *Pool) pastSoftDeadline(now time.Time, job *job) bool {
-	return now.Add(pool.spec.CallOverhead).After(job.SoftDeadline)
-}
-
-// shareOfCall returns the time that a piece of the job takes of a full call.
-func (pool *Pool) shareOfCall(job *job) time.Duration {
-	return pool.spec.CallOverhead/time.Duration(pool.spec.MaxPieces) + pool.pieceTime(job.Class)
+	return forecast
 }
 
 // capacity returns how many targets of usual speed the usable ones are worth for calls of the time.
--- a/core/batch/pool.go
+++ b/core/batch/pool.go
@@ -54,8 +54,6 @@
 	fetches             []fetch   // in order of time
 	releaseAfter        time.Time // inputs are not released early before this time
 	pressure            pressure
-	inTimeOffset        map[group]float64 // moving average of the share of jobs in time less 1, by class and by team; 0 if absent
-	deferredJobs        int64
 	recentForecast      Forecast
 	forecastAt          time.Time         // of recentForecast
 	shares              map[string]*share // claims on the room for results, by class
@@ -75,17 +73,14 @@
 
 type job struct {
 	Job
-	id          JobID
-	share       *share
-	pieces      []piece
-	handles     []string
-	remaining   int
-	toBegin     int       // pieces that no call has included yet
-	recorded    bool      // its end, or that it is late, counts in inTimeOffset
-	released    bool      // the inputs were returned by FetchedInputs
-	wasDeferred bool      // ever
-	deferred    bool      // others that are worth more for their work go before it
-	lateSince   time.Time // time when it could first no longer meet its soft deadline
+	id        JobID
+	share     *share
+	pieces    []piece
+	handles   []string
+	remaining int
+	toBegin   int       // pieces that no call has included yet
+	released  bool      // the inputs were returned by FetchedInputs
+	lateSince time.Time // time when it could first no longer meet its soft deadline
 }
 
 type call struct {
@@ -109,7 +104,7 @@
 	spec.MaxPieces, spec.MaxCalls = max(spec.MaxPieces, 1), max(spec.MaxCalls, 1)
 	return &Pool{
 		spec: spec, workers: map[string]*worker{}, jobs: map[JobID]*job{}, calls: map[CallID]*call{},
-		classFactors: map[string]float64{}, shares: map[string]*share{}, inTimeOffset: map[group]float64{},
+		classFactors: map[string]float64{}, shares: map[string]*share{},
 	}
 }
 
@@ -277,7 +272,6 @@
 		return nil
 	}
 	delete(pool.jobs, owner.id)
-	pool.recordInTime(owner, owner.lateSince.IsZero())
 	return []Result{{Job: owner.id, Handles: owner.handles, InputsReleased: owner.released}}
 }
 
--- a/core/batch/types.go
+++ b/core/batch/types.go
@@ -28,7 +28,6 @@
 	ReleaseInputs bool
 	Class         string    // pieces of one class take about the same time
 	Priority      int       // 0 is the most urgent
-	Team          string    // of the caller; empty means unknown
 	DataCentre    string    // where most of the inputs are, or where the results are needed; empty means any
 	LastAttempt   bool      // the caller has retried already, so that a rejection would be final
 	SoftDeadline  time.Time // the request meets its latency objective when the job is done by then
@@ -95,14 +94,13 @@
 
 // Forecast tells other daemons how long new work would wait; the zero value means no capacity.
 type Forecast struct {
-	Capacity    float64           // usable targets; slow ones count in part
-	PausedFor   time.Duration     // time until a target may get a call, if all have stated that they want none; 0 otherwise
-	ShortOfRoom bool              // the targets have little free capacity for results
-	Call        time.Duration     // typical time of a call at the present batch size
-	Pressure    float64           // work that arrives relative to what the targets can do; 0 means unknown
-	Ahead       []time.Duration   // work of all targets before a job; the index is the time left to its soft deadline, in ForecastStep
-	AheadOf     [][]time.Duration // part of Ahead before which a job does not defer others, by its priority; Ahead applies to those that are not in it
-	Late        time.Duration     // work of the jobs past their soft deadline, which go after all others
+	Capacity    float64         // usable targets; slow ones count in part
+	PausedFor   time.Duration   // time until a target may get a call, if all have stated that they want none; 0 otherwise
+	ShortOfRoom bool            // the targets have little free capacity for results
+	Call        time.Duration   // typical time of a call at the present batch size
+	Pressure    float64         // work that arrives relative to what the targets can do; 0 means unknown
+	Ahead       []time.Duration // work of all targets before a job; the index is the time left to its soft deadline, in ForecastStep
+	Late        time.Duration   // work of the jobs past their soft deadline, which go after all others
 }
 
 // IdleForecast returns the forecast of a pool without jobs; without a specification the time of a call is not known.
@@ -129,14 +127,6 @@
 	return time.Duration(float64(forecast.Ahead[step]) / forecast.Capacity)
 }
 
-// WaitOf is Wait for a job of the priority, for which less urgent ones are deferred.
-func (forecast Forecast) WaitOf(priority int, timeLeft time.Duration) time.Duration {
-	if priority >= 0 && priority < len(forecast.AheadOf) {
-		forecast.Ahead = forecast.AheadOf[priority]
-	}
-	return forecast.Wait(timeLeft)
-}
-
 // WaitForAll returns how long the targets need for all work that is queued, without what arrives meanwhile.
 func (forecast Forecast) WaitForAll() time.Duration {
 	if forecast.Capacity <= 0 || len(forecast.Ahead) == 0 {
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -227,7 +227,7 @@
 		firstEventTime = defaultFirstEventTime
 	}
 	plan := admit.Request{
-		Route: request.route.Name, Daemons: daemon.control.chooser.Daemons, TimeToFirstEvent: firstEventTime, SoftTimeLeft: request.softDeadline.Sub(now), TimeLeft: request.deadline.Sub(now), Priority: request.route.Priority, TeamPriority: request.team.Priority, QueuePriority: request.priority,
+		Route: request.route.Name, Daemons: daemon.control.chooser.Daemons, TimeToFirstEvent: firstEventTime, SoftTimeLeft: request.softDeadline.Sub(now), TimeLeft: request.deadline.Sub(now), Priority: request.route.Priority, TeamPriority: request.team.Priority,
 		Returning: request.returning,
 	}
 	for i, spec := range request.route.Stages {
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -88,7 +88,6 @@
 		daemon.control.door.EachCount(daemon.clock.Now(), set)
 		for service, sender := range daemon.control.senders {
 			set("SecondTries.Pieces."+service, sender.pool.Early.Repeated())
-			set("JobsDeferred."+service, sender.pool.Deferred())
 		}
 	})
 	metrics.mutex.Lock()
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -40,7 +40,6 @@
 	Bytes     int64 // expected size of one result
 	Class     string
 	Priority  int
-	Team      core.TeamName       // of the caller; not stated by older builds
 	Returning bool                // the caller was rejected before
 	Zone      string              // data centre in which the stage should run; empty means any
 	Aim       time.Duration       // time left to the soft deadline of the stage
@@ -175,7 +174,7 @@
 	now := run.daemon.clock.Now()
 	return piecesRequest{
 		Service: stage.Service, Spec: request.services[stage.Service].Batch, Attempt: request.caller.Attempt, Stage: i, Pieces: pieces, Key: request.caller.PieceKey, Peer: run.daemon.options.Settings.AdvertisePeer, Daemon: run.daemon.id,
-		Inputs: inputs, Bytes: stage.ResultBytes, Zone: run.dataCentre(i, inputs), Class: fmt.Sprintf("%s/%d", request.route.Name, i), Priority: request.priority, Team: request.team.Name, Returning: request.returning,
+		Inputs: inputs, Bytes: stage.ResultBytes, Zone: run.dataCentre(i, inputs), Class: fmt.Sprintf("%s/%d", request.route.Name, i), Priority: request.priority, Returning: request.returning,
 		Aim:  request.softDeadline.Sub(now) - run.plan.Remaining[i],
 		Left: request.deadline.Sub(now) - run.plan.Remaining[i]/2,
 	}
@@ -393,7 +392,7 @@
 		daemon.adopt(owner, message)
 		id, result = daemon.submit(owner, batch.Job{
 			Attempt: message.Attempt, Owner: string(message.Daemon), Stage: message.Stage, Pieces: message.Pieces, Key: message.Key, Inputs: message.Inputs,
-			ReleaseInputs: message.Release, ResultBytes: message.Bytes, Class: message.Class, Priority: message.Priority, Team: string(message.Team), LastAttempt: message.Returning, DataCentre: message.Zone,
+			ReleaseInputs: message.Release, ResultBytes: message.Bytes, Class: message.Class, Priority: message.Priority, LastAttempt: message.Returning, DataCentre: message.Zone,
 			SoftDeadline: now.Add(message.Aim), Deadline: now.Add(message.Left),
 		})
 	})
