core/admit: no promise of a return to callers that do not return

A caller that has been rejected before leaves when it is rejected again, but its return was promised and pushed those of others later; so was that of a request in quarantine, which is rejected whatever the decision. TestNoPromiseToCallersThatLeave fails on the code before.

--- a/core/admit/door.go
+++ b/core/admit/door.go
@@ -71,7 +71,7 @@
 		request.Stages[i].Promised = max(door.promised[request.Stages[i].Spec.Service].Sub(now), 0)
 	}
 	decision := Decide(request, door.Random)
-	if decision.Promised > 0 {
+	if decision.Promised > 0 && !request.Returning { // who is rejected twice does not return
 		door.counts["ReturnsPromised"]++
 		door.promised[decision.Scarce] = now.Add(decision.Promised)
 	}
--- a/core/admit/door_test.go
+++ b/core/admit/door_test.go
@@ -74,3 +74,18 @@
 		t.Errorf("callers return between %v and %v", least, most)
 	}
 }
+
+// TestNoPromiseToCallersThatLeave guards against returns that are promised to callers who have been rejected before and do not come back, which makes others
+// return later.
+func TestNoPromiseToCallersThatLeave(t *testing.T) {
+	now := time.Now()
+	request := testRequest(10 * time.Second)
+	request.TimeLeft, request.Returning = 2*time.Second, true
+	door := Door{Random: random()}
+	if decision := door.Decide(now, request); decision.Admit || decision.Promised == 0 {
+		t.Fatalf("%+v", decision)
+	}
+	if until := door.promised[request.Stages[0].Spec.Service]; !until.IsZero() {
+		t.Errorf("the next return is promised %v after a caller that does not return", until.Sub(now))
+	}
+}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -206,7 +206,9 @@
 	var quarantined error
 	daemon.do(func() {
 		now := daemon.clock.Now()
-		quarantined = daemon.checkQuarantine(now, request)
+		if quarantined = daemon.checkQuarantine(now, request); quarantined != nil {
+			return
+		}
 		plan := daemon.admissionRequest(request, now)
 		request.plan, decision = admit.Forecast(plan), daemon.control.door.Decide(now, plan)
 	})
