--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -24,7 +24,6 @@
 	"catkincove/core/batch"
 	"catkincove/core/blame"
 	"catkincove/core/hedge"
-	"catkincove/core/held"
 	"catkincove/core/limit"
 	"catkincove/core/loop"
 	"catkincove/core/mirror"
@@ -88,11 +87,9 @@
 	bodyBudget     intake.Budget // of the request bodies in memory
 	responseBudget intake.Budget // of what was read of responses and not forwarded yet
 
-	paths  pathMonitor
-	pauses wake.Detector
-	shift  *shift.Mover
-	held   held.Book // results of this daemon's requests
-
+	paths        pathMonitor
+	pauses       wake.Detector
+	shift        *shift.Mover
 	repeatsMutex sync.Mutex
 	repeats      batch.Repeats // responses to batch calls, which are read outside the control loop
 }
--- a/io/edge/events.go
+++ b/io/edge/events.go
@@ -13,7 +13,6 @@
 	eventReloadFailed        = "ReloadFailed"        // the settings cannot be loaded; those in force stay
 	eventMetricsUnavailable  = "MetricsUnavailable"  // the metrics address cannot be listened on
 	eventStagesRepeated      = "StagesRepeated"      // the inputs of a stage are gone, and those stages of the request run again whose results are missing
-	eventResultsAdopted      = "ResultsAdopted"      // a pool accounts for results that a daemon holds and an earlier sender made
 	eventStagesNotRepeated   = "StagesNotRepeated"   // the same without time for it
 	eventPaused              = "Paused"              // the process was paused; what it knew before is checked
 	eventPanic               = "Panic"               // the daemon recovered from a panic, a fault of its own
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -26,7 +26,6 @@
 	stagesRerun      atomic.Int64 // stages that ran again
 	responsesAborted atomic.Int64
 	permitsDenied    atomic.Int64
-	resultsAdopted   atomic.Int64 // results of earlier senders that the pools account for
 	stagesNotRerun   atomic.Int64 // requests whose inputs were gone without time to produce them again
 
 	originsUnrecorded atomic.Int64 // streams that began before the record of their software version was written
@@ -70,7 +69,6 @@
 	set("StagesRepeated", metrics.stagesRepeated.Load())
 	set("StagesRunAgain", metrics.stagesRerun.Load())
 	set("StagesNotRepeated", metrics.stagesNotRerun.Load())
-	set("ResultsAdopted", metrics.resultsAdopted.Load())
 	set("ResponsesAborted", metrics.responsesAborted.Load())
 	set("PermitsDenied", metrics.permitsDenied.Load())
 	set("OriginsUnrecorded", metrics.originsUnrecorded.Load())
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -13,7 +13,6 @@
 	"catkincove/core/admit"
 	"catkincove/core/batch"
 	"catkincove/core/flow"
-	"catkincove/core/held"
 	"catkincove/core/place"
 )
 
@@ -40,14 +39,13 @@
 	Bytes     int64 // expected size of one result
 	Class     string
 	Priority  int
-	Returning bool                // the caller was rejected before
-	Zone      string              // data centre in which the stage should run; empty means any
-	Aim       time.Duration       // time left to the soft deadline of the stage
-	Left      time.Duration       // time left to the deadline of the stage
-	Peer      string              // address of the requesting daemon
-	Daemon    core.MemberID       // its run, whose results are freed when it has terminated; neither is stated by older builds
-	Named     bool                // another daemon has named the receiver as the sender; not stated by older builds
-	Held      []batch.HeldResults // what the requesting daemon holds of the service by other senders; not stated by older builds
+	Returning bool          // the caller was rejected before
+	Zone      string        // data centre in which the stage should run; empty means any
+	Aim       time.Duration // time left to the soft deadline of the stage
+	Left      time.Duration // time left to the deadline of the stage
+	Peer      string        // address of the requesting daemon
+	Daemon    core.MemberID // its run, whose results are freed when it has terminated; neither is stated by older builds
+	Named     bool          // another daemon has named the receiver as the sender; not stated by older builds
 }
 
 type piecesReply struct {
@@ -57,10 +55,10 @@
 	Forecast batch.Forecast
 	Sender   string // peer address of the daemon that sends the batches, if it is another one; the fault is then PieceMoved
 
-	sender held.Sender // the daemon that sent the pieces
+	sender string // peer address of the daemon that sent the pieces
 }
 
-// results are those of one stage of a request. They are freed through the daemons whose pools count them, also when another one sends the batches by then:
+// results are those of one stage of a request. They are freed through the daemon whose pool counts them, also when another one sends the batches by then:
 // a pool that does not hear of it counts them until they expire.
 type results struct {
 	handles []string
@@ -104,9 +102,8 @@
 	message.Release = call.Release
 	produced, err := daemon.produce(ctx, message)
 	run.request.stageDurations[call.Stage] += daemon.clock.Now().Sub(began)
-	reply := flow.StageResults{Handles: produced.Handles, Sender: produced.sender.Peer, Released: produced.Released}
+	reply := flow.StageResults{Handles: produced.Handles, Sender: produced.sender, Released: produced.Released}
 	if err == nil && message.Spec != nil {
-		daemon.held.Add(daemon.clock.Now(), stage.Service, produced.sender, batch.HeldResults{Class: message.Class, Bytes: message.Bytes, Left: message.Spec.ResultTTL, Handles: produced.Handles})
 		// No call ends sooner.
 		reply.Until = began.Add(message.Spec.CallOverhead + message.Spec.ResultTTL)
 		reply.Runs = flow.RunsOf(produced.Handles, daemon.view.Load().runs, daemon.dialect.HandleAddress)
@@ -151,11 +148,7 @@
 
 // CountsReleased implements flow.ChainHost.
 func (run *stageRun) CountsReleased(stage int, released flow.StageResults) bool {
-	counts := run.daemon.countsReleased(run.request.route.Stages[stage].Service, released.Sender)
-	if counts {
-		run.daemon.held.Remove(released.Handles, released.Sender)
-	}
-	return counts
+	return run.daemon.countsReleased(run.request.route.Stages[stage].Service, released.Sender)
 }
 
 // ShortOfRoom implements flow.ChainHost.
@@ -285,11 +278,10 @@
 	for range maxSenders {
 		var owner *peer
 		var address string
-		var run core.MemberID
 		var calls context.Context
 		daemon.do(func() {
 			if owner = daemon.senderOf(message.Service); owner != nil {
-				address, run, calls = owner.Peer, owner.ID, owner.callContext
+				address, calls = owner.Peer, owner.callContext
 			}
 		})
 		if owner == nil {
@@ -302,8 +294,6 @@
 		elapsed := daemon.clock.Now().Sub(began)
 		sent := message
 		sent.Aim, sent.Left = message.Aim-elapsed, message.Left-elapsed
-		to := held.Sender{Peer: address, Run: run}
-		sent.Held = daemon.held.Tell(daemon.clock.Now(), message.Service, to)
 		var reply piecesReply
 		callCtx, cancel := context.WithCancel(ctx)
 		stop := context.AfterFunc(calls, cancel)
@@ -327,7 +317,7 @@
 			daemon.do(func() { daemon.noteSender(owner, message.Service, reply.Sender) })
 			continue
 		}
-		reply.sender = to
+		reply.sender = address
 		return reply.checked(message.Stage)
 	}
 	return daemon.produceLocally(ctx, message)
@@ -360,23 +350,6 @@
 	return reply, nil
 }
 
-// asSender returns this daemon as the sender of batches.
-func (daemon *Daemon) asSender() held.Sender {
-	return held.Sender{Peer: daemon.options.Settings.AdvertisePeer, Run: daemon.id}
-}
-
-// adopt accounts for what the requesting daemon holds of results that other senders made; it must run on the loop.
-func (daemon *Daemon) adopt(sender *sender, message piecesRequest) {
-	now := daemon.clock.Now()
-	if message.Daemon == daemon.id {
-		message.Held = daemon.held.Tell(now, message.Service, daemon.asSender())
-	}
-	if count, bytes := sender.pool.Adopt(now, string(message.Daemon), message.Held, daemon.dialect.HandleAddress); count > 0 {
-		daemon.metrics.resultsAdopted.Add(int64(count))
-		daemon.log.Info().Str(eventField, eventResultsAdopted).Str("Service", message.Service).Str("Peer", string(message.Daemon)).Int("Results", count).Int64("Bytes", bytes).Msg("accounting for results of an earlier sender")
-	}
-}
-
 // produceLocally has the pieces produced by this daemon's own sender.
 func (daemon *Daemon) produceLocally(ctx context.Context, message piecesRequest) (piecesReply, error) {
 	spec := cmp.Or(daemon.view.Load().routing.Services[message.Service].Batch, message.Spec)
@@ -389,7 +362,6 @@
 	daemon.do(func() {
 		now := daemon.clock.Now()
 		owner = daemon.sender(message.Service, *spec)
-		daemon.adopt(owner, message)
 		id, result = daemon.submit(owner, batch.Job{
 			Attempt: message.Attempt, Owner: string(message.Daemon), Stage: message.Stage, Pieces: message.Pieces, Key: message.Key, Inputs: message.Inputs,
 			ReleaseInputs: message.Release, ResultBytes: message.Bytes, Class: message.Class, Priority: message.Priority, LastAttempt: message.Returning, DataCentre: message.Zone,
@@ -398,7 +370,7 @@
 	})
 	select {
 	case ended := <-result:
-		return piecesReply{Handles: ended.Handles, Fault: ended.Fault, Released: ended.InputsReleased, sender: daemon.asSender()}.checked(message.Stage)
+		return piecesReply{Handles: ended.Handles, Fault: ended.Fault, Released: ended.InputsReleased, sender: daemon.options.Settings.AdvertisePeer}.checked(message.Stage)
 	case <-ctx.Done():
 		daemon.do(func() { daemon.cancelJob(owner, id) })
 		select {
@@ -466,14 +438,8 @@
 	if len(handles) == 0 {
 		return
 	}
-	for sender, handles := range daemon.held.Remove(handles, unneeded.sender) {
-		daemon.releaseThrough(service, sender, handles)
-	}
-}
-
-// releaseThrough frees results through the daemon at the address, or the present sender of the service if it is empty.
-func (daemon *Daemon) releaseThrough(service, address string, handles []string) {
 	daemon.loop.Post(func() {
+		address := unneeded.sender
 		if known := daemon.senderOf(service); address == "" && known != nil {
 			address = known.Peer
 		}
