core/admit: the time that a return needs is bounded where no target is known

A forecast that is not fresh may have no capacity. The time of a return was infinite then, and its conversion to a duration differs between processors: 8 s were promised here where the bound is 10 s, and nothing is on x86-64 by the language's rules (not run). TestReturnWithoutCapacity fails on the code before.

--- a/core/admit/door_test.go
+++ b/core/admit/door_test.go
@@ -89,3 +89,18 @@
 		t.Errorf("the next return is promised %v after a caller that does not return", until.Sub(now))
 	}
 }
+
+// TestReturnWithoutCapacity guards against a return computed from an infinite time, whose conversion differs between processors, when a forecast that is not fresh
+// has no target or hardly any.
+func TestReturnWithoutCapacity(t *testing.T) {
+	for _, capacity := range []float64{0, 1e-12} {
+		request := testRequest(time.Second)
+		request.Stages = request.Stages[:1]
+		request.Stages[0].Forecast.Capacity, request.Stages[0].ForecastFresh = capacity, false
+		request.Stages[0].Promised, request.TimeLeft = 8*time.Second, 30*time.Second
+		latest := request.TimeLeft / 3
+		if retryAfter, promised, _ := request.returnAt(random()); retryAfter < latest/2 || retryAfter > latest || promised != latest {
+			t.Errorf("capacity %v: return in %v, promised until %v", capacity, retryAfter, promised)
+		}
+	}
+}
--- a/core/admit/retry.go
+++ b/core/admit/retry.go
@@ -70,7 +70,10 @@
 		return minRetryAfter, 0, ""
 	}
 	stage := request.Stages[scarce]
-	need := time.Duration(float64(stage.PieceTime) * float64(stage.Pieces*max(request.Daemons, 1)) / (stage.Forecast.Capacity * stage.freeShare()))
+	need := latest // without a target, and at most
+	if capacity := stage.Forecast.Capacity * stage.freeShare(); capacity > 0 {
+		need = time.Duration(min(float64(stage.PieceTime)*float64(stage.Pieces*max(request.Daemons, 1))/capacity, float64(latest)))
+	}
 	retryAfter = free + time.Duration(random.Float64()*float64(need))
 	if drained, afterBurst := stage.drainTime(); afterBurst && stage.Promised < drained {
 		retryAfter = max(stage.Promised, drained-burstTime+jittered(burstTime, random)) // when the burst ends is not known
