core/origin, io/edge: a baseline that a restore has taken is written again; streams are recorded while the sender may doubt

Two findings of a review of the origin of streams after a restore. A missing key read as a baseline of epoch 0, which replaced one of an older build, so that the sender waited for it and wrote none until it was restarted (new case of TestBaselineInRestoredStore, seen failing). A daemon that knew one version left streams unrecorded after a restore, although a sender that had started recently writes that a missing record names no version; such streams could not be resumed. They are recorded until the baseline is written in the new epoch (read, no test of its own).

Open: a baseline of an older build, and a backup from before an upgrade, get the present epoch without doubt (docs/platform.md, 4.1).

--- a/core/origin/baseline.go
+++ b/core/origin/baseline.go
@@ -43,9 +43,9 @@
 	return baseline.Version
 }
 
-// Replaces reports whether the baseline is newer than another one.
+// Replaces reports whether the baseline is newer than another one; none, the zero value, replaces no other.
 func (baseline Baseline) Replaces(other Baseline) bool {
-	return baseline.Generation > other.Generation || baseline.Epoch > other.Epoch
+	return baseline.Generation > 0 && (baseline.Generation > other.Generation || baseline.Epoch > other.Epoch)
 }
 
 func (baseline Baseline) isOf(epoch int64) bool {
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -123,6 +123,9 @@
 	if lower := (Baseline{Generation: 4, Epoch: 2}); !lower.Replaces(before) || before.Replaces(doubtful) || older.Replaces(before) {
 		t.Error("a baseline of a later epoch does not replace one of an earlier epoch, or the reverse")
 	}
+	if (Baseline{}).Replaces(older) {
+		t.Error("a baseline that a restore has taken counts as newer than the one of an older build, which is not written again then")
+	}
 }
 
 // TestMissingRecordNamesVersion guards against a missing record that is taken for another version than the one that began the stream,
--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -130,9 +130,6 @@
 		return false // a missing record names no version then
 	}
 	known, epoch := daemon.control.origins.baselines[began.Service], daemon.control.routes.Revision().Epoch()
-	if known.Epoch != epoch && known.Version == began.Version && daemon.hasOneVersion(now, began.Service) {
-		return true // the sender concludes the same
-	}
 	return known.Covers(began.Version, epoch, now.Sub(known.since))
 }
 
