Keep the time limits of a stalled process out of TestCutHeadThenWhole

Cause: the test counts requests, and two limits in real time change that count when the test process gets no processor time for a second or more. - Dial limit of 1 s (io/xchg): "dial tcp: i/o timeout" after 1.36 to 2.28 s, in 3 of 4 cases with the log line "the process was paused" at the same moment. The target counts as tried without having received the request (NotRun), the other two run it, and no target is left: 2 requests instead of 3. All 4 failures of the two failed runs with a log show it, 2 of "stream, all cut" and 2 of "stream that goes on, all cut"; the other runs that failed had no log. - Silence limit of 1.5 s: a takeover uses up a reply of the script, so that "stream" ends with 502 after 3 requests. Both are allowed: MaxTargets is a maximum, a target that cannot be connected to is not tried again, and a silent stream moves.

Ruled out by the log: executions counted twice (2 were counted for 2 requests), the retry budget, a backoff or pause of the targets, the route's time limit (8 s; a request of "stream, all cut" ended after 1.4 to 1.5 s), and a leaving daemon.

The test now holds the clock of its daemon and dials without a limit. The checks, the heads and the counts are unchanged.

--- a/io/edge/head_test.go
+++ b/io/edge/head_test.go
@@ -23,6 +23,7 @@
 	"catkincove/io/answer"
 	"catkincove/io/callid"
 	"catkincove/io/inifmt"
+	"catkincove/io/xchg"
 )
 
 // reply is what a scripted server sends in response to one request.
@@ -253,6 +254,27 @@
 	return clock.SystemClock.After(duration)
 }
 
+// heldClock is a clock that stands still. No target counts as silent by it while the test process gets no processor time, and no takeover uses up a reply of the
+// script. It is ahead of the system clock, by which the contexts of requests end.
+type heldClock struct {
+	core.SystemClock
+	now time.Time
+}
+
+func newHeldClock() heldClock { return heldClock{now: time.Now().Add(time.Hour)} }
+
+func (clock heldClock) Now() time.Time { return clock.now }
+
+// dialWithoutLimit opens a connection however long it takes. If the limit on a dial passes while the test process gets no processor time, the target counts as
+// tried without having received the request.
+func dialWithoutLimit(ctx context.Context, address string) (*net.TCPConn, error) {
+	conn, err := xchg.Dialer(0).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return conn.(*net.TCPConn), nil
+}
+
 // newHeadDaemon returns a daemon whose services have three targets each at the address.
 func newHeadDaemon(t testing.TB, targets string, clock core.Clock) headDaemon {
 	daemon := New(Options{
@@ -439,7 +461,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			server := newScripted(t)
-			daemon := newHeadDaemon(t, server.address, core.SystemClock{})
+			daemon := newHeadDaemon(t, server.address, newHeldClock())
+			daemon.targets.Dial = dialWithoutLimit
 			step := 1
 			if test.name == "long response" {
 				step = 11
