core/flow: a panic of the host no longer leaves the chain locked

Cause: finish and rerun called the host between Lock and Unlock without a deferred unlock. The daemon's host panics again with what panicked on its loop; the recover handler of the stage then called fail, which waited for the mutex that its own goroutine held, so Run never returned. finish had this fault before, too.

Both take the mutex through Chain.locked now, which unlocks deferred.

Test: TestPanickingHost has each method that a stage calls panic. Before, Run had not returned after 5 s in 2 of 5 cases (CountsReleased, GoesOn); now all five end with an internal error.

--- a/core/flow/chain.go
+++ b/core/flow/chain.go
@@ -121,6 +121,13 @@
 	chain.Host.Release(stage, unneeded)
 }
 
+// locked calls the function under the mutex, which a panic of the function releases.
+func (chain *Chain) locked(function func()) {
+	chain.mutex.Lock()
+	defer chain.mutex.Unlock()
+	function()
+}
+
 // run runs the stages side by side, each after those that it depends on.
 func (chain *Chain) run(ctx context.Context, stages []int, again bool) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -235,18 +242,18 @@
 
 // finish holds the results of a stage and frees its inputs that no other stage needs.
 func (chain *Chain) finish(i int, produced StageResults) {
-	chain.mutex.Lock()
-	chain.results[i] = produced
 	var unneeded []int
-	for _, dependency := range chain.Stages[i].After {
-		if produced.Released && chain.Host.CountsReleased(dependency, chain.results[dependency]) {
-			chain.results[dependency] = StageResults{}
-		}
-		if chain.pendingConsumers[dependency]--; chain.pendingConsumers[dependency] == 0 {
-			unneeded = append(unneeded, dependency)
+	chain.locked(func() {
+		chain.results[i] = produced
+		for _, dependency := range chain.Stages[i].After {
+			if produced.Released && chain.Host.CountsReleased(dependency, chain.results[dependency]) {
+				chain.results[dependency] = StageResults{}
+			}
+			if chain.pendingConsumers[dependency]--; chain.pendingConsumers[dependency] == 0 {
+				unneeded = append(unneeded, dependency)
+			}
 		}
-	}
-	chain.mutex.Unlock()
+	})
 	for _, dependency := range unneeded {
 		chain.free(dependency)
 	}
@@ -277,20 +284,24 @@
 	if consumer < len(chain.Stages) {
 		after = chain.Stages[consumer].After
 	}
-	chain.mutex.Lock()
-	for i, stage := range after {
-		if chain.runs[stage] != used[i] {
-			chain.mutex.Unlock()
-			return nil
-		}
-	}
-	repeated := chain.repeated[consumer]
-	chain.repeated[consumer] = consumer < len(chain.Stages)
+	var replaced, repeated bool
 	held := make([]Held, len(chain.Stages))
-	for stage, results := range chain.results {
-		held[stage] = Held{Until: results.Until, Lost: chain.lost[stage] || !chain.Host.GoesOn(results)}
+	chain.locked(func() {
+		for i, stage := range after {
+			replaced = replaced || chain.runs[stage] != used[i]
+		}
+		if replaced {
+			return
+		}
+		repeated = chain.repeated[consumer]
+		chain.repeated[consumer] = consumer < len(chain.Stages)
+		for stage, results := range chain.results {
+			held[stage] = Held{Until: results.Until, Lost: chain.lost[stage] || !chain.Host.GoesOn(results)}
+		}
+	})
+	if replaced {
+		return nil
 	}
-	chain.mutex.Unlock()
 	if repeated || ctx.Err() != nil {
 		return gone
 	}
