core/flow: pin what a rerun counts as held while it is decided

Cause: rerun took a copy of what is held, unlocked the chain, asked for the forecast and only then counted the stages that run again as consumers. Another consumer of a shared input that ended meanwhile freed it, and the request ended with "stage 0 holds 0 of 1 results". finish also freed inputs after unlocking, so that results with no consumer left could still be in the copy.

Results that some consumer still needs have one consumer more while the decision is made; Chain.unpin counts it off after reopen and frees what is not needed then. It clears results under the lock that counts the consumers.

Test: TestConsumerEndsDuringRerun lets stage 2 end during Forecast.

--- a/core/flow/chain.go
+++ b/core/flow/chain.go
@@ -242,20 +242,30 @@
 
 // finish holds the results of a stage and frees its inputs that no other stage needs.
 func (chain *Chain) finish(i int, produced StageResults) {
-	var unneeded []int
+	after := chain.Stages[i].After
 	chain.locked(func() {
 		chain.results[i] = produced
-		for _, dependency := range chain.Stages[i].After {
+		for _, dependency := range after {
 			if produced.Released && chain.Host.CountsReleased(dependency, chain.results[dependency]) {
 				chain.results[dependency] = StageResults{}
 			}
-			if chain.pendingConsumers[dependency]--; chain.pendingConsumers[dependency] == 0 {
-				unneeded = append(unneeded, dependency)
+		}
+	})
+	chain.unpin(after)
+}
+
+// unpin counts one consumer less of each stage and frees the results that no other one needs.
+func (chain *Chain) unpin(stages []int) {
+	unneeded := make([]StageResults, len(stages))
+	chain.locked(func() {
+		for i, stage := range stages {
+			if chain.pendingConsumers[stage]--; chain.pendingConsumers[stage] == 0 {
+				unneeded[i], chain.results[stage] = chain.results[stage], StageResults{}
 			}
 		}
 	})
-	for _, dependency := range unneeded {
-		chain.free(dependency)
+	for i, stage := range stages {
+		chain.Host.Release(stage, unneeded[i])
 	}
 }
 
@@ -280,11 +290,22 @@
 func (chain *Chain) rerun(ctx context.Context, consumer int, used []int, gone error) error {
 	chain.reruns.Lock()
 	defer chain.reruns.Unlock()
+	stages, err := chain.decideRerun(ctx, consumer, used, gone)
+	if err != nil || len(stages) == 0 {
+		return err
+	}
+	return chain.run(ctx, stages, true)
+}
+
+// decideRerun returns the stages that have to run again, which are reopened, or the error if the request ends. The results that the
+// decision counts as held are pinned meanwhile, since other consumers go on.
+func (chain *Chain) decideRerun(ctx context.Context, consumer int, used []int, gone error) ([]int, error) {
 	after := chain.targetInputs()
 	if consumer < len(chain.Stages) {
 		after = chain.Stages[consumer].After
 	}
 	var replaced, repeated bool
+	var pinned []int
 	held := make([]Held, len(chain.Stages))
 	chain.locked(func() {
 		for i, stage := range after {
@@ -298,20 +319,27 @@
 		for stage, results := range chain.results {
 			held[stage] = Held{Until: results.Until, Lost: chain.lost[stage] || !chain.Host.GoesOn(results)}
 		}
+		for stage, consumers := range chain.pendingConsumers {
+			if consumers > 0 { // the results of the other stages are freed already, or held until Free
+				pinned = append(pinned, stage)
+				chain.pendingConsumers[stage]++
+			}
+		}
 	})
+	defer func() { chain.unpin(pinned) }()
 	if replaced {
-		return nil
+		return nil, nil
 	}
 	if repeated || ctx.Err() != nil {
-		return gone
+		return nil, gone
 	}
 	decision := DecideRerun(chain.Clock.Now(), chain.Host.Forecast(), held, consumer)
 	chain.Host.Reran(consumer, decision)
 	if !decision.Feasible {
-		return gone
+		return nil, gone
 	}
 	chain.reopen(decision.Stages)
-	return chain.run(ctx, decision.Stages, true)
+	return decision.Stages, nil
 }
 
 // reopen frees what is left of the results of stages that run again. Stages that have not taken their inputs yet wait for the new ones.
--- a/core/flow/chain_race_test.go
+++ b/core/flow/chain_race_test.go
@@ -20,6 +20,8 @@
 	mutex     sync.Mutex
 	results   map[string]bool                     // that exist
 	produced  []int                               // by stage
+	lost      string                              // a handle whose target has restarted
+	forecast  func()                              // called during Forecast; may be nil
 	panics    string                              // a method that panics
 	panicked  bool                                // a panic was reported
 	onProduce func(call StageCall, run int) error // may be nil
@@ -87,19 +89,30 @@
 	return true
 }
 
-func (host *scriptedHost) GoesOn(StageResults) bool {
+func (host *scriptedHost) GoesOn(results StageResults) bool {
 	host.enter("GoesOn")
-	return true
+	return !slices.Contains(results.Handles, host.lost)
 }
 
 func (host *scriptedHost) Forecast() admit.Request {
 	host.enter("Forecast")
+	if host.forecast != nil {
+		host.forecast()
+	}
 	return host.request
 }
 
 func (host *scriptedHost) Reran(int, Rerun)        { host.enter("Reran") }
 func (host *scriptedHost) ReportPanic(any, []byte) { host.panicked = true }
 
+// ended waits until the present run of a stage has ended.
+func (chain *Chain) ended(stage int) {
+	chain.mutex.Lock()
+	done := chain.done[stage]
+	chain.mutex.Unlock()
+	<-done
+}
+
 // runWithin runs the chain and fails the test if that takes longer than any machine needs.
 func runWithin(t *testing.T, chain *Chain) error {
 	t.Helper()
@@ -133,3 +146,46 @@
 		})
 	}
 }
+
+// TestConsumerEndsDuringRerun guards against a request that ends although all it needs was held when it was decided which stages run
+// again: another consumer of a shared input ended during the decision, and the input was freed. It also guards against inputs that stay
+// pinned after the decision.
+func TestConsumerEndsDuringRerun(t *testing.T) {
+	for _, feasible := range []bool{true, false} {
+		chain, host := scriptedChain([]core.StageSpec{{}, {After: []int{0}}, {After: []int{0}}, {After: []int{1}}})
+		chain.ReleaseEarly = false
+		if !feasible {
+			host.request.TimeLeft = 0
+		}
+		decides := make(chan struct{})
+		host.onProduce = func(call StageCall, run int) error {
+			switch {
+			case call.Stage == 2:
+				<-decides
+			case call.Stage == 3 && run == 1:
+				host.lost = call.Inputs[0]
+				host.remove(host.lost)
+				return &batch.StageError{Stage: 3, Fault: core.PieceInputGone}
+			}
+			return nil
+		}
+		host.forecast = func() {
+			close(decides)
+			chain.ended(2)
+		}
+		err := runWithin(t, chain)
+		if want := []int{1, 2, 1, 2}; feasible && (err != nil || !slices.Equal(host.produced, want)) {
+			t.Errorf("error %v, stages produced %v, want %v", err, host.produced, want)
+		}
+		if !feasible && err == nil {
+			t.Error("no error without time")
+		}
+		if feasible && (host.exists("stage0/1") || host.exists("stage1/2")) {
+			t.Errorf("results %v are held after their last consumer", host.results)
+		}
+		chain.Free()
+		if len(host.results) > 0 {
+			t.Errorf("feasible %v: results %v are held after Free", feasible, host.results)
+		}
+	}
+}
