core/flow: a rerun does not count on inputs that are being released

Cause: the targets of a running stage may release its inputs once they have fetched them (StageCall.Release), but these counted as held until the stage ended. A rerun of another stage that needs them found them gone, which ended the request.

Such inputs count as lost from the call on, until the stage that releases them has ended or they are produced again. A stage that ends with released inputs no longer drops results that were produced again since it took its own, nor marks them as lost.

Test: TestInputReleasedDuringRerun. Before: "stage 1: InputGone", stages produced [1 2 1 1 1]; now [2 2 1 2 1] and no error. Without the comparison of runs in finish, the new result of stage 0 was held after Free.

--- a/core/flow/chain.go
+++ b/core/flow/chain.go
@@ -63,6 +63,7 @@
 	done             []chan struct{} // by stage; closed when its present run has ended
 	results          []StageResults
 	lost             []bool // the results were released although a later stage needs them
+	releasing        []bool // the present run of the only consumer may release the results
 	runs             []int  // by stage; number of runs that have begun
 	pendingConsumers []int  // number of later stages that still need the results
 	err              error
@@ -74,6 +75,7 @@
 func (chain *Chain) Run(ctx context.Context) error {
 	count := len(chain.Stages)
 	chain.done, chain.results, chain.lost = make([]chan struct{}, count), make([]StageResults, count), make([]bool, count)
+	chain.releasing = make([]bool, count)
 	chain.runs, chain.pendingConsumers, chain.repeated = make([]int, count), make([]int, count), make([]bool, count+1)
 	all := make([]int, count)
 	for i, stage := range chain.Stages {
@@ -181,10 +183,10 @@
 		case chain.Pieces(i) == 0:
 			return nil
 		}
-		call.Inputs, call.Release = inputs, !call.Again && chain.mayRelease(after)
+		call.Inputs, call.Release = inputs, !call.Again && chain.allowRelease(after, used)
 		produced, err := chain.Host.Produce(ctx, call)
 		if failed := (*batch.StageError)(nil); errors.As(err, &failed) && failed.Fault == core.PieceInputGone && !again {
-			chain.markReleased(after, produced.Released)
+			chain.locked(func() { chain.endRelease(after, used, produced.Released) })
 			if err := chain.rerun(ctx, i, used, err); err != nil {
 				return err
 			}
@@ -194,7 +196,7 @@
 		if err != nil {
 			return err
 		}
-		chain.finish(i, produced)
+		chain.finish(i, used, produced)
 		return nil
 	}
 }
@@ -231,22 +233,24 @@
 	}
 }
 
-// markReleased notes that the inputs of a stage that failed have been released.
-func (chain *Chain) markReleased(after []int, released bool) {
-	chain.mutex.Lock()
-	defer chain.mutex.Unlock()
-	for _, stage := range after {
-		chain.lost[stage] = chain.lost[stage] || released
+// endRelease notes whether the inputs of a stage have been released, now that it does not release them any more. It leaves out inputs
+// that were produced again since the stage took them. The chain must be locked.
+func (chain *Chain) endRelease(after, used []int, released bool) {
+	for i, stage := range after {
+		if chain.runs[stage] == used[i] {
+			chain.releasing[stage], chain.lost[stage] = false, chain.lost[stage] || released
+		}
 	}
 }
 
-// finish holds the results of a stage and frees its inputs that no other stage needs.
-func (chain *Chain) finish(i int, produced StageResults) {
+// finish holds the results of a stage and frees its inputs, from the runs that it used, that no other stage needs.
+func (chain *Chain) finish(i int, used []int, produced StageResults) {
 	after := chain.Stages[i].After
 	chain.locked(func() {
 		chain.results[i] = produced
-		for _, dependency := range after {
-			if produced.Released && chain.Host.CountsReleased(dependency, chain.results[dependency]) {
+		chain.endRelease(after, used, produced.Released)
+		for j, dependency := range after {
+			if produced.Released && chain.runs[dependency] == used[j] && chain.Host.CountsReleased(dependency, chain.results[dependency]) {
 				chain.results[dependency] = StageResults{}
 			}
 		}
@@ -269,17 +273,23 @@
 	}
 }
 
-// mayRelease reports whether the results of the stages may be released as soon as the targets of the next stage have
-// fetched them: no other stage needs them, and their own targets are short of room.
-func (chain *Chain) mayRelease(stages []int) bool {
+// allowRelease reports whether the results of the stages may be released as soon as the targets of the next stage have
+// fetched them: no other stage needs them, and their own targets are short of room. They count as lost from then on.
+func (chain *Chain) allowRelease(stages, used []int) bool {
 	chain.mutex.Lock()
 	defer chain.mutex.Unlock()
-	for _, stage := range stages {
-		if chain.pendingConsumers[stage] > 1 || !chain.Host.ShortOfRoom(stage) {
+	for i, stage := range stages {
+		if chain.runs[stage] != used[i] || chain.pendingConsumers[stage] > 1 || !chain.Host.ShortOfRoom(stage) {
 			return false
 		}
 	}
-	return chain.ReleaseEarly && len(stages) > 0
+	if !chain.ReleaseEarly {
+		return false
+	}
+	for _, stage := range stages {
+		chain.releasing[stage] = true
+	}
+	return len(stages) > 0
 }
 
 func (chain *Chain) targetInputs() []int { return core.Route{Stages: chain.Stages}.Leaves() }
@@ -317,7 +327,7 @@
 		repeated = chain.repeated[consumer]
 		chain.repeated[consumer] = consumer < len(chain.Stages)
 		for stage, results := range chain.results {
-			held[stage] = Held{Until: results.Until, Lost: chain.lost[stage] || !chain.Host.GoesOn(results)}
+			held[stage] = Held{Until: results.Until, Lost: chain.lost[stage] || chain.releasing[stage] || !chain.Host.GoesOn(results)}
 		}
 		for stage, consumers := range chain.pendingConsumers {
 			if consumers > 0 { // the results of the other stages are freed already, or held until Free
@@ -348,7 +358,8 @@
 	unneeded := make([]StageResults, len(stages))
 	for i, stage := range stages {
 		unneeded[i] = chain.results[stage]
-		chain.results[stage], chain.lost[stage], chain.done[stage] = StageResults{}, false, make(chan struct{})
+		chain.results[stage], chain.done[stage] = StageResults{}, make(chan struct{})
+		chain.lost[stage], chain.releasing[stage] = false, false
 		chain.runs[stage]++
 		for _, dependency := range chain.Stages[stage].After {
 			chain.pendingConsumers[dependency]++
--- a/core/flow/chain_race_test.go
+++ b/core/flow/chain_race_test.go
@@ -18,13 +18,13 @@
 // scriptedHost is a ChainHost that plays a script; it keeps the results until they are released.
 type scriptedHost struct {
 	mutex     sync.Mutex
-	results   map[string]bool                     // that exist
-	produced  []int                               // by stage
-	lost      string                              // a handle whose target has restarted
-	forecast  func()                              // called during Forecast; may be nil
-	panics    string                              // a method that panics
-	panicked  bool                                // a panic was reported
-	onProduce func(call StageCall, run int) error // may be nil
+	results   map[string]bool                                          // that exist
+	produced  []int                                                    // by stage
+	lost      string                                                   // a handle whose target has restarted
+	forecast  func()                                                   // called during Forecast; may be nil
+	panics    string                                                   // a method that panics
+	panicked  bool                                                     // a panic was reported
+	onProduce func(ctx context.Context, call StageCall, run int) error // may be nil
 	request   admit.Request
 }
 
@@ -57,7 +57,7 @@
 	}
 }
 
-func (host *scriptedHost) Produce(_ context.Context, call StageCall) (StageResults, error) {
+func (host *scriptedHost) Produce(ctx context.Context, call StageCall) (StageResults, error) {
 	host.mutex.Lock()
 	host.produced[call.Stage]++
 	run := host.produced[call.Stage]
@@ -66,7 +66,7 @@
 		return StageResults{}, &batch.StageError{Stage: call.Stage, Fault: core.PieceInputGone}
 	}
 	if host.onProduce != nil {
-		if err := host.onProduce(call, run); err != nil {
+		if err := host.onProduce(ctx, call, run); err != nil {
 			return StageResults{}, err
 		}
 	}
@@ -133,7 +133,7 @@
 		t.Run(method, func(t *testing.T) {
 			chain, host := scriptedChain([]core.StageSpec{{}, {After: []int{0}}})
 			host.panics = method
-			host.onProduce = func(call StageCall, run int) error {
+			host.onProduce = func(_ context.Context, call StageCall, run int) error {
 				if call.Stage == 1 && run == 1 && method != "CountsReleased" {
 					return &batch.StageError{Stage: 1, Fault: core.PieceInputGone}
 				}
@@ -158,7 +158,7 @@
 			host.request.TimeLeft = 0
 		}
 		decides := make(chan struct{})
-		host.onProduce = func(call StageCall, run int) error {
+		host.onProduce = func(_ context.Context, call StageCall, run int) error {
 			switch {
 			case call.Stage == 2:
 				<-decides
@@ -189,3 +189,50 @@
 		}
 	}
 }
+
+// TestInputReleasedDuringRerun guards against a request that ends because its rerun counts on an input that the targets of a running
+// stage release as soon as they have fetched it, and against new results that are taken for the released ones.
+func TestInputReleasedDuringRerun(t *testing.T) {
+	// Stage 4 has stage 2 begin when stage 1 has ended, so that stage 2 is the only consumer of stage 0 and may release its results.
+	chain, host := scriptedChain([]core.StageSpec{{}, {After: []int{0}}, {After: []int{0, 4}}, {After: []int{1}}, {}})
+	fetches, released, ends := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	host.onProduce = func(ctx context.Context, call StageCall, run int) error {
+		switch {
+		case call.Stage == 1 && run == 2:
+			close(ends)
+			chain.ended(2)
+		case call.Stage == 2:
+			if !call.Release {
+				t.Error("stage 2 may not release its inputs")
+			}
+			close(fetches)
+			<-released
+			host.remove(call.Inputs...)
+			released <- struct{}{}
+			select {
+			case <-ends:
+			case <-ctx.Done():
+			}
+		case call.Stage == 3 && run == 1:
+			<-fetches
+			host.lost = call.Inputs[0]
+			host.remove(host.lost)
+			return &batch.StageError{Stage: 3, Fault: core.PieceInputGone}
+		case call.Stage == 4:
+			chain.ended(1)
+		}
+		return nil
+	}
+	host.forecast = func() {
+		released <- struct{}{}
+		<-released
+	}
+	err := runWithin(t, chain)
+	if want := []int{2, 2, 1, 2, 1}; err != nil || !slices.Equal(host.produced, want) {
+		t.Errorf("error %v, stages produced %v, want %v", err, host.produced, want)
+	}
+	chain.Free()
+	if len(host.results) > 0 {
+		t.Errorf("results %v are held after Free", host.results)
+	}
+}
