core/flow: a test of shared inputs while stages run again

TestChainsBesideRestarts has a chain without shared inputs, so it never had two consumers of one result. It showed neither that a consumer may free what a rerun counts on nor that results stay held after their last consumer.

TestSharedInputsBesideRestarts plays 4,000 requests of five stages, two of which have two consumers each, without and with early release of inputs. Forecasts take 20 µs so that other stages end meanwhile.

--- a/core/flow/chain_test.go
+++ b/core/flow/chain_test.go
@@ -23,6 +23,12 @@
 	{Service: "accounts", After: []int{2}, ResultBytes: 6000},
 }
 
+// sharedStages share inputs: stages 0 and 1 have two consumers each.
+var sharedStages = []core.StageSpec{
+	{Service: "portal", ResultBytes: 8000}, {Service: "maps", After: []int{0}, ResultBytes: 60_000}, {Service: "accounts", After: []int{0}, ResultBytes: 6000},
+	{Service: "maps", After: []int{1, 2}, ResultBytes: 6000}, {Service: "accounts", After: []int{1}, ResultBytes: 6000},
+}
+
 const (
 	stageCall  = 400 * time.Millisecond
 	firstEvent = 100 * time.Millisecond // after the last stage
@@ -30,10 +36,15 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// question returns the request with calls of stageCall and the time left.
+// question returns the request of questionStages with calls of stageCall and the time left.
 func question(softLeft, left time.Duration) admit.Request {
+	return chainRequest(questionStages, softLeft, left)
+}
+
+// chainRequest returns the request of the stages with calls of stageCall and the time left.
+func chainRequest(stages []core.StageSpec, softLeft, left time.Duration) admit.Request {
 	request := admit.Request{TimeToFirstEvent: firstEvent, SoftTimeLeft: softLeft, TimeLeft: left}
-	for _, spec := range questionStages {
+	for _, spec := range stages {
 		request.Stages = append(request.Stages, admit.Stage{Spec: spec, Pieces: 1, ForecastFresh: true, Forecast: batch.Forecast{Capacity: 5, Call: stageCall}})
 	}
 	return request
@@ -84,9 +95,12 @@
 
 // lossyHost produces results at targets that restart, which loses their results; its handles name stage, run of the target and number.
 type lossyHost struct {
+	stages []core.StageSpec
 	random *rand.Rand
 	clock  *fakes.Clock
-	loss   float64 // chance that a target restarts before a call
+	loss   float64       // chance that a target restarts before a call
+	early  bool          // targets are short of room and release inputs early
+	delay  time.Duration // of forecasts; other consumers end meanwhile
 
 	mutex    sync.Mutex
 	runs     map[string]int  // by target
@@ -99,7 +113,7 @@
 }
 
 func (host *lossyHost) target(stage int) string {
-	return fmt.Sprint(questionStages[stage].Service, host.random.IntN(3))
+	return fmt.Sprint(host.stages[stage].Service, host.random.IntN(3))
 }
 
 func (host *lossyHost) restart(target string) {
@@ -115,26 +129,31 @@
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
 	if host.random.Float64() < host.loss {
-		host.restart(host.target(host.random.IntN(len(questionStages))))
+		host.restart(host.target(host.random.IntN(len(host.stages))))
 	}
-	if len(call.Inputs) != len(questionStages[call.Stage].After) {
+	if len(call.Inputs) != len(host.stages[call.Stage].After) {
 		host.t.Errorf("stage %d is given inputs %v", call.Stage, call.Inputs)
 	}
 	for i, input := range call.Inputs {
-		if !strings.Contains(input, fmt.Sprintf("/stage%d/", questionStages[call.Stage].After[i])) {
+		if !strings.Contains(input, fmt.Sprintf("/stage%d/", host.stages[call.Stage].After[i])) {
 			host.t.Errorf("stage %d is given input %s", call.Stage, input)
 		}
 		if !host.results[input] {
 			return StageResults{}, &batch.StageError{Stage: call.Stage, Fault: core.PieceInputGone}
 		}
 	}
+	if call.Release {
+		for _, input := range call.Inputs {
+			delete(host.results, input)
+		}
+	}
 	target := host.target(call.Stage)
 	host.runs[target] += 0 // it is known
 	host.made++
 	host.produced[call.Stage]++
 	handle := fmt.Sprintf("%s/%d/stage%d/%d", target, host.runs[target], call.Stage, host.made)
 	host.results[handle] = true
-	return StageResults{Handles: []string{handle}, Until: host.clock.Now().Add(time.Hour), Runs: map[string]TargetRun{target: {target, start.Add(time.Duration(host.runs[target]))}}}, nil
+	return StageResults{Handles: []string{handle}, Released: call.Release, Until: host.clock.Now().Add(time.Hour), Runs: map[string]TargetRun{target: {target, start.Add(time.Duration(host.runs[target]))}}}, nil
 }
 
 func (host *lossyHost) Release(_ int, results StageResults) {
@@ -156,9 +175,14 @@
 }
 
 func (host *lossyHost) CountsReleased(int, StageResults) bool { return true }
-func (host *lossyHost) ShortOfRoom(int) bool                  { return false }
-func (host *lossyHost) Forecast() admit.Request               { return question(host.left, host.left) }
+func (host *lossyHost) ShortOfRoom(int) bool                  { return host.early }
 func (host *lossyHost) ReportPanic(value any, _ []byte)       { host.t.Errorf("panic: %v", value) }
+
+func (host *lossyHost) Forecast() admit.Request {
+	time.Sleep(host.delay)
+	return chainRequest(host.stages, host.left, host.left)
+}
+
 func (host *lossyHost) Reran(_ int, rerun Rerun) {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
@@ -170,7 +194,7 @@
 // only some of their inputs.
 func TestChainsBesideRestarts(t *testing.T) {
 	for _, left := range []time.Duration{10 * time.Second, time.Second} {
-		host := &lossyHost{random: rand.New(rand.NewPCG(1, 2)), clock: &fakes.Clock{}, loss: 0.2, runs: map[string]int{}, results: map[string]bool{}, produced: make([]int, 4), left: left, t: t}
+		host := &lossyHost{stages: questionStages, random: rand.New(rand.NewPCG(1, 2)), clock: &fakes.Clock{}, loss: 0.2, runs: map[string]int{}, results: map[string]bool{}, produced: make([]int, 4), left: left, t: t}
 		served, lost := 0, 0
 		const requests = 2000
 		for range requests {
@@ -215,3 +239,35 @@
 		}
 	}
 }
+
+// TestSharedInputsBesideRestarts guards against requests that end, and results that stay held, because consumers of a shared input end,
+// or release theirs, while other stages run again.
+func TestSharedInputsBesideRestarts(t *testing.T) {
+	for _, early := range []bool{false, true} {
+		host := &lossyHost{stages: sharedStages, random: rand.New(rand.NewPCG(3, 4)), clock: &fakes.Clock{}, loss: 0.1, early: early, delay: 20 * time.Microsecond, runs: map[string]int{}, results: map[string]bool{}, produced: make([]int, len(sharedStages)), left: 10 * time.Second, t: t}
+		const requests = 4000
+		served := 0
+		for range requests {
+			chain := &Chain{Stages: sharedStages, Pieces: func(int) int { return 1 }, Host: host, Clock: host.clock, ReleaseEarly: true}
+			err := chain.Run(t.Context())
+			if failure := (*batch.StageError)(nil); err == nil {
+				served++
+				for handle := range host.results {
+					if !strings.Contains(handle, "/stage3/") && !strings.Contains(handle, "/stage4/") {
+						t.Fatalf("%s is held after its last consumer", handle)
+					}
+				}
+			} else if !errors.As(err, &failure) {
+				t.Fatal(err)
+			}
+			chain.Free()
+			if len(host.results) > 0 {
+				t.Fatalf("results %v are held", host.results)
+			}
+		}
+		t.Logf("early release %v: %d of %d served, %d decisions, stages produced %v", early, served, requests, len(host.reruns), host.produced)
+		if served < requests*95/100 {
+			t.Errorf("early release %v: %d of %d are served", early, served, requests)
+		}
+	}
+}
