core/canary, io/shift: a repeated grant does not begin its moves anew

Cause: a daemon counted the time until a planned move from the arrival of each reply. The decider gives the same grant to each report between two of its steps, so a second reply put the move off by the time between both, and a route that had moved went back to the old version, where it had to drain once more. A repeated grant now keeps its times, and Serve subtracts its age.

Left out: to keep a moved route that a newer grant plans for later. That a daemon so uses up its part of the bound earlier than the plan has it is not traced.

--- a/core/canary/late_test.go
+++ b/core/canary/late_test.go
@@ -49,6 +49,38 @@
 	}
 }
 
+// TestMovedRouteStays guards against a route that goes back to the old version after its move, because the same grant arrives once more, and
+// against one that stays moved though the newer grant no longer names it.
+func TestMovedRouteStays(t *testing.T) {
+	grant := func(sequence int64, routes ...string) Grant {
+		grant := Grant{Sequence: sequence, Share: 0.001, For: time.Second, Bounds: Bounds{Share: 1}}
+		for _, route := range routes {
+			grant.Moves = append(grant.Moves, Move{Route: route, After: 200 * time.Millisecond})
+		}
+		return grant
+	}
+	for _, test := range []struct {
+		name  string
+		grant Grant
+		at    time.Duration // of the grant; the first one arrives at 0
+		then  time.Duration // of the request
+		want  Arm
+	}{
+		{"same grant after the move", grant(1, "a"), 250, 260, New},
+		{"same grant before the move", grant(1, "a"), 150, 210, New},
+		{"same grant with less time left", grant(1, "a").WithAge(100 * time.Millisecond), 100, 150, Old},
+		{"newer grant without it", grant(2, "b"), 250, 260, Old},
+		{"newer grant after the first has expired", grant(2, "a"), 1050, 1060, Old},
+	} {
+		var splitter Splitter
+		splitter.Use(testStart, grant(1, "a"))
+		splitter.Use(testStart.Add(test.at*time.Millisecond), test.grant)
+		if arm := splitter.ChooseRoute(testStart.Add(test.then*time.Millisecond), "a"); arm != test.want {
+			t.Errorf("%s: arm %v at %d ms, want %v", test.name, arm, test.then, test.want)
+		}
+	}
+}
+
 // TestBudgetBetweenReports guards against a plan that takes the bound for larger than it is, because requests since the last reports did not count.
 func TestBudgetBetweenReports(t *testing.T) {
 	judge := NewJudge(JudgeOptions{IssuedAt: testStart, Bounds: testBounds})
--- a/core/canary/split.go
+++ b/core/canary/split.go
@@ -33,7 +33,8 @@
 	Moves    []Move   // routes that become moved ones before later grants may arrive
 }
 
-// Move is a route that moves after a time from the arrival of the grant on, so that all daemons move it at once, whichever messages are lost.
+// Move is a route that moves after a time from the arrival of the grant on, so that all daemons move it at once, whichever messages are lost. A newer grant
+// replaces the plan, also that of a route that has moved: one that is planned for later goes back to the old version until then.
 type Move struct {
 	Route string
 	After time.Duration
@@ -50,12 +51,17 @@
 }
 
 // Use replaces the grant. It ignores a grant that is older than the present one, unless that has expired: another decider may have an earlier clock.
+// A repeated grant keeps its times, so that a route that has moved stays moved: requests that go back to the old version would make it drain once more.
 func (splitter *Splitter) Use(now time.Time, grant Grant) {
 	stale := grant.Sequence != 0 && grant.Sequence < splitter.grant.Sequence && now.Before(splitter.expiresAt)
 	if splitter.grant.Phase != core.RolloutRunning || stale && grant.Phase == core.RolloutRunning {
 		return
 	}
-	splitter.grant, splitter.usedAt, splitter.expiresAt = grant, now, now.Add(grant.For)
+	usedAt := now
+	if grant.Phase == core.RolloutRunning && grant.Sequence != 0 && grant.Sequence == splitter.grant.Sequence {
+		usedAt, grant.Moves = splitter.usedAt, splitter.grant.Moves
+	}
+	splitter.grant, splitter.usedAt, splitter.expiresAt = grant, usedAt, now.Add(grant.For)
 }
 
 // Choose returns the arm of a new request on a route that is not known.
@@ -94,6 +100,15 @@
 	return fraction < splitter.grant.Share
 }
 
+// WithAge returns the grant as it is a time after the decision, so that a daemon that gets it late moves the routes with the others.
+func (grant Grant) WithAge(age time.Duration) Grant {
+	grant.Moves = slices.Clone(grant.Moves)
+	for i := range grant.Moves {
+		grant.Moves[i].After -= age
+	}
+	return grant
+}
+
 // limit returns the new requests that a daemon may have sent when it has got a number of requests.
 func (grant Grant) limit(requests int64) float64 {
 	use := partialUse
--- a/io/shift/report.go
+++ b/io/shift/report.go
@@ -175,7 +175,7 @@
 	default:
 		role.add(now, message)
 		known.failed = known.failed || message.Failed
-		reply = Reply{Decided: role.decided, Grant: role.grant}
+		reply = Reply{Decided: role.decided, Grant: role.grant.WithAge(now.Sub(role.steppedAt))}
 		// An earlier decider has told that daemon of its decision, and could not write it or a restored store has lost it.
 		inherits = message.Phase != core.RolloutRunning && known.phase == core.RolloutRunning
 	}
