core/canary: a silent daemon is charged for as long as its grant held

Cause: what is left of the bound counts what each daemon has sent to the new version since its last report, at the share that is granted. A daemon that no longer reports was charged for all the time since, though its last grant ends after 1 s and its requests then go to the old version. The time is capped at that of a grant. With share 0.5 and 4 s without a report, 2.00 s of full traffic were counted as used before, 0.50 s now.

Ruled out by reading: that a daemon gets grants without reporting. A grant is the reply to a report; the decider applies its own in the step that adds its own sums.

TestBudgetBetweenReports was seen failing on the code before (case 4 s).

--- a/core/canary/late_test.go
+++ b/core/canary/late_test.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -81,7 +82,8 @@
 	}
 }
 
-// TestBudgetBetweenReports guards against a plan that takes the bound for larger than it is, because requests since the last reports did not count.
+// TestBudgetBetweenReports guards against a plan that takes the bound for larger than it is, because requests since the last reports did not count, and against
+// one that a silent daemon uses up though its grant has ended.
 func TestBudgetBetweenReports(t *testing.T) {
 	judge := NewJudge(JudgeOptions{IssuedAt: testStart, Bounds: testBounds})
 	var recorder Recorder
@@ -94,8 +96,13 @@
 	judge.ramp.share = 0.5
 	reported, end, fleet := testStart.Add(2*time.Second), testStart.Add(10*time.Second), Fleet{Daemons: []core.MemberID{"a"}}
 	before, _, _ := judge.budget(reported, end, fleet)
-	after, _, _ := judge.budget(reported.Add(200*time.Millisecond), end, fleet)
-	if used := before - after; used < 0.09 || used > 0.11 {
-		t.Errorf("200 ms after the report at share 0.5, %.2f s of full traffic are used, want 0.10", used)
+	for _, test := range []struct {
+		silent time.Duration
+		want   float64
+	}{{200 * time.Millisecond, 0.1}, {grantFor, 0.5}, {4 * time.Second, 0.5}} {
+		after, _, _ := judge.budget(reported.Add(test.silent), end, fleet)
+		if used := before - after; math.Abs(used-test.want) > 0.01 {
+			t.Errorf("%v after the report at share 0.5, %.2f s of full traffic are used, want %.2f", test.silent, used, test.want)
+		}
 	}
 }
--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -212,7 +212,7 @@
 }
 
 // budget returns for how many seconds of full traffic the bounds will have room at a time, by the daemon with the least of it; how many there would be
-// without any request before; and the requests per second.
+// without any request before; and the requests per second. A daemon that no longer reports has sent to the new version for as long as its last grant held.
 func (judge *Judge) budget(now, end time.Time, fleet Fleet) (left, whole, rate float64) {
 	grant := Grant{Share: 1, Bounds: judge.options.Bounds, Daemons: max(len(judge.daemons), len(fleet.Daemons))}
 	first, granted := true, judge.granted()
@@ -228,7 +228,7 @@
 		}
 		rate += daemonRate
 		limits += planned * grant.limit(known.requests+int64(daemonRate*max(end.Sub(known.seenAt), 0).Seconds()))
-		sentNew := float64(known.requests-known.oldSent) + granted*daemonRate*max(now.Sub(known.seenAt), 0).Seconds()
+		sentNew := float64(known.requests-known.oldSent) + granted*daemonRate*min(max(now.Sub(known.seenAt), 0), grantFor).Seconds()
 		sent += sentNew
 		limit := planned*grant.limit(known.requests+int64(daemonRate*max(end.Sub(known.seenAt), 0).Seconds())) - spare
 		room := (limit - sentNew) / daemonRate
