core/canary: state the limit of the CUSUM of slow requests

Cause: the CUSUM of a share of 0.6 against 0.2 falls while fewer than 0.387 of the requests are slow, so it finds no steady share between 0.2 and that; the binomial test that it replaced gives 5e-7 for 70 of 200. The comments called 0.2 tolerated.

--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -38,8 +38,8 @@
 	minFullAnswered = 0.4                    // part of the requests at full traffic that must have been answered well
 	maxDeviations   = 1.7                    // of the times, beyond which the version does not succeed
 	minFailures     = 0.005                  // share of failures that no comparison with a few old responses shows
-	slowShare       = 0.2                    // of requests at full traffic that is tolerated
-	slowChanged     = 0.6                    // share of slow requests of a version that is several times slower
+	slowShare       = 0.2                    // of requests at full traffic that are slow at a version like the old one
+	slowChanged     = 0.6                    // the same at one that is several times slower; the test of both finds no steady share below 0.387
 	maxSlowing      = 5.5                    // logarithm of the likelihood ratio of such a change, 1 / chance, beyond which the version does not succeed
 	chance          = 0.004                  // probability of as many failures below which the version does not succeed
 	recentTimes     = 0.03                   // part of the time limit over which recent times are compared
