--- a/core/canary/late_test.go
+++ b/core/canary/late_test.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -49,7 +50,40 @@
 	}
 }
 
-// TestBudgetBetweenReports guards against a plan that takes the bound for larger than it is, because requests since the last reports did not count.
+// TestMovedRouteStays guards against a route that goes back to the old version after its move, because the same grant arrives once more, and
+// against one that stays moved though the newer grant no longer names it.
+func TestMovedRouteStays(t *testing.T) {
+	grant := func(sequence int64, routes ...string) Grant {
+		grant := Grant{Sequence: sequence, Share: 0.001, For: time.Second, Bounds: Bounds{Share: 1}}
+		for _, route := range routes {
+			grant.Moves = append(grant.Moves, Move{Route: route, After: 200 * time.Millisecond})
+		}
+		return grant
+	}
+	for _, test := range []struct {
+		name  string
+		grant Grant
+		at    time.Duration // of the grant; the first one arrives at 0
+		then  time.Duration // of the request
+		want  Arm
+	}{
+		{"same grant after the move", grant(1, "a"), 250, 260, New},
+		{"same grant before the move", grant(1, "a"), 150, 210, New},
+		{"same grant with less time left", grant(1, "a").WithAge(100 * time.Millisecond), 100, 150, Old},
+		{"newer grant without it", grant(2, "b"), 250, 260, Old},
+		{"newer grant after the first has expired", grant(2, "a"), 1050, 1060, Old},
+	} {
+		var splitter Splitter
+		splitter.Use(testStart, grant(1, "a"))
+		splitter.Use(testStart.Add(test.at*time.Millisecond), test.grant)
+		if arm := splitter.ChooseRoute(testStart.Add(test.then*time.Millisecond), "a"); arm != test.want {
+			t.Errorf("%s: arm %v at %d ms, want %v", test.name, arm, test.then, test.want)
+		}
+	}
+}
+
+// TestBudgetBetweenReports guards against a plan that takes the bound for larger than it is, because requests since the last reports did not count, and against
+// one that a silent daemon uses up though its grant has ended.
 func TestBudgetBetweenReports(t *testing.T) {
 	judge := NewJudge(JudgeOptions{IssuedAt: testStart, Bounds: testBounds})
 	var recorder Recorder
@@ -62,8 +96,13 @@
 	judge.ramp.share = 0.5
 	reported, end, fleet := testStart.Add(2*time.Second), testStart.Add(10*time.Second), Fleet{Daemons: []core.MemberID{"a"}}
 	before, _, _ := judge.budget(reported, end, fleet)
-	after, _, _ := judge.budget(reported.Add(200*time.Millisecond), end, fleet)
-	if used := before - after; used < 0.09 || used > 0.11 {
-		t.Errorf("200 ms after the report at share 0.5, %.2f s of full traffic are used, want 0.10", used)
+	for _, test := range []struct {
+		silent time.Duration
+		want   float64
+	}{{200 * time.Millisecond, 0.1}, {grantFor, 0.5}, {4 * time.Second, 0.5}} {
+		after, _, _ := judge.budget(reported.Add(test.silent), end, fleet)
+		if used := before - after; math.Abs(used-test.want) > 0.01 {
+			t.Errorf("%v after the report at share 0.5, %.2f s of full traffic are used, want %.2f", test.silent, used, test.want)
+		}
 	}
 }
