io/intake: limit the wait for the collector per head and per period of excess

Cause: the wait of at most 1 s while closed connections are over their limit was one of each Read and of each Accept. A head of 64 KB takes about 16 reads, so under lasting excess an ordinary caller met ReadHeaderTimeout (5 s in serve, 10 s in edge). Accept is serial, so each port, that of readiness too, accepted one connection a second.

The reads of one head wait 1 s together; setState resets that when the next head begins. Accept, on all ports, waits until 1 s after the first that waited, and then not until the memory of closed connections has once been within its limit. The limits on connections, heads and bodies and the order of eviction are as before.

Ruled out: a deadline at a fixed time for a head; it would expire while a connection is idle, and its next head would not wait at all. A deadline per port; a caller of one port would wait again for an excess that another has waited out. Accepting without a wait: no pressure at all against connections that are opened again as fast as they are closed. After the deadline there is none of it from Accept either; a trial of such an excess with real connections was not run.

--- a/io/intake/closed.go
+++ b/io/intake/closed.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// maxCollectionWait bounds how long one connection waits for the garbage collector, which takes far less unless the process gets no processor.
+// maxCollectionWait bounds how long the reads of one head together, and all Accepts in one period of excess, wait for the garbage collector. A head takes
+// many reads and Accept is serial, so a limit on each wait alone would add up to more than the server's time limit for a head.
 const maxCollectionWait = time.Second
 
 // closed is the memory of connections that are no longer in the pool. It is free only when their goroutines have ended and a cycle of the garbage collector
@@ -19,6 +20,8 @@
 
 	markedBytes int64  // garbage when the cycles were last read
 	cycles      uint64 // cycles that had ended then
+
+	acceptDeadline time.Time // end of the waits of Accept until the memory has been within its limit again; zero if none has waited
 }
 
 // ending counts the memory of a connection that was removed from the pool; the mutex must be held.
@@ -63,9 +66,7 @@
 	}
 	// Of two cycles that have ended, the second began after the mark.
 	if cycles := completedCycles(); cycles >= closed.cycles+2 {
-		closed.garbageBytes -= closed.markedBytes
-		closed.markedBytes, closed.cycles = closed.garbageBytes, cycles
-		closed.notify()
+		pool.free(closed.markedBytes, cycles)
 	}
 	if closed.garbageBytes > pool.maxClosedBytes/2 {
 		closed.collecting = true
@@ -73,6 +74,17 @@
 	}
 }
 
+// free takes garbage that was collected out of the count, and notes how many cycles have ended; the mutex must be held.
+func (pool *Pool) free(bytes int64, cycles uint64) {
+	closed := &pool.closed
+	closed.garbageBytes -= bytes
+	closed.markedBytes, closed.cycles = closed.garbageBytes, cycles
+	if !pool.isOver() {
+		closed.acceptDeadline = time.Time{}
+	}
+	closed.notify()
+}
+
 // notify makes those that wait for the collector look again; the mutex must be held.
 func (closed *closed) notify() {
 	close(closed.reduced)
@@ -92,18 +104,42 @@
 		pool.mutex.Unlock()
 		runtime.GC()
 		pool.mutex.Lock()
-		closed := &pool.closed
-		closed.garbageBytes -= before
-		closed.markedBytes, closed.cycles = closed.garbageBytes, completedCycles()
-		closed.notify()
-		again = closed.garbageBytes > pool.maxClosedBytes/2
-		closed.collecting = again
+		pool.free(before, completedCycles())
+		again = pool.closed.garbageBytes > pool.maxClosedBytes/2
+		pool.closed.collecting = again
 		pool.mutex.Unlock()
 	}
 }
 
-// awaitCollection waits while the memory of closed connections is over its limit, and the connection, unless it is nil, is in the pool.
-func (pool *Pool) awaitCollection(conn *Conn) {
+// awaitBeforeAccept waits for the collector until the deadline of the present period of excess.
+func (pool *Pool) awaitBeforeAccept() {
+	pool.mutex.Lock()
+	over, deadline := pool.isOver(), pool.closed.acceptDeadline
+	if over && deadline.IsZero() {
+		deadline = pool.clock.Now().Add(maxCollectionWait)
+		pool.closed.acceptDeadline = deadline
+	}
+	pool.mutex.Unlock()
+	if over {
+		pool.awaitCollection(nil, deadline)
+	}
+}
+
+// awaitBeforeRead waits for the collector for what earlier reads of the same head have left of maxCollectionWait.
+func (pool *Pool) awaitBeforeRead(conn *Conn) {
+	pool.mutex.Lock()
+	begin := pool.clock.Now()
+	deadline := begin.Add(maxCollectionWait - conn.waited)
+	pool.mutex.Unlock()
+	pool.awaitCollection(conn, deadline)
+	pool.mutex.Lock()
+	conn.waited += pool.clock.Now().Sub(begin)
+	pool.mutex.Unlock()
+}
+
+// awaitCollection waits until the deadline at most while the memory of closed connections is over its limit, and the connection, unless it is nil, is in
+// the pool.
+func (pool *Pool) awaitCollection(conn *Conn, deadline time.Time) {
 	var timeout <-chan time.Time
 	for {
 		pool.mutex.Lock()
@@ -114,7 +150,11 @@
 			return
 		}
 		if timeout == nil {
-			timeout = pool.clock.After(maxCollectionWait)
+			left := deadline.Sub(pool.clock.Now())
+			if left <= 0 {
+				return
+			}
+			timeout = pool.clock.After(left)
 		}
 		select {
 		case <-reduced:
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -26,24 +26,25 @@
 	source string // IP address of the caller
 
 	// Guarded by the mutex of the pool.
-	since        time.Time // begin of the present state
-	active       bool      // the head of a request is whole
-	handled      bool      // a handler has begun since
-	rest         bool      // the handler has returned and a part of the body has not come
-	used         bool      // a whole request has come before
-	requests     int       // in their handlers
-	incomplete   int       // requests in their handlers whose bodies are not whole
-	headReceived int64     // bytes since the last response
-	headBytes    int64     // memory of the connection and of a head that is not whole
-	bodyBytes    int64     // memory of heads and bodies of requests in progress
-	multiplexed  bool      // its requests come over HTTP/2
-	bodyReadAt   time.Time // when bytes of a body last came
-	reads        int       // calls of Read in progress
-	writes       int       // calls of Write in progress
-	writingSince time.Time // begin of the oldest of them
-	ended        bool      // the server has ended its goroutine
-	endingHead   int64     // memory of the head, counted as closed until the read in progress returns
-	endingBytes  int64     // other memory, counted as closed until the goroutine has ended
+	since        time.Time     // begin of the present state
+	active       bool          // the head of a request is whole
+	handled      bool          // a handler has begun since
+	rest         bool          // the handler has returned and a part of the body has not come
+	used         bool          // a whole request has come before
+	requests     int           // in their handlers
+	incomplete   int           // requests in their handlers whose bodies are not whole
+	headReceived int64         // bytes since the last response
+	waited       time.Duration // for the collector, by reads since the last response
+	headBytes    int64         // memory of the connection and of a head that is not whole
+	bodyBytes    int64         // memory of heads and bodies of requests in progress
+	multiplexed  bool          // its requests come over HTTP/2
+	bodyReadAt   time.Time     // when bytes of a body last came
+	reads        int           // calls of Read in progress
+	writes       int           // calls of Write in progress
+	writingSince time.Time     // begin of the oldest of them
+	ended        bool          // the server has ended its goroutine
+	endingHead   int64         // memory of the head, counted as closed until the read in progress returns
+	endingBytes  int64         // other memory, counted as closed until the goroutine has ended
 }
 
 // rank returns the rank of a connection; the mutex must be held.
@@ -76,7 +77,7 @@
 	wait := !conn.active && pool.isOver()
 	pool.mutex.Unlock()
 	if wait {
-		pool.awaitCollection(conn)
+		pool.awaitBeforeRead(conn)
 	}
 	count, err := conn.Conn.Read(data)
 	pool.mutex.Lock()
@@ -163,7 +164,7 @@
 		conn.used = true
 		pool.charge(conn, headBytes, false)
 	}
-	conn.headReceived = 0
+	conn.headReceived, conn.waited = 0, 0
 }
 
 // begin notes that a request is in its handler, and returns its body, which is nil if it has none.
--- a/io/intake/intake_test.go
+++ b/io/intake/intake_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -268,3 +269,89 @@
 		}
 	}
 }
+
+// waitClock is a clock on which each wait ends at once: after runs in place of it, or the whole duration passes.
+type waitClock struct {
+	stepClock
+	waits []time.Duration
+	after func() // nil lets the wait time out
+}
+
+func (clock *waitClock) After(duration time.Duration) <-chan time.Time {
+	clock.waits = append(clock.waits, duration)
+	if clock.after != nil {
+		clock.after()
+		return nil
+	}
+	clock.now = clock.now.Add(duration)
+	fired := make(chan time.Time, 1)
+	fired <- clock.now
+	return fired
+}
+
+// TestHeadWaitsOnce guards against a wait for the collector of up to 1 s in each read of a head: a head of 64 KB takes 16 reads, so while closed connections
+// stayed over their limit, ordinary callers met the server's time limit for a head.
+func TestHeadWaitsOnce(t *testing.T) {
+	clock := &waitClock{stepClock: stepClock{now: time.Unix(1000, 0)}}
+	pool := New(Limits{}, clock)
+	conn := pool.add(pool.Listen(nil, 1).(*port), &fakeConn{from: "10.0.0.1"})
+	over := pool.maxClosedBytes + 1
+	readHead := func() []time.Duration {
+		clock.waits = nil
+		for range 16 {
+			pool.closed.garbageBytes = over
+			_, _ = conn.Read(make([]byte, 4096))
+		}
+		return clock.waits
+	}
+	collectAfter := func(duration time.Duration) func() {
+		return func() {
+			clock.now = clock.now.Add(duration)
+			pool.collect()
+		}
+	}
+	for _, test := range []struct {
+		name     string
+		after    func()
+		expected []time.Duration
+	}{
+		{"lasting excess", nil, []time.Duration{time.Second}},
+		{"next head", nil, []time.Duration{time.Second}},
+		{"excess that ends and returns", collectAfter(400 * time.Millisecond), []time.Duration{time.Second, 600 * time.Millisecond, 200 * time.Millisecond}},
+	} {
+		clock.after = test.after
+		if waits := readHead(); !slices.Equal(waits, test.expected) {
+			t.Errorf("%s: waits %v, expected %v", test.name, waits, test.expected)
+		}
+		conn.setState(http.StateActive)
+		conn.setState(http.StateIdle)
+	}
+}
+
+// fakeListener accepts connections without end.
+type fakeListener struct{ net.Listener }
+
+func (fakeListener) Accept() (net.Conn, error) { return &fakeConn{from: "10.0.0.1"}, nil }
+
+// TestAcceptWaitsOnce guards against a wait for the collector of up to 1 s for each connection: Accept is serial, so while closed connections stayed over
+// their limit, each port, that of readiness too, accepted one connection a second.
+func TestAcceptWaitsOnce(t *testing.T) {
+	clock := &waitClock{stepClock: stepClock{now: time.Unix(1000, 0)}}
+	pool := New(Limits{}, clock)
+	ports := []net.Listener{pool.Listen(fakeListener{}, 1), pool.Listen(fakeListener{}, 0.125)}
+	for period := range 2 {
+		clock.waits = nil
+		pool.closed.garbageBytes = pool.maxClosedBytes + 1
+		for range 4 {
+			for _, port := range ports {
+				if _, err := port.Accept(); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if !slices.Equal(clock.waits, []time.Duration{time.Second}) {
+			t.Errorf("period %d: waits %v, expected one of 1 s", period, clock.waits)
+		}
+		pool.collect()
+	}
+}
--- a/io/intake/pool.go
+++ b/io/intake/pool.go
@@ -181,7 +181,7 @@
 		if err != nil {
 			return nil, err
 		}
-		port.pool.awaitCollection(nil)
+		port.pool.awaitBeforeAccept()
 		if conn := port.pool.add(port, inner); conn != nil {
 			return conn, nil
 		}
