--- a/core/canary/evidence.go
+++ b/core/canary/evidence.go
@@ -170,14 +170,3 @@
 	}
 	return max(1-below, 0)
 }
-
-// change detects that hits become more frequent, by a CUSUM: the logarithm of the greatest likelihood ratio of a change at any time until now. Earlier misses do
-// not hide a late change, and misses after a passing trouble end its effect. The zero value has seen nothing.
-type change struct{ sum float64 }
-
-// observe takes the hits and misses of an interval, given the shares of hits before and after a change. The sum rises with the share of hits from
-// log(a)/(log(a)+log(b)) on, where a is (1-before)/(1-after) and b is after/before; a smaller share leaves it near 0, also if it is above that before.
-func (change *change) observe(hits, misses int64, before, after float64) {
-	gain := float64(hits)*math.Log(after/before) + float64(misses)*math.Log((1-after)/(1-before))
-	change.sum = max(change.sum+gain, 0)
-}
--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -38,9 +38,7 @@
 	minFullAnswered = 0.4                    // part of the requests at full traffic that must have been answered well
 	maxDeviations   = 1.7                    // of the times, beyond which the version does not succeed
 	minFailures     = 0.005                  // share of failures that no comparison with a few old responses shows
-	slowShare       = 0.2                    // of requests at full traffic that are slow at a version like the old one
-	slowChanged     = 0.6                    // the same at one that is several times slower; the test of both finds no steady share below 0.387
-	maxSlowing      = 5.5                    // logarithm of the likelihood ratio of such a change, 1 / chance, beyond which the version does not succeed
+	slowShare       = 0.2                    // of requests at full traffic that is tolerated
 	chance          = 0.004                  // probability of as many failures below which the version does not succeed
 	recentTimes     = 0.03                   // part of the time limit over which recent times are compared
 )
@@ -96,7 +94,6 @@
 	failures, times comparison
 	total, recent   slowdown
 	full            slowdown // since full traffic began
-	slowing         change   // since full traffic began
 }
 
 // NewJudge returns a judge without evidence.
@@ -178,11 +175,7 @@
 			continue
 		}
 		slow := counts{span.Old.slow(bucket), span.Old.fast(bucket), span.New.slow(bucket), span.New.fast(bucket)}
-		slow = slow.positive()
-		evidence.times.observe(elapsed, slow, times, moved)
-		if !judge.ramp.fullSince.IsZero() {
-			evidence.slowing.observe(slow.newHits, slow.newMisses, slowShare, slowChanged)
-		}
+		evidence.times.observe(elapsed, slow.positive(), times, moved)
 	}
 	if known {
 		oldSum, oldCount := span.Old.logarithms(bucket)
@@ -226,7 +219,7 @@
 // closeInterval compares the responses since the last interval if they are enough.
 func (judge *Judge) closeInterval(now time.Time) {
 	length := now.Sub(judge.closedAt)
-	if length < minInterval && judge.ramp.fullSince.IsZero() {
+	if length < minInterval {
 		return
 	}
 	var compared int64
@@ -278,7 +271,7 @@
 	case core.RolloutSucceeded:
 		grant.Share, grant.For = 1, grantFor
 	case core.RolloutRunning:
-		grant.Share, grant.For, grant.Moved, grant.Moves = judge.ramp.share, grantFor, judge.ramp.moved, judge.ramp.moves
+		grant.Share, grant.For, grant.Moved = judge.ramp.share, grantFor, judge.ramp.moved
 	}
 	return Decision{Grant: judge.pool(grant, fleet), Reason: judge.reason}
 }
@@ -389,9 +382,17 @@
 // doubt returns the route and the figure by which a version without a proven fault is still worse than may be chance, or nothing.
 func (judge *Judge) doubt() string {
 	var all route
+	var slow, fast int64 // of the new version at full traffic
 	for _, name := range judge.routeNames() {
 		route := judge.routes[name]
-		if doubt := route.doubt(); doubt != "" {
+		doubt := route.doubt()
+		if bucket, known := route.slowBucket(); known {
+			full := route.sums.New.minus(route.atFull)
+			doubt = cmp.Or(doubt, slowDoubt(full.slow(bucket), full.fast(bucket)))
+			slow += full.slow(bucket)
+			fast += full.fast(bucket)
+		}
+		if doubt != "" {
 			return fmt.Sprintf("route %q: %s", name, doubt)
 		}
 		all.sums.add(route.sums)
@@ -399,9 +400,8 @@
 		all.total.add(route.total)
 		all.recent.add(route.recent)
 		all.full.add(route.full)
-		all.slowing = judge.all.slowing
 	}
-	if doubt := all.doubt(); doubt != "" {
+	if doubt := cmp.Or(all.doubt(), slowDoubt(slow, fast)); doubt != "" {
 		return allRoutes + ": " + doubt
 	}
 	return ""
@@ -418,8 +418,13 @@
 	if deviations := max(route.total.deviations(), route.recent.deviations(), route.full.deviations()); deviations > maxDeviations {
 		return fmt.Sprintf("slower by %.1f standard deviations", deviations)
 	}
-	if route.slowing.sum > maxSlowing {
-		return fmt.Sprintf("slow requests at full traffic, log likelihood ratio %.1f of a change", route.slowing.sum)
+	return ""
+}
+
+// slowDoubt returns the figure by which the new version has more slow requests at full traffic than may be chance, or nothing.
+func slowDoubt(slow, fast int64) string {
+	if tail(max(slow, 0), max(slow, 0)+fast, slowShare) < chance {
+		return fmt.Sprintf("%d of %d requests at full traffic were slow", slow, slow+fast)
 	}
 	return ""
 }
@@ -467,14 +472,9 @@
 			return fmt.Sprintf("no report of %s since full traffic", name)
 		case known.old > 0:
 			return fmt.Sprintf("%d requests in progress at the old version from %s", known.old, name)
-		case !known.hasSettled():
+		case known.reportedAt < 1 || known.seenAt.Sub(known.oldSentAt) < settleTime:
 			return fmt.Sprintf("%s still sends to the old version", name)
 		}
 	}
 	return ""
 }
-
-// hasSettled reports whether the daemon has sent nothing to the old version for a moment, by its own clock, or by the arrival of its reports if it does not tell.
-func (daemon *daemon) hasSettled() bool {
-	return daemon.report.SinceOld >= settleTime || daemon.reportedAt >= 1 && daemon.seenAt.Sub(daemon.oldSentAt) >= settleTime
-}
--- a/core/canary/ramp.go
+++ b/core/canary/ramp.go
@@ -1,9 +1,6 @@
 package canary
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // The times are parts of the time limit, the costs parts of what the bounds allow; docs/design/rollouts.md derives them.
 const (
@@ -12,7 +9,6 @@
 	planned       = 0.97  // part of the bounds that the plan uses, so that a daemon with a little more than its part still sends nothing to the old version
 	spare         = 2     // requests that the plan leaves to each daemon for the same reason
 	lowCost       = 0.08  // cost of the long first step
-	maxWarmCost   = 0.25  // greatest cost of the first step, if it has to warm the new targets
 	stepTime      = 0.08  // duration of the steps at a quarter and at a half, in durations of full traffic that the bounds allow
 	quarter       = 0.25
 	half          = 0.5
@@ -22,9 +18,8 @@
 	stragglers    = 0.03  // expected requests of a moved route that are still in progress at the old version when it counts as empty
 	minLeft       = 0.2   // seconds of full traffic that the bounds still allow below which an order succeeds earlier than planned
 	minFull       = 250 * time.Millisecond
-	moveTime      = 30 * time.Millisecond  // of messages, from the decision that a route moves until reports show that its last requests at the old version have ended
+	moveTime      = 230 * time.Millisecond // of messages, from the decision that a route moves until reports show that nothing new goes to the old version
 	moveReports   = 2                      // intervals of reports that this takes besides
-	moveAhead     = 300 * time.Millisecond // time before its move at which daemons learn of it; a suspicion that arises meanwhile stops it only if the grant arrives in time
 	grantFor      = time.Second            // a daemon that is cut off stops well within the roll-back time of 5 s
 	bisectionStep = 30
 )
@@ -36,7 +31,6 @@
 	halfSince    time.Time
 	moving       bool
 	moved        []string
-	moves        []Move    // that come next
 	fullSince    time.Time // since when share 1 is granted, zero if it is not
 	successAt    time.Time // earliest success
 	fullSent     int64     // new requests at fullSince
@@ -54,7 +48,7 @@
 	}
 	suspect := judge.suspect()
 	end := judge.options.IssuedAt.Add(time.Duration(planEnd * float64(duration)))
-	left, whole, rate := judge.budget(now, end, fleet)
+	left, whole, rate := judge.budget(end, fleet)
 	ramp.left = left
 	if !ramp.fullSince.IsZero() {
 		if left < minLeft {
@@ -84,8 +78,7 @@
 			ramp.share = quarter
 		}
 	case !ramp.moving && untilEnd > longest+2*step:
-		warm := min(float64(coldRequests*fleet.NewTargets)/rate, maxWarmCost*whole) // without it, the first times that count are those of cold targets
-		cost := max(lowCost*whole, warm, whole-2*maxMoveTime*duration.Seconds())    // at a low load, most of the bounds are not needed later
+		cost := max(lowCost*whole, whole-2*maxMoveTime*duration.Seconds()) // at a low load, most of the bounds are not needed later
 		ramp.stop(min(max((cost-(whole-left))/max(untilEnd-longest-2*step, 1), minShare), quarter))
 	case ramp.quarterSince.IsZero() || now.Sub(ramp.quarterSince).Seconds() < step:
 		ramp.share = quarter
@@ -113,7 +106,7 @@
 
 // stop sets a low share, from which the steps begin anew.
 func (ramp *ramp) stop(share float64) {
-	ramp.share, ramp.moved, ramp.moves, ramp.moving = share, nil, nil, false
+	ramp.share, ramp.moved, ramp.moving = share, nil, false
 	ramp.quarterSince, ramp.halfSince, ramp.fullSince = time.Time{}, time.Time{}, time.Time{}
 }
 
@@ -131,22 +124,15 @@
 			moved = append(moved, name)
 		}
 	}
-	ramp.moved, ramp.moves = moved, nil
-	for _, name := range judge.routeNames() {
-		if after := end.Sub(now) - time.Duration(moves[name]*float64(time.Second)); after > 0 && after <= moveAhead && !slices.Contains(moved, name) {
-			ramp.moves = append(ramp.moves, Move{Route: name, After: after})
-		}
-	}
+	ramp.moved = moved
 	if len(moved) < len(judge.routes) {
 		return
 	}
 	totals := judge.newTotals()
 	ramp.share, ramp.moved, ramp.fullSince, ramp.fullSent, ramp.fullGood = 1, nil, now, totals.Sent, totals.Good
 	ramp.successAt = later(end, now.Add(minFull))
-	judge.all.slowing = change{}
 	for _, route := range judge.routes {
 		route.atFull = route.sums.New.clone()
-		route.slowing = change{}
 		route.full = slowdown{oldMean: route.total.oldMean, known: route.total.known}
 	}
 }
@@ -168,13 +154,13 @@
 	move := (moveTime + moveReports*judge.reportInterval()).Seconds()
 	drains, moves := map[string]float64{}, map[string]float64{}
 	for name, route := range judge.routes {
-		drains[name] = max(judge.drainTime(route), settleTime).Seconds()
+		drains[name] = judge.drainTime(route).Seconds()
 	}
-	low, high := -1.0, most // below 0 the part of the drain times that is left out, above it the least time at full traffic
+	low, high := -1.0, most // below 0 the part of the drain times that is left out, above it the seconds beyond them
 	for range bisectionStep {
 		extra, longest, cost := (low+high)/2, 0.0, 0.0
 		for name, drain := range drains {
-			moves[name] = min(max(move+drain*(1+min(extra, 0)), extra), most)
+			moves[name] = min(move+drain*(1+min(extra, 0))+max(extra, 0), most)
 			longest = max(longest, moves[name])
 		}
 		for name, route := range judge.routes {
@@ -212,10 +198,10 @@
 }
 
 // budget returns for how many seconds of full traffic the bounds will have room at a time, by the daemon with the least of it; how many there would be
-// without any request before; and the requests per second. A daemon that no longer reports has sent to the new version for as long as its last grant held.
-func (judge *Judge) budget(now, end time.Time, fleet Fleet) (left, whole, rate float64) {
+// without any request before; and the requests per second.
+func (judge *Judge) budget(end time.Time, fleet Fleet) (left, whole, rate float64) {
 	grant := Grant{Share: 1, Bounds: judge.options.Bounds, Daemons: max(len(judge.daemons), len(fleet.Daemons))}
-	first, granted := true, judge.granted()
+	first := true
 	var limits, sent float64
 	for _, name := range fleet.Daemons {
 		known := judge.daemons[name]
@@ -228,10 +214,9 @@
 		}
 		rate += daemonRate
 		limits += planned * grant.limit(known.requests+int64(daemonRate*max(end.Sub(known.seenAt), 0).Seconds()))
-		sentNew := float64(known.requests-known.oldSent) + granted*daemonRate*min(max(now.Sub(known.seenAt), 0), grantFor).Seconds()
-		sent += sentNew
+		sent += float64(known.requests - known.oldSent)
 		limit := planned*grant.limit(known.requests+int64(daemonRate*max(end.Sub(known.seenAt), 0).Seconds())) - spare
-		room := (limit - sentNew) / daemonRate
+		room := (limit - float64(known.requests-known.oldSent)) / daemonRate
 		if first || room < left {
 			left, whole, first = room, limit/daemonRate, false
 		}
@@ -242,19 +227,6 @@
 	return left, whole, rate
 }
 
-// granted returns the part of all requests that the new version gets now.
-func (judge *Judge) granted() float64 {
-	var all, moved float64
-	for name, route := range judge.routes {
-		requests := float64(route.sums.Old.Sent + route.sums.New.Sent)
-		all += requests
-		if slices.Contains(judge.ramp.moved, name) {
-			moved += requests
-		}
-	}
-	return judge.ramp.share + (1-judge.ramp.share)*moved/max(all, 1)
-}
-
 // reportInterval returns the mean time between two reports of a daemon.
 func (judge *Judge) reportInterval() time.Duration {
 	var elapsed time.Duration
--- a/core/canary/split.go
+++ b/core/canary/split.go
@@ -30,38 +30,24 @@
 	Bounds   Bounds   // for all daemons together
 	Daemons  int      // daemons that divide the slack of the bounds
 	Moved    []string // routes of which none may go to the old version, because their requests take long to end there
-	Moves    []Move   // routes that become moved ones before later grants may arrive
-}
-
-// Move is a route that moves after a time from the arrival of the grant on, so that all daemons move it at once, whichever messages are lost. A newer grant
-// replaces the plan, also that of a route that has moved: one that is planned for later goes back to the old version until then.
-type Move struct {
-	Route string
-	After time.Duration
 }
 
 // Splitter divides the requests of one daemon between the arms; the zero value sends all to the old one. It counts from the order on,
 // so an order needs its own. It is not safe for concurrent use.
 type Splitter struct {
 	grant     Grant
-	usedAt    time.Time
 	expiresAt time.Time
 	requests  int64
 	sentNew   int64
 }
 
 // Use replaces the grant. It ignores a grant that is older than the present one, unless that has expired: another decider may have an earlier clock.
-// A repeated grant keeps its times, so that a route that has moved stays moved: requests that go back to the old version would make it drain once more.
 func (splitter *Splitter) Use(now time.Time, grant Grant) {
 	stale := grant.Sequence != 0 && grant.Sequence < splitter.grant.Sequence && now.Before(splitter.expiresAt)
 	if splitter.grant.Phase != core.RolloutRunning || stale && grant.Phase == core.RolloutRunning {
 		return
 	}
-	usedAt := now
-	if grant.Phase == core.RolloutRunning && grant.Sequence != 0 && grant.Sequence == splitter.grant.Sequence {
-		usedAt, grant.Moves = splitter.usedAt, splitter.grant.Moves
-	}
-	splitter.grant, splitter.usedAt, splitter.expiresAt = grant, usedAt, now.Add(grant.For)
+	splitter.grant, splitter.expiresAt = grant, now.Add(grant.For)
 }
 
 // Choose returns the arm of a new request on a route that is not known.
@@ -71,7 +57,6 @@
 // to the bounds without coordination, so a burst or a daemon that is cut off does not break them.
 func (splitter *Splitter) ChooseRoute(now time.Time, route string) Arm {
 	splitter.requests++
-	splitter.applyMoves(now)
 	switch {
 	case splitter.grant.Phase == core.RolloutSucceeded:
 	case splitter.grant.Phase != core.RolloutRunning || !now.Before(splitter.expiresAt):
@@ -85,30 +70,12 @@
 	return New
 }
 
-// applyMoves moves the routes whose time has come.
-func (splitter *Splitter) applyMoves(now time.Time) {
-	for _, move := range splitter.grant.Moves {
-		if now.Sub(splitter.usedAt) >= move.After && !slices.Contains(splitter.grant.Moved, move.Route) {
-			splitter.grant.Moved = append(slices.Clone(splitter.grant.Moved), move.Route)
-		}
-	}
-}
-
 // isTurn reports whether the present request is one of the share.
 func (splitter *Splitter) isTurn() bool {
 	_, fraction := math.Modf(float64(splitter.requests) * goldenStep)
 	return fraction < splitter.grant.Share
 }
 
-// WithAge returns the grant as it is a time after the decision, so that a daemon that gets it late moves the routes with the others.
-func (grant Grant) WithAge(age time.Duration) Grant {
-	grant.Moves = slices.Clone(grant.Moves)
-	for i := range grant.Moves {
-		grant.Moves[i].After -= age
-	}
-	return grant
-}
-
 // limit returns the new requests that a daemon may have sent when it has got a number of requests.
 func (grant Grant) limit(requests int64) float64 {
 	use := partialUse
--- a/core/canary/tally.go
+++ b/core/canary/tally.go
@@ -41,7 +41,6 @@
 type Report struct {
 	Sequence int64 // rises with each report
 	Routes   []RouteTally
-	SinceOld time.Duration // since a request was last sent to the old version; 0 if there was none, or from an older build
 }
 
 // Recorder counts the requests of one daemon since an order; Report returns sums that only grow, so that a report that is
@@ -53,7 +52,6 @@
 	order    []Request           // answered ones, oldest first
 	last     Request
 	sequence int64
-	oldAt    time.Time // last request to the old version
 }
 
 type tracked struct {
@@ -65,9 +63,6 @@
 func (recorder *Recorder) Begin(now time.Time, route string, arm Arm) Request {
 	tally := recorder.tally(route, arm)
 	tally.Sent++
-	if arm == Old {
-		recorder.oldAt = now
-	}
 	recorder.last++
 	if recorder.requests == nil {
 		recorder.requests = map[Request]tracked{}
@@ -155,9 +150,6 @@
 func (recorder *Recorder) Report(now time.Time) Report {
 	recorder.sequence++
 	report := Report{Sequence: recorder.sequence}
-	if !recorder.oldAt.IsZero() {
-		report.SinceOld = now.Sub(recorder.oldAt)
-	}
 	for _, known := range recorder.routes {
 		known.Old.InProgress, known.New.InProgress = nil, nil
 	}
--- a/io/shift/mover.go
+++ b/io/shift/mover.go
@@ -99,7 +99,6 @@
 	reportedAt time.Time // last report to the decider
 	reported   int64     // requests that had begun by then
 	begun      int64     // requests since the order
-	failed     bool      // the new version has given a bad response since the last report or decision
 	role       *role     // nil unless this daemon decides
 }
 
@@ -339,7 +338,6 @@
 func (passage *Passage) record(outcome canary.Outcome) {
 	if passage.rollout != nil {
 		passage.rollout.recorder.End(passage.mover.options.Clock.Now(), passage.request, outcome)
-		passage.rollout.failed = passage.rollout.failed || outcome == canary.Bad && passage.rollout.armOf(passage.at.version) == canary.New
 	}
 }
 
--- a/io/shift/report.go
+++ b/io/shift/report.go
@@ -33,7 +33,6 @@
 	Age           time.Duration // longest time since the order may have been written
 	OldInProgress int
 	Phase         core.RolloutPhase // that the daemon acts on
-	Failed        bool              // the new version has given it a bad response since its last report
 }
 
 // Reply is the decider's answer; the zero value changes nothing at the daemon that reported.
@@ -140,17 +139,13 @@
 			interval /= 2
 		}
 	}
-	if known.failed { // at most one report for each bad response, of which a bad version has few before its end
-		interval = stepInterval
-	}
 	if now.Sub(known.reportedAt) < interval-stepInterval/2 {
 		return Message{}, false
 	}
-	failed := known.failed
-	known.reportedAt, known.reported, known.failed = now, known.begun, false
+	known.reportedAt, known.reported = now, known.begun
 	return Message{
 		Service: service, Version: known.order.Version, Revision: known.order.Revision, From: state.Self, Report: known.recorder.Report(now),
-		Age: now.Sub(known.issuedAt), OldInProgress: mover.oldInProgress(known), Phase: known.phase, Failed: failed,
+		Age: now.Sub(known.issuedAt), OldInProgress: mover.oldInProgress(known), Phase: known.phase,
 	}, true
 }
 
@@ -174,8 +169,7 @@
 	case role == nil || role.judge == nil:
 	default:
 		role.add(now, message)
-		known.failed = known.failed || message.Failed
-		reply = Reply{Decided: role.decided, Grant: role.grant.WithAge(now.Sub(role.steppedAt))}
+		reply = Reply{Decided: role.decided, Grant: role.grant}
 		// An earlier decider has told that daemon of its decision, and could not write it or a restored store has lost it.
 		inherits = message.Phase != core.RolloutRunning && known.phase == core.RolloutRunning
 	}
--- a/io/shift/shift_test.go
+++ b/io/shift/shift_test.go
@@ -186,43 +186,6 @@
 	}
 }
 
-// TestPromptReport guards against bad responses that a daemon tells half a second late, so that a bad version gets requests meanwhile.
-func TestPromptReport(t *testing.T) {
-	mover := newMover(&fakes.Store{})
-	clock := mover.options.Clock.(*fakes.Clock)
-	clock.Advance(time.Hour)
-	mover.Follow([]Order{orderOf("v2", 5)})
-	report := func(version string, outcome canary.Outcome) bool {
-		mover.Begin("ledger", version, "book").End(outcome)
-		clock.Advance(stepInterval)
-		_, due := mover.message("ledger", State{Large: true})
-		return due
-	}
-	report("v1", canary.Good)
-	if report("v2", canary.Good) || report("v1", canary.Bad) || !report("v2", canary.Bad) || report("v2", canary.Good) {
-		t.Error("a report is due after another step than that with a bad response of the new version")
-	}
-}
-
-// TestServedMoves guards against a daemon that moves a route later than the others because it got the grant some time after the decision.
-func TestServedMoves(t *testing.T) {
-	mover := newMover(&fakes.Store{})
-	clock := mover.options.Clock.(*fakes.Clock)
-	clock.Advance(time.Hour)
-	mover.Follow([]Order{orderOf("v2", 5)})
-	decidedAt := clock.Now()
-	grant := canary.Grant{Moves: []canary.Move{{Route: "book", After: 200 * time.Millisecond}}}
-	mover.rollouts["ledger"].role = &role{steppedAt: decidedAt, decided: true, judge: canary.NewJudge(canary.JudgeOptions{}), grant: grant}
-	for range 2 {
-		clock.Advance(50 * time.Millisecond)
-		most := 200*time.Millisecond - clock.Now().Sub(decidedAt)
-		after := mover.Serve(Message{Service: "ledger", Version: "v2", Revision: 5, From: "e"}).Grant.Moves[0].After
-		if least := 200*time.Millisecond - clock.Now().Sub(decidedAt); after < least || after > most {
-			t.Errorf("the route moves after %v, want %v to %v", after, least, most)
-		}
-	}
-}
-
 // TestOrderAfterRestore guards against a bad version that has its bounds once more, and requests that never seem to end, because a restored store holds
 // an earlier order, or none, until the operator writes the present one again.
 func TestOrderAfterRestore(t *testing.T) {
--- a/io/shift/status.go
+++ b/io/shift/status.go
@@ -89,11 +89,11 @@
 		known.role = &role{begunAt: now, single: state.Single, senders: map[core.MemberID]bool{}}
 	}
 	role := known.role
-	if role.begun && !known.moves() && !known.failed && now.Sub(role.steppedAt) < reportInterval-stepInterval/2 {
+	if role.begun && !known.moves() && now.Sub(role.steppedAt) < reportInterval-stepInterval/2 {
 		mover.mutex.Unlock()
 		return
 	}
-	role.steppedAt, known.failed = now, false
+	role.steppedAt = now
 	if !role.begun {
 		mover.mutex.Unlock()
 		mover.sync(ctx, service, known.order, role, core.RolloutRunning)
