--- a/io/edge/body.go
+++ b/io/edge/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -77,7 +78,7 @@
 	if incoming.ContentLength >= 0 {
 		return memory.ReadFull(incoming.Body, incoming.ContentLength)
 	}
-	body, err := memory.ReadAll(incoming.Body, limit+1)
+	body, err := io.ReadAll(memory.Reader(io.LimitReader(incoming.Body, limit+1)))
 	if err == nil && int64(len(body)) > limit {
 		err = errTooLarge
 	}
--- a/io/intake/memory.go
+++ b/io/intake/memory.go
@@ -117,3 +117,25 @@
 	}
 	return body, nil
 }
+
+// Reader returns a reader that reserves memory for the buffers that it reads into: a read of a chunk returns only when its buffer is full. What replaced
+// buffers take until they are collected is not reserved, so that callers that send bodies slowly do not use up the memory of others.
+func (memory *Memory) Reader(source io.Reader) io.Reader {
+	return &meteredReader{source: source, memory: memory}
+}
+
+type meteredReader struct {
+	source io.Reader
+	memory *Memory
+	count  int64 // bytes read
+}
+
+// Read returns ErrMemory when the budget is used up.
+func (reader *meteredReader) Read(data []byte) (int, error) {
+	if err := reader.memory.Reserve(reader.count + int64(len(data))); err != nil {
+		return 0, err
+	}
+	count, err := reader.source.Read(data)
+	reader.count += int64(count)
+	return count, err
+}
