--- a/review/fleet/main.go
+++ b/review/fleet/main.go
@@ -8,6 +8,7 @@
 // plays are the cases by name.
 var plays = map[string]func(record *record, trouble bool) (broken bool, err error){
 	"memory":   playMemory,
+	"parts":    playParts,
 	"versions": playVersions,
 }
 
