--- a/review/fleet/main.go
+++ b/review/second/platform/main.go
@@ -12,10 +12,10 @@
 	"versions": playVersions,
 }
 
-// main runs a case: fleet NAME RECORD. It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run; TROUBLE=0 leaves out the disruption.
+// main runs a case: review-fleet NAME RECORD. It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run; TROUBLE=0 leaves out the disruption.
 func main() {
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: fleet NAME RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-fleet NAME RECORD")
 		os.Exit(2)
 	}
 	record, err := newRecord(os.Args[2])
--- a/review/fleet/memory.go
+++ b/review/second/platform/memory.go
@@ -75,7 +75,7 @@
 	}
 	defer platform.end()
 	for range 3 {
-		platform.addReplica("talaan", stand.Behaviour{}, stand.Observer{})
+		platform.addReplica("talaan", stand.Behaviour{})
 	}
 	platform.writeConfig(7, []any{route("status", "safe", "talaan", map[string]any{"max-attempts": 2})}, []any{service("talaan", nil)})
 	if err := platform.startMachines(crowdMachines); err != nil {
--- a/review/fleet/parts.go
+++ b/review/second/platform/parts.go
@@ -40,10 +40,10 @@
 	}
 	defer platform.end()
 	for range 4 {
-		platform.addReplica("kuwentuhan", stand.Behaviour{Events: 6, EventGap: 20 * time.Millisecond}, stand.Observer{})
+		platform.addReplica("kuwentuhan", stand.Behaviour{Events: 6, EventGap: 20 * time.Millisecond})
 	}
 	for range 3 {
-		platform.addReplica("talaan", stand.Behaviour{}, stand.Observer{})
+		platform.addReplica("talaan", stand.Behaviour{})
 	}
 	platform.writeConfig(7, []any{
 		route("status", "safe", "talaan", map[string]any{"max-attempts": 2, "timeout-ms": statusTimeout.Milliseconds()}),
--- a/review/fleet/platform.go
+++ b/review/second/platform/platform.go
@@ -72,10 +72,13 @@
 }
 
 // addReplica starts a replica and registers it.
-func (platform *platform) addReplica(service string, behaviour stand.Behaviour, observer stand.Observer) *replica {
+func (platform *platform) addReplica(service string, behaviour stand.Behaviour) *replica {
 	number := len(platform.replicas)
 	added := &replica{Target: stand.NewTarget(fmt.Sprintf("i-%08x", 0x7f3a91c2+number), behaviour), service: service, zone: zones[number%len(zones)]}
-	added.Observer = observer
+	added.Observer = stand.Observer{RequestStarted: func(received stand.ReceivedRequest) func() {
+		platform.record.printf("replica %s runs %s", added.ID, received.Attempt)
+		return func() {}
+	}}
 	platform.replicas = append(platform.replicas, added)
 	platform.register(added)
 	return added
