platform, proof: crowds whose bytes cost the most where they are read

Clients that nobody controls end or hang a process with few bytes. The crowds so far send one name with a value of 10 bytes, or one long line, of which a byte takes two or three of memory. They check that the process lives, its memory and descriptors, and that an ordinary request is answered.

The loop of TestCrowdAtServe is a function now, its cases and checks are the same.

--- a/proof/clients_test.go
+++ b/proof/clients_test.go
@@ -74,6 +74,36 @@
 	return sent
 }
 
+// shortLines returns header lines of a few bytes each, no two with one name.
+func shortLines(size int) string {
+	var text strings.Builder
+	for i := 0; text.Len() < size; i++ {
+		fmt.Fprintf(&text, "%03x:\r\n", i)
+	}
+	return text.String()
+}
+
+// heldRequests returns the begin of an HTTP/2 connection with requests of which each has a whole header of very many short fields, and a body that does not come.
+func heldRequests(size int) []byte {
+	const fields = 1600
+	frame := func(kind, flags byte, stream uint32, payload []byte) []byte {
+		head := append(binary.BigEndian.AppendUint32(nil, uint32(len(payload))<<8|uint32(kind)), flags)
+		return append(binary.BigEndian.AppendUint32(head, stream), payload...)
+	}
+	path, authority := "/v1/tickets", "x"
+	payload := append([]byte{0x83, 0x86, 0x04, byte(len(path))}, path...)       // POST, http, and a path that is not indexed
+	payload = append(append(payload, 0x01, byte(len(authority))), authority...) // authority that is not indexed
+	for i := range fields {
+		payload = append(payload, 0x00, 3, "abcdefghijklmnop"[i>>8&15], "abcdefghijklmnop"[i>>4&15], "abcdefghijklmnop"[i&15], 0)
+	}
+	sent := append([]byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"), frame(4, 0, 0, nil)...)
+	const endOfHeaders = 4
+	for stream := uint32(1); len(sent) < size; stream += 2 {
+		sent = append(sent, frame(1, endOfHeaders, stream, payload)...)
+	}
+	return sent
+}
+
 // TestCrowdAtServe guards against a daemon that runs out of memory or descriptors because of clients that send no whole request, and against ordinary callers
 // that are not served meanwhile.
 func TestCrowdAtServe(t *testing.T) {
@@ -91,39 +121,54 @@
 		{"idle", nil},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			fleet := (&fleet{t: t, descriptors: crowdDescriptors, daemonLines: fmt.Sprintf("MemoryMB = %d", crowdMemory)}).begin(1, world.Options{})
-			fleet.waitForOwners()
-			daemon := fleet.daemons[0]
-			served := func() bool { return sendOnce(daemon, lookup(1)) == nil }
-			fleet.eventually(10*time.Second, "ordinary request before the crowd", served)
-			stop := startCrowd(t, daemon.listen, test.sends)
-			peak := 0
-			for end := time.Now().Add(crowdDuration); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-				entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", daemon.command.Process.Pid))
-				if err != nil {
-					t.Fatalf("the daemon has ended: %v", err)
-				}
-				peak = max(peak, len(entries))
-			}
-			fleet.eventually(10*time.Second, "ordinary request beside the crowd", served)
-			stop()
-			fleet.eventually(10*time.Second, "ordinary request after the crowd", served)
-			text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", daemon.command.Process.Pid))
-			if err != nil {
-				t.Fatalf("the daemon has ended: %v", err)
-			}
-			_, line, _ := strings.Cut(string(text), "VmHWM:")
-			kilobytes, err := strconv.Atoi(strings.Fields(line)[0])
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("peak: %d MB, %d descriptors", kilobytes>>10, peak)
-			if kilobytes>>10 > crowdMemory {
-				t.Errorf("the daemon has had %d MB, at most %d may be", kilobytes>>10, crowdMemory)
-			}
-			if peak > maxOpened {
-				t.Errorf("the daemon has had %d descriptors open, at most %d may be", peak, maxOpened)
-			}
+			playCrowd(t, test.sends)
 		})
 	}
 }
+
+// TestCrowdOfShortLinesAtServe guards against a daemon that runs out of memory because a header line of a few bytes takes many times its length once it is parsed.
+func TestCrowdOfShortLinesAtServe(t *testing.T) {
+	head := "POST /v1/tickets HTTP/1.1\r\nHost: x\r\n" + shortLines(60_000)
+	t.Run("heads without end", func(t *testing.T) { playCrowd(t, []byte(head)) })
+	t.Run("bodies that stop", func(t *testing.T) { playCrowd(t, []byte(head+"Content-Length: 1000\r\n\r\nbody")) })
+}
+
+// TestCrowdOfStreamsAtServe guards against the heads of the many requests that an HTTP/2 connection may have in progress.
+func TestCrowdOfStreamsAtServe(t *testing.T) { playCrowd(t, heldRequests(crowdBytes)) }
+
+// playCrowd checks that a daemon lives, stays within its memory and descriptors, and serves ordinary callers beside and after a crowd.
+func playCrowd(t *testing.T, sends []byte) {
+	fleet := (&fleet{t: t, descriptors: crowdDescriptors, daemonLines: fmt.Sprintf("MemoryMB = %d", crowdMemory)}).begin(1, world.Options{})
+	fleet.waitForOwners()
+	daemon := fleet.daemons[0]
+	served := func() bool { return sendOnce(daemon, lookup(1)) == nil }
+	fleet.eventually(10*time.Second, "ordinary request before the crowd", served)
+	stop := startCrowd(t, daemon.listen, sends)
+	peak := 0
+	for end := time.Now().Add(crowdDuration); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", daemon.command.Process.Pid))
+		if err != nil {
+			t.Fatalf("the daemon has ended: %v", err)
+		}
+		peak = max(peak, len(entries))
+	}
+	fleet.eventually(10*time.Second, "ordinary request beside the crowd", served)
+	stop()
+	fleet.eventually(10*time.Second, "ordinary request after the crowd", served)
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", daemon.command.Process.Pid))
+	if err != nil {
+		t.Fatalf("the daemon has ended: %v", err)
+	}
+	_, line, _ := strings.Cut(string(text), "VmHWM:")
+	kilobytes, err := strconv.Atoi(strings.Fields(line)[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("peak: %d MB, %d descriptors", kilobytes>>10, peak)
+	if kilobytes>>10 > crowdMemory {
+		t.Errorf("the daemon has had %d MB, at most %d may be", kilobytes>>10, crowdMemory)
+	}
+	if peak > maxOpened {
+		t.Errorf("the daemon has had %d descriptors open, at most %d may be", peak, maxOpened)
+	}
+}
