core/place: cached parts of prompts cost the same however many are remembered

Cause: what is remembered of an engine's cache was bounded by tokens alone, so parts of one token were remembered by the hundred thousand, and parts of none without a bound. Each part beyond the bound was removed by a walk over all, on the control loop, which every request of the machine needs. When it hung, other daemons placed the next such prompt and hung in turn.

Change: parts are kept in the order of their use (hashicorp/golang-lru), so that removal takes constant time. Their number is bounded per engine and service, they are kept as hashes, and of one prompt the first 1,024 are tracked. Hashes are taken before the control loop is entered. The estimate stops at the first part that is not cached. A prompt that no engine accepts leaves the cache as it is, and sums of stated tokens do not overflow. Of the parts of one prompt, the last ones yield first, since a part is of use only behind those before it.

--- a/core/place/engines.go
+++ b/core/place/engines.go
@@ -1,8 +1,11 @@
 package place
 
 import (
+	"cmp"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"catkincove/core"
 )
 
@@ -14,7 +17,6 @@
 	minRateSampleTokens   = 1500                   // shorter prompts do not update the rate: they take mostly fixed time
 	prefillWeight         = 1.5                    // weight of prefill time in the cost of a prompt: it also delays the tokens of concurrent streams
 	tokensPerRemoteMB     = 1500.0                 // prefill tokens that may be repeated to keep a megabyte of inputs in its data centre
-	cacheShare            = 0.7                    // share of an engine's memory that holds prompt parts; requests need the rest
 	prefillTimeout        = 8 * time.Second        // a prefill whose end nobody reports counts as finished
 	prefillOverhead       = 20 * time.Millisecond  // fixed time of a prefill
 	costTolerance         = 10 * time.Millisecond  // targets whose costs differ by less count as equal
@@ -33,6 +35,19 @@
 	Except     string        // no engine of this one; empty means none, and older builds do not know it
 	MaxWait    time.Duration // longest wait for a target that has named a limit
 	Hint       string        // engine that last cached the longest shared part, as far as the sender knows
+
+	prefix Prefix // of Parts, once it is known
+	hashed bool   // prefix and rank are known
+	rank   uint64 // hash of the longest shared part or, without one, of Attempt, by which engines of equal cost are ranked
+}
+
+// WithPrefix returns the prompt with its parts hashed, so that Choose, which may run where other requests wait, does not take a time that grows with their text.
+func (prompt Prompt) WithPrefix() Prompt {
+	prompt.prefix, prompt.hashed = NewPrefix(prompt.Parts), true
+	if prompt.rank = prompt.prefix.key; !prompt.prefix.ok {
+		prompt.rank = xxhash.Sum64String(prompt.Attempt)
+	}
+	return prompt
 }
 
 // Engines places prompts on the engines of one service for all daemons; Chooser and MemoryTokens must be set. It is not
@@ -47,13 +62,13 @@
 
 	engines     map[string]*engine
 	prefillRate float64 // tokens a second
+	maxParts    int     // cached parts of one engine that are remembered; 0 means maxEngineParts
 }
 
 type engine struct {
-	startedAt    time.Time
-	prefills     map[string]prefill    // prefills in progress, by attempt
-	parts        map[string]cachedPart // prompt parts in the cache, by ID
-	cachedTokens int                   // tokens of all cached parts
+	startedAt time.Time
+	prefills  map[string]prefill // prefills in progress, by attempt
+	cache     *cache
 }
 
 type prefill struct {
@@ -62,37 +77,18 @@
 	alone     bool
 }
 
-type cachedPart struct {
-	tokens   int
-	lastUsed time.Time
-}
-
 func (engines *Engines) engine(target Target) *engine {
 	if engines.engines == nil {
 		engines.engines, engines.prefillRate = map[string]*engine{}, initialPrefillRate
 	}
 	known := engines.engines[target.ID]
 	if known == nil || !known.startedAt.Equal(target.StartedAt) {
-		known = &engine{startedAt: target.StartedAt, prefills: map[string]prefill{}, parts: map[string]cachedPart{}}
+		known = &engine{startedAt: target.StartedAt, prefills: map[string]prefill{}, cache: newCache()}
 		engines.engines[target.ID] = known
 	}
 	return known
 }
 
-// uncachedTokens returns the tokens that the engine has to prefill: it caches a part only behind all parts before it.
-func (engine *engine) uncachedTokens(parts []core.PromptPart) int {
-	tokens, cached := 0, true
-	for _, part := range parts {
-		if _, found := engine.parts[part.ID]; !found {
-			cached = false
-		}
-		if !cached {
-			tokens += part.Tokens
-		}
-	}
-	return tokens
-}
-
 // backlogTokens returns the tokens of other prompts that the engine still has to prefill.
 func (engine *engine) backlogTokens(now time.Time, rate float64) float64 {
 	var tokens float64
@@ -120,12 +116,16 @@
 
 // Choose returns the target for the prompt and counts the prompt there until FinishPrefill.
 func (engines *Engines) Choose(now time.Time, targets []Target, prompt Prompt) Placement {
+	if !prompt.hashed {
+		prompt = prompt.WithPrefix()
+	}
 	chooser := engines.Chooser
 	candidates, fault := chooser.candidates(now, targets, Request{Exclude: prompt.Exclude, MayWait: true})
 	if fault != Chosen {
 		return Placement{Fault: fault}
 	}
-	engines.adoptHint(now, targets, prompt)
+	engines.maxParts = maxParts(len(targets))
+	engines.adoptHint(targets, prompt)
 	tolerance := costTolerance
 	if !engines.isCached(prompt) {
 		tolerance = uncachedCostTolerance
@@ -141,7 +141,7 @@
 			continue
 		}
 		cost := engines.cost(now, targets[i], prompt) + wait.Seconds()
-		if best >= 0 && cost >= bestCost-tolerance.Seconds() && (cost > bestCost+tolerance.Seconds() || rendezvousScore(prompt.affinityKey(), targets[i].ID) < rendezvousScore(prompt.affinityKey(), targets[best].ID)) {
+		if best >= 0 && cost >= bestCost-tolerance.Seconds() && (cost > bestCost+tolerance.Seconds() || rendezvousScore(prompt.rank, targets[i].ID) < rendezvousScore(prompt.rank, targets[best].ID)) {
 			continue
 		}
 		if !chooser.admitCold(now, targets[i], ownerColdShare) {
@@ -174,8 +174,11 @@
 
 // isCached reports whether an engine is known to cache the longest shared part.
 func (engines *Engines) isCached(prompt Prompt) bool {
+	if !prompt.prefix.ok {
+		return false
+	}
 	for _, engine := range engines.engines {
-		if _, found := engine.parts[prompt.affinityKey()]; found {
+		if engine.cache.parts.Contains(prompt.prefix.key) {
 			return true
 		}
 	}
@@ -184,30 +187,22 @@
 
 // adoptHint applies the sender's hint while no engine is known to cache the prompt, because this daemon may have become
 // the placer only now.
-func (engines *Engines) adoptHint(now time.Time, targets []Target, prompt Prompt) {
-	if prompt.Hint == "" || len(prompt.Parts) < 2 || engines.isCached(prompt) {
+func (engines *Engines) adoptHint(targets []Target, prompt Prompt) {
+	if prompt.Hint == "" || !prompt.prefix.ok || engines.isCached(prompt) {
 		return
 	}
 	for _, target := range targets {
 		if target.ID == prompt.Hint {
-			engines.engine(target).cacheParts(now, prompt.Parts[:len(prompt.Parts)-1])
+			engines.addParts(engines.engine(target), prompt.prefix.shared())
 		}
 	}
 }
 
-// affinityKey returns the longest shared part, by which engines of equal cost are ranked.
-func (prompt Prompt) affinityKey() string {
-	if len(prompt.Parts) < 2 {
-		return prompt.Attempt
-	}
-	return prompt.Parts[len(prompt.Parts)-2].ID
-}
-
 // cost returns the expected time to the first token in seconds, plus what the prompt costs the other requests.
 func (engines *Engines) cost(now time.Time, target Target, prompt Prompt) float64 {
 	engine := engines.engine(target)
 	state := engines.Chooser.state(target.ID)
-	tokens := float64(engine.uncachedTokens(prompt.Parts))*prefillWeight + engine.backlogTokens(now, engines.prefillRate)
+	tokens := float64(engine.cache.uncachedTokens(prompt.prefix))*prefillWeight + engine.backlogTokens(now, engines.prefillRate)
 	if prompt.Zone != "" && prompt.Zone != target.DataCentre {
 		tokens += tokensPerRemoteMB * float64(prompt.InputBytes) / 1e6
 	}
@@ -221,32 +216,14 @@
 
 func (engines *Engines) startPrefill(now time.Time, target Target, prompt Prompt) {
 	engine := engines.engine(target)
-	engine.prefills[prompt.Attempt] = prefill{tokens: engine.uncachedTokens(prompt.Parts), startedAt: now, alone: len(engine.prefills) == 0}
-	engine.cacheParts(now, prompt.Parts)
-	for engine.cachedTokens > int(float64(engines.MemoryTokens)*cacheShare) && len(engine.parts) > 1 {
-		engine.evictOldest()
+	engine.prefills[prompt.Attempt] = prefill{tokens: engine.cache.uncachedTokens(prompt.prefix), startedAt: now, alone: len(engine.prefills) == 0}
+	if prompt.prefix.total <= engines.MemoryTokens { // engines reject a larger one
+		engines.addParts(engine, prompt.prefix.parts)
 	}
 }
 
-func (engine *engine) cacheParts(now time.Time, parts []core.PromptPart) {
-	for _, part := range parts {
-		if _, found := engine.parts[part.ID]; !found {
-			engine.cachedTokens += part.Tokens
-		}
-		engine.parts[part.ID] = cachedPart{tokens: part.Tokens, lastUsed: now}
-	}
-}
-
-// evictOldest removes the least recently used part, as engines do.
-func (engine *engine) evictOldest() {
-	oldest := ""
-	for id, cachedPart := range engine.parts {
-		if oldest == "" || cachedPart.lastUsed.Before(engine.parts[oldest].lastUsed) {
-			oldest = id
-		}
-	}
-	engine.cachedTokens -= engine.parts[oldest].tokens
-	delete(engine.parts, oldest)
+func (engines *Engines) addParts(engine *engine, parts []prefixPart) {
+	engine.cache.add(parts, int(float64(engines.MemoryTokens)*cacheShare), cmp.Or(engines.maxParts, maxEngineParts))
 }
 
 // FinishPrefill records that an engine has prefilled a prompt, or will not; took is the time to the first event.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -284,8 +284,9 @@
 // caches the prompt without communicating. Overloaded, slow and cold targets come last.
 func (chooser *Chooser) byAffinity(now time.Time, targets []Target, candidates []int, request Request) []int {
 	order := slices.Clone(candidates)
+	key := xxhash.Sum64String(request.AffinityKey)
 	slices.SortFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(rendezvousScore(request.AffinityKey, targets[b].ID), rendezvousScore(request.AffinityKey, targets[a].ID)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(rendezvousScore(key, targets[b].ID), rendezvousScore(key, targets[a].ID)), cmp.Compare(a, b))
 	})
 	loadLimit, slowdownLimit := chooser.affinityLimits(now, targets, candidates)
 	accepted := func(i int) bool {
@@ -309,8 +310,9 @@
 	if len(targets) == 0 {
 		return ""
 	}
+	key := xxhash.Sum64String(prompt)
 	return slices.MaxFunc(targets, func(a, b Target) int {
-		return cmp.Compare(rendezvousScore(prompt, a.ID), rendezvousScore(prompt, b.ID))
+		return cmp.Compare(rendezvousScore(key, a.ID), rendezvousScore(key, b.ID))
 	}).DataCentre
 }
 
@@ -417,8 +419,9 @@
 	}
 }
 
-func rendezvousScore(prompt, id string) uint64 {
-	seed := binary.BigEndian.AppendUint64(nil, xxhash.Sum64String(prompt))
+// rendezvousScore returns the score of a target for the hash of a prompt.
+func rendezvousScore(prompt uint64, id string) uint64 {
+	seed := binary.BigEndian.AppendUint64(make([]byte, 0, 64), prompt) // room for most IDs, so that it stays on the stack
 	return xxhash.Sum64(append(seed, id...))
 }
 
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -83,11 +83,11 @@
 func TestRestartedEngineHasEmptyCache(t *testing.T) {
 	engines, targets := engines(1)
 	_ = engines.Choose(start, targets, prompt("a", "catalogue", 6300, 100))
-	if uncached := engines.engine(targets[0]).uncachedTokens(prompt("b", "catalogue", 6300, 100).Parts); uncached != 100 {
+	if uncached := engines.engine(targets[0]).cache.uncachedTokens(NewPrefix(prompt("b", "catalogue", 6300, 100).Parts)); uncached != 100 {
 		t.Errorf("%d tokens to prefill while the engine caches the shared part", uncached)
 	}
 	targets[0].StartedAt = start.Add(time.Second)
-	if uncached := engines.engine(targets[0]).uncachedTokens(prompt("b", "catalogue", 6300, 100).Parts); uncached != 6400 {
+	if uncached := engines.engine(targets[0]).cache.uncachedTokens(NewPrefix(prompt("b", "catalogue", 6300, 100).Parts)); uncached != 6400 {
 		t.Errorf("%d tokens to prefill after the restart", uncached)
 	}
 }
@@ -100,7 +100,7 @@
 		_ = engines.Choose(start.Add(time.Duration(i)*time.Second), targets, prompt(attempt, fmt.Sprint("s", i), 6000, 1000))
 		engines.FinishPrefill(start.Add(time.Duration(i)*time.Second), targets[0].ID, attempt, Succeeded, time.Millisecond)
 	}
-	if cachedTokens := engines.engine(targets[0]).cachedTokens; cachedTokens > 210_000 {
+	if cachedTokens := engines.engine(targets[0]).cache.tokens; cachedTokens > 210_000 {
 		t.Errorf("%d tokens count as cached", cachedTokens)
 	}
 }
@@ -222,7 +222,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			engines, targets := engines(2)
 			if test.busy {
-				engines.startPrefill(start, targets[1], prompt("long", "catalogue", 6300, 80_000))
+				engines.startPrefill(start, targets[1], prompt("long", "catalogue", 6300, 80_000).WithPrefix())
 			}
 			var table limit.Table
 			for _, target := range targets[:test.limited] {
--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -131,10 +131,11 @@
 func (daemon *Daemon) placeLocally(message placeRequest) placeReply {
 	targets := place.Versions{Only: message.Prompt.Version, Except: message.Prompt.Except}.Of(daemon.view.Load().targets[message.Service])
 	var reply placeReply
+	prompt := message.Prompt.WithPrefix()
 	daemon.do(func() {
 		daemon.control.lastPlacement[message.Service] = daemon.clock.Now()
 		daemon.inferBrittle(daemon.view.Load().targets[message.Service])
-		placement := daemon.enginesOf(message.Service).Choose(daemon.clock.Now(), targets, message.Prompt)
+		placement := daemon.enginesOf(message.Service).Choose(daemon.clock.Now(), targets, prompt)
 		reply.Fault, reply.Wait = placement.Fault, placement.Wait
 		if reply.Fault == place.Chosen {
 			reply.Target = targets[placement.Index].ID
