io/edge: hints of placements are kept by a hash of the prompt's ID

What was seen: a daemon exceeded its memory after 4,000 small requests with prompts whose IDs are as long as a head allows.

Cause: the engine that last prefilled a prompt is remembered by the ID of its longest shared part, for 4,096 prompts. The ID is a part of the header's text, which it keeps alive: up to 64 KB each, 256 MB in all.

Change: the key is a hash of the ID.

--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -107,7 +107,7 @@
 	retryWindows    map[string]*retry.Window // by service
 	hedger          hedge.Hedger
 	engines         map[string]*place.Engines // by service; for the services whose prompts this daemon places for the fleet
-	placementHints  map[string]string         // ID of the engine that last prefilled a prompt, by the ID of its longest shared part
+	placementHints  map[uint64]string         // ID of the engine that last prefilled a prompt, by a hash of the ID of its longest shared part
 	lastPlacement   map[string]time.Time      // time at which this daemon last placed a prompt for the fleet, by service
 	batchContext    context.Context           // of the batch calls in progress
 	cancelBatches   context.CancelFunc        // cancels batchContext
@@ -165,7 +165,7 @@
 	daemon.id = newMemberID(options.Settings.Name, random)
 	daemon.control = control{
 		registrations: mirror.Copy{RetainExpired: true}, live: mirror.Copy{RetainExpired: true}, origins: newOrigins(),
-		retryWindows: map[string]*retry.Window{}, hedger: hedge.Hedger{Credit: random.Float64()}, senders: map[string]*sender{}, engines: map[string]*place.Engines{}, placementHints: map[string]string{}, lastPlacement: map[string]time.Time{}, peers: map[string]*peer{},
+		retryWindows: map[string]*retry.Window{}, hedger: hedge.Hedger{Credit: random.Float64()}, senders: map[string]*sender{}, engines: map[string]*place.Engines{}, placementHints: map[uint64]string{}, lastPlacement: map[string]time.Time{}, peers: map[string]*peer{},
 		firstEventTimes: map[string]time.Duration{}, door: admit.Door{Random: random}, random: random, copiesChanged: make(chan struct{}),
 	}
 	daemon.control.batchContext, daemon.control.cancelBatches = context.WithCancel(context.Background())
--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"catkincove/core"
 	"catkincove/core/place"
 )
@@ -56,10 +58,11 @@
 		MaxWait: request.maxPermitWait(daemon.clock.Now()), Version: versions.Only, Except: versions.Except,
 	}}
 	shared, _ := request.sharedPrompt()
+	hint := xxhash.Sum64String(shared) // the ID would keep the whole header alive
 	var owner *peer
 	var address string
 	daemon.do(func() {
-		message.Prompt.Hint = daemon.control.placementHints[shared]
+		message.Prompt.Hint = daemon.control.placementHints[hint]
 		if owner = daemon.senderOf(service.Name); owner != nil {
 			address = owner.Peer
 		}
@@ -101,7 +104,7 @@
 			if len(daemon.control.placementHints) >= maxHints {
 				clear(daemon.control.placementHints)
 			}
-			daemon.control.placementHints[shared] = target.ID
+			daemon.control.placementHints[hint] = target.ID
 			if request.attempts == 0 {
 				daemon.retryWindow(service.Name).AddRequest(now)
 			}
