io/lines, io/edge: the log holds a bounded number of bytes

Cause: the queue of the log is bounded by its lines, 1,024, and a line holds texts of callers as they came: the ID of an attempt, of the stream that it resumes, of the parts of a prompt, each up to 64 KB and six times that once it is escaped. While the log is not read, or read slowly, such lines take 64 MB and more; 400 of them a second cost processor time in any case. Found by reading the table of what a client's bytes reach; no process was seen to end by it.

Change: texts of callers are cut at 128 bytes in log lines, and the queue holds 1 MB. Lines beyond are dropped and counted, as those beyond 1,024 are.

--- a/io/edge/crash.go
+++ b/io/edge/crash.go
@@ -9,6 +9,7 @@
 
 	"catkincove/core"
 	"catkincove/core/blame"
+	"catkincove/io/lines"
 )
 
 const (
@@ -27,6 +28,16 @@
 	return ids
 }
 
+// loggedParts returns the shared parts that can be suspects, as logs show them.
+func (request *request) loggedParts() []string {
+	shared := request.sharedParts()
+	var ids []string
+	for _, id := range shared[:min(len(shared), maxSuspectParts)] {
+		ids = append(ids, lines.Short(id))
+	}
+	return ids
+}
+
 func partFingerprint(id string) core.Fingerprint {
 	return core.Fingerprint(xxhash.Sum64String("part\x00" + id))
 }
@@ -59,8 +70,8 @@
 	for i, part := range suspects.Parts {
 		fingerprints[i] = part.String()
 	}
-	relay.daemon.log.Info().Str(eventField, eventCrashRecorded).Str("Request", request.caller.Attempt).Str("Target", target.ID).
-		Str("TargetRun", runOf(target.ID, target.StartedAt)).Strs("Suspects", fingerprints).Str("Content", suspects.Content.String()).Strs("Parts", request.sharedParts()).Bool("PartsSuspected", suspects.Parts != nil).
+	relay.daemon.log.Info().Str(eventField, eventCrashRecorded).Str("Request", request.logID()).Str("Target", target.ID).
+		Str("TargetRun", runOf(target.ID, target.StartedAt)).Strs("Suspects", fingerprints).Str("Content", suspects.Content.String()).Strs("Parts", request.loggedParts()).Bool("PartsSuspected", suspects.Parts != nil).
 		Msg("the target disconnected and may have crashed under the request")
 }
 
--- a/io/edge/engines.go
+++ b/io/edge/engines.go
@@ -76,7 +76,7 @@
 		defer cancel()
 		if err := daemon.callPeer(callCtx, address, pathPlace, message, &reply); err != nil {
 			daemon.metrics.placedAlone.Add(1)
-			daemon.log.Warn().Str(eventField, eventPlacedAlone).Str("Request", request.caller.Attempt).Str("Peer", address).Err(err).Msg("no response from the placing daemon; choosing an engine from local state")
+			daemon.log.Warn().Str(eventField, eventPlacedAlone).Str("Request", request.logID()).Str("Peer", address).Err(err).Msg("no response from the placing daemon; choosing an engine from local state")
 			return nil, nil
 		}
 	}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -17,6 +17,7 @@
 	"catkincove/core/origin"
 	"catkincove/io/answer"
 	"catkincove/io/intake"
+	"catkincove/io/lines"
 	"catkincove/io/shift"
 	"catkincove/io/xchg"
 )
@@ -347,6 +348,9 @@
 	daemon.logRequest(request, request.status, nil)
 }
 
+// logID returns the ID of the caller's attempt as logs show it.
+func (request *request) logID() string { return lines.Short(request.caller.Attempt) }
+
 // logRequest writes the log line that ends a request.
 func (daemon *Daemon) logRequest(request *request, status int, err error) {
 	now := daemon.clock.Now()
@@ -356,10 +360,10 @@
 			line = daemon.logBelief(line)
 		}
 	}
-	line.Str(eventField, eventRequestEnded).Str("Request", request.caller.Attempt).Str("Route", request.route.Name).
+	line.Str(eventField, eventRequestEnded).Str("Request", request.logID()).Str("Route", request.route.Name).
 		Str("Team", string(request.team.Name)).Int("Priority", request.priority).Int64("RoutingVersion", daemon.view.Load().routing.Version).
 		Str("Outcome", request.outcome).Int("Status", status).Bool("Aborted", request.aborted).Str("Target", request.targetID).Int("Tries", request.attempts).Strs("Versions", request.versions).
-		Str("Resumes", request.caller.Resumes).Str("ResumesAfter", request.caller.LastEvent).
+		Str("Resumes", lines.Short(request.caller.Resumes)).Str("ResumesAfter", lines.Short(request.caller.LastEvent)).
 		Dur("Stages", request.stagesDuration).Durs("StageTimes", request.stageDurations).Dur("First", request.firstEventAfter).Dur("Took", now.Sub(request.startedAt)).
 		Dur("Left", request.caller.TimeLeft).Dur("Limit", max(request.deadline.Sub(request.startedAt), 0)).Dur("SoftLeft", request.softDeadline.Sub(request.startedAt)).Dur("Forecast", request.plan.TimeToResponse).AnErr("Cause", err).Send()
 }
--- a/io/edge/origin.go
+++ b/io/edge/origin.go
@@ -268,7 +268,7 @@
 		}
 	}
 	daemon.metrics.originsUnrecorded.Add(1)
-	daemon.log.Warn().Str(eventField, eventOriginUnrecorded).Str("Request", request.caller.Attempt).Str("Version", began.Version).Str("Decision", string(decision)).Int("Copies", copies).
+	daemon.log.Warn().Str(eventField, eventOriginUnrecorded).Str("Request", request.logID()).Str("Version", began.Version).Str("Decision", string(decision)).Int("Copies", copies).
 		Msg("the store has not accepted the record of a stream's software version in time")
 	switch decision {
 	case beginElsewhere:
--- a/io/edge/quarantine.go
+++ b/io/edge/quarantine.go
@@ -34,7 +34,7 @@
 	crashTracker := &daemon.control.crashTracker
 	if daemon.senderOf(daemon.chooseService(request).Name) == nil && (crashTracker.Test(now, request.suspects) || crashTracker.Probe(now, guilty)) {
 		request.suspects.Probe = true
-		daemon.log.Info().Str(eventField, eventQuarantineProbed).Str("Request", request.caller.Attempt).Str("Part", guilty.String()).Strs("Parts", request.sharedParts()).
+		daemon.log.Info().Str(eventField, eventQuarantineProbed).Str("Request", request.logID()).Str("Part", guilty.String()).Strs("Parts", request.loggedParts()).
 			Msg("the request is sent to find out whether its quarantined parts are sound")
 		return nil
 	}
--- a/io/edge/second.go
+++ b/io/edge/second.go
@@ -159,7 +159,7 @@
 	}
 	delivery.request = winner.request
 	daemon.loop.Post(func() { daemon.hedger().CountEnd(winner == second) })
-	daemon.log.Info().Str(eventField, eventSecondTry).Str("Request", winner.request.caller.Attempt).Str("Target", first.attempt.target.ID).Str("Next", second.attempt.target.ID).Bool("Won", winner == second).Msg("a slow request was sent to a second target")
+	daemon.log.Info().Str(eventField, eventSecondTry).Str("Request", winner.request.logID()).Str("Target", first.attempt.target.ID).Str("Next", second.attempt.target.ID).Bool("Won", winner == second).Msg("a slow request was sent to a second target")
 	return winner
 }
 
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -177,7 +177,7 @@
 		delivery.daemon.paths.confirm(ctx)
 	}
 	trace := current.attempt.trace
-	delivery.daemon.log.Warn().Str(eventField, eventAttemptFailed).Str("Request", request.caller.Attempt).Str("Target", current.attempt.target.ID).
+	delivery.daemon.log.Warn().Str(eventField, eventAttemptFailed).Str("Request", request.logID()).Str("Target", current.attempt.target.ID).
 		Str("Address", current.attempt.target.Address).Int64("Connection", trace.Connection).Int("Earlier", trace.Earlier).Int("Skipped", trace.Skipped).
 		Str("Run", failure.run.String()).Dur("Took", delivery.daemon.clock.Now().Sub(current.attempt.startedAt)).Err(failure.cause).Send()
 }
--- a/io/edge/stages.go
+++ b/io/edge/stages.go
@@ -14,6 +14,7 @@
 	"catkincove/core/batch"
 	"catkincove/core/flow"
 	"catkincove/core/place"
+	"catkincove/io/lines"
 )
 
 const (
@@ -132,7 +133,7 @@
 		metrics.stagesNotRerun.Add(1)
 		event, message = eventStagesNotRepeated, "inputs of a stage are gone, and there is no time to produce them again"
 	}
-	run.daemon.log.Warn().Str(eventField, event).Str("Request", run.request.caller.Attempt).Int("Stage", consumer).Ints("Again", rerun.Stages).
+	run.daemon.log.Warn().Str(eventField, event).Str("Request", run.request.logID()).Int("Stage", consumer).Ints("Again", rerun.Stages).
 		Dur("Forecast", rerun.Time).Dur("Left", run.request.deadline.Sub(run.daemon.clock.Now())).Msg(message)
 }
 
@@ -305,7 +306,7 @@
 		}
 		if err != nil {
 			daemon.do(func() { daemon.markFailed(owner, err) })
-			daemon.log.Warn().Str(eventField, eventSenderFailed).Str("Request", message.Attempt).Str("Peer", address).Str("Service", message.Service).
+			daemon.log.Warn().Str(eventField, eventSenderFailed).Str("Request", lines.Short(message.Attempt)).Str("Peer", address).Str("Service", message.Service).
 				Int("Stage", message.Stage).Err(err).Msg("sender failed; sending the pieces to the next daemon")
 			continue
 		}
--- a/io/edge/takeover.go
+++ b/io/edge/takeover.go
@@ -121,7 +121,7 @@
 		return
 	}
 	next, err := watchdog.takeOver()
-	event := daemon.log.Info().Str(eventField, eventTakeover).Str("Request", relay.request.caller.Attempt).Str("Target", target)
+	event := daemon.log.Info().Str(eventField, eventTakeover).Str("Request", relay.request.logID()).Str("Target", target)
 	if err != nil {
 		event.Err(err).Msg("the target is silent and no other one has taken over")
 		return
--- a/io/lines/lines.go
+++ b/io/lines/lines.go
@@ -14,12 +14,24 @@
 const (
 	maxQueuedLines    = 1024 // further lines are dropped and counted while the reader is slow
 	maxLinesPerSecond = 400  // further lines are dropped and counted; a daemon serves some dozens of requests a second
+
+	maxQueuedBytes = 1 << 20 // the same for the bytes of queued lines, which may hold text of callers
+	maxText        = 128     // bytes of a text of a caller in a line
 )
 
+// Short returns a text of a caller as logs show it, whose size they bound.
+func Short(text string) string {
+	if len(text) <= maxText {
+		return text
+	}
+	return text[:maxText] + "..."
+}
+
 // Writer queues log lines for one writing goroutine and never blocks.
 type Writer struct {
 	clock           core.Clock
 	lines           chan []byte
+	queuedBytes     atomic.Int64
 	dropped         atomic.Int64
 	currentSecond   atomic.Int64
 	linesThisSecond atomic.Int64
@@ -39,9 +51,16 @@
 		writer.dropped.Add(1)
 		return len(line), nil
 	}
+	size := int64(len(line))
+	if writer.queuedBytes.Add(size) > maxQueuedBytes {
+		writer.queuedBytes.Add(-size)
+		writer.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case writer.lines <- append([]byte(nil), line...):
 	default:
+		writer.queuedBytes.Add(-size)
 		writer.dropped.Add(1)
 	}
 	return len(line), nil
@@ -52,12 +71,12 @@
 	for {
 		select {
 		case line := <-writer.lines:
-			_, _ = out.Write(line)
+			writer.write(out, line)
 		case <-stop:
 			for {
 				select {
 				case line := <-writer.lines:
-					_, _ = out.Write(line)
+					writer.write(out, line)
 				default:
 					return
 				}
@@ -66,6 +85,11 @@
 	}
 }
 
+func (writer *Writer) write(out io.Writer, line []byte) {
+	_, _ = out.Write(line)
+	writer.queuedBytes.Add(-int64(len(line)))
+}
+
 // setTimeFormat sets the format of the times in log lines, which the logging library holds for the whole process.
 var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = time.RFC3339Nano })
 
