core/batch: a call takes no further pieces when their keys are long

What was seen: requests within the limit on heads make a daemon exceed its memory by the calls that it sends to targets.

Cause: each piece of a call repeats the key and the ID of its request, and both are as long as the caller makes them. A call of 64 pieces with 15 KB of both, in bytes that are escaped, has 5 MB, and all targets of a service get one at a time.

Change: a call takes no further piece once its keys and IDs have 64 KB. Keys and IDs of 16 bytes, as callers send them, reach that with 2,048 pieces, so their calls are as before.

TestCallTextIsBounded: 48 pieces with keys of 16 bytes go in one call, with 16 KB in 12, with 128 KB in 48.

--- a/core/batch/dispatch.go
+++ b/core/batch/dispatch.go
@@ -8,6 +8,10 @@
 	"catkincove/core"
 )
 
+// maxCallText is the size in bytes of the keys and IDs of the pieces of one call above which it takes no further piece. Each piece repeats those of its request,
+// whose callers choose their length.
+const maxCallText = 64 << 10
+
 // Dispatch returns the calls to send now, the jobs that ended because they are infeasible, and the handles that are no
 // longer needed.
 func (pool *Pool) Dispatch(now time.Time) (calls []Call, ended []Result, unused []string) {
@@ -260,9 +264,10 @@
 	}
 	room := pool.room(now, worker)
 	var batch []*piece
+	text := 0 // bytes of the keys and IDs of the batch
 	kept := pool.queue[:0]
 	for i, waiting := range pool.queue {
-		if len(batch) >= size {
+		if len(batch) >= size || text >= maxCallText {
 			kept = append(kept, pool.queue[i:]...)
 			break
 		}
@@ -279,6 +284,7 @@
 			waiting.job.DataCentre = worker.DataCentre // keeps the other pieces of the job in the same data centre
 		}
 		batch = append(batch, waiting)
+		text += len(waiting.job.Key) + len(waiting.job.Attempt)
 	}
 	clear(pool.queue[len(kept):])
 	pool.queue = kept
--- a/core/batch/pool_test.go
+++ b/core/batch/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -256,6 +257,39 @@
 	}
 }
 
+// TestCallTextIsBounded guards against calls that repeat a long key for each of their pieces, and against pieces that are not sent because of it.
+func TestCallTextIsBounded(t *testing.T) {
+	spec := warehouseSpec
+	spec.MaxPieces, spec.MaxCalls = 48, 1
+	for _, test := range []struct{ key, calls int }{{16, 2}, {maxCallText / 4, 12}, {2 * maxCallText, 48}} {
+		pool := New(spec)
+		pool.SetTargets(targets(1))
+		pool.Submit(Job{Attempt: "a", Pieces: 48, Key: strings.Repeat("k", test.key), SoftDeadline: start.Add(time.Hour), Deadline: start.Add(time.Hour)})
+		now, sent, calls := start, 0, 0
+		for sent < 48 && calls < 100 {
+			started, _, _ := pool.Dispatch(now)
+			for _, call := range started {
+				text := 0
+				for _, piece := range call.Pieces {
+					text += len(piece.Key) + len(piece.Attempt)
+				}
+				if text > maxCallText+test.key+1 {
+					t.Fatalf("key of %d bytes: a call has %d", test.key, text)
+				}
+				calls, sent = calls+1, sent+len(call.Pieces)
+				pool.Finish(now, call.ID, Responded, make([]core.PieceResult, len(call.Pieces)))
+			}
+			if now = now.Add(300 * time.Millisecond); len(started) == 0 {
+				break
+			}
+		}
+		t.Logf("key of %d bytes: %d pieces in %d calls", test.key, sent, calls)
+		if sent != 48 || calls > test.calls {
+			t.Errorf("key of %d bytes: %d pieces in %d calls, expected 48 in %d at most", test.key, sent, calls, test.calls)
+		}
+	}
+}
+
 // TestCancelledJob guards against sending pieces of cancelled jobs, and against results that nobody frees.
 func TestCancelledJob(t *testing.T) {
 	simulation := newSimulation(warehouseSpec, 1)
