io/intake: heads are charged by their lines and list entries, not by bytes alone

Cause: a head counted twice its bytes. The server parses lines into a map with an entry, a key and a slice each, and the names that a "Trailer" header announces into another, so that a byte takes up to 34 of memory, parsed and copied for a target. The pool saw no reason to evict.

Change: a head counts four times its bytes and 256 bytes for each line and each comma, before the server parses it and until the response has ended. What comes with the end of a head is not counted as one, so that bodies are not charged for their commas.

Evidence: TestHeadMemory parses and copies the dearest forms of a head and compares; with the former charge all forms with short lines or entries fail.

--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -16,8 +16,6 @@
 	stays             // a request is in progress
 )
 
-var errHeadTooLong = errors.New("head of a request exceeds its limit")
-
 // Conn is a connection of a pool.
 type Conn struct {
 	net.Conn
@@ -33,6 +31,7 @@
 	used         bool          // a whole request has come before
 	requests     int           // in their handlers
 	incomplete   int           // requests in their handlers whose bodies are not whole
+	head         requestHead   // the present one
 	headReceived int64         // bytes since the last response
 	waited       time.Duration // for the collector, by reads since the last response
 	headBytes    int64         // memory of the connection and of a head that is not whole
@@ -69,7 +68,8 @@
 	return conn.rank(now) == unread || conn.incomplete > 0 && conn.requests == conn.incomplete && now.Sub(conn.bodyReadAt) > minStall
 }
 
-// Read reads from the connection and counts the bytes of a head that is not whole; it returns errHeadTooLong when they are more than a server reads.
+// Read reads from the connection and counts the memory of a head that is not whole; it returns errHeadTooLong when its bytes are more than a server
+// reads.
 func (conn *Conn) Read(data []byte) (int, error) {
 	pool := conn.pool
 	pool.mutex.Lock()
@@ -84,11 +84,7 @@
 	conn.reads--
 	var victims []*Conn
 	if _, found := pool.connections[conn]; found && !conn.active && count > 0 && conn.headReceived <= maxHeadReceived {
-		if conn.headReceived == 0 {
-			conn.since = pool.clock.Now()
-		}
-		conn.headReceived += int64(count)
-		pool.charge(conn, int64(count)*headFactor, true)
+		conn.receiveHead(data[:count])
 		if conn.headReceived > maxHeadReceived && !conn.multiplexed { // HTTP/2 may still get the body of a request that was rejected
 			count, err = 0, errHeadTooLong
 			victims = append(victims, conn)
@@ -104,6 +100,18 @@
 	return count, err
 }
 
+// receiveHead counts bytes that have come before the head was whole; the mutex must be held.
+func (conn *Conn) receiveHead(part []byte) {
+	pool := conn.pool
+	if conn.headReceived == 0 {
+		conn.since = pool.clock.Now()
+	}
+	conn.head.ended = false // the server expects more of it
+	inHead := conn.head.add(part)
+	conn.headReceived += int64(len(part))
+	pool.charge(conn, headMemory(part[:inHead]), true)
+}
+
 // Write writes to the connection and notes how long it has waited for the caller to read.
 func (conn *Conn) Write(data []byte) (int, error) {
 	mutex := &conn.pool.mutex
@@ -164,7 +172,7 @@
 		conn.used = true
 		pool.charge(conn, headBytes, false)
 	}
-	conn.headReceived, conn.waited = 0, 0
+	conn.head, conn.headReceived, conn.waited = requestHead{}, 0, 0
 }
 
 // begin notes that a request is in its handler, and returns its body, which is nil if it has none.
--- /dev/null
+++ b/io/intake/head_test.go
@@ -0,0 +1,87 @@
+package intake
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+)
+
+// shortNames returns header lines or entries of a list, each with one of the shortest names that are left.
+func shortNames(size int, format string) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz0123456789!#$%&'*+-.^_`|~"
+	var text strings.Builder
+	for i := 0; text.Len() < size; i++ {
+		name := string([]byte{letters[i%26], letters[i/26%len(letters)]})
+		if more := i / 26 / len(letters); more > 0 {
+			name += string(letters[more%len(letters)])
+		}
+		fmt.Fprintf(&text, format, name)
+	}
+	return text.String()
+}
+
+// TestHeadMemory guards against heads that take more memory than they are charged: the dearest forms of a line, an entry of a list and a byte, parsed and copied as
+// for a target.
+func TestHeadMemory(t *testing.T) {
+	const size, copies = 15_000, 64
+	for _, test := range []struct{ name, head string }{
+		{"ordinary", "POST /quote/1 HTTP/1.1\r\nHost: x\r\nX-A: 0123456789\r\nX-B: 0123456789\r\n\r\n"},
+		{"short lines", "GET / HTTP/1.1\r\nHost: x\r\n" + shortNames(size, "%s:\n") + "\r\n"},
+		{"short lines of one name", "GET / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:\n", size/3) + "\r\n"},
+		{"short values", "GET / HTTP/1.1\r\nHost: x\r\n" + shortNames(size, "%s:b\n") + "\r\n"},
+		{"trailers", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTrailer: " + shortNames(size, "%s,") + "z\r\n\r\n"},
+		{"long line", "GET / HTTP/1.1\r\nHost: x\r\nX-A: " + strings.Repeat("a", size) + "\r\n\r\n"},
+		{"lines that go on", "GET / HTTP/1.1\r\nHost: x\r\nX-A: a\r\n" + strings.Repeat(" \n", size/2) + "\r\n"},
+		{"path", "GET /" + strings.Repeat("a", size) + " HTTP/1.1\r\nHost: x\r\n\r\n"},
+		{"escaped path", "GET /" + strings.Repeat("%2f", size/3) + " HTTP/1.1\r\nHost: x\r\n\r\n"},
+		{"method", strings.Repeat("A", size) + " / HTTP/1.1\r\nHost: x\r\n\r\n"},
+	} {
+		var held [copies]struct {
+			request *http.Request
+			copied  http.Header
+		}
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range held {
+			request, err := http.ReadRequest(bufio.NewReaderSize(strings.NewReader(test.head), 4096))
+			if err != nil {
+				t.Fatalf("%s: %v", test.name, err)
+			}
+			held[i].request, held[i].copied = request, request.Header.Clone()
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		took, charged := (int64(after.HeapAlloc)-int64(before.HeapAlloc))/copies, headMemory([]byte(test.head))
+		if took > charged+connectionBytes {
+			t.Errorf("%s: %d bytes take %d of memory, %d are charged", test.name, len(test.head), took, charged)
+		}
+		runtime.KeepAlive(held)
+	}
+}
+
+// TestHeadEnd guards against bytes of a body that count as a head, and bytes of a head that do not, however they are split.
+func TestHeadEnd(t *testing.T) {
+	for _, head := range []string{
+		"GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\n\n", "GET / HTTP/1.1\r\nA: b\r\n\r\n", "\r\n\r\nGET / HTTP/1.1\r\nA: b\n\r\n", "GET / HTTP/1.1\r\nA: b\r\r\n \r\n\r\n", "\r\r\nA\r\n\r\n",
+	} {
+		text := head + "body\r\n\r\nmore"
+		for first := range len(text) {
+			for second := first; second < len(text); second++ {
+				state := new(requestHead)
+				counted := 0
+				for _, part := range []string{text[:first], text[first:second], text[second:]} {
+					if !state.ended {
+						counted += state.add([]byte(part))
+					}
+				}
+				if counted != len(head) || state.bytes != int64(len(head)) || !state.ended {
+					t.Fatalf("%q split at %d and %d: %d bytes, ended %v", text, first, second, counted, state.ended)
+				}
+			}
+		}
+	}
+}
--- a/io/intake/pool.go
+++ b/io/intake/pool.go
@@ -17,7 +17,6 @@
 // Defaults and shares of Limits.
 const (
 	DefaultMemoryBytes = 256 << 20
-	DefaultHeadBytes   = 64 << 10 // limit on the head of a request
 
 	fileDescriptors  = 200  // descriptors that are no sockets
 	connectionShare  = 0.5  // share of the other descriptors for accepted connections; the rest is for the store, other daemons and targets
@@ -27,7 +26,6 @@
 
 	connectionBytes = 16 << 10                 // memory of a connection: its goroutine and two buffers of 4 KB
 	maxHeadReceived = DefaultHeadBytes + 8<<10 // bytes of one head after which its connection is closed; an HTTP/1 server ends with 431 before
-	headFactor      = 2                        // memory of a head per byte received: lines are assembled and their values copied
 	evictionShare   = 16                       // one in so many of a limit is freed at once
 
 	runtimeShare   = 0.6      // share of the memory that the Go runtime may use
