io/intake: requests with large heads share a part of the memory and are refused beyond it

Cause: requests in progress are never evicted, as they may have been sent on, and their heads are held until they end. Heads within the limit of the routing, once they are parsed, take enough that a few hundred of them fill the memory, and then all connections that can be evicted are, those of ordinary callers too.

Requests with usual heads, of some 6 KB, are not affected.

--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -175,60 +175,72 @@
 	conn.head, conn.headReceived, conn.waited = requestHead{}, 0, 0
 }
 
-// begin notes that a request is in its handler, and returns its body, which is nil if it has none.
-func (conn *Conn) begin(request *http.Request) *body {
-	conn.pool.mutex.Lock()
-	defer conn.pool.mutex.Unlock()
+// begin notes that a request is in its handler and returns it; the second result is false if there is too little memory for its head.
+func (conn *Conn) begin(incoming *http.Request) (*request, bool) {
+	pool := conn.pool
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
 	conn.requests++
 	conn.handled = true
-	conn.since = conn.pool.clock.Now()
+	conn.since = pool.clock.Now()
 	conn.bodyReadAt = conn.since
-	conn.multiplexed = request.ProtoMajor > 1
-	if request.Body == nil || request.Body == http.NoBody {
-		return nil
+	conn.multiplexed = incoming.ProtoMajor > 1
+	request := &request{conn: conn}
+	admitted := pool.reserveLarge(request)
+	if incoming.Body != nil && incoming.Body != http.NoBody {
+		conn.incomplete++
+		request.body = &body{ReadCloser: incoming.Body, request: request}
+		incoming.Body = request.body
 	}
-	conn.incomplete++
-	body := &body{ReadCloser: request.Body, conn: conn}
-	request.Body = body
-	return body
+	return request, admitted
 }
 
 // end notes that the handler of a request has returned, and reports whether a part of its body has not been read.
-func (conn *Conn) end(body *body) bool {
-	conn.pool.mutex.Lock()
-	defer conn.pool.mutex.Unlock()
+func (conn *Conn) end(request *request) bool {
+	pool := conn.pool
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
 	conn.requests--
-	conn.since = conn.pool.clock.Now()
-	if body == nil {
-		return false
+	conn.since = pool.clock.Now()
+	pool.largeBytes -= request.large
+	if _, found := pool.connections[conn]; found {
+		freed := min(request.bytes, conn.bodyBytes)
+		pool.charge(conn, -freed, false)
 	}
-	if _, found := conn.pool.connections[conn]; found {
-		freed := min(body.bytes, conn.bodyBytes)
-		conn.pool.charge(conn, -freed, false)
+	if request.body == nil {
+		return false
 	}
-	conn.rest = !body.whole
-	body.finish()
+	conn.rest = !request.body.whole
+	request.body.finish()
 	return conn.rest
 }
 
+// request is a request in its handler.
+type request struct {
+	conn  *Conn
+	body  *body // nil if it has none
+	bytes int64 // memory of the body
+	large int64 // memory of a large head
+}
+
 // body is the body of a request, whose bytes count until its handler returns.
 type body struct {
 	io.ReadCloser
-	conn  *Conn
-	bytes int64
-	whole bool
+	request *request
+	whole   bool
 }
 
 // Read reads from the body and counts the bytes.
 func (body *body) Read(data []byte) (int, error) {
 	count, err := body.ReadCloser.Read(data)
-	pool := body.conn.pool
+	conn := body.request.conn
+	pool := conn.pool
 	pool.mutex.Lock()
 	var victims []*Conn
-	if _, found := pool.connections[body.conn]; found {
-		body.bytes += int64(count)
-		body.conn.bodyReadAt = pool.clock.Now()
-		pool.charge(body.conn, int64(count), false)
+	if _, found := pool.connections[conn]; found {
+		body.request.bytes += int64(count)
+		conn.bodyReadAt = pool.clock.Now()
+		pool.charge(conn, int64(count), false)
 		victims = pool.shrink()
 	}
 	if err == io.EOF {
@@ -243,6 +255,6 @@
 func (body *body) finish() {
 	if !body.whole {
 		body.whole = true
-		body.conn.incomplete--
+		body.request.conn.incomplete--
 	}
 }
--- a/io/intake/head_test.go
+++ b/io/intake/head_test.go
@@ -3,10 +3,15 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
 	"testing"
+	"time"
+
+	"catkincove/core"
 )
 
 // shortNames returns header lines or entries of a list, each with one of the shortest names that are left.
@@ -85,3 +90,83 @@
 		}
 	}
 }
+
+// startServer starts a server whose connections belong to a pool, and returns its address.
+func startServer(t *testing.T, pool *Pool, handler http.HandlerFunc) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler, MaxHeaderBytes: DefaultHeadBytes}
+	pool.Serve(server)
+	go func() { _ = server.Serve(pool.Listen(listener, 1)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// exchange sends on a new connection and returns the status of the response; 0 means that the connection was closed without one.
+func exchange(t *testing.T, address, sends string) int {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	_, _ = io.WriteString(conn, sends)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		if timeout, isNet := err.(net.Error); isNet && timeout.Timeout() {
+			t.Fatal("neither a response nor the end of the connection")
+		}
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+// TestLargeHeadsInProgress guards against requests in progress, which are never evicted, whose heads fill the memory for all: those with large heads are refused
+// before they fill half of it, others are served beside them.
+func TestLargeHeadsInProgress(t *testing.T) {
+	pool := New(Limits{MemoryBytes: 32 << 20, Descriptors: 4000}, core.SystemClock{})
+	var begun, refused int
+	release := make(chan struct{})
+	statuses := make(chan int, 400)
+	address := startServer(t, pool, func(_ http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/wait" {
+			<-release
+		}
+	})
+	large := "GET /wait HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + shortNames(15_000, "%s:\n") + "\r\n"
+	const callers = 40
+	for range callers {
+		go func() { statuses <- exchange(t, address, large) }()
+	}
+	most := int(pool.maxLargeBytes / headMemory([]byte(large)))
+	for len(statuses) < callers-most {
+		time.Sleep(time.Millisecond)
+	}
+	for range 3 {
+		if status := exchange(t, address, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); status != http.StatusOK {
+			t.Errorf("ordinary request: status %d", status)
+		}
+	}
+	close(release)
+	for range callers {
+		switch status := <-statuses; status {
+		case http.StatusOK:
+			begun++
+		case http.StatusServiceUnavailable, 0:
+			refused++
+		default:
+			t.Errorf("status %d", status)
+		}
+	}
+	if begun == 0 || begun > most || refused == 0 {
+		t.Errorf("%d requests with large heads are served and %d refused, at most %d at once fit", begun, refused, most)
+	}
+	if status := exchange(t, address, large[:4]+"/"+large[9:]); status != http.StatusOK {
+		t.Errorf("request with a large head in calm: status %d", status)
+	}
+}
--- a/io/intake/intake_test.go
+++ b/io/intake/intake_test.go
@@ -46,8 +46,8 @@
 		conn.begin(httptest.NewRequest("POST", "/", strings.NewReader("b")))
 	}
 	unread := func(conn *Conn) { busy(conn); conn.writes, conn.writingSince = 1, conn.pool.clock.Now() }
-	idle := func(conn *Conn) { busy(conn); conn.end(nil); conn.setState(http.StateIdle) }
-	rest := func(conn *Conn) { busy(conn); conn.end(nil) } // the server reads the rest of a body
+	idle := func(conn *Conn) { busy(conn); conn.end(&request{conn: conn}); conn.setState(http.StateIdle) }
+	rest := func(conn *Conn) { busy(conn); conn.end(&request{conn: conn}) } // the server reads the rest of a body
 	type step struct {
 		from string
 		do   func(*Conn)
--- a/io/intake/pool.go
+++ b/io/intake/pool.go
@@ -34,10 +34,12 @@
 	drainTimeout   = 10 * time.Second // limit on reading the rest of a body after the response
 	minStall       = time.Second      // a caller that has not read the response for less is not evicted
 	refusalTimeout = 100 * time.Millisecond
+
+	refusalRetryAfter = "1.00" // seconds
 )
 
 // refusal is sent on a connection of which nothing has been read, so the promise that the request has not run is true.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1.00\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + refusalRetryAfter + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 // Limits bounds the connections of a process; fields that are zero have defaults.
 type Limits struct {
@@ -76,6 +78,7 @@
 	maxConnections int
 	maxHeadBytes   int64
 	maxTotalBytes  int64
+	maxLargeBytes  int64
 	maxClosedBytes int64
 
 	evicted atomic.Int64
@@ -85,6 +88,7 @@
 	connections map[*Conn]struct{}
 	headBytes   int64 // memory of all connections and of the heads that are not whole
 	totalBytes  int64 // the same with the bodies and the heads of requests in progress
+	largeBytes  int64 // memory of large heads of requests in progress
 	closed      closed
 }
 
@@ -92,6 +96,7 @@
 func New(limits Limits, clock core.Clock) *Pool {
 	return &Pool{
 		clock: clock, maxConnections: limits.connections(), maxHeadBytes: limits.headBytes(), maxTotalBytes: limits.totalBytes(),
+		maxLargeBytes:  int64(float64(limits.totalBytes()) * largeHeadsShare),
 		maxClosedBytes: int64(limits.memory() * closedShare), connections: map[*Conn]struct{}{}, closed: closed{reduced: make(chan struct{})},
 	}
 }
@@ -138,12 +143,16 @@
 			return
 		}
 		copied := *request // the server looks at the body of its own one to decide whether to read the rest
-		body := conn.begin(&copied)
+		begun, admitted := conn.begin(&copied)
 		defer func() {
-			if conn.end(body) && request.ProtoMajor == 1 {
+			if conn.end(begun) && request.ProtoMajor == 1 {
 				_ = http.NewResponseController(writer).SetReadDeadline(pool.clock.Now().Add(drainTimeout)) // fails only for a connection that was taken over
 			}
 		}()
+		if !admitted {
+			pool.refuse(writer)
+			return
+		}
 		handler.ServeHTTP(writer, &copied)
 	})
 }
