io/intake: heads of HTTP/2 requests count while their handlers run

What was seen: 400 connections of HTTP/2 made `serve` take 708 MB of 128.

Cause: of an HTTP/2 connection only what comes before its first request was counted. A connection may have 250 requests in progress, each with 64 KB of fields; fields of six bytes take forty times that, and their bodies never come.

Change: the head of an HTTP/2 request is charged when the request begins, until its handler returns. The share of large heads holds for the heads of a connection together.

--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -179,19 +179,26 @@
 func (conn *Conn) begin(incoming *http.Request) (*request, bool) {
 	pool := conn.pool
 	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
 	conn.requests++
 	conn.handled = true
 	conn.since = pool.clock.Now()
 	conn.bodyReadAt = conn.since
 	conn.multiplexed = incoming.ProtoMajor > 1
 	request := &request{conn: conn}
+	var victims []*Conn
+	if _, found := pool.connections[conn]; found && conn.multiplexed {
+		request.bytes = headerMemory(incoming.Header)
+		pool.charge(conn, request.bytes, false)
+		victims = pool.shrink()
+	}
 	admitted := pool.reserveLarge(request)
 	if incoming.Body != nil && incoming.Body != http.NoBody {
 		conn.incomplete++
 		request.body = &body{ReadCloser: incoming.Body, request: request}
 		incoming.Body = request.body
 	}
+	pool.mutex.Unlock()
+	closeAll(victims)
 	return request, admitted
 }
 
@@ -219,7 +226,7 @@
 type request struct {
 	conn  *Conn
 	body  *body // nil if it has none
-	bytes int64 // memory of the body
+	bytes int64 // memory that is free when the handler returns: of the body and, with HTTP/2, of the head
 	large int64 // memory of a large head
 }
 
--- a/io/intake/large.go
+++ b/io/intake/large.go
@@ -14,6 +14,9 @@
 	if memory <= largeHead {
 		return true
 	}
+	if request.conn.multiplexed {
+		memory = request.bytes // the other requests of the connection have reserved theirs
+	}
 	if pool.largeBytes+memory > pool.maxLargeBytes {
 		return false
 	}
@@ -29,3 +32,14 @@
 	writer.Header().Set("Connection", "close")
 	writer.WriteHeader(http.StatusServiceUnavailable)
 }
+
+// headerMemory returns the memory that a parsed header and a forwarded copy need at most.
+func headerMemory(header http.Header) int64 {
+	memory := int64(0)
+	for name, values := range header {
+		for _, value := range values {
+			memory += int64(len(name)+len(value))*headFactor + elementBytes
+		}
+	}
+	return memory
+}
