io/intake: a head that the server has read together with a request is charged

Cause: the server reads 4 KB at a time. What follows a request in them was never charged: 4 KB of the next head, with lines of four bytes, take over 100 KB. The connection counted as idle, so it was evicted last.

Change: when a response has ended, what was read last counts as the begin of a head if more has come than the request's body, and the connection as one without a whole request. Of a chunked body the length is not known; there it counts unless the last bytes read end with an empty line, as they do for callers that wait for the response.

TestBufferedHead covers the kinds of bodies.

--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -33,6 +33,10 @@
 	incomplete   int           // requests in their handlers whose bodies are not whole
 	head         requestHead   // the present one
 	headReceived int64         // bytes since the last response
+	afterHead    int64         // bytes since the end of the head
+	bodyLength   int64         // bytes of the body behind the head; -1 means unknown
+	tail         tail          // of what the server has read last
+	buffered     bool          // the server has read the begin of the next head together with a request
 	waited       time.Duration // for the collector, by reads since the last response
 	headBytes    int64         // memory of the connection and of a head that is not whole
 	bodyBytes    int64         // memory of heads and bodies of requests in progress
@@ -57,7 +61,7 @@
 		return unfinished
 	case conn.active && conn.handled && !conn.rest && now.Sub(conn.since) <= minStall:
 		return stays // its response is being sent
-	case conn.active || conn.headReceived > 0 && !conn.multiplexed || !conn.used: // HTTP/2 sends frames beside requests
+	case conn.active || conn.buffered || conn.headReceived > 0 && !conn.multiplexed || !conn.used: // HTTP/2 sends frames beside requests
 		return unfinished
 	}
 	return idle
@@ -83,14 +87,20 @@
 	pool.mutex.Lock()
 	conn.reads--
 	var victims []*Conn
-	if _, found := pool.connections[conn]; found && !conn.active && count > 0 && conn.headReceived <= maxHeadReceived {
-		conn.receiveHead(data[:count])
-		if conn.headReceived > maxHeadReceived && !conn.multiplexed { // HTTP/2 may still get the body of a request that was rejected
-			count, err = 0, errHeadTooLong
-			victims = append(victims, conn)
-			pool.removeAll(victims)
+	if _, found := pool.connections[conn]; found && count > 0 {
+		switch {
+		case conn.active:
+			conn.afterHead += int64(count)
+			conn.tail = newTail(data[:count])
+		case conn.headReceived <= maxHeadReceived:
+			conn.receiveHead(data[:count])
+			if conn.headReceived > maxHeadReceived && !conn.multiplexed { // HTTP/2 may still get the body of a request that was rejected
+				count, err = 0, errHeadTooLong
+				victims = append(victims, conn)
+				pool.removeAll(victims)
+			}
+			victims = append(victims, pool.shrink()...)
 		}
-		victims = append(victims, pool.shrink()...)
 	}
 	if conn.reads == 0 {
 		pool.endHead(conn)
@@ -110,6 +120,8 @@
 	inHead := conn.head.add(part)
 	conn.headReceived += int64(len(part))
 	pool.charge(conn, headMemory(part[:inHead]), true)
+	conn.afterHead = int64(len(part) - inHead)
+	conn.tail = newTail(part[inHead:])
 }
 
 // Write writes to the connection and notes how long it has waited for the caller to read.
@@ -168,9 +180,12 @@
 	headBytes := conn.headBytes - connectionBytes
 	pool.charge(conn, -headBytes, true)
 	pool.charge(conn, -conn.bodyBytes, false)
+	conn.buffered = false
 	if conn.active {
-		conn.used = true
+		conn.used, conn.bodyLength = true, -1
 		pool.charge(conn, headBytes, false)
+	} else if conn.buffered = conn.hasBuffered(); conn.buffered {
+		pool.charge(conn, conn.tail.memory, true)
 	}
 	conn.head, conn.headReceived, conn.waited = requestHead{}, 0, 0
 }
@@ -184,6 +199,7 @@
 	conn.since = pool.clock.Now()
 	conn.bodyReadAt = conn.since
 	conn.multiplexed = incoming.ProtoMajor > 1
+	conn.bodyLength = incoming.ContentLength
 	request := &request{conn: conn}
 	var victims []*Conn
 	if _, found := pool.connections[conn]; found && conn.multiplexed {
--- a/io/intake/head_test.go
+++ b/io/intake/head_test.go
@@ -126,6 +126,52 @@
 	return response.StatusCode
 }
 
+// TestBufferedHead guards against the memory of a head that the server has read together with the request before it, which was not charged.
+func TestBufferedHead(t *testing.T) {
+	pool := New(Limits{}, core.SystemClock{})
+	address := startServer(t, pool, func(_ http.ResponseWriter, request *http.Request) { _, _ = io.Copy(io.Discard, request.Body) })
+	lines := "GET / HTTP/1.1\r\nHost: x\r\n" + shortNames(3_000, "%s:\n")
+	for _, test := range []struct {
+		name, sends string
+		charged     int64
+	}{
+		{"no body", "GET / HTTP/1.1\r\nHost: x\r\n\r\n" + lines, headMemory([]byte(lines))},
+		{"body with a length", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello" + lines, headMemory([]byte(lines))},
+		{"chunked body", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n" + lines, headMemory([]byte(lines))},
+		{"nothing behind a body with a length", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello", 0},
+		{"nothing behind a chunked body", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", 0},
+	} {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, test.sends)
+		if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("%s: %v %v", test.name, response, err)
+		}
+		var charged, most int64
+		for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			pool.mutex.Lock()
+			charged, most = 0, test.charged+8*serverBuffer
+			for conn := range pool.connections {
+				if !conn.active && conn.used {
+					charged += conn.headBytes - connectionBytes
+				}
+			}
+			pool.mutex.Unlock()
+			if charged >= test.charged && charged <= most {
+				break
+			}
+		}
+		if charged < test.charged || test.charged == 0 && charged > 0 || charged > most {
+			t.Errorf("%s: %d bytes are charged, expected %d at least and %d at most", test.name, charged, test.charged, most)
+		}
+		_ = conn.Close()
+		for deadline := time.Now().Add(5 * time.Second); pool.Connections() > 0 && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		}
+	}
+}
+
 // TestLargeHeadsInProgress guards against requests in progress, which are never evicted, whose heads fill the memory for all: those with large heads are refused
 // before they fill half of it, others are served beside them.
 func TestLargeHeadsInProgress(t *testing.T) {
