io/intake: trailers of a body are dropped when it has been read

Cause: the server parses up to 4 KB of trailers behind a chunked body and keeps them with its own copy of the request until that ends. No limit on heads counts them, the handler does not see them, and nothing forwards them; with lines of four bytes they take over 100 KB a request in progress.

Change: they are dropped at the end of the body.

--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -244,6 +244,8 @@
 	body  *body // nil if it has none
 	bytes int64 // memory that is free when the handler returns: of the body and, with HTTP/2, of the head
 	large int64 // memory of a large head
+
+	trailer *http.Header // of the server's own request; nil if unknown
 }
 
 // body is the body of a request, whose bytes count until its handler returns.
@@ -268,6 +270,9 @@
 	}
 	if err == io.EOF {
 		body.finish()
+		if body.request.trailer != nil {
+			*body.request.trailer = nil // up to 4 KB of short lines that nothing reads and that are not counted
+		}
 	}
 	pool.mutex.Unlock()
 	closeAll(victims)
--- a/io/intake/pool.go
+++ b/io/intake/pool.go
@@ -144,6 +144,7 @@
 		}
 		copied := *request // the server looks at the body of its own one to decide whether to read the rest
 		begun, admitted := conn.begin(&copied)
+		begun.trailer = &request.Trailer
 		defer func() {
 			if conn.end(begun) && request.ProtoMajor == 1 {
 				_ = http.NewResponseController(writer).SetReadDeadline(pool.clock.Now().Add(drainTimeout)) // fails only for a connection that was taken over
