io/intake, io/edge: heads of callers keep the limits of the routing

Cause: the routing's limits on the size of a head and on the time for it held for no head.

Change: the pool asks for the limits of a port when a head begins, so that they follow the routing without a restart, and the defaults hold while none is known. A head over the limit and 4 KB gets 431; what still comes is read for 0.5 s, 256 KB at most, because a connection that is closed with unread bytes is reset and the 431 lost. A head that takes longer is closed, as at the server's own limit. Nothing of such a request is sent on, and callers inside the limits meet neither. Other ports keep the defaults.

TestHeadLimitOfPort and TestHeadTimeoutOfPort cover the pool.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -94,7 +94,7 @@
 		draining:     make(chan struct{}),
 		heartbeatNow: make(chan struct{}, 1),
 	}
-	daemon.listener = meter.Listener{Listener: daemon.intake.Listen(listener, 1)}
+	daemon.listener = meter.Listener{Listener: daemon.intake.Listen(listener, intake.PortOptions{})}
 	if daemon.address == "" {
 		daemon.address = listener.Addr().String()
 	}
--- a/io/edge/daemon.go
+++ b/io/edge/daemon.go
@@ -245,13 +245,13 @@
 		part     string
 		handler  http.Handler
 		optional bool
-		share    float64 // of all connections
+		limits   intake.PortOptions
 	}{
-		{settings.Front, "front", http.HandlerFunc(daemon.serveFront), false, 0.75},
-		{settings.Ready, "ready", http.HandlerFunc(daemon.serveReady), false, 0.125},
-		{settings.Directory, "directory", http.HandlerFunc(daemon.serveDirectory), false, 0.5},
-		{settings.Peer, "peer", callid.Echo(daemon.peerHandler()), false, 0.75},
-		{settings.Metrics, "metrics", http.HandlerFunc(daemon.serveMetrics), true, 0.125},
+		{settings.Front, "front", http.HandlerFunc(daemon.serveFront), false, intake.PortOptions{Share: 0.75, HeadLimits: daemon.headLimits}},
+		{settings.Ready, "ready", http.HandlerFunc(daemon.serveReady), false, intake.PortOptions{Share: 0.125}},
+		{settings.Directory, "directory", http.HandlerFunc(daemon.serveDirectory), false, intake.PortOptions{Share: 0.5}},
+		{settings.Peer, "peer", callid.Echo(daemon.peerHandler()), false, intake.PortOptions{Share: 0.75}},
+		{settings.Metrics, "metrics", http.HandlerFunc(daemon.serveMetrics), true, intake.PortOptions{Share: 0.125}},
 	} {
 		if address.optional && address.address == "" {
 			continue
@@ -259,7 +259,7 @@
 		listener, err := net.Listen("tcp", address.address)
 		switch {
 		case err == nil:
-			services = append(services, service{daemon.server(daemon.guard(address.part, address.handler)), daemon.intake.Listen(listener, address.share)})
+			services = append(services, service{daemon.server(daemon.guard(address.part, address.handler)), daemon.intake.Listen(listener, address.limits)})
 		case address.optional:
 			daemon.log.Error().Str(eventField, eventMetricsUnavailable).Err(err).Msg("cannot listen on the metrics address; metrics are not served")
 		default:
@@ -272,6 +272,12 @@
 	return services, nil
 }
 
+// headLimits returns the limits of the routing on the heads of callers' requests; without a routing, the defaults are in force.
+func (daemon *Daemon) headLimits() intake.HeadLimits {
+	limits := daemon.view.Load().routing.RequestLimits
+	return intake.HeadLimits{Bytes: limits.HeaderBytes, Timeout: limits.HeaderTimeout}
+}
+
 func (daemon *Daemon) addTask(group *run.Group, ctx context.Context, part string, task func(context.Context) error) {
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error { return daemon.restartTask(ctx, part, task) }, func(error) { cancel() })
--- a/io/intake/closed.go
+++ b/io/intake/closed.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// discardHead counts the head of a connection that stays open as garbage; the mutex must be held.
+func (pool *Pool) discardHead(conn *Conn) {
+	memory := conn.headBytes - connectionBytes
+	pool.charge(conn, -memory, true)
+	pool.closed.endingBytes += memory
+	pool.discard(memory)
+}
+
 // endHead notes that the head of a removed connection is garbage; the mutex must be held.
 func (pool *Pool) endHead(conn *Conn) {
 	if conn.endingHead > 0 {
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -37,6 +37,8 @@
 	bodyLength   int64         // bytes of the body behind the head; -1 means unknown
 	tail         tail          // of what the server has read last
 	buffered     bool          // the server has read the begin of the next head together with a request
+	rejected     bool          // its head was too long
+	draining     bool          // what comes after the rejection is read
 	waited       time.Duration // for the collector, by reads since the last response
 	headBytes    int64         // memory of the connection and of a head that is not whole
 	bodyBytes    int64         // memory of heads and bodies of requests in progress
@@ -72,8 +74,8 @@
 	return conn.rank(now) == unread || conn.incomplete > 0 && conn.requests == conn.incomplete && now.Sub(conn.bodyReadAt) > minStall
 }
 
-// Read reads from the connection and counts the memory of a head that is not whole; it returns errHeadTooLong when its bytes are more than a server
-// reads.
+// Read reads from the connection and counts the memory of a head that is not whole; it returns an error when the head is too long, after a rejection if the port
+// has a limit of its own.
 func (conn *Conn) Read(data []byte) (int, error) {
 	pool := conn.pool
 	pool.mutex.Lock()
@@ -87,6 +89,7 @@
 	pool.mutex.Lock()
 	conn.reads--
 	var victims []*Conn
+	rejected := false
 	if _, found := pool.connections[conn]; found && count > 0 {
 		switch {
 		case conn.active:
@@ -94,10 +97,14 @@
 			conn.tail = newTail(data[:count])
 		case conn.headReceived <= maxHeadReceived:
 			conn.receiveHead(data[:count])
-			if conn.headReceived > maxHeadReceived && !conn.multiplexed { // HTTP/2 may still get the body of a request that was rejected
+			switch {
+			case conn.multiplexed: // HTTP/2 may still get the body of a request that was rejected
+			case conn.headReceived > maxHeadReceived:
 				count, err = 0, errHeadTooLong
 				victims = append(victims, conn)
 				pool.removeAll(victims)
+			case conn.head.isTooLong():
+				conn.rejected, rejected = true, true
 			}
 			victims = append(victims, pool.shrink()...)
 		}
@@ -107,6 +114,9 @@
 	}
 	pool.mutex.Unlock()
 	closeAll(victims)
+	if rejected {
+		return 0, conn.rejectHead()
+	}
 	return count, err
 }
 
@@ -115,6 +125,7 @@
 	pool := conn.pool
 	if conn.headReceived == 0 {
 		conn.since = pool.clock.Now()
+		conn.limitHead()
 	}
 	conn.head.ended = false // the server expects more of it
 	inHead := conn.head.add(part)
@@ -140,11 +151,25 @@
 	return conn.Conn.Write(data)
 }
 
-// Close closes the connection.
+// Close closes the connection, a rejected one after the caller has had time to read the rejection.
 func (conn *Conn) Close() error {
-	conn.pool.mutex.Lock()
-	conn.pool.remove(conn)
-	conn.pool.mutex.Unlock()
+	pool := conn.pool
+	pool.mutex.Lock()
+	_, found := pool.connections[conn]
+	drain := conn.rejected && found && !conn.draining
+	if drain {
+		conn.draining = true
+		pool.discardHead(conn)
+	} else {
+		pool.remove(conn)
+	}
+	pool.mutex.Unlock()
+	if drain {
+		conn.drain()
+		pool.mutex.Lock()
+		pool.remove(conn)
+		pool.mutex.Unlock()
+	}
 	return conn.Conn.Close()
 }
 
--- a/io/intake/head.go
+++ b/io/intake/head.go
@@ -3,10 +3,11 @@
 import (
 	"bytes"
 	"errors"
+	"time"
 )
 
 const (
-	DefaultHeadBytes = 64 << 10 // limit on the head of a request
+	DefaultHeadBytes = 64 << 10 // limit on the head of a request, and the largest that a port can state
 
 	headFactor   = 4   // memory of a head per byte: lines are assembled, values are copied, and a path is kept escaped and unescaped
 	elementBytes = 256 // memory of a header line or of an entry in a list: entries of the maps of the server and of a forwarded copy, and their slices
@@ -23,11 +24,13 @@
 
 // requestHead follows the bytes of a head to the empty line that ends it; the zero value is one of which nothing has come.
 type requestHead struct {
-	bytes  int64 // up to the empty line
-	inLine bool  // bytes of a line have come that is not whole
-	onlyCR bool  // they are a carriage return
-	begun  bool  // a line that is not empty has come
-	ended  bool
+	limits   HeadLimits
+	deadline time.Time // zero means none of this port
+	bytes    int64     // up to the empty line
+	inLine   bool      // bytes of a line have come that is not whole
+	onlyCR   bool      // they are a carriage return
+	begun    bool      // a line that is not empty has come
+	ended    bool
 }
 
 // add follows the next bytes and returns how many of them belong to the head.
--- a/io/intake/head_test.go
+++ b/io/intake/head_test.go
@@ -92,7 +92,7 @@
 }
 
 // startServer starts a server whose connections belong to a pool, and returns its address.
-func startServer(t *testing.T, pool *Pool, handler http.HandlerFunc) string {
+func startServer(t *testing.T, pool *Pool, options PortOptions, handler http.HandlerFunc) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -100,7 +100,7 @@
 	}
 	server := &http.Server{Handler: handler, MaxHeaderBytes: DefaultHeadBytes}
 	pool.Serve(server)
-	go func() { _ = server.Serve(pool.Listen(listener, 1)) }()
+	go func() { _ = server.Serve(pool.Listen(listener, options)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String()
 }
@@ -126,10 +126,66 @@
 	return response.StatusCode
 }
 
+// TestHeadLimitOfPort guards against heads over the limit that a port states, which were read to the default, against a rejection that is lost because the caller
+// still sends, and against one of a head within the limit.
+func TestHeadLimitOfPort(t *testing.T) {
+	limits := HeadLimits{Bytes: 8_000}
+	pool := New(Limits{}, core.SystemClock{})
+	address := startServer(t, pool, PortOptions{HeadLimits: func() HeadLimits { return limits }}, func(http.ResponseWriter, *http.Request) {})
+	head := func(bytes int) string {
+		begin, end := "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9000\r\nX-A: ", "\r\n\r\n"
+		return begin + strings.Repeat("a", bytes-len(begin)-len(end)) + end + strings.Repeat("\n", 9000)
+	}
+	for _, test := range []struct {
+		name, sends string
+		limit       int
+		status      int
+	}{
+		{"within", head(8_000), 8_000, http.StatusOK},
+		{"over, whole", head(20_000), 8_000, http.StatusRequestHeaderFieldsTooLarge},
+		{"over, without end", head(20_000)[:20_000-4], 8_000, http.StatusRequestHeaderFieldsTooLarge},
+		{"over, much more follows", head(20_000) + strings.Repeat("a", 4<<20), 8_000, http.StatusRequestHeaderFieldsTooLarge},
+		{"none", head(20_000), 0, http.StatusOK},
+		{"higher than the default", head(DefaultHeadBytes + 20_000), 1 << 30, http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		limits.Bytes = test.limit
+		if status := exchange(t, address, test.sends); status != test.status {
+			t.Errorf("%s: status %d, expected %d", test.name, status, test.status)
+		}
+	}
+}
+
+// TestHeadTimeoutOfPort guards against heads that take longer than the port allows, and against a time limit on a caller that has sent nothing of a head, or all.
+func TestHeadTimeoutOfPort(t *testing.T) {
+	const timeout = 300 * time.Millisecond
+	pool := New(Limits{}, core.SystemClock{})
+	address := startServer(t, pool, PortOptions{HeadLimits: func() HeadLimits { return HeadLimits{Timeout: timeout} }}, func(_ http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+	})
+	if status := exchange(t, address, "GET / HTTP/1.1\r\nHost: x\r\n"); status != 0 {
+		t.Errorf("a head that stops: status %d", status)
+	}
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for range 2 { // the second head comes on a connection that has been idle
+		for _, part := range []string{"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\na", "b"} {
+			time.Sleep(2 * timeout)
+			_, _ = io.WriteString(conn, part)
+		}
+		if response, err := http.ReadResponse(reader, nil); err != nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("a head that comes late and a body that takes long: %v %v", response, err)
+		}
+	}
+}
+
 // TestBufferedHead guards against the memory of a head that the server has read together with the request before it, which was not charged.
 func TestBufferedHead(t *testing.T) {
 	pool := New(Limits{}, core.SystemClock{})
-	address := startServer(t, pool, func(_ http.ResponseWriter, request *http.Request) { _, _ = io.Copy(io.Discard, request.Body) })
+	address := startServer(t, pool, PortOptions{}, func(_ http.ResponseWriter, request *http.Request) { _, _ = io.Copy(io.Discard, request.Body) })
 	lines := "GET / HTTP/1.1\r\nHost: x\r\n" + shortNames(3_000, "%s:\n")
 	for _, test := range []struct {
 		name, sends string
@@ -179,7 +235,7 @@
 	var begun, refused int
 	release := make(chan struct{})
 	statuses := make(chan int, 400)
-	address := startServer(t, pool, func(_ http.ResponseWriter, request *http.Request) {
+	address := startServer(t, pool, PortOptions{}, func(_ http.ResponseWriter, request *http.Request) {
 		if request.URL.Path == "/wait" {
 			<-release
 		}
--- a/io/intake/intake_test.go
+++ b/io/intake/intake_test.go
@@ -72,7 +72,7 @@
 		clock := &stepClock{now: time.Unix(1000, 0)}
 		pool := New(Limits{}, clock)
 		pool.maxConnections = 4
-		port := pool.Listen(nil, 1).(*port)
+		port := pool.Listen(nil, PortOptions{}).(*port)
 		var conns []*fakeConn
 		for _, step := range test.steps {
 			conns = append(conns, &fakeConn{from: "10.0.0." + step.from})
@@ -109,7 +109,7 @@
 		_, _ = io.WriteString(writer, "ok")
 	})}
 	pool.Serve(server)
-	go func() { _ = server.Serve(pool.Listen(listener, 1)) }()
+	go func() { _ = server.Serve(pool.Listen(listener, PortOptions{})) }()
 	defer func() { _ = server.Close() }()
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
@@ -201,7 +201,7 @@
 // also when the client is gone, so that many of them opened one after the other exceed the memory. The limit counts only until the first request.
 func TestEndlessHeaderBlock(t *testing.T) {
 	pool := New(Limits{}, core.SystemClock{})
-	port := pool.Listen(nil, 1).(*port)
+	port := pool.Listen(nil, PortOptions{}).(*port)
 	for _, test := range []struct {
 		name   string
 		before func(*Conn)
@@ -231,7 +231,7 @@
 func TestClosedConnections(t *testing.T) {
 	pool := New(Limits{}, &stepClock{})
 	pool.maxClosedBytes = 4 * connectionBytes
-	port := pool.Listen(nil, 1).(*port)
+	port := pool.Listen(nil, PortOptions{}).(*port)
 	waiting, evicted, busy := pool.add(port, &fakeConn{from: "1.1.1.1"}), pool.add(port, &fakeConn{from: "1.1.1.1"}), pool.add(port, &fakeConn{from: "1.1.1.1"})
 	busy.setState(http.StateActive)
 	var closed []*Conn
@@ -294,7 +294,7 @@
 func TestHeadWaitsOnce(t *testing.T) {
 	clock := &waitClock{stepClock: stepClock{now: time.Unix(1000, 0)}}
 	pool := New(Limits{}, clock)
-	conn := pool.add(pool.Listen(nil, 1).(*port), &fakeConn{from: "10.0.0.1"})
+	conn := pool.add(pool.Listen(nil, PortOptions{}).(*port), &fakeConn{from: "10.0.0.1"})
 	over := pool.maxClosedBytes + 1
 	readHead := func() []time.Duration {
 		clock.waits = nil
@@ -338,7 +338,7 @@
 func TestAcceptWaitsOnce(t *testing.T) {
 	clock := &waitClock{stepClock: stepClock{now: time.Unix(1000, 0)}}
 	pool := New(Limits{}, clock)
-	ports := []net.Listener{pool.Listen(fakeListener{}, 1), pool.Listen(fakeListener{}, 0.125)}
+	ports := []net.Listener{pool.Listen(fakeListener{}, PortOptions{}), pool.Listen(fakeListener{}, PortOptions{Share: 0.125})}
 	for period := range 2 {
 		clock.waits = nil
 		pool.closed.garbageBytes = pool.maxClosedBytes + 1
--- a/io/intake/pool.go
+++ b/io/intake/pool.go
@@ -117,9 +117,15 @@
 // Refused returns the number of connections that got 503 when they were accepted.
 func (pool *Pool) Refused() int64 { return pool.refused.Load() }
 
-// Listen returns a listener whose connections belong to the pool, of which it may have the share of all, 1 if 0.
-func (pool *Pool) Listen(listener net.Listener, share float64) net.Listener {
-	return &port{Listener: listener, pool: pool, maxConnections: max(1, int(float64(pool.maxConnections)*cmp.Or(share, 1)))}
+// PortOptions are the limits of the connections of one listener.
+type PortOptions struct {
+	Share      float64           // of all connections of the pool; 0 means 1
+	HeadLimits func() HeadLimits // in force for a head that begins now; nil means the defaults
+}
+
+// Listen returns a listener whose connections belong to the pool.
+func (pool *Pool) Listen(listener net.Listener, options PortOptions) net.Listener {
+	return &port{Listener: listener, pool: pool, maxConnections: max(1, int(float64(pool.maxConnections)*cmp.Or(options.Share, 1))), headLimits: options.HeadLimits}
 }
 
 // Serve makes a server tell the pool what its connections, which are those of a listener of the pool, are doing.
@@ -179,7 +185,8 @@
 	net.Listener
 	pool           *Pool
 	maxConnections int
-	connections    int // guarded by the mutex of the pool
+	headLimits     func() HeadLimits // nil means the defaults
+	connections    int               // guarded by the mutex of the pool
 }
 
 // Accept returns the next connection for which there is room, after it has made some; others get 503.
