io/intake: messages of other daemons reserve memory for their decoded elements

Cause: a message reserved twice its bytes, and nothing for its first 64 KB. Decoded, an empty part of a prompt, of three bytes, takes 24 bytes and as much again while its list grows, so that messages below 64 KB took a megabyte each, as many at a time as there are connections at the port of other daemons.

Change: a message counts twice its bytes and 128 bytes for each comma, and reserves memory once that exceeds 128 KB. Messages of daemons stay below it, but for prompts of very many parts and copies of the configuration.

--- a/io/intake/memory.go
+++ b/io/intake/memory.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"sync/atomic"
@@ -12,8 +13,11 @@
 // firstReadAll is the size of the first buffer for a body of unknown length.
 const firstReadAll = 4 << 10
 
-// messageFactor is the memory of a message per byte that was read, while its buffer grows.
-const messageFactor = 2
+const (
+	messageFactor       = 2                         // memory of a message per byte that was read, while its buffer grows
+	messageElementBytes = 128                       // memory of an element of its lists once it is decoded, while the list grows
+	freeMessage         = messageFactor * firstRead // memory that a message takes without a reservation
+)
 
 // ErrMemory is returned when a budget has too little memory left.
 var ErrMemory = errors.New("bodies exceed their memory limit")
@@ -72,7 +76,8 @@
 	}
 }
 
-// Body returns the body of a message, which reserves memory for what exceeds the first 64 KB, so that short ones are read however little is left.
+// Body returns the body of a message, which reserves memory for itself and for its decoded elements when they exceed 128 KB, so that usual ones are read however
+// little is left.
 func (memory *Memory) Body(source io.ReadCloser) io.ReadCloser {
 	return &messageBody{ReadCloser: source, memory: memory}
 }
@@ -80,14 +85,15 @@
 type messageBody struct {
 	io.ReadCloser
 	memory *Memory
-	count  int64 // bytes read
+	bytes  int64 // memory of what was read
 }
 
 // Read returns ErrMemory when the budget is used up.
 func (body *messageBody) Read(data []byte) (int, error) {
 	count, err := body.ReadCloser.Read(data)
-	if body.count += int64(count); body.count > firstRead {
-		if err := body.memory.Reserve(messageFactor * body.count); err != nil {
+	body.bytes += int64(count)*messageFactor + int64(bytes.Count(data[:count], []byte{','}))*messageElementBytes
+	if body.bytes > freeMessage {
+		if err := body.memory.Reserve(body.bytes); err != nil {
 			return count, err
 		}
 	}
