io/intake: evicted heads are not parsed, and end without a response

Cause: a read returned what had come also when the connection had just been evicted for it, so the server parsed it: memory that the eviction was to save, and garbage. The wait for the collector came before a read, so that connections which waited for bytes when there was room were all parsed at once when the bytes had come. And a read that fails in the middle of a line makes the server take the begin of the line for a whole one and respond with 400, where nothing was promised; callers take 400 as final. That was so at the server's own time limit on a head, and the limit of the routing would have met it sooner. It could also have followed a 431.

Change: the wait comes when bytes have come and before they are parsed, a read of an evicted connection returns nothing, and what was not parsed does not count as garbage. Such connections and ones whose head takes too long are closed before the error is returned; nothing can be sent after a 431.

TestEvictedHeadIsNotParsed finds no such read without the change.

--- a/io/intake/closed.go
+++ b/io/intake/closed.go
@@ -26,8 +26,8 @@
 
 // ending counts the memory of a connection that was removed from the pool; the mutex must be held.
 func (pool *Pool) ending(conn *Conn) {
-	conn.endingHead = max(0, conn.headBytes-connectionBytes)
-	conn.endingBytes = conn.headBytes + conn.bodyBytes - conn.endingHead
+	conn.endingHead = max(0, conn.headBytes-connectionBytes-conn.unparsed)
+	conn.endingBytes = conn.headBytes + conn.bodyBytes - conn.endingHead - conn.unparsed
 	pool.closed.endingBytes += conn.endingHead + conn.endingBytes
 	if conn.reads == 0 {
 		pool.endHead(conn) // the server does not parse a head
@@ -133,8 +133,8 @@
 	}
 }
 
-// awaitBeforeRead waits for the collector for what earlier reads of the same head have left of maxCollectionWait.
-func (pool *Pool) awaitBeforeRead(conn *Conn) {
+// awaitBeforeParsing waits for the collector for what earlier reads of the same head have left of maxCollectionWait.
+func (pool *Pool) awaitBeforeParsing(conn *Conn) {
 	pool.mutex.Lock()
 	begin := pool.clock.Now()
 	deadline := begin.Add(maxCollectionWait - conn.waited)
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 )
 
@@ -41,6 +42,7 @@
 	draining     bool          // what comes after the rejection is read
 	waited       time.Duration // for the collector, by reads since the last response
 	headBytes    int64         // memory of the connection and of a head that is not whole
+	unparsed     int64         // part of it that the server has not parsed yet
 	bodyBytes    int64         // memory of heads and bodies of requests in progress
 	multiplexed  bool          // its requests come over HTTP/2
 	bodyReadAt   time.Time     // when bytes of a body last came
@@ -74,18 +76,20 @@
 	return conn.rank(now) == unread || conn.incomplete > 0 && conn.requests == conn.incomplete && now.Sub(conn.bodyReadAt) > minStall
 }
 
-// Read reads from the connection and counts the memory of a head that is not whole; it returns an error when the head is too long, after a rejection if the port
-// has a limit of its own.
+// Read reads from the connection. It counts the memory of a head that is not whole before the server parses it, and returns an error when the head is too long, after a
+// rejection if the port has a limit of its own, or the connection was evicted.
 func (conn *Conn) Read(data []byte) (int, error) {
 	pool := conn.pool
 	pool.mutex.Lock()
 	conn.reads++
-	wait := !conn.active && pool.isOver()
+	pool.mutex.Unlock()
+	count, err := conn.Conn.Read(data)
+	pool.mutex.Lock()
+	wait := !conn.active && count > 0 && pool.isOver()
 	pool.mutex.Unlock()
 	if wait {
-		pool.awaitBeforeRead(conn)
+		pool.awaitBeforeParsing(conn)
 	}
-	count, err := conn.Conn.Read(data)
 	pool.mutex.Lock()
 	conn.reads--
 	var victims []*Conn
@@ -109,13 +113,23 @@
 			victims = append(victims, pool.shrink()...)
 		}
 	}
+	_, found := pool.connections[conn]
+	if !found && !conn.active && err == nil {
+		count, err = 0, errEvicted // the server must not parse what has come
+	}
+	silent := err == errEvicted || !conn.active && conn.head.isPending() && errors.Is(err, os.ErrDeadlineExceeded)
+	conn.unparsed = 0
 	if conn.reads == 0 {
 		pool.endHead(conn)
 	}
 	pool.mutex.Unlock()
 	closeAll(victims)
 	if rejected {
-		return 0, conn.rejectHead()
+		conn.rejectHead()
+		return 0, errHeadTooLong
+	}
+	if silent {
+		_ = conn.Conn.Close() // a server takes the begin of a line before an error as a line, and responds with 400, which callers take as final
 	}
 	return count, err
 }
@@ -130,7 +144,8 @@
 	conn.head.ended = false // the server expects more of it
 	inHead := conn.head.add(part)
 	conn.headReceived += int64(len(part))
-	pool.charge(conn, headMemory(part[:inHead]), true)
+	conn.unparsed = headMemory(part[:inHead])
+	pool.charge(conn, conn.unparsed, true)
 	conn.afterHead = int64(len(part) - inHead)
 	conn.tail = newTail(part[inHead:])
 }
--- a/io/intake/head.go
+++ b/io/intake/head.go
@@ -13,7 +13,10 @@
 	elementBytes = 256 // memory of a header line or of an entry in a list: entries of the maps of the server and of a forwarded copy, and their slices
 )
 
-var errHeadTooLong = errors.New("head of a request exceeds its limit")
+var (
+	errHeadTooLong = errors.New("head of a request exceeds its limit")
+	errEvicted     = errors.New("connection was closed because of the limits")
+)
 
 // headMemory returns the memory that a server and a forwarded copy need at most for a part of a head. It counts short lines and short entries of lists by their
 // number, because once they are parsed they take many times their bytes.
--- a/io/intake/head_test.go
+++ b/io/intake/head_test.go
@@ -115,7 +115,8 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
 	_, _ = io.WriteString(conn, sends)
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		if timeout, isNet := err.(net.Error); isNet && timeout.Timeout() {
 			t.Fatal("neither a response nor the end of the connection")
@@ -123,6 +124,11 @@
 		return 0
 	}
 	_, _ = io.Copy(io.Discard, response.Body)
+	if response.StatusCode == http.StatusRequestHeaderFieldsTooLarge {
+		if more, _ := io.ReadAll(reader); len(more) > 0 {
+			t.Errorf("%q follows the rejection", more)
+		}
+	}
 	return response.StatusCode
 }
 
@@ -162,8 +168,10 @@
 	address := startServer(t, pool, PortOptions{HeadLimits: func() HeadLimits { return HeadLimits{Timeout: timeout} }}, func(_ http.ResponseWriter, request *http.Request) {
 		_, _ = io.Copy(io.Discard, request.Body)
 	})
-	if status := exchange(t, address, "GET / HTTP/1.1\r\nHost: x\r\n"); status != 0 {
-		t.Errorf("a head that stops: status %d", status)
+	for _, head := range []string{"GET / HTTP/1.1\r\nHost: x\r\n", "GET / HTTP/1.1\r\nHost: x\r\nbegin of a line"} {
+		if status := exchange(t, address, head); status != 0 {
+			t.Errorf("a head that stops, %q: status %d", head, status)
+		}
 	}
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
@@ -272,3 +280,45 @@
 		t.Errorf("request with a large head in calm: status %d", status)
 	}
 }
+
+// linesConn is a connection that sends short lines without end.
+type linesConn struct{ fakeConn }
+
+func (conn *linesConn) Read(data []byte) (int, error) {
+	return copy(data, strings.Repeat("ab:\n", len(data)/4)), nil
+}
+
+// TestEvictedHeadIsNotParsed guards against heads that the server parses although their connection has just been evicted for them, or while it waited for the
+// collector: a crowd that is read at once takes the memory that the eviction was to save, and what was not parsed must not count as garbage.
+func TestEvictedHeadIsNotParsed(t *testing.T) {
+	pool := New(Limits{MemoryBytes: 8 << 20}, core.SystemClock{})
+	port := pool.Listen(nil, PortOptions{}).(*port)
+	const readBytes = 4 << 10
+	charge := headMemory([]byte(strings.Repeat("ab:\n", readBytes/4)))
+	parsed, evicted := 0, 0
+	var conns []*Conn
+	for range 40 {
+		conns = append(conns, pool.add(port, &linesConn{fakeConn{from: "10.0.0.1"}}))
+	}
+	for range 4 {
+		for _, conn := range conns {
+			switch count, err := conn.Read(make([]byte, readBytes)); {
+			case err == nil && count == readBytes:
+				parsed++
+			case err != nil && count == 0:
+				evicted++
+			default:
+				t.Fatalf("%d bytes, %v", count, err)
+			}
+		}
+	}
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if evicted == 0 || pool.headBytes > pool.maxHeadBytes {
+		t.Errorf("%d reads of evicted heads, %d bytes of heads", evicted, pool.headBytes)
+	}
+	held := pool.headBytes - int64(len(pool.connections))*connectionBytes
+	if closed := pool.closed.endingBytes + pool.closed.garbageBytes; closed+held > int64(parsed)*charge+40*connectionBytes {
+		t.Errorf("%d bytes of closed connections and %d of heads count, %d reads of %d were parsed", closed, held, parsed, charge)
+	}
+}
--- a/io/intake/limit.go
+++ b/io/intake/limit.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"os"
 	"time"
 )
 
@@ -51,16 +50,15 @@
 	return conn.Conn.SetReadDeadline(deadline)
 }
 
-// rejectHead sends the rejection of a head that is too long. The error that it returns makes the server close the connection without a response of its own.
-func (conn *Conn) rejectHead() error {
+// rejectHead sends the rejection of a head that is too long, and makes it the last that is sent: the server responds with 400 to an error in a head.
+func (conn *Conn) rejectHead() {
 	_ = conn.Conn.SetWriteDeadline(conn.pool.clock.Now().Add(rejectionTimeout))
 	_, _ = conn.Conn.Write([]byte(tooLong))
-	return os.ErrDeadlineExceeded
+	_ = conn.CloseWrite() // fails only if the connection is closed
 }
 
 // drain reads what the caller still sends after a rejection, for a short time: closing a connection with unread bytes resets it, and the rejection is lost.
 func (conn *Conn) drain() {
-	_ = conn.CloseWrite()
 	_ = conn.Conn.SetReadDeadline(conn.pool.clock.Now().Add(rejectionTimeout))
 	_, _ = io.CopyBuffer(io.Discard, io.LimitReader(readerOnly{conn.Conn}, maxDrained), make([]byte, 4<<10))
 }
