--- a/io/intake/intake_test.go
+++ b/io/intake/intake_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -29,12 +30,12 @@
 type fakeConn struct {
 	net.Conn
 	from   string
-	closed bool
+	closed atomic.Bool
 }
 
 func (conn *fakeConn) RemoteAddr() net.Addr          { return &net.TCPAddr{IP: net.ParseIP(conn.from)} }
 func (conn *fakeConn) Read(data []byte) (int, error) { return len(data), nil }
-func (conn *fakeConn) Close() error                  { conn.closed = true; return nil }
+func (conn *fakeConn) Close() error                  { conn.closed.Store(true); return nil }
 
 // TestEvictionOrder guards against the eviction of an ordinary caller's connection instead of one of the crowd: requests in progress stay, unfinished heads
 // go before responses that nobody reads and those before idle connections, the source that has most comes first, and then the oldest.
@@ -84,7 +85,7 @@
 			evicted = append(evicted, "-1")
 		}
 		for i, conn := range conns {
-			if conn.closed {
+			if conn.closed.Load() {
 				evicted = append(evicted, fmt.Sprint(i))
 			}
 		}
@@ -220,8 +221,8 @@
 				break
 			}
 		}
-		if inner.closed != test.closed || (err != nil) != test.closed || conn.headBytes > connectionBytes+headFactor*(maxHeadReceived+4096) {
-			t.Errorf("%s: closed %v, %v, charged %d bytes", test.name, inner.closed, err, conn.headBytes)
+		if inner.closed.Load() != test.closed || (err != nil) != test.closed || conn.headBytes > connectionBytes+headFactor*(maxHeadReceived+4096) {
+			t.Errorf("%s: closed %v, %v, charged %d bytes", test.name, inner.closed.Load(), err, conn.headBytes)
 		}
 	}
 }
