io/daemon, io/entry: bodies of `serve` reserve memory for their decoded elements

What was seen: 400 connections that send whole requests of 300 KB made `serve` take 451 MB of 128.

Cause: bodies counted their bytes. The calls of a request are decoded into a map, of which short entries take some twenty times their bytes, and copied into another that lives as long as the request, also for stages that the pipeline does not have.

Change: bodies reserve memory as messages of `edge` do, twice their bytes and 128 bytes for each comma once that exceeds 128 KB, of a quarter of the memory, until their handlers return; that holds for tickets and messages of other daemons too. A request beyond it gets 429 with RetryAfterMs and has not run. Calls are kept for the stages of the pipeline only.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -39,6 +40,7 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxFrameBytes     = 16 << 10 // the buffer of a frame is allocated when its length was read
+	bodyMemoryShare   = 0.25     // share of the memory for request bodies that take over 128 KB
 	pingInterval      = time.Second
 	pingTimeout       = 2 * time.Second
 )
@@ -68,6 +70,7 @@
 	snapshot atomic.Pointer[snapshot]
 	intake   *intake.Pool
 
+	bodyBudget     intake.Budget // of request bodies that take over 128 KB
 	peerBytes      meter.Counter
 	releases       sync.WaitGroup
 	activeRequests atomic.Int64
@@ -94,6 +97,7 @@
 		draining:     make(chan struct{}),
 		heartbeatNow: make(chan struct{}, 1),
 	}
+	daemon.bodyBudget.Limit, daemon.bodyBudget.Short = int64(float64(cmp.Or(int64(options.MemoryMB)<<20, intake.DefaultMemoryBytes))*bodyMemoryShare), daemon.intake.Reclaim
 	daemon.listener = meter.Listener{Listener: daemon.intake.Listen(listener, intake.PortOptions{})}
 	if daemon.address == "" {
 		daemon.address = listener.Addr().String()
@@ -217,7 +221,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{
-		Handler:           callid.Echo(mux),
+		Handler:           callid.Echo(daemon.meterBodies(mux)),
 		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout, MaxReadFrameSize: maxFrameBytes},
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -229,6 +233,16 @@
 	return server
 }
 
+// meterBodies makes long bodies, and ones with very many elements, reserve the memory that they take until their handlers return.
+func (daemon *Daemon) meterBodies(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		memory := daemon.bodyBudget.Memory()
+		defer memory.Release()
+		request.Body = memory.Body(request.Body)
+		handler.ServeHTTP(writer, request)
+	})
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -17,6 +18,7 @@
 	"catkincove/core/config"
 	"catkincove/core/flow"
 	"catkincove/io/answer"
+	"catkincove/io/intake"
 )
 
 // Daemon is the daemon that the API exposes.
@@ -45,6 +47,7 @@
 
 const (
 	maxTicketBytes    = 16 << 20
+	memoryRetryAfter  = time.Second // Retry-After while bodies use up their memory
 	keepAliveInterval = time.Second // lets a caller tell a stalled connection from a slow response
 )
 
@@ -113,7 +116,10 @@
 	}
 	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, int64(settings.Limits().BodyBytes)))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&body); err != nil {
+	switch err := decoder.Decode(&body); {
+	case errors.Is(err, intake.ErrMemory):
+		return flow.Request{}, body, core.Errorf(core.Overloaded, "request body: %w", err).WithRetryAfter(memoryRetryAfter)
+	case err != nil:
 		return flow.Request{}, body, core.Errorf(core.BadRequest, "request body: %v", err)
 	}
 	deadline, err := parseDeadline(request.Header.Get(DeadlineHeader), pipeline.Deadline)
@@ -130,9 +136,12 @@
 		Deadline:       api.Clock.Now().Add(deadline),
 		Priority:       body.Priority,
 	}
-	for stage, call := range body.Calls {
-		flowRequest.CallBodies[stage] = call
+	for _, stage := range pipeline.Stages {
+		if call, found := body.Calls[stage.Name]; found {
+			flowRequest.CallBodies[stage.Name] = call
+		}
 	}
+	body.Calls = nil // may name thousands of stages that the pipeline does not have
 	return flowRequest, body, nil
 }
 
--- a/proof/clients_test.go
+++ b/proof/clients_test.go
@@ -136,6 +136,18 @@
 // TestCrowdOfStreamsAtServe guards against the heads of the many requests that an HTTP/2 connection may have in progress.
 func TestCrowdOfStreamsAtServe(t *testing.T) { playCrowd(t, heldRequests(crowdBytes)) }
 
+// TestCrowdOfBodiesAtServe guards against bodies that take many times their length once they are decoded: entries for stages that the pipeline does not have.
+func TestCrowdOfBodiesAtServe(t *testing.T) {
+	var body strings.Builder
+	body.WriteString(`{"Question":"stock","Calls":{`)
+	for i := 0; body.Len() < crowdBytes; i++ {
+		fmt.Fprintf(&body, `"%x":0,`, i)
+	}
+	body.WriteString(`"end":0}}`)
+	head := "POST /v1/pipelines/lookup HTTP/1.1\r\nHost: x\r\nCatkincove-Team: fans\r\nContent-Length: " + strconv.Itoa(body.Len()) + "\r\n\r\n"
+	playCrowd(t, []byte(head+body.String()))
+}
+
 // playCrowd checks that a daemon lives, stays within its memory and descriptors, and serves ordinary callers beside and after a crowd.
 func playCrowd(t *testing.T, sends []byte) {
 	fleet := (&fleet{t: t, descriptors: crowdDescriptors, daemonLines: fmt.Sprintf("MemoryMB = %d", crowdMemory)}).begin(1, world.Options{})
