--- a/core/place/cache.go
+++ b/core/place/cache.go
@@ -16,8 +16,8 @@
 	maxCountedTokens = 1 << 40 // tokens that a prompt counts at most, so that sums of them do not overflow
 )
 
-// Prefix is a prompt as caches hold it: each part is cached only behind all parts before it. It keeps nothing of the caller's text.
-type Prefix struct {
+// prefix is a prompt as caches hold it: each part is cached only behind all parts before it. It keeps nothing of the caller's text.
+type prefix struct {
 	parts []prefixPart
 	total int    // tokens of all parts, also of those that are not tracked
 	key   uint64 // hash of the ID of the longest shared part
@@ -29,10 +29,10 @@
 	tokens int
 }
 
-// NewPrefix returns the prefix of a prompt, whose last part no other prompt shares.
-func NewPrefix(parts []core.PromptPart) Prefix {
+// newPrefix returns the prefix of a prompt, whose last part no other prompt shares.
+func newPrefix(parts []core.PromptPart) prefix {
 	tracked := parts[:min(len(parts), maxTrackedParts)]
-	prefix := Prefix{parts: make([]prefixPart, len(tracked))}
+	prefix := prefix{parts: make([]prefixPart, len(tracked))}
 	for i, part := range parts {
 		tokens := min(max(part.Tokens, 0), maxCountedTokens-prefix.total)
 		prefix.total += tokens
@@ -47,7 +47,7 @@
 }
 
 // shared returns the parts that other prompts share.
-func (prefix Prefix) shared() []prefixPart { return prefix.parts[:max(len(prefix.parts)-1, 0)] }
+func (prefix prefix) shared() []prefixPart { return prefix.parts[:max(len(prefix.parts)-1, 0)] }
 
 // cache estimates which parts an engine caches; newCache creates one.
 type cache struct {
@@ -66,7 +66,7 @@
 }
 
 // uncachedTokens returns the tokens that the engine has to prefill. It stops at the first part that is not cached.
-func (cache *cache) uncachedTokens(prefix Prefix) int {
+func (cache *cache) uncachedTokens(prefix prefix) int {
 	tokens := prefix.total
 	for _, part := range prefix.parts {
 		if !cache.parts.Contains(part.id) {
--- a/core/place/cache_test.go
+++ b/core/place/cache_test.go
@@ -47,7 +47,7 @@
 	engines, targets := engines(1)
 	_ = engines.Choose(start, targets, prompt("a", "catalogue", 6300, 100))
 	_ = engines.Choose(start, targets, prompt("b", "other", 1<<40, 100))
-	if uncached := engines.engine(targets[0]).cache.uncachedTokens(NewPrefix(prompt("c", "catalogue", 6300, 100).Parts)); uncached != 100 {
+	if uncached := engines.engine(targets[0]).cache.uncachedTokens(newPrefix(prompt("c", "catalogue", 6300, 100).Parts)); uncached != 100 {
 		t.Errorf("%d tokens to prefill", uncached)
 	}
 }
--- a/core/place/engines.go
+++ b/core/place/engines.go
@@ -36,14 +36,14 @@
 	MaxWait    time.Duration // longest wait for a target that has named a limit
 	Hint       string        // engine that last cached the longest shared part, as far as the sender knows
 
-	prefix Prefix // of Parts, once it is known
+	prefix prefix // of Parts, once it is known
 	hashed bool   // prefix and rank are known
 	rank   uint64 // hash of the longest shared part or, without one, of Attempt, by which engines of equal cost are ranked
 }
 
 // WithPrefix returns the prompt with its parts hashed, so that Choose, which may run where other requests wait, does not take a time that grows with their text.
 func (prompt Prompt) WithPrefix() Prompt {
-	prompt.prefix, prompt.hashed = NewPrefix(prompt.Parts), true
+	prompt.prefix, prompt.hashed = newPrefix(prompt.Parts), true
 	if prompt.rank = prompt.prefix.key; !prompt.prefix.ok {
 		prompt.rank = xxhash.Sum64String(prompt.Attempt)
 	}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -83,11 +83,11 @@
 func TestRestartedEngineHasEmptyCache(t *testing.T) {
 	engines, targets := engines(1)
 	_ = engines.Choose(start, targets, prompt("a", "catalogue", 6300, 100))
-	if uncached := engines.engine(targets[0]).cache.uncachedTokens(NewPrefix(prompt("b", "catalogue", 6300, 100).Parts)); uncached != 100 {
+	if uncached := engines.engine(targets[0]).cache.uncachedTokens(newPrefix(prompt("b", "catalogue", 6300, 100).Parts)); uncached != 100 {
 		t.Errorf("%d tokens to prefill while the engine caches the shared part", uncached)
 	}
 	targets[0].StartedAt = start.Add(time.Second)
-	if uncached := engines.engine(targets[0]).cache.uncachedTokens(NewPrefix(prompt("b", "catalogue", 6300, 100).Parts)); uncached != 6400 {
+	if uncached := engines.engine(targets[0]).cache.uncachedTokens(newPrefix(prompt("b", "catalogue", 6300, 100).Parts)); uncached != 6400 {
 		t.Errorf("%d tokens to prefill after the restart", uncached)
 	}
 }
