io/intake: a rejected head does not count while its caller reads the rejection

The server reports a head that it gives up as whole, so its memory counted as that of a request in progress for the half second in which the rejection is read, and connections of others were closed for it. TestRejectedHeadIsFree finds it without the change.

--- a/io/intake/closed.go
+++ b/io/intake/closed.go
@@ -39,12 +39,13 @@
 	}
 }
 
-// discardHead counts the head of a connection that stays open as garbage; the mutex must be held.
+// discardHead counts the head of a connection that stays open, of which no request is in its handler, as garbage; the mutex must be held.
 func (pool *Pool) discardHead(conn *Conn) {
-	memory := conn.headBytes - connectionBytes
-	pool.charge(conn, -memory, true)
-	pool.closed.endingBytes += memory
-	pool.discard(memory)
+	unfinished, whole := conn.headBytes-connectionBytes, conn.bodyBytes // the server also reports a head that it gives up as whole
+	pool.charge(conn, -unfinished, true)
+	pool.charge(conn, -whole, false)
+	pool.closed.endingBytes += unfinished + whole
+	pool.discard(unfinished + whole)
 }
 
 // endHead notes that the head of a removed connection is garbage; the mutex must be held.
--- a/io/intake/head_test.go
+++ b/io/intake/head_test.go
@@ -161,6 +161,37 @@
 	}
 }
 
+// TestRejectedHeadIsFree guards against rejected heads that count against others while their callers have time to read the rejection.
+func TestRejectedHeadIsFree(t *testing.T) {
+	pool := New(Limits{}, core.SystemClock{})
+	address := startServer(t, pool, PortOptions{HeadLimits: func() HeadLimits { return HeadLimits{Bytes: 8_000} }}, func(http.ResponseWriter, *http.Request) {})
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n"+shortNames(20_000, "%s:\n"))
+	if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || response.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Fatalf("%v %v", response, err)
+	}
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		pool.mutex.Lock()
+		draining, bytes := 0, pool.totalBytes
+		for conn := range pool.connections {
+			if conn.draining {
+				draining++
+			}
+		}
+		pool.mutex.Unlock()
+		if draining == 1 && bytes == connectionBytes {
+			return
+		}
+		if draining == 0 && bytes == 0 || time.Now().After(deadline) {
+			t.Fatalf("%d connections are open after their rejection, %d bytes count", draining, bytes)
+		}
+	}
+}
+
 // TestHeadTimeoutOfPort guards against heads that take longer than the port allows, and against a time limit on a caller that has sent nothing of a head, or all.
 func TestHeadTimeoutOfPort(t *testing.T) {
 	const timeout = 300 * time.Millisecond
